Whole path, thin: entry, agent, ctl, stand-ins and a demo

Cause: nothing stood yet. Change: workspace of four crates; shared types, result codes and wire messages in core; QUIC transport with mutual TLS and roles, callers' and operators' ports, platform, engine and origin adapters, entry and agent in node; platform, origin, engine and plain service stand-ins; demo.

--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,36 @@
+//! The decisions of mastichaven: routing, admission, retries, claims, weights, placement,
+//! configuration, membership. No sockets, files, timers, threads, clocks or ambient randomness:
+//! the present time and the random source are arguments.
+//!
+//! ```
+//! use mastichaven_core::Manifest;
+//!
+//! let manifest = Manifest::cut(b"the weights of a small model", 8);
+//! let bytes = manifest.encode();
+//! assert_eq!(Manifest::decode(&bytes, manifest.digest()), Ok(manifest));
+//! ```
+
+pub mod admission;
+pub mod arena;
+pub mod code;
+pub mod config;
+pub mod ids;
+pub mod manifest;
+pub mod members;
+pub mod plan;
+pub mod platform;
+pub mod relay;
+pub mod route;
+pub mod run;
+pub mod spread;
+pub mod time;
+pub mod weights;
+pub mod wire;
+
+pub use crate::arena::Arena;
+pub use crate::arena::Key;
+pub use crate::code::Code;
+pub use crate::code::Outcome;
+pub use crate::config::Config;
+pub use crate::manifest::Manifest;
+pub use crate::time::Time;
--- /dev/null
+++ b/core/src/manifest.rs
@@ -0,0 +1,76 @@
+//! Manifests: the digests that make up one version of a model.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::code::Code;
+use crate::ids::Digest;
+
+/// Result of reading a manifest.
+pub type Result<T> = std::result::Result<T, Code>;
+
+/// Bytes of a chunk at most.
+pub const MAX_CHUNK_LEN: u32 = 4 << 20;
+
+/// Chunks of a version at most.
+pub const MAX_CHUNKS: usize = 1 << 20;
+
+/// One chunk of a version.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Chunk {
+    /// Digest of its bytes.
+    pub digest: Digest,
+    /// Its length in bytes.
+    pub len: u32,
+}
+
+/// The chunks of a version, in order. Its own digest names the version's weights.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Manifest {
+    /// The chunks in the order in which they make up the weights.
+    pub chunks: Vec<Chunk>,
+}
+
+impl Manifest {
+    /// Cuts `weights` into chunks of `chunk_len` bytes, the last one shorter.
+    pub fn cut(weights: &[u8], chunk_len: u32) -> Manifest {
+        let chunks = weights
+            .chunks(chunk_len.clamp(1, MAX_CHUNK_LEN) as usize)
+            .map(|bytes| Chunk { digest: Digest::of(bytes), len: bytes.len() as u32 })
+            .collect();
+        Manifest { chunks }
+    }
+
+    /// Bytes of the whole version.
+    pub fn len(&self) -> u64 {
+        self.chunks.iter().map(|chunk| u64::from(chunk.len)).sum()
+    }
+
+    /// Whether the version has no chunk.
+    pub fn is_empty(&self) -> bool {
+        self.chunks.is_empty()
+    }
+
+    /// The bytes that the digest of the manifest is taken of.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("a manifest always encodes")
+    }
+
+    /// The digest that names this version.
+    pub fn digest(&self) -> Digest {
+        Digest::of(&self.encode())
+    }
+
+    /// Reads a manifest and checks it against the digest that names it.
+    pub fn decode(bytes: &[u8], expected: Digest) -> Result<Manifest> {
+        if Digest::of(bytes) != expected {
+            return Err(Code::BadManifest);
+        }
+        let manifest: Manifest = postcard::from_bytes(bytes).map_err(|_| Code::BadManifest)?;
+        let too_long = |chunk: &Chunk| chunk.len == 0 || chunk.len > MAX_CHUNK_LEN;
+        if manifest.chunks.len() > MAX_CHUNKS || manifest.chunks.iter().any(too_long) {
+            return Err(Code::BadManifest);
+        }
+        Ok(manifest)
+    }
+}
--- /dev/null
+++ b/node/src/agent.rs
@@ -0,0 +1,281 @@
+//! The agent: the only way to its endpoint, and a peer in the weight swarm.
+//!
+//! | thread | duty | file |
+//! | --- | --- | --- |
+//! | `asks` | answers what peers ask | `agent/asks.rs` |
+//! | one a running request | hands it to the endpoint | `agent/run.rs` |
+//! | `engine` | watches the endpoint, opens and closes the gate, gives orders | `agent/engine_watch.rs` |
+//! | `pull` | fetches the weights that the plan wants | `agent/pull.rs` |
+//! | `control` | keeps the documents up to date | `agent/control.rs` |
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use mastichaven_core::Code;
+use mastichaven_core::Manifest;
+use mastichaven_core::admission::Admission;
+use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::Incarnation;
+use mastichaven_core::ids::ModelName;
+use mastichaven_core::ids::RequestId;
+use mastichaven_core::members::EndpointKind;
+use mastichaven_core::members::Member;
+use mastichaven_core::members::Serving;
+use mastichaven_core::plan::Plan;
+use mastichaven_core::platform::HostRole;
+use mastichaven_core::run::VoidReply;
+use mastichaven_core::wire::Ask;
+use mastichaven_core::wire::AskBody;
+use mastichaven_core::wire::Sender;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::clock::Clock;
+use crate::documents::Documents;
+use crate::engine::Engine;
+use crate::http_store::HttpStore;
+use crate::operator;
+use crate::operator::Operated;
+use crate::origin::Origin;
+use crate::settings::AgentSettings;
+use crate::settings::EndpointSettings;
+use crate::telemetry::Telemetry;
+use crate::tls::Material;
+use crate::transport::Transport;
+
+mod asks;
+mod control;
+mod engine_watch;
+mod pull;
+mod run;
+
+/// Result of starting an agent.
+pub type Result<T> = std::result::Result<T, Code>;
+
+/// Requests an endpoint is given at once when warm.
+const WARM_LIMIT: u32 = 16;
+
+/// Asks waiting for the `asks` thread; more are refused as busy.
+const ASK_RING: usize = 256;
+
+/// How often the threads look for work.
+const TICK: Duration = Duration::from_millis(100);
+
+/// The verified chunks and manifests of this agent.
+#[derive(Debug, Default)]
+struct Store {
+    manifests: HashMap<Digest, Manifest>,
+    chunks: HashMap<Digest, Bytes>,
+}
+
+impl Store {
+    fn is_complete(&self, manifest: Digest) -> bool {
+        let Some(manifest) = self.manifests.get(&manifest) else {
+            return false;
+        };
+        manifest.chunks.iter().all(|chunk| self.chunks.contains_key(&chunk.digest))
+    }
+}
+
+/// What the threads of an agent share.
+struct Shared {
+    settings: AgentSettings,
+    telemetry: Telemetry,
+    clock: Clock,
+    incarnation: Incarnation,
+    documents: Documents,
+    transport: Transport,
+    platform: HttpStore,
+    origin: Origin,
+    engine: Engine,
+    serving: Mutex<Serving>,
+    admission: Mutex<Admission>,
+    requests: Mutex<HashMap<RequestId, VoidReply>>,
+    store: Mutex<Store>,
+    weights_base: Mutex<String>,
+    stopping: AtomicBool,
+    over: AtomicBool,
+    running: AtomicU32,
+}
+
+impl Shared {
+    fn is_over(&self) -> bool {
+        self.over.load(Ordering::Acquire)
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    fn endpoint(&self) -> EndpointKind {
+        match &self.settings.endpoint {
+            EndpointSettings::Engine { .. } => EndpointKind::Engine,
+            EndpointSettings::Plain { service, .. } => EndpointKind::Plain(service.clone()),
+        }
+    }
+
+    fn member(&self) -> Member {
+        let place = &self.settings.place;
+        Member {
+            host: place.host.clone(),
+            role: HostRole::Agent,
+            zone: place.zone.clone(),
+            region: place.region.clone(),
+            address: self.transport.local_addr(),
+            incarnation: self.incarnation,
+            leaving: self.is_stopping(),
+            endpoint: self.endpoint(),
+            serving: self.serving.lock().expect("no holder of this lock panics").clone(),
+            load: self.admission.lock().expect("no holder of this lock panics").load(),
+        }
+    }
+
+    fn ask(&self, body: AskBody) -> Ask {
+        let from = Sender {
+            host: self.settings.place.host.clone(),
+            incarnation: self.incarnation,
+            generation: self.documents.in_force().generation,
+        };
+        Ask { from, body }
+    }
+
+    /// The model that a plan wants on this host, with the plan and its revision.
+    fn wanted(&self) -> Option<(ModelName, u64, Plan)> {
+        let in_force = self.documents.in_force();
+        let host = &self.settings.place.host;
+        in_force.config.model.keys().find_map(|model| {
+            let (revision, plan) = self.documents.plan(model)?;
+            plan.hosts.contains(host).then(|| (model.clone(), revision, plan))
+        })
+    }
+}
+
+/// A running agent.
+pub struct Agent {
+    shared: Arc<Shared>,
+    threads: Vec<thread::JoinHandle<()>>,
+    operators: SocketAddr,
+}
+
+impl Agent {
+    /// Binds its ports and starts its threads.
+    pub fn start(
+        settings: AgentSettings,
+        material: &Material,
+        telemetry: Telemetry,
+        incarnation: Incarnation,
+    ) -> Result<Agent> {
+        let (tx, rx) = flume::bounded(ASK_RING);
+        let transport = Transport::start(settings.place.peers, material, tx)?;
+        let operators = settings.place.operators;
+        let address = match &settings.endpoint {
+            EndpointSettings::Engine { address } | EndpointSettings::Plain { address, .. } => {
+                address.clone()
+            }
+        };
+        let shared = Arc::new(Shared {
+            platform: HttpStore::new(&settings.platform),
+            origin: Origin::new(&settings.origin),
+            engine: Engine::new(address),
+            settings,
+            telemetry,
+            clock: Clock::start(),
+            incarnation,
+            documents: Documents::default(),
+            transport,
+            serving: Mutex::new(Serving::Nothing),
+            admission: Mutex::new(Admission::cold(WARM_LIMIT)),
+            requests: Mutex::default(),
+            store: Mutex::default(),
+            weights_base: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            over: AtomicBool::new(false),
+            running: AtomicU32::new(0),
+        });
+        let operators = operator::start(operators, shared.clone())?;
+        *shared.weights_base.lock().expect("no holder of this lock panics") =
+            format!("http://{operators}/weights/");
+        let asks = shared.clone();
+        let threads = vec![
+            spawn("asks", move || asks::serve(&asks, &rx)),
+            spawn_duty("control", &shared, control::run),
+            spawn_duty("engine", &shared, engine_watch::run),
+            spawn_duty("pull", &shared, pull::run),
+        ];
+        Ok(Agent { shared, threads, operators })
+    }
+
+    /// Where peers reach it.
+    pub fn peers_addr(&self) -> SocketAddr {
+        self.shared.transport.local_addr()
+    }
+
+    /// Where operators reach it.
+    pub fn operators_addr(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Stops gracefully: takes nothing new, finishes every request in progress, leaves.
+    pub fn stop(self) {
+        self.shared.stopping.store(true, Ordering::Release);
+        while self.shared.running.load(Ordering::Acquire) > 0 {
+            thread::sleep(TICK);
+        }
+        self.shared.over.store(true, Ordering::Release);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> thread::JoinHandle<()> {
+    thread::Builder::new().name(name.to_owned()).spawn(run).expect("the system gives a thread")
+}
+
+fn spawn_duty(name: &str, shared: &Arc<Shared>, run: fn(&Shared)) -> thread::JoinHandle<()> {
+    let shared = shared.clone();
+    spawn(name, move || run(&shared))
+}
+
+impl Operated for Shared {
+    fn is_ready(&self) -> bool {
+        !self.is_stopping()
+            && *self.serving.lock().expect("no holder of this lock panics") != Serving::Nothing
+    }
+
+    fn dump(&self) -> Value {
+        let store = self.store.lock().expect("no holder of this lock panics");
+        json!({
+            "program": "mastichaven-agent",
+            "generation": self.documents.in_force().generation,
+            "documents": self.documents.revisions(),
+            "member": self.member(),
+            "running": self.running.load(Ordering::Acquire),
+            "chunks": store.chunks.len(),
+            "manifests": store.manifests.len(),
+            "uptime_ms": self.clock.now().as_millis(),
+        })
+    }
+
+    fn weights(&self, manifest: Digest) -> Option<Box<dyn std::io::Read + Send>> {
+        let store = self.store.lock().expect("no holder of this lock panics");
+        if !store.is_complete(manifest) {
+            return None;
+        }
+        let chunks = store.manifests[&manifest].chunks.iter();
+        let bytes: Vec<Bytes> = chunks.map(|chunk| store.chunks[&chunk.digest].clone()).collect();
+        Some(Box::new(std::io::Cursor::new(bytes.concat())))
+    }
+
+    fn is_over(&self) -> bool {
+        Shared::is_over(self)
+    }
+}
--- /dev/null
+++ b/node/src/callers.rs
@@ -0,0 +1,106 @@
+//! The callers' port: HTTP/1.1, a task a request, heads and bodies bounded.
+//!
+//! hyper stands in for `tiny_http` here; `docs/DECISIONS.md` says why.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use http_body_util::combinators::BoxBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use mastichaven_core::Code;
+use tokio::net::TcpListener;
+
+use crate::entry::Shared;
+use crate::entry::requests;
+
+/// Result of starting the port.
+pub type Result<T> = std::result::Result<T, Code>;
+
+/// An answer's body: whole, or frames as they come.
+pub type AnswerBody = BoxBody<Bytes, std::io::Error>;
+
+/// Bytes of a request's head at most.
+const MAX_HEAD_LEN: usize = 16 << 10;
+
+/// Header lines of a request at most.
+const MAX_HEADERS: usize = 64;
+
+/// A caller that has not sent its head after this long is dropped.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Connections of callers at most; the rest wait in the system's backlog.
+const MAX_CONNECTIONS: usize = 4_096;
+
+/// How often the thread looks whether the entry has ended.
+const POLL: Duration = Duration::from_millis(100);
+
+/// Starts the port's thread and returns the address that is bound.
+pub(crate) fn start(address: SocketAddr, shared: Arc<Shared>) -> Result<SocketAddr> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|_| Code::CannotBind)?;
+    let listener = runtime.block_on(TcpListener::bind(address)).map_err(|_| Code::CannotBind)?;
+    let bound = listener.local_addr().map_err(|_| Code::CannotBind)?;
+    thread::Builder::new()
+        .name("callers".to_owned())
+        .spawn(move || runtime.block_on(accept(listener, shared)))
+        .map_err(|_| Code::CannotBind)?;
+    Ok(bound)
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    let places = Arc::new(tokio::sync::Semaphore::new(MAX_CONNECTIONS));
+    while !shared.is_over() {
+        let Ok(place) = places.clone().acquire_owned().await else {
+            return;
+        };
+        let Ok(Ok((stream, _))) = tokio::time::timeout(POLL, listener.accept()).await else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |req| answer(shared.clone(), req));
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .max_buf_size(MAX_HEAD_LEN)
+                .max_headers(MAX_HEADERS)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            drop(place);
+        });
+    }
+}
+
+async fn answer(
+    shared: Arc<Shared>,
+    req: Request<Incoming>,
+) -> std::result::Result<Response<AnswerBody>, Infallible> {
+    Ok(requests::serve(&shared, req).await)
+}
+
+/// A body that is whole.
+pub(crate) fn whole(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes).map_err(|never| match never {}).boxed()
+}
+
+/// A body whose frames come over a ring; an error on the ring cuts the answer off visibly.
+pub(crate) fn streamed(frames: flume::Receiver<std::io::Result<Frame<Bytes>>>) -> AnswerBody {
+    BodyExt::boxed(StreamBody::new(frames.into_stream()))
+}
--- /dev/null
+++ b/node/src/entry.rs
@@ -0,0 +1,208 @@
+//! The entry: answers callers, routes their requests to agents, and shares in control.
+//!
+//! | thread | duty | file |
+//! | --- | --- | --- |
+//! | `callers` | speaks HTTP with callers, a task a request | `callers.rs`, `entry/requests.rs` |
+//! | `asks` | answers what peers ask | `entry/asks.rs` |
+//! | `control` | keeps documents and members up to date | `entry/control.rs` |
+//! | `planner` | writes plans while this entry holds the lease | `entry/planner.rs` |
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use mastichaven_core::Code;
+use mastichaven_core::ids::Incarnation;
+use mastichaven_core::members::EndpointKind;
+use mastichaven_core::members::Member;
+use mastichaven_core::members::Serving;
+use mastichaven_core::platform::HostRole;
+use mastichaven_core::run::Load;
+use mastichaven_core::wire::Ask;
+use mastichaven_core::wire::AskBody;
+use mastichaven_core::wire::Sender;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::callers;
+use crate::clock::Clock;
+use crate::documents::Documents;
+use crate::http_store::HttpStore;
+use crate::operator;
+use crate::operator::Operated;
+use crate::settings::EntrySettings;
+use crate::telemetry::Telemetry;
+use crate::tls::Material;
+use crate::transport::Transport;
+
+mod asks;
+mod control;
+mod planner;
+pub(crate) mod requests;
+
+/// Result of starting an entry.
+pub type Result<T> = std::result::Result<T, Code>;
+
+/// Asks waiting for the `asks` thread; more are refused as busy.
+const ASK_RING: usize = 256;
+
+/// How often a stop looks whether all requests have ended.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// What the threads of an entry share.
+pub(crate) struct Shared {
+    pub(crate) settings: EntrySettings,
+    pub(crate) telemetry: Telemetry,
+    pub(crate) clock: Clock,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) documents: Documents,
+    pub(crate) transport: Transport,
+    pub(crate) platform: HttpStore,
+    pub(crate) members: RwLock<Vec<Member>>,
+    pub(crate) stopping: AtomicBool,
+    pub(crate) over: AtomicBool,
+    pub(crate) running: AtomicU32,
+}
+
+impl Shared {
+    pub(crate) fn is_over(&self) -> bool {
+        self.over.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn ask(&self, body: AskBody) -> Ask {
+        let from = Sender {
+            host: self.settings.place.host.clone(),
+            incarnation: self.incarnation,
+            generation: self.documents.in_force().generation,
+        };
+        Ask { from, body }
+    }
+
+    pub(crate) fn member(&self) -> Member {
+        let place = &self.settings.place;
+        Member {
+            host: place.host.clone(),
+            role: HostRole::Entry,
+            zone: place.zone.clone(),
+            region: place.region.clone(),
+            address: self.transport.local_addr(),
+            incarnation: self.incarnation,
+            leaving: self.is_stopping(),
+            endpoint: EndpointKind::None,
+            serving: Serving::Nothing,
+            load: Load::default(),
+        }
+    }
+
+    pub(crate) fn members(&self) -> Vec<Member> {
+        self.members.read().expect("no holder of this lock panics").clone()
+    }
+}
+
+/// A running entry.
+pub struct Entry {
+    shared: Arc<Shared>,
+    threads: Vec<thread::JoinHandle<()>>,
+    callers: SocketAddr,
+    operators: SocketAddr,
+}
+
+impl Entry {
+    /// Binds its ports and starts its threads.
+    pub fn start(
+        settings: EntrySettings,
+        material: &Material,
+        telemetry: Telemetry,
+        incarnation: Incarnation,
+    ) -> Result<Entry> {
+        let (tx, rx) = flume::bounded(ASK_RING);
+        let transport = Transport::start(settings.place.peers, material, tx)?;
+        let (callers, operators) = (settings.callers, settings.place.operators);
+        let shared = Arc::new(Shared {
+            platform: HttpStore::new(&settings.platform),
+            settings,
+            telemetry,
+            clock: Clock::start(),
+            incarnation,
+            documents: Documents::default(),
+            transport,
+            members: RwLock::default(),
+            stopping: AtomicBool::new(false),
+            over: AtomicBool::new(false),
+            running: AtomicU32::new(0),
+        });
+        let operators = operator::start(operators, shared.clone())?;
+        let callers = callers::start(callers, shared.clone())?;
+        let asks = shared.clone();
+        let control = shared.clone();
+        let planner = shared.clone();
+        let threads = vec![
+            spawn("asks", move || asks::serve(&asks, &rx)),
+            spawn("control", move || control::run(&control)),
+            spawn("planner", move || planner::run(&planner)),
+        ];
+        Ok(Entry { shared, threads, callers, operators })
+    }
+
+    /// Where callers reach it.
+    pub fn callers_addr(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where peers reach it.
+    pub fn peers_addr(&self) -> SocketAddr {
+        self.shared.transport.local_addr()
+    }
+
+    /// Where operators reach it.
+    pub fn operators_addr(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Stops gracefully: not ready, takes nothing new, finishes every request in progress, leaves.
+    pub fn stop(self) {
+        self.shared.stopping.store(true, Ordering::Release);
+        while self.shared.running.load(Ordering::Acquire) > 0 {
+            thread::sleep(STOP_POLL);
+        }
+        self.shared.over.store(true, Ordering::Release);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> thread::JoinHandle<()> {
+    thread::Builder::new().name(name.to_owned()).spawn(run).expect("the system gives a thread")
+}
+
+impl Operated for Shared {
+    fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.documents.in_force().generation.0 > 0
+    }
+
+    fn dump(&self) -> Value {
+        json!({
+            "program": "mastichaven-entry",
+            "generation": self.documents.in_force().generation,
+            "documents": self.documents.revisions(),
+            "member": self.member(),
+            "members": self.members(),
+            "running": self.running.load(Ordering::Acquire),
+            "uptime_ms": self.clock.now().as_millis(),
+        })
+    }
+
+    fn is_over(&self) -> bool {
+        Shared::is_over(self)
+    }
+}
--- /dev/null
+++ b/node/src/entry/asks.rs
@@ -0,0 +1,43 @@
+//! Answers what peers ask of an entry.
+
+use std::time::Duration;
+
+use mastichaven_core::Code;
+use mastichaven_core::members::MembersAsk;
+use mastichaven_core::members::MembersReply;
+use mastichaven_core::spread::SpreadAsk;
+use mastichaven_core::spread::SpreadReply;
+use mastichaven_core::wire::AskBody;
+use mastichaven_core::wire::Reply;
+use mastichaven_core::wire::ReplyBody;
+
+use super::Shared;
+use crate::transport::Incoming;
+
+/// How often the thread looks whether the entry has ended.
+const POLL: Duration = Duration::from_millis(200);
+
+/// Serves the ring until the entry ends.
+pub(super) fn serve(shared: &Shared, asks: &flume::Receiver<Incoming>) {
+    while !shared.is_over() {
+        if let Ok(incoming) = asks.recv_timeout(POLL) {
+            answer(shared, incoming);
+        }
+    }
+}
+
+fn answer(shared: &Shared, incoming: Incoming) {
+    let body = match incoming.ask.body {
+        AskBody::Members(MembersAsk::Probe) => {
+            ReplyBody::Members(MembersReply::Me(shared.member()))
+        }
+        AskBody::Spread(SpreadAsk::Above(theirs)) => {
+            ReplyBody::Spread(SpreadReply::Docs(shared.documents.above(&theirs)))
+        }
+        AskBody::Run(_) | AskBody::Void(_) | AskBody::Weights(_) | AskBody::Relay(_) => {
+            ReplyBody::Refused(Code::WrongRole)
+        }
+    };
+    let generation = shared.documents.in_force().generation;
+    let _ = incoming.replies.send(Reply { generation, body });
+}
--- /dev/null
+++ b/node/src/http_store.rs
@@ -0,0 +1,134 @@
+//! The platform's object API over HTTP: the one file that knows its paths and headers.
+//!
+//! | call | request | answers |
+//! | --- | --- | --- |
+//! | read | `GET /v1/objects/KEY` | 200 with `etag: REVISION`, 404 |
+//! | write | `PUT /v1/objects/KEY` with `if-match: REVISION` or `if-none-match: *` | 200 with `etag`, 412, 413, 429 |
+//! | delete | `DELETE /v1/objects/KEY` with `if-match` | 200, 404, 412 |
+//! | list | `GET /v1/list?prefix=P` | 200 with `[[KEY, REVISION], …]` |
+//! | watch | `GET /v1/watch?prefix=P&after=REVISION&wait_ms=N` | 200 with [`Changes`], 410 when compacted |
+//! | hosts | `GET /v1/hosts` | 200 with a list of [`ListedHost`] |
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use mastichaven_core::ids::Revision;
+use mastichaven_core::platform::Changes;
+use mastichaven_core::platform::Expect;
+use mastichaven_core::platform::ListedHost;
+use mastichaven_core::platform::MAX_VALUE_LEN;
+use mastichaven_core::platform::Object;
+use mastichaven_core::platform::ObjectStore;
+use mastichaven_core::platform::PlatformError;
+use mastichaven_core::platform::Result;
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+
+/// Seconds a call may take, apart from a watch's own wait.
+const TIMEOUT_SECONDS: u64 = 3;
+
+/// The platform behind an HTTP address.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    base: String,
+}
+
+impl HttpStore {
+    /// A store at `base`, such as `http://127.0.0.1:7000`.
+    pub fn new(base: impl Into<String>) -> HttpStore {
+        HttpStore { base: base.into() }
+    }
+
+    fn object_url(&self, key: &str) -> String {
+        format!("{}/v1/objects/{key}", self.base)
+    }
+
+    fn get_json<T: DeserializeOwned>(&self, path: &str, timeout_seconds: u64) -> Result<T> {
+        let request = minreq::get(format!("{}{path}", self.base)).with_timeout(timeout_seconds);
+        let response = send(request)?;
+        serde_json::from_slice(response.as_bytes()).map_err(|_| PlatformError::Malformed)
+    }
+}
+
+impl ObjectStore for HttpStore {
+    fn get(&self, key: &str) -> Result<Option<Object>> {
+        let request = minreq::get(self.object_url(key)).with_timeout(TIMEOUT_SECONDS);
+        let response = request.send().map_err(read_error)?;
+        if response.status_code == 404 {
+            return Ok(None);
+        }
+        check_status(&response)?;
+        let revision = scan_revision(&response)?;
+        Ok(Some(Object { revision, value: Bytes::from(response.into_bytes()) }))
+    }
+
+    fn put(&self, key: &str, value: Bytes, expect: Expect) -> Result<Revision> {
+        if value.len() > MAX_VALUE_LEN {
+            return Err(PlatformError::TooLarge);
+        }
+        let request = minreq::put(self.object_url(key))
+            .with_timeout(TIMEOUT_SECONDS)
+            .with_body(value.to_vec());
+        let request = match expect {
+            Expect::Absent => request.with_header("if-none-match", "*"),
+            Expect::At(revision) => request.with_header("if-match", revision.0.to_string()),
+        };
+        scan_revision(&send(request)?)
+    }
+
+    fn delete(&self, key: &str, revision: Revision) -> Result<()> {
+        let request = minreq::delete(self.object_url(key))
+            .with_timeout(TIMEOUT_SECONDS)
+            .with_header("if-match", revision.0.to_string());
+        send(request).map(drop)
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<(SmolStr, Revision)>> {
+        self.get_json(&format!("/v1/list?prefix={prefix}"), TIMEOUT_SECONDS)
+    }
+
+    fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Changes> {
+        let path =
+            format!("/v1/watch?prefix={prefix}&after={}&wait_ms={}", after.0, wait.as_millis());
+        self.get_json(&path, wait.as_secs() + TIMEOUT_SECONDS)
+    }
+
+    fn hosts(&self) -> Result<Vec<ListedHost>> {
+        self.get_json("/v1/hosts", TIMEOUT_SECONDS)
+    }
+}
+
+fn send(request: minreq::Request) -> Result<minreq::Response> {
+    let response = request.send().map_err(read_error)?;
+    check_status(&response)?;
+    Ok(response)
+}
+
+fn check_status(response: &minreq::Response) -> Result<()> {
+    match response.status_code {
+        200 => Ok(()),
+        409 | 412 => Err(PlatformError::Conflict),
+        410 => Err(PlatformError::Compacted),
+        413 => Err(PlatformError::TooLarge),
+        429 => Err(PlatformError::Throttled),
+        404 | 503 => Err(PlatformError::Down),
+        _ => Err(PlatformError::Malformed),
+    }
+}
+
+/// Only a refused connection proves that nothing was written; a reset or a timeout may come after
+/// the write took effect.
+fn read_error(error: minreq::Error) -> PlatformError {
+    match error {
+        minreq::Error::IoError(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            PlatformError::Down
+        }
+        _ => PlatformError::Unknown,
+    }
+}
+
+fn scan_revision(response: &minreq::Response) -> Result<Revision> {
+    let etag = response.header("etag").ok_or(PlatformError::Malformed)?;
+    etag.trim_matches('"').parse().map(Revision).map_err(|_| PlatformError::Malformed)
+}
--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,28 @@
+//! Sockets, files, timers and threads round the decisions of `mastichaven-core`, and the programs
+//! `mastichaven-entry`, `mastichaven-agent` and `mastichaven-ctl`.
+//!
+//! ```
+//! use mastichaven_node::tls::DevelopmentCa;
+//! use mastichaven_node::tls::Role;
+//!
+//! let ca = DevelopmentCa::generate()?;
+//! let material = ca.material(&"host-1".into(), Role::Agent)?;
+//! assert!(material.server_config().is_ok());
+//! # Ok::<(), mastichaven_node::tls::TlsError>(())
+//! ```
+
+pub mod agent;
+pub mod callers;
+pub mod clock;
+pub mod documents;
+pub mod engine;
+pub mod entry;
+pub mod http_store;
+pub mod operator;
+pub mod origin;
+pub mod process;
+pub mod publish;
+pub mod settings;
+pub mod telemetry;
+pub mod tls;
+pub mod transport;
--- /dev/null
+++ b/node/src/settings.rs
@@ -0,0 +1,172 @@
+//! Settings of the programs: one TOML file each, unknown keys refused.
+
+use std::fmt;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use mastichaven_core::Code;
+use mastichaven_core::ids::HostName;
+use mastichaven_core::ids::RegionName;
+use mastichaven_core::ids::ServiceName;
+use mastichaven_core::ids::ZoneName;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+/// Result of reading settings.
+pub type Result<T> = std::result::Result<T, SettingsError>;
+
+/// Why a settings file cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SettingsError {
+    /// The numbered code.
+    pub code: Code,
+    /// The file.
+    pub file: PathBuf,
+    /// The line, from 1; 0 when the file cannot be read.
+    pub line: usize,
+    /// What is wrong, in the parser's words.
+    pub detail: String,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}: {}", self.file.display(), self.line, self.code, self.detail)
+    }
+}
+
+/// Files of mutual TLS.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TlsFiles {
+    /// Certificate of this process.
+    pub certificate: PathBuf,
+    /// Its private key.
+    pub key: PathBuf,
+    /// Certificate authority of the fleet.
+    pub ca: PathBuf,
+}
+
+/// What every process is told.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Place {
+    /// Its host.
+    pub host: HostName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its region.
+    pub region: RegionName,
+    /// Where peers reach it (UDP).
+    pub peers: SocketAddr,
+    /// Where operators read health, state and metrics (TCP); loopback by default.
+    #[serde(default = "default_operators")]
+    pub operators: SocketAddr,
+    /// StatsD address; no metrics are sent when left out.
+    #[serde(default)]
+    pub statsd: Option<SocketAddr>,
+}
+
+/// Settings of `mastichaven-entry`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Who and where it is.
+    pub place: Place,
+    /// TLS files.
+    pub tls: TlsFiles,
+    /// Where callers send requests (TCP).
+    pub callers: SocketAddr,
+    /// The platform's object API, such as `http://10.0.0.1:7000`.
+    pub platform: String,
+    /// Milliseconds after which a stop cuts off what is left; waits for all when left out.
+    #[serde(default)]
+    pub stop_deadline_ms: Option<u64>,
+}
+
+/// What stands beside an agent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields, rename_all = "lowercase", tag = "kind")]
+pub enum EndpointSettings {
+    /// A model engine.
+    Engine {
+        /// Its base address, such as `http://127.0.0.1:5000`.
+        address: String,
+    },
+    /// A plain service.
+    Plain {
+        /// Its base address.
+        address: String,
+        /// The service it is, as configured.
+        service: ServiceName,
+    },
+}
+
+/// Settings of `mastichaven-agent`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    /// Who and where it is.
+    pub place: Place,
+    /// TLS files.
+    pub tls: TlsFiles,
+    /// The endpoint beside it.
+    pub endpoint: EndpointSettings,
+    /// The origin of weights, such as `http://10.0.0.2:7100`.
+    pub origin: String,
+    /// The platform's object API, read only while no peer is known.
+    pub platform: String,
+    /// Bytes of chunks kept at most.
+    #[serde(default = "default_store_bytes")]
+    pub store_bytes: u64,
+    /// Milliseconds after which a stop cuts off what is left; waits for all when left out.
+    #[serde(default)]
+    pub stop_deadline_ms: Option<u64>,
+}
+
+fn default_operators() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn default_store_bytes() -> u64 {
+    1 << 30
+}
+
+/// Reads a settings file.
+pub fn load<T: DeserializeOwned>(file: &Path) -> Result<T> {
+    let text = fs::read_to_string(file).map_err(|e| SettingsError {
+        code: Code::Unreadable,
+        file: file.to_owned(),
+        line: 0,
+        detail: e.to_string(),
+    })?;
+    parse(file, &text)
+}
+
+/// Reads settings from `text`; `file` only names it in errors.
+pub fn parse<T: DeserializeOwned>(file: &Path, text: &str) -> Result<T> {
+    toml::from_str(text).map_err(|e| SettingsError {
+        code: code_of(e.message()),
+        file: file.to_owned(),
+        line: e.span().map_or(1, |span| line_at(text, span.start)),
+        detail: e.message().to_owned(),
+    })
+}
+
+fn code_of(message: &str) -> Code {
+    if message.starts_with("unknown field") {
+        Code::UnknownKey
+    } else if message.starts_with("missing field") {
+        Code::MissingKey
+    } else if message.starts_with("invalid") {
+        Code::BadValue
+    } else {
+        Code::BadSyntax
+    }
+}
+
+/// The line, from 1, of the byte at `offset`.
+pub fn line_at(text: &str, offset: usize) -> usize {
+    1 + text.as_bytes().iter().take(offset).filter(|b| **b == b'\n').count()
+}
--- /dev/null
+++ b/node/src/transport.rs
@@ -0,0 +1,356 @@
+//! The transport thread: QUIC connections to and from the other processes.
+//!
+//! One thread runs quinn on a current-thread runtime. Other threads hand it asks over a bounded
+//! ring and get replies over a ring of their own; incoming asks go to the ring given at start.
+//! A full incoming ring refuses the ask with [`Code::Busy`] instead of growing.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use mastichaven_core::Code;
+use mastichaven_core::wire;
+use mastichaven_core::wire::Ask;
+use mastichaven_core::wire::Reply;
+use mastichaven_core::wire::ReplyBody;
+use quinn::Connection;
+use quinn::Endpoint;
+use quinn::RecvStream;
+use quinn::SendStream;
+use tokio::sync::oneshot;
+
+use crate::tls::Identity;
+use crate::tls::Material;
+use crate::tls::PEER_NAME;
+use crate::tls::scan_identity;
+
+/// Result of the transport.
+pub type Result<T> = std::result::Result<T, Code>;
+
+/// Asks waiting for the transport thread.
+const JOB_RING: usize = 1_024;
+
+/// Replies waiting for the asking thread, per ask.
+const REPLY_RING: usize = 64;
+
+/// How long connecting may take before the peer counts as unreachable.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// How long a peer may take to send its ask after it opened a stream.
+const ASK_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// An ask that arrived, and where its replies go.
+pub struct Incoming {
+    /// Who asks, by certificate.
+    pub peer: Identity,
+    /// What it asks.
+    pub ask: Ask,
+    /// Where replies go; dropping it ends the stream.
+    pub replies: ReplySink,
+}
+
+/// Takes the replies to one ask.
+#[derive(Clone)]
+pub struct ReplySink {
+    tx: flume::Sender<Reply>,
+    cancelled: Arc<AtomicBool>,
+}
+
+impl ReplySink {
+    /// A sink outside the transport, for tests and in-process callers.
+    pub fn pair() -> (ReplySink, flume::Receiver<Reply>) {
+        let (tx, rx) = flume::bounded(REPLY_RING);
+        (ReplySink { tx, cancelled: Arc::default() }, rx)
+    }
+
+    /// Sends one reply, blocking while the ring is full. Fails when the asker has left.
+    pub fn send(&self, reply: Reply) -> Result<()> {
+        if self.is_cancelled() {
+            return Err(Code::CallerLeft);
+        }
+        self.tx.send(reply).map_err(|_| Code::CallerLeft)
+    }
+
+    /// Whether the asker has left.
+    pub fn is_cancelled(&self) -> bool {
+        self.cancelled.load(Ordering::Acquire) || self.tx.is_disconnected()
+    }
+}
+
+/// An ask under way; dropping it tells the peer that nobody waits any more.
+pub struct Call {
+    replies: flume::Receiver<Result<Reply>>,
+    _cancel: oneshot::Sender<()>,
+}
+
+impl Call {
+    /// The next reply, or the error that ended the call; `None` after the last reply.
+    pub async fn next(&mut self) -> Option<Result<Reply>> {
+        self.replies.recv_async().await.ok()
+    }
+
+    /// Like [`Call::next`], blocking for at most `timeout`. A timeout gives
+    /// [`Code::DeadlineDuringRun`].
+    pub fn next_timeout(&mut self, timeout: Duration) -> Option<Result<Reply>> {
+        match self.replies.recv_timeout(timeout) {
+            Ok(reply) => Some(reply),
+            Err(flume::RecvTimeoutError::Timeout) => Some(Err(Code::DeadlineDuringRun)),
+            Err(flume::RecvTimeoutError::Disconnected) => None,
+        }
+    }
+}
+
+struct Job {
+    to: SocketAddr,
+    ask: Vec<u8>,
+    replies: flume::Sender<Result<Reply>>,
+    cancelled: oneshot::Receiver<()>,
+}
+
+/// Handle of the transport thread.
+#[derive(Clone)]
+pub struct Transport {
+    jobs: flume::Sender<Job>,
+    local: SocketAddr,
+}
+
+impl Transport {
+    /// Binds `address` and starts the thread. It ends when every handle is dropped.
+    pub fn start(
+        address: SocketAddr,
+        material: &Material,
+        incoming: flume::Sender<Incoming>,
+    ) -> Result<Transport> {
+        let server = material.server_config().map_err(|e| e.code())?;
+        let client = material.client_config().map_err(|e| e.code())?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|_| Code::CannotBind)?;
+        let endpoint = {
+            let _guard = runtime.enter();
+            let mut endpoint = Endpoint::server(server, address).map_err(|_| Code::CannotBind)?;
+            endpoint.set_default_client_config(client);
+            endpoint
+        };
+        let local = endpoint.local_addr().map_err(|_| Code::CannotBind)?;
+        let (jobs, rx) = flume::bounded(JOB_RING);
+        thread::Builder::new()
+            .name("transport".to_owned())
+            .spawn(move || runtime.block_on(run(endpoint, rx, incoming)))
+            .map_err(|_| Code::CannotBind)?;
+        Ok(Transport { jobs, local })
+    }
+
+    /// The address that is bound.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local
+    }
+
+    /// Sends `ask` to the process at `to`.
+    ///
+    /// [`Code::Unreachable`] and [`Code::Busy`] prove that no byte left; [`Code::PeerLost`] means
+    /// that the ask may have arrived.
+    pub fn call(&self, to: SocketAddr, ask: &Ask) -> Call {
+        let (replies, rx) = flume::bounded(REPLY_RING);
+        let (cancel, cancelled) = oneshot::channel();
+        let job = Job { to, ask: wire::encode(ask), replies: replies.clone(), cancelled };
+        if self.jobs.try_send(job).is_err() {
+            let _ = replies.try_send(Err(Code::Busy));
+        }
+        Call { replies: rx, _cancel: cancel }
+    }
+
+    /// Sends `ask` and waits up to `timeout` for its only reply.
+    pub fn ask_one(&self, to: SocketAddr, ask: &Ask, timeout: Duration) -> Result<Reply> {
+        match self.call(to, ask).next_timeout(timeout) {
+            Some(Ok(reply)) => Ok(reply),
+            Some(Err(code)) => Err(code),
+            None => Err(Code::PeerLost),
+        }
+    }
+}
+
+/// The connections that asks go out on, one a peer.
+#[derive(Clone, Default)]
+struct Pool {
+    open: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+}
+
+impl Pool {
+    fn get(&self, to: SocketAddr) -> Option<Connection> {
+        let mut open = self.open.lock().expect("no holder of this lock panics");
+        let connection = open.get(&to)?;
+        if connection.close_reason().is_some() {
+            open.remove(&to);
+            return None;
+        }
+        Some(connection.clone())
+    }
+
+    fn put(&self, to: SocketAddr, connection: Connection) {
+        self.open.lock().expect("no holder of this lock panics").insert(to, connection);
+    }
+}
+
+async fn run(endpoint: Endpoint, jobs: flume::Receiver<Job>, incoming: flume::Sender<Incoming>) {
+    let pool = Pool::default();
+    let accepting = tokio::spawn(accept_all(endpoint.clone(), incoming));
+    while let Ok(job) = jobs.recv_async().await {
+        let endpoint = endpoint.clone();
+        let pool = pool.clone();
+        tokio::spawn(async move { serve_job(endpoint, pool, job).await });
+    }
+    accepting.abort();
+    endpoint.close(0u8.into(), b"stopping");
+    endpoint.wait_idle().await;
+}
+
+async fn connect(endpoint: &Endpoint, pool: &Pool, to: SocketAddr) -> Result<Connection> {
+    if let Some(connection) = pool.get(to) {
+        return Ok(connection);
+    }
+    let connecting = endpoint.connect(to, PEER_NAME).map_err(|_| Code::Unreachable)?;
+    let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+        .await
+        .map_err(|_| Code::Unreachable)?
+        .map_err(|_| Code::Unreachable)?;
+    pool.put(to, connection.clone());
+    Ok(connection)
+}
+
+async fn serve_job(endpoint: Endpoint, pool: Pool, job: Job) {
+    let Job { to, ask, replies, cancelled } = job;
+    let (mut tx, mut rx) = match open_stream(&endpoint, &pool, to).await {
+        Ok(streams) => streams,
+        Err(code) => {
+            let _ = replies.send_async(Err(code)).await;
+            return;
+        }
+    };
+    if tx.write_all(&ask).await.is_err() || tx.finish().is_err() {
+        let _ = replies.send_async(Err(Code::PeerLost)).await;
+        return;
+    }
+    tokio::select! {
+        () = forward_replies(&mut rx, &replies) => {}
+        _ = cancelled => {
+            let _ = rx.stop(0u8.into());
+        }
+    }
+}
+
+async fn open_stream(
+    endpoint: &Endpoint,
+    pool: &Pool,
+    to: SocketAddr,
+) -> Result<(SendStream, RecvStream)> {
+    let connection = connect(endpoint, pool, to).await?;
+    connection.open_bi().await.map_err(|_| Code::Unreachable)
+}
+
+async fn forward_replies(rx: &mut RecvStream, replies: &flume::Sender<Result<Reply>>) {
+    loop {
+        let reply = match read_message::<Reply>(rx).await {
+            Ok(Some(reply)) => Ok(reply),
+            Ok(None) => return,
+            Err(code) => Err(code),
+        };
+        let last = reply.is_err();
+        if replies.send_async(reply).await.is_err() || last {
+            return;
+        }
+    }
+}
+
+/// Reads one message; `None` at the end of the stream.
+async fn read_message<T: serde::de::DeserializeOwned>(rx: &mut RecvStream) -> Result<Option<T>> {
+    let mut prefix = [0; wire::LEN_BYTES];
+    match rx.read_exact(&mut prefix).await {
+        Ok(()) => {}
+        Err(quinn::ReadExactError::FinishedEarly(0)) => return Ok(None),
+        Err(_) => return Err(Code::PeerLost),
+    }
+    let len = wire::scan_len(prefix)?;
+    let mut buf = vec![0; len];
+    rx.read_exact(&mut buf).await.map_err(|_| Code::PeerLost)?;
+    wire::decode(&buf).map(Some)
+}
+
+async fn accept_all(endpoint: Endpoint, incoming: flume::Sender<Incoming>) {
+    while let Some(connecting) = endpoint.accept().await {
+        let incoming = incoming.clone();
+        tokio::spawn(async move {
+            if let Ok(connection) = connecting.await {
+                accept_streams(connection, incoming).await;
+            }
+        });
+    }
+}
+
+async fn accept_streams(connection: Connection, incoming: flume::Sender<Incoming>) {
+    let Some(peer) = identity_of(&connection) else {
+        connection.close(1u8.into(), b"no identity");
+        return;
+    };
+    while let Ok((tx, rx)) = connection.accept_bi().await {
+        let incoming = incoming.clone();
+        let peer = peer.clone();
+        tokio::spawn(async move { serve_stream(peer, tx, rx, incoming).await });
+    }
+}
+
+fn identity_of(connection: &Connection) -> Option<Identity> {
+    let chain = connection.peer_identity()?;
+    let chain = chain.downcast::<Vec<rustls::pki_types::CertificateDer<'static>>>().ok()?;
+    scan_identity(&chain)
+}
+
+async fn serve_stream(
+    peer: Identity,
+    mut tx: SendStream,
+    mut rx: RecvStream,
+    incoming: flume::Sender<Incoming>,
+) {
+    let read = tokio::time::timeout(ASK_TIMEOUT, read_message::<Ask>(&mut rx)).await;
+    let ask = match read {
+        Ok(Ok(Some(ask))) => ask,
+        Ok(Err(code)) => return refuse(&mut tx, code).await,
+        Ok(Ok(None)) | Err(_) => return,
+    };
+    if !peer.role.may_ask(&ask.body) || peer.host != ask.from.host {
+        return refuse(&mut tx, Code::WrongRole).await;
+    }
+    let (sink, replies) = ReplySink::pair();
+    let cancelled = sink.cancelled.clone();
+    if incoming.try_send(Incoming { peer, ask, replies: sink }).is_err() {
+        return refuse(&mut tx, Code::Busy).await;
+    }
+    let stopped = tx.stopped();
+    tokio::select! {
+        _ = stopped => {}
+        () = write_replies(&mut tx, &replies) => return,
+    }
+    cancelled.store(true, Ordering::Release);
+}
+
+async fn write_replies(tx: &mut SendStream, replies: &flume::Receiver<Reply>) {
+    while let Ok(reply) = replies.recv_async().await {
+        if tx.write_all(&wire::encode(&reply)).await.is_err() {
+            return;
+        }
+    }
+    let _ = tx.finish();
+}
+
+async fn refuse(tx: &mut SendStream, code: Code) {
+    let reply = Reply { generation: Default::default(), body: ReplyBody::Refused(code) };
+    let _ = tx.write_all(&wire::encode(&reply)).await;
+    let _ = tx.finish();
+    let _ = tx.stopped().await;
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,23 @@
+//! Small stand-ins of the systems round mastichaven: the platform's object API and host list, the
+//! origin of weights, a model engine and a plain service. Each speaks its published protocol over
+//! HTTP on loopback and fails on demand. They are no model of a cluster.
+//!
+//! ```
+//! use mastichaven_standins::Platform;
+//!
+//! let platform = Platform::start("127.0.0.1:0")?;
+//! assert!(platform.base().starts_with("http://127.0.0.1:"));
+//! # Ok::<(), std::io::Error>(())
+//! ```
+
+pub mod engine;
+pub mod origin;
+pub mod plain;
+pub mod platform;
+mod serve;
+
+pub use crate::engine::Engine;
+pub use crate::engine::EngineProfile;
+pub use crate::origin::Origin;
+pub use crate::plain::Plain;
+pub use crate::platform::Platform;
