Lease on the platform by conditional update

Cause: the planner needs one holder at a time, without a second coordination service. Change: core/lease.rs decides, node/lease_keeper.rs calls the platform. The holder counts from when it sent, observers from when they read; acts are fenced by conditional updates of what they change. Conclusion: ready for the planner.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod code;
 pub mod config;
 pub mod ids;
+pub mod lease;
 pub mod manifest;
 pub mod members;
 pub mod plan;
--- /dev/null
+++ b/core/tests/control/main.rs
@@ -0,0 +1,4 @@
+//! Tests of configuration, spreading, membership and leases.
+
+mod lease;
+mod store;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod engine;
 pub mod entry;
 pub mod http_store;
+pub mod lease_keeper;
 pub mod operator;
 pub mod origin;
 pub mod process;
