The small fleet moves into the bench's library

Cause: tests of whole concurrent runs need the same fleet as the experiments. Change: bench/src/lib.rs holds fleet; the program imports it under the same path. Conclusion: no behaviour changes; paths crate::fleet stay valid.

--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! What the experiments and the tests of whole runs share: a small fleet on stand-ins.
+
+pub mod fleet;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,9 +4,9 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use mastichaven_bench::fleet;
 
 mod demo;
-mod fleet;
 
 /// Runs the whole path or an experiment in one process, on stand-ins over loopback.
 #[derive(Bpaf, Clone, Debug)]
