--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -149,7 +149,7 @@
     /// Publishes a configuration.
     pub fn publish(&self, config: &Config) -> Result<()> {
         let store = HttpStore::new(self.platform.base());
-        publish::publish(&store, config).map(drop).map_err(|e| e.to_string())
+        publish::publish_config(&store, config).map(drop).map_err(|e| e.to_string())
     }
 
     /// Engines that have `version` loaded.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,8 +12,11 @@
 
 pub mod admission;
 pub mod arena;
+pub mod check;
 pub mod code;
 pub mod config;
+pub mod folder;
+pub mod generation;
 pub mod ids;
 pub mod lease;
 pub mod manifest;
--- a/core/src/plan.rs
+++ b/core/src/plan.rs
@@ -6,6 +6,7 @@
 use crate::ids::Digest;
 use crate::ids::HostName;
 use crate::ids::ModelName;
+use crate::spread::SPREAD_PREFIX;
 
 /// Where a model runs. Written by the planner by conditional update, spread like configuration.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -22,5 +23,5 @@
 
 /// The key of a model's plan, as a document and as an object on the platform.
 pub fn plan_key(model: &ModelName) -> String {
-    format!("plan/{model}")
+    format!("{SPREAD_PREFIX}plan/{model}")
 }
--- /dev/null
+++ b/node/src/accepted.rs
@@ -0,0 +1,78 @@
+//! The accepted configuration as objects on the platform: reading it, for relays and `ctl`.
+
+use bytes::Bytes;
+use mastichaven_core::Code;
+use mastichaven_core::generation::Delta;
+use mastichaven_core::generation::FileList;
+use mastichaven_core::generation::Head;
+use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::Generation;
+use mastichaven_core::ids::Revision;
+use mastichaven_core::platform::Object;
+use mastichaven_core::platform::ObjectStore;
+use mastichaven_core::platform::PlatformError;
+use mastichaven_core::spread::HEAD_KEY;
+use mastichaven_core::spread::MissingPart;
+use mastichaven_core::spread::Offer;
+use mastichaven_core::wire;
+
+use crate::documents::Documents;
+
+/// Result of reading.
+pub type Result<T> = std::result::Result<T, Code>;
+
+/// Rounds of fetching before giving up until the next change or tick.
+const MAX_ROUNDS: u32 = 3;
+
+/// Reads the head, if there is one.
+pub fn read_head(store: &dyn ObjectStore) -> Result<Option<(Revision, Head)>> {
+    let object = store.get(HEAD_KEY).map_err(PlatformError::code)?;
+    object.map(|object| decode_head(&object)).transpose()
+}
+
+fn decode_head(object: &Object) -> Result<(Revision, Head)> {
+    wire::decode(&object.value).map(|head| (object.revision, head))
+}
+
+/// Reads the whole list that a head names.
+pub fn read_list(store: &dyn ObjectStore, head: &Head) -> Result<FileList> {
+    let mut encoded = Vec::new();
+    for key in &head.list {
+        let object = store.get(key).map_err(PlatformError::code)?;
+        // A publisher that is ahead may have deleted the list: the head must be read again.
+        encoded.extend_from_slice(&object.ok_or(Code::WatchGap)?.value);
+    }
+    wire::decode(&encoded)
+}
+
+/// Reads one part and checks it.
+pub fn read_part(store: &dyn ObjectStore, part: &MissingPart) -> Result<Bytes> {
+    let object = store.get(&part.key).map_err(PlatformError::code)?.ok_or(Code::WatchGap)?;
+    if Digest::of(&object.value) == part.digest { Ok(object.value) } else { Err(Code::BadMessage) }
+}
+
+/// Puts what the platform accepted in force here, if it is newer. Gives whether it was.
+pub fn take_in(store: &dyn ObjectStore, documents: &Documents) -> Result<bool> {
+    let Some((_, head)) = read_head(store)? else {
+        return Ok(false);
+    };
+    let mut delta = head.delta.clone();
+    let mut parts = Vec::new();
+    for _ in 0..MAX_ROUNDS {
+        match documents.offer_config(&delta, &parts) {
+            Offer::Old => return Ok(false),
+            Offer::InForce(_) => return Ok(true),
+            Offer::Gap => delta = whole_list(store, &head)?,
+            Offer::Missing(missing) => {
+                for part in &missing {
+                    parts.push(read_part(store, part)?);
+                }
+            }
+        }
+    }
+    Err(Code::WatchGap)
+}
+
+fn whole_list(store: &dyn ObjectStore, head: &Head) -> Result<Delta> {
+    read_list(store, head).map(|list| list.delta(Generation(0)))
+}
--- a/node/src/agent/asks.rs
+++ b/node/src/agent/asks.rs
@@ -9,6 +9,7 @@
 use mastichaven_core::run::VoidReply;
 use mastichaven_core::spread::SpreadAsk;
 use mastichaven_core::spread::SpreadReply;
+use mastichaven_core::spread::Survey;
 use mastichaven_core::weights::WeightsAsk;
 use mastichaven_core::weights::WeightsReply;
 use mastichaven_core::wire::AskBody;
@@ -40,9 +41,7 @@
         AskBody::Members(MembersAsk::Probe) => {
             ReplyBody::Members(MembersReply::Me(shared.member()))
         }
-        AskBody::Spread(SpreadAsk::Above(theirs)) => {
-            ReplyBody::Spread(SpreadReply::Docs(shared.documents.above(&theirs)))
-        }
+        AskBody::Spread(ask) => ReplyBody::Spread(spread(shared, &ask)),
         AskBody::Relay(_) => ReplyBody::Refused(mastichaven_core::Code::WrongRole),
     };
     let generation = shared.documents.in_force().generation;
@@ -66,3 +65,14 @@
     };
     bytes.map_or(WeightsReply::Absent, WeightsReply::Bytes)
 }
+
+fn spread(shared: &Shared, ask: &SpreadAsk) -> SpreadReply {
+    match ask {
+        SpreadAsk::Above { generation, docs } => {
+            SpreadReply::Update(shared.documents.above(*generation, docs))
+        }
+        SpreadAsk::Parts(digests) => SpreadReply::Parts(shared.documents.parts(digests)),
+        SpreadAsk::Push(_) => SpreadReply::Done,
+        SpreadAsk::Survey => SpreadReply::Survey(Survey::of(shared.documents.generation())),
+    }
+}
--- a/node/src/agent/control.rs
+++ b/node/src/agent/control.rs
@@ -35,12 +35,17 @@
         listed.role == HostRole::Entry && listed.zone == *zone
     };
     for listed in hosts.iter().filter(near) {
-        let ask = shared.ask(AskBody::Spread(SpreadAsk::Above(shared.documents.revisions())));
+        let generation = shared.documents.generation();
+        let above = SpreadAsk::Above { generation, docs: shared.documents.revisions() };
+        let ask = shared.ask(AskBody::Spread(above));
         let Ok(reply) = shared.transport.ask_one(listed.address, &ask, TIMEOUT) else {
             continue;
         };
-        if let ReplyBody::Spread(SpreadReply::Docs(docs)) = reply.body {
-            for doc in docs {
+        if let ReplyBody::Spread(SpreadReply::Update(update)) = reply.body {
+            if let Some(delta) = &update.delta {
+                let _ = shared.documents.offer_config(delta, &update.parts);
+            }
+            for doc in update.docs {
                 let _ = shared.documents.offer(doc);
             }
             return;
--- a/node/src/bin/mastichaven-ctl.rs
+++ b/node/src/bin/mastichaven-ctl.rs
@@ -1,14 +1,19 @@
 //! `mastichaven-ctl`: checks and publishes configuration, shows state, makes certificates.
 
+use std::fmt;
 use std::fs;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::str::FromStr;
 
 use bpaf::Bpaf;
 use mastichaven_core::ids::HostName;
 use mastichaven_node::http_store::HttpStore;
+use mastichaven_node::folder_publisher::FolderPublisher;
 use mastichaven_node::publish;
+use mastichaven_node::publish::Base;
+use mastichaven_node::status;
 use mastichaven_node::tls::DevelopmentCa;
 use mastichaven_node::tls::Role;
 
@@ -28,10 +33,24 @@
     Publish {
         /// The platform's address, such as http://127.0.0.1:7000
         platform: String,
+        /// Publish again whenever the folder changes
+        watch: bool,
+        /// Accept a folder that declares nothing
+        allow_empty: bool,
+        /// What the folder was made from: `file` (the base file beside it) or `accepted` (the
+        /// folder replaces whatever is accepted)
+        #[bpaf(argument("BASE"), fallback(BaseChoice::File), display_fallback)]
+        base: BaseChoice,
         /// The folder
         #[bpaf(positional("FOLDER"))]
         folder: PathBuf,
     },
+    /// Shows generations in force by zone, ready replicas, and what is held up
+    #[bpaf(command)]
+    Status {
+        /// The platform's address, such as http://127.0.0.1:7000
+        platform: String,
+    },
     /// Prints the whole state of a process
     #[bpaf(command)]
     Dump {
@@ -50,6 +69,34 @@
     },
 }
 
+/// What a folder was made from.
+#[derive(Clone, Copy, Debug)]
+enum BaseChoice {
+    File,
+    Accepted,
+}
+
+impl fmt::Display for BaseChoice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            BaseChoice::File => "file",
+            BaseChoice::Accepted => "accepted",
+        })
+    }
+}
+
+impl FromStr for BaseChoice {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "file" => Ok(BaseChoice::File),
+            "accepted" => Ok(BaseChoice::Accepted),
+            _ => Err("write `file` or `accepted`"),
+        }
+    }
+}
+
 fn main() -> ExitCode {
     match run(arguments().run()) {
         Ok(()) => ExitCode::SUCCESS,
@@ -63,14 +110,27 @@
 fn run(arguments: Arguments) -> Result<(), String> {
     match arguments {
         Arguments::Check { folder } => {
-            publish::read_folder(&folder).map_err(|error| error.to_string())?;
+            let texts = publish::read_folder(&folder).map_err(|error| error.to_string())?;
+            publish::check(&texts).map_err(|error| error.to_string())?;
             println!("{}: ok", folder.display());
         }
-        Arguments::Publish { platform, folder } => {
-            let config = publish::read_folder(&folder).map_err(|error| error.to_string())?;
-            let generation = publish::publish(&HttpStore::new(platform), &config)
-                .map_err(|error| error.to_string())?;
-            println!("accepted as generation {generation}");
+        Arguments::Publish { platform, watch, allow_empty, base, folder } => {
+            let base = match base {
+                BaseChoice::File => None,
+                BaseChoice::Accepted => Some(Base::Accepted),
+            };
+            let store = HttpStore::new(platform);
+            let publisher = FolderPublisher { store: &store, folder: &folder, allow_empty };
+            if watch {
+                publisher.watch(base);
+            }
+            let accepted = publisher.once(base).map_err(|error| error.to_string())?;
+            println!("{accepted}");
+        }
+        Arguments::Status { platform } => {
+            let store = HttpStore::new(platform);
+            let report = status::report(&store).map_err(|code| code.to_string())?;
+            print!("{report}");
         }
         Arguments::Dump { address } => {
             let response = minreq::get(format!("http://{address}/dump"))
--- a/node/src/documents.rs
+++ b/node/src/documents.rs
@@ -1,56 +1,81 @@
 //! The documents in force in this process: the accepted configuration and the plans.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
-use mastichaven_core::Code;
 use mastichaven_core::Config;
+use mastichaven_core::generation::Delta;
+use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::Generation;
 use mastichaven_core::ids::ModelName;
 use mastichaven_core::plan::Plan;
 use mastichaven_core::plan::plan_key;
 use mastichaven_core::spread::Doc;
 use mastichaven_core::spread::Docs;
+use mastichaven_core::spread::Files;
+use mastichaven_core::spread::Offer;
+use mastichaven_core::spread::Update;
 use smol_str::SmolStr;
 
-/// Result of reading a document.
-pub type Result<T> = std::result::Result<T, Code>;
-
-/// The document and object that holds the accepted configuration.
-pub const CONFIG_KEY: &str = "config/accepted";
-
 /// An accepted configuration and its generation.
 #[derive(Clone, Debug, Default)]
 pub struct InForce {
     /// Its generation.
     pub generation: Generation,
     /// What operators declared.
-    pub config: Config,
+    pub config: Arc<Config>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    docs: Docs,
+    plans: HashMap<SmolStr, (u64, Plan)>,
+    files: Files,
 }
 
 /// Documents shared by the threads of a process. They only rise.
 #[derive(Debug, Default)]
 pub struct Documents {
-    docs: Mutex<Docs>,
+    state: Mutex<State>,
     in_force: RwLock<Arc<InForce>>,
+    fingerprint: AtomicU64,
 }
 
 impl Documents {
-    /// Takes a document in if it is newer and readable, and says whether it was.
-    pub fn offer(&self, doc: Doc) -> Result<bool> {
-        let config = if doc.key == CONFIG_KEY { Some(decode_config(&doc.bytes)?) } else { None };
-        let mut docs = self.docs.lock().expect("no holder of this lock panics");
-        let generation = Generation(doc.revision);
-        if !docs.offer(doc) {
-            return Ok(false);
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of this lock panics")
+    }
+
+    /// Takes a plan in if it is newer, and says whether it was.
+    pub fn offer(&self, doc: Doc) -> bool {
+        let plan = serde_json::from_slice(&doc.bytes).ok();
+        let (key, revision) = (doc.key.clone(), doc.revision);
+        let mut state = self.lock();
+        if !state.docs.offer(doc) {
+            return false;
         }
-        if let Some(config) = config {
-            let mut in_force = self.in_force.write().expect("no holder of this lock panics");
-            *in_force = Arc::new(InForce { generation, config });
+        if let Some(plan) = plan {
+            state.plans.insert(key, (revision, plan));
+        }
+        self.fingerprint.store(state.docs.fingerprint(), Ordering::Release);
+        true
+    }
+
+    /// Puts a configuration in force if it is newer and whole.
+    pub fn offer_config(&self, delta: &Delta, parts: &[Bytes]) -> Offer {
+        let mut state = self.lock();
+        let offer = state.files.offer(delta, parts);
+        if let Offer::InForce(_) = offer {
+            let in_force = InForce { generation: delta.to, config: state.files.config() };
+            *self.in_force.write().expect("no holder of this lock panics") = Arc::new(in_force);
         }
-        Ok(true)
+        offer
     }
 
     /// The configuration in force.
@@ -58,29 +83,42 @@
         self.in_force.read().expect("no holder of this lock panics").clone()
     }
 
-    /// The plan of a model.
+    /// The generation in force.
+    pub fn generation(&self) -> Generation {
+        self.in_force.read().expect("no holder of this lock panics").generation
+    }
+
+    /// The plan of a model and its revision.
     pub fn plan(&self, model: &ModelName) -> Option<(u64, Plan)> {
-        let docs = self.docs.lock().expect("no holder of this lock panics");
-        let doc = docs.get(&plan_key(model))?;
-        serde_json::from_slice(&doc.bytes).ok().map(|plan| (doc.revision, plan))
+        self.lock().plans.get(plan_key(model).as_str()).cloned()
     }
 
-    /// Keys and revisions of everything here.
+    /// Keys and revisions of all plans.
     pub fn revisions(&self) -> Vec<(SmolStr, u64)> {
-        self.docs.lock().expect("no holder of this lock panics").revisions()
+        self.lock().docs.revisions()
     }
 
-    /// The documents that are newer here than in `theirs`.
-    pub fn above(&self, theirs: &[(SmolStr, u64)]) -> Vec<Doc> {
-        self.docs.lock().expect("no holder of this lock panics").above(theirs)
+    /// A number that differs between processes whose plans differ.
+    pub fn fingerprint(&self) -> u64 {
+        self.fingerprint.load(Ordering::Acquire)
     }
-}
 
-/// Encodes a configuration as a document's bytes.
-pub fn encode_config(config: &Config) -> Bytes {
-    Bytes::from(serde_json::to_vec(config).expect("a configuration always encodes"))
-}
+    /// What is newer here than a generation and these revisions.
+    pub fn above(&self, generation: Generation, revisions: &[(SmolStr, u64)]) -> Update {
+        let state = self.lock();
+        let mut update = state.files.above(generation).unwrap_or_default();
+        update.docs = state.docs.above(revisions);
+        update
+    }
+
+    /// Those of the asked parts of files that are here.
+    pub fn parts(&self, asked: &[Digest]) -> Vec<Bytes> {
+        self.lock().files.parts(asked)
+    }
 
-fn decode_config(bytes: &[u8]) -> Result<Config> {
-    serde_json::from_slice(bytes).map_err(|_| Code::BadMessage)
+    /// Files and their bytes, for the dump.
+    pub fn files(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.files.list().files().len(), state.files.len_bytes())
+    }
 }
--- a/node/src/entry/asks.rs
+++ b/node/src/entry/asks.rs
@@ -7,6 +7,7 @@
 use mastichaven_core::members::MembersReply;
 use mastichaven_core::spread::SpreadAsk;
 use mastichaven_core::spread::SpreadReply;
+use mastichaven_core::spread::Survey;
 use mastichaven_core::wire::AskBody;
 use mastichaven_core::wire::Reply;
 use mastichaven_core::wire::ReplyBody;
@@ -31,9 +32,7 @@
         AskBody::Members(MembersAsk::Probe) => {
             ReplyBody::Members(MembersReply::Me(shared.member()))
         }
-        AskBody::Spread(SpreadAsk::Above(theirs)) => {
-            ReplyBody::Spread(SpreadReply::Docs(shared.documents.above(&theirs)))
-        }
+        AskBody::Spread(ask) => ReplyBody::Spread(spread(shared, &ask)),
         AskBody::Run(_) | AskBody::Void(_) | AskBody::Weights(_) | AskBody::Relay(_) => {
             ReplyBody::Refused(Code::WrongRole)
         }
@@ -41,3 +40,14 @@
     let generation = shared.documents.in_force().generation;
     let _ = incoming.replies.send(Reply { generation, body });
 }
+
+fn spread(shared: &Shared, ask: &SpreadAsk) -> SpreadReply {
+    match ask {
+        SpreadAsk::Above { generation, docs } => {
+            SpreadReply::Update(shared.documents.above(*generation, docs))
+        }
+        SpreadAsk::Parts(digests) => SpreadReply::Parts(shared.documents.parts(digests)),
+        SpreadAsk::Push(_) => SpreadReply::Done,
+        SpreadAsk::Survey => SpreadReply::Survey(Survey::of(shared.documents.generation())),
+    }
+}
--- a/node/src/entry/control.rs
+++ b/node/src/entry/control.rs
@@ -14,7 +14,7 @@
 use slog::info;
 
 use super::Shared;
-use crate::documents::CONFIG_KEY;
+use crate::accepted;
 
 /// How often the entry looks.
 const INTERVAL: Duration = Duration::from_millis(300);
@@ -37,8 +37,8 @@
 }
 
 fn read_documents(shared: &Shared) {
-    read_document(shared, CONFIG_KEY);
-    let Ok(plans) = shared.platform.list("plan/") else {
+    let _ = accepted::take_in(&shared.platform, &shared.documents);
+    let Ok(plans) = shared.platform.list("spread/plan/") else {
         return;
     };
     for (key, _) in plans {
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -11,12 +11,14 @@
 //! # Ok::<(), mastichaven_node::tls::TlsError>(())
 //! ```
 
+pub mod accepted;
 pub mod agent;
 pub mod callers;
 pub mod clock;
 pub mod documents;
 pub mod engine;
 pub mod entry;
+pub mod folder_publisher;
 pub mod http_store;
 pub mod lease_keeper;
 pub mod operator;
@@ -24,6 +26,7 @@
 pub mod process;
 pub mod publish;
 pub mod settings;
+pub mod status;
 pub mod telemetry;
 pub mod tls;
 pub mod transport;
