--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -1,27 +1,39 @@
 //! A model engine: loads versions on order and answers chat completions, streamed or whole.
+//!
+//! Beside the calls listed in `mastichaven-node`'s `engine.rs`:
+//!
+//! | call | effect |
+//! | --- | --- |
+//! | `POST /admin/adapter` `{"name", "load", "fence"}` | loads or drops an adapter |
+//! | `POST /admin/role` `{"role", "fence"}` | sets the role that `/health` shows |
+//! | `GET /cache/events?after=N` | changes of the prefix cache, late and with gaps if told so |
+//! | `POST /faults` | a JSON object with fields of [`EngineFaults`] |
+//! | `GET /faults` | faults and counts |
+//!
+//! Every streamed token names `id` (the request), `prompt` (digest of what was asked) and `weights`:
+//! the digest of the bytes that this engine read from its source and answers from at that moment.
+//! A reader can tell from them mixed or partial weights and crossed answers.
 
+use std::collections::BTreeSet;
+use std::collections::HashSet;
 use std::io;
-use std::io::Read;
-use std::io::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use mastichaven_core::ids::Digest;
 use serde::Deserialize;
-use serde_json::Value;
-use serde_json::json;
-use tiny_http::Method;
-use tiny_http::Request;
+use serde::Serialize;
 
+use crate::engine_cache::PrefixCache;
 use crate::serve;
 use crate::serve::Running;
-use crate::serve::respond;
+use crate::serve::millis;
 
-/// Bytes of a request's body at most.
-const MAX_BODY_LEN: u64 = 4 << 20;
+mod answer;
+mod orders;
 
 /// How an engine behaves.
 #[derive(Clone, Copy, Debug)]
@@ -34,8 +46,12 @@
     pub warm_after: u32,
     /// Time to the first token.
     pub first_token: Duration,
+    /// Further time to the first token for each block of the prompt that is not in its cache.
+    pub per_block: Duration,
     /// Time between tokens.
     pub per_token: Duration,
+    /// Blocks its prefix cache holds.
+    pub cache_blocks: usize,
     /// Whether it refuses orders with an old fence, as some engines do not.
     pub checks_fence: bool,
 }
@@ -47,37 +63,140 @@
             cold_limit: 2,
             warm_after: 6,
             first_token: Duration::from_millis(20),
+            per_block: Duration::from_millis(1),
             per_token: Duration::from_millis(2),
+            cache_blocks: 512,
             checks_fence: true,
         }
     }
 }
 
+/// What an engine does wrong, on demand.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineFaults {
+    /// Every call but `/faults` is cut off without an answer.
+    pub down: bool,
+    /// Its process ends and starts again, once: everything under way is cut off, nothing is loaded.
+    pub crash: bool,
+    /// It turns cold without a restart, once.
+    pub turn_cold: bool,
+    /// A request whose body contains this text crashes it at its first token; none when empty.
+    pub poison: String,
+    /// Orders are answered with 200 and not carried out.
+    pub ignore_orders: bool,
+    /// Every order is refused as if its fence were old.
+    pub refuse_orders: bool,
+    /// The next orders are carried out and their answers are lost, this many times.
+    pub lose_order_answers: u32,
+    /// A load whose source ends early is taken as whole.
+    pub load_partial: bool,
+    /// Time a load takes beside reading.
+    #[serde(rename = "load_time_ms", with = "millis")]
+    pub load_time: Duration,
+    /// `/health` shows the number of running requests as it was this long ago.
+    #[serde(rename = "report_lag_ms", with = "millis")]
+    pub report_lag: Duration,
+    /// All times of answers are multiplied by this.
+    pub slow: f64,
+    /// Streams freeze after this many tokens for as long as it is set.
+    pub freeze_after: Option<u64>,
+    /// Cache events are shown this much later.
+    #[serde(rename = "events_lag_ms", with = "millis")]
+    pub events_lag: Duration,
+    /// The next cache events are lost, this many.
+    pub lose_events: u32,
+}
+
+impl Default for EngineFaults {
+    fn default() -> Self {
+        EngineFaults {
+            down: false,
+            crash: false,
+            turn_cold: false,
+            poison: String::new(),
+            ignore_orders: false,
+            refuse_orders: false,
+            lose_order_answers: 0,
+            load_partial: false,
+            load_time: Duration::ZERO,
+            report_lag: Duration::ZERO,
+            slow: 1.0,
+            freeze_after: None,
+            events_lag: Duration::ZERO,
+            lose_events: 0,
+        }
+    }
+}
+
+/// Priorities a request may have.
+pub const PRIORITIES: usize = 10;
+
 /// What an engine has done so far.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct EngineCounts {
+    /// Requests that began.
+    pub begun: u64,
     /// Requests that ended whole.
     pub completed: u64,
+    /// Tokens sent.
+    pub tokens: u64,
+    /// Requests stopped by a cancel.
+    pub cancelled: u64,
+    /// Requests whose reader left without a cancel.
+    pub left: u64,
+    /// Requests that resumed after some tokens.
+    pub resumed: u64,
     /// Times it was given more than it bears, and fell over.
     pub fell_over: u64,
+    /// Times a poisoned request crashed it.
+    pub poisoned: u64,
     /// Most requests it ever had at once.
     pub most_running: u32,
     /// Times its process started.
     pub starts: u64,
+    /// Orders carried out.
+    pub orders: u64,
+    /// Orders refused because of their fence.
+    pub refused_orders: u64,
+    /// Requests begun by priority.
+    pub by_priority: [u64; PRIORITIES],
+    /// Blocks of prompts found in its cache.
+    pub cache_hits: u64,
+    /// Blocks of prompts not found in its cache.
+    pub cache_misses: u64,
+}
+
+/// What is loaded, and what was truly read for it.
+#[derive(Clone, Debug)]
+struct Weights {
+    model: String,
+    version: String,
+    /// Digest of the bytes read from the source.
+    read: Digest,
 }
 
 #[derive(Debug)]
 struct State {
     profile: EngineProfile,
+    faults: EngineFaults,
     start_id: u64,
-    loaded: Option<(String, String)>,
+    loaded: Option<Weights>,
+    adapters: BTreeSet<String>,
+    role: String,
     fence: (u64, u64),
     running: u32,
+    /// How many ran, and since when; for late reports.
+    reports: Vec<(Instant, u32)>,
+    cancelled: HashSet<String>,
     completed_since_start: u32,
-    ignore_orders: bool,
+    cache: PrefixCache,
     counts: EngineCounts,
 }
 
+/// Late reports kept; the oldest goes first.
+const MAX_REPORTS: usize = 1_024;
+
 impl State {
     fn bears(&self) -> u32 {
         if self.completed_since_start >= self.profile.warm_after {
@@ -90,9 +209,40 @@
     fn restart(&mut self) {
         self.start_id += 1;
         self.loaded = None;
-        self.running = 0;
+        self.adapters.clear();
+        self.cancelled.clear();
+        self.cache.clear();
         self.completed_since_start = 0;
+        self.fence = (0, 0);
         self.counts.starts += 1;
+        self.set_running(0);
+    }
+
+    fn set_running(&mut self, running: u32) {
+        self.running = running;
+        self.counts.most_running = self.counts.most_running.max(running);
+        if self.reports.len() == MAX_REPORTS {
+            self.reports.remove(0);
+        }
+        self.reports.push((Instant::now(), running));
+    }
+
+    /// The number of running requests as it was `report_lag` ago.
+    fn reported(&self, now: Instant) -> u32 {
+        let lag = self.faults.report_lag;
+        let old = |report: &&(Instant, u32)| now.saturating_duration_since(report.0) >= lag;
+        self.reports.iter().rev().find(old).map_or(0, |report| report.1)
+    }
+
+    fn set_faults(&mut self, faults: EngineFaults) {
+        self.faults = faults;
+        if std::mem::take(&mut self.faults.crash) {
+            self.restart();
+        }
+        if std::mem::take(&mut self.faults.turn_cold) {
+            self.completed_since_start = 0;
+        }
+        self.cache.lose_events += std::mem::take(&mut self.faults.lose_events);
     }
 }
 
@@ -108,16 +258,21 @@
     pub fn start(address: &str, profile: EngineProfile, start_id: u64) -> io::Result<Engine> {
         let state = Arc::new(Mutex::new(State {
             profile,
+            faults: EngineFaults::default(),
             start_id,
             loaded: None,
+            adapters: BTreeSet::new(),
+            role: "both".to_owned(),
             fence: (0, 0),
             running: 0,
+            reports: Vec::new(),
+            cancelled: HashSet::new(),
             completed_since_start: 0,
-            ignore_orders: false,
+            cache: PrefixCache::default(),
             counts: EngineCounts { starts: 1, ..EngineCounts::default() },
         }));
         let served = state.clone();
-        let running = serve::start(address, move |request| answer(&served, request))?;
+        let running = serve::start(address, move |req| answer::answer(&served, req))?;
         Ok(Engine { state, running })
     }
 
@@ -131,6 +286,29 @@
         lock(&self.state).counts
     }
 
+    /// Digest of the bytes it read for what it has loaded.
+    pub fn weights(&self) -> Option<Digest> {
+        lock(&self.state).loaded.as_ref().map(|weights| weights.read)
+    }
+
+    /// Requests it works on at present.
+    pub fn running(&self) -> u32 {
+        lock(&self.state).running
+    }
+
+    /// Changes what it does wrong.
+    pub fn set_faults(&self, change: impl FnOnce(&mut EngineFaults)) {
+        let mut state = lock(&self.state);
+        let mut faults = state.faults.clone();
+        change(&mut faults);
+        state.set_faults(faults);
+    }
+
+    /// Changes how it behaves.
+    pub fn set_profile(&self, change: impl FnOnce(&mut EngineProfile)) {
+        change(&mut lock(&self.state).profile);
+    }
+
     /// Ends its process and starts it again: cold, and with nothing loaded.
     pub fn crash(&self) {
         lock(&self.state).restart();
@@ -143,173 +321,10 @@
 
     /// Answers orders with 200 and does nothing.
     pub fn ignore_orders(&self, ignore: bool) {
-        lock(&self.state).ignore_orders = ignore;
+        lock(&self.state).faults.ignore_orders = ignore;
     }
 }
 
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
     state.lock().expect("no holder of this lock panics")
 }
-
-fn answer(state: &Mutex<State>, mut request: Request) {
-    let mut body = Vec::new();
-    if request.as_reader().take(MAX_BODY_LEN).read_to_end(&mut body).is_err() {
-        return;
-    }
-    match (request.method(), request.url()) {
-        (Method::Get, "/health") => health(state, request),
-        (Method::Post, "/admin/load") => load(state, request, &body),
-        (Method::Post, "/admin/unload") => unload(state, request, &body),
-        (Method::Post, "/admin/cancel") => respond(request, 200, &[], Vec::new()),
-        (Method::Post, "/v1/chat/completions") => complete(state, request, &body),
-        _ => respond(request, 404, &[], Vec::new()),
-    }
-}
-
-fn health(state: &Mutex<State>, request: Request) {
-    let body = {
-        let state = lock(state);
-        let loaded = state.loaded.as_ref();
-        let loaded = loaded.map(|(model, version)| json!({"model": model, "version": version}));
-        json!({"start_id": state.start_id, "loaded": loaded, "running": state.running})
-    };
-    respond(request, 200, &[], body.to_string().into_bytes());
-}
-
-#[derive(Debug, Deserialize)]
-struct Fence {
-    plan: u64,
-    incarnation: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct Load {
-    model: String,
-    version: String,
-    source: String,
-    fence: Fence,
-}
-
-fn take_fence(state: &mut State, fence: &Fence) -> bool {
-    let fence = (fence.plan, fence.incarnation);
-    let old = state.profile.checks_fence && fence < state.fence;
-    state.fence = state.fence.max(fence);
-    !old
-}
-
-fn load(state: &Mutex<State>, request: Request, body: &[u8]) {
-    let Ok(order) = serde_json::from_slice::<Load>(body) else {
-        return respond(request, 400, &[], Vec::new());
-    };
-    {
-        let mut state = lock(state);
-        if state.ignore_orders {
-            drop(state);
-            return respond(request, 200, &[], Vec::new());
-        }
-        if !take_fence(&mut state, &order.fence) {
-            drop(state);
-            return respond(request, 409, &[], Vec::new());
-        }
-    }
-    let read = minreq::get(&order.source).with_timeout(60).send();
-    match read {
-        Ok(weights) if weights.status_code == 200 => {
-            // The engine trusts its source; it only notes what it read.
-            let _ = Digest::of(weights.as_bytes());
-            lock(state).loaded = Some((order.model, order.version));
-            respond(request, 200, &[], Vec::new());
-        }
-        _ => respond(request, 500, &[], Vec::new()),
-    }
-}
-
-fn unload(state: &Mutex<State>, request: Request, body: &[u8]) {
-    let Ok(fence) = serde_json::from_slice::<Fence>(body) else {
-        return respond(request, 400, &[], Vec::new());
-    };
-    let mut state = lock(state);
-    let taken = take_fence(&mut state, &fence);
-    if taken && !state.ignore_orders {
-        state.loaded = None;
-    }
-    drop(state);
-    respond(request, if taken { 200 } else { 409 }, &[], Vec::new());
-}
-
-fn complete(state: &Mutex<State>, request: Request, body: &[u8]) {
-    let Ok(body) = serde_json::from_slice::<Value>(body) else {
-        return respond(request, 400, &[], Vec::new());
-    };
-    let entered = {
-        let mut state = lock(state);
-        state.running += 1;
-        state.counts.most_running = state.counts.most_running.max(state.running);
-        if state.running > state.bears() {
-            state.counts.fell_over += 1;
-            state.restart();
-            None
-        } else {
-            state.loaded.clone().map(|(_, version)| (state.start_id, version, state.profile))
-        }
-    };
-    let Some((start_id, version, profile)) = entered else {
-        drop(request.into_writer());
-        return;
-    };
-    let tokens = body["max_tokens"].as_u64().unwrap_or(8);
-    let resume = serve::header_of(&request, "x-resume-after").and_then(|text| text.parse().ok());
-    let answer = Answer { start_id, version, profile, tokens, resume: resume.unwrap_or(0) };
-    let whole = answer.stream(state, request);
-    let mut state = lock(state);
-    if state.start_id == start_id {
-        state.running -= 1;
-        if whole {
-            state.completed_since_start += 1;
-            state.counts.completed += 1;
-        }
-    }
-}
-
-struct Answer {
-    start_id: u64,
-    version: String,
-    profile: EngineProfile,
-    tokens: u64,
-    resume: u64,
-}
-
-impl Answer {
-    /// Writes head and tokens as they come; says whether the caller got all of them.
-    fn stream(&self, state: &Mutex<State>, request: Request) -> bool {
-        let mut writer = request.into_writer();
-        let head = format!(
-            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-start-id: {}\r\n\
-             x-model-version: {}\r\ntransfer-encoding: chunked\r\n\r\n",
-            self.start_id, self.version
-        );
-        thread::sleep(self.profile.first_token);
-        if writer.write_all(head.as_bytes()).is_err() {
-            return false;
-        }
-        for token in self.resume..self.tokens {
-            let event = json!({"choices": [{"index": 0, "delta": {"content": format!("t{token} ")}}],
-                "version": self.version});
-            if lock(state).start_id != self.start_id
-                || write_event(&mut writer, &event.to_string()).is_err()
-            {
-                return false;
-            }
-            thread::sleep(self.profile.per_token);
-        }
-        write_event(&mut writer, "[DONE]").is_ok()
-            && writer.write_all(b"0\r\n\r\n").is_ok()
-            && writer.flush().is_ok()
-    }
-}
-
-fn write_event(writer: &mut dyn Write, data: &str) -> io::Result<()> {
-    let event = format!("data: {data}\n\n");
-    write!(writer, "{:x}\r\n{event}\r\n", event.len())?;
-    writer.flush()
-}
--- /dev/null
+++ b/standins/src/engine/answer.rs
@@ -0,0 +1,315 @@
+//! What an engine answers: health, faults, cache events and chat completions.
+
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Method;
+use mastichaven_core::ids::Digest;
+use serde_json::Value;
+use serde_json::json;
+
+use super::EngineProfile;
+use super::PRIORITIES;
+use super::State;
+use super::lock;
+use super::orders;
+use crate::engine_cache::BLOCK_LEN;
+use crate::serve;
+use crate::serve::Pieces;
+use crate::serve::Req;
+
+/// Tokens of an answer when the request names no number.
+const DEFAULT_TOKENS: u64 = 8;
+
+/// How often a frozen stream looks whether it may go on.
+const FREEZE_POLL: Duration = Duration::from_millis(5);
+
+pub(super) fn answer(state: &Mutex<State>, req: Req) {
+    if req.path == "/faults" {
+        return answer_faults(state, req);
+    }
+    if lock(state).faults.down {
+        return;
+    }
+    match (req.method.clone(), req.path.as_str()) {
+        (Method::GET, "/health") => health(state, req),
+        (Method::GET, "/cache/events") => cache_events(state, req),
+        (Method::POST, "/admin/load") => orders::load(state, req),
+        (Method::POST, "/admin/unload") => orders::unload(state, req),
+        (Method::POST, "/admin/adapter") => orders::adapter(state, req),
+        (Method::POST, "/admin/role") => orders::role(state, req),
+        (Method::POST, "/admin/cancel") => orders::cancel(state, req),
+        (Method::POST, "/v1/chat/completions") => complete(state, req),
+        _ => req.respond(404, &[], ""),
+    }
+}
+
+fn answer_faults(state: &Mutex<State>, req: Req) {
+    let mut state = lock(state);
+    if req.method == Method::POST {
+        match serve::changed(&state.faults, &req.body) {
+            Some(faults) => state.set_faults(faults),
+            None => return req.respond(400, &[], "not an object of known faults\n"),
+        }
+    }
+    req.respond_json(&json!({"faults": state.faults, "counts": state.counts}));
+}
+
+fn health(state: &Mutex<State>, req: Req) {
+    let state = lock(state);
+    let loaded = state.loaded.as_ref();
+    let loaded = loaded.map(|w| json!({"model": w.model, "version": w.version}));
+    req.respond_json(&json!({
+        "start_id": state.start_id,
+        "loaded": loaded,
+        "running": state.reported(Instant::now()),
+        "adapters": state.adapters,
+        "role": state.role,
+    }));
+}
+
+fn cache_events(state: &Mutex<State>, req: Req) {
+    let after = req.query("after").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let state = lock(state);
+    req.respond_json(&state.cache.events(after, state.faults.events_lag, Instant::now()));
+}
+
+/// One completion under way.
+struct Completion {
+    id: String,
+    start_id: u64,
+    profile: EngineProfile,
+    slow: f64,
+    prompt: String,
+    prompt_len: usize,
+    cached_blocks: usize,
+    blocks: usize,
+    tokens: u64,
+    resume: u64,
+    poisoned: bool,
+}
+
+/// Why a completion ended before its last token.
+enum Cut {
+    /// The engine's process ended, or has nothing loaded any more.
+    Ended,
+    Cancelled,
+    Left,
+}
+
+fn complete(state: &Mutex<State>, req: Req) {
+    let Ok(body) = serde_json::from_slice::<Value>(&req.body) else {
+        return req.respond(400, &[], "");
+    };
+    let Some(completion) = begin(&mut lock(state), &req, &body) else {
+        return;
+    };
+    let streamed = body["stream"].as_bool().unwrap_or(false);
+    let result = if streamed {
+        completion.answer_streamed(state, req)
+    } else {
+        completion.answer_whole(state, req)
+    };
+    let mut state = lock(state);
+    match &result {
+        Ok(()) => state.counts.completed += 1,
+        Err(Cut::Cancelled) => state.counts.cancelled += 1,
+        Err(Cut::Left) => state.counts.left += 1,
+        Err(Cut::Ended) => {}
+    }
+    state.cancelled.remove(&completion.id);
+    if state.start_id == completion.start_id {
+        let running = state.running - 1;
+        state.set_running(running);
+        state.completed_since_start += u32::from(result.is_ok());
+    }
+}
+
+/// Enters the batch; one request too many and the engine falls over, with all that run.
+fn begin(state: &mut State, req: &Req, body: &Value) -> Option<Completion> {
+    state.counts.begun += 1;
+    let priority: usize = req.header("x-priority").and_then(|text| text.parse().ok()).unwrap_or(0);
+    state.counts.by_priority[priority.min(PRIORITIES - 1)] += 1;
+    state.set_running(state.running + 1);
+    if state.running > state.bears() {
+        state.counts.fell_over += 1;
+        state.restart();
+        return None;
+    }
+    if state.loaded.is_none() {
+        state.set_running(state.running - 1);
+        return None;
+    }
+    let prompt = prompt_of(body);
+    let blocks = prompt.len() / BLOCK_LEN;
+    let cached_blocks = state.cache.take(&prompt, state.profile.cache_blocks, Instant::now());
+    state.counts.cache_hits += cached_blocks as u64;
+    state.counts.cache_misses += (blocks - cached_blocks) as u64;
+    let resume = req.header("x-resume-after").and_then(|text| text.parse().ok()).unwrap_or(0);
+    state.counts.resumed += u64::from(resume > 0);
+    let poison = state.faults.poison.as_bytes();
+    let poisoned =
+        !poison.is_empty() && req.body.windows(poison.len()).any(|window| window == poison);
+    Some(Completion {
+        id: req.header("x-request-id").unwrap_or_default().to_owned(),
+        start_id: state.start_id,
+        profile: state.profile,
+        slow: state.faults.slow,
+        prompt: Digest::of(prompt.as_bytes()).to_hex(),
+        prompt_len: prompt.len(),
+        cached_blocks,
+        blocks,
+        tokens: body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS),
+        resume,
+        poisoned,
+    })
+}
+
+/// The text that the prefix cache goes by: role and content of each message, a line each.
+fn prompt_of(body: &Value) -> String {
+    let mut text = String::new();
+    for message in body["messages"].as_array().into_iter().flatten() {
+        text.push_str(message["role"].as_str().unwrap_or_default());
+        text.push('\n');
+        text.push_str(message["content"].as_str().unwrap_or_default());
+        text.push('\n');
+    }
+    text
+}
+
+impl Completion {
+    fn first_token(&self) -> Duration {
+        let missed = u32::try_from(self.blocks - self.cached_blocks).unwrap_or(u32::MAX);
+        (self.profile.first_token + self.profile.per_block * missed).mul_f64(self.slow)
+    }
+
+    /// Waits for the first token; a poisoned request crashes the engine here.
+    fn prefill(&self, state: &Mutex<State>) {
+        thread::sleep(self.first_token());
+        if self.poisoned {
+            let mut state = lock(state);
+            if state.start_id == self.start_id {
+                state.counts.poisoned += 1;
+                state.restart();
+            }
+        }
+    }
+
+    /// The event of one token, naming the weights that are loaded at this moment.
+    fn token(&self, state: &Mutex<State>, token: u64) -> Result<Value, Cut> {
+        let mut state = lock(state);
+        if state.start_id != self.start_id {
+            return Err(Cut::Ended);
+        }
+        if state.cancelled.contains(&self.id) {
+            return Err(Cut::Cancelled);
+        }
+        let weights = state.loaded.clone().ok_or(Cut::Ended)?;
+        state.counts.tokens += 1;
+        Ok(json!({
+            "id": self.id,
+            "model": weights.model,
+            "version": weights.version,
+            "weights": weights.read.to_hex(),
+            "prompt": self.prompt,
+            "choices": [{"index": 0, "delta": {"content": format!("t{token} ")}}],
+        }))
+    }
+
+    /// The pause after a token; a frozen stream stays in it until its reader leaves.
+    fn pause(
+        &self,
+        state: &Mutex<State>,
+        token: u64,
+        is_left: impl Fn() -> bool,
+    ) -> Result<(), Cut> {
+        thread::sleep(self.profile.per_token.mul_f64(self.slow));
+        loop {
+            {
+                let state = lock(state);
+                if state.start_id != self.start_id {
+                    return Err(Cut::Ended);
+                }
+                if state.cancelled.contains(&self.id) {
+                    return Err(Cut::Cancelled);
+                }
+                if is_left() {
+                    return Err(Cut::Left);
+                }
+                if state.faults.freeze_after.is_none_or(|after| token + 1 < after) {
+                    return Ok(());
+                }
+            }
+            thread::sleep(FREEZE_POLL);
+        }
+    }
+
+    fn head(&self, state: &Mutex<State>) -> Result<(String, String), Cut> {
+        let state = lock(state);
+        let weights = state.loaded.as_ref().ok_or(Cut::Ended)?;
+        let same = state.start_id == self.start_id;
+        if same {
+            Ok((self.start_id.to_string(), weights.version.clone()))
+        } else {
+            Err(Cut::Ended)
+        }
+    }
+
+    fn answer_streamed(&self, state: &Mutex<State>, req: Req) -> Result<(), Cut> {
+        self.prefill(state);
+        let (start_id, version) = self.head(state)?;
+        let headers = [
+            ("content-type", "text/event-stream"),
+            ("x-start-id", &start_id),
+            ("x-model-version", &version),
+        ];
+        let pieces = req.stream(200, &headers);
+        for token in self.resume..self.tokens {
+            let event = self.token(state, token)?;
+            send_event(&pieces, &event.to_string())?;
+            self.pause(state, token, || pieces.is_left())?;
+        }
+        send_event(&pieces, "[DONE]")?;
+        pieces.end();
+        Ok(())
+    }
+
+    fn answer_whole(&self, state: &Mutex<State>, req: Req) -> Result<(), Cut> {
+        self.prefill(state);
+        let (start_id, version) = self.head(state)?;
+        let mut text = String::new();
+        let mut last = Value::Null;
+        for token in self.resume..self.tokens {
+            last = self.token(state, token)?;
+            text.push_str(&format!("t{token} "));
+            self.pause(state, token, || req.is_left())?;
+        }
+        let answer = json!({
+            "id": self.id,
+            "model": last["model"],
+            "version": last["version"],
+            "weights": last["weights"],
+            "prompt": self.prompt,
+            "choices": [{"index": 0, "finish_reason": "stop",
+                "message": {"role": "assistant", "content": text}}],
+            "usage": {
+                "prompt_tokens": self.prompt_len / 4,
+                "cached_tokens": self.cached_blocks * BLOCK_LEN / 4,
+                "completion_tokens": self.tokens.saturating_sub(self.resume),
+            },
+        });
+        let headers = [
+            ("content-type", "application/json"),
+            ("x-start-id", &start_id),
+            ("x-model-version", &version),
+        ];
+        req.respond(200, &headers, answer.to_string());
+        Ok(())
+    }
+}
+
+fn send_event(pieces: &Pieces, data: &str) -> Result<(), Cut> {
+    if pieces.send(format!("data: {data}\n\n")) { Ok(()) } else { Err(Cut::Left) }
+}
--- /dev/null
+++ b/standins/src/engine_cache.rs
@@ -0,0 +1,102 @@
+//! An engine's prefix cache: bounded, least recently used first out, with published events.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use mastichaven_core::ids::Digest;
+use serde::Serialize;
+
+/// Bytes of prompt text in one block of the cache.
+pub(crate) const BLOCK_LEN: usize = 64;
+
+/// Events kept for readers.
+const MAX_EVENTS: usize = 4_096;
+
+/// One change of the cache, as published.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct CacheEvent {
+    /// Counts events from 1; a gap means that some were lost.
+    sequence: u64,
+    /// Digest of the prompt up to the end of the block, in hexadecimal.
+    block: String,
+    /// Whether the block came in; it went out otherwise.
+    added: bool,
+    #[serde(skip)]
+    at: Instant,
+}
+
+/// The events after a number that are old enough to be shown.
+#[derive(Debug, Serialize)]
+pub(crate) struct CacheEvents {
+    /// Ask for the events after this number next.
+    next: u64,
+    events: Vec<CacheEvent>,
+}
+
+/// Blocks of prompts that need no computing again.
+#[derive(Debug, Default)]
+pub(crate) struct PrefixCache {
+    /// Least recently used first.
+    blocks: VecDeque<Digest>,
+    events: VecDeque<CacheEvent>,
+    sequence: u64,
+    /// The next events are lost, this many.
+    pub(crate) lose_events: u32,
+}
+
+impl PrefixCache {
+    /// Takes a prompt in and gives the number of its blocks that were here from its start on.
+    /// O(blocks of the prompt × blocks of the cache), both small.
+    pub(crate) fn take(&mut self, prompt: &str, limit: usize, now: Instant) -> usize {
+        let mut hits = 0;
+        let mut missed = false;
+        for end in (BLOCK_LEN..=prompt.len()).step_by(BLOCK_LEN) {
+            let block = Digest::of(&prompt.as_bytes()[..end]);
+            match self.blocks.iter().position(|old| *old == block) {
+                Some(index) => {
+                    self.blocks.remove(index);
+                    hits += usize::from(!missed);
+                }
+                None => {
+                    missed = true;
+                    self.publish(block, true, now);
+                }
+            }
+            self.blocks.push_back(block);
+        }
+        while self.blocks.len() > limit {
+            if let Some(block) = self.blocks.pop_front() {
+                self.publish(block, false, now);
+            }
+        }
+        hits
+    }
+
+    /// Forgets everything, as an engine that starts again does; numbers start again as well.
+    pub(crate) fn clear(&mut self) {
+        *self = PrefixCache::default();
+    }
+
+    fn publish(&mut self, block: Digest, added: bool, now: Instant) {
+        self.sequence += 1;
+        if self.lose_events > 0 {
+            self.lose_events -= 1;
+            return;
+        }
+        let event = CacheEvent { sequence: self.sequence, block: block.to_hex(), added, at: now };
+        self.events.push_back(event);
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// The events after `after` that are at least `lag` old.
+    pub(crate) fn events(&self, after: u64, lag: Duration, now: Instant) -> CacheEvents {
+        let shown = |event: &&CacheEvent| {
+            event.sequence > after && now.saturating_duration_since(event.at) >= lag
+        };
+        let events: Vec<CacheEvent> = self.events.iter().filter(shown).cloned().collect();
+        CacheEvents { next: events.last().map_or(after, |event| event.sequence), events }
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,13 +11,19 @@
 //! ```
 
 pub mod engine;
+mod engine_cache;
 pub mod origin;
 pub mod plain;
 pub mod platform;
 mod serve;
 
 pub use crate::engine::Engine;
+pub use crate::engine::EngineFaults;
 pub use crate::engine::EngineProfile;
 pub use crate::origin::Origin;
+pub use crate::origin::OriginFaults;
 pub use crate::plain::Plain;
+pub use crate::plain::PlainFaults;
+pub use crate::platform::Door;
 pub use crate::platform::Platform;
+pub use crate::platform::PlatformFaults;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -11,6 +11,7 @@
 use mastichaven_standins::Origin;
 use mastichaven_standins::Plain;
 use mastichaven_standins::Platform;
+use mastichaven_standins::origin::random_weights;
 
 /// Runs one stand-in until it is ended.
 #[derive(Bpaf, Clone, Debug)]
@@ -20,18 +21,24 @@
     #[bpaf(command)]
     Platform {
         /// Address to listen on, such as 127.0.0.1:7000
+        #[bpaf(argument("ADDRESS"))]
         listen: String,
         /// JSON file with the list of hosts
+        #[bpaf(argument("FILE"))]
         hosts: PathBuf,
     },
-    /// The origin of weights, with one version of random bytes a seed
+    /// The origin of weights; prints the manifest digest of each version it has
     #[bpaf(command)]
     Origin {
         /// Address to listen on
+        #[bpaf(argument("ADDRESS"))]
         listen: String,
         /// Bytes a second its link passes
-        #[bpaf(fallback(4_000_000.0))]
+        #[bpaf(argument("RATE"), fallback(4_000_000.0))]
         rate: f64,
+        /// Versions of random bytes, the same ones for each seed
+        #[bpaf(argument("SEED:BYTES"))]
+        random: Vec<String>,
         /// Files whose bytes are versions
         #[bpaf(positional("WEIGHTS"))]
         weights: Vec<PathBuf>,
@@ -40,12 +47,14 @@
     #[bpaf(command)]
     Engine {
         /// Address to listen on
+        #[bpaf(argument("ADDRESS"))]
         listen: String,
     },
-    /// A plain service
+    /// A plain service that counts how often each booking ran
     #[bpaf(command)]
     Plain {
         /// Address to listen on
+        #[bpaf(argument("ADDRESS"))]
         listen: String,
     },
 }
@@ -71,8 +80,14 @@
             platform.set_hosts(hosts);
             wait();
         }
-        Arguments::Origin { listen, rate, weights } => {
+        Arguments::Origin { listen, rate, random, weights } => {
             let origin = Origin::start(&listen, rate)?;
+            for text in random {
+                let weights = scan_random(&text)
+                    .ok_or_else(|| std::io::Error::other(format!("{text}: not SEED:BYTES")))?;
+                let manifest = origin.put(&weights, CHUNK_LEN);
+                println!("{} random {text}", manifest.digest().to_hex());
+            }
             for file in weights {
                 let manifest = origin.put(&std::fs::read(&file)?, CHUNK_LEN);
                 println!("{} {}", manifest.digest().to_hex(), file.display());
@@ -91,6 +106,12 @@
     Ok(())
 }
 
+/// Reads `SEED:BYTES` and makes those bytes.
+fn scan_random(text: &str) -> Option<Vec<u8>> {
+    let (seed, len) = text.split_once(':')?;
+    Some(random_weights(seed.parse().ok()?, len.parse().ok()?))
+}
+
 fn start_id() -> u64 {
     rand::random::<u64>() >> 16
 }
--- a/standins/src/origin.rs
+++ b/standins/src/origin.rs
@@ -1,21 +1,36 @@
 //! The origin of weights: manifests and chunks behind one limited link.
+//!
+//! `POST /faults` takes a JSON object with fields of [`OriginFaults`]; `GET /faults` shows them and
+//! what has been sent.
 
 use std::collections::HashMap;
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
+use hyper::Method;
 use mastichaven_core::Manifest;
 use mastichaven_core::ids::Digest;
-use tiny_http::Request;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
 
 use crate::serve;
+use crate::serve::Bucket;
+use crate::serve::Req;
 use crate::serve::Running;
-use crate::serve::respond;
+use crate::serve::millis;
+
+/// How long a stalled object stays silent unless set otherwise.
+const DEFAULT_STALL: Duration = Duration::from_secs(60);
 
 /// A link that passes a bounded number of bytes a second, one transfer after the other.
 #[derive(Debug)]
@@ -42,12 +57,52 @@
     }
 }
 
-#[derive(Debug, Default)]
+/// `len` bytes that are the same for each `seed`.
+pub fn random_weights(seed: u64, len: usize) -> Vec<u8> {
+    let mut weights = vec![0; len];
+    ChaCha8Rng::seed_from_u64(seed).fill(&mut weights[..]);
+    weights
+}
+
+/// What the origin does wrong, on demand.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct OriginFaults {
+    /// Everything is refused with 503.
+    pub down: bool,
+    /// The next objects are sent with a wrong byte, this many times.
+    pub corrupt_next: u32,
+    /// The next objects are answered with the bytes of another one, as if the version had been
+    /// changed in mid-flight, this many times.
+    pub swap_next: u32,
+    /// The next objects stop after half their bytes, this many times.
+    pub stall_next: u32,
+    /// How long a stalled object stays silent before it is cut off.
+    #[serde(rename = "stall_ms", with = "millis")]
+    pub stall: Duration,
+    /// The next requests are answered with 429, this many times.
+    pub limit_next: u32,
+    /// Requests a second before 429 is answered; 0 for no limit.
+    pub requests_per_second: f64,
+}
+
+/// What the origin has done so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct OriginCounts {
+    /// Bytes of objects sent.
+    pub sent: u64,
+    /// Objects sent.
+    pub objects: u64,
+    /// Requests answered with 429.
+    pub limited: u64,
+}
+
+#[derive(Debug)]
 struct State {
     objects: HashMap<Digest, Bytes>,
-    sent: u64,
-    corrupt_next: u32,
-    down: bool,
+    counts: OriginCounts,
+    faults: OriginFaults,
+    bucket: Bucket,
 }
 
 /// A running origin.
@@ -60,10 +115,15 @@
 impl Origin {
     /// Starts on `address` with a link of `bytes_per_second`.
     pub fn start(address: &str, bytes_per_second: f64) -> io::Result<Origin> {
-        let state = Arc::new(Mutex::new(State::default()));
+        let state = Arc::new(Mutex::new(State {
+            objects: HashMap::new(),
+            counts: OriginCounts::default(),
+            faults: OriginFaults { stall: DEFAULT_STALL, ..OriginFaults::default() },
+            bucket: Bucket::full(Instant::now()),
+        }));
         let link = Link::new(bytes_per_second);
         let served = state.clone();
-        let running = serve::start(address, move |request| answer(&served, &link, request))?;
+        let running = serve::start(address, move |req| answer(&served, &link, req))?;
         Ok(Origin { state, running })
     }
 
@@ -75,7 +135,7 @@
     /// Puts a version in and gives its manifest.
     pub fn put(&self, weights: &[u8], chunk_len: u32) -> Manifest {
         let manifest = Manifest::cut(weights, chunk_len);
-        let mut state = self.state.lock().expect("no holder of this lock panics");
+        let mut state = lock(&self.state);
         for bytes in weights.chunks(chunk_len as usize) {
             state.objects.insert(Digest::of(bytes), Bytes::copy_from_slice(bytes));
         }
@@ -85,44 +145,103 @@
 
     /// Bytes sent so far.
     pub fn sent(&self) -> u64 {
-        self.state.lock().expect("no holder of this lock panics").sent
+        self.counts().sent
+    }
+
+    /// What it has done so far.
+    pub fn counts(&self) -> OriginCounts {
+        lock(&self.state).counts
+    }
+
+    /// Changes what it does wrong.
+    pub fn set_faults(&self, change: impl FnOnce(&mut OriginFaults)) {
+        change(&mut lock(&self.state).faults);
     }
 
     /// Corrupts the next `count` objects sent.
     pub fn corrupt_next(&self, count: u32) {
-        self.state.lock().expect("no holder of this lock panics").corrupt_next = count;
+        self.set_faults(|faults| faults.corrupt_next = count);
     }
 
     /// Refuses everything while `down`.
     pub fn set_down(&self, down: bool) {
-        self.state.lock().expect("no holder of this lock panics").down = down;
+        self.set_faults(|faults| faults.down = down);
     }
 }
 
-fn answer(state: &Mutex<State>, link: &Link, request: Request) {
-    let digest = request.url().rsplit('/').next().and_then(Digest::from_hex);
-    let found = {
-        let mut state = state.lock().expect("no holder of this lock panics");
-        if state.down {
-            drop(state);
-            return respond(request, 503, &[], Vec::new());
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().expect("no holder of this lock panics")
+}
+
+/// What becomes of one request.
+enum Fate {
+    Refuse(u16),
+    Send(Vec<u8>),
+    Stall(Vec<u8>, Duration),
+}
+
+fn answer(state: &Mutex<State>, link: &Link, req: Req) {
+    if req.path == "/faults" {
+        return answer_faults(state, req);
+    }
+    let digest = req.path.rsplit('/').next().and_then(Digest::from_hex);
+    let fate = decide(&mut lock(state), digest);
+    match fate {
+        Fate::Refuse(status) => req.respond(status, &[], ""),
+        Fate::Send(bytes) => {
+            link.pass(bytes.len());
+            req.respond(200, &[], bytes);
         }
-        let found = digest.and_then(|digest| state.objects.get(&digest).cloned());
-        let mut found = found.map(|bytes| bytes.to_vec());
-        if let Some(bytes) = &mut found {
-            state.sent += bytes.len() as u64;
-            if state.corrupt_next > 0 && !bytes.is_empty() {
-                state.corrupt_next -= 1;
-                bytes[0] ^= 1;
-            }
+        Fate::Stall(bytes, span) => {
+            let pieces = req.stream(200, &[("content-length", &bytes.len().to_string())]);
+            pieces.send(bytes[..bytes.len() / 2].to_vec());
+            serve::hold(&pieces, span);
         }
-        found
-    };
-    match found {
-        Some(bytes) => {
-            link.pass(bytes.len());
-            respond(request, 200, &[], bytes);
+    }
+}
+
+fn answer_faults(state: &Mutex<State>, req: Req) {
+    let mut state = lock(state);
+    if req.method == Method::POST {
+        match serve::changed(&state.faults, &req.body) {
+            Some(faults) => state.faults = faults,
+            None => return req.respond(400, &[], "not an object of known faults\n"),
         }
-        None => respond(request, 404, &[], Vec::new()),
     }
+    req.respond_json(&json!({"faults": state.faults, "counts": state.counts}));
+}
+
+fn decide(state: &mut State, digest: Option<Digest>) -> Fate {
+    if state.faults.down {
+        return Fate::Refuse(503);
+    }
+    let rate = state.faults.requests_per_second;
+    let over = rate > 0.0 && !state.bucket.try_take(rate, Instant::now());
+    if over || take_one(&mut state.faults.limit_next) {
+        state.counts.limited += 1;
+        return Fate::Refuse(429);
+    }
+    let Some(bytes) = digest.and_then(|digest| state.objects.get(&digest)) else {
+        return Fate::Refuse(404);
+    };
+    let mut bytes = bytes.to_vec();
+    if take_one(&mut state.faults.swap_next) {
+        let other = state.objects.values().find(|other| other[..] != bytes[..]);
+        bytes = other.map_or(bytes, |other| other.to_vec());
+    }
+    if !bytes.is_empty() && take_one(&mut state.faults.corrupt_next) {
+        bytes[0] ^= 1;
+    }
+    state.counts.sent += bytes.len() as u64;
+    state.counts.objects += 1;
+    if take_one(&mut state.faults.stall_next) {
+        return Fate::Stall(bytes, state.faults.stall);
+    }
+    Fate::Send(bytes)
+}
+
+fn take_one(left: &mut u32) -> bool {
+    let taken = *left > 0;
+    *left = left.saturating_sub(1);
+    taken
 }
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -1,27 +1,48 @@
 //! A plain service whose calls may not be repeated; it counts its runs.
+//!
+//! `POST /faults` takes a JSON object with fields of [`PlainFaults`]; `GET /faults` shows them and
+//! `GET /runs` the runs.
 
 use std::collections::HashMap;
 use std::io;
-use std::io::Read;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::thread;
 use std::time::Duration;
 
-use tiny_http::Request;
+use hyper::Method;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::serve;
+use crate::serve::Req;
 use crate::serve::Running;
-use crate::serve::respond;
+use crate::serve::millis;
 
-/// Bytes of a request's body at most.
-const MAX_BODY_LEN: u64 = 1 << 20;
+/// What a plain service does wrong, on demand.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlainFaults {
+    /// Every call takes this much longer.
+    #[serde(rename = "delay_ms", with = "millis")]
+    pub delay: Duration,
+    /// Everything but `/faults` and `/runs` is cut off without an answer.
+    pub down: bool,
+    /// The next calls crash it before they have run, this many times.
+    pub crash_before_run: u32,
+    /// The next calls crash it after they have run, this many times: the answer is lost.
+    pub crash_after_run: u32,
+    /// The next calls are answered with 500 without having run, this many times.
+    pub fail_next: u32,
+}
 
 #[derive(Debug, Default)]
 struct State {
     start_id: u64,
+    faults: PlainFaults,
     runs: HashMap<String, u32>,
-    delay: Duration,
+    runs_by_key: HashMap<String, u32>,
 }
 
 /// A running plain service. The body of a call names what it books.
@@ -36,7 +57,7 @@
     pub fn start(address: &str, start_id: u64) -> io::Result<Plain> {
         let state = Arc::new(Mutex::new(State { start_id, ..State::default() }));
         let served = state.clone();
-        let running = serve::start(address, move |request| answer(&served, request))?;
+        let running = serve::start(address, move |req| answer(&served, req))?;
         Ok(Plain { state, running })
     }
 
@@ -45,35 +66,112 @@
         format!("http://{}", self.running.address)
     }
 
+    /// Changes what it does wrong.
+    pub fn set_faults(&self, change: impl FnOnce(&mut PlainFaults)) {
+        change(&mut lock(&self.state).faults);
+    }
+
     /// Makes every call take this long.
     pub fn set_delay(&self, delay: Duration) {
-        self.state.lock().expect("no holder of this lock panics").delay = delay;
+        lock(&self.state).faults.delay = delay;
+    }
+
+    /// Ends its process and starts it again; calls under way are cut off, those that have begun
+    /// have run.
+    pub fn crash(&self) {
+        lock(&self.state).start_id += 1;
     }
 
     /// How often each body was run.
     pub fn runs(&self) -> HashMap<String, u32> {
-        self.state.lock().expect("no holder of this lock panics").runs.clone()
+        lock(&self.state).runs.clone()
+    }
+
+    /// How often each `idempotency-key` was run, for calls that carry one.
+    pub fn runs_by_key(&self) -> HashMap<String, u32> {
+        lock(&self.state).runs_by_key.clone()
     }
 }
 
-fn answer(state: &Mutex<State>, mut request: Request) {
-    if request.url() == "/health" {
-        let start_id = state.lock().expect("no holder of this lock panics").start_id;
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().expect("no holder of this lock panics")
+}
+
+fn answer(state: &Mutex<State>, req: Req) {
+    match (&req.method, req.path.as_str()) {
+        (&Method::POST, "/faults") => return change_faults(state, req),
+        (&Method::GET, "/faults") => return req.respond_json(&lock(state).faults),
+        (&Method::GET, "/runs") => return req.respond_json(&lock(state).runs),
+        _ => {}
+    }
+    if lock(state).faults.down {
+        return;
+    }
+    if req.path == "/health" {
+        let start_id = lock(state).start_id;
         let body = format!("{{\"start_id\":{start_id},\"loaded\":null,\"running\":0}}");
-        return respond(request, 200, &[], body.into_bytes());
+        return req.respond(200, &[], body);
     }
-    let mut body = String::new();
-    if request.as_reader().take(MAX_BODY_LEN).read_to_string(&mut body).is_err() {
-        return respond(request, 400, &[], Vec::new());
+    run(state, req);
+}
+
+fn change_faults(state: &Mutex<State>, req: Req) {
+    let mut state = lock(state);
+    match serve::changed(&state.faults, &req.body) {
+        Some(faults) => {
+            state.faults = faults;
+            req.respond_json(&faults);
+        }
+        None => req.respond(400, &[], "not an object of known faults\n"),
     }
-    let (delay, run) = {
-        let mut state = state.lock().expect("no holder of this lock panics");
-        let run = state.runs.entry(body.clone()).or_default();
-        *run += 1;
-        let run = *run;
-        (state.delay, run)
+}
+
+/// What becomes of a call when it begins.
+enum Fate {
+    CrashBefore,
+    Fail,
+    Run { run: u32, start_id: u64, delay: Duration, crash: bool },
+}
+
+fn run(state: &Mutex<State>, req: Req) {
+    let Ok(body) = String::from_utf8(req.body.to_vec()) else {
+        return req.respond(400, &[], "");
+    };
+    let (run, start_id, delay, crash) = match begin(&mut lock(state), &req, &body) {
+        Fate::CrashBefore => return,
+        Fate::Fail => return req.respond(500, &[], ""),
+        Fate::Run { run, start_id, delay, crash } => (run, start_id, delay, crash),
     };
     thread::sleep(delay);
-    let answer = format!("{{\"booked\":{body:?},\"run\":{run}}}\n");
-    respond(request, 200, &[("content-type", "application/json")], answer.into_bytes());
+    let crashed = {
+        let mut state = lock(state);
+        state.start_id += u64::from(crash);
+        state.start_id != start_id
+    };
+    if !crashed {
+        let answer = format!("{{\"booked\":{body:?},\"run\":{run}}}\n");
+        let headers = [("content-type", "application/json"), ("x-start-id", &start_id.to_string())];
+        req.respond(200, &headers, answer);
+    }
+}
+
+fn begin(state: &mut State, req: &Req, body: &str) -> Fate {
+    if state.faults.crash_before_run > 0 {
+        state.faults.crash_before_run -= 1;
+        state.start_id += 1;
+        return Fate::CrashBefore;
+    }
+    if state.faults.fail_next > 0 {
+        state.faults.fail_next -= 1;
+        return Fate::Fail;
+    }
+    if let Some(key) = req.header("idempotency-key") {
+        *state.runs_by_key.entry(key.to_owned()).or_default() += 1;
+    }
+    let run = state.runs.entry(body.to_owned()).or_default();
+    *run += 1;
+    let run = *run;
+    let crash = state.faults.crash_after_run > 0;
+    state.faults.crash_after_run -= u32::from(crash);
+    Fate::Run { run, start_id: state.start_id, delay: state.faults.delay, crash }
 }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -1,55 +1,133 @@
 //! The platform: an object API with versions, conditional updates and watches, and a host list.
+//!
+//! `POST /faults` takes a JSON object with fields of [`PlatformFaults`]; `GET /faults` shows them
+//! and the calls counted; `PUT /v1/hosts` replaces the list of hosts. A [`Door`] is a second address
+//! of the same platform that can be cut off alone, as a zone is by a network partition.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::io;
-use std::io::Read;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use hyper::Method;
 use mastichaven_core::ids::Revision;
 use mastichaven_core::platform::Change;
 use mastichaven_core::platform::Changes;
 use mastichaven_core::platform::ListedHost;
 use mastichaven_core::platform::MAX_VALUE_LEN;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
 use smol_str::SmolStr;
-use tiny_http::Method;
-use tiny_http::Request;
 
 use crate::serve;
+use crate::serve::Bucket;
+use crate::serve::Req;
 use crate::serve::Running;
-use crate::serve::respond;
+use crate::serve::millis;
 
-/// Changes kept for watches; older ones are compacted.
+/// Changes kept for watches unless set otherwise; older ones are compacted.
 const KEPT_CHANGES: usize = 10_000;
 
+/// How long a call through a cut door stays without an answer before it is dropped.
+const CUT_SPAN: Duration = Duration::from_secs(5);
+
+/// How often a call through a cut door looks whether it is still cut.
+const CUT_POLL: Duration = Duration::from_millis(50);
+
 /// What the platform does wrong, on demand.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct PlatformFaults {
-    /// Every call is refused with 503.
+    /// Every call is refused with 503; waiting watches too.
     pub down: bool,
     /// Every call takes this much longer.
+    #[serde(rename = "delay_ms", with = "millis")]
     pub delay: Duration,
     /// The next writes take effect and their answers are lost, this many times.
     pub lose_answers: u32,
     /// The next watches are told that their history is gone, this many times.
     pub watch_gaps: u32,
+    /// Changes kept for watches; older ones are compacted.
+    pub kept_changes: usize,
+    /// Calls a second, a waiting watch as one, before 429 is answered; 0 for no limit.
+    pub calls_per_second: f64,
+    /// The list of hosts is shown as it was this long ago.
+    #[serde(rename = "hosts_lag_ms", with = "millis")]
+    pub hosts_lag: Duration,
 }
 
-#[derive(Debug, Default)]
+impl Default for PlatformFaults {
+    fn default() -> Self {
+        PlatformFaults {
+            down: false,
+            delay: Duration::ZERO,
+            lose_answers: 0,
+            watch_gaps: 0,
+            kept_changes: KEPT_CHANGES,
+            calls_per_second: 0.0,
+            hosts_lag: Duration::ZERO,
+        }
+    }
+}
+
+/// A list of hosts and when it was set.
+#[derive(Debug)]
+struct HostList {
+    set: Instant,
+    hosts: Vec<ListedHost>,
+}
+
+#[derive(Debug)]
 struct State {
     revision: u64,
     objects: BTreeMap<String, (u64, Vec<u8>)>,
-    changes: Vec<Change>,
+    changes: VecDeque<Change>,
     compacted: u64,
-    hosts: Vec<ListedHost>,
+    hosts: Vec<HostList>,
     faults: PlatformFaults,
+    bucket: Bucket,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        State {
+            revision: 0,
+            objects: BTreeMap::new(),
+            changes: VecDeque::new(),
+            compacted: 0,
+            hosts: Vec::new(),
+            faults: PlatformFaults::default(),
+            bucket: Bucket::full(Instant::now()),
+        }
+    }
+}
+
+impl State {
+    fn compact(&mut self) {
+        while self.changes.len() > self.faults.kept_changes {
+            if let Some(oldest) = self.changes.pop_front() {
+                self.compacted = oldest.revision.0;
+            }
+        }
+    }
+
+    /// The list as it was `hosts_lag` ago.
+    fn listed(&self, now: Instant) -> Vec<ListedHost> {
+        let lag = self.faults.hosts_lag;
+        let old = |list: &&HostList| now.saturating_duration_since(list.set) >= lag;
+        let shown = self.hosts.iter().rev().find(old).or(self.hosts.first());
+        shown.map(|list| list.hosts.clone()).unwrap_or_default()
+    }
 }
 
 #[derive(Debug, Default)]
@@ -59,6 +137,7 @@
     reads: AtomicU64,
     writes: AtomicU64,
     watches: AtomicU64,
+    throttled: AtomicU64,
 }
 
 impl Inner {
@@ -68,7 +147,7 @@
 }
 
 /// Calls the platform has counted.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Calls {
     /// Reads and lists.
     pub reads: u64,
@@ -76,6 +155,38 @@
     pub writes: u64,
     /// Watches.
     pub watches: u64,
+    /// Calls refused with 429.
+    pub throttled: u64,
+}
+
+/// A further address of a platform, which can be cut off alone.
+#[derive(Debug)]
+pub struct Door {
+    cut: Arc<AtomicBool>,
+    running: Running,
+}
+
+impl Door {
+    /// Its base address.
+    pub fn base(&self) -> String {
+        format!("http://{}", self.running.address)
+    }
+
+    /// Lets no call through and answers none while `cut`.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::Release);
+    }
+}
+
+impl Inner {
+    fn calls(&self) -> Calls {
+        Calls {
+            reads: self.reads.load(Ordering::Relaxed),
+            writes: self.writes.load(Ordering::Relaxed),
+            watches: self.watches.load(Ordering::Relaxed),
+            throttled: self.throttled.load(Ordering::Relaxed),
+        }
+    }
 }
 
 /// A running platform.
@@ -90,7 +201,7 @@
     pub fn start(address: &str) -> io::Result<Platform> {
         let inner = Arc::new(Inner::default());
         let served = inner.clone();
-        let running = serve::start(address, move |request| answer(&served, request))?;
+        let running = serve::start(address, move |req| answer(&served, req))?;
         Ok(Platform { inner, running })
     }
 
@@ -99,168 +210,211 @@
         format!("http://{}", self.running.address)
     }
 
+    /// Opens a further address, such as one for each zone.
+    pub fn open_door(&self, address: &str) -> io::Result<Door> {
+        let cut = Arc::new(AtomicBool::new(false));
+        let (inner, is_cut) = (self.inner.clone(), cut.clone());
+        let running = serve::start(address, move |req| answer_at_door(&inner, &is_cut, req))?;
+        Ok(Door { cut, running })
+    }
+
     /// Replaces the list of hosts.
     pub fn set_hosts(&self, hosts: Vec<ListedHost>) {
-        self.inner.lock().hosts = hosts;
+        self.inner.lock().hosts.push(HostList { set: Instant::now(), hosts });
     }
 
     /// Changes what it does wrong.
     pub fn set_faults(&self, change: impl FnOnce(&mut PlatformFaults)) {
-        change(&mut self.inner.lock().faults);
+        let mut state = self.inner.lock();
+        change(&mut state.faults);
+        state.compact();
+        drop(state);
+        self.inner.changed.notify_all();
     }
 
     /// Calls counted so far.
     pub fn calls(&self) -> Calls {
-        Calls {
-            reads: self.inner.reads.load(Ordering::Relaxed),
-            writes: self.inner.writes.load(Ordering::Relaxed),
-            watches: self.inner.watches.load(Ordering::Relaxed),
-        }
+        self.inner.calls()
     }
 }
 
-fn answer(inner: &Inner, request: Request) {
+/// A call through a cut door gets no answer; one that waits when the door is cut is lost as well.
+fn answer_at_door(inner: &Inner, cut: &Arc<AtomicBool>, mut req: Req) {
+    req.cut = Some(cut.clone());
+    if !cut.load(Ordering::Acquire) {
+        return answer(inner, req);
+    }
+    let end = Instant::now() + CUT_SPAN;
+    while cut.load(Ordering::Acquire) && Instant::now() < end {
+        thread::sleep(CUT_POLL);
+    }
+}
+
+fn answer(inner: &Inner, req: Req) {
+    if req.path == "/faults" {
+        return answer_faults(inner, req);
+    }
     let faults = inner.lock().faults;
     thread::sleep(faults.delay);
     if faults.down {
-        return respond(request, 503, &[], Vec::new());
+        return req.respond(503, &[], "");
     }
-    let url = request.url().to_owned();
-    let path = url.split('?').next().unwrap_or_default();
-    match (request.method(), path.strip_prefix("/v1/objects/")) {
-        (Method::Get, Some(key)) => get(inner, request, key),
-        (Method::Put, Some(key)) => put(inner, request, key),
-        (Method::Delete, Some(key)) => delete(inner, request, key),
-        (Method::Get, None) => match path {
-            "/v1/list" => list(inner, request, serve::query(&url, "prefix").unwrap_or_default()),
-            "/v1/watch" => watch(inner, request, &url),
-            "/v1/hosts" => {
-                inner.reads.fetch_add(1, Ordering::Relaxed);
-                let hosts = inner.lock().hosts.clone();
-                respond_json(request, &hosts);
-            }
-            _ => respond(request, 404, &[], Vec::new()),
-        },
-        _ => respond(request, 405, &[], Vec::new()),
+    let rate = faults.calls_per_second;
+    if rate > 0.0 && !inner.lock().bucket.try_take(rate, Instant::now()) {
+        inner.throttled.fetch_add(1, Ordering::Relaxed);
+        return req.respond(429, &[], "");
+    }
+    let key = req.path.strip_prefix("/v1/objects/").map(str::to_owned);
+    match (req.method.clone(), key, req.path.as_str()) {
+        (Method::GET, Some(key), _) => get(inner, req, &key),
+        (Method::PUT, Some(key), _) => put(inner, req, &key),
+        (Method::DELETE, Some(key), _) => delete(inner, req, &key),
+        (Method::GET, None, "/v1/list") => list(inner, req),
+        (Method::GET, None, "/v1/watch") => watch(inner, req),
+        (Method::GET, None, "/v1/hosts") => hosts(inner, req),
+        (Method::PUT, None, "/v1/hosts") => replace_hosts(inner, req),
+        _ => req.respond(404, &[], ""),
+    }
+}
+
+fn answer_faults(inner: &Inner, req: Req) {
+    let mut state = inner.lock();
+    if req.method == Method::POST {
+        match serve::changed(&state.faults, &req.body) {
+            Some(faults) => state.faults = faults,
+            None => return req.respond(400, &[], "not an object of known faults\n"),
+        }
+        state.compact();
+        inner.changed.notify_all();
     }
+    req.respond_json(&json!({"faults": state.faults, "calls": inner.calls()}));
+}
+
+fn hosts(inner: &Inner, req: Req) {
+    inner.reads.fetch_add(1, Ordering::Relaxed);
+    let hosts = inner.lock().listed(Instant::now());
+    req.respond_json(&hosts);
 }
 
-fn respond_json<T: serde::Serialize>(request: Request, value: &T) {
-    let body = serde_json::to_vec(value).expect("stand-ins encode plain values");
-    respond(request, 200, &[("content-type", "application/json")], body);
+fn replace_hosts(inner: &Inner, req: Req) {
+    match serde_json::from_slice(&req.body) {
+        Ok(hosts) => {
+            inner.lock().hosts.push(HostList { set: Instant::now(), hosts });
+            req.respond(200, &[], "");
+        }
+        Err(_) => req.respond(400, &[], "not a list of hosts\n"),
+    }
 }
 
-fn get(inner: &Inner, request: Request, key: &str) {
+fn get(inner: &Inner, req: Req, key: &str) {
     inner.reads.fetch_add(1, Ordering::Relaxed);
     let found = inner.lock().objects.get(key).cloned();
     match found {
-        Some((revision, value)) => {
-            respond(request, 200, &[("etag", &revision.to_string())], value);
-        }
-        None => respond(request, 404, &[], Vec::new()),
+        Some((revision, value)) => req.respond(200, &[("etag", &revision.to_string())], value),
+        None => req.respond(404, &[], ""),
     }
 }
 
-fn put(inner: &Inner, mut request: Request, key: &str) {
+fn put(inner: &Inner, req: Req, key: &str) {
     inner.writes.fetch_add(1, Ordering::Relaxed);
-    let mut value = Vec::new();
-    let limit = MAX_VALUE_LEN as u64 + 1;
-    if request.as_reader().take(limit).read_to_end(&mut value).is_err() {
-        return;
-    }
-    if value.len() > MAX_VALUE_LEN {
-        return respond(request, 413, &[], Vec::new());
+    if req.body.len() > MAX_VALUE_LEN {
+        return req.respond(413, &[], "");
     }
     let mut state = inner.lock();
-    if !is_expected(&state, &request, key) {
+    if !is_expected(&state, &req, key) {
         drop(state);
-        return respond(request, 412, &[], Vec::new());
+        return req.respond(412, &[], "");
     }
     state.revision += 1;
     let revision = state.revision;
-    state.objects.insert(key.to_owned(), (revision, value));
-    record(&mut state, key, false);
-    let lost = state.faults.lose_answers > 0;
-    state.faults.lose_answers = state.faults.lose_answers.saturating_sub(1);
+    state.objects.insert(key.to_owned(), (revision, req.body.to_vec()));
+    let lost = record(&mut state, key, false);
     drop(state);
     inner.changed.notify_all();
-    if lost {
-        drop(request.into_writer());
-        return;
+    if !lost {
+        req.respond(200, &[("etag", &revision.to_string())], "");
     }
-    respond(request, 200, &[("etag", &revision.to_string())], Vec::new());
 }
 
-fn delete(inner: &Inner, request: Request, key: &str) {
+fn delete(inner: &Inner, req: Req, key: &str) {
     inner.writes.fetch_add(1, Ordering::Relaxed);
     let mut state = inner.lock();
-    if !is_expected(&state, &request, key) {
+    if !is_expected(&state, &req, key) {
         drop(state);
-        return respond(request, 412, &[], Vec::new());
+        return req.respond(412, &[], "");
     }
     state.revision += 1;
     state.objects.remove(key);
-    record(&mut state, key, true);
+    let lost = record(&mut state, key, true);
     drop(state);
     inner.changed.notify_all();
-    respond(request, 200, &[], Vec::new());
+    if !lost {
+        req.respond(200, &[], "");
+    }
 }
 
-fn is_expected(state: &State, request: &Request, key: &str) -> bool {
+fn is_expected(state: &State, req: &Req, key: &str) -> bool {
     let present = state.objects.get(key).map(|(revision, _)| *revision);
-    if serve::header_of(request, "if-none-match").is_some() {
+    if req.header("if-none-match").is_some() {
         return present.is_none();
     }
-    let wanted = serve::header_of(request, "if-match").and_then(|text| text.parse().ok());
+    let wanted = req.header("if-match").and_then(|text| text.parse().ok());
     wanted.is_some() && present == wanted
 }
 
-fn record(state: &mut State, key: &str, deleted: bool) {
+/// Notes a write for the watches, and says whether its answer is to be lost.
+fn record(state: &mut State, key: &str, deleted: bool) -> bool {
     let revision = Revision(state.revision);
-    state.changes.push(Change { key: SmolStr::new(key), revision, deleted });
-    if state.changes.len() > KEPT_CHANGES {
-        let oldest = state.changes.remove(0);
-        state.compacted = oldest.revision.0;
-    }
+    state.changes.push_back(Change { key: SmolStr::new(key), revision, deleted });
+    state.compact();
+    let lost = state.faults.lose_answers > 0;
+    state.faults.lose_answers = state.faults.lose_answers.saturating_sub(1);
+    lost
 }
 
-fn list(inner: &Inner, request: Request, prefix: &str) {
+fn list(inner: &Inner, req: Req) {
     inner.reads.fetch_add(1, Ordering::Relaxed);
+    let prefix = req.query("prefix").unwrap_or_default().to_owned();
     let found: Vec<(String, u64)> = inner
         .lock()
         .objects
-        .range(prefix.to_owned()..)
-        .take_while(|(key, _)| key.starts_with(prefix))
+        .range(prefix.clone()..)
+        .take_while(|(key, _)| key.starts_with(&prefix))
         .map(|(key, (revision, _))| (key.clone(), *revision))
         .collect();
-    respond_json(request, &found);
+    req.respond_json(&found);
 }
 
-fn watch(inner: &Inner, request: Request, url: &str) {
+fn watch(inner: &Inner, req: Req) {
     inner.watches.fetch_add(1, Ordering::Relaxed);
-    let number = |name| serve::query(url, name).and_then(|text| text.parse().ok()).unwrap_or(0);
-    let prefix = serve::query(url, "prefix").unwrap_or_default();
+    let number = |name| req.query(name).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let prefix = req.query("prefix").unwrap_or_default().to_owned();
     let (after, wait) = (number("after"), Duration::from_millis(number("wait_ms")));
     let deadline = Instant::now() + wait;
     let mut state = inner.lock();
     if state.faults.watch_gaps > 0 || after < state.compacted {
         state.faults.watch_gaps = state.faults.watch_gaps.saturating_sub(1);
         drop(state);
-        return respond(request, 410, &[], Vec::new());
+        return req.respond(410, &[], "");
     }
     loop {
-        let changes: Vec<Change> = state
-            .changes
-            .iter()
-            .filter(|change| change.revision.0 > after && change.key.starts_with(prefix))
-            .cloned()
-            .collect();
+        if state.faults.down {
+            drop(state);
+            return req.respond(503, &[], "");
+        }
+        let changes = changes_after(&state, &prefix, after);
         let left = deadline.saturating_duration_since(Instant::now());
         if !changes.is_empty() || left.is_zero() {
             let revision = Revision(state.revision.max(after));
             drop(state);
-            return respond_json(request, &Changes { revision, changes });
+            return req.respond_json(&Changes { revision, changes });
         }
         state = inner.changed.wait_timeout(state, left).expect("no holder panics").0;
     }
 }
+
+fn changes_after(state: &State, prefix: &str, after: u64) -> Vec<Change> {
+    let first = state.changes.partition_point(|change| change.revision.0 <= after);
+    let newer = state.changes.range(first..);
+    newer.filter(|change| change.key.starts_with(prefix)).cloned().collect()
+}
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -1,78 +1,268 @@
 //! A small HTTP server: a thread a request, until the stand-in is dropped.
+//!
+//! hyper speaks HTTP here and not `tiny_http`, because a stand-in must be able to cut a connection
+//! in the middle of an answer; `tiny_http` keeps the connection open when a handler gives up.
 
 use std::io;
-use std::io::Cursor;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
-use tiny_http::Header;
-use tiny_http::Request;
-use tiny_http::Response;
-use tiny_http::Server;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use http_body_util::StreamBody;
+use http_body_util::combinators::BoxBody;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tokio::net::TcpListener;
 
 /// How often the server looks whether it has been dropped.
 const POLL: Duration = Duration::from_millis(50);
 
-/// A running server; dropping it stops it.
+/// Bytes of a request's body at most.
+const MAX_BODY_LEN: usize = 8 << 20;
+
+/// Pieces of an answer waiting for a slow reader.
+const PIECE_RING: usize = 16;
+
+type AnswerBody = BoxBody<Bytes, io::Error>;
+
+/// A running server; dropping it stops it and cuts its connections.
 #[derive(Debug)]
 pub(crate) struct Running {
     pub(crate) address: SocketAddr,
     over: Arc<AtomicBool>,
+    accepts: Option<thread::JoinHandle<()>>,
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
         self.over.store(true, Ordering::Release);
+        if let Some(accepts) = self.accepts.take() {
+            let _ = accepts.join();
+        }
+    }
+}
+
+/// A request and the way to answer it; dropping it unanswered cuts the connection.
+pub(crate) struct Req {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) query: String,
+    pub(crate) body: Bytes,
+    /// While set, an answer is lost on its way.
+    pub(crate) cut: Option<Arc<AtomicBool>>,
+    headers: HeaderMap,
+    answer: flume::Sender<Response<AnswerBody>>,
+}
+
+impl Req {
+    /// The value of a header.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// The value of a query parameter.
+    pub(crate) fn query(&self, name: &str) -> Option<&str> {
+        self.query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+    }
+
+    /// Whether the asker has left.
+    pub(crate) fn is_left(&self) -> bool {
+        self.answer.is_disconnected()
+    }
+
+    /// Answers with a status, headers and a whole body.
+    pub(crate) fn respond(self, status: u16, headers: &[(&str, &str)], body: impl Into<Bytes>) {
+        if self.cut.as_ref().is_some_and(|cut| cut.load(Ordering::Acquire)) {
+            return;
+        }
+        let body = Full::new(body.into()).map_err(|never| match never {}).boxed();
+        let _ = self.answer.send(head(status, headers, body));
+    }
+
+    /// Answers 200 with a value as JSON.
+    pub(crate) fn respond_json<T: Serialize>(self, value: &T) {
+        let body = serde_json::to_vec(value).expect("stand-ins encode plain values");
+        self.respond(200, &[("content-type", "application/json")], body);
+    }
+
+    /// Sends status and headers; the body follows in pieces.
+    pub(crate) fn stream(self, status: u16, headers: &[(&str, &str)]) -> Pieces {
+        let (tx, rx) = flume::bounded(PIECE_RING);
+        let body = BodyExt::boxed(StreamBody::new(rx.into_stream()));
+        let _ = self.answer.send(head(status, headers, body));
+        Pieces { tx, whole: false }
+    }
+}
+
+/// The body of an answer under way; dropping it before [`Pieces::end`] cuts the connection.
+pub(crate) struct Pieces {
+    tx: flume::Sender<io::Result<Frame<Bytes>>>,
+    whole: bool,
+}
+
+impl Pieces {
+    /// Sends some bytes at once; false when the reader has left.
+    pub(crate) fn send(&self, bytes: impl Into<Bytes>) -> bool {
+        self.tx.send(Ok(Frame::data(bytes.into()))).is_ok()
+    }
+
+    /// Whether the reader has left.
+    pub(crate) fn is_left(&self) -> bool {
+        self.tx.is_disconnected()
+    }
+
+    /// Ends the body as whole.
+    pub(crate) fn end(mut self) {
+        self.whole = true;
+    }
+}
+
+impl Drop for Pieces {
+    fn drop(&mut self) {
+        if !self.whole {
+            let _ = self.tx.send(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+    }
+}
+
+/// Keeps an answer open and silent for `span`, or until its reader leaves.
+pub(crate) fn hold(pieces: &Pieces, span: Duration) {
+    let end = Instant::now() + span;
+    while Instant::now() < end && !pieces.is_left() {
+        thread::sleep(POLL);
     }
 }
 
+fn head(status: u16, headers: &[(&str, &str)], body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::builder().status(status);
+    for (name, value) in headers {
+        response = response.header(*name, *value);
+    }
+    response.body(body).expect("stand-ins send valid headers")
+}
+
 /// Binds `address` and answers each request with `answer` on a thread of its own.
 pub(crate) fn start(
     address: &str,
-    answer: impl Fn(Request) + Send + Sync + 'static,
+    answer: impl Fn(Req) + Send + Sync + 'static,
 ) -> io::Result<Running> {
-    let server = Server::http(address).map_err(io::Error::other)?;
-    let address = server.server_addr().to_ip().ok_or_else(|| io::Error::other("not an IP"))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let listener = runtime.block_on(TcpListener::bind(address))?;
+    let address = listener.local_addr()?;
     let over = Arc::new(AtomicBool::new(false));
-    let answer = Arc::new(answer);
     let ended = over.clone();
-    thread::Builder::new().name("standin".to_owned()).spawn(move || {
-        while !ended.load(Ordering::Acquire) {
-            if let Ok(Some(request)) = server.recv_timeout(POLL) {
-                let answer = answer.clone();
-                thread::spawn(move || answer(request));
-            }
-        }
-    })?;
-    Ok(Running { address, over })
+    let accepts = thread::Builder::new()
+        .name("standin".to_owned())
+        .spawn(move || runtime.block_on(accept(listener, Arc::new(answer), &ended)))?;
+    Ok(Running { address, over, accepts: Some(accepts) })
+}
+
+async fn accept<A: Fn(Req) + Send + Sync + 'static>(
+    listener: TcpListener,
+    answer: Arc<A>,
+    over: &AtomicBool,
+) {
+    while !over.load(Ordering::Acquire) {
+        let Ok(Ok((stream, _))) = tokio::time::timeout(POLL, listener.accept()).await else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let answer = answer.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |req| serve(answer.clone(), req));
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
 }
 
-/// Answers with a status, headers and a whole body.
-pub(crate) fn respond(request: Request, status: u16, headers: &[(&str, &str)], body: Vec<u8>) {
-    let headers = headers.iter().map(|(name, value)| header(name, value)).collect();
-    let len = body.len();
-    let response = Response::new(status.into(), headers, Cursor::new(body), Some(len), None);
-    let _ = request.respond(response);
+async fn serve<A: Fn(Req) + Send + Sync + 'static>(
+    answer: Arc<A>,
+    req: Request<Incoming>,
+) -> io::Result<Response<AnswerBody>> {
+    let (head, body) = req.into_parts();
+    let body = Limited::new(body, MAX_BODY_LEN).collect().await.map_err(io::Error::other)?;
+    let (tx, rx) = flume::bounded(1);
+    let req = Req {
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or_default().to_owned(),
+        body: body.to_bytes(),
+        cut: None,
+        headers: head.headers,
+        answer: tx,
+    };
+    thread::Builder::new().spawn(move || answer(req))?;
+    rx.recv_async().await.map_err(|_| io::ErrorKind::ConnectionReset.into())
 }
 
-/// A header whose name and value are known to be valid.
-pub(crate) fn header(name: &str, value: &str) -> Header {
-    Header::from_bytes(name, value).expect("stand-ins send valid headers")
+/// `faults` with the fields that `change`, a JSON object, names; `None` if one is not known.
+pub(crate) fn changed<T: DeserializeOwned + Serialize>(faults: &T, change: &[u8]) -> Option<T> {
+    let change: Value = serde_json::from_slice(change).ok()?;
+    let mut value = serde_json::to_value(faults).ok()?;
+    let fields = value.as_object_mut()?;
+    for (key, new) in change.as_object()? {
+        *fields.get_mut(key)? = new.clone();
+    }
+    serde_json::from_value(value).ok()
+}
+
+/// Spans as whole milliseconds in JSON.
+pub(crate) mod millis {
+    use std::time::Duration;
+
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+
+    pub(crate) fn serialize<S: Serializer>(span: &Duration, s: S) -> Result<S::Ok, S::Error> {
+        s.serialize_u64(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    pub(crate) fn deserialize<'a, D: Deserializer<'a>>(d: D) -> Result<Duration, D::Error> {
+        u64::deserialize(d).map(Duration::from_millis)
+    }
 }
 
-/// The value of a request's header.
-pub(crate) fn header_of<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    let found =
-        request.headers().iter().find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name));
-    found.map(|header| header.value.as_str())
+/// A bucket that passes `rate` calls a second, refilled by the caller's clock.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bucket {
+    tokens: f64,
+    filled: Instant,
 }
 
-/// The value of a query parameter.
-pub(crate) fn query<'a>(url: &'a str, name: &str) -> Option<&'a str> {
-    let (_, query) = url.split_once('?')?;
-    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+impl Bucket {
+    /// A bucket that lets one second's worth through at once.
+    pub(crate) fn full(now: Instant) -> Bucket {
+        Bucket { tokens: f64::MAX, filled: now }
+    }
+
+    /// Takes one call, or says that it is over the rate.
+    pub(crate) fn try_take(&mut self, rate: f64, now: Instant) -> bool {
+        let gained = now.saturating_duration_since(self.filled).as_secs_f64() * rate;
+        self.tokens = (self.tokens + gained).min(rate.max(1.0));
+        self.filled = now;
+        let taken = self.tokens >= 1.0;
+        if taken {
+            self.tokens -= 1.0;
+        }
+        taken
+    }
 }
--- /dev/null
+++ b/standins/tests/faults/engine.rs
@@ -0,0 +1,154 @@
+//! The model engine.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::thread;
+use std::time::Duration;
+
+use mastichaven_core::ids::Digest;
+use mastichaven_standins::Engine;
+use mastichaven_standins::EngineProfile;
+use mastichaven_standins::Origin;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::ANY;
+use crate::get;
+use crate::post;
+use crate::send;
+
+/// An engine that has loaded `weights`, and the origin it read them from.
+fn loaded(weights: &[u8]) -> (Engine, Origin) {
+    let origin = Origin::start(ANY, 1e9).unwrap();
+    let engine = Engine::start(ANY, EngineProfile::default(), 7).unwrap();
+    assert_eq!(load(&engine, &origin, weights, 1), 200);
+    (engine, origin)
+}
+
+fn load(engine: &Engine, origin: &Origin, weights: &[u8], plan: u64) -> u16 {
+    origin.put(weights, 1 << 20);
+    let source = format!("{}/chunks/{}", origin.base(), Digest::of(weights).to_hex());
+    let order = json!({"model": "m", "version": "v", "source": source,
+        "fence": {"plan": plan, "incarnation": 1}});
+    post(format!("{}/admin/load", engine.base()), order.to_string()).unwrap().status_code
+}
+
+fn ask(engine: &Engine, body: &Value) -> minreq::Request {
+    minreq::post(format!("{}/v1/chat/completions", engine.base()))
+        .with_header("x-request-id", "r1")
+        .with_body(body.to_string())
+        .with_timeout(20)
+}
+
+/// The events of a stream up to its end or its cut.
+fn events(response: minreq::ResponseLazy, mut each: impl FnMut(usize)) -> (Vec<Value>, bool) {
+    let mut events = Vec::new();
+    for line in BufReader::new(response).lines() {
+        let Ok(line) = line else {
+            return (events, false);
+        };
+        match line.strip_prefix("data: ") {
+            Some("[DONE]") => return (events, true),
+            Some(data) => {
+                events.push(serde_json::from_str(data).unwrap());
+                each(events.len());
+            }
+            None => {}
+        }
+    }
+    (events, false)
+}
+
+#[test]
+fn stream_during_load_names_both_weights() {
+    // An engine is ordered to load another version while it streams an answer. The rest of that
+    // answer comes from the new weights, and the tokens say so.
+    let (engine, origin) = loaded(b"old weights");
+    let response = ask(&engine, &json!({"stream": true, "max_tokens": 20})).send_lazy().unwrap();
+    let (events, whole) = events(response, |count| {
+        if count == 3 {
+            assert_eq!(load(&engine, &origin, b"new weights", 2), 200);
+        }
+    });
+    assert!(whole);
+    assert_eq!(events[0]["weights"], Digest::of(b"old weights").to_hex());
+    assert_eq!(events[19]["weights"], Digest::of(b"new weights").to_hex());
+    assert_eq!(load(&engine, &origin, b"old weights", 1), 409);
+}
+
+#[test]
+fn load_partial_names_what_was_read() {
+    // The link to the source breaks half-way and the engine takes what it has for the whole model.
+    // Its answers look healthy; only the digest of what it read tells.
+    let (engine, origin) = loaded(b"old weights");
+    engine.set_faults(|faults| faults.load_partial = true);
+    origin.set_faults(|faults| {
+        faults.stall_next = 1;
+        faults.stall = Duration::from_millis(200);
+    });
+    assert_eq!(load(&engine, &origin, b"0123456789", 2), 200);
+    assert_eq!(engine.weights(), Some(Digest::of(b"01234")));
+}
+
+#[test]
+fn poison_cuts_every_request() {
+    // One request makes the engine's process end. Every request running beside it is cut off too,
+    // and the engine comes back cold, with another start id and nothing loaded.
+    let (engine, _origin) = loaded(b"weights");
+    engine.set_faults(|faults| faults.poison = "crash me".to_owned());
+    let beside = ask(&engine, &json!({"stream": true, "max_tokens": 1000})).send_lazy().unwrap();
+    thread::scope(|scope| {
+        let beside = scope.spawn(|| events(beside, |_| {}));
+        let body = json!({"messages": [{"role": "user", "content": "crash me"}]});
+        assert!(send(ask(&engine, &body)).is_none());
+        assert!(!beside.join().unwrap().1);
+    });
+    assert_eq!((engine.counts().poisoned, engine.counts().starts), (1, 2));
+    let health = get(format!("{}/health", engine.base())).unwrap();
+    let health: Value = serde_json::from_slice(health.as_bytes()).unwrap();
+    assert_eq!((&health["start_id"], &health["loaded"]), (&json!(8), &Value::Null));
+}
+
+#[test]
+fn cancel_stops_frozen_stream() {
+    // A stream stops sending tokens without ending. A cancel frees its place in the engine.
+    let (engine, _origin) = loaded(b"weights");
+    engine.set_faults(|faults| faults.freeze_after = Some(3));
+    let response = ask(&engine, &json!({"stream": true, "max_tokens": 20})).send_lazy().unwrap();
+    let (events, whole) = events(response, |count| {
+        if count == 3 {
+            let cancel = json!({"id": "r1"}).to_string();
+            post(format!("{}/admin/cancel", engine.base()), cancel).unwrap();
+        }
+    });
+    assert_eq!((events.len(), whole), (3, false));
+    while engine.running() > 0 {
+        thread::yield_now();
+    }
+    assert_eq!(engine.counts().cancelled, 1);
+}
+
+#[test]
+fn cache_events_show_gaps() {
+    // Events of the prefix cache get lost. The numbers show the gap, and the cache is still right.
+    let (engine, _origin) = loaded(b"weights");
+    engine.set_faults(|faults| faults.lose_events = 1);
+    let long = "x".repeat(200);
+    let body = json!({"messages": [{"role": "user", "content": long}]});
+    for _ in 0..2 {
+        assert_eq!(ask(&engine, &body).send().unwrap().status_code, 200);
+    }
+    let events = get(format!("{}/cache/events?after=0", engine.base())).unwrap();
+    let events: Value = serde_json::from_slice(events.as_bytes()).unwrap();
+    assert_eq!(events["events"][0]["sequence"], 2);
+    assert_eq!(events["next"], 3);
+    assert_eq!((engine.counts().cache_hits, engine.counts().cache_misses), (3, 3));
+}
+
+#[test]
+fn faults_unknown_field_is_refused() {
+    let engine = Engine::start(ANY, EngineProfile::default(), 1).unwrap();
+    let faults = format!("{}/faults", engine.base());
+    assert_eq!(post(faults.clone(), r#"{"slow": 2.0}"#).unwrap().status_code, 200);
+    assert_eq!(post(faults, r#"{"slwo": 2.0}"#).unwrap().status_code, 400);
+}
--- /dev/null
+++ b/standins/tests/faults/origin.rs
@@ -0,0 +1,27 @@
+//! The origin of weights.
+
+use mastichaven_core::ids::Digest;
+use mastichaven_standins::Origin;
+
+use crate::ANY;
+use crate::get;
+
+#[test]
+fn object_faults_strike_once_each() {
+    // The origin answers one chunk with a wrong byte, one with another chunk's bytes, one with
+    // 429, and then well again.
+    let origin = Origin::start(ANY, 1e9).unwrap();
+    origin.put(b"aaaabbbb", 4);
+    origin.set_faults(|faults| {
+        faults.limit_next = 1;
+        faults.swap_next = 1;
+    });
+    let chunk = Digest::of(b"aaaa");
+    let url = format!("{}/chunks/{}", origin.base(), chunk.to_hex());
+    assert_eq!(get(url.clone()).unwrap().status_code, 429);
+    assert_ne!(Digest::of(get(url.clone()).unwrap().as_bytes()), chunk);
+    origin.corrupt_next(1);
+    assert_eq!(get(url.clone()).unwrap().as_bytes(), b"`aaa");
+    assert_eq!(get(url).unwrap().as_bytes(), b"aaaa");
+    assert_eq!((origin.counts().objects, origin.counts().limited), (3, 1));
+}
