Plans name a serving and a loading version

Cause: entries routed by the configured version, which no engine has loaded when a rollout starts. Change: a plan says which version answers and which is being rolled out; entries choose by core plan::version_to_answer, again for each attempt. The planner still switches at once. Conclusion: the planner's phases can follow without another change at the entries.

--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -153,7 +153,7 @@
         let host = &self.settings.place.host;
         in_force.config.model.keys().find_map(|model| {
             let (revision, plan) = self.documents.plan(model)?;
-            plan.hosts.contains(host).then(|| (model.clone(), revision, plan))
+            plan.version_for(host).map(|_| (model.clone(), revision, plan))
         })
     }
 }
--- a/node/src/agent/engine_watch.rs
+++ b/node/src/agent/engine_watch.rs
@@ -70,14 +70,17 @@
     let Some((model, revision, plan)) = shared.wanted() else {
         return;
     };
+    let Some(wanted) = plan.version_for(&shared.settings.place.host) else {
+        return;
+    };
     let serving = shared.serving.lock().expect("no holder of this lock panics").clone();
-    if matches!(&serving, Serving::Model { version, .. } if *version == plan.version) {
+    if matches!(&serving, Serving::Model { version, .. } if *version == wanted) {
         return;
     }
-    if !shared.store.lock().expect("no holder of this lock panics").is_complete(plan.version) {
+    if !shared.store.lock().expect("no holder of this lock panics").is_complete(wanted) {
         return;
     }
-    let version = plan.version.to_hex();
+    let version = wanted.to_hex();
     let base = shared.weights_base.lock().expect("no holder of this lock panics").clone();
     let order = LoadOrder {
         model,
--- a/node/src/agent/pull.rs
+++ b/node/src/agent/pull.rs
@@ -26,23 +26,25 @@
 pub(super) fn run(shared: &Shared) {
     while !shared.is_over() {
         if let Some((_, _, plan)) = shared.wanted() {
-            let _ = pull(shared, &plan);
+            for version in versions() {
+                let _ = pull(shared, &plan, version);
+            }
         }
         thread::sleep(TICK);
     }
 }
 
-fn pull(shared: &Shared, plan: &Plan) -> Result<(), Code> {
+fn pull(shared: &Shared, plan: &Plan, version: Digest) -> Result<(), Code> {
     let lock = || shared.store.lock().expect("no holder of this lock panics");
-    if lock().is_complete(plan.version) {
+    if lock().is_complete(version) {
         return Ok(());
     }
-    let known = lock().manifests.get(&plan.version).cloned();
+    let known = lock().manifests.get(&version).cloned();
     let manifest: Manifest = match known {
         Some(manifest) => manifest,
-        None => shared.origin.manifest(plan.version)?,
+        None => shared.origin.manifest(version)?,
     };
-    lock().manifests.insert(plan.version, manifest.clone());
+    lock().manifests.insert(version, manifest.clone());
     let hosts = shared.platform.hosts().map_err(|e| e.code())?;
     for chunk in &manifest.chunks {
         if lock().chunks.contains_key(&chunk.digest) {
@@ -57,7 +59,7 @@
 
 /// The hosts of the plan in the order in which they answer for `chunk`: highest score first.
 fn owners(plan: &Plan, chunk: Digest) -> Vec<HostName> {
-    let mut hosts = plan.hosts.clone();
+    let mut hosts = plan.replicas.iter().map(|replica| replica.host.clone()).collect::<Vec<_>>();
     hosts.sort_by_key(|host| Digest::of(&[host.as_str().as_bytes(), &chunk.0].concat()));
     hosts
 }
--- a/node/src/entry/planner.rs
+++ b/node/src/entry/planner.rs
@@ -12,6 +12,7 @@
 use mastichaven_core::members::EndpointKind;
 use mastichaven_core::members::Member;
 use mastichaven_core::plan::Plan;
+use mastichaven_core::plan::Replica;
 use mastichaven_core::plan::plan_key;
 use mastichaven_core::platform::Expect;
 use mastichaven_core::platform::ObjectStore;
@@ -51,7 +52,9 @@
     if hosts.is_empty() {
         return None;
     }
-    Some(Plan { model: placement.model.clone(), version, hosts, candidates: spare })
+    let replicas = hosts.into_iter().map(|host| Replica { host, version }).collect();
+    let model = placement.model.clone();
+    Some(Plan { model, serving: version, loading: None, replicas, candidates: spare })
 }
 
 fn write(shared: &Shared, plan: &Plan) {
--- a/node/src/entry/requests.rs
+++ b/node/src/entry/requests.rs
@@ -21,10 +21,12 @@
 use mastichaven_core::ids::CustomerName;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
+use mastichaven_core::ids::ModelName;
 use mastichaven_core::ids::RequestId;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::members::Member;
 use mastichaven_core::members::Serving;
+use mastichaven_core::plan::version_to_answer;
 use mastichaven_core::route;
 use mastichaven_core::run::RunAsk;
 use mastichaven_core::run::RunFrame;
@@ -112,11 +114,12 @@
     req: Request<Incoming>,
     in_progress: InProgress,
 ) -> Result<Response<AnswerBody>, Code> {
-    let parsed = parse(&shared.documents.in_force().config, req).await?;
+    let mut parsed = parse(shared, req).await?;
     let request = RequestId(rand::random());
     let mut tried = Vec::new();
     let mut last = Code::NoEndpoint;
     for attempt in 1..=MAX_ATTEMPTS {
+        refresh_version(shared, &mut parsed)?;
         let Some(member) = choose(shared, &parsed, &tried) else {
             return Err(last);
         };
@@ -132,7 +135,9 @@
     Err(last)
 }
 
-async fn parse(config: &Config, req: Request<Incoming>) -> Result<Parsed, Code> {
+async fn parse(shared: &Shared, req: Request<Incoming>) -> Result<Parsed, Code> {
+    let in_force = shared.documents.in_force();
+    let config = &in_force.config;
     let text = |name: &str| {
         let value = req.headers().get(name).and_then(|value| value.to_str().ok());
         SmolStr::new(value.unwrap_or_default())
@@ -155,7 +160,7 @@
         .to_bytes();
     let service = find_route(config, &path, &body)?;
     let (version, idempotent) = match config.service.get(&service) {
-        Some(Service::Model { model }) => (Some(version_of(config, model)?), true),
+        Some(Service::Model { model }) => (Some(version_of(shared, config, model)?), true),
         Some(Service::Plain { idempotent, .. }) => (None, *idempotent),
         None => return Err(Code::NoRoute),
     };
@@ -174,10 +179,27 @@
         .ok_or(Code::NoRoute)
 }
 
-fn version_of(config: &Config, model: &mastichaven_core::ids::ModelName) -> Result<Digest, Code> {
-    let model = config.model.get(model).ok_or(Code::NoRoute)?;
+fn version_of(shared: &Shared, config: &Config, name: &ModelName) -> Result<Digest, Code> {
+    let model = config.model.get(name).ok_or(Code::NoRoute)?;
     let version = config.version.get(&model.serve).ok_or(Code::NoRoute)?;
-    Digest::from_hex(&version.manifest).ok_or(Code::NoRoute)
+    let configured = Digest::from_hex(&version.manifest).ok_or(Code::NoRoute)?;
+    let plan = shared.documents.plan(name).map(|(_, plan)| plan);
+    let members = shared.members();
+    let is_ready = |wanted: Digest| {
+        let serves = |member: &Member| matches!(&member.serving, Serving::Model { version, .. } if *version == wanted);
+        members.iter().any(|member| !member.leaving && serves(member))
+    };
+    Ok(version_to_answer(plan.as_ref(), configured, is_ready))
+}
+
+/// During a rollout the version that answers may change between two attempts; a later attempt goes
+/// to the one in service then. No answer mixes versions, as each attempt names its own.
+fn refresh_version(shared: &Shared, parsed: &mut Parsed) -> Result<(), Code> {
+    let in_force = shared.documents.in_force();
+    if let Some(Service::Model { model }) = in_force.config.service.get(&parsed.service) {
+        parsed.version = Some(version_of(shared, &in_force.config, model)?);
+    }
+    Ok(())
 }
 
 fn choose(shared: &Shared, parsed: &Parsed, tried: &[HostName]) -> Option<Member> {
