--- a/node/src/agent/pull.rs
+++ b/node/src/agent/pull.rs
@@ -26,7 +26,7 @@
 pub(super) fn run(shared: &Shared) {
     while !shared.is_over() {
         if let Some((_, _, plan)) = shared.wanted() {
-            for version in versions() {
+            for version in plan.versions() {
                 let _ = pull(shared, &plan, version);
             }
         }
