--- a/core/src/generation.rs
+++ b/core/src/generation.rs
@@ -144,7 +144,8 @@
         let gone = old.keys().filter(|name| !files.contains_key(**name));
         let mut next =
             FileList { generation, floor: self.floor, files: refs.collect(), removed: Vec::new() };
-        next.removed = self.removed.iter().filter(|r| !files.contains_key(&r.name)).cloned().collect();
+        next.removed =
+            self.removed.iter().filter(|r| !files.contains_key(&r.name)).cloned().collect();
         next.removed.extend(gone.map(|name| Removed { name: (*name).clone(), at: generation }));
         next.trim_removed();
         next
--- /dev/null
+++ b/core/tests/control/folder.rs
@@ -0,0 +1,127 @@
+use std::sync::Arc;
+
+use mastichaven_core::Config;
+use mastichaven_core::check;
+use mastichaven_core::config::ZoneState;
+use mastichaven_core::folder;
+use smol_str::SmolStr;
+
+const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+fn read(files: &[(&str, &str)]) -> (Config, Vec<String>) {
+    let mut problems = Vec::new();
+    let mut parsed = Vec::new();
+    for (name, text) in files {
+        let (file, found) = folder::parse(name, text);
+        problems.extend(found);
+        parsed.push((SmolStr::new(name), Arc::new(file)));
+    }
+    let (merged, found) = check::merge(&parsed);
+    problems.extend(found);
+    problems.extend(check::check(&merged));
+    (merged.config, problems.iter().map(ToString::to_string).collect())
+}
+
+// An operator makes several mistakes at once. Told of one at a time, each fix would cost another
+// round while the fleet goes on with the old configuration.
+#[test]
+fn check_reports_everything_at_once() {
+    let text = format!(
+        r#"
+[zone.lagoa]
+region = "sul"
+stat = "out"
+
+[zone.serra]
+region = "sul"
+state = "gone"
+
+[customer.coop]
+key_digest = "{KEY}"
+weight = 0
+max_priority = "high"
+
+[customer.Coop]
+key_digest = "{KEY}"
+
+[model.rota]
+serve = "rota-2"
+
+[version.rota-1]
+model = "rota"
+
+[placement.rota]
+model = "rotta"
+replicas = 9
+max_replicas = 3
+zones = ["lagoa", "seira"]
+
+[service.rota]
+kind = "model"
+model = "rota"
+
+[route.rota]
+path = "v1"
+service = "rotas"
+
+[limits]
+queue_len = 0
+retry_shares = 0.1
+
+[customers.x]
+"#
+    );
+    let (config, problems) = read(&[("10-all.toml", &text)]);
+    insta::assert_snapshot!(problems.join("\n"));
+    assert_eq!(config.zone[&"lagoa".into()].state, ZoneState::In, "what is right is kept");
+}
+
+#[test]
+fn parse_reports_each_syntax_error() {
+    let (_, problems) = folder::parse("a.toml", "[zone.a]\nregion = \n\n[zone.b\nregion = 'x'\n");
+    let lines: Vec<usize> = problems.iter().map(|problem| problem.line).collect();
+    assert!(lines.contains(&2) && lines.contains(&4), "{problems:?}");
+}
+
+// Two files define the same zone. Without a word from the operator the order of file names would
+// decide whether a zone is out, which nobody would notice until the zone gets work.
+#[test]
+fn merge_duplicate_names_need_override() {
+    let base = ("10-zones.toml", "[zone.serra]\nregion = 'sul'\n");
+    let silent = ("20-out.toml", "[zone.serra]\nregion = 'sul'\nstate = 'out'\n");
+    let (_, problems) = read(&[base, silent]);
+    assert_eq!(
+        problems,
+        ["20-out.toml:1: E204 zone.serra: also defined at 10-zones.toml:1; \
+          write `override = true` here if this one is meant"]
+    );
+    let meant = ("20-out.toml", "[zone.serra]\noverride = true\nregion = 'sul'\nstate = 'out'\n");
+    let (config, problems) = read(&[base, meant]);
+    assert_eq!(problems, Vec::<String>::new());
+    assert_eq!(config.zone[&"serra".into()].state, ZoneState::Out);
+    let (_, problems) = read(&[meant]);
+    assert_eq!(problems.len(), 1, "an override that replaces nothing is a mistake too");
+}
+
+#[test]
+fn merge_limits_by_key() {
+    let first = ("a.toml", "[limits]\nqueue_len = 7\n");
+    let (config, problems) = read(&[first, ("b.toml", "[limits]\ndeadline_ms = 9\n")]);
+    assert_eq!(problems, Vec::<String>::new());
+    assert_eq!((config.limits.queue_len, config.limits.deadline_ms), (7, 9));
+    let (_, problems) = read(&[first, ("b.toml", "[limits]\nqueue_len = 8\n")]);
+    assert_eq!(problems.len(), 1);
+}
+
+// The two users' deployments as they are today.
+#[test]
+fn check_deployments_of_today() {
+    for text in [
+        include_str!("../../../examples/associacao/10-all.toml"),
+        include_str!("../../../examples/skyline/10-all.toml"),
+    ] {
+        let (config, problems) = read(&[("10-all.toml", text)]);
+        assert_eq!(problems, Vec::<String>::new());
+        assert_eq!(config.zone.len(), 3);
+    }
+}
--- a/node/src/bin/mastichaven-ctl.rs
+++ b/node/src/bin/mastichaven-ctl.rs
@@ -9,8 +9,8 @@
 
 use bpaf::Bpaf;
 use mastichaven_core::ids::HostName;
-use mastichaven_node::http_store::HttpStore;
 use mastichaven_node::folder_publisher::FolderPublisher;
+use mastichaven_node::http_store::HttpStore;
 use mastichaven_node::publish;
 use mastichaven_node::publish::Base;
 use mastichaven_node::status;
--- a/node/src/folder_publisher.rs
+++ b/node/src/folder_publisher.rs
@@ -10,6 +10,7 @@
 use crate::publish::Accepted;
 use crate::publish::Base;
 use crate::publish::Options;
+use crate::publish::PublishError;
 use crate::publish::Result;
 use crate::publish::Texts;
 
@@ -42,11 +43,19 @@
             let now = publish::read_folder(self.folder).ok();
             if now.is_some() && now == read && now != published {
                 let texts = now.clone().unwrap_or_default();
-                match self.publish(&texts, base.take()) {
-                    Ok(accepted) => println!("{accepted}"),
-                    Err(error) => eprintln!("{error}"),
+                match self.publish(&texts, base.clone()) {
+                    Ok(accepted) => {
+                        println!("{accepted}");
+                        base = None;
+                        published = now.clone();
+                    }
+                    // The platform may be back at the next reading; a wrong folder must change.
+                    Err(error @ PublishError::Platform(_)) => eprintln!("{error}"),
+                    Err(error) => {
+                        eprintln!("{error}");
+                        published = now.clone();
+                    }
                 }
-                published = now.clone();
             }
             read = now;
             thread::sleep(WATCH_INTERVAL);
--- a/node/src/publish.rs
+++ b/node/src/publish.rs
@@ -244,8 +244,8 @@
             Base::Files(_) | Base::Unknown | Base::Accepted => FileParts::new(),
         };
         let theirs = now.list.parts();
-        let files = generation::three_way(&known, &mine.files, &theirs)
-            .map_err(PublishError::Clash)?;
+        let files =
+            generation::three_way(&known, &mine.files, &theirs).map_err(PublishError::Clash)?;
         if let Some(head) = now.head.as_ref().filter(|_| files == theirs) {
             return Ok(Accepted { generation: head.generation, changed: false, files });
         }
@@ -471,8 +471,7 @@
         Err(e) => return Err(PublishError::Unreadable(path, e.to_string())),
     };
     let unreadable = |detail: &str| PublishError::Unreadable(path.clone(), detail.to_owned());
-    let base: BaseFile =
-        toml::from_str(&text).map_err(|e| unreadable(e.message()))?;
+    let base: BaseFile = toml::from_str(&text).map_err(|e| unreadable(e.message()))?;
     let mut files = FileParts::new();
     for (name, parts) in base.files {
         let digests: Option<Vec<Digest>> = parts.iter().map(|hex| Digest::from_hex(hex)).collect();
--- /dev/null
+++ b/node/tests/control/main.rs
@@ -0,0 +1,3 @@
+//! Tests of publishing, spreading and stopping, on stand-ins.
+
+mod publish;
