--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -28,6 +28,9 @@
 use serde::Serialize;
 
 use crate::engine_cache::PrefixCache;
+use crate::seen::Observed;
+use crate::seen::Observer;
+use crate::seen::Seen;
 use crate::serve;
 use crate::serve::Running;
 use crate::serve::millis;
@@ -192,6 +195,7 @@
     completed_since_start: u32,
     cache: PrefixCache,
     counts: EngineCounts,
+    observed: Observed,
 }
 
 /// Late reports kept; the oldest goes first.
@@ -215,6 +219,7 @@
         self.completed_since_start = 0;
         self.fence = (0, 0);
         self.counts.starts += 1;
+        self.observed.tell(Seen::Lost);
         self.set_running(0);
     }
 
@@ -270,6 +275,7 @@
             completed_since_start: 0,
             cache: PrefixCache::default(),
             counts: EngineCounts { starts: 1, ..EngineCounts::default() },
+            observed: Observed::default(),
         }));
         let served = state.clone();
         let running = serve::start(address, move |req| answer::answer(&served, req))?;
@@ -304,6 +310,11 @@
         state.set_faults(faults);
     }
 
+    /// Tells `observer` what it sees from now on.
+    pub fn observe(&self, observer: Observer) {
+        lock(&self.state).observed = Observed(Some(observer));
+    }
+
     /// Changes how it behaves.
     pub fn set_profile(&self, change: impl FnOnce(&mut EngineProfile)) {
         change(&mut lock(&self.state).profile);
--- a/standins/src/engine/orders.rs
+++ b/standins/src/engine/orders.rs
@@ -11,6 +11,7 @@
 use super::State;
 use super::Weights;
 use super::lock;
+use crate::seen::Seen;
 use crate::serve::Req;
 
 /// Seconds that reading a version may take.
@@ -120,6 +121,7 @@
     if state.start_id != start_id {
         return false;
     }
+    state.observed.tell(Seen::Loaded { version: order.version.clone(), weights: read });
     state.loaded = Some(Weights { model: order.model, version: order.version, read });
     state.cache.clear();
     true
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod origin;
 pub mod plain;
 pub mod platform;
+pub mod seen;
 mod serve;
 
 pub use crate::engine::Engine;
@@ -27,3 +28,5 @@
 pub use crate::platform::Door;
 pub use crate::platform::Platform;
 pub use crate::platform::PlatformFaults;
+pub use crate::seen::Observer;
+pub use crate::seen::Seen;
--- /dev/null
+++ b/standins/src/seen.rs
@@ -0,0 +1,60 @@
+//! What the endpoints among the stand-ins see, told to whoever checks a run.
+
+use std::fmt;
+use std::sync::Arc;
+
+use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::StartId;
+
+/// One thing that an endpoint saw.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Seen {
+    /// It took up a request.
+    Began {
+        /// What the request asks for: the last message of a prompt, the body of a plain call.
+        work: String,
+        /// The endpoint's life.
+        start: StartId,
+        /// Requests it has, this one included.
+        running: u32,
+        /// Requests it bears at this moment.
+        bears: u32,
+    },
+    /// It is done with a request.
+    Ended {
+        /// What the request asked for.
+        work: String,
+        /// Whether it answered it to the end.
+        whole: bool,
+    },
+    /// Its process ended, with all that it had under way.
+    Lost,
+    /// It loaded a version.
+    Loaded {
+        /// The version it was ordered to load, as digits.
+        version: String,
+        /// Digest of the bytes it read.
+        weights: Digest,
+    },
+}
+
+/// Is told under the stand-in's lock, in the order in which things happen there.
+pub type Observer = Arc<dyn Fn(Seen) + Send + Sync>;
+
+/// An observer, if there is one.
+#[derive(Clone, Default)]
+pub(crate) struct Observed(pub(crate) Option<Observer>);
+
+impl Observed {
+    pub(crate) fn tell(&self, seen: Seen) {
+        if let Some(observer) = &self.0 {
+            observer(seen);
+        }
+    }
+}
+
+impl fmt::Debug for Observed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Observed({})", self.0.is_some())
+    }
+}
