--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod documents;
 pub mod engine;
 pub mod entry;
+mod fetch;
 pub mod folder_publisher;
 pub mod http_store;
 pub mod lease_keeper;
