--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -12,6 +12,9 @@
 /// Result of a call.
 pub(crate) type Result<T> = std::result::Result<T, FetchError>;
 
+/// The reason that minreq gives when the connection was closed before any answer.
+const NO_STATUS_LINE: &str = "Server did not provide a status line";
+
 /// Why there is no whole answer.
 #[derive(Debug)]
 pub(crate) enum FetchError {
@@ -47,6 +50,11 @@
 /// Sends `request` and reads at most `limit` bytes of body.
 pub(crate) fn fetch(request: minreq::Request, limit: usize) -> Result<Fetched> {
     let mut response = request.with_follow_redirects(false).send_lazy().map_err(read_error)?;
+    // For a connection that was closed before any answer, minreq makes up a 503 with this reason. A
+    // real 503 says that nothing was written, but here a write may have taken effect.
+    if response.reason_phrase == NO_STATUS_LINE {
+        return Err(FetchError::Broken);
+    }
     let status = response.status_code;
     let headers = std::mem::take(&mut response.headers);
     let announced = header(&headers, "content-length").and_then(|text| text.parse().ok());
--- a/node/src/publish.rs
+++ b/node/src/publish.rs
@@ -190,6 +190,9 @@
     let mut problems = Vec::new();
     for (name, bytes) in texts {
         let text = String::from_utf8_lossy(bytes);
+        if let Err(error) = std::str::from_utf8(bytes) {
+            problems.push(not_text(name, bytes, error.valid_up_to()));
+        }
         let (parsed, found) = folder::parse(name, &text);
         problems.extend(found);
         files.push((name.clone(), Arc::new(parsed)));
@@ -203,6 +206,17 @@
     if problems.is_empty() { Ok(merged.config) } else { Err(PublishError::Problems(problems)) }
 }
 
+fn not_text(file: &SmolStr, bytes: &Bytes, at: usize) -> Problem {
+    Problem {
+        file: file.clone(),
+        line: 1 + bytes[..at].iter().filter(|b| **b == b'\n').count(),
+        key: String::new(),
+        code: Code::BadSyntax,
+        detail: "the file is not UTF-8 text".to_owned(),
+        instead: "save it as UTF-8, or remove it from the folder".to_owned(),
+    }
+}
+
 fn too_many_files(count: usize) -> Problem {
     Problem {
         file: ".".into(),
--- a/node/tests/proof/files.rs
+++ b/node/tests/proof/files.rs
@@ -2,11 +2,14 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-use mastichaven_core::Config;
-use mastichaven_core::spread::Doc;
-use mastichaven_node::documents::CONFIG_KEY;
+use bytes::Bytes;
+use mastichaven_core::Code;
+use mastichaven_core::generation::FileList;
+use mastichaven_core::generation::FileParts;
+use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::Generation;
+use mastichaven_core::spread::Offer;
 use mastichaven_node::documents::Documents;
-use mastichaven_node::documents::encode_config;
 use mastichaven_node::publish;
 use mastichaven_node::settings;
 use mastichaven_node::settings::AgentSettings;
@@ -33,6 +36,8 @@
 ca = "ca.pem"
 "#;
 
+const ZONE: &str = "[zone.serra]\nregion = 'sul'\nstate = 'out'\n";
+
 fn cases(cases: u32) -> ProptestConfig {
     let seed = RngSeed::Fixed(0x6861_7665);
     ProptestConfig { cases, rng_seed: seed, failure_persistence: None, ..ProptestConfig::default() }
@@ -73,28 +78,31 @@
         assert_refused_with_line::<EntrySettings>(&text);
     }
 
-    /// A peer or the platform hands on a document that is no configuration, or a damaged one. The
-    /// configuration in force stands.
+    /// A peer or the platform hands on parts that are noise, or damaged in one byte. Nothing of
+    /// them is in force, and the configuration before them stands.
     #[test]
-    fn offer_any_document(
+    fn offer_any_parts(
         noise in vec(any::<u8>(), 0..200),
         at in any::<Index>(),
         byte in any::<u8>(),
     ) {
         let documents = Documents::default();
-        let whole = encode_config(&Config::default());
-        let offer = |revision, bytes| {
-            documents.offer(Doc { key: CONFIG_KEY.into(), revision, bytes })
+        let list = |text: &str, generation| {
+            let parts = vec![Digest::of(text.as_bytes())];
+            let files = FileParts::from([("a.toml".into(), parts)]);
+            FileList::default().next(&files, Generation(generation)).delta(Generation(0))
         };
-        let _ = offer(1, whole.clone());
+        let whole = Bytes::from(ZONE);
+        let first = documents.offer_config(&list("", 1), &[Bytes::new()]);
+        assert_eq!(first, Offer::InForce(vec![]));
         let mut damaged = whole.to_vec();
         let at = at.index(damaged.len());
         damaged[at] = byte;
         for bytes in [noise, damaged] {
-            let before = documents.in_force().generation;
-            let taken = offer(before.0 + 1, bytes.into());
-            let after = documents.in_force().generation;
-            assert_eq!(after > before, matches!(taken, Ok(true)));
+            let is_whole = bytes == whole;
+            let offer = documents.offer_config(&list(ZONE, 2), &[bytes.into()]);
+            assert_eq!(matches!(offer, Offer::Missing(_)), !is_whole);
+            assert_eq!(documents.generation() == Generation(2), is_whole);
         }
     }
 }
@@ -105,7 +113,8 @@
 fn read_folder_not_text() {
     let folder = folder("not-text");
     fs::write(folder.join("10-zones.toml"), b"[zone.a]\nregion = \"\xff\xfe\"\n").expect("written");
-    assert!(publish::read_folder(&folder).is_err());
+    let refused = publish::read_folder(&folder).and_then(|texts| publish::check(&texts));
+    assert_eq!(refused.map(drop).map_err(|error| error.code()), Err(Code::BadSyntax));
     fs::remove_dir_all(&folder).expect("removed");
 }
 
