--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -106,7 +106,7 @@
     /// The first run under this idempotency key ended without a known outcome.
     KeyUnknown = 117, 409, Unknown, "a request with this idempotency key may have run; it will not run again";
     /// The claim for the idempotency key could not be written in time.
-    ClaimUnavailable = 118, 503, NotRun, "the idempotency key could not be claimed; nothing was sent";
+    ClaimUnavailable = 118, 503, Unknown, "this sending ran nothing, but the key's claim is out of reach: an earlier one may have run";
     /// The answer ended early.
     Truncated = 119, 502, Unknown, "the answer ended before it was whole";
     /// The endpoint answered with an error of its own.
@@ -117,6 +117,8 @@
     CallerLeft = 122, 499, Unknown, "the caller left before the answer was whole";
     /// The retry budget is spent.
     RetryBudget = 123, 503, NotRun, "the retry budget is spent; come back after Retry-After";
+    /// It ran under this idempotency key, and its answer is too large or too old to be kept.
+    AnswerNotKept = 124, 410, Ran, "the request ran before; its answer was not kept";
 
     /// A setting or key is not known.
     UnknownKey = 201, 400, NotRun, "the key is not known here";
--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -120,13 +120,33 @@
 #[serde(transparent)]
 pub struct StartId(pub u64);
 
-/// Identifies one request of a caller within the fleet; drawn at random by the entry.
+/// Identifies one attempt at a request within the fleet.
+///
+/// The upper half names the life of the entry that sends it, the lower half rises with each
+/// attempt of that life; [`crate::record`] says what rests on that.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
 )]
 #[serde(transparent)]
 pub struct RequestId(pub u128);
 
+impl RequestId {
+    /// Attempt number `serial` of the entry life `sender`.
+    pub fn new(sender: Incarnation, serial: u64) -> RequestId {
+        RequestId((u128::from(sender.0) << 64) | u128::from(serial))
+    }
+
+    /// The life of the entry that sent it.
+    pub fn sender(self) -> u64 {
+        (self.0 >> 64) as u64
+    }
+
+    /// Its number within that life.
+    pub fn serial(self) -> u64 {
+        self.0 as u64
+    }
+}
+
 /// Counts the attempts of one request, from 1.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod admission;
 pub mod arena;
+pub mod claim;
 pub mod code;
 pub mod config;
 pub mod ids;
@@ -19,10 +20,12 @@
 pub mod members;
 pub mod plan;
 pub mod platform;
+pub mod record;
 pub mod relay;
 pub mod route;
 pub mod run;
 pub mod spread;
+pub mod stream;
 pub mod time;
 pub mod weights;
 pub mod wire;
--- a/core/src/run.rs
+++ b/core/src/run.rs
@@ -39,6 +39,8 @@
     pub idempotent: bool,
     /// Whether it must run alone, because it is suspected of crashing endpoints.
     pub alone: bool,
+    /// Whether the agent keeps the whole answer for a while, for resends under the same key.
+    pub keep: bool,
     /// Tokens of the answer that the caller already has; the engine resumes after them.
     pub resume_after: u64,
     /// HTTP method.
@@ -56,7 +58,7 @@
 pub struct Load {
     /// Work units in progress.
     pub work: u32,
-    /// Work units the agent admits at present.
+    /// Requests the agent admits at present.
     pub limit: u32,
     /// Requests in progress.
     pub requests: u32,
@@ -128,11 +130,22 @@
     pub incarnation: Incarnation,
 }
 
+/// A whole answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WholeAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: SmolStr,
+    /// The body.
+    pub body: Bytes,
+}
+
 /// What became of a request.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum VoidReply {
-    /// It ran to its end.
-    Ran,
+    /// It ran to its end; the whole answer, where it was kept.
+    Ran(Option<WholeAnswer>),
     /// It is running.
     Running,
     /// It had not started, and never will in this life.
--- /dev/null
+++ b/core/tests/requests/main.rs
@@ -0,0 +1,6 @@
+//! Decisions about single requests: claims, records, admission, streams.
+
+mod admission;
+mod claim;
+mod record;
+mod stream;
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -3,7 +3,7 @@
 //! | thread | duty | file |
 //! | --- | --- | --- |
 //! | `asks` | answers what peers ask | `agent/asks.rs` |
-//! | one a running request | hands it to the endpoint | `agent/run.rs` |
+//! | `requests` | hands requests to the endpoint, a task a request | `agent/run.rs` |
 //! | `engine` | watches the endpoint, opens and closes the gate, gives orders | `agent/engine_watch.rs` |
 //! | `pull` | fetches the weights that the plan wants | `agent/pull.rs` |
 //! | `control` | keeps the documents up to date | `agent/control.rs` |
@@ -25,13 +25,12 @@
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::Incarnation;
 use mastichaven_core::ids::ModelName;
-use mastichaven_core::ids::RequestId;
 use mastichaven_core::members::EndpointKind;
 use mastichaven_core::members::Member;
 use mastichaven_core::members::Serving;
 use mastichaven_core::plan::Plan;
 use mastichaven_core::platform::HostRole;
-use mastichaven_core::run::VoidReply;
+use mastichaven_core::record::Record;
 use mastichaven_core::wire::Ask;
 use mastichaven_core::wire::AskBody;
 use mastichaven_core::wire::Sender;
@@ -98,7 +97,8 @@
     engine: Engine,
     serving: Mutex<Serving>,
     admission: Mutex<Admission>,
-    requests: Mutex<HashMap<RequestId, VoidReply>>,
+    record: Mutex<Record>,
+    runs: flume::Sender<run::Job>,
     store: Mutex<Store>,
     weights_base: Mutex<String>,
     stopping: AtomicBool,
@@ -174,6 +174,7 @@
         incarnation: Incarnation,
     ) -> Result<Agent> {
         let (tx, rx) = flume::bounded(ASK_RING);
+        let (runs, jobs) = flume::bounded(run::JOB_RING);
         let transport = Transport::start(settings.place.peers, material, tx)?;
         let operators = settings.place.operators;
         let address = match &settings.endpoint {
@@ -193,7 +194,8 @@
             transport,
             serving: Mutex::new(Serving::Nothing),
             admission: Mutex::new(Admission::cold(WARM_LIMIT)),
-            requests: Mutex::default(),
+            record: Mutex::default(),
+            runs,
             store: Mutex::default(),
             weights_base: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -204,7 +206,9 @@
         *shared.weights_base.lock().expect("no holder of this lock panics") =
             format!("http://{operators}/weights/");
         let asks = shared.clone();
+        let requests = shared.clone();
         let threads = vec![
+            spawn("requests", move || run::run(&requests, &jobs)),
             spawn("asks", move || asks::serve(&asks, &rx)),
             spawn_duty("control", &shared, control::run),
             spawn_duty("engine", &shared, engine_watch::run),
--- a/node/src/agent/asks.rs
+++ b/node/src/agent/asks.rs
@@ -34,7 +34,7 @@
 fn answer(shared: &Arc<Shared>, incoming: Incoming) {
     let Incoming { ask, replies, .. } = incoming;
     let body = match ask.body {
-        AskBody::Run(ask) => return run::start(shared, ask, replies),
+        AskBody::Run(ask) => return run::offer(shared, ask, replies),
         AskBody::Void(ask) => ReplyBody::Void(void(shared, &ask)),
         AskBody::Weights(ask) => ReplyBody::Weights(weights(shared, &ask)),
         AskBody::Members(MembersAsk::Probe) => {
@@ -54,8 +54,7 @@
     if ask.incarnation != shared.incarnation {
         return VoidReply::Unknown;
     }
-    let mut requests = shared.requests.lock().expect("no holder of this lock panics");
-    *requests.entry(ask.request).or_insert(VoidReply::Voided)
+    shared.record.lock().expect("no holder of this lock panics").void(ask.request)
 }
 
 fn weights(shared: &Shared, ask: &WeightsAsk) -> WeightsReply {
--- a/node/src/agent/run.rs
+++ b/node/src/agent/run.rs
@@ -1,72 +1,146 @@
-//! Runs one request on the endpoint: admission, the gate, and the answer's frames.
+//! Runs requests on the endpoint: the gate, admission, and the answer's frames.
 
-use std::io::Read;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use mastichaven_core::Code;
-use mastichaven_core::ids::Digest;
+use mastichaven_core::Outcome;
+use mastichaven_core::admission::Admission;
+use mastichaven_core::admission::Left;
+use mastichaven_core::admission::Place;
+use mastichaven_core::claim;
+use mastichaven_core::config::Service;
+use mastichaven_core::config::ZoneState;
 use mastichaven_core::ids::StartId;
 use mastichaven_core::members::Serving;
 use mastichaven_core::run::RunAsk;
 use mastichaven_core::run::RunFrame;
 use mastichaven_core::run::VoidReply;
+use mastichaven_core::run::WholeAnswer;
 use mastichaven_core::wire::Reply;
 use mastichaven_core::wire::ReplyBody;
-use smol_str::SmolStr;
+use tokio::time::timeout;
 
 use super::Shared;
-use crate::engine::scan_version;
+use crate::endpoint;
+use crate::endpoint::Answer;
+use crate::endpoint::Line;
 use crate::transport::ReplySink;
 
-/// Bytes of an answer read at once at most.
-const READ_LEN: usize = 16 << 10;
+/// Requests waiting for the thread; more are refused as busy.
+pub(super) const JOB_RING: usize = 256;
 
-/// Admits `ask` and starts its thread, or refuses it.
-pub(super) fn start(shared: &Arc<Shared>, ask: RunAsk, replies: ReplySink) {
-    match admit(shared, &ask) {
-        Ok(start) => {
-            shared.running.fetch_add(1, Ordering::AcqRel);
-            let shared = shared.clone();
-            thread::spawn(move || run(&shared, &ask, start, &replies));
+/// How often the thread looks whether the agent has ended.
+const POLL: Duration = Duration::from_millis(200);
+
+/// How often a suspect looks whether the endpoint is empty.
+const ALONE_POLL: Duration = Duration::from_millis(5);
+
+/// How long a suspect keeps the endpoint from others while it waits.
+const ALONE_WAIT: Duration = Duration::from_secs(2);
+
+/// How long the answer of a call that may not be repeated is waited for, so that what became of it
+/// can be told to a resend; its caller's own deadline has long been answered for by then.
+const UNREPEATABLE_WAIT: Duration = Duration::from_secs(600);
+
+/// A request that arrived, and where its frames go.
+pub(super) struct Job {
+    ask: RunAsk,
+    replies: ReplySink,
+}
+
+/// Hands `ask` to the thread, or refuses it when the ring is full.
+pub(super) fn offer(shared: &Shared, ask: RunAsk, replies: ReplySink) {
+    if let Err(error) = shared.runs.try_send(Job { ask, replies }) {
+        let refused = RunFrame::Refused { code: Code::Busy, load: load(shared) };
+        let _ = error.into_inner().replies.send(reply(shared, refused));
+    }
+}
+
+/// Serves the ring until the agent ends.
+pub(super) fn run(shared: &Arc<Shared>, jobs: &flume::Receiver<Job>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("the system gives a runtime");
+    runtime.block_on(async {
+        while !shared.is_over() {
+            if let Ok(Ok(job)) = timeout(POLL, jobs.recv_async()).await {
+                tokio::spawn(serve(shared.clone(), job));
+            }
         }
+    });
+}
+
+/// How an attempt ended.
+struct Ended {
+    /// The last frame.
+    frame: RunFrame,
+    /// What a void of it is told from now on.
+    record: VoidReply,
+    left: Left,
+}
+
+async fn serve(shared: Arc<Shared>, job: Job) {
+    let Job { ask, replies } = job;
+    shared.running.fetch_add(1, Ordering::AcqRel);
+    if let Err(code) = run_one(&shared, &ask, &replies).await {
+        let frame = RunFrame::Refused { code, load: load(&shared) };
+        let _ = replies.send_async(reply(&shared, frame)).await;
+    }
+    shared.running.fetch_sub(1, Ordering::AcqRel);
+}
+
+/// Runs `ask`; an error proves that it did not run.
+async fn run_one(shared: &Arc<Shared>, ask: &RunAsk, replies: &ReplySink) -> Result<(), Code> {
+    check(shared, ask)?;
+    let start = open_for(shared, ask)?;
+    let place = enter(shared, ask).await?;
+    if let Err(code) = record(shared).start(ask.request) {
+        admission(shared).leave(place, Left::Early);
+        return Err(code);
+    }
+    let line = match open_line(shared, start).await {
+        Ok(line) => line,
         Err(code) => {
-            let load = shared.admission.lock().expect("no holder of this lock panics").load();
-            send(shared, &replies, RunFrame::Refused { code, load });
+            record(shared).finish(ask.request, VoidReply::Voided);
+            admission(shared).leave(place, Left::Early);
+            return Err(code);
         }
-    }
+    };
+    let ended = forward(shared, ask, start, line, replies).await;
+    record(shared).finish(ask.request, ended.record);
+    admission(shared).leave(place, ended.left);
+    let frame = match ended.frame {
+        RunFrame::End { attempt, frames, .. } => {
+            RunFrame::End { attempt, frames, load: load(shared) }
+        }
+        frame => frame,
+    };
+    let _ = replies.send_async(reply(shared, frame)).await;
+    Ok(())
 }
 
-/// Checks everything that proves that the request did not run, before anything runs.
-fn admit(shared: &Shared, ask: &RunAsk) -> Result<StartId, Code> {
-    let zone = &shared.settings.place.zone;
+/// Checks everything but the endpoint itself.
+fn check(shared: &Shared, ask: &RunAsk) -> Result<(), Code> {
     let in_force = shared.documents.in_force();
-    let zone_is_out = in_force
-        .config
-        .zone
-        .get(zone)
-        .is_some_and(|zone| zone.state == mastichaven_core::config::ZoneState::Out);
-    if shared.is_stopping() || zone_is_out {
+    let zone = in_force.config.zone.get(&shared.settings.place.zone);
+    if shared.is_stopping() || zone.is_some_and(|zone| zone.state == ZoneState::Out) {
         return Err(Code::EndpointClosed);
     }
-    if ask.incarnation.is_some_and(|incarnation| incarnation != shared.incarnation) {
+    // Another life of this agent remembers nothing of what this attempt's void was told.
+    if ask.incarnation != Some(shared.incarnation) {
         return Err(Code::EndpointClosed);
     }
-    let start = open_for(shared, ask)?;
-    let mut requests = shared.requests.lock().expect("no holder of this lock panics");
-    match requests.get(&ask.request) {
-        None => {}
-        Some(VoidReply::Voided) => return Err(Code::Voided),
-        Some(_) if ask.idempotent => {}
-        Some(_) => return Err(Code::KeyInProgress),
-    }
-    if !shared.admission.lock().expect("no holder of this lock panics").try_enter() {
-        return Err(Code::EndpointFull);
+    record(shared).check(ask.request)?;
+    if let Some(Service::Plain { concurrent, .. }) = in_force.config.service.get(&ask.service) {
+        admission(shared).set_max(*concurrent);
     }
-    requests.insert(ask.request, VoidReply::Running);
-    Ok(start)
+    Ok(())
 }
 
 fn open_for(shared: &Shared, ask: &RunAsk) -> Result<StartId, Code> {
@@ -79,99 +153,215 @@
     }
 }
 
-fn run(shared: &Shared, ask: &RunAsk, start: StartId, replies: &ReplySink) {
-    let result = forward(shared, ask, start, replies);
-    let ended = if result.is_ok() { VoidReply::Ran } else { VoidReply::Unknown };
-    shared.requests.lock().expect("no holder of this lock panics").insert(ask.request, ended);
-    let load = {
-        let mut admission = shared.admission.lock().expect("no holder of this lock panics");
-        admission.leave();
-        admission.load()
-    };
-    let frame = match result {
-        Ok(frames) => RunFrame::End { attempt: ask.attempt, frames, load },
+async fn enter(shared: &Shared, ask: &RunAsk) -> Result<Place, Code> {
+    if !ask.alone {
+        return admission(shared).try_enter(ask.work).ok_or(Code::EndpointFull);
+    }
+    if !admission(shared).reserve_alone() {
+        return Err(Code::EndpointFull);
+    }
+    let started = Instant::now();
+    while started.elapsed() < ALONE_WAIT {
+        if let Some(place) = admission(shared).try_enter_alone(ask.work) {
+            return Ok(place);
+        }
+        tokio::time::sleep(ALONE_POLL).await;
+    }
+    admission(shared).give_up_alone();
+    Err(Code::EndpointFull)
+}
+
+/// Opens a connection after the endpoint has shown a recent sign of the life `start`.
+async fn open_line(shared: &Shared, start: StartId) -> Result<Line, Code> {
+    while admission(shared).needs_sign_of_life() {
+        match endpoint::start_id(shared.engine.base()).await {
+            Ok(found) if found == start => admission(shared).confirm(),
+            _ => {
+                close_gate(shared, start);
+                return Err(Code::EndpointClosed);
+            }
+        }
+    }
+    admission(shared).sent();
+    match endpoint::open(shared.engine.base()).await {
+        Ok(line) => Ok(line),
         Err(code) => {
-            RunFrame::Failed { attempt: ask.attempt, code, crashed: false, beside: load.requests }
+            close_gate(shared, start);
+            Err(code)
         }
+    }
+}
+
+/// The life `start` is over: nothing is sent until the watch has seen a new one, which is cold.
+fn close_gate(shared: &Shared, start: StartId) {
+    let mut serving = shared.serving.lock().expect("no holder of this lock panics");
+    let known = match &*serving {
+        Serving::Model { start, .. } | Serving::Plain { start, .. } => Some(*start),
+        Serving::Nothing => None,
     };
-    send(shared, replies, frame);
-    shared.running.fetch_sub(1, Ordering::AcqRel);
+    if known == Some(start) {
+        *serving = Serving::Nothing;
+        admission(shared).restart();
+    }
 }
 
-/// Sends the request to the endpoint and its answer back; gives the number of data frames.
-fn forward(
-    shared: &Shared,
+async fn forward(
+    shared: &Arc<Shared>,
     ask: &RunAsk,
     start: StartId,
+    line: Line,
     replies: &ReplySink,
-) -> Result<u32, Code> {
-    send(shared, replies, RunFrame::Started { start });
-    let response = request(shared, ask).send_lazy().map_err(|_| Code::EndpointLost)?;
-    let header = |name: &str| {
-        let found = response.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.clone())
+) -> Ended {
+    let begun = Instant::now();
+    let sent = replies.send_async(reply(shared, RunFrame::Started { start })).await;
+    if sent.is_err() && ask.idempotent {
+        return cut(shared, ask, Code::CallerLeft, start).await;
+    }
+    let answer = tokio::select! {
+        answer = within(first_byte_limit(shared, ask), line.run(ask)) => answer,
+        () = replies.closed(), if ask.idempotent => Err(Code::CallerLeft),
     };
-    let version = header("x-model-version").as_deref().and_then(scan_version);
-    check_answer(ask, start, version, header("x-start-id").as_deref())?;
-    let content_type = SmolStr::new(header("content-type").unwrap_or_default());
-    let status = response.status_code;
-    send(shared, replies, RunFrame::Head { attempt: ask.attempt, status, content_type, version });
-    forward_body(shared, ask, response, replies)
-}
-
-fn request(shared: &Shared, ask: &RunAsk) -> minreq::Request {
-    let url = format!("{}{}", shared.engine.base(), ask.path);
-    minreq::Request::new(minreq::Method::Custom(ask.method.to_string()), url)
-        .with_header("content-type", ask.content_type.as_str())
-        .with_header("x-request-id", format!("{:032x}", ask.request.0))
-        .with_header("x-resume-after", ask.resume_after.to_string())
-        .with_body(ask.body.to_vec())
-        .with_timeout(ask.deadline_ms.div_ceil(1_000).max(1))
+    let answer = answer.and_then(|answer| check_answer(ask, start, answer));
+    match answer {
+        Ok(answer) => {
+            if answer.start == Some(start) {
+                admission(shared).confirm();
+            }
+            let mut passing = Passing { shared, ask, start, replies, first_byte: begun.elapsed() };
+            passing.pass(answer).await
+        }
+        Err(code) => cut(shared, ask, code, start).await,
+    }
 }
 
 /// An engine that restarted or switched between the gate and the answer says so in its headers;
 /// without this check the caller would read an answer from other weights.
-fn check_answer(
-    ask: &RunAsk,
-    start: StartId,
-    version: Option<Digest>,
-    answered_by: Option<&str>,
-) -> Result<(), Code> {
-    let answered_by = answered_by.and_then(|text| text.parse().ok()).map(StartId);
-    if ask.version.is_some() && (version != ask.version || answered_by != Some(start)) {
+fn check_answer(ask: &RunAsk, start: StartId, answer: Answer) -> Result<Answer, Code> {
+    if ask.version.is_some() && (answer.version != ask.version || answer.start != Some(start)) {
         return Err(Code::EndpointLost);
     }
-    Ok(())
+    Ok(answer)
 }
 
-fn forward_body(
-    shared: &Shared,
-    ask: &RunAsk,
-    mut response: minreq::ResponseLazy,
-    replies: &ReplySink,
-) -> Result<u32, Code> {
-    let mut buf = vec![0; READ_LEN];
-    let mut sequence = 0;
-    loop {
-        let len = response.read(&mut buf).map_err(|_| Code::Truncated)?;
-        if len == 0 {
-            return Ok(sequence);
-        }
-        let bytes = Bytes::copy_from_slice(&buf[..len]);
-        let frame = RunFrame::Data { attempt: ask.attempt, sequence, bytes };
-        let reply = Reply {
-            generation: shared.documents.in_force().generation,
-            body: ReplyBody::Run(frame),
+/// An answer on its way from the endpoint to the entry.
+struct Passing<'a> {
+    shared: &'a Arc<Shared>,
+    ask: &'a RunAsk,
+    start: StartId,
+    replies: &'a ReplySink,
+    first_byte: Duration,
+}
+
+impl Passing<'_> {
+    async fn pass(&mut self, mut answer: Answer) -> Ended {
+        let head = RunFrame::Head {
+            attempt: self.ask.attempt,
+            status: answer.status,
+            content_type: answer.content_type.clone(),
+            version: answer.version,
         };
-        if replies.send(reply).is_err() {
-            let _ = shared.engine.cancel(&format!("{:032x}", ask.request.0));
-            return Err(Code::CallerLeft);
+        let mut left = self.send(head).await.is_err();
+        let mut kept = BytesMut::new();
+        let mut frames = 0;
+        loop {
+            if left && self.ask.idempotent {
+                return cut(self.shared, self.ask, Code::CallerLeft, self.start).await;
+            }
+            let next = tokio::select! {
+                next = within_next(between_bytes_limit(self.shared, self.ask), &mut answer) => next,
+                () = self.replies.closed(), if self.ask.idempotent => Some(Err(Code::CallerLeft)),
+            };
+            let bytes = match next {
+                None => return self.whole(&answer, kept.freeze(), frames),
+                Some(Ok(bytes)) => bytes,
+                Some(Err(code)) => return cut(self.shared, self.ask, code, self.start).await,
+            };
+            if self.ask.keep && kept.len() <= claim::MAX_ANSWER_LEN {
+                kept.extend_from_slice(&bytes);
+            }
+            left = left || self.send_data(frames, bytes).await.is_err();
+            frames += 1;
+        }
+    }
+
+    async fn send(&self, frame: RunFrame) -> Result<(), Code> {
+        self.replies.send_async(reply(self.shared, frame)).await
+    }
+
+    async fn send_data(&self, sequence: u32, bytes: Bytes) -> Result<(), Code> {
+        self.send(RunFrame::Data { attempt: self.ask.attempt, sequence, bytes }).await
+    }
+
+    fn whole(&self, answer: &Answer, kept: Bytes, frames: u32) -> Ended {
+        let keeps = self.ask.keep && kept.len() <= claim::MAX_ANSWER_LEN;
+        let kept = keeps.then(|| WholeAnswer {
+            status: answer.status,
+            content_type: answer.content_type.clone(),
+            body: kept,
+        });
+        Ended {
+            frame: RunFrame::End { attempt: self.ask.attempt, frames, load: Default::default() },
+            record: VoidReply::Ran(kept),
+            left: Left::Whole(self.first_byte),
         }
-        sequence += 1;
     }
 }
 
-fn send(shared: &Shared, replies: &ReplySink, frame: RunFrame) {
-    let generation = shared.documents.in_force().generation;
-    let _ = replies.send(Reply { generation, body: ReplyBody::Run(frame) });
+/// An attempt that ended without a whole answer: finds out whether its endpoint still lives.
+async fn cut(shared: &Arc<Shared>, ask: &RunAsk, code: Code, start: StartId) -> Ended {
+    let beside = load(shared).requests.saturating_sub(1);
+    let mut crashed = false;
+    if code == Code::CallerLeft || code == Code::DeadlineDuringRun {
+        endpoint::cancel(shared.engine.base(), ask).await;
+    } else {
+        crashed = endpoint::start_id(shared.engine.base()).await != Ok(start);
+        if crashed {
+            close_gate(shared, start);
+        }
+    }
+    let record = match code.outcome() {
+        Outcome::NotRun => VoidReply::Voided,
+        Outcome::Ran | Outcome::Unknown => VoidReply::Unknown,
+    };
+    let frame = RunFrame::Failed { attempt: ask.attempt, code, crashed, beside };
+    Ended { frame, record, left: Left::Early }
+}
+
+fn first_byte_limit(shared: &Shared, ask: &RunAsk) -> Duration {
+    if !ask.idempotent {
+        return UNREPEATABLE_WAIT;
+    }
+    let limits = &shared.documents.in_force().config.limits;
+    Duration::from_millis(limits.first_byte_ms.min(ask.deadline_ms))
+}
+
+fn between_bytes_limit(shared: &Shared, ask: &RunAsk) -> Duration {
+    if !ask.idempotent {
+        return UNREPEATABLE_WAIT;
+    }
+    Duration::from_millis(shared.documents.in_force().config.limits.between_bytes_ms)
+}
+
+async fn within<T>(limit: Duration, run: impl Future<Output = Result<T, Code>>) -> Result<T, Code> {
+    timeout(limit, run).await.unwrap_or(Err(Code::DeadlineDuringRun))
+}
+
+async fn within_next(limit: Duration, answer: &mut Answer) -> Option<Result<Bytes, Code>> {
+    timeout(limit, answer.next()).await.unwrap_or(Some(Err(Code::DeadlineDuringRun)))
+}
+
+fn admission(shared: &Shared) -> std::sync::MutexGuard<'_, Admission> {
+    shared.admission.lock().expect("no holder of this lock panics")
+}
+
+fn record(shared: &Shared) -> std::sync::MutexGuard<'_, mastichaven_core::record::Record> {
+    shared.record.lock().expect("no holder of this lock panics")
+}
+
+fn load(shared: &Shared) -> mastichaven_core::run::Load {
+    admission(shared).load()
+}
+
+fn reply(shared: &Shared, frame: RunFrame) -> Reply {
+    Reply { generation: shared.documents.in_force().generation, body: ReplyBody::Run(frame) }
 }
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -5,6 +5,7 @@
 //! | `callers` | speaks HTTP with callers, a task a request | `callers.rs`, `entry/requests.rs` |
 //! | `asks` | answers what peers ask | `entry/asks.rs` |
 //! | `control` | keeps documents and members up to date | `entry/control.rs` |
+//! | `claims-N` | call the platform for idempotency keys and relayed calls | `entry/claims.rs` |
 //! | `planner` | writes plans while this entry holds the lease | `entry/planner.rs` |
 
 use std::net::SocketAddr;
@@ -12,12 +13,14 @@
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use mastichaven_core::Code;
 use mastichaven_core::ids::Incarnation;
+use mastichaven_core::ids::RequestId;
 use mastichaven_core::members::EndpointKind;
 use mastichaven_core::members::Member;
 use mastichaven_core::members::Serving;
@@ -40,8 +43,12 @@
 use crate::tls::Material;
 use crate::transport::Transport;
 
+mod answer;
 mod asks;
+mod claims;
 mod control;
+mod dispatch;
+mod parse;
 mod planner;
 pub(crate) mod requests;
 
@@ -67,6 +74,8 @@
     pub(crate) stopping: AtomicBool,
     pub(crate) over: AtomicBool,
     pub(crate) running: AtomicU32,
+    serial: AtomicU64,
+    claims: claims::Handle,
 }
 
 impl Shared {
@@ -87,6 +96,11 @@
         Ask { from, body }
     }
 
+    /// Names a new attempt of this life.
+    fn next_request(&self) -> RequestId {
+        RequestId::new(self.incarnation, self.serial.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+
     pub(crate) fn member(&self) -> Member {
         let place = &self.settings.place;
         Member {
@@ -125,6 +139,7 @@
         incarnation: Incarnation,
     ) -> Result<Entry> {
         let (tx, rx) = flume::bounded(ASK_RING);
+        let (claim_jobs, claim_rx) = flume::bounded(claims::JOB_RING);
         let transport = Transport::start(settings.place.peers, material, tx)?;
         let (callers, operators) = (settings.callers, settings.place.operators);
         let shared = Arc::new(Shared {
@@ -139,17 +154,23 @@
             stopping: AtomicBool::new(false),
             over: AtomicBool::new(false),
             running: AtomicU32::new(0),
+            serial: AtomicU64::new(0),
+            claims: claims::Handle::new(claim_jobs),
         });
         let operators = operator::start(operators, shared.clone())?;
         let callers = callers::start(callers, shared.clone())?;
         let asks = shared.clone();
         let control = shared.clone();
         let planner = shared.clone();
-        let threads = vec![
+        let mut threads = vec![
             spawn("asks", move || asks::serve(&asks, &rx)),
             spawn("control", move || control::run(&control)),
             spawn("planner", move || planner::run(&planner)),
         ];
+        for n in 0..claims::THREADS {
+            let (shared, jobs) = (shared.clone(), claim_rx.clone());
+            threads.push(spawn(&format!("claims-{n}"), move || claims::run(&shared, &jobs)));
+        }
         Ok(Entry { shared, threads, callers, operators })
     }
 
--- a/node/src/entry/asks.rs
+++ b/node/src/entry/asks.rs
@@ -28,13 +28,14 @@
 
 fn answer(shared: &Shared, incoming: Incoming) {
     let body = match incoming.ask.body {
+        AskBody::Relay(ask) => return shared.claims.relay(ask, incoming.replies),
         AskBody::Members(MembersAsk::Probe) => {
             ReplyBody::Members(MembersReply::Me(shared.member()))
         }
         AskBody::Spread(SpreadAsk::Above(theirs)) => {
             ReplyBody::Spread(SpreadReply::Docs(shared.documents.above(&theirs)))
         }
-        AskBody::Run(_) | AskBody::Void(_) | AskBody::Weights(_) | AskBody::Relay(_) => {
+        AskBody::Run(_) | AskBody::Void(_) | AskBody::Weights(_) => {
             ReplyBody::Refused(Code::WrongRole)
         }
     };
--- /dev/null
+++ b/node/src/entry/claims.rs
@@ -0,0 +1,314 @@
+//! Requests with an idempotency key: carries out what [`ClaimRun`] decides.
+//!
+//! Platform calls block, so a few threads make them, behind a bounded ring; a full ring counts as
+//! a platform that is down. An entry that cannot reach the platform itself passes its calls on
+//! through other entries, which serve them from the same ring.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use mastichaven_core::Code;
+use mastichaven_core::Time;
+use mastichaven_core::claim;
+use mastichaven_core::claim::Claim;
+use mastichaven_core::claim::ClaimRun;
+use mastichaven_core::claim::Do;
+use mastichaven_core::claim::Event;
+use mastichaven_core::ids::Revision;
+use mastichaven_core::members::Member;
+use mastichaven_core::platform::Expect;
+use mastichaven_core::platform::HostRole;
+use mastichaven_core::platform::Object;
+use mastichaven_core::platform::ObjectStore;
+use mastichaven_core::platform::PlatformError;
+use mastichaven_core::relay::RelayAsk;
+use mastichaven_core::relay::RelayReply;
+use mastichaven_core::run::WholeAnswer;
+use mastichaven_core::wire::AskBody;
+use mastichaven_core::wire::Reply;
+use mastichaven_core::wire::ReplyBody;
+use tokio::sync::oneshot;
+
+use super::Shared;
+use super::dispatch;
+use super::dispatch::Tries;
+use super::parse::Parsed;
+use crate::transport::ReplySink;
+
+/// Threads that call the platform.
+pub(super) const THREADS: usize = 8;
+
+/// Calls waiting for a thread.
+pub(super) const JOB_RING: usize = 256;
+
+/// How often a thread looks whether the entry has ended.
+const POLL: Duration = Duration::from_millis(200);
+
+/// How long calls go through other entries first after the platform could not be reached.
+const AVOID: Duration = Duration::from_secs(2);
+
+/// Other entries that one call is passed on through at most.
+const MAX_RELAYS: usize = 2;
+
+/// How long another entry may take to pass a call on.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Attempts that one request moves its claim through at most.
+const MAX_MOVES: u32 = 3;
+
+/// A call for the threads.
+pub(super) enum Job {
+    Read(String, oneshot::Sender<Event>),
+    Write(String, Bytes, Expect, oneshot::Sender<Event>),
+    Relay(RelayAsk, ReplySink),
+}
+
+/// Hands calls to the threads.
+pub(super) struct Handle {
+    jobs: flume::Sender<Job>,
+    avoid_until: AtomicU64,
+}
+
+impl Handle {
+    /// A handle whose calls go to `jobs`.
+    pub(super) fn new(jobs: flume::Sender<Job>) -> Handle {
+        Handle { jobs, avoid_until: AtomicU64::new(0) }
+    }
+
+    /// Serves a call that another entry passes on.
+    pub(super) fn relay(&self, ask: RelayAsk, replies: ReplySink) {
+        if let Err(error) = self.jobs.try_send(Job::Relay(ask, replies))
+            && let Job::Relay(_, replies) = error.into_inner()
+        {
+            let body = ReplyBody::Refused(Code::Busy);
+            let _ = replies.send(Reply { generation: Default::default(), body });
+        }
+    }
+
+    async fn call(&self, job: impl FnOnce(oneshot::Sender<Event>) -> Job) -> Event {
+        let (tx, rx) = oneshot::channel();
+        if self.jobs.try_send(job(tx)).is_err() {
+            return Event::Down;
+        }
+        rx.await.unwrap_or(Event::Lost)
+    }
+
+    fn avoids_platform(&self, now: Time) -> bool {
+        now.as_micros() < self.avoid_until.load(Ordering::Relaxed)
+    }
+
+    fn avoid_platform(&self, now: Time) {
+        self.avoid_until.store((now + AVOID).as_micros(), Ordering::Relaxed);
+    }
+}
+
+/// Serves the ring until the entry ends.
+pub(super) fn run(shared: &Arc<Shared>, jobs: &flume::Receiver<Job>) {
+    while !shared.is_over() {
+        if let Ok(job) = jobs.recv_timeout(POLL) {
+            serve_job(shared, job);
+        }
+    }
+}
+
+fn serve_job(shared: &Shared, job: Job) {
+    match job {
+        Job::Read(key, tx) => {
+            let _ = tx.send(found(read(shared, &key)));
+        }
+        Job::Write(key, value, expect, tx) => {
+            let _ = tx.send(written(write(shared, &key, value, expect)));
+        }
+        Job::Relay(ask, replies) => {
+            let generation = shared.documents.in_force().generation;
+            let body = ReplyBody::Relay(serve_relay(shared, ask));
+            let _ = replies.send(Reply { generation, body });
+        }
+    }
+}
+
+fn found(read: Result<Option<Object>, PlatformError>) -> Event {
+    match read {
+        Ok(None) => Event::Found(None),
+        Ok(Some(object)) => match Claim::decode(&object.value) {
+            Ok(claim) => Event::Found(Some((object.revision, claim))),
+            Err(_) => Event::Lost,
+        },
+        Err(_) => Event::Down,
+    }
+}
+
+fn written(write: Result<Revision, PlatformError>) -> Event {
+    match write {
+        Ok(revision) => Event::Written(revision),
+        Err(PlatformError::Conflict) => Event::Conflict,
+        Err(PlatformError::Down | PlatformError::Throttled) => Event::Down,
+        Err(_) => Event::Lost,
+    }
+}
+
+fn read(shared: &Shared, key: &str) -> Result<Option<Object>, PlatformError> {
+    if !shared.claims.avoids_platform(shared.clock.now()) {
+        match shared.platform.get(key) {
+            Err(PlatformError::Throttled) => return Err(PlatformError::Throttled),
+            Err(_) => shared.claims.avoid_platform(shared.clock.now()),
+            found => return found,
+        }
+    }
+    match relay(shared, &RelayAsk::Get(key.into())) {
+        RelayReply::Object(object) => {
+            Ok(object.map(|(revision, value)| Object { revision, value }))
+        }
+        _ => Err(PlatformError::Down),
+    }
+}
+
+fn write(
+    shared: &Shared,
+    key: &str,
+    value: Bytes,
+    expect: Expect,
+) -> Result<Revision, PlatformError> {
+    if !shared.claims.avoids_platform(shared.clock.now()) {
+        match shared.platform.put(key, value.clone(), expect) {
+            Err(PlatformError::Down) => shared.claims.avoid_platform(shared.clock.now()),
+            // It may have taken effect: only a read tells, so no other way is tried with it.
+            Err(PlatformError::Unknown) => {
+                shared.claims.avoid_platform(shared.clock.now());
+                return Err(PlatformError::Unknown);
+            }
+            result => return result,
+        }
+    }
+    let expect = match expect {
+        Expect::Absent => None,
+        Expect::At(revision) => Some(revision),
+    };
+    match relay(shared, &RelayAsk::Put { key: key.into(), value, expect }) {
+        RelayReply::Written(revision) => Ok(revision),
+        RelayReply::Conflict => Err(PlatformError::Conflict),
+        RelayReply::Down => Err(PlatformError::Down),
+        RelayReply::Object(_) | RelayReply::Unknown => Err(PlatformError::Unknown),
+    }
+}
+
+/// Passes a call on through entries of other zones first, as they are likelier to reach the
+/// platform; stops at the first answer that is not a proof that nothing was done.
+fn relay(shared: &Shared, ask: &RelayAsk) -> RelayReply {
+    let me = &shared.settings.place;
+    let mut entries: Vec<Member> = shared.members();
+    entries.retain(|m| m.role == HostRole::Entry && m.host != me.host && !m.leaving);
+    entries.sort_by_key(|m| m.zone == me.zone);
+    for entry in entries.iter().take(MAX_RELAYS) {
+        let ask = shared.ask(AskBody::Relay(ask.clone()));
+        let reply = shared.transport.ask_one(entry.address, &ask, RELAY_TIMEOUT);
+        match reply.map(|reply| reply.body) {
+            Ok(ReplyBody::Relay(RelayReply::Down) | ReplyBody::Refused(_))
+            | Err(Code::Unreachable | Code::Busy) => {}
+            Ok(ReplyBody::Relay(reply)) => return reply,
+            _ => return RelayReply::Unknown,
+        }
+    }
+    RelayReply::Down
+}
+
+fn serve_relay(shared: &Shared, ask: RelayAsk) -> RelayReply {
+    let platform = &shared.platform;
+    match ask {
+        RelayAsk::Get(key) => match platform.get(&key) {
+            Ok(object) => RelayReply::Object(object.map(|o| (o.revision, o.value))),
+            Err(_) => RelayReply::Down,
+        },
+        RelayAsk::Put { key, value, expect } => {
+            let expect = expect.map_or(Expect::Absent, Expect::At);
+            match platform.put(&key, value, expect) {
+                Ok(revision) => RelayReply::Written(revision),
+                Err(PlatformError::Conflict) => RelayReply::Conflict,
+                Err(PlatformError::Down | PlatformError::Throttled) => RelayReply::Down,
+                Err(_) => RelayReply::Unknown,
+            }
+        }
+    }
+}
+
+/// What a keyed request came to.
+pub(super) struct Claimed {
+    /// The answer, or why there is none.
+    pub(super) result: Result<WholeAnswer, Code>,
+    /// Whether it is proved that nothing ran under the key; `not-run` needs that.
+    pub(super) not_run: bool,
+}
+
+/// Runs a request at most once under its key.
+pub(super) async fn serve(shared: &Shared, parsed: &Parsed, key: &str) -> Claimed {
+    let object = claim::object_key(&parsed.customer, &parsed.service, key);
+    let mut tries = Tries::default();
+    let mine = match dispatch::choose(shared, parsed, &mut tries) {
+        Ok(mine) => mine,
+        Err(code) => return Claimed { result: Err(code), not_run: false },
+    };
+    let now = shared.clock.now();
+    let (mut run, mut next) = ClaimRun::start(parsed.digest(), mine, parsed.deadline, now);
+    loop {
+        next = match next {
+            Do::Dispatch => send(shared, parsed, &mut run, &mut tries).await,
+            Do::Answer(answer) => return Claimed { result: Ok(answer), not_run: false },
+            Do::Refuse(Code::Voided) if !run.is_not_run() => {
+                move_on(shared, parsed, &mut run, &mut tries, Code::Voided)
+            }
+            Do::Refuse(code) => return Claimed { result: Err(code), not_run: run.is_not_run() },
+            call => {
+                let event = carry_out(shared, &object, call).await;
+                run.step(event, shared.clock.now())
+            }
+        };
+    }
+}
+
+async fn carry_out(shared: &Shared, object: &str, call: Do) -> Event {
+    let key = object.to_owned();
+    match call {
+        Do::Write(claim, expect) => {
+            let value = Bytes::from(claim.encode());
+            shared.claims.call(|tx| Job::Write(key, value, expect, tx)).await
+        }
+        Do::AskAgent(to) => Event::Agent(dispatch::void(shared, &to).await),
+        Do::Wait(span) => {
+            tokio::time::sleep(span).await;
+            Event::Waited
+        }
+        _ => shared.claims.call(|tx| Job::Read(key, tx)).await,
+    }
+}
+
+async fn send(shared: &Shared, parsed: &Parsed, run: &mut ClaimRun, tries: &mut Tries) -> Do {
+    if parsed.caller.has_left() {
+        return run.release(Code::CallerLeft);
+    }
+    let to = run.mine().clone();
+    match dispatch::run_whole(shared, parsed, &to, tries.next()).await {
+        Ok(answer) => run.finish(answer, shared.clock.now()),
+        Err(failure) if failure.is_not_run() => move_on(shared, parsed, run, tries, failure.code),
+        Err(_) => run.lost(shared.clock.now()),
+    }
+}
+
+/// The attempt is proved not to run: claims for another endpoint, or gives the claim up.
+fn move_on(
+    shared: &Shared,
+    parsed: &Parsed,
+    run: &mut ClaimRun,
+    tries: &mut Tries,
+    code: Code,
+) -> Do {
+    if tries.count() >= MAX_MOVES || parsed.deadline <= shared.clock.now() {
+        return run.release(code);
+    }
+    match dispatch::choose(shared, parsed, tries) {
+        Ok(mine) => run.move_to(mine),
+        Err(_) => run.release(code),
+    }
+}
--- /dev/null
+++ b/node/src/entry/dispatch.rs
@@ -0,0 +1,268 @@
+//! One attempt: choosing its endpoint, sending it, and reading its frames.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use mastichaven_core::Code;
+use mastichaven_core::Outcome;
+use mastichaven_core::claim::Dispatch;
+use mastichaven_core::config::ZoneState;
+use mastichaven_core::ids::Attempt;
+use mastichaven_core::ids::HostName;
+use mastichaven_core::members::Member;
+use mastichaven_core::members::Serving;
+use mastichaven_core::route;
+use mastichaven_core::run::RunAsk;
+use mastichaven_core::run::RunFrame;
+use mastichaven_core::run::VoidAsk;
+use mastichaven_core::run::VoidReply;
+use mastichaven_core::run::WholeAnswer;
+use mastichaven_core::stream::FrameOrder;
+use mastichaven_core::stream::Taken;
+use mastichaven_core::wire::AskBody;
+use mastichaven_core::wire::ReplyBody;
+use smol_str::SmolStr;
+use tokio::time::timeout;
+
+use super::Shared;
+use super::parse::Parsed;
+use crate::transport::Call;
+
+/// Result of an attempt.
+pub(super) type Result<T> = std::result::Result<T, Failure>;
+
+/// Bytes of an answer that is gathered whole, at most.
+const MAX_WHOLE_LEN: usize = 64 << 20;
+
+/// How long an agent may take to say what became of an attempt.
+const VOID_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What the agent's own deadlines are given on top, before the agent itself counts as lost.
+const AGENT_SLACK: Duration = Duration::from_millis(500);
+
+/// An attempt that gave no whole answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Failure {
+    /// What is known of it.
+    pub(super) code: Code,
+}
+
+impl Failure {
+    /// Whether the attempt is proved not to have run.
+    pub(super) fn is_not_run(self) -> bool {
+        self.code.outcome() == Outcome::NotRun
+    }
+}
+
+impl From<Code> for Failure {
+    fn from(code: Code) -> Failure {
+        Failure { code }
+    }
+}
+
+/// The endpoints that one request was tried on.
+#[derive(Debug, Default)]
+pub(super) struct Tries {
+    hosts: Vec<HostName>,
+    attempts: u32,
+}
+
+impl Tries {
+    /// The number of the next attempt.
+    pub(super) fn next(&mut self) -> Attempt {
+        self.attempts += 1;
+        Attempt(self.attempts)
+    }
+
+    /// Attempts so far.
+    pub(super) fn count(&self) -> u32 {
+        self.attempts
+    }
+}
+
+/// Chooses an endpoint that was not tried yet, and names a new attempt on it.
+pub(super) fn choose(
+    shared: &Shared,
+    parsed: &Parsed,
+    tries: &mut Tries,
+) -> std::result::Result<Dispatch, Code> {
+    let in_force = shared.documents.in_force();
+    let serves = |member: &Member| match (&member.serving, parsed.version) {
+        (Serving::Model { version, .. }, Some(wanted)) => *version == wanted,
+        (Serving::Plain { service, .. }, None) => *service == parsed.service,
+        _ => false,
+    };
+    let zone_in = |member: &Member| {
+        in_force.config.zone.get(&member.zone).is_some_and(|zone| zone.state == ZoneState::In)
+    };
+    let mut candidates = shared.members();
+    candidates.retain(|member| !member.leaving && serves(member) && zone_in(member));
+    let member =
+        route::pick(&candidates, &shared.settings.place.zone, &tries.hosts, &mut rand::rng())
+            .ok_or(Code::NoEndpoint)?;
+    tries.hosts.push(member.host.clone());
+    Ok(Dispatch {
+        agent: member.host.clone(),
+        address: member.address,
+        incarnation: member.incarnation,
+        request: shared.next_request(),
+    })
+}
+
+/// An attempt whose answer has begun.
+pub(super) struct Opened {
+    /// HTTP status.
+    pub(super) status: u16,
+    /// Content type.
+    pub(super) content_type: SmolStr,
+    call: Call,
+    order: FrameOrder,
+    patience: Duration,
+}
+
+/// Sends one attempt and waits for the head of its answer.
+pub(super) async fn open(
+    shared: &Shared,
+    parsed: &Parsed,
+    to: &Dispatch,
+    attempt: Attempt,
+    resume_after: u64,
+) -> Result<Opened> {
+    let limits = shared.documents.in_force().config.limits.clone();
+    // A stream that has begun is bounded by its pauses, not by the time it takes as a whole.
+    let left = match resume_after {
+        0 => parsed.deadline.since(shared.clock.now()),
+        _ => Duration::from_millis(limits.first_byte_ms),
+    };
+    if left.is_zero() {
+        return Err(Code::DeadlineBeforeRun.into());
+    }
+    let ask = run_ask(parsed, to, attempt, resume_after, left);
+    let patience = Duration::from_millis(limits.between_bytes_ms) + AGENT_SLACK;
+    let first_byte = Duration::from_millis(limits.first_byte_ms) + AGENT_SLACK;
+    let wait = if parsed.idempotent { left.min(first_byte) } else { left };
+    let call = shared.transport.call(to.address, &shared.ask(AskBody::Run(ask)));
+    let order = FrameOrder::new(attempt);
+    let opening = Opened { status: 0, content_type: SmolStr::default(), call, order, patience };
+    timeout(wait, opening.head()).await.unwrap_or(Err(Code::DeadlineDuringRun.into()))
+}
+
+fn run_ask(
+    parsed: &Parsed,
+    to: &Dispatch,
+    attempt: Attempt,
+    resume_after: u64,
+    left: Duration,
+) -> RunAsk {
+    RunAsk {
+        request: to.request,
+        attempt,
+        service: parsed.service.clone(),
+        customer: parsed.customer.clone(),
+        version: parsed.version,
+        incarnation: Some(to.incarnation),
+        work: parsed.work,
+        priority: parsed.priority,
+        deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        idempotent: parsed.idempotent,
+        alone: false,
+        keep: !parsed.idempotent,
+        resume_after,
+        method: parsed.method.clone(),
+        path: parsed.path.clone(),
+        content_type: parsed.content_type.clone(),
+        body: parsed.body.clone(),
+    }
+}
+
+impl Opened {
+    async fn head(mut self) -> Result<Opened> {
+        loop {
+            match next_frame(&mut self.call).await? {
+                RunFrame::Started { .. } => {}
+                RunFrame::Head { status, content_type, .. } => {
+                    self.status = status;
+                    self.content_type = content_type;
+                    return Ok(self);
+                }
+                frame => {
+                    if self.order.take(frame)? != Taken::Dropped {
+                        return Err(Code::Truncated.into());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether the answer is a stream of events that is passed on as it comes.
+    pub(super) fn is_stream(&self) -> bool {
+        self.content_type.starts_with("text/event-stream")
+    }
+
+    /// The next bytes; `None` when the answer is whole.
+    pub(super) async fn next(&mut self) -> Result<Option<Bytes>> {
+        loop {
+            let frame = timeout(self.patience, next_frame(&mut self.call))
+                .await
+                .unwrap_or(Err(Code::DeadlineDuringRun.into()))?;
+            match self.order.take(frame)? {
+                Taken::Bytes(bytes) => return Ok(Some(bytes)),
+                Taken::End => return Ok(None),
+                Taken::Dropped => {}
+            }
+        }
+    }
+
+    /// The whole answer, so that its status goes out only when all of it is here.
+    pub(super) async fn gather(mut self) -> Result<WholeAnswer> {
+        let mut body = BytesMut::new();
+        while let Some(bytes) = self.next().await? {
+            if body.len() + bytes.len() > MAX_WHOLE_LEN {
+                return Err(Code::Truncated.into());
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok(WholeAnswer {
+            status: self.status,
+            content_type: self.content_type,
+            body: body.freeze(),
+        })
+    }
+}
+
+async fn next_frame(call: &mut Call) -> Result<RunFrame> {
+    match call.next().await {
+        Some(Ok(reply)) => match reply.body {
+            ReplyBody::Run(frame) => Ok(frame),
+            ReplyBody::Refused(code) => Err(code.into()),
+            _ => Err(Code::BadMessage.into()),
+        },
+        Some(Err(code)) => Err(code.into()),
+        None => Err(Code::PeerLost.into()),
+    }
+}
+
+/// Sends one attempt and gathers its answer.
+pub(super) async fn run_whole(
+    shared: &Shared,
+    parsed: &Parsed,
+    to: &Dispatch,
+    attempt: Attempt,
+) -> Result<WholeAnswer> {
+    open(shared, parsed, to, attempt, 0).await?.gather().await
+}
+
+/// Asks the agent life that an attempt went to what became of it; one that has not started never
+/// will. `None` when the agent cannot be reached.
+pub(super) async fn void(shared: &Shared, to: &Dispatch) -> Option<VoidReply> {
+    let ask = VoidAsk { request: to.request, incarnation: to.incarnation };
+    let mut call = shared.transport.call(to.address, &shared.ask(AskBody::Void(ask)));
+    match timeout(VOID_TIMEOUT, call.next()).await {
+        Ok(Some(Ok(reply))) => match reply.body {
+            ReplyBody::Void(reply) => Some(reply),
+            _ => None,
+        },
+        _ => None,
+    }
+}
--- a/node/src/entry/requests.rs
+++ b/node/src/entry/requests.rs
@@ -1,60 +1,46 @@
 //! One request from its head to the end of its answer.
 
-use std::io;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use mastichaven_core::Code;
 use mastichaven_core::Outcome;
-use mastichaven_core::config::Config;
-use mastichaven_core::config::Service;
-use mastichaven_core::config::ZoneState;
-use mastichaven_core::ids::Attempt;
-use mastichaven_core::ids::CustomerName;
-use mastichaven_core::ids::Digest;
-use mastichaven_core::ids::HostName;
-use mastichaven_core::ids::RequestId;
-use mastichaven_core::ids::ServiceName;
-use mastichaven_core::members::Member;
-use mastichaven_core::members::Serving;
-use mastichaven_core::route;
-use mastichaven_core::run::RunAsk;
-use mastichaven_core::run::RunFrame;
-use mastichaven_core::wire::AskBody;
-use mastichaven_core::wire::ReplyBody;
-use serde::Deserialize;
-use smol_str::SmolStr;
+use mastichaven_core::run::VoidReply;
+use mastichaven_core::run::WholeAnswer;
 
 use super::Shared;
-use crate::callers;
+use super::answer;
+use super::claims;
+use super::dispatch;
+use super::dispatch::Failure;
+use super::dispatch::Opened;
+use super::dispatch::Tries;
+use super::parse;
+use super::parse::Parsed;
 use crate::callers::AnswerBody;
-use crate::transport::Call;
-
-/// Header with the customer's key.
-pub const KEY_HEADER: &str = "mastichaven-key";
-
-/// Header that says whether the request ran; see [`Outcome`].
-pub const OUTCOME_HEADER: &str = "mastichaven-outcome";
-
-/// Header with the numbered code.
-pub const CODE_HEADER: &str = "mastichaven-code";
 
 /// Attempts of one request at most.
 const MAX_ATTEMPTS: u32 = 3;
 
-/// Frames waiting for a slow caller.
-const FRAME_RING: usize = 64;
+/// Pause before an attempt that is still running is asked for again.
+const RUNNING_PAUSE: Duration = Duration::from_millis(50);
+
+/// What `Retry-After` says when nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Keeps count of requests in progress, also when the caller leaves.
-struct InProgress(Arc<Shared>);
+pub(super) struct InProgress(Arc<Shared>);
+
+impl InProgress {
+    fn begin(shared: &Arc<Shared>) -> InProgress {
+        shared.running.fetch_add(1, Ordering::AcqRel);
+        InProgress(shared.clone())
+    }
+}
 
 impl Drop for InProgress {
     fn drop(&mut self) {
@@ -62,223 +48,158 @@
     }
 }
 
-/// Answers one request.
-pub(crate) async fn serve(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<AnswerBody> {
-    if shared.is_stopping() {
-        return refuse(Code::Stopping);
-    }
-    shared.running.fetch_add(1, Ordering::AcqRel);
-    let in_progress = InProgress(shared.clone());
-    match run(shared, req, in_progress).await {
-        Ok(response) => response,
-        Err(code) => refuse(code),
-    }
+/// A refusal and what is known of the request.
+struct Refusal {
+    code: Code,
+    outcome: Outcome,
 }
 
-fn refuse(code: Code) -> Response<AnswerBody> {
-    let text =
-        format!("{{\"error\":{{\"code\":{},\"message\":\"{}\"}}}}\n", code.number(), code.text());
-    let mut response = Response::builder()
-        .status(code.http_status())
-        .header("content-type", "application/json")
-        .header(OUTCOME_HEADER, code.outcome().as_str())
-        .header(CODE_HEADER, code.number());
-    if matches!(code.http_status(), 429 | 503) {
-        response = response.header("retry-after", "1");
+impl From<Code> for Refusal {
+    fn from(code: Code) -> Refusal {
+        Refusal { code, outcome: code.outcome() }
     }
-    response.body(callers::whole(Bytes::from(text))).expect("these headers are valid")
-}
-
-/// The part of a chat completion's body that routing reads.
-#[derive(Deserialize)]
-struct ModelField {
-    model: SmolStr,
 }
 
-/// What a request is, once it is read.
-struct Parsed {
-    customer: CustomerName,
-    service: ServiceName,
-    version: Option<Digest>,
-    idempotent: bool,
-    method: SmolStr,
-    path: SmolStr,
-    content_type: SmolStr,
-    body: Bytes,
+/// Answers one request.
+pub(crate) async fn serve(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<AnswerBody> {
+    let in_progress = InProgress::begin(shared);
+    let result = run(shared, req, in_progress).await;
+    result.unwrap_or_else(|refusal| answer::refuse(refusal.code, refusal.outcome, RETRY_AFTER))
 }
 
 async fn run(
     shared: &Arc<Shared>,
     req: Request<Incoming>,
     in_progress: InProgress,
-) -> Result<Response<AnswerBody>, Code> {
-    let parsed = parse(&shared.documents.in_force().config, req).await?;
-    let request = RequestId(rand::random());
-    let mut tried = Vec::new();
-    let mut last = Code::NoEndpoint;
-    for attempt in 1..=MAX_ATTEMPTS {
-        let Some(member) = choose(shared, &parsed, &tried) else {
-            return Err(last);
-        };
-        let ask = run_ask(shared, &parsed, request, Attempt(attempt));
-        let mut call = shared.transport.call(member.address, &shared.ask(AskBody::Run(ask)));
-        tried.push(member.host.clone());
-        match first_frame(&mut call).await {
-            Ok(()) => return answer(call, Attempt(attempt), in_progress).await,
-            Err(code) if code.outcome() == Outcome::NotRun => last = code,
-            Err(code) => return Err(code),
-        }
+) -> Result<Response<AnswerBody>, Refusal> {
+    let now = shared.clock.now();
+    let parsed = parse::parse(&shared.documents.in_force().config, req, now).await?;
+    if shared.is_stopping() {
+        return Err(refused_early(&parsed, Code::Stopping));
     }
-    Err(last)
-}
-
-async fn parse(config: &Config, req: Request<Incoming>) -> Result<Parsed, Code> {
-    let text = |name: &str| {
-        let value = req.headers().get(name).and_then(|value| value.to_str().ok());
-        SmolStr::new(value.unwrap_or_default())
-    };
-    let key = Digest::of(text(KEY_HEADER).as_bytes()).to_hex();
-    let customer = config
-        .customer
-        .iter()
-        .find(|(_, customer)| customer.key_digest == key)
-        .map(|(name, _)| name.clone())
-        .ok_or(Code::UnknownCustomer)?;
-    let content_type = text("content-type");
-    let method = SmolStr::new(req.method().as_str());
-    let path = req.uri().path_and_query().map_or("/".into(), |path| SmolStr::new(path.as_str()));
-    let limit = usize::try_from(config.limits.body_bytes).unwrap_or(usize::MAX);
-    let body = Limited::new(req.into_body(), limit)
-        .collect()
-        .await
-        .map_err(|_| Code::TooLarge)?
-        .to_bytes();
-    let service = find_route(config, &path, &body)?;
-    let (version, idempotent) = match config.service.get(&service) {
-        Some(Service::Model { model }) => (Some(version_of(config, model)?), true),
-        Some(Service::Plain { idempotent, .. }) => (None, *idempotent),
-        None => return Err(Code::NoRoute),
-    };
-    Ok(Parsed { customer, service, version, idempotent, method, path, content_type, body })
-}
-
-fn find_route(config: &Config, path: &str, body: &[u8]) -> Result<ServiceName, Code> {
-    let named = serde_json::from_slice::<ModelField>(body).ok().map(|field| field.model);
-    config
-        .route
-        .values()
-        .filter(|route| path.starts_with(route.path.as_str()))
-        .filter(|route| route.model.is_none() || route.model == named)
-        .max_by_key(|route| route.path.len())
-        .map(|route| route.service.clone())
-        .ok_or(Code::NoRoute)
+    if parsed.idempotent {
+        return Ok(repeatable(shared, parsed, in_progress).await?);
+    }
+    // A caller that leaves must not stop this half-way: its resend asks what came of it.
+    let _watch = parsed.caller.watch();
+    let shared = shared.clone();
+    let task = tokio::spawn(async move {
+        let result = unrepeatable(&shared, &parsed).await;
+        drop(in_progress);
+        result
+    });
+    let whole = task.await.unwrap_or(Err(Code::EndpointLost.into()))?;
+    Ok(answer::whole(whole)?)
 }
 
-fn version_of(config: &Config, model: &mastichaven_core::ids::ModelName) -> Result<Digest, Code> {
-    let model = config.model.get(model).ok_or(Code::NoRoute)?;
-    let version = config.version.get(&model.serve).ok_or(Code::NoRoute)?;
-    Digest::from_hex(&version.manifest).ok_or(Code::NoRoute)
+/// A refusal before the key's claim is known proves only that this sending did not run: an
+/// earlier one under the same key may have, so `not-run` must not be said of the request.
+fn refused_early(parsed: &Parsed, code: Code) -> Refusal {
+    let hides_earlier = parsed.key.is_some() && code.outcome() == Outcome::NotRun;
+    let outcome = if hides_earlier { Outcome::Unknown } else { code.outcome() };
+    Refusal { code, outcome }
 }
 
-fn choose(shared: &Shared, parsed: &Parsed, tried: &[HostName]) -> Option<Member> {
-    let in_force = shared.documents.in_force();
-    let serves = |member: &Member| match (&member.serving, parsed.version) {
-        (Serving::Model { version, .. }, Some(wanted)) => *version == wanted,
-        (Serving::Plain { service, .. }, None) => *service == parsed.service,
-        _ => false,
+async fn unrepeatable(shared: &Shared, parsed: &Parsed) -> Result<WholeAnswer, Refusal> {
+    let Some(key) = &parsed.key else {
+        return Ok(once(shared, parsed).await?);
     };
-    let zone_in = |member: &Member| {
-        in_force.config.zone.get(&member.zone).is_some_and(|zone| zone.state == ZoneState::In)
-    };
-    let mut candidates = shared.members();
-    candidates.retain(|member| !member.leaving && serves(member) && zone_in(member));
-    route::pick(&candidates, &shared.settings.place.zone, tried, &mut rand::rng()).cloned()
+    let claimed = claims::serve(shared, parsed, key).await;
+    claimed.result.map_err(|code| match claimed.not_run || code == Code::KeyReused {
+        true => Refusal::from(code),
+        false => refused_early(parsed, code),
+    })
 }
 
-fn run_ask(shared: &Shared, parsed: &Parsed, request: RequestId, attempt: Attempt) -> RunAsk {
-    RunAsk {
-        request,
-        attempt,
-        service: parsed.service.clone(),
-        customer: parsed.customer.clone(),
-        version: parsed.version,
-        incarnation: None,
-        work: 1,
-        priority: 0,
-        deadline_ms: shared.documents.in_force().config.limits.deadline_ms,
-        idempotent: parsed.idempotent,
-        alone: false,
-        resume_after: 0,
-        method: parsed.method.clone(),
-        path: parsed.path.clone(),
-        content_type: parsed.content_type.clone(),
-        body: parsed.body.clone(),
+/// Runs a request without a key: it is sent again only after the earlier attempt is proved not to
+/// run.
+async fn once(shared: &Shared, parsed: &Parsed) -> Result<WholeAnswer, Code> {
+    let mut tries = Tries::default();
+    let mut last = Code::NoEndpoint;
+    while tries.count() < MAX_ATTEMPTS {
+        let Ok(to) = dispatch::choose(shared, parsed, &mut tries) else {
+            return Err(last);
+        };
+        let failure = match dispatch::run_whole(shared, parsed, &to, tries.next()).await {
+            Ok(answer) => return Ok(answer),
+            Err(failure) => failure,
+        };
+        last = failure.code;
+        if !failure.is_not_run() {
+            match find_out(shared, parsed, &to).await {
+                VoidReply::Voided => last = Code::Voided,
+                VoidReply::Ran(Some(answer)) => return Ok(answer),
+                VoidReply::Ran(None) => return Err(Code::AnswerNotKept),
+                VoidReply::Running => return Err(Code::DeadlineDuringRun),
+                VoidReply::Unknown => return Err(failure.code),
+            }
+        }
     }
+    Err(last)
 }
 
-async fn next_frame(call: &mut Call) -> Result<RunFrame, Code> {
-    match call.next().await {
-        Some(Ok(reply)) => match reply.body {
-            ReplyBody::Run(frame) => Ok(frame),
-            ReplyBody::Refused(code) => Err(code),
-            _ => Err(Code::BadMessage),
-        },
-        Some(Err(code)) => Err(code),
-        None => Err(Code::PeerLost),
+/// Asks what became of an attempt until it has ended, the deadline has passed, or the agent cannot
+/// tell.
+async fn find_out(
+    shared: &Shared,
+    parsed: &Parsed,
+    to: &mastichaven_core::claim::Dispatch,
+) -> VoidReply {
+    loop {
+        match dispatch::void(shared, to).await {
+            Some(VoidReply::Running) if shared.clock.now() < parsed.deadline => {
+                tokio::time::sleep(RUNNING_PAUSE).await;
+            }
+            Some(reply) => return reply,
+            None => return VoidReply::Unknown,
+        }
     }
 }
 
-async fn first_frame(call: &mut Call) -> Result<(), Code> {
-    match next_frame(call).await? {
-        RunFrame::Started { .. } => Ok(()),
-        RunFrame::Refused { code, .. } => Err(code),
-        _ => Err(Code::Truncated),
+/// The attempts of one repeatable request.
+#[derive(Debug, Default)]
+pub(super) struct Journey {
+    tries: Tries,
+}
+
+impl Journey {
+    /// Opens an answer that goes on after `tokens`, on the first endpoint that gives one.
+    pub(super) async fn open(
+        &mut self,
+        shared: &Shared,
+        parsed: &Parsed,
+        tokens: u64,
+    ) -> Result<Opened, Code> {
+        let mut last = Code::NoEndpoint;
+        while self.tries.count() < MAX_ATTEMPTS {
+            let Ok(to) = dispatch::choose(shared, parsed, &mut self.tries) else {
+                return Err(last);
+            };
+            let attempt = self.tries.next();
+            match dispatch::open(shared, parsed, &to, attempt, tokens).await {
+                Ok(opened) => return Ok(opened),
+                Err(failure) => last = failure.code,
+            }
+        }
+        Err(last)
     }
 }
 
-async fn answer(
-    mut call: Call,
-    attempt: Attempt,
+async fn repeatable(
+    shared: &Arc<Shared>,
+    parsed: Parsed,
     in_progress: InProgress,
 ) -> Result<Response<AnswerBody>, Code> {
-    let (status, content_type) = match next_frame(&mut call).await? {
-        RunFrame::Head { status, content_type, .. } => (status, content_type),
-        RunFrame::Failed { code, .. } => return Err(code),
-        _ => return Err(Code::Truncated),
-    };
-    let (tx, rx) = flume::bounded(FRAME_RING);
-    tokio::spawn(async move {
-        forward(call, attempt, &tx).await;
-        drop(in_progress);
-    });
-    Response::builder()
-        .status(status)
-        .header("content-type", content_type.as_str())
-        .header(OUTCOME_HEADER, Outcome::Ran.as_str())
-        .header(CODE_HEADER, Code::Ok.number())
-        .body(callers::streamed(rx))
-        .map_err(|_| Code::Truncated)
-}
-
-async fn forward(mut call: Call, expected: Attempt, tx: &flume::Sender<io::Result<Frame<Bytes>>>) {
-    let mut next = 0;
+    let mut journey = Journey::default();
     loop {
-        match next_frame(&mut call).await {
-            Ok(RunFrame::Data { attempt, sequence, bytes })
-                if attempt == expected && sequence == next =>
-            {
-                next += 1;
-                if tx.send_async(Ok(Frame::data(bytes))).await.is_err() {
-                    return;
-                }
-            }
-            Ok(RunFrame::End { frames, .. }) if frames == next => return,
-            _ => {
-                let cut = io::Error::new(io::ErrorKind::UnexpectedEof, Code::Truncated);
-                let _ = tx.send_async(Err(cut)).await;
-                tokio::time::sleep(Duration::from_millis(1)).await;
-                return;
-            }
+        let opened = journey.open(shared, &parsed, 0).await?;
+        if opened.is_stream() {
+            return answer::stream(shared, parsed, opened, journey, in_progress);
+        }
+        match opened.gather().await {
+            Ok(whole) => return answer::whole(whole),
+            Err(Failure { code }) if journey.tries.count() >= MAX_ATTEMPTS => return Err(code),
+            Err(_) => {}
         }
     }
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod callers;
 pub mod clock;
 pub mod documents;
+pub mod endpoint;
 pub mod engine;
 pub mod entry;
 pub mod http_store;
--- a/node/src/transport.rs
+++ b/node/src/transport.rs
@@ -22,6 +22,7 @@
 use quinn::Endpoint;
 use quinn::RecvStream;
 use quinn::SendStream;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::tls::Identity;
@@ -58,7 +59,21 @@
 #[derive(Clone)]
 pub struct ReplySink {
     tx: flume::Sender<Reply>,
-    cancelled: Arc<AtomicBool>,
+    cancelled: Arc<Cancelled>,
+}
+
+/// Whether the asker has left, and who waits to hear of it.
+#[derive(Debug, Default)]
+struct Cancelled {
+    is_set: AtomicBool,
+    set: Notify,
+}
+
+impl Cancelled {
+    fn set(&self) {
+        self.is_set.store(true, Ordering::Release);
+        self.set.notify_waiters();
+    }
 }
 
 impl ReplySink {
@@ -76,9 +91,25 @@
         self.tx.send(reply).map_err(|_| Code::CallerLeft)
     }
 
+    /// Like [`ReplySink::send`], for tasks.
+    pub async fn send_async(&self, reply: Reply) -> Result<()> {
+        if self.is_cancelled() {
+            return Err(Code::CallerLeft);
+        }
+        self.tx.send_async(reply).await.map_err(|_| Code::CallerLeft)
+    }
+
     /// Whether the asker has left.
     pub fn is_cancelled(&self) -> bool {
-        self.cancelled.load(Ordering::Acquire) || self.tx.is_disconnected()
+        self.cancelled.is_set.load(Ordering::Acquire) || self.tx.is_disconnected()
+    }
+
+    /// Ends when the asker has left.
+    pub async fn closed(&self) {
+        let notified = self.cancelled.set.notified();
+        if !self.is_cancelled() {
+            notified.await;
+        }
     }
 }
 
@@ -336,7 +367,7 @@
         _ = stopped => {}
         () = write_replies(&mut tx, &replies) => return,
     }
-    cancelled.store(true, Ordering::Release);
+    cancelled.set();
 }
 
 async fn write_replies(tx: &mut SendStream, replies: &flume::Receiver<Reply>) {
