--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod code;
 pub mod config;
 pub mod ids;
+pub mod lease;
 pub mod manifest;
 pub mod members;
 pub mod plan;
--- a/node/src/entry/answer.rs
+++ b/node/src/entry/answer.rs
@@ -110,7 +110,7 @@
             self.cutter.restart_event();
             drop(opened);
             let tokens = self.cutter.tokens();
-            match self.journey.open(&self.shared, &self.parsed, tokens).await {
+            match self.journey.open(&self.shared, &mut self.parsed, tokens).await {
                 Ok(next) if next.is_stream() => opened = next,
                 _ => return self.fail(code).await,
             }
--- a/node/src/entry/parse.rs
+++ b/node/src/entry/parse.rs
@@ -19,9 +19,14 @@
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::ModelName;
 use mastichaven_core::ids::ServiceName;
+use mastichaven_core::members::Member;
+use mastichaven_core::members::Serving;
+use mastichaven_core::plan::version_to_answer;
 use serde::Deserialize;
 use smol_str::SmolStr;
 
+use super::Shared;
+
 /// Result of reading a request.
 pub(super) type Result<T> = std::result::Result<T, Code>;
 
@@ -122,7 +127,9 @@
 }
 
 /// Reads a request.
-pub(super) async fn parse(config: &Config, req: Request<Incoming>, now: Time) -> Result<Parsed> {
+pub(super) async fn parse(shared: &Shared, req: Request<Incoming>, now: Time) -> Result<Parsed> {
+    let in_force = shared.documents.in_force();
+    let config = &in_force.config;
     let text = |name: &str| {
         let value = req.headers().get(name).and_then(|value| value.to_str().ok());
         SmolStr::new(value.unwrap_or_default())
@@ -146,7 +153,7 @@
     let fields: Fields = serde_json::from_slice(&body).unwrap_or_default();
     let service = find_route(config, &path, fields.model.as_ref())?;
     let (version, idempotent) = match config.service.get(&service) {
-        Some(Service::Model { model, .. }) => (Some(version_of(config, model)?), true),
+        Some(Service::Model { model, .. }) => (Some(version_of(shared, config, model)?), true),
         Some(Service::Plain { idempotent, .. }) => (None, *idempotent),
         None => return Err(Code::NoRoute),
     };
@@ -200,8 +207,25 @@
         .ok_or(Code::NoRoute)
 }
 
-fn version_of(config: &Config, model: &ModelName) -> Result<Digest> {
-    let model = config.model.get(model).ok_or(Code::NoRoute)?;
+fn version_of(shared: &Shared, config: &Config, name: &ModelName) -> Result<Digest> {
+    let model = config.model.get(name).ok_or(Code::NoRoute)?;
     let version = config.version.get(&model.serve).ok_or(Code::NoRoute)?;
-    Digest::from_hex(&version.manifest).ok_or(Code::NoRoute)
+    let configured = Digest::from_hex(&version.manifest).ok_or(Code::NoRoute)?;
+    let plan = shared.documents.plan(name).map(|(_, plan)| plan);
+    let members = shared.members();
+    let is_ready = |wanted: Digest| {
+        let serves = |member: &Member| matches!(&member.serving, Serving::Model { version, .. } if *version == wanted);
+        members.iter().any(|member| !member.leaving && serves(member))
+    };
+    Ok(version_to_answer(plan.as_ref(), configured, is_ready))
+}
+
+/// During a rollout the version that answers may change between two attempts; a later attempt goes
+/// to the one in service then. No answer mixes versions, as each attempt names its own.
+pub(super) fn refresh_version(shared: &Shared, parsed: &mut Parsed) -> Result<()> {
+    let in_force = shared.documents.in_force();
+    if let Some(Service::Model { model, .. }) = in_force.config.service.get(&parsed.service) {
+        parsed.version = Some(version_of(shared, &in_force.config, model)?);
+    }
+    Ok(())
 }
--- a/node/src/entry/requests.rs
+++ b/node/src/entry/requests.rs
@@ -73,7 +73,7 @@
     in_progress: InProgress,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let now = shared.clock.now();
-    let parsed = parse::parse(&shared.documents.in_force().config, req, now).await?;
+    let parsed = parse::parse(shared, req, now).await?;
     if shared.is_stopping() {
         return Err(refused_early(&parsed, Code::Stopping));
     }
@@ -167,11 +167,14 @@
     pub(super) async fn open(
         &mut self,
         shared: &Shared,
-        parsed: &Parsed,
+        parsed: &mut Parsed,
         tokens: u64,
     ) -> Result<Opened, Code> {
         let mut last = Code::NoEndpoint;
         while self.tries.count() < MAX_ATTEMPTS {
+            if tokens == 0 {
+                parse::refresh_version(shared, parsed)?;
+            }
             let Ok(to) = dispatch::choose(shared, parsed, &mut self.tries) else {
                 return Err(last);
             };
@@ -187,12 +190,12 @@
 
 async fn repeatable(
     shared: &Arc<Shared>,
-    parsed: Parsed,
+    mut parsed: Parsed,
     in_progress: InProgress,
 ) -> Result<Response<AnswerBody>, Code> {
     let mut journey = Journey::default();
     loop {
-        let opened = journey.open(shared, &parsed, 0).await?;
+        let opened = journey.open(shared, &mut parsed, 0).await?;
         if opened.is_stream() {
             return answer::stream(shared, parsed, opened, journey, in_progress);
         }
