--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -1,7 +1,10 @@
-//! A small fleet in one process: stand-ins, entries and agents over loopback sockets.
+//! A small fleet in one process: stand-ins, entries and agents over loopback sockets, each of which
+//! can be stopped, crashed and started again.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,14 +18,11 @@
 use mastichaven_node::http_store::HttpStore;
 use mastichaven_node::process::new_incarnation;
 use mastichaven_node::publish;
-use mastichaven_node::settings::AgentSettings;
-use mastichaven_node::settings::EndpointSettings;
-use mastichaven_node::settings::EntrySettings;
-use mastichaven_node::settings::Place;
-use mastichaven_node::settings::TlsFiles;
+use mastichaven_node::settings;
 use mastichaven_node::telemetry::Telemetry;
 use mastichaven_node::tls::DevelopmentCa;
 use mastichaven_node::tls::Role;
+use mastichaven_standins::Door;
 use mastichaven_standins::Engine;
 use mastichaven_standins::EngineProfile;
 use mastichaven_standins::Origin;
@@ -32,11 +32,14 @@
 /// Result of running a fleet.
 pub type Result<T> = std::result::Result<T, String>;
 
-/// The key of the demo's only customer.
+/// The key of a fleet's customer, whose digest the configuration names.
 pub const CUSTOMER_KEY: &str = "demo-key";
 
 const ANY: &str = "127.0.0.1:0";
 
+/// How often a wait looks again.
+const WAIT_POLL: Duration = Duration::from_millis(20);
+
 /// How a fleet is laid out.
 #[derive(Clone, Debug)]
 pub struct Layout {
@@ -46,121 +49,275 @@
     pub entries: usize,
     /// Model engines in each zone.
     pub engines: usize,
+    /// How the engines behave.
+    pub profile: EngineProfile,
+    /// Agents beside the one plain service, `booking`, in the zones in turn.
+    pub plain_agents: usize,
     /// Bytes a second of the origin's link.
     pub origin_rate: f64,
+    /// Further lines of each agent's settings, at the top level of the file.
+    pub agent_settings: String,
+    /// Further lines of each entry's settings, at the top level of the file.
+    pub entry_settings: String,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Layout {
+            zones: vec![("lagoa", "sul"), ("serra", "sul"), ("litoral", "costa")],
+            entries: 1,
+            engines: 3,
+            profile: EngineProfile::default(),
+            plain_agents: 1,
+            origin_rate: 4e6,
+            agent_settings: String::new(),
+            entry_settings: String::new(),
+        }
+    }
+}
+
+/// Where a host stands and what stands beside it.
+#[derive(Clone, Debug)]
+struct Seat {
+    role: HostRole,
+    zone: &'static str,
+    region: &'static str,
+    /// Table `endpoint` of an agent's settings.
+    endpoint: String,
 }
 
 /// A running fleet.
 pub struct Fleet {
     /// The platform.
     pub platform: Platform,
+    /// The address of the platform that each zone uses.
+    pub doors: BTreeMap<&'static str, Door>,
     /// The origin of weights.
     pub origin: Origin,
     /// Engines, by host.
     pub engines: BTreeMap<HostName, Engine>,
     /// The plain service.
     pub plain: Plain,
-    /// Entries with their zones.
-    pub entries: Vec<(&'static str, Entry)>,
-    /// Agents by host.
+    /// Running entries, by host.
+    pub entries: BTreeMap<HostName, Entry>,
+    /// Running agents, by host.
     pub agents: BTreeMap<HostName, Agent>,
+    layout: Layout,
+    ca: DevelopmentCa,
+    seats: BTreeMap<HostName, Seat>,
+    listed: BTreeMap<HostName, ListedHost>,
 }
 
 impl Fleet {
     /// Starts everything and lists the hosts on the platform.
     pub fn start(layout: &Layout) -> Result<Fleet> {
-        let io = |e: std::io::Error| e.to_string();
-        let ca = DevelopmentCa::generate().map_err(|e| e.to_string())?;
+        let platform = Platform::start(ANY).map_err(text)?;
+        let mut doors = BTreeMap::new();
+        for &(zone, _) in &layout.zones {
+            doors.insert(zone, platform.open_door(ANY).map_err(text)?);
+        }
         let mut fleet = Fleet {
-            platform: Platform::start(ANY).map_err(io)?,
-            origin: Origin::start(ANY, layout.origin_rate).map_err(io)?,
+            platform,
+            doors,
+            origin: Origin::start(ANY, layout.origin_rate).map_err(text)?,
             engines: BTreeMap::new(),
-            plain: Plain::start(ANY, 1).map_err(io)?,
-            entries: Vec::new(),
+            plain: Plain::start(ANY, 1).map_err(text)?,
+            entries: BTreeMap::new(),
             agents: BTreeMap::new(),
+            layout: layout.clone(),
+            ca: DevelopmentCa::generate().map_err(text)?,
+            seats: BTreeMap::new(),
+            listed: BTreeMap::new(),
         };
-        let mut listed = Vec::new();
+        fleet.lay_out()?;
+        for host in fleet.seats.keys().cloned().collect::<Vec<_>>() {
+            fleet.start_host(&host)?;
+        }
+        fleet.list();
+        Ok(fleet)
+    }
+
+    /// Decides where each host stands and starts the engines.
+    fn lay_out(&mut self) -> Result<()> {
+        let layout = self.layout.clone();
         for (index, &(zone, region)) in layout.zones.iter().enumerate() {
             for n in 0..layout.entries {
-                let place = place(&format!("entry-{zone}-{n}"), zone, region);
-                listed.push(fleet.start_entry(&ca, zone, place)?);
+                let endpoint = String::new();
+                let seat = Seat { role: HostRole::Entry, zone, region, endpoint };
+                self.seats.insert(HostName::new(format!("entry-{zone}-{n}")), seat);
             }
             for n in 0..layout.engines {
-                let place = place(&format!("agent-{zone}-{n}"), zone, region);
-                let start_id = (index * 1_000 + n) as u64;
-                let engine = Engine::start(ANY, EngineProfile::default(), start_id).map_err(io)?;
-                let endpoint = EndpointSettings::Engine { address: engine.base() };
-                fleet.engines.insert(place.host.clone(), engine);
-                listed.push(fleet.start_agent(&ca, place, endpoint)?);
+                let host = HostName::new(format!("agent-{zone}-{n}"));
+                let start_id = (index * 100_000 + n * 100) as u64;
+                let engine = Engine::start(ANY, layout.profile, start_id).map_err(text)?;
+                let endpoint = format!("kind = \"engine\"\naddress = \"{}\"\n", engine.base());
+                self.engines.insert(host.clone(), engine);
+                self.seats.insert(host, Seat { role: HostRole::Agent, zone, region, endpoint });
             }
         }
-        let (zone, region) = layout.zones[0];
-        let endpoint =
-            EndpointSettings::Plain { address: fleet.plain.base(), service: "booking".into() };
-        listed.push(fleet.start_agent(&ca, place("agent-booking", zone, region), endpoint)?);
-        fleet.platform.set_hosts(listed);
-        Ok(fleet)
+        for n in 0..layout.plain_agents {
+            let (zone, region) = layout.zones[n % layout.zones.len()];
+            let endpoint = format!(
+                "kind = \"plain\"\naddress = \"{}\"\nservice = \"booking\"\n",
+                self.plain.base()
+            );
+            let seat = Seat { role: HostRole::Agent, zone, region, endpoint };
+            self.seats.insert(HostName::new(format!("agent-booking-{n}")), seat);
+        }
+        Ok(())
     }
 
-    fn start_entry(
-        &mut self,
-        ca: &DevelopmentCa,
-        zone: &'static str,
-        place: Place,
-    ) -> Result<ListedHost> {
-        let material = ca.material(&place.host, Role::Entry).map_err(|e| e.to_string())?;
-        let settings = EntrySettings {
-            place: place.clone(),
-            tls: no_files(),
-            callers: any(),
-            platform: self.platform.base(),
-            stop_deadline_ms: None,
+    /// Starts a host's process, in a new life if it ran before. [`Fleet::list`] tells the platform.
+    pub fn start_host(&mut self, host: &HostName) -> Result<()> {
+        let seat = self.seats.get(host).ok_or_else(|| format!("no host {host}"))?.clone();
+        let address = match seat.role {
+            HostRole::Entry => self.start_entry(host, &seat)?,
+            HostRole::Agent => self.start_agent(host, &seat)?,
         };
-        let entry = Entry::start(settings, &material, Telemetry::silent(), new_incarnation())
-            .map_err(|e| e.to_string())?;
-        let listed = listed(&place, HostRole::Entry, entry.peers_addr());
-        self.entries.push((zone, entry));
-        Ok(listed)
-    }
-
-    fn start_agent(
-        &mut self,
-        ca: &DevelopmentCa,
-        place: Place,
-        endpoint: EndpointSettings,
-    ) -> Result<ListedHost> {
-        let material = ca.material(&place.host, Role::Agent).map_err(|e| e.to_string())?;
-        let settings = AgentSettings {
-            place: place.clone(),
-            tls: no_files(),
-            endpoint,
-            origin: self.origin.base(),
-            platform: self.platform.base(),
-            store_bytes: 1 << 30,
-            stop_deadline_ms: None,
+        let listed = ListedHost {
+            name: host.clone(),
+            role: seat.role,
+            zone: seat.zone.into(),
+            region: seat.region.into(),
+            address,
+            leaving: false,
         };
+        self.listed.insert(host.clone(), listed);
+        Ok(())
+    }
+
+    fn start_entry(&mut self, host: &HostName, seat: &Seat) -> Result<SocketAddr> {
+        let material = self.ca.material(host, Role::Entry).map_err(text)?;
+        let settings = format!(
+            "callers = \"{ANY}\"\nplatform = \"{}\"\n{}\n{}",
+            self.doors[seat.zone].base(),
+            self.layout.entry_settings,
+            common_settings(host, seat)
+        );
+        let settings = settings::parse(Path::new("entry"), &settings).map_err(text)?;
+        let entry = Entry::start(settings, &material, Telemetry::silent(), new_incarnation())
+            .map_err(text)?;
+        let address = entry.peers_addr();
+        self.entries.insert(host.clone(), entry);
+        Ok(address)
+    }
+
+    fn start_agent(&mut self, host: &HostName, seat: &Seat) -> Result<SocketAddr> {
+        let material = self.ca.material(host, Role::Agent).map_err(text)?;
+        let settings = format!(
+            "origin = \"{}\"\nplatform = \"{}\"\n{}\n{}[endpoint]\n{}",
+            self.origin.base(),
+            self.doors[seat.zone].base(),
+            self.layout.agent_settings,
+            common_settings(host, seat),
+            seat.endpoint
+        );
+        let settings = settings::parse(Path::new("agent"), &settings).map_err(text)?;
         let agent = Agent::start(settings, &material, Telemetry::silent(), new_incarnation())
-            .map_err(|e| e.to_string())?;
-        let listed = listed(&place, HostRole::Agent, agent.peers_addr());
-        self.agents.insert(place.host, agent);
-        Ok(listed)
+            .map_err(text)?;
+        let address = agent.peers_addr();
+        self.agents.insert(host.clone(), agent);
+        Ok(address)
+    }
+
+    /// Stops a host's process gracefully and waits until it has ended. The platform still lists it.
+    pub fn stop_host(&mut self, host: &HostName) {
+        if let Some(entry) = self.entries.remove(host) {
+            entry.stop();
+        }
+        if let Some(agent) = self.agents.remove(host) {
+            agent.stop();
+        }
+    }
+
+    /// Ends a host's process as a crash does: no goodbye, whatever it did is cut off. The platform
+    /// still lists it.
+    pub fn crash_host(&mut self, host: &HostName) {
+        if let Some(entry) = self.entries.remove(host) {
+            entry.crash();
+        }
+        if let Some(agent) = self.agents.remove(host) {
+            agent.crash();
+        }
+    }
+
+    /// Takes a host off the platform's list, or marks it as leaving there.
+    pub fn unlist(&mut self, host: &HostName, leaving: bool) {
+        if leaving {
+            if let Some(listed) = self.listed.get_mut(host) {
+                listed.leaving = true;
+            }
+        } else {
+            self.listed.remove(host);
+        }
+        self.list();
+    }
+
+    /// Shows the platform the hosts that have been started.
+    pub fn list(&self) {
+        self.platform.set_hosts(self.listed.values().cloned().collect());
+    }
+
+    /// Cuts a zone off the platform, or joins it again.
+    pub fn cut_from_platform(&self, zone: &str, cut: bool) {
+        self.doors[zone].set_cut(cut);
+    }
+
+    /// The zone a host stands in.
+    pub fn zone_of(&self, host: &HostName) -> Option<&'static str> {
+        self.seats.get(host).map(|seat| seat.zone)
+    }
+
+    /// Where callers reach the `n`th entry, counted round.
+    pub fn callers_addr(&self, n: usize) -> SocketAddr {
+        let mut entries = self.entries.values();
+        entries.nth(n % self.entries.len()).expect("a fleet has entries").callers_addr()
     }
 
     /// Publishes a configuration.
     pub fn publish(&self, config: &Config) -> Result<()> {
         let store = HttpStore::new(self.platform.base());
-        publish::publish(&store, config).map(drop).map_err(|e| e.to_string())
+        publish::publish(&store, config).map(drop).map_err(text)
     }
 
-    /// Engines that have `version` loaded.
-    pub fn replicas(&self, version: Digest) -> usize {
-        let serves = |engine: &&Engine| {
-            let health = mastichaven_node::engine::Engine::new(engine.base()).health();
-            let loaded = health.ok().and_then(|health| health.loaded);
-            loaded.is_some_and(|loaded| loaded.version == version.to_hex())
-        };
-        self.engines.values().filter(serves).count()
+    /// Engines that answer from all the bytes of `weights`, by what they truly read.
+    pub fn replicas(&self, weights: Digest) -> usize {
+        self.engines.values().filter(|engine| engine.weights() == Some(weights)).count()
+    }
+
+    /// Requests that the engines of a zone have completed.
+    pub fn completed_in(&self, zone: &str) -> u64 {
+        let of_zone = self.engines.iter().filter(|(host, _)| self.zone_of(host) == Some(zone));
+        of_zone.map(|(_, engine)| engine.counts().completed).sum()
     }
+
+    /// Stops every process gracefully, all at once.
+    pub fn stop(mut self) {
+        let entries: Vec<_> = std::mem::take(&mut self.entries).into_values().collect();
+        let agents: Vec<_> = std::mem::take(&mut self.agents).into_values().collect();
+        thread::scope(|scope| {
+            for entry in entries {
+                scope.spawn(|| entry.stop());
+            }
+            for agent in agents {
+                scope.spawn(|| agent.stop());
+            }
+        });
+    }
+}
+
+fn text(error: impl ToString) -> String {
+    error.to_string()
+}
+
+/// The tables `place` and `tls`; the files are not read here.
+fn common_settings(host: &HostName, seat: &Seat) -> String {
+    format!(
+        "[place]\nhost = \"{host}\"\nzone = \"{}\"\nregion = \"{}\"\npeers = \"{ANY}\"\n\
+         operators = \"{ANY}\"\n\
+         [tls]\ncertificate = \"unread\"\nkey = \"unread\"\nca = \"unread\"\n",
+        seat.zone, seat.region
+    )
 }
 
 /// Waits until `done` or for at most `limit`; gives the time it took.
@@ -170,37 +327,7 @@
         if start.elapsed() > limit {
             return None;
         }
-        std::thread::sleep(Duration::from_millis(20));
+        thread::sleep(WAIT_POLL);
     }
     Some(start.elapsed())
 }
-
-fn place(host: &str, zone: &str, region: &str) -> Place {
-    Place {
-        host: host.into(),
-        zone: zone.into(),
-        region: region.into(),
-        peers: any(),
-        operators: any(),
-        statsd: None,
-    }
-}
-
-fn listed(place: &Place, role: HostRole, address: SocketAddr) -> ListedHost {
-    ListedHost {
-        name: place.host.clone(),
-        role,
-        zone: place.zone.clone(),
-        region: place.region.clone(),
-        address,
-        leaving: false,
-    }
-}
-
-fn any() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
-fn no_files() -> TlsFiles {
-    TlsFiles { certificate: Default::default(), key: Default::default(), ca: Default::default() }
-}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,7 +4,6 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use mastichaven_bench::fleet;
 
 mod demo;
 
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -223,6 +223,12 @@
         self.operators
     }
 
+    /// Ends at once and without a goodbye, as a crash does; for tests of what others make of it.
+    pub fn crash(self) {
+        self.shared.over.store(true, Ordering::Release);
+        self.shared.transport.crash();
+    }
+
     /// Stops gracefully: takes nothing new, finishes every request in progress, leaves.
     pub fn stop(self) {
         self.shared.stopping.store(true, Ordering::Release);
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -168,6 +168,12 @@
         self.operators
     }
 
+    /// Ends at once and without a goodbye, as a crash does; for tests of what others make of it.
+    pub fn crash(self) {
+        self.shared.over.store(true, Ordering::Release);
+        self.shared.transport.crash();
+    }
+
     /// Stops gracefully: not ready, takes nothing new, finishes every request in progress, leaves.
     pub fn stop(self) {
         self.shared.stopping.store(true, Ordering::Release);
--- a/node/src/transport.rs
+++ b/node/src/transport.rs
@@ -22,6 +22,7 @@
 use quinn::Endpoint;
 use quinn::RecvStream;
 use quinn::SendStream;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::tls::Identity;
@@ -117,6 +118,7 @@
 pub struct Transport {
     jobs: flume::Sender<Job>,
     local: SocketAddr,
+    crash: Arc<Notify>,
 }
 
 impl Transport {
@@ -140,11 +142,24 @@
         };
         let local = endpoint.local_addr().map_err(|_| Code::CannotBind)?;
         let (jobs, rx) = flume::bounded(JOB_RING);
+        let crash = Arc::new(Notify::new());
+        let crashed = crash.clone();
+        let serve = async move {
+            tokio::select! {
+                () = run(endpoint, rx, incoming) => {}
+                () = crashed.notified() => {}
+            }
+        };
         thread::Builder::new()
             .name("transport".to_owned())
-            .spawn(move || runtime.block_on(run(endpoint, rx, incoming)))
+            .spawn(move || runtime.block_on(serve))
             .map_err(|_| Code::CannotBind)?;
-        Ok(Transport { jobs, local })
+        Ok(Transport { jobs, local, crash })
+    }
+
+    /// Ends the thread at once and without a goodbye to any peer, as a crash does.
+    pub fn crash(&self) {
+        self.crash.notify_one();
     }
 
     /// The address that is bound.
