A breakable fleet: ways to processes and to the platform that can fail apart

Cause: deaths, partitions and connections that fall silent are failures of the way between processes, and need a place where a run can bring them about; and a process bound to all addresses of its host told its peers an address that leads nowhere. Change: DatagramDoor in the stand-ins; settings place.advertised; Fleet::start_breakable, start_again, list_leaving, add_plain. Conclusion: no change for fleets that are not breakable.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -8,6 +8,7 @@
 use mastichaven_core::Config;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
+use mastichaven_core::ids::ZoneName;
 use mastichaven_core::platform::HostRole;
 use mastichaven_core::platform::ListedHost;
 use mastichaven_node::agent::Agent;
@@ -23,6 +24,8 @@
 use mastichaven_node::telemetry::Telemetry;
 use mastichaven_node::tls::DevelopmentCa;
 use mastichaven_node::tls::Role;
+use mastichaven_standins::DatagramDoor;
+use mastichaven_standins::Door;
 use mastichaven_standins::Engine;
 use mastichaven_standins::EngineProfile;
 use mastichaven_standins::Origin;
@@ -64,11 +67,30 @@
     pub entries: Vec<(&'static str, Entry)>,
     /// Agents by host.
     pub agents: BTreeMap<HostName, Agent>,
+    /// Ways to the platform by zone, in a breakable fleet.
+    pub doors: BTreeMap<ZoneName, Door>,
+    /// Ways to the processes by host, in a breakable fleet.
+    pub ways: BTreeMap<HostName, DatagramDoor>,
+    breakable: bool,
+    zones: Vec<&'static str>,
+    ca: DevelopmentCa,
+    endpoints: BTreeMap<HostName, EndpointSettings>,
+    listed: Vec<ListedHost>,
 }
 
 impl Fleet {
     /// Starts everything and lists the hosts on the platform.
     pub fn start(layout: &Layout) -> Result<Fleet> {
+        Fleet::start_with(layout, false)
+    }
+
+    /// Like [`Fleet::start`], with a way that can fail to each process and, for each zone, to the
+    /// platform.
+    pub fn start_breakable(layout: &Layout) -> Result<Fleet> {
+        Fleet::start_with(layout, true)
+    }
+
+    fn start_with(layout: &Layout, breakable: bool) -> Result<Fleet> {
         let io = |e: std::io::Error| e.to_string();
         let ca = DevelopmentCa::generate().map_err(|e| e.to_string())?;
         let mut fleet = Fleet {
@@ -78,12 +100,18 @@
             plain: Plain::start(ANY, 1).map_err(io)?,
             entries: Vec::new(),
             agents: BTreeMap::new(),
+            doors: BTreeMap::new(),
+            ways: BTreeMap::new(),
+            breakable,
+            zones: layout.zones.iter().map(|(zone, _)| *zone).collect(),
+            ca,
+            endpoints: BTreeMap::new(),
+            listed: Vec::new(),
         };
-        let mut listed = Vec::new();
         for (index, &(zone, region)) in layout.zones.iter().enumerate() {
             for n in 0..layout.entries {
                 let place = place(&format!("entry-{zone}-{n}"), zone, region);
-                listed.push(fleet.start_entry(&ca, zone, place)?);
+                fleet.start_entry(zone, place)?;
             }
             for n in 0..layout.engines {
                 let place = place(&format!("agent-{zone}-{n}"), zone, region);
@@ -91,59 +119,124 @@
                 let engine = Engine::start(ANY, EngineProfile::default(), start_id).map_err(io)?;
                 let endpoint = EndpointSettings::Engine { address: engine.base() };
                 fleet.engines.insert(place.host.clone(), engine);
-                listed.push(fleet.start_agent(&ca, place, endpoint)?);
+                fleet.start_agent(place, endpoint)?;
             }
         }
         let (zone, region) = layout.zones[0];
         let endpoint =
             EndpointSettings::Plain { address: fleet.plain.base(), service: "booking".into() };
-        listed.push(fleet.start_agent(&ca, place("agent-booking", zone, region), endpoint)?);
-        fleet.platform.set_hosts(listed);
+        fleet.start_agent(place("agent-booking", zone, region), endpoint)?;
+        fleet.platform.set_hosts(fleet.listed.clone());
         Ok(fleet)
     }
 
-    fn start_entry(
+    /// Starts another agent beside a plain service and lists it.
+    pub fn add_plain(
         &mut self,
-        ca: &DevelopmentCa,
+        host: &str,
         zone: &'static str,
-        place: Place,
-    ) -> Result<ListedHost> {
-        let material = ca.material(&place.host, Role::Entry).map_err(|e| e.to_string())?;
+        region: &'static str,
+        plain: &Plain,
+    ) -> Result<()> {
+        let endpoint = EndpointSettings::Plain { address: plain.base(), service: "booking".into() };
+        self.start_agent(place(host, zone, region), endpoint)?;
+        self.platform.set_hosts(self.listed.clone());
+        Ok(())
+    }
+
+    /// Starts the process of a host anew, after its old one has been taken out of this fleet, and
+    /// lists it.
+    pub fn start_again(&mut self, host: &HostName) -> Result<()> {
+        let known = self.listed.iter().position(|listed| listed.name == *host);
+        let old = self.listed.remove(known.ok_or("the host was never started")?);
+        let place = place(host.as_str(), old.zone.as_str(), old.region.as_str());
+        match self.endpoints.get(host).cloned() {
+            Some(endpoint) => self.start_agent(place, endpoint)?,
+            None => {
+                let zone = self.zones.iter().find(|zone| **zone == old.zone.as_str());
+                self.start_entry(zone.ok_or("the zone is not laid out")?, place)?;
+            }
+        }
+        self.platform.set_hosts(self.listed.clone());
+        Ok(())
+    }
+
+    /// Shows a host on the platform's list as leaving, or not.
+    pub fn list_leaving(&mut self, host: &HostName, leaving: bool) {
+        for listed in self.listed.iter_mut().filter(|listed| listed.name == *host) {
+            listed.leaving = leaving;
+        }
+        self.platform.set_hosts(self.listed.clone());
+    }
+
+    /// The platform's address as a host of `zone` sees it.
+    fn platform_base(&mut self, zone: &ZoneName) -> Result<String> {
+        if !self.breakable {
+            return Ok(self.platform.base());
+        }
+        if !self.doors.contains_key(zone) {
+            let door = self.platform.open_door(ANY).map_err(|e| e.to_string())?;
+            self.doors.insert(zone.clone(), door);
+        }
+        Ok(self.doors[zone].base())
+    }
+
+    /// Opens the way to a host of a breakable fleet, and gives the address that peers use.
+    fn open_way(&mut self, host: &HostName) -> Result<Option<SocketAddr>> {
+        if !self.breakable {
+            return Ok(None);
+        }
+        if !self.ways.contains_key(host) {
+            let way = DatagramDoor::open(ANY).map_err(|e| e.to_string())?;
+            self.ways.insert(host.clone(), way);
+        }
+        Ok(Some(self.ways[host].address()))
+    }
+
+    /// Leads the way to a host to its process, and lists the host.
+    fn list(&mut self, place: &Place, role: HostRole, bound: SocketAddr) {
+        if let Some(way) = self.ways.get(&place.host) {
+            way.lead_to(bound);
+        }
+        let address = place.advertised.unwrap_or(bound);
+        self.listed.push(listed(place, role, address));
+    }
+
+    fn start_entry(&mut self, zone: &'static str, mut place: Place) -> Result<()> {
+        place.advertised = self.open_way(&place.host)?;
+        let material = self.ca.material(&place.host, Role::Entry).map_err(|e| e.to_string())?;
         let settings = EntrySettings {
             place: place.clone(),
             tls: no_files(),
             callers: any(),
-            platform: self.platform.base(),
+            platform: self.platform_base(&place.zone)?,
             stop_deadline_ms: None,
         };
         let entry = Entry::start(settings, &material, Telemetry::silent(), new_incarnation())
             .map_err(|e| e.to_string())?;
-        let listed = listed(&place, HostRole::Entry, entry.peers_addr());
+        self.list(&place, HostRole::Entry, entry.peers_addr());
         self.entries.push((zone, entry));
-        Ok(listed)
+        Ok(())
     }
 
-    fn start_agent(
-        &mut self,
-        ca: &DevelopmentCa,
-        place: Place,
-        endpoint: EndpointSettings,
-    ) -> Result<ListedHost> {
-        let material = ca.material(&place.host, Role::Agent).map_err(|e| e.to_string())?;
+    fn start_agent(&mut self, mut place: Place, endpoint: EndpointSettings) -> Result<()> {
+        place.advertised = self.open_way(&place.host)?;
+        self.endpoints.insert(place.host.clone(), endpoint.clone());
+        let material = self.ca.material(&place.host, Role::Agent).map_err(|e| e.to_string())?;
         let settings = AgentSettings {
             place: place.clone(),
             tls: no_files(),
             endpoint,
             origin: self.origin.base(),
-            platform: self.platform.base(),
+            platform: self.platform_base(&place.zone)?,
             store_bytes: 1 << 30,
             stop_deadline_ms: None,
         };
         let agent = Agent::start(settings, &material, Telemetry::silent(), new_incarnation())
             .map_err(|e| e.to_string())?;
-        let listed = listed(&place, HostRole::Agent, agent.peers_addr());
+        self.list(&place, HostRole::Agent, agent.peers_addr());
         self.agents.insert(place.host, agent);
-        Ok(listed)
+        Ok(())
     }
 
     /// Publishes a configuration.
@@ -181,6 +274,7 @@
         zone: zone.into(),
         region: region.into(),
         peers: any(),
+        advertised: None,
         operators: any(),
         statsd: None,
     }
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -129,7 +129,7 @@
             role: HostRole::Agent,
             zone: place.zone.clone(),
             region: place.region.clone(),
-            address: self.transport.local_addr(),
+            address: place.advertised.unwrap_or(self.transport.local_addr()),
             incarnation: self.incarnation,
             leaving: self.is_stopping(),
             endpoint: self.endpoint(),
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -94,7 +94,7 @@
             role: HostRole::Entry,
             zone: place.zone.clone(),
             region: place.region.clone(),
-            address: self.transport.local_addr(),
+            address: place.advertised.unwrap_or(self.transport.local_addr()),
             incarnation: self.incarnation,
             leaving: self.is_stopping(),
             endpoint: EndpointKind::None,
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -60,6 +60,10 @@
     pub region: RegionName,
     /// Where peers reach it (UDP).
     pub peers: SocketAddr,
+    /// Address that peers are told, where it differs from the bound one: behind an address
+    /// translation, or bound to all addresses of the host.
+    #[serde(default)]
+    pub advertised: Option<SocketAddr>,
     /// Where operators read health, state and metrics (TCP); loopback by default.
     #[serde(default = "default_operators")]
     pub operators: SocketAddr,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,6 +10,7 @@
 //! # Ok::<(), std::io::Error>(())
 //! ```
 
+pub mod datagrams;
 pub mod engine;
 mod engine_cache;
 pub mod origin;
@@ -18,6 +19,7 @@
 pub mod seen;
 mod serve;
 
+pub use crate::datagrams::DatagramDoor;
 pub use crate::engine::Engine;
 pub use crate::engine::EngineFaults;
 pub use crate::engine::EngineProfile;
