--- a/node/src/entry/asks.rs
+++ b/node/src/entry/asks.rs
@@ -29,11 +29,12 @@
 
 fn answer(shared: &Shared, incoming: Incoming) {
     let body = match incoming.ask.body {
+        AskBody::Relay(ask) => return shared.claims.relay(ask, incoming.replies),
         AskBody::Members(MembersAsk::Probe) => {
             ReplyBody::Members(MembersReply::Me(shared.member()))
         }
         AskBody::Spread(ask) => ReplyBody::Spread(spread(shared, &ask)),
-        AskBody::Run(_) | AskBody::Void(_) | AskBody::Weights(_) | AskBody::Relay(_) => {
+        AskBody::Run(_) | AskBody::Void(_) | AskBody::Weights(_) => {
             ReplyBody::Refused(Code::WrongRole)
         }
     };
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod callers;
 pub mod clock;
 pub mod documents;
+pub mod endpoint;
 pub mod engine;
 pub mod entry;
 mod fetch;
