--- a/core/tests/control/generation.rs
+++ b/core/tests/control/generation.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use mastichaven_core::config::ZoneState;
 use mastichaven_core::generation::FileList;
 use mastichaven_core::generation::FileParts;
 use mastichaven_core::generation::next_generation;
@@ -52,9 +53,7 @@
     assert_eq!(offer(&mut files, &second, 0, OUT), Offer::InForce(vec![]));
     assert_eq!(offer(&mut files, &first, 0, IN), Offer::Old);
     assert_eq!(files.list().generation, Generation(20));
-    assert_eq!(files.config().zone.values().next().map(|zone| zone.state.clone()), {
-        Some(mastichaven_core::config::ZoneState::Out)
-    });
+    assert_eq!(files.config().zone[&"serra".into()].state, ZoneState::Out);
 }
 
 #[test]
