Membership by heartbeats, suspicion and news

Cause: the thin entry probed every listed host each tick, which grows with the fleet. Not wired into the programs yet.

--- /dev/null
+++ b/bench/tests/control/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the collective behaviour of control, on simulated time.
+
+mod members;
--- a/core/src/members.rs
+++ b/core/src/members.rs
@@ -1,4 +1,6 @@
 //! Membership: who is alive and what it serves, as the processes tell each other.
+//!
+//! The messages; [`crate::membership`] decides with them.
 
 use std::net::SocketAddr;
 
@@ -75,16 +77,92 @@
     pub load: Load,
 }
 
+/// Which statement of a process is the later one: its life, then a count within that life.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Stamp {
+    /// The process's life.
+    pub incarnation: Incarnation,
+    /// Rises when the process changes what it says of itself, or refutes a suspicion.
+    pub sequence: u32,
+}
+
+/// What others think of a process; a later one of the same [`Stamp`] overrules an earlier one.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Health {
+    /// It answers.
+    Alive,
+    /// It did not answer, directly or by way of others. It may refute that.
+    Suspect,
+    /// It did not refute the suspicion in time.
+    Dead,
+    /// It said that it ended.
+    Left,
+}
+
+/// Something new about a member.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum News {
+    /// What a member says of itself.
+    Here {
+        /// The member.
+        member: Box<Member>,
+        /// Counts what it says within its life.
+        sequence: u32,
+    },
+    /// What others, or it itself at its end, say of it.
+    Verdict {
+        /// The member's host.
+        host: HostName,
+        /// Which of its statements the verdict is about.
+        stamp: Stamp,
+        /// The verdict.
+        health: Health,
+    },
+}
+
+/// A heartbeat, and its answer.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Hello {
+    /// The sender's sequence; its life is in the message's sender.
+    pub stamp: Stamp,
+    /// Its endpoint's load.
+    pub load: Load,
+    /// [`crate::spread::Docs::fingerprint`] of its plans.
+    pub docs: u64,
+    /// Fingerprint of who it thinks is alive.
+    pub view: u64,
+    /// Whether the receiver shall say who it is.
+    pub who: bool,
+    /// News, as much as fits.
+    pub news: Vec<News>,
+}
+
 /// A heartbeat or probe.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum MembersAsk {
     /// Asks the process what it is.
     Probe,
+    /// A heartbeat.
+    Hello(Hello),
+    /// Asks the receiver to probe another process, which the asker does not reach.
+    ProbeFor(SocketAddr),
+    /// Asks for all members but those whose fingerprints are given.
+    Sync(Vec<u64>),
+    /// An entry tells an agent that the platform lists its host as leaving, or no longer.
+    HostLeaves(bool),
 }
 
-/// Answer to a heartbeat.
+/// Answer to a [`MembersAsk`].
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum MembersReply {
     /// What the process says of itself.
     Me(Member),
+    /// Answer to a heartbeat.
+    Hello(Hello),
+    /// Whether the probed process answered.
+    Reached(bool),
+    /// The members asked for.
+    News(Vec<News>),
+    /// It is noted.
+    Noted,
 }
--- a/node/src/agent/asks.rs
+++ b/node/src/agent/asks.rs
@@ -41,6 +41,7 @@
         AskBody::Members(MembersAsk::Probe) => {
             ReplyBody::Members(MembersReply::Me(shared.member()))
         }
+        AskBody::Members(_) => ReplyBody::Refused(mastichaven_core::Code::Busy),
         AskBody::Spread(ask) => ReplyBody::Spread(spread(shared, &ask)),
         AskBody::Relay(_) => ReplyBody::Refused(mastichaven_core::Code::WrongRole),
     };
--- a/node/src/entry/asks.rs
+++ b/node/src/entry/asks.rs
@@ -33,6 +33,7 @@
         AskBody::Members(MembersAsk::Probe) => {
             ReplyBody::Members(MembersReply::Me(shared.member()))
         }
+        AskBody::Members(_) => ReplyBody::Refused(mastichaven_core::Code::Busy),
         AskBody::Spread(ask) => ReplyBody::Spread(spread(shared, &ask)),
         AskBody::Run(_) | AskBody::Void(_) | AskBody::Weights(_) => {
             ReplyBody::Refused(Code::WrongRole)
