--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod route;
 pub mod run;
 pub mod spread;
+pub mod swarm;
 pub mod time;
 pub mod weights;
 pub mod wire;
--- /dev/null
+++ b/core/src/swarm/download.rs
@@ -0,0 +1,183 @@
+//! One version on its way to this host: what is missing, who has it, where it comes from.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use super::bitmap::Bitmap;
+use super::topology::PeerId;
+use super::topology::Source;
+use super::topology::key_of;
+use crate::ids::Digest;
+use crate::manifest::Manifest;
+use crate::time::Time;
+
+/// Asks for one chunk under way at once; the second only when the first is late.
+pub(super) const MAX_COPIES: u8 = 2;
+
+/// One chunk of a version.
+#[derive(Clone, Debug)]
+pub(super) struct Part {
+    pub(super) digest: Digest,
+    pub(super) len: u32,
+    pub(super) key: u64,
+    pub(super) source: Source,
+    pub(super) flights: u8,
+    pub(super) asked_at: Time,
+    holders: u16,
+    /// Whether the same bytes stand earlier in the version; that place alone is asked for.
+    pub(super) is_repeat: bool,
+}
+
+/// The state of one version.
+#[derive(Clone, Debug)]
+pub(super) struct Download {
+    pub(super) version: Digest,
+    pub(super) manifest_flights: u8,
+    pub(super) parts: Vec<Part>,
+    pub(super) has_manifest: bool,
+    index: HashMap<Digest, Vec<u32>>,
+    pub(super) have: Bitmap,
+    pub(super) missing: usize,
+    pub(super) maps: BTreeMap<PeerId, Bitmap>,
+    /// Missing chunks whose source is not the neighbours, in an order common to all hosts.
+    pub(super) owned: Vec<u32>,
+    pub(super) watch: BTreeSet<PeerId>,
+    pub(super) worked_out_at: Option<(u64, usize)>,
+    pub(super) progress_at: Time,
+}
+
+impl Download {
+    pub(super) fn new(version: Digest, now: Time) -> Download {
+        Download {
+            version,
+            manifest_flights: 0,
+            parts: Vec::new(),
+            has_manifest: false,
+            index: HashMap::new(),
+            have: Bitmap::default(),
+            missing: 0,
+            maps: BTreeMap::new(),
+            owned: Vec::new(),
+            watch: BTreeSet::new(),
+            worked_out_at: None,
+            progress_at: now,
+        }
+    }
+
+    pub(super) fn is_complete(&self) -> bool {
+        self.has_manifest && self.missing == 0
+    }
+
+    /// Takes the manifest in; `is_here` says which chunks the store already has.
+    pub(super) fn open(
+        &mut self,
+        manifest: &Manifest,
+        is_here: impl Fn(Digest) -> bool,
+        now: Time,
+    ) {
+        if self.has_manifest {
+            return;
+        }
+        self.has_manifest = true;
+        self.have = Bitmap::zeros(manifest.chunks.len());
+        self.progress_at = now;
+        for (n, chunk) in manifest.chunks.iter().enumerate() {
+            let places = self.index.entry(chunk.digest).or_default();
+            let is_repeat = !places.is_empty();
+            places.push(n as u32);
+            self.parts.push(Part {
+                digest: chunk.digest,
+                len: chunk.len,
+                key: key_of(chunk.digest),
+                source: Source::Neighbours,
+                flights: 0,
+                asked_at: Time::ZERO,
+                holders: 0,
+                is_repeat,
+            });
+            if is_here(chunk.digest) {
+                self.have.set(n);
+            }
+        }
+        self.missing = self.parts.len() - self.have.count();
+        let maps: Vec<Bitmap> = self.maps.values().cloned().collect();
+        for map in maps {
+            self.count_holders(&map, 1);
+        }
+    }
+
+    /// A chunk is in the store now. O(its places in the version).
+    pub(super) fn stored(&mut self, digest: Digest, now: Time) {
+        let places = self.index.get(&digest).cloned().unwrap_or_default();
+        for n in places {
+            if self.have.set(n as usize) {
+                self.missing -= 1;
+                self.progress_at = now;
+            }
+        }
+    }
+
+    /// The first place of a chunk in the version; requests count there.
+    pub(super) fn part_of(&self, digest: Digest) -> Option<usize> {
+        self.index.get(&digest).and_then(|places| places.first()).map(|n| *n as usize)
+    }
+
+    fn count_holders(&mut self, map: &Bitmap, by: i32) {
+        for (n, part) in self.parts.iter_mut().enumerate() {
+            if map.get(n) {
+                part.holders = part.holders.saturating_add_signed(by as i16);
+            }
+        }
+    }
+
+    /// A neighbour told what it has. Says whether it may be believed so far. O(chunks).
+    pub(super) fn heard(&mut self, peer: PeerId, map: Bitmap) -> bool {
+        if self.has_manifest && !map.fits(self.parts.len()) {
+            return false;
+        }
+        if let Some(old) = self.maps.insert(peer, map.clone()) {
+            self.count_holders(&old, -1);
+        }
+        self.count_holders(&map, 1);
+        true
+    }
+
+    pub(super) fn forget(&mut self, peer: PeerId) {
+        if let Some(old) = self.maps.remove(&peer) {
+            self.count_holders(&old, -1);
+        }
+    }
+
+    /// The missing chunk that fewest neighbours have and that `eligible` peers offer, at random
+    /// among equals, and who offers it. O(chunks × log neighbours).
+    pub(super) fn rarest(
+        &self,
+        random: u64,
+        eligible: &dyn Fn(PeerId) -> bool,
+        late: &dyn Fn(&Part) -> bool,
+    ) -> Option<(usize, Vec<PeerId>)> {
+        let len = self.parts.len();
+        let start = random as usize % len.max(1);
+        let mut best: Option<(u16, usize)> = None;
+        for n in (start..len).chain(0..start) {
+            let part = &self.parts[n];
+            let free = part.flights == 0 || (part.flights < MAX_COPIES && late(part));
+            if self.have.get(n) || part.is_repeat || part.holders == 0 || !free {
+                continue;
+            }
+            let rank = part.holders + if part.flights > 0 { u16::MAX / 2 } else { 0 };
+            if best.is_some_and(|(found, _)| found <= rank) {
+                continue;
+            }
+            if self.offers(n).any(eligible) {
+                best = Some((rank, n));
+            }
+        }
+        best.map(|(_, n)| (n, self.offers(n).filter(|id| eligible(*id)).collect()))
+    }
+
+    fn offers(&self, n: usize) -> impl Iterator<Item = PeerId> + '_ {
+        self.maps.iter().filter(move |(_, map)| map.get(n)).map(|(id, _)| *id)
+    }
+}
--- /dev/null
+++ b/core/src/swarm/peers.rs
@@ -0,0 +1,213 @@
+//! What each peer has proved to be worth: live or silent, quick or busy, honest or not.
+
+use std::time::Duration;
+
+use super::topology::PeerId;
+use super::topology::PeerPlace;
+use crate::ids::HostName;
+use crate::time::Time;
+
+/// Failures in a row after which a silent peer counts as down. One lost answer is no proof.
+const STRIKES: u8 = 2;
+
+/// Hosts of one zone that must be down, with none heard since, for the whole zone to count as cut
+/// off. Without this each owner of a cut zone would have to time out one after the other.
+pub const ZONE_DOWN_HOSTS: usize = 3;
+
+/// First and longest wait before a peer that is down is tried again.
+const RETRY_FIRST: Duration = Duration::from_millis(500);
+const RETRY_LONGEST: Duration = Duration::from_secs(4);
+
+/// Bad chunks in this many good ones that a damaged link may explain.
+const BAD_SHARE: u32 = 8;
+
+/// Bad chunks that are forgiven before shares are looked at.
+const BAD_FORGIVEN: u32 = 2;
+
+/// How a peer failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// It did not answer in time.
+    Silent,
+    /// It cannot be reached.
+    Unreachable,
+    /// It sent bytes that do not match the digest, or denied what it had said it has.
+    Dishonest,
+    /// It refused because it is busy.
+    Busy,
+}
+
+/// What is known of one peer.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    pub(crate) place: PeerPlace,
+    pub(crate) present: bool,
+    strikes: u8,
+    down_since: Option<Time>,
+    retry_at: Time,
+    retry_wait: Duration,
+    good: u32,
+    bad: u32,
+    pub(crate) queue: u32,
+    pub(crate) in_flight: u32,
+    pub(crate) heard_at: Time,
+    pub(crate) asked_at: Option<Time>,
+}
+
+impl Peer {
+    fn new(place: PeerPlace) -> Peer {
+        Peer {
+            place,
+            present: true,
+            strikes: 0,
+            down_since: None,
+            retry_at: Time::ZERO,
+            retry_wait: RETRY_FIRST,
+            good: 0,
+            bad: 0,
+            queue: 0,
+            in_flight: 0,
+            heard_at: Time::ZERO,
+            asked_at: None,
+        }
+    }
+
+    /// Whether it sent so much that is wrong that others are asked before it.
+    pub fn is_demoted(&self) -> bool {
+        self.bad > BAD_FORGIVEN && self.bad * BAD_SHARE > self.good
+    }
+
+    /// Whether it counts as live.
+    pub fn is_live(&self) -> bool {
+        self.present && self.down_since.is_none()
+    }
+}
+
+/// All peers ever known, by [`PeerId`].
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    all: Vec<Peer>,
+    /// Rises whenever somebody goes down or comes back, so that owners are worked out again.
+    epoch: u64,
+}
+
+impl Peers {
+    /// Takes in the hosts that take part now and gives their ids. Hosts that left keep theirs.
+    pub fn set(&mut self, places: &[PeerPlace]) -> Vec<(PeerId, PeerPlace)> {
+        for peer in &mut self.all {
+            peer.present = false;
+        }
+        self.epoch += 1;
+        let index: std::collections::HashMap<HostName, u32> = self
+            .all
+            .iter()
+            .enumerate()
+            .map(|(n, peer)| (peer.place.host.clone(), n as u32))
+            .collect();
+        let mut ids = Vec::with_capacity(places.len());
+        for place in places {
+            let id = index.get(&place.host).copied().unwrap_or_else(|| {
+                self.all.push(Peer::new(place.clone()));
+                self.all.len() as u32 - 1
+            });
+            let peer = &mut self.all[id as usize];
+            peer.place = place.clone();
+            peer.present = true;
+            ids.push((PeerId(id), place.clone()));
+        }
+        ids
+    }
+
+    /// Rises whenever liveness changes.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// The peer of `id`.
+    pub fn get(&self, id: PeerId) -> &Peer {
+        &self.all[id.0 as usize]
+    }
+
+    pub(crate) fn get_mut(&mut self, id: PeerId) -> &mut Peer {
+        &mut self.all[id.0 as usize]
+    }
+
+    /// Whether `id` counts as live.
+    pub fn is_live(&self, id: PeerId) -> bool {
+        self.get(id).is_live()
+    }
+
+    /// It answered: it is live, whatever was thought before.
+    pub fn heard(&mut self, id: PeerId, now: Time) {
+        let peer = self.get_mut(id);
+        peer.heard_at = now;
+        peer.strikes = 0;
+        peer.retry_wait = RETRY_FIRST;
+        if peer.down_since.take().is_some() {
+            self.epoch += 1;
+        }
+    }
+
+    /// It sent a chunk that matches its digest.
+    pub fn sent_good(&mut self, id: PeerId) {
+        let peer = self.get_mut(id);
+        peer.good = peer.good.saturating_add(1);
+    }
+
+    /// It failed. Says whether it just went down.
+    pub fn failed(&mut self, id: PeerId, fault: Fault, now: Time) -> bool {
+        let peer = self.get_mut(id);
+        match fault {
+            Fault::Busy => {
+                peer.queue = peer.queue.saturating_mul(2).max(16);
+                return false;
+            }
+            Fault::Dishonest => {
+                peer.bad = peer.bad.saturating_add(1);
+                return false;
+            }
+            Fault::Silent => peer.strikes = peer.strikes.saturating_add(1),
+            Fault::Unreachable => peer.strikes = STRIKES,
+        }
+        if peer.strikes < STRIKES {
+            return false;
+        }
+        peer.retry_at = now + peer.retry_wait;
+        peer.retry_wait = (peer.retry_wait * 2).min(RETRY_LONGEST);
+        let went_down = peer.down_since.is_none();
+        peer.down_since.get_or_insert(now);
+        if went_down {
+            self.epoch += 1;
+        }
+        went_down
+    }
+
+    /// Counts the other hosts of a zone as down, after enough of them proved to be.
+    pub fn fail_zone(&mut self, hosts: &[PeerId], me: PeerId, now: Time) {
+        let down: Vec<Time> = hosts.iter().filter_map(|id| self.get(*id).down_since).collect();
+        let Some(first) = down.iter().min().copied() else {
+            return;
+        };
+        let heard = |id: &PeerId| self.get(*id).heard_at > first;
+        if down.len() < ZONE_DOWN_HOSTS || hosts.iter().any(heard) || hosts.contains(&me) {
+            return;
+        }
+        for id in hosts {
+            let peer = self.get_mut(*id);
+            peer.down_since.get_or_insert(now);
+            peer.retry_at = peer.retry_at.max(now + RETRY_FIRST);
+        }
+        self.epoch += 1;
+    }
+
+    /// A peer that is down and due to be tried again, if any; notes the try.
+    pub(crate) fn take_retry(&mut self, id: PeerId, now: Time) -> bool {
+        let peer = self.get_mut(id);
+        if peer.down_since.is_none() || !peer.present || now < peer.retry_at {
+            return false;
+        }
+        peer.retry_at = now + peer.retry_wait;
+        peer.retry_wait = (peer.retry_wait * 2).min(RETRY_LONGEST);
+        true
+    }
+}
--- /dev/null
+++ b/node/src/weights/fetch.rs
@@ -0,0 +1,67 @@
+//! The thread that takes manifests and chunks from the origin, one after the other.
+
+use mastichaven_core::Code;
+use mastichaven_core::ids::Digest;
+use mastichaven_core::swarm::End;
+use mastichaven_core::swarm::Request;
+use mastichaven_core::swarm::What;
+use std::sync::Arc;
+
+use super::budget::OriginBudget;
+use super::pull::Event;
+use super::store::Store;
+use crate::origin::Origin;
+
+/// A request to the origin and the budget of its version.
+pub(super) struct Fetch {
+    pub(super) request: Request,
+    pub(super) copies: f64,
+}
+
+/// Takes from the origin.
+pub(super) struct Fetcher {
+    pub(super) origin: Origin,
+    pub(super) budget: OriginBudget,
+    pub(super) store: Arc<Store>,
+}
+
+impl Fetcher {
+    /// Serves the ring until the pulling thread ends.
+    pub(super) fn run(mut self, jobs: &flume::Receiver<Fetch>, events: &flume::WeakSender<Event>) {
+        while let Ok(job) = jobs.recv() {
+            let (end, error) = match self.fetch(&job) {
+                Ok(end) => (end, None),
+                Err(Code::CorruptChunk) => (End::Corrupt, Some(Code::CorruptChunk)),
+                Err(code) => (End::NotNow, Some(code)),
+            };
+            let Some(events) = events.upgrade() else {
+                return;
+            };
+            let done = Event::Done { request: job.request, end, told: None, error };
+            if events.send(done).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn fetch(&mut self, job: &Fetch) -> Result<End, Code> {
+        let version = job.request.version;
+        match job.request.what {
+            What::Manifest => {
+                let manifest = self.origin.manifest(version)?;
+                self.store.put_manifest(manifest.clone())?;
+                Ok(End::Manifest(manifest))
+            }
+            What::Chunk { digest, len, .. } => self.chunk(job, version, digest, len),
+            What::Have => Ok(End::Told),
+        }
+    }
+
+    fn chunk(&mut self, job: &Fetch, version: Digest, digest: Digest, len: u32) -> Result<End, Code> {
+        let version_len = self.store.version_len(version).ok_or(Code::NoChunk)?;
+        self.budget.pay(version, version_len, job.copies, u64::from(len))?;
+        let bytes = self.origin.chunk(digest)?;
+        self.store.put_chunk(digest, &bytes)?;
+        Ok(End::Stored)
+    }
+}
