--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -137,6 +137,9 @@
             origin: self.origin.base(),
             platform: self.platform.base(),
             store_bytes: 1 << 30,
+            cache_folder: None,
+            link_bytes_per_second: None,
+            origin_region: None,
             stop_deadline_ms: None,
         };
         let agent = Agent::start(settings, &material, Telemetry::silent(), new_incarnation())
--- /dev/null
+++ b/bench/src/weights.rs
@@ -0,0 +1,426 @@
+//! Time and bytes until every host has a whole version.
+//!
+//! Each host runs the agent's own weight threads, store and transport over loopback; only its link
+//! is a token bucket of this process. The figure to compare is time ÷ lower bound, where the lower
+//! bound is the model's bytes ÷ one host's link.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use bpaf::Bpaf;
+use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::HostName;
+use mastichaven_core::swarm::PeerPlace;
+use mastichaven_core::swarm::Way;
+use mastichaven_core::wire::Sender;
+use mastichaven_node::clock::Clock;
+use mastichaven_node::http_store::HttpStore;
+use mastichaven_node::origin::Origin as OriginClient;
+use mastichaven_node::tls::DevelopmentCa;
+use mastichaven_node::tls::Role;
+use mastichaven_node::transport::Transport;
+use mastichaven_node::weights::PeerAddress;
+use mastichaven_node::weights::Setup;
+use mastichaven_node::weights::Store;
+use mastichaven_node::weights::Wanted;
+use mastichaven_node::weights::Weights;
+use mastichaven_standins::Origin;
+use mastichaven_standins::Platform;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+use crate::fleet::Result;
+
+mod net;
+
+use net::HostLink;
+use net::Net;
+use net::Rates;
+use net::ZONES;
+use net::place_of;
+
+const ANY: &str = "127.0.0.1:0";
+const MODEL_LEN: usize = 4 << 20;
+const CHUNK_LEN: u32 = 32 << 10;
+const HOST_RATE: f64 = 512.0 * 1024.0;
+
+/// The origin's link carries twice what one host's does, as in the users' window (four copies, two).
+const ORIGIN_RATE: f64 = 2.0 * HOST_RATE;
+const REGION_RATE: f64 = 2.0 * HOST_RATE;
+const ORIGIN_COPIES: f64 = 1.3;
+const STORE_LEN: u64 = 64 << 20;
+
+/// A way that needs longer than this many lower bounds is stopped and reported as unfinished.
+const LONGEST: f64 = 4.0;
+
+/// How often completion is looked at.
+const POLL: Duration = Duration::from_millis(25);
+
+const DEFAULT_HOSTS: usize = 200;
+const KILLED_SHARE: f64 = 0.05;
+const STALLED_SHARE: f64 = 0.02;
+const CORRUPT_SHARE: f64 = 0.01;
+const CUT_ZONE: usize = 4;
+
+/// Options of the experiment.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(generate(options))]
+pub struct Options {
+    /// Hosts; may be given several times
+    #[bpaf(argument("N"), many)]
+    hosts: Vec<usize>,
+    /// Run the swarm alone, without the other ways
+    swarm_only: bool,
+    /// Leave out the run with faults
+    no_faults: bool,
+    /// Run with faults alone
+    faults_only: bool,
+    /// Also write the figures to this file
+    #[bpaf(argument("FILE"), optional)]
+    json: Option<PathBuf>,
+}
+
+/// The figures of one run.
+#[derive(Clone, Debug, Serialize)]
+struct Figures {
+    way: &'static str,
+    hosts: usize,
+    faults: bool,
+    finished: usize,
+    lower_bound_seconds: f64,
+    seconds: f64,
+    time_over_lower_bound: f64,
+    first_host_over_lower_bound: f64,
+    origin_copies: f64,
+    most_copies_into_a_region: f64,
+    most_copies_into_a_zone: f64,
+    control_messages_per_host_second: f64,
+    control_bytes_per_host_second: f64,
+    polls_per_host: f64,
+    asks_per_host: f64,
+    doubled: u64,
+    corrupt: u64,
+    failed: u64,
+}
+
+/// Runs the experiment.
+pub fn run(options: &Options) -> Result<()> {
+    let hosts = if options.hosts.is_empty() { vec![DEFAULT_HOSTS] } else { options.hosts.clone() };
+    let mut all = Vec::new();
+    println!(
+        "model {} KiB in {} chunks, host link {} KiB/s, origin and region links {} KiB/s",
+        MODEL_LEN >> 10,
+        MODEL_LEN / CHUNK_LEN as usize,
+        HOST_RATE / 1024.0,
+        ORIGIN_RATE / 1024.0
+    );
+    println!(
+        "{:<8} {:>5} {:>6} {:>9} {:>9} {:>7} {:>7} {:>7} {:>8} {:>9}",
+        "way",
+        "hosts",
+        "faults",
+        "finished",
+        "time/low",
+        "origin",
+        "region",
+        "zone",
+        "msg/h/s",
+        "B/h/s"
+    );
+    for count in hosts {
+        for (name, way, faults) in runs(options) {
+            let figures = push(name, way, count, faults)?;
+            print_row(&figures);
+            all.push(figures);
+        }
+    }
+    if let Some(file) = &options.json {
+        let text = serde_json::to_string_pretty(&all).map_err(|e| e.to_string())?;
+        fs::write(file, text + "\n").map_err(|e| e.to_string())?;
+    }
+    Ok(())
+}
+
+fn runs(options: &Options) -> Vec<(&'static str, Way, bool)> {
+    let mut runs = Vec::new();
+    if !options.swarm_only && !options.faults_only {
+        runs.push(("origin", Way::Origin, false));
+        runs.push(("chain", Way::Chain, false));
+        runs.push(("trees", Way::Trees(2), false));
+    }
+    if !options.faults_only {
+        runs.push(("swarm", Way::Swarm, false));
+    }
+    if !options.no_faults {
+        runs.push(("swarm", Way::Swarm, true));
+    }
+    runs
+}
+
+fn print_row(f: &Figures) {
+    println!(
+        "{:<8} {:>5} {:>6} {:>4}/{:<4} {:>9.2} {:>7.2} {:>7.2} {:>7.2} {:>8.1} {:>9.0}",
+        f.way,
+        f.hosts,
+        f.faults,
+        f.finished,
+        f.hosts,
+        f.time_over_lower_bound,
+        f.origin_copies,
+        f.most_copies_into_a_region,
+        f.most_copies_into_a_zone,
+        f.control_messages_per_host_second,
+        f.control_bytes_per_host_second
+    );
+}
+
+struct Host {
+    place: PeerPlace,
+    transport: Transport,
+    weights: Weights,
+}
+
+struct Run {
+    net: Arc<Net>,
+    origin: Origin,
+    hosts: Vec<Host>,
+    _platform: Platform,
+}
+
+fn name_of(n: usize) -> HostName {
+    HostName::new(format!("host-{n:03}"))
+}
+
+fn start(way: Way, count: usize) -> Result<Run> {
+    let io = |e: std::io::Error| e.to_string();
+    let names: Vec<HostName> = (0..count).map(name_of).collect();
+    let rates = Rates { host: HOST_RATE, region: REGION_RATE, origin: ORIGIN_RATE };
+    let net = Net::new(&names, rates, CHUNK_LEN as usize / 2);
+    let origin = Origin::start(ANY, rates.origin).map_err(io)?;
+    let platform = Platform::start(ANY).map_err(io)?;
+    let ca = DevelopmentCa::generate().map_err(|e| e.to_string())?;
+    let clock = Clock::start();
+    let mut hosts = Vec::new();
+    for n in 0..count {
+        hosts.push(start_host(n, way, &ca, &net, &origin, &platform, clock)?);
+    }
+    Ok(Run { net, origin, hosts, _platform: platform })
+}
+
+fn start_host(
+    n: usize,
+    way: Way,
+    ca: &DevelopmentCa,
+    net: &Arc<Net>,
+    origin: &Origin,
+    platform: &Platform,
+    clock: Clock,
+) -> Result<Host> {
+    let (zone, region) = place_of(n);
+    let place = PeerPlace {
+        host: name_of(n),
+        zone: format!("zone-{zone}").as_str().into(),
+        region: format!("region-{region}").as_str().into(),
+    };
+    let material = ca.material(&place.host, Role::Agent).map_err(|e| e.to_string())?;
+    let (tx, rx) = flume::bounded(1_024);
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let transport = Transport::start(address, &material, tx).map_err(|e| e.to_string())?;
+    let from = Sender { host: place.host.clone(), ..Sender::default() };
+    let weights = Weights::start(Setup {
+        me: place.clone(),
+        way,
+        origin_region: Some("region-0".into()),
+        transport: transport.clone(),
+        store: Arc::new(Store::in_memory(STORE_LEN)),
+        origin: OriginClient::new(origin.base_for(place.host.as_str())),
+        platform: Arc::new(HttpStore::new(platform.base())),
+        link: Arc::new(HostLink { net: net.clone(), me: n }),
+        clock,
+        sender: Arc::new(move || from.clone()),
+    });
+    let server = weights.server();
+    thread::spawn(move || {
+        while let Ok(incoming) = rx.recv() {
+            server.serve(incoming);
+        }
+    });
+    Ok(Host { place, transport, weights })
+}
+
+/// Pushes one version to `count` hosts and measures it.
+fn push(name: &'static str, way: Way, count: usize, faults: bool) -> Result<Figures> {
+    let run = start(way, count)?;
+    let mut weights = vec![0; MODEL_LEN];
+    ChaCha8Rng::seed_from_u64(1).fill(&mut weights[..]);
+    let version = run.origin.put(&weights, CHUNK_LEN).digest();
+    let peers: Vec<PeerAddress> = run
+        .hosts
+        .iter()
+        .map(|host| PeerAddress { place: host.place.clone(), address: host.transport.local_addr() })
+        .collect();
+    for host in &run.hosts {
+        host.weights.set_peers(peers.clone());
+    }
+    let lower_bound = Duration::from_secs_f64(MODEL_LEN as f64 / HOST_RATE);
+    // Hosts that all but the origin way may fill in time; the origin way's budget is every copy.
+    let origin_copies = if way == Way::Origin { count as f64 } else { ORIGIN_COPIES };
+    let started = Instant::now();
+    for host in &run.hosts {
+        host.weights.want(Wanted { versions: vec![version], origin_copies });
+    }
+    let mut schedule = Faults::new(faults, count, lower_bound);
+    let mut first = None;
+    let limit = lower_bound.mul_f64(LONGEST);
+    let mut finished = 0;
+    while started.elapsed() < limit {
+        schedule.step(started.elapsed(), &run);
+        finished = complete(&run, version, &schedule.killed);
+        if finished > 0 && first.is_none() {
+            first = Some(started.elapsed());
+        }
+        if finished == count - schedule.killed.len() && schedule.is_over() {
+            break;
+        }
+        thread::sleep(POLL);
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    Ok(measure(name, &run, faults, finished, seconds, lower_bound.as_secs_f64(), first))
+}
+
+fn complete(run: &Run, version: Digest, killed: &[usize]) -> usize {
+    let whole = |(n, host): &(usize, &Host)| {
+        !killed.contains(n) && host.weights.store().is_complete(version)
+    };
+    run.hosts.iter().enumerate().filter(whole).count()
+}
+
+fn measure(
+    way: &'static str,
+    run: &Run,
+    faults: bool,
+    finished: usize,
+    seconds: f64,
+    lower_bound: f64,
+    first: Option<Duration>,
+) -> Figures {
+    let crossed = run.net.crossed();
+    let hosts = run.hosts.len();
+    let copies = |bytes: u64| bytes as f64 / MODEL_LEN as f64;
+    let mut region_in = crossed.region_in;
+    let mut zone_in = crossed.zone_in;
+    for (host, bytes) in run.origin.sent_to() {
+        let n = (0..hosts).find(|n| name_of(*n).as_str() == host).unwrap_or_default();
+        let (zone, region) = place_of(n);
+        zone_in[zone] += bytes;
+        if region != 0 {
+            region_in[region] += bytes;
+        }
+    }
+    let counts: Vec<_> = run.hosts.iter().map(|host| host.weights.progress().counts).collect();
+    let sum = |of: fn(&mastichaven_core::swarm::pull::Counts) -> u64| -> u64 {
+        counts.iter().map(of).sum()
+    };
+    let per_host = |value: u64| value as f64 / hosts as f64;
+    // A message of the net is an answer; each has an ask of about the same size before it.
+    let messages = crossed.control_messages + sum(|c| c.polls) + sum(|c| c.asks);
+    Figures {
+        way,
+        hosts,
+        faults,
+        finished,
+        lower_bound_seconds: lower_bound,
+        seconds,
+        time_over_lower_bound: seconds / lower_bound,
+        first_host_over_lower_bound: first.map_or(0.0, |at| at.as_secs_f64() / lower_bound),
+        origin_copies: copies(run.origin.sent()),
+        most_copies_into_a_region: region_in.into_iter().map(copies).fold(0.0, f64::max),
+        most_copies_into_a_zone: zone_in.into_iter().map(copies).fold(0.0, f64::max),
+        control_messages_per_host_second: per_host(messages) / seconds,
+        control_bytes_per_host_second: per_host(2 * crossed.control_bytes) / seconds,
+        polls_per_host: per_host(sum(|c| c.polls)),
+        asks_per_host: per_host(sum(|c| c.asks)),
+        doubled: sum(|c| c.doubled),
+        corrupt: sum(|c| c.corrupt),
+        failed: sum(|c| c.failed),
+    }
+}
+
+/// When which fault happens, as shares of the lower bound.
+struct Faults {
+    on: bool,
+    count: usize,
+    lower_bound: Duration,
+    stage: usize,
+    killed: Vec<usize>,
+}
+
+/// Times of the faults: corruption from the start, then these.
+const STAGES: [f64; 4] = [0.2, 0.3, 0.4, 0.6];
+
+impl Faults {
+    fn new(on: bool, count: usize, lower_bound: Duration) -> Faults {
+        Faults { on, count, lower_bound, stage: 0, killed: Vec::new() }
+    }
+
+    fn is_over(&self) -> bool {
+        !self.on || self.stage == STAGES.len()
+    }
+
+    /// Hosts picked evenly over the fleet, starting at `from`.
+    fn some(&self, share: f64, from: usize) -> Vec<usize> {
+        let hosts = ((self.count as f64 * share).round() as usize).max(1);
+        (0..hosts).map(|n| (from + n * self.count / hosts + n) % self.count).collect()
+    }
+
+    /// Killed hosts, and those of the cut zone, do not reach the origin either.
+    fn cut_off_origin(&self, run: &Run, zone_is_cut: bool) {
+        let cut = |n: &usize| {
+            self.killed.contains(n) || (zone_is_cut && place_of(*n).0 == CUT_ZONE)
+        };
+        let names = (0..self.count).filter(cut).map(|n| name_of(n).to_string());
+        run.origin.set_cut_off(names.collect());
+    }
+
+    fn step(&mut self, elapsed: Duration, run: &Run) {
+        if self.is_over() || elapsed < self.lower_bound.mul_f64(STAGES[self.stage]) {
+            return;
+        }
+        match self.stage {
+            0 => {
+                run.net.set_corrupt_share(CORRUPT_SHARE);
+                for n in self.some(STALLED_SHARE, 5) {
+                    run.net.set_stalled(n, true);
+                }
+            }
+            1 => {
+                run.net.set_cut(Some(CUT_ZONE));
+                self.cut_off_origin(run, true);
+            }
+            2 => {
+                self.killed = self.some(KILLED_SHARE, 3);
+                for n in &self.killed {
+                    run.net.kill(*n);
+                }
+                self.cut_off_origin(run, true);
+            }
+            _ => {
+                run.net.set_cut(None);
+                self.cut_off_origin(run, false);
+                for n in self.some(STALLED_SHARE, 5) {
+                    run.net.set_stalled(n, false);
+                }
+            }
+        }
+        self.stage += 1;
+    }
+}
+
+const _: () = assert!(CUT_ZONE < ZONES);
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -5,7 +5,7 @@
 //! | `asks` | answers what peers ask | `agent/asks.rs` |
 //! | one a running request | hands it to the endpoint | `agent/run.rs` |
 //! | `engine` | watches the endpoint, opens and closes the gate, gives orders | `agent/engine_watch.rs` |
-//! | `pull` | fetches the weights that the plan wants | `agent/pull.rs` |
+//! | `pull` | tells the weight threads what the plan wants | `agent/pull.rs` |
 //! | `control` | keeps the documents up to date | `agent/control.rs` |
 
 use std::collections::HashMap;
@@ -18,9 +18,7 @@
 use std::thread;
 use std::time::Duration;
 
-use bytes::Bytes;
 use mastichaven_core::Code;
-use mastichaven_core::Manifest;
 use mastichaven_core::admission::Admission;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::Incarnation;
@@ -32,6 +30,8 @@
 use mastichaven_core::plan::Plan;
 use mastichaven_core::platform::HostRole;
 use mastichaven_core::run::VoidReply;
+use mastichaven_core::swarm::PeerPlace;
+use mastichaven_core::swarm::Way;
 use mastichaven_core::wire::Ask;
 use mastichaven_core::wire::AskBody;
 use mastichaven_core::wire::Sender;
@@ -50,6 +50,10 @@
 use crate::telemetry::Telemetry;
 use crate::tls::Material;
 use crate::transport::Transport;
+use crate::weights::Setup;
+use crate::weights::Store;
+use crate::weights::Uplink;
+use crate::weights::Weights;
 
 mod asks;
 mod control;
@@ -69,22 +73,6 @@
 /// How often the threads look for work.
 const TICK: Duration = Duration::from_millis(100);
 
-/// The verified chunks and manifests of this agent.
-#[derive(Debug, Default)]
-struct Store {
-    manifests: HashMap<Digest, Manifest>,
-    chunks: HashMap<Digest, Bytes>,
-}
-
-impl Store {
-    fn is_complete(&self, manifest: Digest) -> bool {
-        let Some(manifest) = self.manifests.get(&manifest) else {
-            return false;
-        };
-        manifest.chunks.iter().all(|chunk| self.chunks.contains_key(&chunk.digest))
-    }
-}
-
 /// What the threads of an agent share.
 struct Shared {
     settings: AgentSettings,
@@ -94,12 +82,12 @@
     documents: Documents,
     transport: Transport,
     platform: HttpStore,
-    origin: Origin,
     engine: Engine,
     serving: Mutex<Serving>,
     admission: Mutex<Admission>,
     requests: Mutex<HashMap<RequestId, VoidReply>>,
-    store: Mutex<Store>,
+    store: Arc<Store>,
+    weights: Weights,
     weights_base: Mutex<String>,
     stopping: AtomicBool,
     over: AtomicBool,
@@ -181,20 +169,23 @@
                 address.clone()
             }
         };
+        let clock = Clock::start();
+        let store = open_store(&settings)?;
+        let weights = start_weights(&settings, &transport, &store, &clock, incarnation);
         let shared = Arc::new(Shared {
             platform: HttpStore::new(&settings.platform),
-            origin: Origin::new(&settings.origin),
             engine: Engine::new(address),
             settings,
             telemetry,
-            clock: Clock::start(),
+            clock,
             incarnation,
             documents: Documents::default(),
             transport,
             serving: Mutex::new(Serving::Nothing),
             admission: Mutex::new(Admission::cold(WARM_LIMIT)),
             requests: Mutex::default(),
-            store: Mutex::default(),
+            store,
+            weights,
             weights_base: Mutex::default(),
             stopping: AtomicBool::new(false),
             over: AtomicBool::new(false),
@@ -236,6 +227,43 @@
     }
 }
 
+fn open_store(settings: &AgentSettings) -> Result<Arc<Store>> {
+    let limit = settings.store_bytes;
+    let store = match &settings.cache_folder {
+        Some(folder) => Store::in_folder(limit, folder)?,
+        None => Store::in_memory(limit),
+    };
+    Ok(Arc::new(store))
+}
+
+fn start_weights(
+    settings: &AgentSettings,
+    transport: &Transport,
+    store: &Arc<Store>,
+    clock: &Clock,
+    incarnation: Incarnation,
+) -> Weights {
+    let place = &settings.place;
+    let me = PeerPlace {
+        host: place.host.clone(),
+        zone: place.zone.clone(),
+        region: place.region.clone(),
+    };
+    let from = Sender { host: place.host.clone(), incarnation, generation: Default::default() };
+    Weights::start(Setup {
+        me,
+        way: Way::Swarm,
+        origin_region: settings.origin_region.clone(),
+        transport: transport.clone(),
+        store: store.clone(),
+        origin: Origin::new(&settings.origin),
+        platform: Arc::new(HttpStore::new(&settings.platform)),
+        link: Arc::new(Uplink::new(settings.link_bytes_per_second)),
+        clock: *clock,
+        sender: Arc::new(move || from.clone()),
+    })
+}
+
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> thread::JoinHandle<()> {
     thread::Builder::new().name(name.to_owned()).spawn(run).expect("the system gives a thread")
 }
@@ -252,27 +280,33 @@
     }
 
     fn dump(&self) -> Value {
-        let store = self.store.lock().expect("no holder of this lock panics");
+        let (chunks, versions, bytes) = self.store.counts();
+        let progress = self.weights.progress();
         json!({
             "program": "mastichaven-agent",
             "generation": self.documents.in_force().generation,
             "documents": self.documents.revisions(),
             "member": self.member(),
             "running": self.running.load(Ordering::Acquire),
-            "chunks": store.chunks.len(),
-            "manifests": store.manifests.len(),
+            "weights": {
+                "chunks": chunks,
+                "versions": versions,
+                "bytes": bytes,
+                "bytes_limit": self.settings.store_bytes,
+                "chunks_missing": progress.missing,
+                "polls": progress.counts.polls,
+                "asks": progress.counts.asks,
+                "corrupt": progress.counts.corrupt,
+                "failed": progress.counts.failed,
+                "troubled_neighbours": progress.troubled,
+                "last_error": progress.last_error.map(|code| code.number()),
+            },
             "uptime_ms": self.clock.now().as_millis(),
         })
     }
 
     fn weights(&self, manifest: Digest) -> Option<Box<dyn std::io::Read + Send>> {
-        let store = self.store.lock().expect("no holder of this lock panics");
-        if !store.is_complete(manifest) {
-            return None;
-        }
-        let chunks = store.manifests[&manifest].chunks.iter();
-        let bytes: Vec<Bytes> = chunks.map(|chunk| store.chunks[&chunk.digest].clone()).collect();
-        Some(Box::new(std::io::Cursor::new(bytes.concat())))
+        self.store.read(manifest).map(|whole| Box::new(whole) as Box<dyn std::io::Read + Send>)
     }
 
     fn is_over(&self) -> bool {
--- a/node/src/agent/asks.rs
+++ b/node/src/agent/asks.rs
@@ -9,8 +9,6 @@
 use mastichaven_core::run::VoidReply;
 use mastichaven_core::spread::SpreadAsk;
 use mastichaven_core::spread::SpreadReply;
-use mastichaven_core::weights::WeightsAsk;
-use mastichaven_core::weights::WeightsReply;
 use mastichaven_core::wire::AskBody;
 use mastichaven_core::wire::Reply;
 use mastichaven_core::wire::ReplyBody;
@@ -32,18 +30,22 @@
 }
 
 fn answer(shared: &Arc<Shared>, incoming: Incoming) {
+    if matches!(incoming.ask.body, AskBody::Weights(_)) {
+        return shared.weights.serve(incoming);
+    }
     let Incoming { ask, replies, .. } = incoming;
     let body = match ask.body {
         AskBody::Run(ask) => return run::start(shared, ask, replies),
         AskBody::Void(ask) => ReplyBody::Void(void(shared, &ask)),
-        AskBody::Weights(ask) => ReplyBody::Weights(weights(shared, &ask)),
         AskBody::Members(MembersAsk::Probe) => {
             ReplyBody::Members(MembersReply::Me(shared.member()))
         }
         AskBody::Spread(SpreadAsk::Above(theirs)) => {
             ReplyBody::Spread(SpreadReply::Docs(shared.documents.above(&theirs)))
         }
-        AskBody::Relay(_) => ReplyBody::Refused(mastichaven_core::Code::WrongRole),
+        AskBody::Weights(_) | AskBody::Relay(_) => {
+            ReplyBody::Refused(mastichaven_core::Code::WrongRole)
+        }
     };
     let generation = shared.documents.in_force().generation;
     let _ = replies.send(Reply { generation, body });
@@ -57,12 +59,3 @@
     let mut requests = shared.requests.lock().expect("no holder of this lock panics");
     *requests.entry(ask.request).or_insert(VoidReply::Voided)
 }
-
-fn weights(shared: &Shared, ask: &WeightsAsk) -> WeightsReply {
-    let store = shared.store.lock().expect("no holder of this lock panics");
-    let bytes = match ask {
-        WeightsAsk::Manifest(digest) => store.manifests.get(digest).map(|m| m.encode().into()),
-        WeightsAsk::Chunk(digest) => store.chunks.get(digest).cloned(),
-    };
-    bytes.map_or(WeightsReply::Absent, WeightsReply::Bytes)
-}
--- a/node/src/agent/engine_watch.rs
+++ b/node/src/agent/engine_watch.rs
@@ -77,7 +77,7 @@
     if matches!(&serving, Serving::Model { version, .. } if *version == wanted) {
         return;
     }
-    if !shared.store.lock().expect("no holder of this lock panics").is_complete(wanted) {
+    if !shared.store.is_complete(wanted) {
         return;
     }
     let version = wanted.to_hex();
--- a/node/src/agent/pull.rs
+++ b/node/src/agent/pull.rs
@@ -1,83 +1,70 @@
-//! Fetches the weights that the plan wants: from peers of the plan, or from the origin.
+//! Tells the weight threads which versions the plans want here, and which hosts take part.
 
 use std::thread;
 use std::time::Duration;
 
-use bytes::Bytes;
-use mastichaven_core::Code;
-use mastichaven_core::Manifest;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
-use mastichaven_core::plan::Plan;
+use mastichaven_core::platform::HostRole;
 use mastichaven_core::platform::ListedHost;
 use mastichaven_core::platform::ObjectStore;
-use mastichaven_core::weights::WeightsAsk;
-use mastichaven_core::weights::WeightsReply;
-use mastichaven_core::wire::AskBody;
-use mastichaven_core::wire::ReplyBody;
+use mastichaven_core::swarm::PeerPlace;
 
 use super::Shared;
 use super::TICK;
+use crate::weights::PeerAddress;
+use crate::weights::Wanted;
 
-/// How long a peer may take over one chunk.
-const CHUNK_TIMEOUT: Duration = Duration::from_secs(5);
+/// How often the platform's host list is read.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Runs until the agent ends.
 pub(super) fn run(shared: &Shared) {
+    let mut read_at = None;
+    let mut listed = Vec::new();
     while !shared.is_over() {
-        if let Some((_, _, plan)) = shared.wanted() {
-            for version in plan.versions() {
-                let _ = pull(shared, &plan, version);
-            }
+        let now = shared.clock.now();
+        if read_at.is_none_or(|at| now.passed(at, HOSTS_INTERVAL))
+            && let Ok(hosts) = shared.platform.hosts()
+        {
+            listed = hosts;
+            read_at = Some(now);
         }
+        step(shared, &listed);
         thread::sleep(TICK);
     }
 }
 
-fn pull(shared: &Shared, plan: &Plan, version: Digest) -> Result<(), Code> {
-    let lock = || shared.store.lock().expect("no holder of this lock panics");
-    if lock().is_complete(version) {
-        return Ok(());
-    }
-    let known = lock().manifests.get(&version).cloned();
-    let manifest: Manifest = match known {
-        Some(manifest) => manifest,
-        None => shared.origin.manifest(version)?,
+fn step(shared: &Shared, listed: &[ListedHost]) {
+    let Some((_, _, plan)) = shared.wanted() else {
+        return;
     };
-    lock().manifests.insert(version, manifest.clone());
-    let hosts = shared.platform.hosts().map_err(|e| e.code())?;
-    for chunk in &manifest.chunks {
-        if lock().chunks.contains_key(&chunk.digest) {
-            continue;
-        }
-        if let Some(bytes) = fetch(shared, plan, &hosts, chunk.digest) {
-            lock().chunks.insert(chunk.digest, bytes);
-        }
-    }
-    Ok(())
+    let takes_part = |host: &HostName| plan.version_for(host).is_some();
+    let peers = listed.iter().filter(|h| h.role == HostRole::Agent && takes_part(&h.name));
+    shared.weights.set_peers(peers.map(peer_of).collect());
+    let mut versions: Vec<Digest> = plan.versions().collect();
+    versions.extend(loaded(shared).filter(|version| !versions.contains(version)));
+    let origin_copies = shared.documents.in_force().config.limits.origin_copies;
+    shared.weights.want(Wanted { versions, origin_copies });
+    shared
+        .weights
+        .set_beside_requests(shared.running.load(std::sync::atomic::Ordering::Acquire) > 0);
 }
 
-/// The hosts of the plan in the order in which they answer for `chunk`: highest score first.
-fn owners(plan: &Plan, chunk: Digest) -> Vec<HostName> {
-    let mut hosts = plan.replicas.iter().map(|replica| replica.host.clone()).collect::<Vec<_>>();
-    hosts.sort_by_key(|host| Digest::of(&[host.as_str().as_bytes(), &chunk.0].concat()));
-    hosts
+fn peer_of(listed: &ListedHost) -> PeerAddress {
+    let place = PeerPlace {
+        host: listed.name.clone(),
+        zone: listed.zone.clone(),
+        region: listed.region.clone(),
+    };
+    PeerAddress { place, address: listed.address }
 }
 
-fn fetch(shared: &Shared, plan: &Plan, hosts: &[ListedHost], chunk: Digest) -> Option<Bytes> {
-    let owners = owners(plan, chunk);
-    if owners.first() == Some(&shared.settings.place.host) {
-        return shared.origin.chunk(chunk).ok();
+/// The version the engine answers from now. Its chunks stay, so that a rollback needs no link.
+fn loaded(shared: &Shared) -> Option<Digest> {
+    use mastichaven_core::members::Serving;
+    match &*shared.serving.lock().expect("no holder of this lock panics") {
+        Serving::Model { version, .. } => Some(*version),
+        Serving::Nothing | Serving::Plain { .. } => None,
     }
-    owners.iter().take(3).find_map(|owner| {
-        let listed = hosts.iter().find(|listed| listed.name == *owner)?;
-        let ask = shared.ask(AskBody::Weights(WeightsAsk::Chunk(chunk)));
-        let reply = shared.transport.ask_one(listed.address, &ask, CHUNK_TIMEOUT).ok()?;
-        match reply.body {
-            ReplyBody::Weights(WeightsReply::Bytes(bytes)) if Digest::of(&bytes) == chunk => {
-                Some(bytes)
-            }
-            _ => None,
-        }
-    })
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod telemetry;
 pub mod tls;
 pub mod transport;
+pub mod weights;
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -120,6 +120,17 @@
     /// Bytes of chunks kept at most.
     #[serde(default = "default_store_bytes")]
     pub store_bytes: u64,
+    /// Folder that keeps chunks across restarts; they are kept in memory when left out.
+    #[serde(default)]
+    pub cache_folder: Option<PathBuf>,
+    /// Bytes a second that weights may fill of this host's outgoing link; half of it while live
+    /// requests run. Unlimited when left out.
+    #[serde(default)]
+    pub link_bytes_per_second: Option<u64>,
+    /// The region the origin stands in. Hosts of this region alone pull from it, so that its bytes
+    /// do not cross a region link twice. When left out, hosts of every region do.
+    #[serde(default)]
+    pub origin_region: Option<RegionName>,
     /// Milliseconds after which a stop cuts off what is left; waits for all when left out.
     #[serde(default)]
     pub stop_deadline_ms: Option<u64>,
--- a/node/src/weights.rs
+++ b/node/src/weights.rs
@@ -18,6 +18,8 @@
 use std::sync::Mutex;
 use std::thread;
 
+pub use link::Link;
+pub use link::Uplink;
 use mastichaven_core::Code;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::RegionName;
@@ -26,16 +28,13 @@
 use mastichaven_core::swarm::Way;
 use mastichaven_core::swarm::pull::Counts;
 use mastichaven_core::wire::Sender;
+pub use store::Store;
 
 use crate::clock::Clock;
 use crate::origin::Origin;
 use crate::transport::Incoming;
 use crate::transport::Transport;
 
-pub use link::Link;
-pub use link::Uplink;
-pub use store::Store;
-
 /// Asks from peers waiting for the serving thread; more are refused as busy.
 const SERVE_RING: usize = 1_024;
 
@@ -114,9 +113,10 @@
         let (serve_tx, serve_rx) = flume::bounded(SERVE_RING);
         let store = setup.store.clone();
         let progress = Arc::new(Mutex::new(Progress::default()));
-        let server = serve::Server::new(store.clone(), setup.link.clone(), setup.clock.clone());
+        let server = serve::Server::new(store.clone(), setup.link.clone(), setup.clock);
         spawn("weights-serve", move || server.run(&serve_rx));
-        let puller = pull::Puller::new(setup, pull_tx.downgrade(), serve_tx.downgrade(), progress.clone());
+        let puller =
+            pull::Puller::new(setup, pull_tx.downgrade(), serve_tx.downgrade(), progress.clone());
         spawn("weights-pull", move || puller.run(pull_rx));
         Weights {
             store,
@@ -156,11 +156,12 @@
 
     /// Answers a peer's ask, or refuses it as busy.
     pub fn serve(&self, incoming: Incoming) {
-        if let Err(flume::TrySendError::Full(serve::Event::Ask(incoming))) =
-            self.serve.try_send(serve::Event::Ask(incoming))
-        {
-            serve::refuse_busy(&incoming.replies);
-        }
+        self.server().serve(incoming);
+    }
+
+    /// A handle that answers peers' asks from another thread.
+    pub fn server(&self) -> Serving {
+        Serving { events: self.serve.clone() }
     }
 
     /// How far it is.
@@ -169,6 +170,24 @@
     }
 }
 
+/// Hands peers' asks to the serving thread.
+#[derive(Clone)]
+pub struct Serving {
+    events: flume::Sender<serve::Event>,
+}
+
+impl Serving {
+    /// Answers a peer's ask, or refuses it as busy.
+    pub fn serve(&self, incoming: Incoming) {
+        let event = serve::Event::Ask(Box::new(incoming));
+        if let Err(flume::TrySendError::Full(serve::Event::Ask(incoming))) =
+            self.events.try_send(event)
+        {
+            serve::refuse_busy(&incoming.replies);
+        }
+    }
+}
+
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) {
     thread::Builder::new().name(name.to_owned()).spawn(run).expect("the system gives a thread");
 }
--- a/node/src/weights/fetch.rs
+++ b/node/src/weights/fetch.rs
@@ -1,11 +1,12 @@
 //! The thread that takes manifests and chunks from the origin, one after the other.
 
+use std::sync::Arc;
+
 use mastichaven_core::Code;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::swarm::End;
 use mastichaven_core::swarm::Request;
 use mastichaven_core::swarm::What;
-use std::sync::Arc;
 
 use super::budget::OriginBudget;
 use super::pull::Event;
@@ -57,7 +58,13 @@
         }
     }
 
-    fn chunk(&mut self, job: &Fetch, version: Digest, digest: Digest, len: u32) -> Result<End, Code> {
+    fn chunk(
+        &mut self,
+        job: &Fetch,
+        version: Digest,
+        digest: Digest,
+        len: u32,
+    ) -> Result<End, Code> {
         let version_len = self.store.version_len(version).ok_or(Code::NoChunk)?;
         self.budget.pay(version, version_len, job.copies, u64::from(len))?;
         let bytes = self.origin.chunk(digest)?;
--- a/node/src/weights/link.rs
+++ b/node/src/weights/link.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use mastichaven_core::Time;
 use mastichaven_core::ids::HostName;
 
@@ -17,6 +18,11 @@
     /// get lost, which only a link of a test does.
     fn reserve(&self, to: &HostName, len: usize, now: Time) -> Option<Time>;
 
+    /// The bytes of a chunk as they arrive; a link of a test damages some.
+    fn carry(&self, bytes: Bytes) -> Bytes {
+        bytes
+    }
+
     /// Whether live requests run on this host's link.
     fn set_beside_requests(&self, beside: bool);
 }
--- a/node/src/weights/pull.rs
+++ b/node/src/weights/pull.rs
@@ -157,8 +157,7 @@
     }
 
     fn set_peers(&mut self, peers: Vec<PeerAddress>) {
-        self.addresses =
-            peers.iter().map(|peer| (peer.place.host.clone(), peer.address)).collect();
+        self.addresses = peers.iter().map(|peer| (peer.place.host.clone(), peer.address)).collect();
         let mut places: Vec<PeerPlace> = peers.into_iter().map(|peer| peer.place).collect();
         if !places.iter().any(|place| place.host == self.setup.me.host) {
             places.push(self.setup.me.clone());
--- a/node/src/weights/serve.rs
+++ b/node/src/weights/serve.rs
@@ -41,7 +41,7 @@
 /// What the thread is told.
 pub(super) enum Event {
     /// A peer asks.
-    Ask(Incoming),
+    Ask(Box<Incoming>),
     /// A chunk or manifest has been stored.
     Stored(Digest),
 }
@@ -129,7 +129,7 @@
             let due = self.queued.peek().map(|queued| queued.due.since(now));
             let sleep = due.unwrap_or(LONGEST_SLEEP).min(LONGEST_SLEEP);
             match events.recv_timeout(sleep) {
-                Ok(Event::Ask(incoming)) => self.ask(incoming),
+                Ok(Event::Ask(incoming)) => self.ask(*incoming),
                 Ok(Event::Stored(digest)) => self.stored(digest),
                 Err(flume::RecvTimeoutError::Timeout) => self.expire(),
                 Err(flume::RecvTimeoutError::Disconnected) => return,
@@ -160,8 +160,7 @@
         if park_ms == 0 || self.parked.len() >= MAX_PARKED {
             return self.queue(&peer.host, MESSAGE_LEN, Body::Ready(WeightsReply::Absent), replies);
         }
-        let until =
-            self.clock.now() + Duration::from_millis(u64::from(park_ms.min(MAX_PARK_MS)));
+        let until = self.clock.now() + Duration::from_millis(u64::from(park_ms.min(MAX_PARK_MS)));
         self.parked.push(Parked { wanted, to: peer.host, sink: replies, until });
     }
 
@@ -239,7 +238,7 @@
         };
         let have = self.have(wanted.version);
         let small = have.chunks.wire_len() * MAP_SHARE <= bytes.len();
-        WeightsReply::Bytes { bytes, have: small.then_some(have) }
+        WeightsReply::Bytes { bytes: self.link.carry(bytes), have: small.then_some(have) }
     }
 
     fn stored(&mut self, digest: Digest) {
--- a/node/src/weights/store.rs
+++ b/node/src/weights/store.rs
@@ -81,14 +81,17 @@
     /// writing it, or the disk has decayed, and an engine would load wrong weights from it.
     pub fn in_folder(limit: u64, folder: &Path) -> Result<Store> {
         fs::create_dir_all(folder).map_err(|_| Code::StoreUnwritable)?;
-        let store =
-            Store { inner: Mutex::default(), limit, folder: Some(folder.to_owned()) };
+        let store = Store { inner: Mutex::default(), limit, folder: Some(folder.to_owned()) };
         store.take_over(MANIFEST_FILE, &|digest, bytes| {
             Manifest::decode(&bytes, digest).map(|manifest| store.add_manifest(manifest))
         })?;
         store.take_over(CHUNK_FILE, &|digest, bytes| {
             let len = bytes.len() as u64;
-            if Digest::of(&bytes) != digest { Err(Code::CorruptChunk) } else { store.add_chunk(digest, Held::File(len)) }
+            if Digest::of(&bytes) != digest {
+                Err(Code::CorruptChunk)
+            } else {
+                store.add_chunk(digest, Held::File(len))
+            }
         })?;
         Ok(store)
     }
@@ -107,9 +110,9 @@
                 continue;
             }
             let digest = path.file_stem().and_then(|stem| Digest::from_hex(stem.to_str()?));
-            let taken = digest.ok_or(Code::BadName).and_then(|digest| {
-                add(digest, fs::read(&path).map_err(|_| Code::Unreadable)?)
-            });
+            let taken = digest
+                .ok_or(Code::BadName)
+                .and_then(|digest| add(digest, fs::read(&path).map_err(|_| Code::Unreadable)?));
             if taken.is_err() {
                 let _ = fs::remove_file(&path);
             }
--- a/standins/src/origin.rs
+++ b/standins/src/origin.rs
@@ -1,5 +1,6 @@
 //! The origin of weights: manifests and chunks behind one limited link.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::io;
 use std::sync::Arc;
@@ -46,6 +47,8 @@
 struct State {
     objects: HashMap<Digest, Bytes>,
     sent: u64,
+    sent_to: BTreeMap<String, u64>,
+    cut_off: Vec<String>,
     corrupt_next: u32,
     down: bool,
 }
@@ -88,6 +91,21 @@
         self.state.lock().expect("no holder of this lock panics").sent
     }
 
+    /// Base address for one host, so that its pulls can be counted and cut off.
+    pub fn base_for(&self, host: &str) -> String {
+        format!("{}/from/{host}", self.base())
+    }
+
+    /// Bytes sent so far to each host that uses its own base address.
+    pub fn sent_to(&self) -> BTreeMap<String, u64> {
+        self.state.lock().expect("no holder of this lock panics").sent_to.clone()
+    }
+
+    /// Refuses everything that these hosts ask.
+    pub fn set_cut_off(&self, hosts: Vec<String>) {
+        self.state.lock().expect("no holder of this lock panics").cut_off = hosts;
+    }
+
     /// Corrupts the next `count` objects sent.
     pub fn corrupt_next(&self, count: u32) {
         self.state.lock().expect("no holder of this lock panics").corrupt_next = count;
@@ -101,9 +119,11 @@
 
 fn answer(state: &Mutex<State>, link: &Link, request: Request) {
     let digest = request.url().rsplit('/').next().and_then(Digest::from_hex);
+    let host = request.url().strip_prefix("/from/").and_then(|rest| rest.split('/').next());
+    let host = host.unwrap_or_default().to_owned();
     let found = {
         let mut state = state.lock().expect("no holder of this lock panics");
-        if state.down {
+        if state.down || state.cut_off.contains(&host) {
             drop(state);
             return respond(request, 503, &[], Vec::new());
         }
@@ -111,6 +131,7 @@
         let mut found = found.map(|bytes| bytes.to_vec());
         if let Some(bytes) = &mut found {
             state.sent += bytes.len() as u64;
+            *state.sent_to.entry(host).or_default() += bytes.len() as u64;
             if state.corrupt_next > 0 && !bytes.is_empty() {
                 state.corrupt_next -= 1;
                 bytes[0] ^= 1;
