--- a/core/src/swarm/pull.rs
+++ b/core/src/swarm/pull.rs
@@ -62,7 +62,7 @@
 const LATE_TIMES: u32 = 3;
 
 /// Time without progress after which further hosts hold themselves responsible for a chunk.
-const STALL: Duration = Duration::from_millis(4_000);
+const STALL: Duration = Duration::from_millis(5_000);
 
 /// Waits after the origin refused or failed.
 const ORIGIN_RETRY: Duration = Duration::from_millis(500);
--- a/node/src/origin.rs
+++ b/node/src/origin.rs
@@ -42,7 +42,7 @@
         let response = minreq::get(format!("{}/{kind}/{}", self.base, digest.to_hex()))
             .with_timeout(TIMEOUT_SECONDS)
             .send()
-            .map_err(|_| Code::Unreachable)?;
+            .map_err(|e| if never_reached(&e) { Code::Unreachable } else { Code::PeerLost })?;
         match response.status_code {
             200 => Ok(Bytes::from(response.into_bytes())),
             429 => Err(Code::OriginBudget),
@@ -50,3 +50,18 @@
         }
     }
 }
+
+/// Whether no byte can have left the origin, so that a paid pull may be tried again for free.
+fn never_reached(error: &minreq::Error) -> bool {
+    use std::io::ErrorKind;
+    match error {
+        minreq::Error::AddressNotFound => true,
+        minreq::Error::IoError(e) => matches!(
+            e.kind(),
+            ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+        ),
+        _ => false,
+    }
+}
--- a/node/src/weights/fetch.rs
+++ b/node/src/weights/fetch.rs
@@ -9,6 +9,7 @@
 use mastichaven_core::swarm::What;
 
 use super::budget::OriginBudget;
+use super::budget::Price;
 use super::pull::Event;
 use super::store::Store;
 use crate::origin::Origin;
@@ -65,9 +66,21 @@
         digest: Digest,
         len: u32,
     ) -> Result<End, Code> {
-        let version_len = self.store.version_len(version).ok_or(Code::NoChunk)?;
-        self.budget.pay(version, version_len, job.copies, u64::from(len))?;
-        let bytes = self.origin.chunk(digest)?;
+        let manifest = self.store.manifest(version).ok_or(Code::NoChunk)?;
+        let index = manifest.chunks.iter().position(|chunk| chunk.digest == digest);
+        let price = Price {
+            version,
+            version_len: manifest.len(),
+            copies: job.copies,
+            index: index.ok_or(Code::NoChunk)?,
+            len: u64::from(len),
+        };
+        self.budget.pay(&price)?;
+        let bytes = self.origin.chunk(digest).inspect_err(|code| {
+            if matches!(code, Code::Unreachable | Code::NoChunk | Code::OriginBudget) {
+                self.budget.give_back(&price);
+            }
+        })?;
         self.store.put_chunk(digest, &bytes)?;
         Ok(End::Stored)
     }
--- a/node/src/weights/link.rs
+++ b/node/src/weights/link.rs
@@ -18,6 +18,13 @@
     /// get lost, which only a link of a test does.
     fn reserve(&self, to: &HostName, len: usize, now: Time) -> Option<Time>;
 
+    /// Whether a short message towards `to` arrives. It does not wait behind chunks: the bucket
+    /// keeps their queue in this process, and polls that waited in it would make a busy host look
+    /// dead.
+    fn passes(&self, _to: &HostName, _len: usize) -> bool {
+        true
+    }
+
     /// The bytes of a chunk as they arrive; a link of a test damages some.
     fn carry(&self, bytes: Bytes) -> Bytes {
         bytes
--- a/node/src/weights/pull.rs
+++ b/node/src/weights/pull.rs
@@ -106,7 +106,7 @@
             .build()
             .expect("the system gives a timer");
         let seed = key_of(Digest::of(self.setup.me.host.as_str().as_bytes()));
-        let origin = self.start_origin(seed);
+        let origin = self.start_origin();
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         runtime.block_on(async {
             while self.wait(&events).await {
@@ -119,11 +119,11 @@
         });
     }
 
-    fn start_origin(&self, seed: u64) -> flume::Sender<Fetch> {
+    fn start_origin(&self) -> flume::Sender<Fetch> {
         let (tx, rx) = flume::bounded(ORIGIN_RING);
         let fetcher = Fetcher {
             origin: self.setup.origin.clone(),
-            budget: OriginBudget::new(self.setup.platform.clone(), seed),
+            budget: OriginBudget::new(self.setup.platform.clone()),
             store: self.setup.store.clone(),
         };
         let events = self.events.clone();
--- a/node/src/weights/serve.rs
+++ b/node/src/weights/serve.rs
@@ -64,15 +64,10 @@
 struct Queued {
     due: Time,
     number: u64,
-    body: Body,
+    wanted: Wanted,
     sink: ReplySink,
 }
 
-enum Body {
-    Wanted(Wanted),
-    Ready(WeightsReply),
-}
-
 impl PartialEq for Queued {
     fn eq(&self, other: &Self) -> bool {
         (self.due, self.number) == (other.due, other.number)
@@ -100,7 +95,6 @@
     link: Arc<dyn Link>,
     clock: Clock,
     queued: BinaryHeap<Queued>,
-    chunks_queued: usize,
     parked: Vec<Parked>,
     /// Asks whose answer got lost on a link; kept so that the peer sees silence and no refusal.
     lost: Vec<ReplySink>,
@@ -114,7 +108,6 @@
             link,
             clock,
             queued: BinaryHeap::new(),
-            chunks_queued: 0,
             parked: Vec::new(),
             lost: Vec::new(),
             number: 0,
@@ -145,7 +138,7 @@
         let (wanted, park_ms) = match ask {
             WeightsAsk::Have(version) => {
                 let reply = WeightsReply::Have(self.have(version));
-                return self.queue(&peer.host, MESSAGE_LEN, Body::Ready(reply), replies);
+                return self.send_short(&peer.host, reply, replies);
             }
             WeightsAsk::Manifest { version, park_ms } => {
                 (Wanted { digest: version, version, is_manifest: true }, park_ms)
@@ -158,7 +151,7 @@
             return self.queue_bytes(&peer.host, wanted, replies);
         }
         if park_ms == 0 || self.parked.len() >= MAX_PARKED {
-            return self.queue(&peer.host, MESSAGE_LEN, Body::Ready(WeightsReply::Absent), replies);
+            return self.send_short(&peer.host, WeightsReply::Absent, replies);
         }
         let until = self.clock.now() + Duration::from_millis(u64::from(park_ms.min(MAX_PARK_MS)));
         self.parked.push(Parked { wanted, to: peer.host, sink: replies, until });
@@ -182,31 +175,32 @@
 
     fn have(&self, version: Digest) -> Have {
         let chunks = self.store.have(version).unwrap_or_default();
-        Have { chunks, queue: self.chunks_queued as u32 }
+        Have { chunks, queue: self.queued.len() as u32 }
     }
 
     fn queue_bytes(&mut self, to: &HostName, wanted: Wanted, sink: ReplySink) {
         if sink.is_cancelled() {
             return;
         }
-        if self.chunks_queued >= MAX_QUEUED {
+        if self.queued.len() >= MAX_QUEUED {
             return refuse_busy(&sink);
         }
-        self.chunks_queued += 1;
         let len = self.len_of(wanted) + MESSAGE_LEN;
-        self.queue(to, len, Body::Wanted(wanted), sink);
-    }
-
-    fn queue(&mut self, to: &HostName, len: usize, body: Body, sink: ReplySink) {
         let Some(due) = self.link.reserve(to, len, self.clock.now()) else {
-            if matches!(body, Body::Wanted(_)) {
-                self.chunks_queued -= 1;
-            }
-            self.lost.push(sink);
-            return;
+            return self.lost.push(sink);
         };
         self.number += 1;
-        self.queued.push(Queued { due, number: self.number, body, sink });
+        self.queued.push(Queued { due, number: self.number, wanted, sink });
+    }
+
+    fn send_short(&mut self, to: &HostName, reply: WeightsReply, sink: ReplySink) {
+        let len = MESSAGE_LEN
+            + if let WeightsReply::Have(have) = &reply { have.chunks.wire_len() } else { 0 };
+        if self.link.passes(to, len) {
+            send(&sink, ReplyBody::Weights(reply));
+        } else {
+            self.lost.push(sink);
+        }
     }
 
     fn send_due(&mut self, now: Time) {
@@ -214,14 +208,7 @@
             let Some(queued) = self.queued.pop() else {
                 return;
             };
-            let reply = match queued.body {
-                Body::Ready(reply) => reply,
-                Body::Wanted(wanted) => {
-                    self.chunks_queued -= 1;
-                    self.bytes(wanted)
-                }
-            };
-            send(&queued.sink, ReplyBody::Weights(reply));
+            send(&queued.sink, ReplyBody::Weights(self.bytes(queued.wanted)));
         }
     }
 
@@ -264,8 +251,7 @@
             if now < held.until {
                 self.parked.push(held);
             } else {
-                let absent = Body::Ready(WeightsReply::Absent);
-                self.queue(&held.to, MESSAGE_LEN, absent, held.sink);
+                self.send_short(&held.to, WeightsReply::Absent, held.sink);
             }
         }
     }
