Bookings under every fault at once, judged by the service's own count

Cause: at most once was shown in the model only. Change: an experiment and a test with real entries and agents, callers that hang up and resend, crashes of entries, agents and the service, a platform that is down, loses answers or is cut off.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! What the experiments and the tests of whole runs share: a small fleet on stand-ins.
 
+pub mod bookings;
 pub mod fleet;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,9 +1,12 @@
 //! `mastichaven-bench`: the whole path on stand-ins, and experiments.
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use mastichaven_bench::bookings;
+use mastichaven_bench::bookings::Plan;
 
 mod demo;
 
@@ -18,10 +21,28 @@
         #[bpaf(argument("FILE"), optional)]
         json: Option<PathBuf>,
     },
+    /// Bookings that may not be repeated, under every fault at once
+    #[bpaf(command)]
+    Bookings {
+        /// Bookings
+        #[bpaf(argument("N"), fallback(4_000))]
+        bookings: usize,
+        /// Seed of the faults
+        #[bpaf(argument("SEED"), fallback(1))]
+        seed: u64,
+        /// Breaks nothing, to measure platform calls a booking
+        quiet: bool,
+        /// Also write the figures to this file
+        #[bpaf(argument("FILE"), optional)]
+        json: Option<PathBuf>,
+    },
 }
 
 fn main() -> ExitCode {
     let result = match arguments().run() {
+        Arguments::Bookings { bookings, seed, quiet, json } => {
+            run_bookings(Plan { bookings, seed, faults: !quiet }, json.as_deref())
+        }
         Arguments::Demo { json } => demo::run(json.as_deref()),
     };
     match result {
@@ -32,3 +53,13 @@
         }
     }
 }
+
+fn run_bookings(plan: Plan, json: Option<&Path>) -> Result<(), String> {
+    let report = bookings::run(plan)?;
+    let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
+    println!("{text}");
+    if let Some(file) = json {
+        std::fs::write(file, text + "\n").map_err(|e| e.to_string())?;
+    }
+    if report.is_clean() { Ok(()) } else { Err("a promise was broken".to_owned()) }
+}
--- /dev/null
+++ b/bench/tests/requests/main.rs
@@ -0,0 +1,3 @@
+//! Requests through real entries and agents on stand-ins that fail.
+
+mod bookings;
