Turns, limits and endpoints: a fair queue, customers' limits, routing with bounded subsets

Cause: any number of requests went to random endpoints, one after the other was refused, and a flood of one customer held up all others. Change: deficit round robin over customers with early shedding; rates and concurrency as shares of the live entries; retry budget and hedging; zone-local routing by piggybacked load, prefix affinity and ejection with a cap; endpoints name their trackers, so that none is left out; the agent keeps places for entries it refused.

--- a/bench/src/bookings.rs
+++ b/bench/src/bookings.rs
@@ -246,7 +246,7 @@
                 return;
             }
             let booking = format!("pen-{n}");
-            let told = self.book(&booking, n % UNKEYED != 0, &mut rng);
+            let told = self.book(&booking, !n.is_multiple_of(UNKEYED), &mut rng);
             self.told.lock().expect("no holder of this lock panics").insert(booking, told);
         }
     }
--- a/core/tests/requests/main.rs
+++ b/core/tests/requests/main.rs
@@ -2,5 +2,9 @@
 
 mod admission;
 mod claim;
+mod limits;
+mod queue;
 mod record;
+mod route;
+mod share;
 mod stream;
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -31,6 +31,7 @@
 use mastichaven_core::plan::Plan;
 use mastichaven_core::platform::HostRole;
 use mastichaven_core::record::Record;
+use mastichaven_core::share::Shares;
 use mastichaven_core::wire::Ask;
 use mastichaven_core::wire::AskBody;
 use mastichaven_core::wire::Sender;
@@ -98,6 +99,7 @@
     serving: Mutex<Serving>,
     admission: Mutex<Admission>,
     record: Mutex<Record>,
+    shares: Mutex<Shares>,
     runs: flume::Sender<run::Job>,
     store: Mutex<Store>,
     weights_base: Mutex<String>,
@@ -195,6 +197,7 @@
             serving: Mutex::new(Serving::Nothing),
             admission: Mutex::new(Admission::cold(WARM_LIMIT)),
             record: Mutex::default(),
+            shares: Mutex::default(),
             runs,
             store: Mutex::default(),
             weights_base: Mutex::default(),
--- a/node/src/agent/run.rs
+++ b/node/src/agent/run.rs
@@ -1,6 +1,8 @@
 //! Runs requests on the endpoint: the gate, admission, and the answer's frames.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -9,7 +11,6 @@
 use bytes::BytesMut;
 use mastichaven_core::Code;
 use mastichaven_core::Outcome;
-use mastichaven_core::admission::Admission;
 use mastichaven_core::admission::Left;
 use mastichaven_core::admission::Place;
 use mastichaven_core::claim;
@@ -99,22 +100,18 @@
 async fn run_one(shared: &Arc<Shared>, ask: &RunAsk, replies: &ReplySink) -> Result<(), Code> {
     check(shared, ask)?;
     let start = open_for(shared, ask)?;
-    let place = enter(shared, ask).await?;
-    if let Err(code) = record(shared).start(ask.request) {
-        admission(shared).leave(place, Left::Early);
-        return Err(code);
-    }
+    let mut entered = enter(shared, ask).await?;
+    lock(&shared.record).start(ask.request)?;
     let line = match open_line(shared, start).await {
         Ok(line) => line,
         Err(code) => {
-            record(shared).finish(ask.request, VoidReply::Voided);
-            admission(shared).leave(place, Left::Early);
+            lock(&shared.record).finish(ask.request, VoidReply::Voided);
             return Err(code);
         }
     };
     let ended = forward(shared, ask, start, line, replies).await;
-    record(shared).finish(ask.request, ended.record);
-    admission(shared).leave(place, ended.left);
+    lock(&shared.record).finish(ask.request, ended.record);
+    entered.leave(ended.left);
     let frame = match ended.frame {
         RunFrame::End { attempt, frames, .. } => {
             RunFrame::End { attempt, frames, load: load(shared) }
@@ -136,15 +133,15 @@
     if ask.incarnation != Some(shared.incarnation) {
         return Err(Code::EndpointClosed);
     }
-    record(shared).check(ask.request)?;
+    lock(&shared.record).check(ask.request)?;
     if let Some(Service::Plain { concurrent, .. }) = in_force.config.service.get(&ask.service) {
-        admission(shared).set_max(*concurrent);
+        lock(&shared.admission).set_max(*concurrent);
     }
     Ok(())
 }
 
 fn open_for(shared: &Shared, ask: &RunAsk) -> Result<StartId, Code> {
-    let serving = shared.serving.lock().expect("no holder of this lock panics");
+    let serving = lock(&shared.serving);
     match (&*serving, ask.version) {
         (Serving::Model { version, start, .. }, Some(wanted)) if *version == wanted => Ok(*start),
         (Serving::Model { .. }, _) => Err(Code::WrongVersion),
@@ -153,36 +150,75 @@
     }
 }
 
-async fn enter(shared: &Shared, ask: &RunAsk) -> Result<Place, Code> {
-    if !ask.alone {
-        return admission(shared).try_enter(ask.work).ok_or(Code::EndpointFull);
+async fn enter(shared: &Arc<Shared>, ask: &RunAsk) -> Result<Entered, Code> {
+    let place =
+        if ask.alone { enter_alone(shared, ask).await? } else { enter_beside(shared, ask)? };
+    let entry = ask.request.sender();
+    lock(&shared.shares).entered(entry, shared.clock.now());
+    Ok(Entered { shared: shared.clone(), entry, place: Some(place) })
+}
+
+fn enter_beside(shared: &Shared, ask: &RunAsk) -> Result<Place, Code> {
+    let (entry, now) = (ask.request.sender(), shared.clock.now());
+    let mut shares = lock(&shared.shares);
+    let mut admission = lock(&shared.admission);
+    let has_share = shares.may_enter(entry, admission.load().limit, now);
+    let place = if has_share { admission.try_enter(ask.work) } else { None };
+    if place.is_none() {
+        shares.refused(entry, now);
     }
-    if !admission(shared).reserve_alone() {
+    place.ok_or(Code::EndpointFull)
+}
+
+async fn enter_alone(shared: &Shared, ask: &RunAsk) -> Result<Place, Code> {
+    if !lock(&shared.admission).reserve_alone() {
         return Err(Code::EndpointFull);
     }
     let started = Instant::now();
     while started.elapsed() < ALONE_WAIT {
-        if let Some(place) = admission(shared).try_enter_alone(ask.work) {
+        if let Some(place) = lock(&shared.admission).try_enter_alone(ask.work) {
             return Ok(place);
         }
         tokio::time::sleep(ALONE_POLL).await;
     }
-    admission(shared).give_up_alone();
+    lock(&shared.admission).give_up_alone();
     Err(Code::EndpointFull)
 }
 
+/// A place at the endpoint, given back when dropped.
+struct Entered {
+    shared: Arc<Shared>,
+    entry: u64,
+    place: Option<Place>,
+}
+
+impl Entered {
+    fn leave(&mut self, left: Left) {
+        if let Some(place) = self.place.take() {
+            lock(&self.shared.shares).left(self.entry);
+            lock(&self.shared.admission).leave(place, left);
+        }
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.leave(Left::Early);
+    }
+}
+
 /// Opens a connection after the endpoint has shown a recent sign of the life `start`.
 async fn open_line(shared: &Shared, start: StartId) -> Result<Line, Code> {
-    while admission(shared).needs_sign_of_life() {
+    while lock(&shared.admission).needs_sign_of_life() {
         match endpoint::start_id(shared.engine.base()).await {
-            Ok(found) if found == start => admission(shared).confirm(),
+            Ok(found) if found == start => lock(&shared.admission).confirm(),
             _ => {
                 close_gate(shared, start);
                 return Err(Code::EndpointClosed);
             }
         }
     }
-    admission(shared).sent();
+    lock(&shared.admission).sent();
     match endpoint::open(shared.engine.base()).await {
         Ok(line) => Ok(line),
         Err(code) => {
@@ -194,14 +230,14 @@
 
 /// The life `start` is over: nothing is sent until the watch has seen a new one, which is cold.
 fn close_gate(shared: &Shared, start: StartId) {
-    let mut serving = shared.serving.lock().expect("no holder of this lock panics");
+    let mut serving = lock(&shared.serving);
     let known = match &*serving {
         Serving::Model { start, .. } | Serving::Plain { start, .. } => Some(*start),
         Serving::Nothing => None,
     };
     if known == Some(start) {
         *serving = Serving::Nothing;
-        admission(shared).restart();
+        lock(&shared.admission).restart();
     }
 }
 
@@ -225,7 +261,7 @@
     match answer {
         Ok(answer) => {
             if answer.start == Some(start) {
-                admission(shared).confirm();
+                lock(&shared.admission).confirm();
             }
             let mut passing = Passing { shared, ask, start, replies, first_byte: begun.elapsed() };
             passing.pass(answer).await
@@ -350,16 +386,12 @@
     timeout(limit, answer.next()).await.unwrap_or(Some(Err(Code::DeadlineDuringRun)))
 }
 
-fn admission(shared: &Shared) -> std::sync::MutexGuard<'_, Admission> {
-    shared.admission.lock().expect("no holder of this lock panics")
-}
-
-fn record(shared: &Shared) -> std::sync::MutexGuard<'_, mastichaven_core::record::Record> {
-    shared.record.lock().expect("no holder of this lock panics")
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of this lock panics")
 }
 
 fn load(shared: &Shared) -> mastichaven_core::run::Load {
-    admission(shared).load()
+    lock(&shared.admission).load()
 }
 
 fn reply(shared: &Shared, frame: RunFrame) -> Reply {
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -51,6 +51,7 @@
 mod parse;
 mod planner;
 pub(crate) mod requests;
+mod router;
 
 /// Result of starting an entry.
 pub type Result<T> = std::result::Result<T, Code>;
@@ -76,6 +77,7 @@
     pub(crate) running: AtomicU32,
     serial: AtomicU64,
     claims: claims::Handle,
+    router: router::Router,
 }
 
 impl Shared {
@@ -156,6 +158,7 @@
             running: AtomicU32::new(0),
             serial: AtomicU64::new(0),
             claims: claims::Handle::new(claim_jobs),
+            router: router::Router::default(),
         });
         let operators = operator::start(operators, shared.clone())?;
         let callers = callers::start(callers, shared.clone())?;
--- a/node/src/entry/answer.rs
+++ b/node/src/entry/answer.rs
@@ -16,7 +16,7 @@
 use super::dispatch::Opened;
 use super::parse::Parsed;
 use super::requests;
-use super::requests::InProgress;
+use super::requests::Held;
 use crate::callers;
 use crate::callers::AnswerBody;
 
@@ -69,7 +69,7 @@
     parsed: Parsed,
     opened: Opened,
     journey: requests::Journey,
-    in_progress: InProgress,
+    held: Held,
 ) -> Result<Response<AnswerBody>, Code> {
     let (tx, rx) = flume::bounded(FRAME_RING);
     let response = Response::builder()
@@ -84,7 +84,7 @@
         Passing { shared: shared.clone(), parsed, journey, cutter: Default::default(), tx };
     tokio::spawn(async move {
         passing.run(opened).await;
-        drop(in_progress);
+        drop(held);
     });
     Ok(response)
 }
--- a/node/src/entry/claims.rs
+++ b/node/src/entry/claims.rs
@@ -17,6 +17,7 @@
 use mastichaven_core::claim::ClaimRun;
 use mastichaven_core::claim::Do;
 use mastichaven_core::claim::Event;
+use mastichaven_core::ids::Attempt;
 use mastichaven_core::ids::Revision;
 use mastichaven_core::members::Member;
 use mastichaven_core::platform::Expect;
@@ -34,8 +35,10 @@
 
 use super::Shared;
 use super::dispatch;
-use super::dispatch::Tries;
 use super::parse::Parsed;
+use super::router;
+use super::router::Lease;
+use super::router::Refused;
 use crate::transport::ReplySink;
 
 /// Threads that call the platform.
@@ -57,7 +60,7 @@
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Attempts that one request moves its claim through at most.
-const MAX_MOVES: u32 = 3;
+const MAX_MOVES: u32 = 8;
 
 /// A call for the threads.
 pub(super) enum Job {
@@ -237,32 +240,35 @@
 /// What a keyed request came to.
 pub(super) struct Claimed {
     /// The answer, or why there is none.
-    pub(super) result: Result<WholeAnswer, Code>,
+    pub(super) result: Result<WholeAnswer, Refused>,
     /// Whether it is proved that nothing ran under the key; `not-run` needs that.
     pub(super) not_run: bool,
 }
 
 /// Runs a request at most once under its key.
-pub(super) async fn serve(shared: &Shared, parsed: &Parsed, key: &str) -> Claimed {
+pub(super) async fn serve(shared: &Arc<Shared>, parsed: &Parsed, key: &str) -> Claimed {
     let object = claim::object_key(&parsed.customer, &parsed.service, key);
-    let mut tries = Tries::default();
-    let mine = match dispatch::choose(shared, parsed, &mut tries) {
-        Ok(mine) => mine,
-        Err(code) => return Claimed { result: Err(code), not_run: false },
+    let lease = match router::acquire(shared, parsed, &[], false).await {
+        Ok(lease) => lease,
+        Err(refused) => return Claimed { result: Err(refused), not_run: false },
     };
     let now = shared.clock.now();
-    let (mut run, mut next) = ClaimRun::start(parsed.digest(), mine, parsed.deadline, now);
+    let (run, mut next) = ClaimRun::start(parsed.digest(), lease.to.clone(), parsed.deadline, now);
+    let mut sending = Sending { shared, parsed, run, lease: Some(lease), attempts: 0 };
     loop {
         next = match next {
-            Do::Dispatch => send(shared, parsed, &mut run, &mut tries).await,
+            Do::Dispatch => sending.send().await,
             Do::Answer(answer) => return Claimed { result: Ok(answer), not_run: false },
-            Do::Refuse(Code::Voided) if !run.is_not_run() => {
-                move_on(shared, parsed, &mut run, &mut tries, Code::Voided)
+            Do::Refuse(Code::Voided) if !sending.run.is_not_run() => {
+                sending.move_on(Code::Voided).await
             }
-            Do::Refuse(code) => return Claimed { result: Err(code), not_run: run.is_not_run() },
-            call => {
-                let event = carry_out(shared, &object, call).await;
-                run.step(event, shared.clock.now())
+            Do::Refuse(code) => {
+                let not_run = sending.run.is_not_run();
+                return Claimed { result: Err(code.into()), not_run };
+            }
+            Do::AskAgent(_) | Do::Read | Do::Wait(_) | Do::Write(..) => {
+                let event = carry_out(shared, &object, next).await;
+                sending.run.step(event, shared.clock.now())
             }
         };
     }
@@ -284,31 +290,47 @@
     }
 }
 
-async fn send(shared: &Shared, parsed: &Parsed, run: &mut ClaimRun, tries: &mut Tries) -> Do {
-    if parsed.caller.has_left() {
-        return run.release(Code::CallerLeft);
-    }
-    let to = run.mine().clone();
-    match dispatch::run_whole(shared, parsed, &to, tries.next()).await {
-        Ok(answer) => run.finish(answer, shared.clock.now()),
-        Err(failure) if failure.is_not_run() => move_on(shared, parsed, run, tries, failure.code),
-        Err(_) => run.lost(shared.clock.now()),
-    }
+/// One sending of a keyed request.
+struct Sending<'a> {
+    shared: &'a Arc<Shared>,
+    parsed: &'a Parsed,
+    run: ClaimRun,
+    /// The endpoint that the claimed attempt may be sent to.
+    lease: Option<Lease>,
+    attempts: u32,
 }
 
-/// The attempt is proved not to run: claims for another endpoint, or gives the claim up.
-fn move_on(
-    shared: &Shared,
-    parsed: &Parsed,
-    run: &mut ClaimRun,
-    tries: &mut Tries,
-    code: Code,
-) -> Do {
-    if tries.count() >= MAX_MOVES || parsed.deadline <= shared.clock.now() {
-        return run.release(code);
+impl Sending<'_> {
+    async fn send(&mut self) -> Do {
+        let Some(lease) = self.lease.take() else {
+            return self.run.lost(self.shared.clock.now());
+        };
+        if self.parsed.caller.has_left() {
+            return self.run.release(Code::CallerLeft);
+        }
+        self.attempts += 1;
+        let attempt = Attempt(self.attempts);
+        match dispatch::run_whole(self.shared, self.parsed, lease, attempt).await {
+            Ok(answer) => self.run.finish(answer, self.shared.clock.now()),
+            Err(failure) if failure.is_not_run() => self.move_on(failure.code).await,
+            Err(_) => self.run.lost(self.shared.clock.now()),
+        }
     }
-    match dispatch::choose(shared, parsed, tries) {
-        Ok(mine) => run.move_to(mine),
-        Err(_) => run.release(code),
+
+    /// The attempt is proved not to run: claims for another endpoint, or gives the claim up.
+    async fn move_on(&mut self, code: Code) -> Do {
+        let is_over = self.parsed.deadline <= self.shared.clock.now();
+        if self.attempts >= MAX_MOVES || is_over {
+            return self.run.release(code);
+        }
+        let tried = [self.run.mine().agent.clone()];
+        match router::acquire(self.shared, self.parsed, &tried, true).await {
+            Ok(lease) => {
+                let to = lease.to.clone();
+                self.lease = Some(lease);
+                self.run.move_to(to)
+            }
+            Err(refused) => self.run.release(refused.code),
+        }
     }
 }
--- a/node/src/entry/dispatch.rs
+++ b/node/src/entry/dispatch.rs
@@ -1,4 +1,4 @@
-//! One attempt: choosing its endpoint, sending it, and reading its frames.
+//! One attempt: sending it and reading its frames.
 
 use std::time::Duration;
 
@@ -7,12 +7,8 @@
 use mastichaven_core::Code;
 use mastichaven_core::Outcome;
 use mastichaven_core::claim::Dispatch;
-use mastichaven_core::config::ZoneState;
 use mastichaven_core::ids::Attempt;
-use mastichaven_core::ids::HostName;
-use mastichaven_core::members::Member;
-use mastichaven_core::members::Serving;
-use mastichaven_core::route;
+use mastichaven_core::route::Ended;
 use mastichaven_core::run::RunAsk;
 use mastichaven_core::run::RunFrame;
 use mastichaven_core::run::VoidAsk;
@@ -27,6 +23,7 @@
 
 use super::Shared;
 use super::parse::Parsed;
+use super::router::Lease;
 use crate::transport::Call;
 
 /// Result of an attempt.
@@ -61,55 +58,6 @@
     }
 }
 
-/// The endpoints that one request was tried on.
-#[derive(Debug, Default)]
-pub(super) struct Tries {
-    hosts: Vec<HostName>,
-    attempts: u32,
-}
-
-impl Tries {
-    /// The number of the next attempt.
-    pub(super) fn next(&mut self) -> Attempt {
-        self.attempts += 1;
-        Attempt(self.attempts)
-    }
-
-    /// Attempts so far.
-    pub(super) fn count(&self) -> u32 {
-        self.attempts
-    }
-}
-
-/// Chooses an endpoint that was not tried yet, and names a new attempt on it.
-pub(super) fn choose(
-    shared: &Shared,
-    parsed: &Parsed,
-    tries: &mut Tries,
-) -> std::result::Result<Dispatch, Code> {
-    let in_force = shared.documents.in_force();
-    let serves = |member: &Member| match (&member.serving, parsed.version) {
-        (Serving::Model { version, .. }, Some(wanted)) => *version == wanted,
-        (Serving::Plain { service, .. }, None) => *service == parsed.service,
-        _ => false,
-    };
-    let zone_in = |member: &Member| {
-        in_force.config.zone.get(&member.zone).is_some_and(|zone| zone.state == ZoneState::In)
-    };
-    let mut candidates = shared.members();
-    candidates.retain(|member| !member.leaving && serves(member) && zone_in(member));
-    let member =
-        route::pick(&candidates, &shared.settings.place.zone, &tries.hosts, &mut rand::rng())
-            .ok_or(Code::NoEndpoint)?;
-    tries.hosts.push(member.host.clone());
-    Ok(Dispatch {
-        agent: member.host.clone(),
-        address: member.address,
-        incarnation: member.incarnation,
-        request: shared.next_request(),
-    })
-}
-
 /// An attempt whose answer has begun.
 pub(super) struct Opened {
     /// HTTP status.
@@ -119,13 +67,14 @@
     call: Call,
     order: FrameOrder,
     patience: Duration,
+    lease: Lease,
 }
 
 /// Sends one attempt and waits for the head of its answer.
 pub(super) async fn open(
     shared: &Shared,
     parsed: &Parsed,
-    to: &Dispatch,
+    lease: Lease,
     attempt: Attempt,
     resume_after: u64,
 ) -> Result<Opened> {
@@ -138,14 +87,17 @@
     if left.is_zero() {
         return Err(Code::DeadlineBeforeRun.into());
     }
-    let ask = run_ask(parsed, to, attempt, resume_after, left);
+    let ask = run_ask(parsed, &lease.to, attempt, resume_after, left);
     let patience = Duration::from_millis(limits.between_bytes_ms) + AGENT_SLACK;
     let first_byte = Duration::from_millis(limits.first_byte_ms) + AGENT_SLACK;
     let wait = if parsed.idempotent { left.min(first_byte) } else { left };
-    let call = shared.transport.call(to.address, &shared.ask(AskBody::Run(ask)));
+    let call = shared.transport.call(lease.to.address, &shared.ask(AskBody::Run(ask)));
     let order = FrameOrder::new(attempt);
-    let opening = Opened { status: 0, content_type: SmolStr::default(), call, order, patience };
-    timeout(wait, opening.head()).await.unwrap_or(Err(Code::DeadlineDuringRun.into()))
+    let (status, content_type) = (0, SmolStr::default());
+    let mut opening = Opened { status, content_type, call, order, patience, lease };
+    let head = timeout(wait, opening.head()).await;
+    let head = head.unwrap_or(Err(Code::DeadlineDuringRun.into()));
+    opening.note(head).map(|()| opening)
 }
 
 fn run_ask(
@@ -177,14 +129,15 @@
 }
 
 impl Opened {
-    async fn head(mut self) -> Result<Opened> {
+    async fn head(&mut self) -> Result<()> {
         loop {
-            match next_frame(&mut self.call).await? {
+            match self.frame().await? {
                 RunFrame::Started { .. } => {}
                 RunFrame::Head { status, content_type, .. } => {
                     self.status = status;
                     self.content_type = content_type;
-                    return Ok(self);
+                    self.lease.head();
+                    return Ok(());
                 }
                 frame => {
                     if self.order.take(frame)? != Taken::Dropped {
@@ -195,6 +148,27 @@
         }
     }
 
+    async fn frame(&mut self) -> Result<RunFrame> {
+        let frame = next_frame(&mut self.call).await?;
+        match &frame {
+            RunFrame::Refused { load, .. } => {
+                self.lease.report(*load);
+                self.lease.refused();
+            }
+            RunFrame::End { load, .. } => self.lease.report(*load),
+            _ => {}
+        }
+        Ok(frame)
+    }
+
+    /// Tells routing how the attempt went on.
+    fn note<T>(&mut self, result: Result<T>) -> Result<T> {
+        if let Err(failure) = &result {
+            self.lease.note_failure(failure.code);
+        }
+        result
+    }
+
     /// Whether the answer is a stream of events that is passed on as it comes.
     pub(super) fn is_stream(&self) -> bool {
         self.content_type.starts_with("text/event-stream")
@@ -202,13 +176,21 @@
 
     /// The next bytes; `None` when the answer is whole.
     pub(super) async fn next(&mut self) -> Result<Option<Bytes>> {
+        let next = self.next_bytes().await;
+        self.note(next)
+    }
+
+    async fn next_bytes(&mut self) -> Result<Option<Bytes>> {
         loop {
-            let frame = timeout(self.patience, next_frame(&mut self.call))
+            let frame = timeout(self.patience, self.frame())
                 .await
                 .unwrap_or(Err(Code::DeadlineDuringRun.into()))?;
             match self.order.take(frame)? {
                 Taken::Bytes(bytes) => return Ok(Some(bytes)),
-                Taken::End => return Ok(None),
+                Taken::End => {
+                    self.lease.set_ended(Ended::Answered);
+                    return Ok(None);
+                }
                 Taken::Dropped => {}
             }
         }
@@ -247,10 +229,10 @@
 pub(super) async fn run_whole(
     shared: &Shared,
     parsed: &Parsed,
-    to: &Dispatch,
+    lease: Lease,
     attempt: Attempt,
 ) -> Result<WholeAnswer> {
-    open(shared, parsed, to, attempt, 0).await?.gather().await
+    open(shared, parsed, lease, attempt, 0).await?.gather().await
 }
 
 /// Asks the agent life that an attempt went to what became of it; one that has not started never
--- a/node/src/entry/parse.rs
+++ b/node/src/entry/parse.rs
@@ -17,15 +17,12 @@
 use mastichaven_core::config::Service;
 use mastichaven_core::ids::CustomerName;
 use mastichaven_core::ids::Digest;
-use mastichaven_core::ids::ModelName;
 use mastichaven_core::ids::ServiceName;
-use mastichaven_core::members::Member;
-use mastichaven_core::members::Serving;
-use mastichaven_core::plan::version_to_answer;
 use serde::Deserialize;
 use smol_str::SmolStr;
 
 use super::Shared;
+use super::router;
 
 /// Result of reading a request.
 pub(super) type Result<T> = std::result::Result<T, Code>;
@@ -45,6 +42,9 @@
 /// Bytes of a prompt that make one token, roughly.
 const BYTES_PER_TOKEN: usize = 4;
 
+/// Bytes of the first message that requests with the same prefix share.
+const PREFIX_LEN: usize = 1_024;
+
 /// Output tokens expected of a request that does not say.
 const USUAL_OUTPUT: u32 = 64;
 
@@ -58,6 +58,15 @@
     model: Option<SmolStr>,
     #[serde(default)]
     max_tokens: Option<u32>,
+    #[serde(default)]
+    messages: Vec<Message>,
+}
+
+/// One message of a conversation.
+#[derive(Default, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: serde_json::Value,
 }
 
 /// Whether the caller of a request still waits.
@@ -99,6 +108,8 @@
     pub(super) idempotent: bool,
     /// Its idempotency key, where it needs one.
     pub(super) key: Option<SmolStr>,
+    /// Digest of the start of its prompt, which endpoints may have cached.
+    pub(super) prefix: Option<Digest>,
     /// Work units it costs.
     pub(super) work: u32,
     /// 0 (lowest) to 9.
@@ -153,7 +164,7 @@
     let fields: Fields = serde_json::from_slice(&body).unwrap_or_default();
     let service = find_route(config, &path, fields.model.as_ref())?;
     let (version, idempotent) = match config.service.get(&service) {
-        Some(Service::Model { model, .. }) => (Some(version_of(shared, config, model)?), true),
+        Some(Service::Model { model, .. }) => (Some(router::version_of(shared, model)?), true),
         Some(Service::Plain { idempotent, .. }) => (None, *idempotent),
         None => return Err(Code::NoRoute),
     };
@@ -163,6 +174,7 @@
         version,
         idempotent,
         key: (!key.is_empty() && !idempotent).then_some(key),
+        prefix: if version.is_some() { prefix_of(&fields) } else { None },
         work: if version.is_some() { work_of(&body, &fields) } else { 1 },
         priority,
         deadline: now + deadline,
@@ -191,6 +203,12 @@
     Ok(Duration::from_millis(wanted.min(configured)))
 }
 
+/// Conversations begin with long instructions that many share: those are worth meeting again.
+fn prefix_of(fields: &Fields) -> Option<Digest> {
+    let first = fields.messages.first()?.content.as_str()?.as_bytes();
+    Some(Digest::of(&first[..first.len().min(PREFIX_LEN)]))
+}
+
 fn work_of(body: &Bytes, fields: &Fields) -> u32 {
     let prompt = u32::try_from(body.len() / BYTES_PER_TOKEN).unwrap_or(MAX_WORK);
     prompt.saturating_add(fields.max_tokens.unwrap_or(USUAL_OUTPUT)).clamp(1, MAX_WORK)
@@ -207,25 +225,12 @@
         .ok_or(Code::NoRoute)
 }
 
-fn version_of(shared: &Shared, config: &Config, name: &ModelName) -> Result<Digest> {
-    let model = config.model.get(name).ok_or(Code::NoRoute)?;
-    let version = config.version.get(&model.serve).ok_or(Code::NoRoute)?;
-    let configured = Digest::from_hex(&version.manifest).ok_or(Code::NoRoute)?;
-    let plan = shared.documents.plan(name).map(|(_, plan)| plan);
-    let members = shared.members();
-    let is_ready = |wanted: Digest| {
-        let serves = |member: &Member| matches!(&member.serving, Serving::Model { version, .. } if *version == wanted);
-        members.iter().any(|member| !member.leaving && serves(member))
-    };
-    Ok(version_to_answer(plan.as_ref(), configured, is_ready))
-}
-
 /// During a rollout the version that answers may change between two attempts; a later attempt goes
 /// to the one in service then. No answer mixes versions, as each attempt names its own.
 pub(super) fn refresh_version(shared: &Shared, parsed: &mut Parsed) -> Result<()> {
     let in_force = shared.documents.in_force();
     if let Some(Service::Model { model, .. }) = in_force.config.service.get(&parsed.service) {
-        parsed.version = Some(version_of(shared, &in_force.config, model)?);
+        parsed.version = Some(router::version_of(shared, model)?);
     }
     Ok(())
 }
