A lost answer of the platform is unknown, not down

Cause: minreq shows a connection that ended before any answer as a status of 503, and takes the end of a connection between two chunks for the end of the body. The adapter read the first as a proof that a write was refused, and the second as a whole value. Change: the made-up status is an error; a value must announce its length.

--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -9,6 +9,11 @@
 use std::io;
 use std::io::Read;
 
+/// The reason that `minreq` makes up, with a status of 503, when the connection ends before any
+/// answer. Taken at its word it would prove that a write was refused, while the write may have
+/// taken effect.
+const NO_STATUS_LINE: &str = "Server did not provide a status line";
+
 /// Result of a call.
 pub(crate) type Result<T> = std::result::Result<T, FetchError>;
 
@@ -33,6 +38,12 @@
 }
 
 impl Fetched {
+    /// Whether the answer announced its length. `minreq` takes the end of a connection between two
+    /// chunks for the end of the body, so that any other answer may have been cut short.
+    pub(crate) fn is_sized(&self) -> bool {
+        self.header("content-length").is_some()
+    }
+
     /// The value of the first header of this name, in any case.
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
         header(&self.headers, name)
@@ -48,6 +59,9 @@
 pub(crate) fn fetch(request: minreq::Request, limit: usize) -> Result<Fetched> {
     let mut response = request.with_follow_redirects(false).send_lazy().map_err(read_error)?;
     let status = response.status_code;
+    if response.reason_phrase == NO_STATUS_LINE {
+        return Err(FetchError::Broken);
+    }
     let headers = std::mem::take(&mut response.headers);
     let announced = header(&headers, "content-length").and_then(|text| text.parse().ok());
     if announced.is_some_and(|len: usize| len > limit) {
--- a/node/src/http_store.rs
+++ b/node/src/http_store.rs
@@ -65,6 +65,9 @@
             return Ok(None);
         }
         check_status(&fetched)?;
+        if !fetched.is_sized() {
+            return Err(PlatformError::Malformed);
+        }
         let revision = scan_revision(&fetched)?;
         Ok(Some(Object { revision, value: Bytes::from(fetched.body) }))
     }
--- /dev/null
+++ b/node/tests/shell/main.rs
@@ -0,0 +1,6 @@
+//! The outer parts: settings, ports, TLS, the platform's adapter, and the programs themselves.
+
+mod platform;
+
+/// Any free port on loopback.
+const ANY: &str = "127.0.0.1:0";
