Settings say file, line, code and key of what is wrong

Cause: a value of the wrong type was refused without its key, a value out of range was taken, wrong arguments gave the same exit code as a failure, and no page listed the keys. Conclusion: a mistyped setting stops the process with the place of the fault.

--- a/node/src/bin/mastichaven-agent.rs
+++ b/node/src/bin/mastichaven-agent.rs
@@ -6,41 +6,37 @@
 use bpaf::Bpaf;
 use mastichaven_node::agent::Agent;
 use mastichaven_node::process;
+use mastichaven_node::process::Failure;
 use mastichaven_node::settings;
 use mastichaven_node::settings::AgentSettings;
 use mastichaven_node::telemetry::Telemetry;
 use mastichaven_node::tls::Material;
 
 /// Runs one agent until SIGTERM or SIGINT; then it finishes every request in progress and ends.
+///
+/// SIGUSR1 writes its whole state to the log. Exit codes: 0 stopped as asked, 1 failed, 2 wrong
+/// arguments, 3 settings refused.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
 struct Arguments {
-    /// The settings file (TOML)
+    /// The settings file (TOML); docs/CONFIGURATION.md lists its keys
     #[bpaf(positional("SETTINGS"))]
     settings: PathBuf,
 }
 
 fn main() -> ExitCode {
-    match run(&arguments().run()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("mastichaven-agent: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    process::run_program("mastichaven-agent", &arguments(), run)
 }
 
-fn run(arguments: &Arguments) -> Result<(), String> {
-    let settings: AgentSettings =
-        settings::load(&arguments.settings).map_err(|error| error.to_string())?;
+fn run(arguments: Arguments) -> Result<(), Failure> {
+    let settings: AgentSettings = settings::load(&arguments.settings).map_err(Failure::refused)?;
     let tls = &settings.tls;
-    let material =
-        Material::load(&tls.certificate, &tls.key, &tls.ca).map_err(|error| error.to_string())?;
+    let material = Material::load(&tls.certificate, &tls.key, &tls.ca).map_err(Failure::refused)?;
     let telemetry = Telemetry::start(settings.place.statsd);
-    let stop = process::stop_signal().map_err(|error| error.to_string())?;
+    let signals = process::signals().map_err(Failure::failed)?;
     let agent = Agent::start(settings, &material, telemetry, process::new_incarnation())
-        .map_err(|code| code.to_string())?;
-    stop.wait();
+        .map_err(Failure::failed)?;
+    signals.wait_for_stop(|| agent.log_dump());
     agent.stop();
     Ok(())
 }
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -28,6 +28,7 @@
 use mastichaven_core::wire::Sender;
 use serde_json::Value;
 use serde_json::json;
+use slog::info;
 
 use crate::callers;
 use crate::clock::Clock;
@@ -168,6 +169,12 @@
         self.operators
     }
 
+    /// Writes the whole state to the log.
+    pub fn log_dump(&self) {
+        let state = self.shared.dump().to_string();
+        info!(self.shared.telemetry.log, "state"; "dump" => state);
+    }
+
     /// Ends at once and without a goodbye, as a crash does; for tests of what others make of it.
     pub fn crash(self) {
         self.shared.over.store(true, Ordering::Release);
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::fs;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -14,9 +15,18 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
+mod check;
+mod locate;
+
+pub use self::check::Checked;
+pub use self::check::Problem;
+
 /// Result of reading settings.
 pub type Result<T> = std::result::Result<T, SettingsError>;
 
+/// Bytes of a settings file at most; a longer one is not read.
+pub const MAX_FILE_LEN: u64 = 1 << 20;
+
 /// Why a settings file cannot be used.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SettingsError {
@@ -26,13 +36,14 @@
     pub file: PathBuf,
     /// The line, from 1; 0 when the file cannot be read.
     pub line: usize,
-    /// What is wrong, in the parser's words.
+    /// The key and what is wrong with it.
     pub detail: String,
 }
 
 impl fmt::Display for SettingsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: {}: {}", self.file.display(), self.line, self.code, self.detail)
+        let SettingsError { code, file, line, detail } = self;
+        write!(f, "{}:{line}: E{} {detail}", file.display(), code.number())
     }
 }
 
@@ -133,25 +144,42 @@
     1 << 30
 }
 
-/// Reads a settings file.
-pub fn load<T: DeserializeOwned>(file: &Path) -> Result<T> {
-    let text = fs::read_to_string(file).map_err(|e| SettingsError {
+/// Reads and checks a settings file.
+pub fn load<T: Checked + DeserializeOwned>(file: &Path) -> Result<T> {
+    let unreadable = |detail: String| SettingsError {
         code: Code::Unreadable,
         file: file.to_owned(),
         line: 0,
-        detail: e.to_string(),
-    })?;
+        detail,
+    };
+    let opened = fs::File::open(file).map_err(|e| unreadable(e.to_string()))?;
+    let mut text = String::new();
+    let mut bounded = opened.take(MAX_FILE_LEN + 1);
+    bounded.read_to_string(&mut text).map_err(|e| unreadable(e.to_string()))?;
+    if text.len() as u64 > MAX_FILE_LEN {
+        return Err(unreadable(format!("longer than {MAX_FILE_LEN} bytes")));
+    }
     parse(file, &text)
 }
 
-/// Reads settings from `text`; `file` only names it in errors.
-pub fn parse<T: DeserializeOwned>(file: &Path, text: &str) -> Result<T> {
-    toml::from_str(text).map_err(|e| SettingsError {
-        code: code_of(e.message()),
-        file: file.to_owned(),
-        line: e.span().map_or(1, |span| line_at(text, span.start)),
-        detail: e.message().to_owned(),
-    })
+/// Reads and checks settings from `text`; `file` only names it in errors.
+pub fn parse<T: Checked + DeserializeOwned>(file: &Path, text: &str) -> Result<T> {
+    let error = |code, line, detail| SettingsError { code, file: file.to_owned(), line, detail };
+    if let Err(e) = toml::from_str::<toml::Table>(text) {
+        let line = locate::line_at(text, e.span().map_or(0, |span| span.start));
+        return Err(error(Code::BadSyntax, line, e.message().replace('\n', ", ")));
+    }
+    let settings: T = toml::from_str(text).map_err(|e| {
+        let found = locate::find(text, e.message(), e.span().map_or(0, |span| span.start));
+        error(code_of(e.message()), found.line, format!("{}: {}", found.key, e.message()))
+    })?;
+    match settings.problem() {
+        None => Ok(settings),
+        Some(Problem { key, code, detail }) => {
+            let line = locate::line_of(text, key);
+            Err(error(code, line, format!("{key}: {detail}")))
+        }
+    }
 }
 
 fn code_of(message: &str) -> Code {
@@ -159,14 +187,7 @@
         Code::UnknownKey
     } else if message.starts_with("missing field") {
         Code::MissingKey
-    } else if message.starts_with("invalid") {
-        Code::BadValue
     } else {
-        Code::BadSyntax
+        Code::BadValue
     }
 }
-
-/// The line, from 1, of the byte at `offset`.
-pub fn line_at(text: &str, offset: usize) -> usize {
-    1 + text.as_bytes().iter().take(offset).filter(|b| **b == b'\n').count()
-}
--- a/node/tests/proof/files.rs
+++ b/node/tests/proof/files.rs
@@ -10,6 +10,7 @@
 use mastichaven_node::publish;
 use mastichaven_node::settings;
 use mastichaven_node::settings::AgentSettings;
+use mastichaven_node::settings::Checked;
 use mastichaven_node::settings::EntrySettings;
 use proptest::collection::vec;
 use proptest::prelude::ProptestConfig;
@@ -39,7 +40,7 @@
 }
 
 /// A refusal names a line of the file, so that an operator finds what to mend.
-fn assert_refused_with_line<T: DeserializeOwned>(text: &str) {
+fn assert_refused_with_line<T: Checked + DeserializeOwned>(text: &str) {
     if let Err(error) = settings::parse::<T>(Path::new("settings.toml"), text) {
         let lines = text.matches('\n').count() + 1;
         assert!((1..=lines).contains(&error.line), "line {} of {lines}", error.line);
--- a/node/tests/shell/main.rs
+++ b/node/tests/shell/main.rs
@@ -1,6 +1,8 @@
 //! The outer parts: settings, ports, TLS, the platform's adapter, and the programs themselves.
 
 mod platform;
+mod programs;
+mod settings;
 
 /// Any free port on loopback.
 const ANY: &str = "127.0.0.1:0";
