--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -22,6 +22,7 @@
 use mastichaven_node::telemetry::Telemetry;
 use mastichaven_node::tls::DevelopmentCa;
 use mastichaven_node::tls::Role;
+use mastichaven_standins::DatagramDoor;
 use mastichaven_standins::Door;
 use mastichaven_standins::Engine;
 use mastichaven_standins::EngineProfile;
@@ -59,6 +60,8 @@
     pub agent_settings: String,
     /// Further lines of each entry's settings, at the top level of the file.
     pub entry_settings: String,
+    /// Whether peers reach each process through a way of its own that can fail.
+    pub ways: bool,
 }
 
 impl Default for Layout {
@@ -72,6 +75,7 @@
             origin_rate: 4e6,
             agent_settings: String::new(),
             entry_settings: String::new(),
+            ways: false,
         }
     }
 }
@@ -92,6 +96,8 @@
     pub platform: Platform,
     /// The address of the platform that each zone uses.
     pub doors: BTreeMap<&'static str, Door>,
+    /// Ways of the peers to each host, when the layout asks for them.
+    pub ways: BTreeMap<HostName, DatagramDoor>,
     /// The origin of weights.
     pub origin: Origin,
     /// Engines, by host.
@@ -119,6 +125,7 @@
         let mut fleet = Fleet {
             platform,
             doors,
+            ways: BTreeMap::new(),
             origin: Origin::start(ANY, layout.origin_rate).map_err(text)?,
             engines: BTreeMap::new(),
             plain: Plain::start(ANY, 1).map_err(text)?,
@@ -170,10 +177,15 @@
     /// Starts a host's process, in a new life if it ran before. [`Fleet::list`] tells the platform.
     pub fn start_host(&mut self, host: &HostName) -> Result<()> {
         let seat = self.seats.get(host).ok_or_else(|| format!("no host {host}"))?.clone();
-        let address = match seat.role {
+        if self.layout.ways && !self.ways.contains_key(host) {
+            self.ways.insert(host.clone(), DatagramDoor::open(ANY).map_err(text)?);
+        }
+        let bound = match seat.role {
             HostRole::Entry => self.start_entry(host, &seat)?,
             HostRole::Agent => self.start_agent(host, &seat)?,
         };
+        let way = self.ways.get(host).inspect(|way| way.lead_to(bound));
+        let address = way.map_or(bound, DatagramDoor::address);
         let listed = ListedHost {
             name: host.clone(),
             role: seat.role,
@@ -192,7 +204,7 @@
             "callers = \"{ANY}\"\nplatform = \"{}\"\n{}\n{}",
             self.doors[seat.zone].base(),
             self.layout.entry_settings,
-            common_settings(host, seat)
+            self.common_settings(host, seat)
         );
         let settings = settings::parse(Path::new("entry"), &settings).map_err(text)?;
         let entry = Entry::start(settings, &material, Telemetry::silent(), new_incarnation())
@@ -209,7 +221,7 @@
             self.origin.base(),
             self.doors[seat.zone].base(),
             self.layout.agent_settings,
-            common_settings(host, seat),
+            self.common_settings(host, seat),
             seat.endpoint
         );
         let settings = settings::parse(Path::new("agent"), &settings).map_err(text)?;
@@ -220,6 +232,19 @@
         Ok(address)
     }
 
+    /// The tables `place` and `tls`; the files are not read here.
+    fn common_settings(&self, host: &HostName, seat: &Seat) -> String {
+        let way = self.ways.get(host).map(|way| format!("advertised = \"{}\"\n", way.address()));
+        format!(
+            "[place]\nhost = \"{host}\"\nzone = \"{}\"\nregion = \"{}\"\npeers = \"{ANY}\"\n\
+             operators = \"{ANY}\"\n{}\
+             [tls]\ncertificate = \"unread\"\nkey = \"unread\"\nca = \"unread\"\n",
+            seat.zone,
+            seat.region,
+            way.unwrap_or_default()
+        )
+    }
+
     /// Stops a host's process gracefully and waits until it has ended. The platform still lists it.
     pub fn stop_host(&mut self, host: &HostName) {
         if let Some(entry) = self.entries.remove(host) {
@@ -310,16 +335,6 @@
     error.to_string()
 }
 
-/// The tables `place` and `tls`; the files are not read here.
-fn common_settings(host: &HostName, seat: &Seat) -> String {
-    format!(
-        "[place]\nhost = \"{host}\"\nzone = \"{}\"\nregion = \"{}\"\npeers = \"{ANY}\"\n\
-         operators = \"{ANY}\"\n\
-         [tls]\ncertificate = \"unread\"\nkey = \"unread\"\nca = \"unread\"\n",
-        seat.zone, seat.region
-    )
-}
-
 /// Waits until `done` or for at most `limit`; gives the time it took.
 pub fn wait_until(limit: Duration, mut done: impl FnMut() -> bool) -> Option<Duration> {
     let start = Instant::now();
