--- a/node/src/settings/check.rs
+++ b/node/src/settings/check.rs
@@ -68,7 +68,7 @@
         name("place.host", self.host.as_str())
             .or_else(|| name("place.zone", self.zone.as_str()))
             .or_else(|| name("place.region", self.region.as_str()))
-            .or_else(|| peers(self.peers))
+            .or_else(|| peers(self))
             .or_else(|| self.statsd.and_then(statsd))
     }
 }
@@ -99,9 +99,13 @@
 }
 
 /// The address is told to peers, so that one which means "any" would lead them nowhere.
-fn peers(address: SocketAddr) -> Option<Problem> {
-    if address.ip().is_unspecified() {
-        return bad_value("place.peers", format!("{address} is not an address peers can reach"));
+fn peers(place: &Place) -> Option<Problem> {
+    let (key, told) = match place.advertised {
+        Some(advertised) => ("place.advertised", advertised),
+        None => ("place.peers", place.peers),
+    };
+    if told.ip().is_unspecified() {
+        return bad_value(key, format!("{told} is not an address that peers can reach"));
     }
     None
 }
--- a/node/tests/shell/settings.rs
+++ b/node/tests/shell/settings.rs
@@ -81,7 +81,7 @@
 #[test]
 fn parse_agent_refusals_name_line_code_and_key() {
     let cases = [
-        ("\"engine\"", "\"motor\"", "x.toml:15: E203 endpoint: unknown variant"),
+        ("\"engine\"", "\"motor\"", "x.toml:16: E203 endpoint.kind: unknown variant"),
         ("address =", "adress =", "x.toml:17: E201 endpoint.adress: unknown field"),
         ("origin =", "store_bytes = 1\norigin =", "x.toml:1: E203 store_bytes: 1 is not within"),
     ];
