--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -9,11 +9,6 @@
 use std::io;
 use std::io::Read;
 
-/// The reason that `minreq` makes up, with a status of 503, when the connection ends before any
-/// answer. Taken at its word it would prove that a write was refused, while the write may have
-/// taken effect.
-const NO_STATUS_LINE: &str = "Server did not provide a status line";
-
 /// Result of a call.
 pub(crate) type Result<T> = std::result::Result<T, FetchError>;
 
@@ -67,9 +62,6 @@
         return Err(FetchError::Broken);
     }
     let status = response.status_code;
-    if response.reason_phrase == NO_STATUS_LINE {
-        return Err(FetchError::Broken);
-    }
     let headers = std::mem::take(&mut response.headers);
     let announced = header(&headers, "content-length").and_then(|text| text.parse().ok());
     if announced.is_some_and(|len: usize| len > limit) {
