Callers' port: bounds of size and time, and tests of what slow callers do

Cause: a body that never ended and a caller that stopped reading its answer held their places without end, a head over the limit got a bare 431, and nothing tested the port's claims. Conclusion: a caller that misbehaves harms itself alone.

--- a/bench/src/demo.rs
+++ b/bench/src/demo.rs
@@ -14,7 +14,6 @@
 use mastichaven_bench::fleet::Result;
 use mastichaven_bench::fleet::wait_until;
 use mastichaven_core::Config;
-use mastichaven_core::Manifest;
 use mastichaven_core::config::ZoneState;
 use mastichaven_core::ids::Digest;
 use mastichaven_standins::origin::random_weights;
@@ -71,7 +70,7 @@
         figures: Figures::default(),
     };
     let manifest = demo.fleet.origin.put(&weights, CHUNK_LEN);
-    let mut config = configuration(&manifest)?;
+    let mut config = demo.fleet.configuration(&manifest)?;
     demo.say(&format!(
         "started {} entries and {} agents in {} zones, with an origin whose link passes {:.0} \
          copies a second",
@@ -211,43 +210,6 @@
     Ok(())
 }
 
-fn configuration(manifest: &Manifest) -> Result<Config> {
-    let text = format!(
-        r#"
-        [zone.lagoa]
-        region = "sul"
-        [zone.serra]
-        region = "sul"
-        [zone.litoral]
-        region = "costa"
-        [customer.coop]
-        key_digest = "{key}"
-        [model.rota]
-        serve = "rota-1"
-        [version.rota-1]
-        model = "rota"
-        manifest = "{manifest}"
-        [placement.rota]
-        model = "rota"
-        replicas = 9
-        [service.rota]
-        kind = "model"
-        model = "rota"
-        [service.booking]
-        kind = "plain"
-        [route.rota]
-        path = "/v1/chat/completions"
-        service = "rota"
-        [route.booking]
-        path = "/book"
-        service = "booking"
-        "#,
-        key = Digest::of(CUSTOMER_KEY.as_bytes()).to_hex(),
-        manifest = manifest.digest().to_hex(),
-    );
-    toml::from_str(&text).map_err(|e| e.to_string())
-}
-
 /// Asks for a streamed answer and checks that it is whole and all from `weights`.
 fn ask_model(fleet: &Fleet, n: usize, weights: Digest) -> Result<()> {
     let body = json!({"model": "rota", "stream": true, "max_tokens": TOKENS,
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use mastichaven_core::Config;
+use mastichaven_core::Manifest;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::platform::HostRole;
@@ -29,6 +30,7 @@
 use mastichaven_standins::Origin;
 use mastichaven_standins::Plain;
 use mastichaven_standins::Platform;
+use mastichaven_standins::origin::random_weights;
 
 /// Result of running a fleet.
 pub type Result<T> = std::result::Result<T, String>;
@@ -36,6 +38,9 @@
 /// The key of a fleet's customer, whose digest the configuration names.
 pub const CUSTOMER_KEY: &str = "demo-key";
 
+/// Bytes of a chunk of a fleet's model.
+pub const CHUNK_LEN: u32 = 64 << 10;
+
 const ANY: &str = "127.0.0.1:0";
 
 /// How often a wait looks again.
@@ -299,6 +304,72 @@
         entries.nth(n % self.entries.len()).expect("a fleet has entries").callers_addr()
     }
 
+    /// A configuration in which all engines serve model `rota` at one version, and the plain
+    /// service `booking` is routed to.
+    pub fn configuration(&self, manifest: &Manifest) -> Result<Config> {
+        let zones: String = self
+            .layout
+            .zones
+            .iter()
+            .map(|(zone, region)| format!("[zone.{zone}]\nregion = \"{region}\"\n"))
+            .collect();
+        let rest = format!(
+            r#"
+            [customer.coop]
+            key_digest = "{key}"
+            [model.rota]
+            serve = "rota-1"
+            [version.rota-1]
+            model = "rota"
+            manifest = "{manifest}"
+            [placement.rota]
+            model = "rota"
+            replicas = {replicas}
+            [service.rota]
+            kind = "model"
+            model = "rota"
+            [service.booking]
+            kind = "plain"
+            [route.rota]
+            path = "/v1/chat/completions"
+            service = "rota"
+            [route.booking]
+            path = "/book"
+            service = "booking"
+            "#,
+            key = Digest::of(CUSTOMER_KEY.as_bytes()).to_hex(),
+            manifest = manifest.digest().to_hex(),
+            replicas = self.engines.len(),
+        );
+        toml::from_str(&(zones + &rest)).map_err(text)
+    }
+
+    /// Puts a model of `len` random bytes into the origin, publishes
+    /// [`Fleet::configuration`] for it and waits until every engine answers from it and every
+    /// entry passes requests on. Gives the digest of its weights.
+    pub fn serve_model(&self, len: usize, limit: Duration) -> Result<Digest> {
+        let bytes = random_weights(1, len);
+        let weights = Digest::of(&bytes);
+        let manifest = self.origin.put(&bytes, CHUNK_LEN);
+        self.publish(&self.configuration(&manifest)?)?;
+        wait_until(limit, || self.replicas(weights) == self.engines.len())
+            .ok_or("the replicas were not there in time")?;
+        let entries = self.entries.len();
+        wait_until(limit, || (0..entries).all(|n| self.is_answered(n)))
+            .ok_or("not every entry answered in time")?;
+        Ok(weights)
+    }
+
+    fn is_answered(&self, n: usize) -> bool {
+        let body = r#"{"model":"rota","max_tokens":1,"messages":[]}"#;
+        let request = minreq::post(format!("http://{}/v1/chat/completions", self.callers_addr(n)))
+            .with_header("mastichaven-key", CUSTOMER_KEY)
+            .with_header("content-type", "application/json")
+            .with_body(body)
+            .with_timeout(5);
+        request.send().is_ok_and(|response| response.status_code == 200)
+    }
+
     /// Publishes a configuration.
     pub fn publish(&self, config: &Config) -> Result<()> {
         let store = HttpStore::new(self.platform.base());
--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -119,6 +119,8 @@
     RetryBudget = 123, 503, NotRun, "the retry budget is spent; come back after Retry-After";
     /// It ran under this idempotency key, and its answer is too large or too old to be kept.
     AnswerNotKept = 124, 410, Ran, "the request ran before; its answer was not kept";
+    /// The caller sends its request too slowly.
+    SlowCaller = 125, 408, NotRun, "the request was sent too slowly";
 
     /// A setting or key is not known.
     UnknownKey = 201, 400, NotRun, "the key is not known here";
--- a/node/src/callers.rs
+++ b/node/src/callers.rs
@@ -1,4 +1,7 @@
-//! The callers' port: HTTP/1.1, a task a request, heads and bodies bounded.
+//! The callers' port: HTTP/1.1, a task a request, heads and bodies bounded in size and time.
+//!
+//! A caller that sends its head or body slowly, does not read its answer, or is idle costs a task
+//! and a socket until its bound, and nothing that others wait for.
 //!
 //! hyper stands in for `tiny_http` here; `docs/DECISIONS.md` says why.
 
@@ -24,20 +27,36 @@
 use mastichaven_core::Code;
 use tokio::net::TcpListener;
 
+pub use self::body::BodyBounds;
+pub use self::body::read_body;
+pub use self::stall::WriteStall;
 use crate::entry::Shared;
 use crate::entry::requests;
 
+mod body;
+mod stall;
+
 /// Result of starting the port.
 pub type Result<T> = std::result::Result<T, Code>;
 
 /// An answer's body: whole, or frames as they come.
 pub type AnswerBody = BoxBody<Bytes, std::io::Error>;
 
-/// Bytes of a request's head at most.
-const MAX_HEAD_LEN: usize = 16 << 10;
+/// Bytes of a request's head at most; more is refused with [`Code::TooLarge`].
+pub const MAX_HEAD_LEN: usize = 16 << 10;
+
+/// Header lines of a request at most; more are refused with [`Code::TooLarge`].
+pub const MAX_HEADERS: usize = 64;
+
+/// Bytes of a head that are read before the connection is closed with a bare 431: room to answer
+/// heads over [`MAX_HEAD_LEN`] with a numbered code.
+const MAX_READ_LEN: usize = 4 * MAX_HEAD_LEN;
 
-/// Header lines of a request at most.
-const MAX_HEADERS: usize = 64;
+/// Header lines that are read before the connection is closed with a bare 431.
+const MAX_READ_HEADERS: usize = 4 * MAX_HEADERS;
+
+/// A caller that has taken none of its answer for this long is dropped.
+const WRITE_LIMIT: Duration = Duration::from_secs(10);
 
 /// A caller that has not sent its head after this long is dropped.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -79,9 +98,9 @@
             let _ = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
-                .max_buf_size(MAX_HEAD_LEN)
-                .max_headers(MAX_HEADERS)
-                .serve_connection(TokioIo::new(stream), service)
+                .max_buf_size(MAX_READ_LEN)
+                .max_headers(MAX_READ_HEADERS)
+                .serve_connection(TokioIo::new(WriteStall::new(stream, WRITE_LIMIT)), service)
                 .await;
             drop(place);
         });
@@ -95,6 +114,13 @@
     Ok(requests::serve(&shared, req).await)
 }
 
+/// Whether a request's head is over [`MAX_HEAD_LEN`] or [`MAX_HEADERS`].
+pub(crate) fn is_head_too_large(req: &Request<Incoming>) -> bool {
+    let target = req.uri().path_and_query().map_or(0, |target| target.as_str().len());
+    let headers = req.headers().iter().map(|(name, value)| name.as_str().len() + value.len());
+    req.headers().len() > MAX_HEADERS || target + headers.sum::<usize>() > MAX_HEAD_LEN
+}
+
 /// A body that is whole.
 pub(crate) fn whole(bytes: Bytes) -> AnswerBody {
     Full::new(bytes).map_err(|never| match never {}).boxed()
--- a/node/src/entry/parse.rs
+++ b/node/src/entry/parse.rs
@@ -6,8 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::body::Incoming;
 use mastichaven_core::Code;
@@ -26,6 +24,8 @@
 use smol_str::SmolStr;
 
 use super::Shared;
+use crate::callers;
+use crate::callers::BodyBounds;
 
 /// Result of reading a request.
 pub(super) type Result<T> = std::result::Result<T, Code>;
@@ -128,6 +128,9 @@
 
 /// Reads a request.
 pub(super) async fn parse(shared: &Shared, req: Request<Incoming>, now: Time) -> Result<Parsed> {
+    if callers::is_head_too_large(&req) {
+        return Err(Code::TooLarge);
+    }
     let in_force = shared.documents.in_force();
     let config = &in_force.config;
     let text = |name: &str| {
@@ -145,11 +148,7 @@
     let method = SmolStr::new(req.method().as_str());
     let path = req.uri().path_and_query().map_or("/".into(), |path| SmolStr::new(path.as_str()));
     let limit = usize::try_from(config.limits.body_bytes).unwrap_or(usize::MAX);
-    let body = Limited::new(req.into_body(), limit)
-        .collect()
-        .await
-        .map_err(|_| Code::TooLarge)?
-        .to_bytes();
+    let body = callers::read_body(req.into_body(), BodyBounds::of_port(limit)).await?;
     let fields: Fields = serde_json::from_slice(&body).unwrap_or_default();
     let service = find_route(config, &path, fields.model.as_ref())?;
     let (version, idempotent) = match config.service.get(&service) {
--- a/node/tests/shell/main.rs
+++ b/node/tests/shell/main.rs
@@ -3,6 +3,7 @@
 mod platform;
 mod programs;
 mod settings;
+mod tls;
 
 /// Any free port on loopback.
 const ANY: &str = "127.0.0.1:0";
