--- a/node/src/bin/mastichaven-ctl.rs
+++ b/node/src/bin/mastichaven-ctl.rs
@@ -1,18 +1,39 @@
 //! `mastichaven-ctl`: checks and publishes configuration, shows state, makes certificates.
 
+use std::fmt;
 use std::fs;
+use std::io;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::str::FromStr;
 
 use bpaf::Bpaf;
+use mastichaven_core::Code;
 use mastichaven_core::ids::HostName;
+use mastichaven_core::ids::is_valid_name;
+use mastichaven_node::folder_publisher::FolderPublisher;
 use mastichaven_node::http_store::HttpStore;
+use mastichaven_node::process;
+use mastichaven_node::process::Failure;
 use mastichaven_node::publish;
+use mastichaven_node::publish::Base;
+use mastichaven_node::publish::PublishError;
+use mastichaven_node::status;
 use mastichaven_node::tls::DevelopmentCa;
 use mastichaven_node::tls::Role;
 
+/// Permissions of a private key's file.
+const KEY_MODE: u32 = 0o600;
+
+/// Seconds a process may take to show its state.
+const DUMP_TIMEOUT_SECONDS: u64 = 5;
+
 /// Operators' tool of mastichaven.
+///
+/// Exit codes: 0 done, 1 failed, 2 wrong arguments, 3 configuration refused.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
 enum Arguments {
@@ -27,11 +48,26 @@
     #[bpaf(command)]
     Publish {
         /// The platform's address, such as http://127.0.0.1:7000
+        #[bpaf(argument("URL"))]
         platform: String,
+        /// Publish again whenever the folder changes
+        watch: bool,
+        /// Accept a folder that declares nothing
+        allow_empty: bool,
+        /// What the folder was made from: `file` (the base file beside it) or `accepted` (the
+        /// folder replaces whatever is accepted)
+        #[bpaf(argument("BASE"), fallback(BaseChoice::File), display_fallback)]
+        base: BaseChoice,
         /// The folder
         #[bpaf(positional("FOLDER"))]
         folder: PathBuf,
     },
+    /// Shows generations in force by zone, ready replicas, and what is held up
+    #[bpaf(command)]
+    Status {
+        /// The platform's address, such as http://127.0.0.1:7000
+        platform: String,
+    },
     /// Prints the whole state of a process
     #[bpaf(command)]
     Dump {
@@ -43,61 +79,121 @@
     #[bpaf(command)]
     Certs {
         /// Folder the PEM files are written to
+        #[bpaf(argument("FOLDER"))]
         out: PathBuf,
+        /// Days for which the certificates are valid
+        #[bpaf(argument("DAYS"), fallback(365))]
+        days: u32,
         /// Hosts as ROLE:NAME, where ROLE is entry, agent or ctl
         #[bpaf(positional("ROLE:NAME"), some("name at least one host"))]
         hosts: Vec<String>,
     },
 }
 
-fn main() -> ExitCode {
-    match run(arguments().run()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("mastichaven-ctl: {error}");
-            ExitCode::FAILURE
+/// What a folder was made from.
+#[derive(Clone, Copy, Debug)]
+enum BaseChoice {
+    File,
+    Accepted,
+}
+
+impl fmt::Display for BaseChoice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            BaseChoice::File => "file",
+            BaseChoice::Accepted => "accepted",
+        })
+    }
+}
+
+impl FromStr for BaseChoice {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "file" => Ok(BaseChoice::File),
+            "accepted" => Ok(BaseChoice::Accepted),
+            _ => Err("write `file` or `accepted`"),
         }
     }
 }
 
-fn run(arguments: Arguments) -> Result<(), String> {
+fn main() -> ExitCode {
+    process::run_program("mastichaven-ctl", &arguments(), run)
+}
+
+fn run(arguments: Arguments) -> Result<(), Failure> {
     match arguments {
         Arguments::Check { folder } => {
-            publish::read_folder(&folder).map_err(|error| error.to_string())?;
+            let texts = publish::read_folder(&folder).map_err(Failure::refused)?;
+            publish::check(&texts).map_err(Failure::refused)?;
             println!("{}: ok", folder.display());
         }
-        Arguments::Publish { platform, folder } => {
-            let config = publish::read_folder(&folder).map_err(|error| error.to_string())?;
-            let generation = publish::publish(&HttpStore::new(platform), &config)
-                .map_err(|error| error.to_string())?;
-            println!("accepted as generation {generation}");
+        Arguments::Publish { platform, watch, allow_empty, base, folder } => {
+            let base = match base {
+                BaseChoice::File => None,
+                BaseChoice::Accepted => Some(Base::Accepted),
+            };
+            let store = HttpStore::new(platform);
+            let publisher = FolderPublisher { store: &store, folder: &folder, allow_empty };
+            if watch {
+                publisher.watch(base);
+            }
+            let accepted = publisher.once(base).map_err(publish_failure)?;
+            println!("{accepted}");
+        }
+        Arguments::Status { platform } => {
+            let store = HttpStore::new(platform);
+            let report = status::report(&store).map_err(Failure::failed)?;
+            print!("{report}");
         }
         Arguments::Dump { address } => {
             let response = minreq::get(format!("http://{address}/dump"))
-                .with_timeout(5)
+                .with_timeout(DUMP_TIMEOUT_SECONDS)
                 .send()
-                .map_err(|error| error.to_string())?;
-            print!("{}", response.as_str().map_err(|error| error.to_string())?);
+                .map_err(Failure::failed)?;
+            print!("{}", response.as_str().map_err(Failure::failed)?);
         }
-        Arguments::Certs { out, hosts } => make_certificates(&out, &hosts)?,
+        Arguments::Certs { out, days, hosts } => make_certificates(&out, days, &hosts)?,
     }
     Ok(())
 }
 
-fn make_certificates(out: &Path, hosts: &[String]) -> Result<(), String> {
-    let text = |error: std::io::Error| error.to_string();
-    fs::create_dir_all(out).map_err(text)?;
-    let ca = DevelopmentCa::generate().map_err(|error| error.to_string())?;
-    fs::write(out.join("ca.pem"), ca.pem()).map_err(text)?;
-    for host in hosts {
-        let (role, name) = scan_host(host).ok_or_else(|| format!("{host}: not ROLE:NAME"))?;
-        let issued = ca.issue(&name, role, 365).map_err(|error| error.to_string())?;
-        fs::write(out.join(format!("{name}.pem")), issued.certificate).map_err(text)?;
-        fs::write(out.join(format!("{name}.key.pem")), issued.key).map_err(text)?;
+fn publish_failure(error: PublishError) -> Failure {
+    match error {
+        PublishError::Platform(_) => Failure::failed(error),
+        _ => Failure::refused(error),
     }
+}
+
+fn make_certificates(out: &Path, days: u32, hosts: &[String]) -> Result<(), Failure> {
+    let hosts: Vec<(Role, HostName)> = hosts
+        .iter()
+        .map(|host| {
+            scan_host(host).ok_or_else(|| {
+                Failure::refused(format!("{host}: E{} not ROLE:NAME", Code::BadArgument.number()))
+            })
+        })
+        .collect::<Result<_, _>>()?;
+    fs::create_dir_all(out).map_err(Failure::failed)?;
+    let ca = DevelopmentCa::generate().map_err(Failure::failed)?;
+    fs::write(out.join("ca.pem"), ca.pem()).map_err(Failure::failed)?;
+    for (role, name) in &hosts {
+        let issued = ca.issue(name, *role, i64::from(days)).map_err(Failure::failed)?;
+        fs::write(out.join(format!("{name}.pem")), issued.certificate).map_err(Failure::failed)?;
+        write_key(&out.join(format!("{name}.key.pem")), &issued.key).map_err(Failure::failed)?;
+    }
+    println!("{}: certificate authority and {} certificates", out.display(), hosts.len());
     Ok(())
 }
 
+/// Writes a private key that its owner alone may read.
+fn write_key(file: &Path, key: &str) -> io::Result<()> {
+    let _ = fs::remove_file(file);
+    let mut f = fs::OpenOptions::new().create_new(true).write(true).mode(KEY_MODE).open(file)?;
+    f.write_all(key.as_bytes())
+}
+
 fn scan_host(text: &str) -> Option<(Role, HostName)> {
     let (role, name) = text.split_once(':')?;
     let role = match role {
@@ -106,5 +202,5 @@
         "ctl" => Role::Ctl,
         _ => return None,
     };
-    Some((role, HostName::new(name)))
+    is_valid_name(name).then(|| (role, HostName::new(name)))
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -11,6 +11,7 @@
 //! # Ok::<(), mastichaven_node::tls::TlsError>(())
 //! ```
 
+pub mod accepted;
 pub mod agent;
 pub mod callers;
 pub mod clock;
@@ -19,6 +20,7 @@
 pub mod engine;
 pub mod entry;
 mod fetch;
+pub mod folder_publisher;
 pub mod http_store;
 pub mod lease_keeper;
 pub mod operator;
@@ -26,6 +28,7 @@
 pub mod process;
 pub mod publish;
 pub mod settings;
+pub mod status;
 pub mod telemetry;
 pub mod tls;
 pub mod transport;
