Counters on the real paths, for StatsD and for the dump

Cause: no path counted anything, and a dump showed no figures. Change: typed counters, timers and gauges; answers by code and outcome with the time to their head, attempts by code, orders, gate, lives of the endpoint; gauges each second; a dump shows what was counted in this life. Conclusion: an operator sees the same numbers with and without a metrics server.

--- a/bench/tests/callers/port.rs
+++ b/bench/tests/callers/port.rs
@@ -18,7 +18,7 @@
 
 const MODEL_LEN: usize = 100_000;
 
-fn fleet() -> Fleet {
+pub fn fleet() -> Fleet {
     let layout =
         Layout { zones: vec![("lagoa", "sul")], engines: 1, plain_agents: 0, ..Layout::default() };
     let fleet = Fleet::start(&layout).unwrap();
@@ -43,18 +43,18 @@
     )
 }
 
-fn send(fleet: &Fleet, body: &str) -> TcpStream {
+pub fn send(fleet: &Fleet, body: &str) -> TcpStream {
     let mut stream = connect(fleet);
     stream.write_all((head("", body.len()) + body).as_bytes()).unwrap();
     stream
 }
 
-fn streamed(tokens: usize) -> String {
+pub fn streamed(tokens: usize) -> String {
     format!("{{\"model\":\"rota\",\"stream\":true,\"max_tokens\":{tokens},\"messages\":[]}}")
 }
 
 /// Reads lines up to one that contains `text`.
-fn read_to(reader: &mut impl BufRead, text: &str) {
+pub fn read_to(reader: &mut impl BufRead, text: &str) {
     let mut line = String::new();
     while !line.contains(text) {
         line.clear();
--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -28,6 +28,12 @@
             Outcome::Unknown => "unknown",
         }
     }
+
+    /// Reads what [`Outcome::as_str`] wrote.
+    pub fn from_text(text: &str) -> Option<Outcome> {
+        let all = [Outcome::Ran, Outcome::NotRun, Outcome::Unknown];
+        all.into_iter().find(|outcome| outcome.as_str() == text)
+    }
 }
 
 macro_rules! codes {
@@ -50,6 +56,11 @@
                 match self { $(Code::$name => $number,)* }
             }
 
+            /// The code of a number.
+            pub fn from_number(number: u16) -> Option<Code> {
+                Code::ALL.iter().copied().find(|code| code.number() == number)
+            }
+
             /// The HTTP status that goes with it towards callers.
             pub fn http_status(self) -> u16 {
                 match self { $(Code::$name => $status,)* }
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -47,6 +47,7 @@
 use crate::origin::Origin;
 use crate::settings::AgentSettings;
 use crate::settings::EndpointSettings;
+use crate::telemetry::Gauge;
 use crate::telemetry::Telemetry;
 use crate::tls::Material;
 use crate::transport::Transport;
@@ -278,6 +279,7 @@
             "running": self.running.load(Ordering::Acquire),
             "chunks": store.chunks.len(),
             "manifests": store.manifests.len(),
+            "counts": self.telemetry.counts(),
             "uptime_ms": self.clock.now().as_millis(),
         })
     }
@@ -292,6 +294,12 @@
         Some(Box::new(std::io::Cursor::new(bytes.concat())))
     }
 
+    fn send_gauges(&self) {
+        let running = u64::from(self.running.load(Ordering::Acquire));
+        self.telemetry.gauge(Gauge::Running, running);
+        self.telemetry.gauge(Gauge::Generation, self.documents.in_force().generation.0);
+    }
+
     fn is_over(&self) -> bool {
         Shared::is_over(self)
     }
--- a/node/src/agent/engine_watch.rs
+++ b/node/src/agent/engine_watch.rs
@@ -1,6 +1,7 @@
 //! Watches the endpoint, orders the engine to load what the plan wants, and opens the gate.
 
 use std::thread;
+use std::time::Instant;
 
 use mastichaven_core::ids::StartId;
 use mastichaven_core::members::Serving;
@@ -13,6 +14,8 @@
 use crate::engine::LoadOrder;
 use crate::engine::scan_version;
 use crate::settings::EndpointSettings;
+use crate::telemetry::Counter;
+use crate::telemetry::Timer;
 
 /// Runs until the agent ends.
 pub(super) fn run(shared: &Shared) {
@@ -56,6 +59,14 @@
     if *old == serving {
         return;
     }
+    if start_of(&serving).is_some() && start_of(&old) != start_of(&serving) {
+        shared.telemetry.count(Counter::EndpointStarts);
+    }
+    match (&*old, &serving) {
+        (Serving::Nothing, _) => shared.telemetry.count(Counter::GateOpened),
+        (_, Serving::Nothing) => shared.telemetry.count(Counter::GateClosed),
+        _ => {}
+    }
     if start_of(&old) != start_of(&serving) {
         shared.admission.lock().expect("no holder of this lock panics").restart();
     }
@@ -88,7 +99,12 @@
         version: version.into(),
         fence: Fence { plan: revision, incarnation: shared.incarnation },
     };
-    if let Err(code) = shared.engine.load(&order) {
+    let begun = Instant::now();
+    shared.telemetry.count(Counter::Orders);
+    let result = shared.engine.load(&order);
+    shared.telemetry.time(Timer::Load, begun.elapsed());
+    if let Err(code) = result {
+        shared.telemetry.count(Counter::OrdersFailed);
         warn!(shared.telemetry.log, "engine did not load"; "code" => code.number());
     }
 }
--- a/node/src/agent/run.rs
+++ b/node/src/agent/run.rs
@@ -89,6 +89,7 @@
     let Job { ask, replies } = job;
     shared.running.fetch_add(1, Ordering::AcqRel);
     if let Err(code) = run_one(&shared, &ask, &replies).await {
+        shared.telemetry.attempted(code);
         let frame = RunFrame::Refused { code, load: load(&shared) };
         let _ = replies.send_async(reply(&shared, frame)).await;
     }
@@ -113,6 +114,10 @@
         }
     };
     let ended = forward(shared, ask, start, line, replies).await;
+    shared.telemetry.attempted(match &ended.frame {
+        RunFrame::Failed { code, .. } => *code,
+        _ => Code::Ok,
+    });
     record(shared).finish(ask.request, ended.record);
     admission(shared).leave(place, ended.left);
     let frame = match ended.frame {
--- a/node/src/callers.rs
+++ b/node/src/callers.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -25,13 +26,17 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use mastichaven_core::Code;
+use mastichaven_core::Outcome;
 use tokio::net::TcpListener;
 
 pub use self::body::BodyBounds;
 pub use self::body::read_body;
 pub use self::stall::WriteStall;
 use crate::entry::Shared;
+use crate::entry::answer::CODE_HEADER;
+use crate::entry::answer::OUTCOME_HEADER;
 use crate::entry::requests;
+use crate::telemetry::Counter;
 
 mod body;
 mod stall;
@@ -111,7 +116,20 @@
     shared: Arc<Shared>,
     req: Request<Incoming>,
 ) -> std::result::Result<Response<AnswerBody>, Infallible> {
-    Ok(requests::serve(&shared, req).await)
+    let begun = Instant::now();
+    shared.telemetry.count(Counter::RequestsBegun);
+    let response = requests::serve(&shared, req).await;
+    count(&shared, &response, begun.elapsed());
+    Ok(response)
+}
+
+fn count(shared: &Shared, response: &Response<AnswerBody>, to_head: Duration) {
+    let header = |name: &str| response.headers().get(name)?.to_str().ok();
+    let code = header(CODE_HEADER).and_then(|text| text.parse().ok()).and_then(Code::from_number);
+    let outcome = header(OUTCOME_HEADER).and_then(Outcome::from_text);
+    if let (Some(code), Some(outcome)) = (code, outcome) {
+        shared.telemetry.answered(code, outcome, to_head);
+    }
 }
 
 /// Whether a request's head is over [`MAX_HEAD_LEN`] or [`MAX_HEADERS`].
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -40,11 +40,12 @@
 use crate::operator;
 use crate::operator::Operated;
 use crate::settings::EntrySettings;
+use crate::telemetry::Gauge;
 use crate::telemetry::Telemetry;
 use crate::tls::Material;
 use crate::transport::Transport;
 
-mod answer;
+pub(crate) mod answer;
 mod asks;
 mod claims;
 mod control;
@@ -232,10 +233,19 @@
             "member": self.member(),
             "members": self.members(),
             "running": self.running.load(Ordering::Acquire),
+            "counts": self.telemetry.counts(),
             "uptime_ms": self.clock.now().as_millis(),
         })
     }
 
+    fn send_gauges(&self) {
+        let running = u64::from(self.running.load(Ordering::Acquire));
+        self.telemetry.gauge(Gauge::Running, running);
+        self.telemetry.gauge(Gauge::Generation, self.documents.in_force().generation.0);
+        let members = self.members().len() as u64;
+        self.telemetry.gauge(Gauge::Members, members);
+    }
+
     fn is_over(&self) -> bool {
         Shared::is_over(self)
     }
--- a/node/src/entry/dispatch.rs
+++ b/node/src/entry/dispatch.rs
@@ -27,6 +27,7 @@
 
 use super::Shared;
 use super::parse::Parsed;
+use crate::telemetry::Counter;
 use crate::transport::Call;
 
 /// Result of an attempt.
@@ -142,6 +143,7 @@
     let patience = Duration::from_millis(limits.between_bytes_ms) + AGENT_SLACK;
     let first_byte = Duration::from_millis(limits.first_byte_ms) + AGENT_SLACK;
     let wait = if parsed.idempotent { left.min(first_byte) } else { left };
+    shared.telemetry.count(Counter::AttemptsSent);
     let call = shared.transport.call(to.address, &shared.ask(AskBody::Run(ask)));
     let order = FrameOrder::new(attempt);
     let opening = Opened { status: 0, content_type: SmolStr::default(), call, order, patience };
--- a/node/src/operator.rs
+++ b/node/src/operator.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use mastichaven_core::Code;
 use mastichaven_core::ids::Digest;
@@ -25,6 +26,9 @@
 /// How often the thread looks whether the process has ended.
 const POLL: Duration = Duration::from_millis(200);
 
+/// How often gauges are sent.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What the port shows.
 pub trait Operated: Send + Sync + 'static {
     /// Whether the process takes new work.
@@ -33,6 +37,9 @@
     /// The whole state, without keys.
     fn dump(&self) -> Value;
 
+    /// Sends what is shown as it stands to the metrics server; called every second.
+    fn send_gauges(&self);
+
     /// The whole verified weights of a manifest, if this process has them.
     fn weights(&self, _manifest: Digest) -> Option<Box<dyn Read + Send>> {
         None
@@ -54,7 +61,12 @@
 }
 
 fn serve(server: &Server, operated: &dyn Operated) {
+    let mut sent = Instant::now();
     while !operated.is_over() {
+        if sent.elapsed() >= GAUGE_INTERVAL {
+            operated.send_gauges();
+            sent = Instant::now();
+        }
         if let Ok(Some(request)) = server.recv_timeout(POLL) {
             answer(request, operated);
         }
--- a/node/src/telemetry.rs
+++ b/node/src/telemetry.rs
@@ -1,16 +1,34 @@
 //! Logs for changes of state, and counters for everything else.
+//!
+//! Every counter goes to the StatsD address of the settings and is kept for the dump as well, so that
+//! an operator without a metrics server sees the same numbers.
 
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
+use std::time::Duration;
 
+use cadence::Counted;
+use cadence::CountedExt;
+use cadence::Gauged;
 use cadence::NopMetricSink;
 use cadence::QueuingMetricSink;
 use cadence::StatsdClient;
+use cadence::Timed;
 use cadence::UdpMetricSink;
+use mastichaven_core::Code;
+use mastichaven_core::Outcome;
+use serde_json::Value;
 use slog::Drain;
 use slog::Logger;
 
+pub use self::metric::Counter;
+use self::metric::Counts;
+pub use self::metric::Gauge;
+pub use self::metric::Timer;
+
+mod metric;
+
 /// Prefix of every metric.
 const METRIC_PREFIX: &str = "mastichaven";
 
@@ -22,8 +40,8 @@
 pub struct Telemetry {
     /// Lines only for changes of state.
     pub log: Logger,
-    /// Counters, gauges and timers.
-    pub metrics: Arc<StatsdClient>,
+    metrics: Arc<StatsdClient>,
+    counts: Arc<Counts>,
 }
 
 impl Telemetry {
@@ -33,13 +51,54 @@
         let drain = slog_async::Async::new(drain.build().fuse()).build().fuse();
         let log = Logger::root(drain, slog::o!());
         let metrics = statsd.and_then(udp_client).unwrap_or_else(no_metrics);
-        Telemetry { log, metrics: Arc::new(metrics) }
+        Telemetry { log, metrics: Arc::new(metrics), counts: Arc::default() }
     }
 
-    /// Drops logs and metrics.
+    /// Counts for the dump alone, without log or metrics.
     pub fn silent() -> Telemetry {
         let log = Logger::root(slog::Discard, slog::o!());
-        Telemetry { log, metrics: Arc::new(no_metrics()) }
+        Telemetry { log, metrics: Arc::new(no_metrics()), counts: Arc::default() }
+    }
+
+    /// Counts one event.
+    pub fn count(&self, counter: Counter) {
+        self.add(counter, 1);
+    }
+
+    /// Adds `amount` to a counter.
+    pub fn add(&self, counter: Counter, amount: u64) {
+        self.counts.add(counter, amount);
+        let amount = i64::try_from(amount).unwrap_or(i64::MAX);
+        let _ = self.metrics.count(counter.name(), amount);
+    }
+
+    /// Counts an answer to a caller and the time to its head.
+    pub fn answered(&self, code: Code, outcome: Outcome, to_head: Duration) {
+        self.counts.ended(code);
+        let _ = self.metrics.incr(&format!("requests.E{}", code.number()));
+        let _ = self.metrics.incr(&format!("requests.outcome.{}", outcome.as_str()));
+        let _ = self.metrics.time("requests.to_head", to_head);
+    }
+
+    /// Counts an attempt on this agent's endpoint by the code that it ended with.
+    pub fn attempted(&self, code: Code) {
+        self.counts.ended(code);
+        let _ = self.metrics.incr(&format!("attempts.E{}", code.number()));
+    }
+
+    /// Sends how long something took.
+    pub fn time(&self, timer: Timer, span: Duration) {
+        let _ = self.metrics.time(timer.name(), span);
+    }
+
+    /// Sends a present value.
+    pub fn gauge(&self, gauge: Gauge, value: u64) {
+        let _ = self.metrics.gauge(gauge.name(), value);
+    }
+
+    /// Everything counted in this life, for the dump.
+    pub fn counts(&self) -> Value {
+        self.counts.to_json()
     }
 }
 
--- a/node/tests/shell/main.rs
+++ b/node/tests/shell/main.rs
@@ -3,6 +3,7 @@
 mod platform;
 mod programs;
 mod settings;
+mod telemetry;
 mod tls;
 
 /// Any free port on loopback.
--- /dev/null
+++ b/node/tests/shell/telemetry.rs
@@ -0,0 +1,33 @@
+//! Metrics as a server receives them.
+
+use std::net::UdpSocket;
+use std::time::Duration;
+
+use mastichaven_core::Code;
+use mastichaven_core::Outcome;
+use mastichaven_node::telemetry::Counter;
+use mastichaven_node::telemetry::Telemetry;
+
+use crate::ANY;
+
+#[test]
+fn counters_reach_statsd_and_dump() {
+    let server = UdpSocket::bind(ANY).unwrap();
+    server.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+    let telemetry = Telemetry::start(Some(server.local_addr().unwrap()));
+    telemetry.add(Counter::Orders, 3);
+    telemetry.answered(Code::Shed, Outcome::NotRun, Duration::from_millis(7));
+    let expected = [
+        "mastichaven.engine.orders:3|c",
+        "mastichaven.requests.E106:1|c",
+        "mastichaven.requests.outcome.not-run:1|c",
+        "mastichaven.requests.to_head:7|ms",
+    ];
+    let mut buf = [0; 512];
+    for expected in expected {
+        let len = server.recv(&mut buf).unwrap();
+        assert_eq!(std::str::from_utf8(&buf[..len]).unwrap(), expected);
+    }
+    let counts = serde_json::json!({"engine.orders": 3, "E106": 1});
+    assert_eq!(telemetry.counts(), counts);
+}
