--- a/node/src/entry/dispatch.rs
+++ b/node/src/entry/dispatch.rs
@@ -24,6 +24,7 @@
 use super::Shared;
 use super::parse::Parsed;
 use super::router::Lease;
+use crate::telemetry::Counter;
 use crate::transport::Call;
 
 /// Result of an attempt.
@@ -91,6 +92,7 @@
     let patience = Duration::from_millis(limits.between_bytes_ms) + AGENT_SLACK;
     let first_byte = Duration::from_millis(limits.first_byte_ms) + AGENT_SLACK;
     let wait = if parsed.idempotent { left.min(first_byte) } else { left };
+    shared.telemetry.count(Counter::AttemptsSent);
     let call = shared.transport.call(lease.to.address, &shared.ask(AskBody::Run(ask)));
     let order = FrameOrder::new(attempt);
     let (status, content_type) = (0, SmolStr::default());
