--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -28,6 +28,12 @@
             Outcome::Unknown => "unknown",
         }
     }
+
+    /// Reads what [`Outcome::as_str`] wrote.
+    pub fn from_text(text: &str) -> Option<Outcome> {
+        let all = [Outcome::Ran, Outcome::NotRun, Outcome::Unknown];
+        all.into_iter().find(|outcome| outcome.as_str() == text)
+    }
 }
 
 macro_rules! codes {
@@ -50,6 +56,11 @@
                 match self { $(Code::$name => $number,)* }
             }
 
+            /// The code of a number.
+            pub fn from_number(number: u16) -> Option<Code> {
+                Code::ALL.iter().copied().find(|code| code.number() == number)
+            }
+
             /// The HTTP status that goes with it towards callers.
             pub fn http_status(self) -> u16 {
                 match self { $(Code::$name => $status,)* }
@@ -106,7 +117,7 @@
     /// The first run under this idempotency key ended without a known outcome.
     KeyUnknown = 117, 409, Unknown, "a request with this idempotency key may have run; it will not run again";
     /// The claim for the idempotency key could not be written in time.
-    ClaimUnavailable = 118, 503, NotRun, "the idempotency key could not be claimed; nothing was sent";
+    ClaimUnavailable = 118, 503, Unknown, "this sending ran nothing, but the key's claim is out of reach: an earlier one may have run";
     /// The answer ended early.
     Truncated = 119, 502, Unknown, "the answer ended before it was whole";
     /// The endpoint answered with an error of its own.
@@ -117,6 +128,10 @@
     CallerLeft = 122, 499, Unknown, "the caller left before the answer was whole";
     /// The retry budget is spent.
     RetryBudget = 123, 503, NotRun, "the retry budget is spent; come back after Retry-After";
+    /// It ran under this idempotency key, and its answer is too large or too old to be kept.
+    AnswerNotKept = 124, 410, Ran, "the request ran before; its answer was not kept";
+    /// The caller sends its request too slowly.
+    SlowCaller = 125, 408, NotRun, "the request was sent too slowly";
 
     /// A setting or key is not known.
     UnknownKey = 201, 400, NotRun, "the key is not known here";
--- /dev/null
+++ b/core/tests/requests/main.rs
@@ -0,0 +1,10 @@
+//! Decisions about single requests: claims, records, admission, streams.
+
+mod admission;
+mod claim;
+mod limits;
+mod queue;
+mod record;
+mod route;
+mod share;
+mod stream;
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -3,12 +3,11 @@
 //! | thread | duty | file |
 //! | --- | --- | --- |
 //! | `asks` | answers what peers ask | `agent/asks.rs` |
-//! | one a running request | hands it to the endpoint | `agent/run.rs` |
+//! | `requests` | hands requests to the endpoint, a task a request | `agent/run.rs` |
 //! | `engine` | watches the endpoint, opens and closes the gate, gives orders | `agent/engine_watch.rs` |
 //! | `pull` | tells the weight threads what the plan wants | `agent/pull.rs` |
 //! | `control` | keeps the documents up to date | `agent/control.rs` |
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -23,13 +22,13 @@
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::Incarnation;
 use mastichaven_core::ids::ModelName;
-use mastichaven_core::ids::RequestId;
 use mastichaven_core::members::EndpointKind;
 use mastichaven_core::members::Member;
 use mastichaven_core::members::Serving;
 use mastichaven_core::plan::Plan;
 use mastichaven_core::platform::HostRole;
-use mastichaven_core::run::VoidReply;
+use mastichaven_core::record::Record;
+use mastichaven_core::share::Shares;
 use mastichaven_core::swarm::PeerPlace;
 use mastichaven_core::swarm::Way;
 use mastichaven_core::wire::Ask;
@@ -37,6 +36,7 @@
 use mastichaven_core::wire::Sender;
 use serde_json::Value;
 use serde_json::json;
+use slog::info;
 
 use crate::clock::Clock;
 use crate::documents::Documents;
@@ -47,6 +47,7 @@
 use crate::origin::Origin;
 use crate::settings::AgentSettings;
 use crate::settings::EndpointSettings;
+use crate::telemetry::Gauge;
 use crate::telemetry::Telemetry;
 use crate::tls::Material;
 use crate::transport::Transport;
@@ -85,7 +86,9 @@
     engine: Engine,
     serving: Mutex<Serving>,
     admission: Mutex<Admission>,
-    requests: Mutex<HashMap<RequestId, VoidReply>>,
+    record: Mutex<Record>,
+    shares: Mutex<Shares>,
+    runs: flume::Sender<run::Job>,
     store: Arc<Store>,
     weights: Weights,
     weights_base: Mutex<String>,
@@ -117,7 +120,7 @@
             role: HostRole::Agent,
             zone: place.zone.clone(),
             region: place.region.clone(),
-            address: self.transport.local_addr(),
+            address: place.advertised.unwrap_or(self.transport.local_addr()),
             incarnation: self.incarnation,
             leaving: self.is_stopping(),
             endpoint: self.endpoint(),
@@ -162,6 +165,7 @@
         incarnation: Incarnation,
     ) -> Result<Agent> {
         let (tx, rx) = flume::bounded(ASK_RING);
+        let (runs, jobs) = flume::bounded(run::JOB_RING);
         let transport = Transport::start(settings.place.peers, material, tx)?;
         let operators = settings.place.operators;
         let address = match &settings.endpoint {
@@ -183,7 +187,9 @@
             transport,
             serving: Mutex::new(Serving::Nothing),
             admission: Mutex::new(Admission::cold(WARM_LIMIT)),
-            requests: Mutex::default(),
+            record: Mutex::default(),
+            shares: Mutex::default(),
+            runs,
             store,
             weights,
             weights_base: Mutex::default(),
@@ -195,7 +201,9 @@
         *shared.weights_base.lock().expect("no holder of this lock panics") =
             format!("http://{operators}/weights/");
         let asks = shared.clone();
+        let requests = shared.clone();
         let threads = vec![
+            spawn("requests", move || run::run(&requests, &jobs)),
             spawn("asks", move || asks::serve(&asks, &rx)),
             spawn_duty("control", &shared, control::run),
             spawn_duty("engine", &shared, engine_watch::run),
@@ -214,6 +222,18 @@
         self.operators
     }
 
+    /// Writes the whole state to the log.
+    pub fn log_dump(&self) {
+        let state = self.shared.dump().to_string();
+        info!(self.shared.telemetry.log, "state"; "dump" => state);
+    }
+
+    /// Ends at once and without a goodbye, as a crash does; for tests of what others make of it.
+    pub fn crash(self) {
+        self.shared.over.store(true, Ordering::Release);
+        self.shared.transport.crash();
+    }
+
     /// Stops gracefully: takes nothing new, finishes every request in progress, leaves.
     pub fn stop(self) {
         self.shared.stopping.store(true, Ordering::Release);
@@ -301,6 +321,7 @@
                 "troubled_neighbours": progress.troubled,
                 "last_error": progress.last_error.map(|code| code.number()),
             },
+            "counts": self.telemetry.counts(),
             "uptime_ms": self.clock.now().as_millis(),
         })
     }
@@ -309,6 +330,12 @@
         self.store.read(manifest).map(|whole| Box::new(whole) as Box<dyn std::io::Read + Send>)
     }
 
+    fn send_gauges(&self) {
+        let running = u64::from(self.running.load(Ordering::Acquire));
+        self.telemetry.gauge(Gauge::Running, running);
+        self.telemetry.gauge(Gauge::Generation, self.documents.in_force().generation.0);
+    }
+
     fn is_over(&self) -> bool {
         Shared::is_over(self)
     }
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -5,6 +5,7 @@
 //! | `callers` | speaks HTTP with callers, a task a request | `callers.rs`, `entry/requests.rs` |
 //! | `asks` | answers what peers ask | `entry/asks.rs` |
 //! | `control` | keeps documents and members up to date | `entry/control.rs` |
+//! | `claims-N` | call the platform for idempotency keys and relayed calls | `entry/claims.rs` |
 //! | `planner` | writes plans while this entry holds the lease | `entry/planner.rs` |
 
 use std::net::SocketAddr;
@@ -12,12 +13,14 @@
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use mastichaven_core::Code;
 use mastichaven_core::ids::Incarnation;
+use mastichaven_core::ids::RequestId;
 use mastichaven_core::members::EndpointKind;
 use mastichaven_core::members::Member;
 use mastichaven_core::members::Serving;
@@ -28,6 +31,7 @@
 use mastichaven_core::wire::Sender;
 use serde_json::Value;
 use serde_json::json;
+use slog::info;
 
 use crate::callers;
 use crate::clock::Clock;
@@ -36,14 +40,20 @@
 use crate::operator;
 use crate::operator::Operated;
 use crate::settings::EntrySettings;
+use crate::telemetry::Gauge;
 use crate::telemetry::Telemetry;
 use crate::tls::Material;
 use crate::transport::Transport;
 
+pub(crate) mod answer;
 mod asks;
+mod claims;
 mod control;
+mod dispatch;
+mod parse;
 mod planner;
 pub(crate) mod requests;
+mod router;
 
 /// Result of starting an entry.
 pub type Result<T> = std::result::Result<T, Code>;
@@ -67,6 +77,9 @@
     pub(crate) stopping: AtomicBool,
     pub(crate) over: AtomicBool,
     pub(crate) running: AtomicU32,
+    serial: AtomicU64,
+    claims: claims::Handle,
+    router: router::Router,
 }
 
 impl Shared {
@@ -87,6 +100,11 @@
         Ask { from, body }
     }
 
+    /// Names a new attempt of this life.
+    fn next_request(&self) -> RequestId {
+        RequestId::new(self.incarnation, self.serial.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+
     pub(crate) fn member(&self) -> Member {
         let place = &self.settings.place;
         Member {
@@ -94,7 +112,7 @@
             role: HostRole::Entry,
             zone: place.zone.clone(),
             region: place.region.clone(),
-            address: self.transport.local_addr(),
+            address: place.advertised.unwrap_or(self.transport.local_addr()),
             incarnation: self.incarnation,
             leaving: self.is_stopping(),
             endpoint: EndpointKind::None,
@@ -125,6 +143,7 @@
         incarnation: Incarnation,
     ) -> Result<Entry> {
         let (tx, rx) = flume::bounded(ASK_RING);
+        let (claim_jobs, claim_rx) = flume::bounded(claims::JOB_RING);
         let transport = Transport::start(settings.place.peers, material, tx)?;
         let (callers, operators) = (settings.callers, settings.place.operators);
         let shared = Arc::new(Shared {
@@ -139,17 +158,24 @@
             stopping: AtomicBool::new(false),
             over: AtomicBool::new(false),
             running: AtomicU32::new(0),
+            serial: AtomicU64::new(0),
+            claims: claims::Handle::new(claim_jobs),
+            router: router::Router::default(),
         });
         let operators = operator::start(operators, shared.clone())?;
         let callers = callers::start(callers, shared.clone())?;
         let asks = shared.clone();
         let control = shared.clone();
         let planner = shared.clone();
-        let threads = vec![
+        let mut threads = vec![
             spawn("asks", move || asks::serve(&asks, &rx)),
             spawn("control", move || control::run(&control)),
             spawn("planner", move || planner::run(&planner)),
         ];
+        for n in 0..claims::THREADS {
+            let (shared, jobs) = (shared.clone(), claim_rx.clone());
+            threads.push(spawn(&format!("claims-{n}"), move || claims::run(&shared, &jobs)));
+        }
         Ok(Entry { shared, threads, callers, operators })
     }
 
@@ -168,6 +194,18 @@
         self.operators
     }
 
+    /// Writes the whole state to the log.
+    pub fn log_dump(&self) {
+        let state = self.shared.dump().to_string();
+        info!(self.shared.telemetry.log, "state"; "dump" => state);
+    }
+
+    /// Ends at once and without a goodbye, as a crash does; for tests of what others make of it.
+    pub fn crash(self) {
+        self.shared.over.store(true, Ordering::Release);
+        self.shared.transport.crash();
+    }
+
     /// Stops gracefully: not ready, takes nothing new, finishes every request in progress, leaves.
     pub fn stop(self) {
         self.shared.stopping.store(true, Ordering::Release);
@@ -198,10 +236,19 @@
             "member": self.member(),
             "members": self.members(),
             "running": self.running.load(Ordering::Acquire),
+            "counts": self.telemetry.counts(),
             "uptime_ms": self.clock.now().as_millis(),
         })
     }
 
+    fn send_gauges(&self) {
+        let running = u64::from(self.running.load(Ordering::Acquire));
+        self.telemetry.gauge(Gauge::Running, running);
+        self.telemetry.gauge(Gauge::Generation, self.documents.in_force().generation.0);
+        let members = self.members().len() as u64;
+        self.telemetry.gauge(Gauge::Members, members);
+    }
+
     fn is_over(&self) -> bool {
         Shared::is_over(self)
     }
--- a/node/src/transport.rs
+++ b/node/src/transport.rs
@@ -22,6 +22,7 @@
 use quinn::Endpoint;
 use quinn::RecvStream;
 use quinn::SendStream;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
 use crate::tls::Identity;
@@ -58,7 +59,21 @@
 #[derive(Clone)]
 pub struct ReplySink {
     tx: flume::Sender<Reply>,
-    cancelled: Arc<AtomicBool>,
+    cancelled: Arc<Cancelled>,
+}
+
+/// Whether the asker has left, and who waits to hear of it.
+#[derive(Debug, Default)]
+struct Cancelled {
+    is_set: AtomicBool,
+    set: Notify,
+}
+
+impl Cancelled {
+    fn set(&self) {
+        self.is_set.store(true, Ordering::Release);
+        self.set.notify_waiters();
+    }
 }
 
 impl ReplySink {
@@ -76,9 +91,25 @@
         self.tx.send(reply).map_err(|_| Code::CallerLeft)
     }
 
+    /// Like [`ReplySink::send`], for tasks.
+    pub async fn send_async(&self, reply: Reply) -> Result<()> {
+        if self.is_cancelled() {
+            return Err(Code::CallerLeft);
+        }
+        self.tx.send_async(reply).await.map_err(|_| Code::CallerLeft)
+    }
+
     /// Whether the asker has left.
     pub fn is_cancelled(&self) -> bool {
-        self.cancelled.load(Ordering::Acquire) || self.tx.is_disconnected()
+        self.cancelled.is_set.load(Ordering::Acquire) || self.tx.is_disconnected()
+    }
+
+    /// Ends when the asker has left.
+    pub async fn closed(&self) {
+        let notified = self.cancelled.set.notified();
+        if !self.is_cancelled() {
+            notified.await;
+        }
     }
 }
 
@@ -117,6 +148,7 @@
 pub struct Transport {
     jobs: flume::Sender<Job>,
     local: SocketAddr,
+    crash: Arc<Notify>,
 }
 
 impl Transport {
@@ -140,11 +172,24 @@
         };
         let local = endpoint.local_addr().map_err(|_| Code::CannotBind)?;
         let (jobs, rx) = flume::bounded(JOB_RING);
+        let crash = Arc::new(Notify::new());
+        let crashed = crash.clone();
+        let serve = async move {
+            tokio::select! {
+                () = run(endpoint, rx, incoming) => {}
+                () = crashed.notified() => {}
+            }
+        };
         thread::Builder::new()
             .name("transport".to_owned())
-            .spawn(move || runtime.block_on(run(endpoint, rx, incoming)))
+            .spawn(move || runtime.block_on(serve))
             .map_err(|_| Code::CannotBind)?;
-        Ok(Transport { jobs, local })
+        Ok(Transport { jobs, local, crash })
+    }
+
+    /// Ends the thread at once and without a goodbye to any peer, as a crash does.
+    pub fn crash(&self) {
+        self.crash.notify_one();
     }
 
     /// The address that is bound.
@@ -336,7 +381,7 @@
         _ = stopped => {}
         () = write_replies(&mut tx, &replies) => return,
     }
-    cancelled.store(true, Ordering::Release);
+    cancelled.set();
 }
 
 async fn write_replies(tx: &mut SendStream, replies: &flume::Receiver<Reply>) {
--- /dev/null
+++ b/node/tests/proof/files.rs
@@ -0,0 +1,128 @@
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use bytes::Bytes;
+use mastichaven_core::Code;
+use mastichaven_core::generation::FileList;
+use mastichaven_core::generation::FileParts;
+use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::Generation;
+use mastichaven_core::spread::Offer;
+use mastichaven_node::documents::Documents;
+use mastichaven_node::publish;
+use mastichaven_node::settings;
+use mastichaven_node::settings::AgentSettings;
+use mastichaven_node::settings::Checked;
+use mastichaven_node::settings::EntrySettings;
+use proptest::collection::vec;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::proptest;
+use proptest::sample::Index;
+use proptest::test_runner::RngSeed;
+use serde::de::DeserializeOwned;
+
+const SETTINGS: &str = r#"
+callers = "127.0.0.1:8080"
+platform = "http://127.0.0.1:7000"
+[place]
+host = "entry-1"
+zone = "lagoa"
+region = "sul"
+peers = "127.0.0.1:7100"
+[tls]
+certificate = "c.pem"
+key = "k.pem"
+ca = "ca.pem"
+"#;
+
+const ZONE: &str = "[zone.serra]\nregion = 'sul'\nstate = 'out'\n";
+
+fn cases(cases: u32) -> ProptestConfig {
+    let seed = RngSeed::Fixed(0x6861_7665);
+    ProptestConfig { cases, rng_seed: seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
+/// A refusal names a line of the file, so that an operator finds what to mend.
+fn assert_refused_with_line<T: Checked + DeserializeOwned>(text: &str) {
+    if let Err(error) = settings::parse::<T>(Path::new("settings.toml"), text) {
+        let lines = text.matches('\n').count() + 1;
+        assert!((1..=lines).contains(&error.line), "line {} of {lines}", error.line);
+        assert!((200..300).contains(&error.code.number()), "{}", error.code);
+    }
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("mastichaven-{name}-{}", std::process::id()));
+    fs::create_dir_all(&folder).expect("the temporary folder is writable");
+    folder
+}
+
+proptest! {
+    #![proptest_config(cases(2_000))]
+
+    /// An operator saves half a file, or another editor's format.
+    #[test]
+    fn parse_any_text(text in "(\\PC|\n){0,300}") {
+        assert_refused_with_line::<EntrySettings>(&text);
+        assert_refused_with_line::<AgentSettings>(&text);
+    }
+
+    /// An operator mistypes one place of a file that was right.
+    #[test]
+    fn parse_damaged_settings(at in any::<Index>(), len in 0_usize..20, with in "(\\PC|\n){0,8}") {
+        let start = at.index(SETTINGS.len());
+        let end = (start + len).min(SETTINGS.len());
+        let mut text = SETTINGS.to_owned();
+        text.replace_range(start..end, &with);
+        assert_refused_with_line::<EntrySettings>(&text);
+    }
+
+    /// A peer or the platform hands on parts that are noise, or damaged in one byte. Nothing of
+    /// them is in force, and the configuration before them stands.
+    #[test]
+    fn offer_any_parts(
+        noise in vec(any::<u8>(), 0..200),
+        at in any::<Index>(),
+        byte in any::<u8>(),
+    ) {
+        let documents = Documents::default();
+        let list = |text: &str, generation| {
+            let parts = vec![Digest::of(text.as_bytes())];
+            let files = FileParts::from([("a.toml".into(), parts)]);
+            FileList::default().next(&files, Generation(generation)).delta(Generation(0))
+        };
+        let whole = Bytes::from(ZONE);
+        let first = documents.offer_config(&list("", 1), &[Bytes::new()]);
+        assert_eq!(first, Offer::InForce(vec![]));
+        let mut damaged = whole.to_vec();
+        let at = at.index(damaged.len());
+        damaged[at] = byte;
+        for bytes in [noise, damaged] {
+            let is_whole = bytes == whole;
+            let offer = documents.offer_config(&list(ZONE, 2), &[bytes.into()]);
+            assert_eq!(matches!(offer, Offer::Missing(_)), !is_whole);
+            assert_eq!(documents.generation() == Generation(2), is_whole);
+        }
+    }
+}
+
+/// The folder holds a file that is not text at all, such as an editor's swap file under a wrong
+/// name. Publishing is refused with a code, and nothing is read halfway.
+#[test]
+fn read_folder_not_text() {
+    let folder = folder("not-text");
+    fs::write(folder.join("10-zones.toml"), b"[zone.a]\nregion = \"\xff\xfe\"\n").expect("written");
+    let refused = publish::read_folder(&folder).and_then(|texts| publish::check(&texts));
+    assert_eq!(refused.map(drop).map_err(|error| error.code()), Err(Code::BadSyntax));
+    fs::remove_dir_all(&folder).expect("removed");
+}
+
+/// Values nested ten thousand deep would overflow the stack of a reader without a bound.
+#[test]
+fn parse_deep_nesting() {
+    const DEPTH: usize = 10_000;
+    let text = format!("{SETTINGS}a = {}{}", "[".repeat(DEPTH), "]".repeat(DEPTH));
+    assert!(settings::parse::<EntrySettings>(Path::new("settings.toml"), &text).is_err());
+}
