--- a/bench/src/weights.rs
+++ b/bench/src/weights.rs
@@ -14,6 +14,7 @@
 use std::time::Instant;
 
 use bpaf::Bpaf;
+use mastichaven_bench::fleet::Result;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::swarm::PeerPlace;
@@ -38,8 +39,6 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
-use crate::fleet::Result;
-
 mod net;
 
 use net::HostLink;
