Both users' deployments as folders, and a walk-through of the programs

Cause: a new user had no deployment to start from and no way to see the programs run apart; tried by hand, digests in the dump were lists of numbers, log lines of two processes ran into each other, did not name their host, and nothing said that a process had started.

--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -6,7 +6,10 @@
 use std::fmt;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::Serializer;
+use serde::de::Error;
 use smol_str::SmolStr;
 
 /// The longest name, in bytes, that is accepted from operators or peers.
@@ -161,11 +164,26 @@
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
-/// The blake3 digest of some bytes.
-#[derive(Clone, Copy, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(transparent)]
+/// The blake3 digest of some bytes; hexadecimal in formats for people, 32 bytes in others.
+#[derive(Clone, Copy, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Digest(pub [u8; 32]);
 
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        if s.is_human_readable() { s.serialize_str(&self.to_hex()) } else { self.0.serialize(s) }
+    }
+}
+
+impl<'a> Deserialize<'a> for Digest {
+    fn deserialize<D: Deserializer<'a>>(d: D) -> Result<Digest, D::Error> {
+        if !d.is_human_readable() {
+            return <[u8; 32]>::deserialize(d).map(Digest);
+        }
+        let text = SmolStr::deserialize(d)?;
+        Digest::from_hex(&text).ok_or_else(|| D::Error::custom("not 64 hexadecimal digits"))
+    }
+}
+
 impl Digest {
     /// The digest of `bytes`.
     pub fn of(bytes: &[u8]) -> Digest {
--- a/core/tests/base/ids.rs
+++ b/core/tests/base/ids.rs
@@ -17,3 +17,15 @@
     assert_eq!(Digest::from_hex(&digest.to_hex()), Some(digest));
     assert_eq!(Digest::from_hex("00"), None);
 }
+
+#[test]
+fn digest_is_text_for_people_and_bytes_for_peers() {
+    let digest = Digest::of(b"weights");
+    let text = serde_json::to_string(&digest).unwrap();
+    assert_eq!(text, format!("\"{}\"", digest.to_hex()));
+    assert_eq!(serde_json::from_str::<Digest>(&text).unwrap(), digest);
+    assert!(serde_json::from_str::<Digest>("\"00\"").is_err());
+    let bytes = postcard::to_stdvec(&digest).unwrap();
+    assert_eq!(bytes, digest.0);
+    assert_eq!(postcard::from_bytes::<Digest>(&bytes).unwrap(), digest);
+}
--- a/core/tests/control/folder.rs
+++ b/core/tests/control/folder.rs
@@ -112,16 +112,3 @@
     let (_, problems) = read(&[first, ("b.toml", "[limits]\nqueue_len = 8\n")]);
     assert_eq!(problems.len(), 1);
 }
-
-// The two users' deployments as they are today.
-#[test]
-fn check_deployments_of_today() {
-    for text in [
-        include_str!("../../../examples/associacao/10-all.toml"),
-        include_str!("../../../examples/skyline/10-all.toml"),
-    ] {
-        let (config, problems) = read(&[("10-all.toml", text)]);
-        assert_eq!(problems, Vec::<String>::new());
-        assert_eq!(config.zone.len(), 3);
-    }
-}
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -216,6 +216,11 @@
             spawn_duty("engine", &shared, engine_watch::run),
             spawn_duty("pull", &shared, pull::run),
         ];
+        info!(
+            shared.telemetry.log, "started";
+            "peers" => shared.transport.local_addr(),
+            "operators" => operators,
+        );
         Ok(Agent { shared, threads, operators })
     }
 
--- a/node/src/bin/mastichaven-ctl.rs
+++ b/node/src/bin/mastichaven-ctl.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::fs;
 use std::io;
+use std::io::Read;
 use std::io::Write;
 use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
@@ -12,6 +13,7 @@
 
 use bpaf::Bpaf;
 use mastichaven_core::Code;
+use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::is_valid_name;
 use mastichaven_node::folder_publisher::FolderPublisher;
@@ -28,6 +30,9 @@
 /// Permissions of a private key's file.
 const KEY_MODE: u32 = 0o600;
 
+/// Bytes of a customer's key at most.
+const MAX_KEY_LEN: u64 = 4_096;
+
 /// Seconds a process may take to show its state.
 const DUMP_TIMEOUT_SECONDS: u64 = 5;
 
@@ -75,6 +80,9 @@
         #[bpaf(positional("ADDRESS"))]
         address: String,
     },
+    /// Prints the digest of a customer's key, read from standard input, for the configuration
+    #[bpaf(command("key-digest"))]
+    KeyDigest,
     /// Makes a certificate authority and certificates for development
     #[bpaf(command)]
     Certs {
@@ -154,6 +162,11 @@
                 .map_err(Failure::failed)?;
             print!("{}", response.as_str().map_err(Failure::failed)?);
         }
+        Arguments::KeyDigest => {
+            let mut key = String::new();
+            io::stdin().take(MAX_KEY_LEN).read_to_string(&mut key).map_err(Failure::failed)?;
+            println!("{}", Digest::of(key.trim().as_bytes()).to_hex());
+        }
         Arguments::Certs { out, days, hosts } => make_certificates(&out, days, &hosts)?,
     }
     Ok(())
--- a/node/src/bin/mastichaven-entry.rs
+++ b/node/src/bin/mastichaven-entry.rs
@@ -32,7 +32,7 @@
     let settings: EntrySettings = settings::load(&arguments.settings).map_err(Failure::refused)?;
     let tls = &settings.tls;
     let material = Material::load(&tls.certificate, &tls.key, &tls.ca).map_err(Failure::refused)?;
-    let telemetry = Telemetry::start(settings.place.statsd);
+    let telemetry = Telemetry::start(&settings.place.host, settings.place.statsd);
     let signals = process::signals().map_err(Failure::failed)?;
     let entry = Entry::start(settings, &material, telemetry, process::new_incarnation())
         .map_err(Failure::failed)?;
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -173,6 +173,12 @@
             let (shared, jobs) = (shared.clone(), claim_rx.clone());
             threads.push(spawn(&format!("claims-{n}"), move || claims::run(&shared, &jobs)));
         }
+        info!(
+            shared.telemetry.log, "started";
+            "callers" => callers,
+            "peers" => shared.transport.local_addr(),
+            "operators" => operators,
+        );
         Ok(Entry { shared, threads, callers, operators })
     }
 
--- a/node/src/telemetry.rs
+++ b/node/src/telemetry.rs
@@ -3,6 +3,8 @@
 //! Every counter goes to the StatsD address of the settings and is kept for the dump as well, so that
 //! an operator without a metrics server sees the same numbers.
 
+use std::io;
+use std::io::LineWriter;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
@@ -18,6 +20,7 @@
 use cadence::UdpMetricSink;
 use mastichaven_core::Code;
 use mastichaven_core::Outcome;
+use mastichaven_core::ids::HostName;
 use serde_json::Value;
 use slog::Drain;
 use slog::Logger;
@@ -45,11 +48,13 @@
 }
 
 impl Telemetry {
-    /// Logs to standard error and sends metrics to `statsd`, if it is given and can be reached.
-    pub fn start(statsd: Option<SocketAddr>) -> Telemetry {
-        let drain = slog_term::FullFormat::new(slog_term::TermDecorator::new().stderr().build());
-        let drain = slog_async::Async::new(drain.build().fuse()).build().fuse();
-        let log = Logger::root(drain, slog::o!());
+    /// Logs to standard error, a whole line at a time as other processes may log there too, and
+    /// sends metrics to `statsd`, if it is given and can be reached.
+    pub fn start(host: &HostName, statsd: Option<SocketAddr>) -> Telemetry {
+        let lines = slog_term::PlainDecorator::new(LineWriter::new(io::stderr()));
+        let drain = slog_term::FullFormat::new(lines).build().fuse();
+        let drain = slog_async::Async::new(drain).build().fuse();
+        let log = Logger::root(drain, slog::o!("host" => host.to_string()));
         let metrics = statsd.and_then(udp_client).unwrap_or_else(no_metrics);
         Telemetry { log, metrics: Arc::new(metrics), counts: Arc::default() }
     }
--- /dev/null
+++ b/node/tests/shell/examples.rs
@@ -0,0 +1,106 @@
+//! The example deployments, as a new user finds them.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use mastichaven_core::Config;
+use mastichaven_core::Manifest;
+use mastichaven_core::config::Service;
+use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::HostName;
+use mastichaven_core::platform::HostRole;
+use mastichaven_core::platform::ListedHost;
+use mastichaven_node::publish;
+use mastichaven_node::settings;
+use mastichaven_node::settings::AgentSettings;
+use mastichaven_node::settings::EndpointSettings;
+use mastichaven_node::settings::EntrySettings;
+use mastichaven_node::settings::Place;
+use mastichaven_standins::origin::random_weights;
+
+const NAMES: [&str; 2] = ["associacao", "skyline"];
+
+/// Bytes of the example models and of their chunks, as the walk-through starts the origin.
+const MODEL_LEN: usize = 4 << 20;
+const CHUNK_LEN: u32 = 64 << 10;
+
+fn examples() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples")
+}
+
+fn config(name: &str) -> Config {
+    publish::check(&publish::read_folder(&examples().join(name)).unwrap()).unwrap()
+}
+
+#[test]
+fn folders_declare_deployments_of_today() {
+    let runners = [("associacao", 14), ("skyline", 9)];
+    for (name, replicas) in runners {
+        let config = config(name);
+        assert_eq!(config.zone.len(), 3, "{name}");
+        assert_eq!(config.customer.len(), 10, "{name}");
+        assert_eq!(config.placement.values().map(|p| p.replicas).sum::<u32>(), replicas, "{name}");
+        let plain = |idempotent: bool| {
+            let of_kind = |service: &&Service| matches!(service, Service::Plain { idempotent: i, .. } if *i == idempotent);
+            config.service.values().filter(of_kind).count()
+        };
+        assert_eq!((plain(true), plain(false)), (1, 1), "{name}");
+        for (customer, declared) in &config.customer {
+            let digest = Digest::of(format!("example-{customer}").as_bytes()).to_hex();
+            assert_eq!(declared.key_digest, digest, "{name}: {customer}");
+        }
+    }
+}
+
+#[test]
+fn versions_are_those_of_the_walk_through() {
+    let seeds = [
+        ("associacao", "rota-2026-03", 1),
+        ("associacao", "rota-2026-02", 2),
+        ("skyline", "summary-2026-05", 3),
+        ("skyline", "summary-2026-04", 4),
+    ];
+    for (name, version, seed) in seeds {
+        let manifest = Manifest::cut(&random_weights(seed, MODEL_LEN), CHUNK_LEN);
+        let declared = config(name).version[&version.into()].clone();
+        assert_eq!(declared.manifest, manifest.digest().to_hex(), "{version}");
+    }
+}
+
+fn assert_placed(name: &str, place: &Place, role: HostRole, hosts: &[ListedHost]) {
+    let listed = hosts.iter().find(|listed| listed.name == place.host).expect("the host is listed");
+    assert_eq!((listed.role, &listed.zone, &listed.region), (role, &place.zone, &place.region));
+    assert_eq!(listed.address, place.peers);
+    assert_eq!(config(name).zone[&place.zone].region, place.region);
+}
+
+#[test]
+fn settings_fit_hosts_and_configuration() {
+    for name in NAMES {
+        let folder = examples().join("settings").join(name);
+        let hosts = fs::read(folder.join("hosts.json")).unwrap();
+        let hosts: Vec<ListedHost> = serde_json::from_slice(&hosts).unwrap();
+        let mut found = BTreeSet::new();
+        for file in fs::read_dir(&folder).unwrap().map(|entry| entry.unwrap().path()) {
+            if file.extension().is_none_or(|extension| extension != "toml") {
+                continue;
+            }
+            let host = HostName::new(file.file_stem().unwrap().to_str().unwrap());
+            if host.as_str().starts_with("entry-") {
+                let entry: EntrySettings = settings::load(&file).unwrap();
+                assert_placed(name, &entry.place, HostRole::Entry, &hosts);
+            } else {
+                let agent: AgentSettings = settings::load(&file).unwrap();
+                assert_placed(name, &agent.place, HostRole::Agent, &hosts);
+                if let EndpointSettings::Plain { service, .. } = &agent.endpoint {
+                    assert!(config(name).service.contains_key(service), "{service}");
+                }
+            }
+            found.insert(host);
+        }
+        let listed: BTreeSet<HostName> = hosts.iter().map(|listed| listed.name.clone()).collect();
+        assert_eq!(found, listed, "{name}");
+    }
+}
--- a/node/tests/shell/main.rs
+++ b/node/tests/shell/main.rs
@@ -1,5 +1,6 @@
 //! The outer parts: settings, ports, TLS, the platform's adapter, and the programs themselves.
 
+mod examples;
 mod platform;
 mod programs;
 mod settings;
--- a/node/tests/shell/telemetry.rs
+++ b/node/tests/shell/telemetry.rs
@@ -14,7 +14,7 @@
 fn counters_reach_statsd_and_dump() {
     let server = UdpSocket::bind(ANY).unwrap();
     server.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
-    let telemetry = Telemetry::start(Some(server.local_addr().unwrap()));
+    let telemetry = Telemetry::start(&"host-1".into(), Some(server.local_addr().unwrap()));
     telemetry.add(Counter::Orders, 3);
     telemetry.answered(Code::Shed, Outcome::NotRun, Duration::from_millis(7));
     let expected = [
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -99,7 +99,8 @@
 
     /// Answers 200 with a value as JSON.
     pub(crate) fn respond_json<T: Serialize>(self, value: &T) {
-        let body = serde_json::to_vec(value).expect("stand-ins encode plain values");
+        let mut body = serde_json::to_vec(value).expect("stand-ins encode plain values");
+        body.push(b'\n');
         self.respond(200, &[("content-type", "application/json")], body);
     }
 
