--- a/standins/tests/faults/platform.rs
+++ b/standins/tests/faults/platform.rs
@@ -73,7 +73,7 @@
     let url = format!("{}/v1/hosts", platform.base());
     let put = send(minreq::put(url.clone()).with_body(host)).unwrap();
     assert_eq!(put.status_code, 200);
-    assert_eq!(get(url.clone()).unwrap().as_bytes(), b"[]");
+    assert_eq!(get(url.clone()).unwrap().as_bytes(), b"[]\n");
     platform.set_faults(|faults| faults.hosts_lag = Duration::ZERO);
-    assert_ne!(get(url).unwrap().as_bytes(), b"[]");
+    assert_ne!(get(url).unwrap().as_bytes(), b"[]\n");
 }
