--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,4 +1,5 @@
 //! What the experiments and the tests of whole runs share: a small fleet on stand-ins.
 
+pub mod bookings;
 pub mod fleet;
 pub mod member_net;
--- a/bench/src/member_net.rs
+++ b/bench/src/member_net.rs
@@ -63,7 +63,7 @@
 
 enum Event {
     Ask { from: usize, to: usize, token: u64, ask: MembersAsk },
-    Reply { to: usize, from: usize, token: u64, reply: MembersReply },
+    Reply { to: usize, token: u64, reply: MembersReply },
     Late { to: usize, token: u64 },
     Helped { helper: usize, asker: usize, token: u64, reached: bool },
 }
@@ -256,11 +256,8 @@
         }
         match event {
             Event::Ask { from, to, token, ask } => self.take_ask(from, to, token, ask),
-            Event::Reply { to, from, token, reply } => {
-                let host = self.nodes[from].host.clone();
-                self.answer(to, token, Some(&host), Some(reply));
-            }
-            Event::Late { to, token } => self.answer(to, token, None, None),
+            Event::Reply { to, token, reply } => self.answer(to, token, Some(reply)),
+            Event::Late { to, token } => self.answer(to, token, None),
             Event::Helped { helper, asker, token, reached } => {
                 self.reply(helper, asker, token, MembersReply::Reached(reached));
             }
@@ -288,20 +285,14 @@
         let encoded = wire::encode(&Reply { generation: Default::default(), body });
         self.nodes[from].sent += encoded.len() as u64 + MESSAGE_OVERHEAD + ACK_BYTES;
         if let Some(transit) = self.transit(from, to) {
-            self.push(self.now + transit, Event::Reply { to, from, token, reply });
+            self.push(self.now + transit, Event::Reply { to, token, reply });
         }
     }
 
-    fn answer(
-        &mut self,
-        to: usize,
-        token: u64,
-        host: Option<&HostName>,
-        reply: Option<MembersReply>,
-    ) {
+    fn answer(&mut self, to: usize, token: u64, reply: Option<MembersReply>) {
         let now = self.now;
         let node = &mut self.nodes[to];
-        let sends = node.membership.on_reply(now, token, host, reply, &mut self.rng);
+        let sends = node.membership.on_reply(now, token, reply, &mut self.rng);
         self.send_all(to, sends);
     }
 
--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -28,6 +28,12 @@
             Outcome::Unknown => "unknown",
         }
     }
+
+    /// Reads what [`Outcome::as_str`] wrote.
+    pub fn from_text(text: &str) -> Option<Outcome> {
+        let all = [Outcome::Ran, Outcome::NotRun, Outcome::Unknown];
+        all.into_iter().find(|outcome| outcome.as_str() == text)
+    }
 }
 
 macro_rules! codes {
@@ -50,6 +56,11 @@
                 match self { $(Code::$name => $number,)* }
             }
 
+            /// The code of a number.
+            pub fn from_number(number: u16) -> Option<Code> {
+                Code::ALL.iter().copied().find(|code| code.number() == number)
+            }
+
             /// The HTTP status that goes with it towards callers.
             pub fn http_status(self) -> u16 {
                 match self { $(Code::$name => $status,)* }
@@ -119,6 +130,8 @@
     RetryBudget = 123, 503, NotRun, "the retry budget is spent; come back after Retry-After";
     /// It ran under this idempotency key, and its answer is too large or too old to be kept.
     AnswerNotKept = 124, 410, Ran, "the request ran before; its answer was not kept";
+    /// The caller sends its request too slowly.
+    SlowCaller = 125, 408, NotRun, "the request was sent too slowly";
 
     /// A setting or key is not known.
     UnknownKey = 201, 400, NotRun, "the key is not known here";
--- a/core/src/members.rs
+++ b/core/src/members.rs
@@ -123,6 +123,8 @@
 /// A heartbeat, and its answer.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Hello {
+    /// The host of the answering process; empty in an ask, whose sender is named anyway.
+    pub host: HostName,
     /// The sender's sequence; its life is in the message's sender.
     pub stamp: Stamp,
     /// Its endpoint's load.
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -336,7 +336,8 @@
             MembersAsk::Probe => MembersReply::Me(self.me.clone()),
             MembersAsk::Hello(hello) => {
                 let tell = self.take_hello(now, host, hello);
-                MembersReply::Hello(self.hello_for(host, tell))
+                let hello = self.hello_for(host, tell);
+                MembersReply::Hello(Hello { host: self.me.host.clone(), ..hello })
             }
             MembersAsk::Sync(known) => MembersReply::News(self.unknown_to(&known)),
             MembersAsk::ProbeFor(_) => MembersReply::Reached(false),
@@ -350,7 +351,6 @@
         &mut self,
         now: Time,
         token: u64,
-        host: Option<&HostName>,
         reply: Option<MembersReply>,
         rng: &mut R,
     ) -> Vec<Send> {
@@ -373,11 +373,9 @@
             }
             (Waiting::Hello { host, .. }, _) => self.ask_helpers(now, host, rng),
             (Waiting::Greeting, Some(MembersReply::Hello(hello))) => {
-                let Some(host) = host else {
-                    return Vec::new();
-                };
-                self.take_hello(now, host, hello);
-                self.sync_with(now, host).into_iter().collect()
+                let host = hello.host.clone();
+                self.take_hello(now, &host, hello);
+                self.sync_with(now, &host).into_iter().collect()
             }
             (Waiting::Help { host, stamp }, reply) => {
                 let reached = matches!(reply, Some(MembersReply::Reached(true)));
@@ -525,6 +523,7 @@
 
     fn hello_frame(&self) -> Hello {
         Hello {
+            host: HostName::default(),
             stamp: self.stamp(),
             load: self.me.load,
             docs: self.docs,
--- a/core/src/ring.rs
+++ b/core/src/ring.rs
@@ -48,7 +48,13 @@
             hosts.extend(fingers(me, entries));
         }
         HostRole::Agent => {
-            let entries = by_rendezvous(me.host.as_str(), &me.zone, members);
+            let mut entries = by_rendezvous(me.host.as_str(), &me.zone, members);
+            if entries.is_empty() {
+                // Without entries of its zone nobody would tell it of a new configuration.
+                let any = members.iter().copied().filter(|m| m.role == HostRole::Entry);
+                entries = any.collect();
+                entries.sort_by_cached_key(|m| hash(&[me.host.as_str(), m.host.as_str()]));
+            }
             hosts.extend(entries.into_iter().take(ENTRIES_OF_AGENT).map(|m| m.host.clone()));
         }
     }
--- a/node/src/agent/asks.rs
+++ b/node/src/agent/asks.rs
@@ -10,8 +10,6 @@
 use mastichaven_core::spread::SpreadAsk;
 use mastichaven_core::spread::SpreadReply;
 use mastichaven_core::spread::Survey;
-use mastichaven_core::weights::WeightsAsk;
-use mastichaven_core::weights::WeightsReply;
 use mastichaven_core::wire::AskBody;
 use mastichaven_core::wire::Reply;
 use mastichaven_core::wire::ReplyBody;
@@ -33,17 +31,21 @@
 }
 
 fn answer(shared: &Arc<Shared>, incoming: Incoming) {
+    if matches!(incoming.ask.body, AskBody::Weights(_)) {
+        return shared.weights.serve(incoming);
+    }
     let Incoming { ask, replies, .. } = incoming;
     let body = match ask.body {
         AskBody::Run(ask) => return run::offer(shared, ask, replies),
         AskBody::Void(ask) => ReplyBody::Void(void(shared, &ask)),
-        AskBody::Weights(ask) => ReplyBody::Weights(weights(shared, &ask)),
         AskBody::Members(MembersAsk::Probe) => {
             ReplyBody::Members(MembersReply::Me(shared.member()))
         }
         AskBody::Members(_) => ReplyBody::Refused(mastichaven_core::Code::Busy),
         AskBody::Spread(ask) => ReplyBody::Spread(spread(shared, &ask)),
-        AskBody::Relay(_) => ReplyBody::Refused(mastichaven_core::Code::WrongRole),
+        AskBody::Weights(_) | AskBody::Relay(_) => {
+            ReplyBody::Refused(mastichaven_core::Code::WrongRole)
+        }
     };
     let generation = shared.documents.in_force().generation;
     let _ = replies.send(Reply { generation, body });
@@ -57,15 +59,6 @@
     shared.record.lock().expect("no holder of this lock panics").void(ask.request)
 }
 
-fn weights(shared: &Shared, ask: &WeightsAsk) -> WeightsReply {
-    let store = shared.store.lock().expect("no holder of this lock panics");
-    let bytes = match ask {
-        WeightsAsk::Manifest(digest) => store.manifests.get(digest).map(|m| m.encode().into()),
-        WeightsAsk::Chunk(digest) => store.chunks.get(digest).cloned(),
-    };
-    bytes.map_or(WeightsReply::Absent, WeightsReply::Bytes)
-}
-
 fn spread(shared: &Shared, ask: &SpreadAsk) -> SpreadReply {
     match ask {
         SpreadAsk::Above { generation, docs } => {
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -31,6 +31,7 @@
 use mastichaven_core::wire::Sender;
 use serde_json::Value;
 use serde_json::json;
+use slog::info;
 
 use crate::callers;
 use crate::clock::Clock;
@@ -39,11 +40,12 @@
 use crate::operator;
 use crate::operator::Operated;
 use crate::settings::EntrySettings;
+use crate::telemetry::Gauge;
 use crate::telemetry::Telemetry;
 use crate::tls::Material;
 use crate::transport::Transport;
 
-mod answer;
+pub(crate) mod answer;
 mod asks;
 mod claims;
 mod control;
@@ -51,6 +53,7 @@
 mod parse;
 mod planner;
 pub(crate) mod requests;
+mod router;
 
 /// Result of starting an entry.
 pub type Result<T> = std::result::Result<T, Code>;
@@ -76,6 +79,7 @@
     pub(crate) running: AtomicU32,
     serial: AtomicU64,
     claims: claims::Handle,
+    router: router::Router,
 }
 
 impl Shared {
@@ -156,6 +160,7 @@
             running: AtomicU32::new(0),
             serial: AtomicU64::new(0),
             claims: claims::Handle::new(claim_jobs),
+            router: router::Router::default(),
         });
         let operators = operator::start(operators, shared.clone())?;
         let callers = callers::start(callers, shared.clone())?;
@@ -171,6 +176,12 @@
             let (shared, jobs) = (shared.clone(), claim_rx.clone());
             threads.push(spawn(&format!("claims-{n}"), move || claims::run(&shared, &jobs)));
         }
+        info!(
+            shared.telemetry.log, "started";
+            "callers" => callers,
+            "peers" => shared.transport.local_addr(),
+            "operators" => operators,
+        );
         Ok(Entry { shared, threads, callers, operators })
     }
 
@@ -189,6 +200,12 @@
         self.operators
     }
 
+    /// Writes the whole state to the log.
+    pub fn log_dump(&self) {
+        let state = self.shared.dump().to_string();
+        info!(self.shared.telemetry.log, "state"; "dump" => state);
+    }
+
     /// Ends at once and without a goodbye, as a crash does; for tests of what others make of it.
     pub fn crash(self) {
         self.shared.over.store(true, Ordering::Release);
@@ -225,10 +242,19 @@
             "member": self.member(),
             "members": self.members(),
             "running": self.running.load(Ordering::Acquire),
+            "counts": self.telemetry.counts(),
             "uptime_ms": self.clock.now().as_millis(),
         })
     }
 
+    fn send_gauges(&self) {
+        let running = u64::from(self.running.load(Ordering::Acquire));
+        self.telemetry.gauge(Gauge::Running, running);
+        self.telemetry.gauge(Gauge::Generation, self.documents.in_force().generation.0);
+        let members = self.members().len() as u64;
+        self.telemetry.gauge(Gauge::Members, members);
+    }
+
     fn is_over(&self) -> bool {
         Shared::is_over(self)
     }
--- a/node/src/fetch.rs
+++ b/node/src/fetch.rs
@@ -36,6 +36,12 @@
 }
 
 impl Fetched {
+    /// Whether the answer announced its length. `minreq` takes the end of a connection between two
+    /// chunks for the end of the body, so that any other answer may have been cut short.
+    pub(crate) fn is_sized(&self) -> bool {
+        self.header("content-length").is_some()
+    }
+
     /// The value of the first header of this name, in any case.
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
         header(&self.headers, name)
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod telemetry;
 pub mod tls;
 pub mod transport;
+pub mod weights;
--- a/node/src/origin.rs
+++ b/node/src/origin.rs
@@ -9,6 +9,7 @@
 use mastichaven_core::ids::Digest;
 use mastichaven_core::wire;
 
+use crate::fetch::FetchError;
 use crate::fetch::fetch;
 
 /// Result of a call to the origin.
@@ -47,7 +48,11 @@
     fn get(&self, kind: &str, digest: Digest) -> Result<Bytes> {
         let request = minreq::get(format!("{}/{kind}/{}", self.base, digest.to_hex()))
             .with_timeout(TIMEOUT_SECONDS);
-        let fetched = fetch(request, MAX_OBJECT_LEN).map_err(|_| Code::Unreachable)?;
+        let fetched = fetch(request, MAX_OBJECT_LEN).map_err(|e| match e {
+            // No byte left the origin: a paid pull may be tried again for free.
+            FetchError::Refused => Code::Unreachable,
+            FetchError::Broken | FetchError::TooLong => Code::PeerLost,
+        })?;
         match fetched.status {
             200 => Ok(Bytes::from(fetched.body)),
             429 => Err(Code::OriginBudget),
