--- a/core/src/members.rs
+++ b/core/src/members.rs
@@ -133,6 +133,8 @@
     pub docs: u64,
     /// Fingerprint of who it thinks is alive.
     pub view: u64,
+    /// Fingerprint of what those say of themselves; 0 from an agent, which is not told all of it.
+    pub detail: u64,
     /// Whether the receiver shall say who it is.
     pub who: bool,
     /// News, as much as fits.
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -64,7 +64,10 @@
 /// further apart the more are known.
 const SYNC_BYTES: usize = 8;
 const SYNC_BYTES_A_SECOND: f64 = 400.0;
-const MIN_SYNC_INTERVAL: Duration = Duration::from_secs(2);
+const MIN_SYNC_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A process looks for others often for this long.
+const YOUNG: Duration = Duration::from_secs(20);
 
 /// Times of the membership protocol.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -123,6 +126,8 @@
     flaps: f64,
     flapped: Time,
     differing: u32,
+    /// The latest statement it is known to have made.
+    heard: Stamp,
 }
 
 impl Peer {
@@ -130,6 +135,10 @@
         Stamp { incarnation: self.member.incarnation, sequence: self.sequence }
     }
 
+    fn detail(&self) -> u64 {
+        detail(&self.member.host, self.stamp())
+    }
+
     fn is_gone(&self) -> bool {
         self.health >= Health::Dead
     }
@@ -184,11 +193,13 @@
     next_beat: Time,
     next_greeting: Time,
     next_sync: Time,
+    first_tick: Time,
     last_tick: Time,
     last_answer: Time,
     budget: f64,
     docs: u64,
     view: u64,
+    detail: u64,
     version: u64,
 }
 
@@ -214,11 +225,13 @@
             next_beat: Time::ZERO,
             next_greeting: Time::ZERO,
             next_sync: Time::ZERO,
+            first_tick: Time::ZERO,
             last_tick: Time::ZERO,
             last_answer: Time::ZERO,
             budget: BURST_BYTES,
             docs: 0,
             view: 0,
+            detail: 0,
             version: 0,
         }
     }
@@ -292,6 +305,9 @@
 
     /// Does what is due at `now`. Call at least every [`Terms::news_interval`].
     pub fn tick<R: Rng>(&mut self, now: Time, rng: &mut R) -> Vec<Send> {
+        if self.last_tick == Time::ZERO {
+            self.first_tick = now;
+        }
         self.notice_pause(now);
         self.bury(now);
         let passed = now.since(self.last_tick).as_secs_f64();
@@ -299,7 +315,7 @@
         self.last_tick = now;
         let mut sends = Vec::new();
         if now >= self.next_greeting {
-            self.next_greeting = now + self.greeting_interval();
+            self.next_greeting = now + self.greeting_interval(now);
             sends.extend(self.greet(rng));
         }
         if now >= self.next_beat {
@@ -374,8 +390,12 @@
             (Waiting::Hello { host, .. }, _) => self.ask_helpers(now, host, rng),
             (Waiting::Greeting, Some(MembersReply::Hello(hello))) => {
                 let host = hello.host.clone();
-                self.take_hello(now, &host, hello);
-                self.sync_with(now, &host).into_iter().collect()
+                let mut sends = Vec::new();
+                if self.take_hello(now, &host, hello) {
+                    sends.extend(self.introduce(&host));
+                }
+                sends.extend(self.sync_with(now, &host));
+                sends
             }
             (Waiting::Help { host, stamp }, reply) => {
                 let reached = matches!(reply, Some(MembersReply::Reached(true)));
@@ -438,9 +458,14 @@
         self.peers.retain(|_, peer| !forgotten(peer));
     }
 
-    fn greeting_interval(&self) -> Duration {
-        // Alone, a process looks for others often; later it only greets the dead and the listed.
-        if self.alive() == 0 { self.terms.interval } else { self.terms.interval * 10 }
+    /// A young process looks for others often; later it only greets the dead and the listed.
+    fn greeting_interval(&self, now: Time) -> Duration {
+        let young = now.since(self.first_tick) < YOUNG;
+        match (young, self.hints.is_empty()) {
+            (true, false) => self.terms.news_interval,
+            (true, true) => self.terms.interval,
+            (false, _) => self.terms.interval * 10,
+        }
     }
 
     /// Greets somebody who is not thought alive: a hint, or one of the dead.
@@ -528,6 +553,7 @@
             load: self.me.load,
             docs: self.docs,
             view: self.whole_view(),
+            detail: self.whole_detail(),
             who: false,
             news: Vec::new(),
         }
@@ -535,8 +561,9 @@
 
     /// A heartbeat for one receiver; `tell_me` adds what this process says of itself.
     fn hello_for(&mut self, to: &HostName, tell_me: bool) -> Hello {
+        let is_behind = self.peers.get(to).is_none_or(|peer| peer.heard > peer.stamp());
         let mut hello = self.hello_frame();
-        hello.who = !self.peers.contains_key(to);
+        hello.who = is_behind;
         if tell_me {
             let (member, sequence) = (Box::new(self.me.clone()), self.sequence);
             hello.news.push(News::Here { member, sequence });
@@ -556,17 +583,27 @@
         self.view ^ fingerprint(&self.me, Health::Alive)
     }
 
+    fn whole_detail(&self) -> u64 {
+        match self.me.role {
+            HostRole::Entry => self.detail ^ detail(&self.me.host, self.stamp()),
+            HostRole::Agent => 0,
+        }
+    }
+
     /// Gives whether the sender needs to hear who this process is.
     fn take_hello(&mut self, now: Time, host: &HostName, hello: Hello) -> bool {
         for news in hello.news.into_iter().take(MAX_NEWS + 2) {
             self.take_news(now, news, Some(host));
         }
-        let view = self.whole_view();
+        let (view, mine) = (self.whole_view(), self.whole_detail());
         if let Some(peer) = self.peers.get_mut(host) {
+            peer.heard = peer.heard.max(hello.stamp);
             if peer.stamp() == hello.stamp {
                 peer.member.load = hello.load;
             }
-            peer.differing = if hello.view == view { 0 } else { peer.differing.saturating_add(1) };
+            let same_detail = hello.detail == mine || hello.detail == 0 || mine == 0;
+            let same = hello.view == view && same_detail;
+            peer.differing = if same { 0 } else { peer.differing.saturating_add(1) };
         }
         hello.who
     }
@@ -656,6 +693,7 @@
             flaps,
             flapped,
             differing: 0,
+            heard: stamp,
         };
         self.replace(host, peer, structural);
         if let Some(from) = from {
@@ -691,6 +729,12 @@
 
     fn replace(&mut self, host: HostName, peer: Peer, structural: bool) {
         self.version += 1;
+        if let Some(old) = self.peers.get(&host).filter(|old| !old.is_gone()) {
+            self.detail ^= detail(&host, old.stamp());
+        }
+        if !peer.is_gone() {
+            self.detail ^= detail(&host, peer.stamp());
+        }
         if structural {
             if let Some(old) = self.peers.get(&host) {
                 self.view ^= fingerprint(&old.member, old.health);
@@ -779,7 +823,7 @@
         let peer = self.peers.get_mut(host)?;
         peer.differing = 0;
         let to = peer.member.address;
-        let known = self.peers.values().filter(|peer| !peer.is_gone()).map(detail).collect();
+        let known = self.peers.values().filter(|peer| !peer.is_gone()).map(Peer::detail).collect();
         Some(self.send(to, MembersAsk::Sync(known), Waiting::Sync))
     }
 
@@ -794,9 +838,10 @@
             flaps: 0.0,
             flapped: Time::ZERO,
             differing: 0,
+            heard: self.stamp(),
         };
         let all = self.peers.values().chain(std::iter::once(&me));
-        let unknown = all.filter(|peer| peer.is_gone() == known.contains(&detail(peer)));
+        let unknown = all.filter(|peer| peer.is_gone() == known.contains(&peer.detail()));
         unknown
             .map(|peer| {
                 let (host, stamp, health) = (peer.member.host.clone(), peer.stamp(), peer.health);
@@ -829,10 +874,9 @@
 }
 
 /// Fingerprint of exactly what a member says of itself.
-fn detail(peer: &Peer) -> u64 {
-    let Incarnation(incarnation) = peer.member.incarnation;
-    let sequence = peer.sequence.to_be_bytes();
-    mix(&[peer.member.host.as_str().as_bytes(), &incarnation.to_be_bytes(), &sequence])
+fn detail(host: &HostName, stamp: Stamp) -> u64 {
+    let Incarnation(incarnation) = stamp.incarnation;
+    mix(&[host.as_str().as_bytes(), &incarnation.to_be_bytes(), &stamp.sequence.to_be_bytes()])
 }
 
 fn mix(parts: &[&[u8]]) -> u64 {
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -6,7 +6,8 @@
 //! | `requests` | hands requests to the endpoint, a task a request | `agent/run.rs` |
 //! | `engine` | watches the endpoint, opens and closes the gate, gives orders | `agent/engine_watch.rs` |
 //! | `pull` | tells the weight threads what the plan wants | `agent/pull.rs` |
-//! | `control` | keeps the documents up to date | `agent/control.rs` |
+//! | `control` | membership, and configuration and plans from peers | `control.rs` |
+//! | `platform` | finds the first peer | `platform_watch.rs` |
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -39,12 +40,16 @@
 use slog::info;
 
 use crate::clock::Clock;
+use crate::control;
+use crate::control::Control;
+use crate::control::Controlled;
 use crate::documents::Documents;
 use crate::engine::Engine;
 use crate::http_store::HttpStore;
 use crate::operator;
 use crate::operator::Operated;
 use crate::origin::Origin;
+use crate::platform_watch;
 use crate::settings::AgentSettings;
 use crate::settings::EndpointSettings;
 use crate::telemetry::Gauge;
@@ -57,7 +62,6 @@
 use crate::weights::Weights;
 
 mod asks;
-mod control;
 mod engine_watch;
 mod pull;
 mod run;
@@ -82,7 +86,8 @@
     incarnation: Incarnation,
     documents: Documents,
     transport: Transport,
-    platform: HttpStore,
+    control: Control,
+    host_leaves: AtomicBool,
     engine: Engine,
     serving: Mutex<Serving>,
     admission: Mutex<Admission>,
@@ -106,6 +111,11 @@
         self.stopping.load(Ordering::Acquire)
     }
 
+    /// Whether it takes no new work, because it stops or its host is about to be taken away.
+    fn is_leaving(&self) -> bool {
+        self.is_stopping() || self.host_leaves.load(Ordering::Acquire)
+    }
+
     fn endpoint(&self) -> EndpointKind {
         match &self.settings.endpoint {
             EndpointSettings::Engine { .. } => EndpointKind::Engine,
@@ -122,7 +132,7 @@
             region: place.region.clone(),
             address: place.advertised.unwrap_or(self.transport.local_addr()),
             incarnation: self.incarnation,
-            leaving: self.is_stopping(),
+            leaving: self.is_leaving(),
             endpoint: self.endpoint(),
             serving: self.serving.lock().expect("no holder of this lock panics").clone(),
             load: self.admission.lock().expect("no holder of this lock panics").load(),
@@ -176,8 +186,10 @@
         let clock = Clock::start();
         let store = open_store(&settings)?;
         let weights = start_weights(&settings, &transport, &store, &clock, incarnation);
+        let platform = Arc::new(HttpStore::new(&settings.platform));
         let shared = Arc::new(Shared {
-            platform: HttpStore::new(&settings.platform),
+            control: Control::new(settings.seeds.clone()),
+            host_leaves: AtomicBool::new(false),
             engine: Engine::new(address),
             settings,
             telemetry,
@@ -205,7 +217,8 @@
         let threads = vec![
             spawn("requests", move || run::run(&requests, &jobs)),
             spawn("asks", move || asks::serve(&asks, &rx)),
-            spawn_duty("control", &shared, control::run),
+            control::start(&shared),
+            platform_watch::start(&shared, platform),
             spawn_duty("engine", &shared, engine_watch::run),
             spawn_duty("pull", &shared, pull::run),
         ];
@@ -298,9 +311,49 @@
     spawn(name, move || run(&shared))
 }
 
+impl Controlled for Shared {
+    fn member(&self) -> Member {
+        Shared::member(self)
+    }
+
+    fn ask(&self, body: AskBody) -> Ask {
+        Shared::ask(self, body)
+    }
+
+    fn documents(&self) -> &Documents {
+        &self.documents
+    }
+
+    fn transport(&self) -> &Transport {
+        &self.transport
+    }
+
+    fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    fn telemetry(&self) -> &Telemetry {
+        &self.telemetry
+    }
+
+    fn control(&self) -> &Control {
+        &self.control
+    }
+
+    fn is_over(&self) -> bool {
+        Shared::is_over(self)
+    }
+
+    fn host_leaves(&self, leaves: bool) {
+        if self.host_leaves.swap(leaves, Ordering::AcqRel) != leaves {
+            info!(self.telemetry.log, "host listed as leaving"; "leaves" => leaves);
+        }
+    }
+}
+
 impl Operated for Shared {
     fn is_ready(&self) -> bool {
-        !self.is_stopping()
+        !self.is_leaving()
             && *self.serving.lock().expect("no holder of this lock panics") != Serving::Nothing
     }
 
@@ -312,6 +365,11 @@
             "generation": self.documents.in_force().generation,
             "documents": self.documents.revisions(),
             "member": self.member(),
+            "members": self.control.members().len(),
+            "traffic": {
+                "sent": self.transport.traffic().sent,
+                "received": self.transport.traffic().received,
+            },
             "running": self.running.load(Ordering::Acquire),
             "weights": {
                 "chunks": chunks,
--- a/node/src/agent/asks.rs
+++ b/node/src/agent/asks.rs
@@ -3,13 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mastichaven_core::members::MembersAsk;
-use mastichaven_core::members::MembersReply;
 use mastichaven_core::run::VoidAsk;
 use mastichaven_core::run::VoidReply;
-use mastichaven_core::spread::SpreadAsk;
-use mastichaven_core::spread::SpreadReply;
-use mastichaven_core::spread::Survey;
 use mastichaven_core::wire::AskBody;
 use mastichaven_core::wire::Reply;
 use mastichaven_core::wire::ReplyBody;
@@ -31,19 +26,16 @@
 }
 
 fn answer(shared: &Arc<Shared>, incoming: Incoming) {
-    if matches!(incoming.ask.body, AskBody::Weights(_)) {
-        return shared.weights.serve(incoming);
+    match incoming.ask.body {
+        AskBody::Weights(_) => return shared.weights.serve(incoming),
+        AskBody::Members(_) | AskBody::Spread(_) => return shared.control.take(incoming),
+        AskBody::Run(_) | AskBody::Void(_) | AskBody::Relay(_) => {}
     }
     let Incoming { ask, replies, .. } = incoming;
     let body = match ask.body {
         AskBody::Run(ask) => return run::offer(shared, ask, replies),
         AskBody::Void(ask) => ReplyBody::Void(void(shared, &ask)),
-        AskBody::Members(MembersAsk::Probe) => {
-            ReplyBody::Members(MembersReply::Me(shared.member()))
-        }
-        AskBody::Members(_) => ReplyBody::Refused(mastichaven_core::Code::Busy),
-        AskBody::Spread(ask) => ReplyBody::Spread(spread(shared, &ask)),
-        AskBody::Weights(_) | AskBody::Relay(_) => {
+        AskBody::Weights(_) | AskBody::Members(_) | AskBody::Spread(_) | AskBody::Relay(_) => {
             ReplyBody::Refused(mastichaven_core::Code::WrongRole)
         }
     };
@@ -58,14 +50,3 @@
     }
     shared.record.lock().expect("no holder of this lock panics").void(ask.request)
 }
-
-fn spread(shared: &Shared, ask: &SpreadAsk) -> SpreadReply {
-    match ask {
-        SpreadAsk::Above { generation, docs } => {
-            SpreadReply::Update(shared.documents.above(*generation, docs))
-        }
-        SpreadAsk::Parts(digests) => SpreadReply::Parts(shared.documents.parts(digests)),
-        SpreadAsk::Push(_) => SpreadReply::Done,
-        SpreadAsk::Survey => SpreadReply::Survey(Survey::of(shared.documents.generation())),
-    }
-}
--- a/node/src/agent/run.rs
+++ b/node/src/agent/run.rs
@@ -131,7 +131,7 @@
 fn check(shared: &Shared, ask: &RunAsk) -> Result<(), Code> {
     let in_force = shared.documents.in_force();
     let zone = in_force.config.zone.get(&shared.settings.place.zone);
-    if shared.is_stopping() || zone.is_some_and(|zone| zone.state == ZoneState::Out) {
+    if shared.is_leaving() || zone.is_some_and(|zone| zone.state == ZoneState::Out) {
         return Err(Code::EndpointClosed);
     }
     // Another life of this agent remembers nothing of what this attempt's void was told.
--- a/node/src/documents.rs
+++ b/node/src/documents.rs
@@ -111,6 +111,12 @@
         update
     }
 
+    /// The plans under these keys.
+    pub fn docs(&self, keys: &[SmolStr]) -> Vec<Doc> {
+        let state = self.lock();
+        keys.iter().filter_map(|key| state.docs.get(key).cloned()).collect()
+    }
+
     /// Those of the asked parts of files that are here.
     pub fn parts(&self, asked: &[Digest]) -> Vec<Bytes> {
         self.lock().files.parts(asked)
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -4,13 +4,13 @@
 //! | --- | --- | --- |
 //! | `callers` | speaks HTTP with callers, a task a request | `callers.rs`, `entry/requests.rs` |
 //! | `asks` | answers what peers ask | `entry/asks.rs` |
-//! | `control` | keeps documents and members up to date | `entry/control.rs` |
+//! | `control` | membership, and configuration and plans from peers | `control.rs` |
+//! | `platform` | watches the platform while this entry is a relay | `platform_watch.rs` |
 //! | `claims-N` | call the platform for idempotency keys and relayed calls | `entry/claims.rs` |
 //! | `planner` | writes plans while this entry holds the lease | `entry/planner.rs` |
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -35,10 +35,14 @@
 
 use crate::callers;
 use crate::clock::Clock;
+use crate::control;
+use crate::control::Control;
+use crate::control::Controlled;
 use crate::documents::Documents;
 use crate::http_store::HttpStore;
 use crate::operator;
 use crate::operator::Operated;
+use crate::platform_watch;
 use crate::settings::EntrySettings;
 use crate::telemetry::Gauge;
 use crate::telemetry::Telemetry;
@@ -48,7 +52,6 @@
 pub(crate) mod answer;
 mod asks;
 mod claims;
-mod control;
 mod dispatch;
 mod parse;
 mod planner;
@@ -73,7 +76,8 @@
     pub(crate) documents: Documents,
     pub(crate) transport: Transport,
     pub(crate) platform: HttpStore,
-    pub(crate) members: RwLock<Vec<Member>>,
+    pub(crate) control: Control,
+    pub(crate) leaving: AtomicBool,
     pub(crate) stopping: AtomicBool,
     pub(crate) over: AtomicBool,
     pub(crate) running: AtomicU32,
@@ -114,15 +118,21 @@
             region: place.region.clone(),
             address: place.advertised.unwrap_or(self.transport.local_addr()),
             incarnation: self.incarnation,
-            leaving: self.is_stopping(),
+            leaving: self.is_leaving(),
             endpoint: EndpointKind::None,
             serving: Serving::Nothing,
             load: Load::default(),
         }
     }
 
-    pub(crate) fn members(&self) -> Vec<Member> {
-        self.members.read().expect("no holder of this lock panics").clone()
+    /// Everybody who is thought alive.
+    pub(crate) fn members(&self) -> Arc<Vec<Member>> {
+        self.control.members()
+    }
+
+    /// Whether it is about to stop: the balancer is told, but requests are still answered.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
     }
 }
 
@@ -146,6 +156,7 @@
         let (claim_jobs, claim_rx) = flume::bounded(claims::JOB_RING);
         let transport = Transport::start(settings.place.peers, material, tx)?;
         let (callers, operators) = (settings.callers, settings.place.operators);
+        let control = Control::new(settings.seeds.clone());
         let shared = Arc::new(Shared {
             platform: HttpStore::new(&settings.platform),
             settings,
@@ -154,7 +165,8 @@
             incarnation,
             documents: Documents::default(),
             transport,
-            members: RwLock::default(),
+            control,
+            leaving: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             over: AtomicBool::new(false),
             running: AtomicU32::new(0),
@@ -165,11 +177,11 @@
         let operators = operator::start(operators, shared.clone())?;
         let callers = callers::start(callers, shared.clone())?;
         let asks = shared.clone();
-        let control = shared.clone();
         let planner = shared.clone();
         let mut threads = vec![
             spawn("asks", move || asks::serve(&asks, &rx)),
-            spawn("control", move || control::run(&control)),
+            control::start(&shared),
+            platform_watch::start(&shared, Arc::new(shared.platform.clone())),
             spawn("planner", move || planner::run(&planner)),
         ];
         for n in 0..claims::THREADS {
@@ -214,6 +226,8 @@
 
     /// Stops gracefully: not ready, takes nothing new, finishes every request in progress, leaves.
     pub fn stop(self) {
+        self.shared.leaving.store(true, Ordering::Release);
+        thread::sleep(Duration::from_millis(self.shared.settings.notice_ms));
         self.shared.stopping.store(true, Ordering::Release);
         while self.shared.running.load(Ordering::Acquire) > 0 {
             thread::sleep(STOP_POLL);
@@ -229,9 +243,43 @@
     thread::Builder::new().name(name.to_owned()).spawn(run).expect("the system gives a thread")
 }
 
+impl Controlled for Shared {
+    fn member(&self) -> Member {
+        Shared::member(self)
+    }
+
+    fn ask(&self, body: AskBody) -> Ask {
+        Shared::ask(self, body)
+    }
+
+    fn documents(&self) -> &Documents {
+        &self.documents
+    }
+
+    fn transport(&self) -> &Transport {
+        &self.transport
+    }
+
+    fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    fn telemetry(&self) -> &Telemetry {
+        &self.telemetry
+    }
+
+    fn control(&self) -> &Control {
+        &self.control
+    }
+
+    fn is_over(&self) -> bool {
+        Shared::is_over(self)
+    }
+}
+
 impl Operated for Shared {
     fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.documents.in_force().generation.0 > 0
+        !self.is_leaving() && self.documents.in_force().generation.0 > 0
     }
 
     fn dump(&self) -> Value {
@@ -240,7 +288,12 @@
             "generation": self.documents.in_force().generation,
             "documents": self.documents.revisions(),
             "member": self.member(),
-            "members": self.members(),
+            "members": *self.members(),
+            "relay_rank": self.control.relay_rank(),
+            "traffic": {
+                "sent": self.transport.traffic().sent,
+                "received": self.transport.traffic().received,
+            },
             "running": self.running.load(Ordering::Acquire),
             "counts": self.telemetry.counts(),
             "uptime_ms": self.clock.now().as_millis(),
--- a/node/src/entry/asks.rs
+++ b/node/src/entry/asks.rs
@@ -3,11 +3,6 @@
 use std::time::Duration;
 
 use mastichaven_core::Code;
-use mastichaven_core::members::MembersAsk;
-use mastichaven_core::members::MembersReply;
-use mastichaven_core::spread::SpreadAsk;
-use mastichaven_core::spread::SpreadReply;
-use mastichaven_core::spread::Survey;
 use mastichaven_core::wire::AskBody;
 use mastichaven_core::wire::Reply;
 use mastichaven_core::wire::ReplyBody;
@@ -28,28 +23,13 @@
 }
 
 fn answer(shared: &Shared, incoming: Incoming) {
-    let body = match incoming.ask.body {
-        AskBody::Relay(ask) => return shared.claims.relay(ask, incoming.replies),
-        AskBody::Members(MembersAsk::Probe) => {
-            ReplyBody::Members(MembersReply::Me(shared.member()))
-        }
-        AskBody::Members(_) => ReplyBody::Refused(mastichaven_core::Code::Busy),
-        AskBody::Spread(ask) => ReplyBody::Spread(spread(shared, &ask)),
+    match incoming.ask.body {
+        AskBody::Members(_) | AskBody::Spread(_) => shared.control.take(incoming),
+        AskBody::Relay(ask) => shared.claims.relay(ask, incoming.replies),
         AskBody::Run(_) | AskBody::Void(_) | AskBody::Weights(_) => {
-            ReplyBody::Refused(Code::WrongRole)
-        }
-    };
-    let generation = shared.documents.in_force().generation;
-    let _ = incoming.replies.send(Reply { generation, body });
-}
-
-fn spread(shared: &Shared, ask: &SpreadAsk) -> SpreadReply {
-    match ask {
-        SpreadAsk::Above { generation, docs } => {
-            SpreadReply::Update(shared.documents.above(*generation, docs))
+            let generation = shared.documents.generation();
+            let body = ReplyBody::Refused(Code::WrongRole);
+            let _ = incoming.replies.send(Reply { generation, body });
         }
-        SpreadAsk::Parts(digests) => SpreadReply::Parts(shared.documents.parts(digests)),
-        SpreadAsk::Push(_) => SpreadReply::Done,
-        SpreadAsk::Survey => SpreadReply::Survey(Survey::of(shared.documents.generation())),
     }
 }
--- a/node/src/entry/claims.rs
+++ b/node/src/entry/claims.rs
@@ -202,7 +202,7 @@
 /// platform; stops at the first answer that is not a proof that nothing was done.
 fn relay(shared: &Shared, ask: &RelayAsk) -> RelayReply {
     let me = &shared.settings.place;
-    let mut entries: Vec<Member> = shared.members();
+    let mut entries: Vec<Member> = shared.members().to_vec();
     entries.retain(|m| m.role == HostRole::Entry && m.host != me.host && !m.leaving);
     entries.sort_by_key(|m| m.zone == me.zone);
     for entry in entries.iter().take(MAX_RELAYS) {
--- a/node/src/entry/router.rs
+++ b/node/src/entry/router.rs
@@ -447,7 +447,7 @@
     state.refreshed = Some(now);
     state.generation = in_force.generation;
     state.versions.clear();
-    state.members = Arc::new(shared.members());
+    state.members = shared.members();
     let place = &shared.settings.place;
     let entries = Entries::new(&state.members, &place.host, &place.zone);
     let members = state.members.clone();
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -93,6 +93,14 @@
     pub tls: TlsFiles,
     /// Where callers send requests (TCP).
     pub callers: SocketAddr,
+    /// Addresses of peers to greet at start; the platform's list of hosts is read only while none
+    /// of them answers.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Milliseconds that a stop goes on serving after it reports not ready, so that the balancer
+    /// notices first.
+    #[serde(default)]
+    pub notice_ms: u64,
     /// The platform's object API, such as `http://10.0.0.1:7000`.
     pub platform: String,
     /// Milliseconds after which a stop cuts off what is left; waits for all when left out.
@@ -128,6 +136,10 @@
     pub tls: TlsFiles,
     /// The endpoint beside it.
     pub endpoint: EndpointSettings,
+    /// Addresses of peers to greet at start; the platform's list of hosts is read only while none
+    /// of them answers.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// The origin of weights, such as `http://10.0.0.2:7100`.
     pub origin: String,
     /// The platform's object API, read only while no peer is known.
--- a/node/src/tls.rs
+++ b/node/src/tls.rs
@@ -44,6 +44,9 @@
 /// A connection that is silent for this long is given up.
 const IDLE_TIMEOUT_MS: u32 = 4_000;
 
+/// The same for a connection that carries control alone.
+const CONTROL_IDLE_TIMEOUT_MS: u32 = 60_000;
+
 /// Streams one peer may have open at once.
 const MAX_STREAMS: u32 = 1_024;
 
@@ -168,7 +171,7 @@
         tls.alpn_protocols = vec![ALPN.to_vec()];
         let quic = QuicServerConfig::try_from(tls).map_err(|e| invalid(e.to_string()))?;
         let mut config = quinn::ServerConfig::with_crypto(Arc::new(quic));
-        config.transport_config(Arc::new(transport_config()));
+        config.transport_config(Arc::new(control_transport_config()));
         Ok(config)
     }
 
@@ -190,6 +193,17 @@
     }
 }
 
+/// Settings of a connection for control alone: heartbeats are its only traffic, and keep-alives
+/// between them would cost more bytes than the heartbeats.
+///
+/// The accepting side has these settings too: the opening side asks for what its use needs.
+pub(crate) fn control_transport_config() -> quinn::TransportConfig {
+    let idle = quinn::IdleTimeout::from(quinn::VarInt::from_u32(CONTROL_IDLE_TIMEOUT_MS));
+    let mut config = transport_config();
+    config.keep_alive_interval(None).max_idle_timeout(Some(idle));
+    config
+}
+
 fn transport_config() -> quinn::TransportConfig {
     let mut config = quinn::TransportConfig::default();
     config
--- a/node/src/transport.rs
+++ b/node/src/transport.rs
@@ -16,6 +16,7 @@
 use mastichaven_core::Code;
 use mastichaven_core::wire;
 use mastichaven_core::wire::Ask;
+use mastichaven_core::wire::AskBody;
 use mastichaven_core::wire::Reply;
 use mastichaven_core::wire::ReplyBody;
 use quinn::Connection;
@@ -28,6 +29,7 @@
 use crate::tls::Identity;
 use crate::tls::Material;
 use crate::tls::PEER_NAME;
+use crate::tls::control_transport_config;
 use crate::tls::scan_identity;
 
 /// Result of the transport.
@@ -136,8 +138,70 @@
     }
 }
 
+/// What a connection is for. Control has its own connections, which live long without traffic.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Use {
+    Requests,
+    Control,
+}
+
+impl Use {
+    fn of(body: &AskBody) -> Use {
+        match body {
+            AskBody::Members(_) | AskBody::Spread(_) => Use::Control,
+            AskBody::Run(_) | AskBody::Void(_) | AskBody::Weights(_) | AskBody::Relay(_) => {
+                Use::Requests
+            }
+        }
+    }
+}
+
+/// Bytes of UDP payload over all connections so far.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Traffic {
+    /// Sent.
+    pub sent: u64,
+    /// Received.
+    pub received: u64,
+}
+
+/// Open connections, and the traffic of those that are closed.
+#[derive(Clone, Debug, Default)]
+struct Meter {
+    inner: Arc<Mutex<(Vec<Connection>, Traffic)>>,
+}
+
+impl Meter {
+    fn add(&self, connection: &Connection) {
+        let mut inner = self.inner.lock().expect("no holder of this lock panics");
+        let (open, closed) = &mut *inner;
+        open.retain(|old| {
+            let is_open = old.close_reason().is_none();
+            if !is_open {
+                count(old, closed);
+            }
+            is_open
+        });
+        open.push(connection.clone());
+    }
+
+    fn read(&self) -> Traffic {
+        let inner = self.inner.lock().expect("no holder of this lock panics");
+        let (open, mut traffic) = (&inner.0, inner.1);
+        open.iter().for_each(|connection| count(connection, &mut traffic));
+        traffic
+    }
+}
+
+fn count(connection: &Connection, traffic: &mut Traffic) {
+    let stats = connection.stats();
+    traffic.sent += stats.udp_tx.bytes;
+    traffic.received += stats.udp_rx.bytes;
+}
+
 struct Job {
     to: SocketAddr,
+    purpose: Use,
     ask: Vec<u8>,
     replies: flume::Sender<Result<Reply>>,
     cancelled: oneshot::Receiver<()>,
@@ -149,6 +213,7 @@
     jobs: flume::Sender<Job>,
     local: SocketAddr,
     crash: Arc<Notify>,
+    meter: Meter,
 }
 
 impl Transport {
@@ -160,6 +225,8 @@
     ) -> Result<Transport> {
         let server = material.server_config().map_err(|e| e.code())?;
         let client = material.client_config().map_err(|e| e.code())?;
+        let mut control = client.clone();
+        control.transport_config(Arc::new(control_transport_config()));
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
@@ -174,9 +241,11 @@
         let (jobs, rx) = flume::bounded(JOB_RING);
         let crash = Arc::new(Notify::new());
         let crashed = crash.clone();
+        let meter = Meter::default();
+        let pool = Pool { control, open: Arc::default(), meter: meter.clone() };
         let serve = async move {
             tokio::select! {
-                () = run(endpoint, rx, incoming) => {}
+                () = run(endpoint, pool, rx, incoming) => {}
                 () = crashed.notified() => {}
             }
         };
@@ -184,7 +253,7 @@
             .name("transport".to_owned())
             .spawn(move || runtime.block_on(serve))
             .map_err(|_| Code::CannotBind)?;
-        Ok(Transport { jobs, local, crash })
+        Ok(Transport { jobs, local, crash, meter })
     }
 
     /// Ends the thread at once and without a goodbye to any peer, as a crash does.
@@ -192,6 +261,11 @@
         self.crash.notify_one();
     }
 
+    /// Bytes sent and received so far, without the headers of IP and UDP.
+    pub fn traffic(&self) -> Traffic {
+        self.meter.read()
+    }
+
     /// The address that is bound.
     pub fn local_addr(&self) -> SocketAddr {
         self.local
@@ -204,7 +278,8 @@
     pub fn call(&self, to: SocketAddr, ask: &Ask) -> Call {
         let (replies, rx) = flume::bounded(REPLY_RING);
         let (cancel, cancelled) = oneshot::channel();
-        let job = Job { to, ask: wire::encode(ask), replies: replies.clone(), cancelled };
+        let purpose = Use::of(&ask.body);
+        let job = Job { to, purpose, ask: wire::encode(ask), replies: replies.clone(), cancelled };
         if self.jobs.try_send(job).is_err() {
             let _ = replies.try_send(Err(Code::Busy));
         }
@@ -221,31 +296,48 @@
     }
 }
 
-/// The connections that asks go out on, one a peer.
-#[derive(Clone, Default)]
+/// The connections that asks go out on, one a peer and use.
+#[derive(Clone)]
 struct Pool {
-    open: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+    control: quinn::ClientConfig,
+    open: Arc<Mutex<HashMap<(SocketAddr, Use), Connection>>>,
+    meter: Meter,
 }
 
 impl Pool {
-    fn get(&self, to: SocketAddr) -> Option<Connection> {
+    fn get(&self, to: SocketAddr, purpose: Use) -> Option<Connection> {
         let mut open = self.open.lock().expect("no holder of this lock panics");
-        let connection = open.get(&to)?;
+        let connection = open.get(&(to, purpose))?;
         if connection.close_reason().is_some() {
-            open.remove(&to);
+            open.remove(&(to, purpose));
             return None;
         }
         Some(connection.clone())
     }
 
-    fn put(&self, to: SocketAddr, connection: Connection) {
-        self.open.lock().expect("no holder of this lock panics").insert(to, connection);
+    fn put(&self, to: SocketAddr, purpose: Use, connection: Connection) {
+        self.meter.add(&connection);
+        self.open.lock().expect("no holder of this lock panics").insert((to, purpose), connection);
+    }
+
+    /// A restarted peer knows nothing of the old connection, which would stay silent until its
+    /// long idle timeout; the peer would be suspected all that time.
+    fn give_up(&self, to: SocketAddr, purpose: Use) {
+        let mut open = self.open.lock().expect("no holder of this lock panics");
+        if let Some(connection) = open.remove(&(to, purpose)) {
+            connection.close(0u8.into(), b"silent");
+        }
     }
 }
 
-async fn run(endpoint: Endpoint, jobs: flume::Receiver<Job>, incoming: flume::Sender<Incoming>) {
-    let pool = Pool::default();
-    let accepting = tokio::spawn(accept_all(endpoint.clone(), incoming));
+async fn run(
+    endpoint: Endpoint,
+    pool: Pool,
+    jobs: flume::Receiver<Job>,
+    incoming: flume::Sender<Incoming>,
+) {
+    let meter = pool.meter.clone();
+    let accepting = tokio::spawn(accept_all(endpoint.clone(), incoming, meter));
     while let Ok(job) = jobs.recv_async().await {
         let endpoint = endpoint.clone();
         let pool = pool.clone();
@@ -256,22 +348,31 @@
     endpoint.wait_idle().await;
 }
 
-async fn connect(endpoint: &Endpoint, pool: &Pool, to: SocketAddr) -> Result<Connection> {
-    if let Some(connection) = pool.get(to) {
+async fn connect(
+    endpoint: &Endpoint,
+    pool: &Pool,
+    to: SocketAddr,
+    purpose: Use,
+) -> Result<Connection> {
+    if let Some(connection) = pool.get(to, purpose) {
         return Ok(connection);
     }
-    let connecting = endpoint.connect(to, PEER_NAME).map_err(|_| Code::Unreachable)?;
+    let connecting = match purpose {
+        Use::Requests => endpoint.connect(to, PEER_NAME),
+        Use::Control => endpoint.connect_with(pool.control.clone(), to, PEER_NAME),
+    };
+    let connecting = connecting.map_err(|_| Code::Unreachable)?;
     let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
         .await
         .map_err(|_| Code::Unreachable)?
         .map_err(|_| Code::Unreachable)?;
-    pool.put(to, connection.clone());
+    pool.put(to, purpose, connection.clone());
     Ok(connection)
 }
 
 async fn serve_job(endpoint: Endpoint, pool: Pool, job: Job) {
-    let Job { to, ask, replies, cancelled } = job;
-    let (mut tx, mut rx) = match open_stream(&endpoint, &pool, to).await {
+    let Job { to, purpose, ask, replies, cancelled } = job;
+    let (mut tx, mut rx) = match open_stream(&endpoint, &pool, to, purpose).await {
         Ok(streams) => streams,
         Err(code) => {
             let _ = replies.send_async(Err(code)).await;
@@ -282,10 +383,14 @@
         let _ = replies.send_async(Err(Code::PeerLost)).await;
         return;
     }
+    let answered = AtomicBool::new(false);
     tokio::select! {
-        () = forward_replies(&mut rx, &replies) => {}
+        () = forward_replies(&mut rx, &replies, &answered) => {}
         _ = cancelled => {
             let _ = rx.stop(0u8.into());
+            if purpose == Use::Control && !answered.load(Ordering::Relaxed) {
+                pool.give_up(to, purpose);
+            }
         }
     }
 }
@@ -294,12 +399,17 @@
     endpoint: &Endpoint,
     pool: &Pool,
     to: SocketAddr,
+    purpose: Use,
 ) -> Result<(SendStream, RecvStream)> {
-    let connection = connect(endpoint, pool, to).await?;
+    let connection = connect(endpoint, pool, to, purpose).await?;
     connection.open_bi().await.map_err(|_| Code::Unreachable)
 }
 
-async fn forward_replies(rx: &mut RecvStream, replies: &flume::Sender<Result<Reply>>) {
+async fn forward_replies(
+    rx: &mut RecvStream,
+    replies: &flume::Sender<Result<Reply>>,
+    answered: &AtomicBool,
+) {
     loop {
         let reply = match read_message::<Reply>(rx).await {
             Ok(Some(reply)) => Ok(reply),
@@ -307,6 +417,7 @@
             Err(code) => Err(code),
         };
         let last = reply.is_err();
+        answered.store(true, Ordering::Relaxed);
         if replies.send_async(reply).await.is_err() || last {
             return;
         }
@@ -327,11 +438,12 @@
     wire::decode(&buf).map(Some)
 }
 
-async fn accept_all(endpoint: Endpoint, incoming: flume::Sender<Incoming>) {
+async fn accept_all(endpoint: Endpoint, incoming: flume::Sender<Incoming>, meter: Meter) {
     while let Some(connecting) = endpoint.accept().await {
-        let incoming = incoming.clone();
+        let (incoming, meter) = (incoming.clone(), meter.clone());
         tokio::spawn(async move {
             if let Ok(connection) = connecting.await {
+                meter.add(&connection);
                 accept_streams(connection, incoming).await;
             }
         });
