Silent connections replaced, start-time fair queueing, load measured against baselines

Cause: an ask on a connection that fell silent waited for the idle timeout of 4 s; deficit round robin let a small customer wait for several turns of a flood. Change: while asks are outstanding a connection without acknowledgement is suspected, a new one is opened beside it, and the old one closed only if the new one answers; start-time fair queueing with a place kept for customers below their share; mastichaven-bench load.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -162,7 +162,11 @@
                 let host = HostName::new(format!("agent-{zone}-{n}"));
                 let start_id = (index * 100_000 + n * 100) as u64;
                 let engine = Engine::start(ANY, layout.profile, start_id).map_err(text)?;
-                let endpoint = format!("kind = \"engine\"\naddress = \"{}\"\n", engine.base());
+                let endpoint = format!(
+                    "kind = \"engine\"\naddress = \"{}\"\nconcurrent = {}\n",
+                    engine.base(),
+                    layout.profile.warm_limit
+                );
                 self.engines.insert(host.clone(), engine);
                 self.seats.insert(host, Seat { role: HostRole::Agent, zone, region, endpoint });
             }
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod bookings;
 pub mod fleet;
+pub mod load;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,8 @@
 use bpaf::Bpaf;
 use mastichaven_bench::bookings;
 use mastichaven_bench::bookings::Plan;
+use mastichaven_bench::load;
+use serde::Serialize;
 
 mod demo;
 
@@ -21,6 +23,16 @@
         #[bpaf(argument("FILE"), optional)]
         json: Option<PathBuf>,
     },
+    /// Load against the usual ways of balancing, overload, a flood, and what an entry costs
+    #[bpaf(command)]
+    Load {
+        /// Seconds of each run of requests
+        #[bpaf(argument("SECONDS"), fallback(5))]
+        seconds: u64,
+        /// Also write the figures to this file
+        #[bpaf(argument("FILE"), optional)]
+        json: Option<PathBuf>,
+    },
     /// Bookings that may not be repeated, under every fault at once
     #[bpaf(command)]
     Bookings {
@@ -43,6 +55,7 @@
         Arguments::Bookings { bookings, seed, quiet, json } => {
             run_bookings(Plan { bookings, seed, faults: !quiet }, json.as_deref())
         }
+        Arguments::Load { seconds, json } => run_load(seconds, json.as_deref()),
         Arguments::Demo { json } => demo::run(json.as_deref()),
     };
     match result {
@@ -56,10 +69,22 @@
 
 fn run_bookings(plan: Plan, json: Option<&Path>) -> Result<(), String> {
     let report = bookings::run(plan)?;
-    let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
+    show(&report, json)?;
+    if report.is_clean() { Ok(()) } else { Err("a promise was broken".to_owned()) }
+}
+
+fn run_load(seconds: u64, json: Option<&Path>) -> Result<(), String> {
+    let report = load::run(seconds)?;
+    show(&report, json)?;
+    let missed = report.missed();
+    if missed.is_empty() { Ok(()) } else { Err(missed.join("; ")) }
+}
+
+fn show(report: &impl Serialize, json: Option<&Path>) -> Result<(), String> {
+    let text = serde_json::to_string_pretty(report).map_err(|e| e.to_string())?;
     println!("{text}");
-    if let Some(file) = json {
-        std::fs::write(file, text + "\n").map_err(|e| e.to_string())?;
+    match json {
+        Some(file) => std::fs::write(file, text + "\n").map_err(|e| e.to_string()),
+        None => Ok(()),
     }
-    if report.is_clean() { Ok(()) } else { Err("a promise was broken".to_owned()) }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod queue;
 pub mod record;
 pub mod relay;
+pub mod reserve;
 pub mod retry;
 pub mod route;
 pub mod run;
--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -1,10 +1,13 @@
-//! The queue in front of a service: customers take turns by weight, whatever each of them sends.
+//! The queue in front of a service: customers share it by weight, whatever each of them sends.
 //!
-//! Deficit round robin over customers; within a customer the highest priority goes first, then the
-//! oldest. A full queue sheds from the customer that waits most, so that a flood pushes out only
-//! itself.
+//! Start-time fair queueing over customers: each has a tag that grows with the work it was given,
+//! divided by its weight, and the lowest tag goes next. A customer that has been away starts at the
+//! tag of the one served last, so a rare request goes almost at once, however many wait of others.
+//! Within a customer the highest priority goes first, then the oldest. A full queue sheds from the
+//! customer that waits most, so that a flood pushes out only itself.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -12,8 +15,11 @@
 use crate::ids::CustomerName;
 use crate::time::Time;
 
-/// Work units a customer of weight 1 may take in one turn.
-const QUANTUM: u64 = 256;
+/// Steps of a tag for one work unit of a customer of weight 1.
+const SCALE: u64 = 1 << 16;
+
+/// Customers whose tag is kept while they have nothing waiting, at most.
+const MAX_AWAY: usize = 4_096;
 
 /// Weight of one request in the running average of the pace.
 const PACE: f64 = 0.05;
@@ -36,18 +42,12 @@
 #[derive(Debug)]
 struct Flow<T> {
     weight: u32,
-    deficit: u64,
-    /// Whether its turn has begun, that is, whether it got this round's quantum.
-    in_turn: bool,
+    tag: u64,
     by_priority: BTreeMap<u8, VecDeque<Waiting<T>>>,
     len: usize,
 }
 
 impl<T> Flow<T> {
-    fn first(&self) -> Option<&Waiting<T>> {
-        self.by_priority.values().next_back()?.front()
-    }
-
     fn pop(&mut self) -> Option<Waiting<T>> {
         let mut highest = self.by_priority.last_entry()?;
         let waiting = highest.get_mut().pop_front();
@@ -74,7 +74,11 @@
 #[derive(Debug)]
 pub struct FairQueue<T> {
     flows: HashMap<CustomerName, Flow<T>>,
-    turns: VecDeque<CustomerName>,
+    by_tag: BTreeSet<(u64, CustomerName)>,
+    /// Tags of customers that have nothing waiting but were given more than others.
+    away: HashMap<CustomerName, u64>,
+    /// The tag of the one served last.
+    served: u64,
     len: usize,
     /// Seconds between two requests that leave the queue, while it is not empty.
     pace: Option<f64>,
@@ -85,7 +89,9 @@
     fn default() -> Self {
         FairQueue {
             flows: HashMap::new(),
-            turns: VecDeque::new(),
+            by_tag: BTreeSet::new(),
+            away: HashMap::new(),
+            served: 0,
             len: 0,
             pace: None,
             last_pop: None,
@@ -104,6 +110,11 @@
         self.len == 0
     }
 
+    /// Whose request is next.
+    pub fn next_customer(&self) -> Option<&CustomerName> {
+        self.by_tag.first().map(|(_, customer)| customer)
+    }
+
     /// How long a request of `customer` that comes now would wait, as far as the pace tells.
     ///
     /// Each of the customers that wait gets its turn, so what counts is how many of its own are
@@ -119,7 +130,8 @@
     }
 
     /// Lets `waiting` in, at the front of its priority if it was here before. Gives what had to
-    /// leave for it where more than `max` would wait: possibly itself. O(customers) when full.
+    /// leave for it where more than `max` would wait: possibly itself. O(log customers), and
+    /// O(customers) when full.
     pub fn push(
         &mut self,
         waiting: Waiting<T>,
@@ -129,8 +141,9 @@
     ) -> Option<Waiting<T>> {
         let customer = waiting.customer.clone();
         let flow = self.flows.entry(customer.clone()).or_insert_with(|| {
-            self.turns.push_back(customer);
-            Flow { weight, deficit: 0, in_turn: false, by_priority: BTreeMap::new(), len: 0 }
+            let tag = self.away.remove(&customer).unwrap_or(0).max(self.served);
+            self.by_tag.insert((tag, customer));
+            Flow { weight, tag, by_priority: BTreeMap::new(), len: 0 }
         });
         flow.weight = weight.max(1);
         let line = flow.by_priority.entry(waiting.priority).or_default();
@@ -154,40 +167,39 @@
     }
 
     /// The next in turn. Those whose deadline has passed leave as well, into `late`.
-    /// Amortized O(1) for requests of usual work.
+    /// O(log customers).
     pub fn pop(&mut self, now: Time, late: &mut Vec<Waiting<T>>) -> Option<Waiting<T>> {
         loop {
-            let customer = self.turns.front()?.clone();
+            let (tag, customer) = self.by_tag.first()?.clone();
             let flow = self.flows.get_mut(&customer)?;
-            if !flow.in_turn {
-                flow.in_turn = true;
-                flow.deficit += QUANTUM * u64::from(flow.weight);
-            }
-            let work = flow.first().map(|waiting| u64::from(waiting.work));
-            if work.is_some_and(|work| work <= flow.deficit) {
-                let waiting = flow.pop()?;
-                self.len -= 1;
-                let is_late = waiting.deadline <= now;
-                if !is_late {
-                    flow.deficit -= u64::from(waiting.work);
-                }
+            let waiting = flow.pop()?;
+            self.len -= 1;
+            if waiting.deadline <= now {
                 self.drop_if_empty(&customer);
-                if is_late {
-                    late.push(waiting);
-                    continue;
-                }
-                self.note_pop(now);
-                return Some(waiting);
+                late.push(waiting);
+                continue;
             }
-            flow.in_turn = false;
-            self.turns.rotate_left(1);
+            self.served = tag;
+            flow.tag = tag + u64::from(waiting.work.max(1)) * SCALE / u64::from(flow.weight);
+            self.by_tag.remove(&(tag, customer.clone()));
+            self.by_tag.insert((flow.tag, customer.clone()));
+            self.drop_if_empty(&customer);
+            self.note_pop(now);
+            return Some(waiting);
         }
     }
 
     fn drop_if_empty(&mut self, customer: &CustomerName) {
-        if self.flows.get(customer).is_some_and(|flow| flow.len == 0) {
-            self.flows.remove(customer);
-            self.turns.retain(|other| other != customer);
+        if self.flows.get(customer).is_none_or(|flow| flow.len > 0) {
+            return;
+        }
+        if let Some(flow) = self.flows.remove(customer) {
+            self.by_tag.remove(&(flow.tag, customer.clone()));
+            self.away.insert(customer.clone(), flow.tag);
+        }
+        if self.away.len() > MAX_AWAY {
+            let served = self.served;
+            self.away.retain(|_, tag| *tag > served);
         }
     }
 
--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -181,6 +181,17 @@
         self.endpoints.iter().any(|endpoint| endpoint.has_room(now))
     }
 
+    /// Places likely free at all endpoints together. O(tracked endpoints).
+    pub fn free(&self, now: Time) -> f64 {
+        let free = |e: &Endpoint| f64::from(e.load.limit) - e.likely(now);
+        self.endpoints.iter().filter(|e| e.has_room(now)).map(free).sum()
+    }
+
+    /// Places at all endpoints together, as their agents admit at present.
+    pub fn places(&self) -> u32 {
+        self.endpoints.iter().map(|endpoint| endpoint.load.limit).sum()
+    }
+
     /// Chooses an endpoint with room that is not among `tried`, and counts the request as sent
     /// there. `None` when all are full, ejected or tried. O(tracked endpoints), which is bounded.
     pub fn pick<R: Rng>(
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -62,8 +62,8 @@
 /// Result of starting an agent.
 pub type Result<T> = std::result::Result<T, Code>;
 
-/// Requests an endpoint is given at once when warm.
-const WARM_LIMIT: u32 = 16;
+/// Requests a plain endpoint is given at once when warm, until its service's configuration says.
+const PLAIN_LIMIT: u32 = 8;
 
 /// Asks waiting for the `asks` thread; more are refused as busy.
 const ASK_RING: usize = 256;
@@ -182,10 +182,14 @@
         let transport = Transport::start(settings.place.peers, material, tx)?;
         let operators = settings.place.operators;
         let address = match &settings.endpoint {
-            EndpointSettings::Engine { address } | EndpointSettings::Plain { address, .. } => {
+            EndpointSettings::Engine { address, .. } | EndpointSettings::Plain { address, .. } => {
                 address.clone()
             }
         };
+        let warm_limit = match &settings.endpoint {
+            EndpointSettings::Engine { concurrent, .. } => *concurrent,
+            EndpointSettings::Plain { .. } => PLAIN_LIMIT,
+        };
         let shared = Arc::new(Shared {
             platform: HttpStore::new(&settings.platform),
             origin: Origin::new(&settings.origin),
@@ -197,7 +201,7 @@
             documents: Documents::default(),
             transport,
             serving: Mutex::new(Serving::Nothing),
-            admission: Mutex::new(Admission::cold(WARM_LIMIT)),
+            admission: Mutex::new(Admission::cold(warm_limit)),
             record: Mutex::default(),
             shares: Mutex::default(),
             runs,
--- a/node/src/entry/router.rs
+++ b/node/src/entry/router.rs
@@ -27,6 +27,7 @@
 use mastichaven_core::plan::version_to_answer;
 use mastichaven_core::queue::FairQueue;
 use mastichaven_core::queue::Waiting;
+use mastichaven_core::reserve::Reserve;
 use mastichaven_core::retry::RetryBudget;
 use mastichaven_core::route::Ended;
 use mastichaven_core::route::Endpoint;
@@ -78,6 +79,7 @@
 struct Line {
     pool: Pool,
     queue: FairQueue<Waiter>,
+    reserve: Reserve,
     is_ticking: bool,
     head_seconds: Option<f64>,
 }
@@ -128,6 +130,7 @@
     pub(super) to: Dispatch,
     shared: Arc<Shared>,
     key: LineKey,
+    customer: CustomerName,
     ended: Ended,
     since: Time,
 }
@@ -183,6 +186,7 @@
         let mut state = lock(&self.shared);
         if let Some(line) = state.lines.get_mut(&self.key) {
             line.pool.ended(&self.to.agent, self.ended, limit, now);
+            line.reserve.give_back(&self.customer);
         }
         let unused = pump(&self.shared, &mut state, &self.key, now);
         drop(state);
@@ -264,7 +268,7 @@
 ) -> Result<Lease, Refused> {
     let key = key_of(parsed);
     let rx = match enqueue(shared, parsed, &key, tried, again)? {
-        Turn::Now(to) => return Ok(lease(shared, key, to)),
+        Turn::Now(to) => return Ok(lease(shared, key, &parsed.customer, to)),
         Turn::Later(rx) => rx,
     };
     let left = parsed.deadline.since(shared.clock.now());
@@ -292,12 +296,21 @@
     }
     let endpoint = line.pool.pick(parsed.prefix, tried, now, &mut rand::rng())?.clone();
     let to = dispatch_to(shared, endpoint);
+    line.reserve.take(&parsed.customer);
     drop(state);
-    Some(lease(shared, key, to))
+    Some(lease(shared, key, &parsed.customer, to))
 }
 
-fn lease(shared: &Arc<Shared>, key: LineKey, to: Dispatch) -> Lease {
-    Lease { to, shared: shared.clone(), key, ended: Ended::Neither, since: shared.clock.now() }
+fn lease(shared: &Arc<Shared>, key: LineKey, customer: &CustomerName, to: Dispatch) -> Lease {
+    let customer = customer.clone();
+    Lease {
+        to,
+        shared: shared.clone(),
+        key,
+        customer,
+        ended: Ended::Neither,
+        since: shared.clock.now(),
+    }
 }
 
 fn expected_wait(shared: &Shared, parsed: &Parsed) -> Duration {
@@ -329,13 +342,17 @@
         }
         state.lines.insert(key.clone(), line);
     }
+    let entries = state.entries.as_ref().map_or(1, Entries::len);
     let line = state.lines.get_mut(key).expect("it was just put there");
     if line.pool.is_empty() {
         return Err(Code::NoEndpoint.into());
     }
+    line.reserve.seen(&parsed.customer, now);
     if line.queue.is_empty()
+        && may_take(line, &parsed.customer, entries, now)
         && let Some(to) = pick(shared, &mut line.pool, parsed.prefix, tried, now)
     {
+        line.reserve.take(&parsed.customer);
         return Ok(Turn::Now(to));
     }
     let wait = line.queue.expected_wait(&parsed.customer);
@@ -387,15 +404,23 @@
     }
 }
 
+fn may_take(line: &Line, customer: &CustomerName, entries: usize, now: Time) -> bool {
+    let (free, places) = (line.pool.free(now), line.pool.places());
+    line.reserve.may_take(customer, free, places, entries, now)
+}
+
 /// Gives those that wait their turns while there is room. Leases that nobody took are given back
 /// to be dropped without the lock, which their drop takes.
 fn pump(shared: &Arc<Shared>, state: &mut State, key: &LineKey, now: Time) -> Vec<Lease> {
     let mut unused = Vec::new();
+    let entries = state.entries.as_ref().map_or(1, Entries::len);
     let Some(line) = state.lines.get_mut(key) else {
         return unused;
     };
     let mut late = Vec::new();
-    while line.pool.has_room(now) {
+    while line.pool.has_room(now)
+        && line.queue.next_customer().is_some_and(|next| may_take(line, next, entries, now))
+    {
         let Some(waiting) = line.queue.pop(now, &mut late) else {
             break;
         };
@@ -406,7 +431,9 @@
         let Some(to) = pick(shared, &mut line.pool, prefix, &tried, now) else {
             break;
         };
-        if let Err(Ok(lease)) = grant.send(Ok(lease(shared, key.clone(), to))) {
+        line.reserve.take(&waiting.customer);
+        let granted = lease(shared, key.clone(), &waiting.customer, to);
+        if let Err(Ok(lease)) = grant.send(Ok(granted)) {
             unused.push(lease);
         }
     }
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -108,6 +108,9 @@
     Engine {
         /// Its base address, such as `http://127.0.0.1:5000`.
         address: String,
+        /// Requests it bears at once when warm; what this hardware has been measured to bear.
+        #[serde(default = "default_concurrent")]
+        concurrent: u32,
     },
     /// A plain service.
     Plain {
@@ -144,6 +147,10 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+fn default_concurrent() -> u32 {
+    16
+}
+
 fn default_store_bytes() -> u64 {
     1 << 30
 }
--- a/node/src/settings/check.rs
+++ b/node/src/settings/check.rs
@@ -76,7 +76,7 @@
 impl Checked for EndpointSettings {
     fn problem(&self) -> Option<Problem> {
         match self {
-            EndpointSettings::Engine { address } => url("endpoint.address", address),
+            EndpointSettings::Engine { address, .. } => url("endpoint.address", address),
             EndpointSettings::Plain { address, service } => url("endpoint.address", address)
                 .or_else(|| name("endpoint.service", service.as_str())),
         }
--- a/node/src/transport.rs
+++ b/node/src/transport.rs
@@ -25,11 +25,15 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
+use self::silence::Asks;
+use self::silence::Outstanding;
 use crate::tls::Identity;
 use crate::tls::Material;
 use crate::tls::PEER_NAME;
 use crate::tls::scan_identity;
 
+mod silence;
+
 /// Result of the transport.
 pub type Result<T> = std::result::Result<T, Code>;
 
@@ -221,25 +225,38 @@
     }
 }
 
+/// A connection that asks go out on, and which of them wait.
+#[derive(Clone)]
+struct Peer {
+    connection: Connection,
+    asks: Arc<Asks>,
+}
+
 /// The connections that asks go out on, one a peer.
 #[derive(Clone, Default)]
 struct Pool {
-    open: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+    open: Arc<Mutex<HashMap<SocketAddr, Peer>>>,
 }
 
 impl Pool {
-    fn get(&self, to: SocketAddr) -> Option<Connection> {
+    fn get(&self, to: SocketAddr) -> Option<Peer> {
         let mut open = self.open.lock().expect("no holder of this lock panics");
-        let connection = open.get(&to)?;
-        if connection.close_reason().is_some() {
+        let peer = open.get(&to)?;
+        if peer.connection.close_reason().is_some() {
             open.remove(&to);
             return None;
         }
-        Some(connection.clone())
+        Some(peer.clone())
     }
 
-    fn put(&self, to: SocketAddr, connection: Connection) {
-        self.open.lock().expect("no holder of this lock panics").insert(to, connection);
+    /// Asks go out on `connection` from now on; it is watched for silence.
+    fn replace(&self, endpoint: &Endpoint, to: SocketAddr, connection: Connection) -> Peer {
+        let peer = Peer { connection: connection.clone(), asks: Arc::default() };
+        self.open.lock().expect("no holder of this lock panics").insert(to, peer.clone());
+        let asks = peer.asks.clone();
+        let watched = silence::watch(endpoint.clone(), self.clone(), to, connection, asks);
+        tokio::spawn(watched);
+        peer
     }
 }
 
@@ -256,22 +273,21 @@
     endpoint.wait_idle().await;
 }
 
-async fn connect(endpoint: &Endpoint, pool: &Pool, to: SocketAddr) -> Result<Connection> {
-    if let Some(connection) = pool.get(to) {
-        return Ok(connection);
+async fn connect(endpoint: &Endpoint, pool: &Pool, to: SocketAddr) -> Result<Peer> {
+    if let Some(peer) = pool.get(to) {
+        return Ok(peer);
     }
     let connecting = endpoint.connect(to, PEER_NAME).map_err(|_| Code::Unreachable)?;
     let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
         .await
         .map_err(|_| Code::Unreachable)?
         .map_err(|_| Code::Unreachable)?;
-    pool.put(to, connection.clone());
-    Ok(connection)
+    Ok(pool.replace(endpoint, to, connection))
 }
 
 async fn serve_job(endpoint: Endpoint, pool: Pool, job: Job) {
     let Job { to, ask, replies, cancelled } = job;
-    let (mut tx, mut rx) = match open_stream(&endpoint, &pool, to).await {
+    let (mut tx, mut rx, _outstanding) = match open_stream(&endpoint, &pool, to).await {
         Ok(streams) => streams,
         Err(code) => {
             let _ = replies.send_async(Err(code)).await;
@@ -294,9 +310,11 @@
     endpoint: &Endpoint,
     pool: &Pool,
     to: SocketAddr,
-) -> Result<(SendStream, RecvStream)> {
-    let connection = connect(endpoint, pool, to).await?;
-    connection.open_bi().await.map_err(|_| Code::Unreachable)
+) -> Result<(SendStream, RecvStream, Outstanding)> {
+    let peer = connect(endpoint, pool, to).await?;
+    let (tx, rx) = peer.connection.open_bi().await.map_err(|_| Code::Unreachable)?;
+    let outstanding = peer.asks.begin(&peer.connection);
+    Ok((tx, rx, outstanding))
 }
 
 async fn forward_replies(rx: &mut RecvStream, replies: &flume::Sender<Result<Reply>>) {
--- /dev/null
+++ b/node/tests/requests/main.rs
@@ -0,0 +1,3 @@
+//! How requests travel between processes.
+
+mod silence;
