--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,3 +1,5 @@
-//! What the experiments and the tests of whole runs share: a small fleet on stand-ins.
+//! What the experiments and the tests of whole runs share: a small fleet on stand-ins,
+//! and runs of it under faults whose histories are checked.
 
+pub mod faults;
 pub mod fleet;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use mastichaven_bench::faults;
 
 mod demo;
 
@@ -18,11 +19,15 @@
         #[bpaf(argument("FILE"), optional)]
         json: Option<PathBuf>,
     },
+    /// Faults alone and in pairs against whole fleets, whose histories are checked
+    #[bpaf(command)]
+    Faults(#[bpaf(external(faults::command::options))] faults::command::Options),
 }
 
 fn main() -> ExitCode {
     let result = match arguments().run() {
         Arguments::Demo { json } => demo::run(json.as_deref()),
+        Arguments::Faults(options) => faults::command::run(&options),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/proof/src/linear.rs
+++ b/proof/src/linear.rs
@@ -53,7 +53,8 @@
 }
 
 /// The accepted generation: writes raise it, reads see the last write. A read of a higher
-/// generation than any known write shows a write whose answer was lost.
+/// generation than any known write shows a write whose answer was lost; a write of what is accepted
+/// already may keep its generation.
 pub struct GenerationObject;
 
 impl Specification for GenerationObject {
@@ -66,8 +67,9 @@
 
     fn apply(operation: &Self::Operation, state: &Self::State) -> (bool, Self::State) {
         match operation {
-            GenerationOp::Write(generation) => (generation > state, *generation),
-            GenerationOp::Read(generation) => (generation >= state, *generation),
+            GenerationOp::Write(generation) | GenerationOp::Read(generation) => {
+                (generation >= state, *generation)
+            }
         }
     }
 }
