--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -302,7 +302,7 @@
     /// Publishes a configuration.
     pub fn publish(&self, config: &Config) -> Result<()> {
         let store = HttpStore::new(self.platform.base());
-        publish::publish(&store, config).map(drop).map_err(text)
+        publish::publish_config(&store, config).map(drop).map_err(text)
     }
 
     /// Engines that answer from all the bytes of `weights`, by what they truly read.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,18 +12,24 @@
 
 pub mod admission;
 pub mod arena;
+pub mod check;
+pub mod claim;
 pub mod code;
 pub mod config;
+pub mod folder;
+pub mod generation;
 pub mod ids;
 pub mod lease;
 pub mod manifest;
 pub mod members;
 pub mod plan;
 pub mod platform;
+pub mod record;
 pub mod relay;
 pub mod route;
 pub mod run;
 pub mod spread;
+pub mod stream;
 pub mod time;
 pub mod weights;
 pub mod wire;
--- a/core/src/plan.rs
+++ b/core/src/plan.rs
@@ -10,6 +10,7 @@
 use crate::ids::Digest;
 use crate::ids::HostName;
 use crate::ids::ModelName;
+use crate::spread::SPREAD_PREFIX;
 
 /// A host of the plan and the version its engine is to hold.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -65,5 +66,5 @@
 
 /// The key of a model's plan, as a document and as an object on the platform.
 pub fn plan_key(model: &ModelName) -> String {
-    format!("plan/{model}")
+    format!("{SPREAD_PREFIX}plan/{model}")
 }
--- a/node/src/agent/asks.rs
+++ b/node/src/agent/asks.rs
@@ -9,6 +9,7 @@
 use mastichaven_core::run::VoidReply;
 use mastichaven_core::spread::SpreadAsk;
 use mastichaven_core::spread::SpreadReply;
+use mastichaven_core::spread::Survey;
 use mastichaven_core::weights::WeightsAsk;
 use mastichaven_core::weights::WeightsReply;
 use mastichaven_core::wire::AskBody;
@@ -34,15 +35,13 @@
 fn answer(shared: &Arc<Shared>, incoming: Incoming) {
     let Incoming { ask, replies, .. } = incoming;
     let body = match ask.body {
-        AskBody::Run(ask) => return run::start(shared, ask, replies),
+        AskBody::Run(ask) => return run::offer(shared, ask, replies),
         AskBody::Void(ask) => ReplyBody::Void(void(shared, &ask)),
         AskBody::Weights(ask) => ReplyBody::Weights(weights(shared, &ask)),
         AskBody::Members(MembersAsk::Probe) => {
             ReplyBody::Members(MembersReply::Me(shared.member()))
         }
-        AskBody::Spread(SpreadAsk::Above(theirs)) => {
-            ReplyBody::Spread(SpreadReply::Docs(shared.documents.above(&theirs)))
-        }
+        AskBody::Spread(ask) => ReplyBody::Spread(spread(shared, &ask)),
         AskBody::Relay(_) => ReplyBody::Refused(mastichaven_core::Code::WrongRole),
     };
     let generation = shared.documents.in_force().generation;
@@ -54,8 +53,7 @@
     if ask.incarnation != shared.incarnation {
         return VoidReply::Unknown;
     }
-    let mut requests = shared.requests.lock().expect("no holder of this lock panics");
-    *requests.entry(ask.request).or_insert(VoidReply::Voided)
+    shared.record.lock().expect("no holder of this lock panics").void(ask.request)
 }
 
 fn weights(shared: &Shared, ask: &WeightsAsk) -> WeightsReply {
@@ -66,3 +64,14 @@
     };
     bytes.map_or(WeightsReply::Absent, WeightsReply::Bytes)
 }
+
+fn spread(shared: &Shared, ask: &SpreadAsk) -> SpreadReply {
+    match ask {
+        SpreadAsk::Above { generation, docs } => {
+            SpreadReply::Update(shared.documents.above(*generation, docs))
+        }
+        SpreadAsk::Parts(digests) => SpreadReply::Parts(shared.documents.parts(digests)),
+        SpreadAsk::Push(_) => SpreadReply::Done,
+        SpreadAsk::Survey => SpreadReply::Survey(Survey::of(shared.documents.generation())),
+    }
+}
