--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -37,6 +37,8 @@
     pub round: String,
     /// What is wrong.
     pub detail: String,
+    /// The events that tell how it came about.
+    pub trace: Vec<String>,
 }
 
 /// What a run came to.
@@ -106,7 +108,9 @@
             for breach in verdict.breaches {
                 let round = round_at(history, breach.sequence);
                 let promise = promise.clone();
-                self.found.push(Found { promise, round, detail: breach.detail });
+                let trace = breach.trace(history).into_iter();
+                let trace = trace.map(|event| format!("{event:?}")).collect();
+                self.found.push(Found { promise, round, detail: breach.detail, trace });
             }
         }
     }
--- a/bench/src/faults/world.rs
+++ b/bench/src/faults/world.rs
@@ -16,10 +16,10 @@
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::Generation;
 use mastichaven_core::ids::HostName;
-use mastichaven_core::platform::ObjectStore;
-use mastichaven_node::documents::encode_config;
+use mastichaven_node::accepted;
 use mastichaven_node::http_store::HttpStore;
 use mastichaven_node::publish;
+use mastichaven_node::publish::PublishError;
 use mastichaven_proof::CallId;
 use mastichaven_proof::Op;
 use mastichaven_proof::Process;
@@ -233,8 +233,8 @@
         let operator = Process::Operator(0);
         let accepted = || {
             self.recorder.invoke(operator.clone(), Op::ReadAccepted);
-            let object = store.get(mastichaven_node::documents::CONFIG_KEY).ok()??;
-            Some(Generation(object.revision.0))
+            let (_, head) = accepted::read_head(&store).ok()??;
+            Some(head.generation)
         };
         let mut wanted = None;
         wait_until(PATIENCE, || {
@@ -353,14 +353,19 @@
     operator: u32,
     config: &Config,
 ) -> Option<Generation> {
-    let content = Digest::of(&encode_config(config));
+    let text = toml::to_string(config).expect("a configuration always encodes");
+    let content = Digest::of(text.as_bytes());
     let process = Process::Operator(operator);
     recorder.invoke(process.clone(), Op::Publish(content));
-    match publish::publish(&HttpStore::new(platform), config) {
+    match publish::publish_config(&HttpStore::new(platform), config) {
         Ok(generation) => {
             recorder.ret(process, Return::Accepted { content, generation });
             Some(generation)
         }
+        Err(PublishError::Clash(_)) => {
+            recorder.ret(process, Return::Refused(content));
+            None
+        }
         Err(_) => {
             recorder.ret(process, Return::Unknown(content));
             None
--- a/proof/src/history.rs
+++ b/proof/src/history.rs
@@ -197,6 +197,25 @@
     pub step: Step,
 }
 
+impl Event {
+    /// The work that this event is about; an answer is about that of its call.
+    pub(crate) fn work(&self, events: &[Event]) -> Option<SmolStr> {
+        match &self.step {
+            Step::Invoke(Op::Request(request)) => Some(request.work.clone()),
+            Step::Seen(Seen::Began { work, .. } | Seen::Ended { work, .. }) => Some(work.clone()),
+            Step::Return(Return::Answer { call, .. }) => {
+                events.iter().find_map(|event| match &event.step {
+                    Step::Invoke(Op::Request(request)) if request.call == *call => {
+                        Some(request.work.clone())
+                    }
+                    _ => None,
+                })
+            }
+            _ => None,
+        }
+    }
+}
+
 /// Takes events from any thread and numbers them.
 #[derive(Clone, Debug, Default)]
 pub struct Recorder {
--- a/proof/src/promise.rs
+++ b/proof/src/promise.rs
@@ -3,7 +3,10 @@
 use crate::answers;
 use crate::closed;
 use crate::generations;
+use crate::history::Event;
 use crate::history::History;
+use crate::history::Seen;
+use crate::history::Step;
 use crate::load;
 use crate::stops;
 use crate::weights;
@@ -55,6 +58,30 @@
     pub detail: String,
 }
 
+impl Breach {
+    /// The events that tell how it came about: all that name the same work, and every loss of an
+    /// endpoint and every fault between them.
+    pub fn trace<'a>(&self, history: &'a History) -> Vec<&'a Event> {
+        let events = history.events();
+        let named = |event: &&Event| event.sequence == self.sequence;
+        let work = events.iter().find(named).and_then(|event| event.work(events));
+        let Some(work) = work else {
+            return events.iter().filter(named).collect();
+        };
+        let about: Vec<u64> = events
+            .iter()
+            .filter(|event| event.work(events).as_ref() == Some(&work))
+            .map(|event| event.sequence)
+            .collect();
+        let (first, last) = (about[0], about[about.len() - 1]);
+        let between = |event: &Event| {
+            (first..=last).contains(&event.sequence)
+                && matches!(event.step, Step::Seen(Seen::Lost | Seen::Injected(_)))
+        };
+        events.iter().filter(|e| about.contains(&e.sequence) || between(e)).collect()
+    }
+}
+
 /// What a checker says of a history.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Verdict {
