--- a/bench/src/faults/world.rs
+++ b/bench/src/faults/world.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use mastichaven_core::Config;
+use mastichaven_core::Outcome;
 use mastichaven_core::config::ZoneState;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::Generation;
@@ -256,20 +257,21 @@
 
     /// Waits until lookups and bookings are answered through every entry.
     pub fn wait_whole(&self) -> Result<()> {
-        let client = Client::new().map_err(|e| e.to_string())?;
-        let process = Process::Caller(u32::MAX);
         for n in 0..self.fleet.entries.len() {
             for kind in [Kind::Lookup(2), Kind::Booking] {
-                wait_until(PATIENCE, || {
-                    let call = self.caller(process.clone()).call(&client, kind, n, None);
-                    call == Some(mastichaven_core::Outcome::Ran)
-                })
-                .ok_or_else(|| format!("no {kind:?} is answered through entry {n}"))?;
+                wait_until(PATIENCE, || self.call(kind, n, None) == Some(Outcome::Ran))
+                    .ok_or_else(|| format!("no {kind:?} is answered through entry {n}"))?;
             }
         }
         Ok(())
     }
 
+    /// Sends one call as a caller of its own, and gives its outcome.
+    pub fn call(&self, kind: Kind, n: usize, work: Option<&str>) -> Option<Outcome> {
+        let client = Client::new().ok()?;
+        self.caller(Process::Caller(u32::MAX)).call(&client, kind, n, work)
+    }
+
     /// Takes calls of one caller.
     pub fn caller(&self, process: Process) -> Caller {
         Caller {
@@ -320,7 +322,7 @@
         kind: Kind,
         n: usize,
         work: Option<&str>,
-    ) -> Option<mastichaven_core::Outcome> {
+    ) -> Option<Outcome> {
         let call = CallId(self.calls.fetch_add(1, Ordering::Relaxed));
         let work = work.map_or_else(|| format!("work-{}", call.0), str::to_owned);
         let (entry, address) = self.balancer.pick(n)?;
--- a/node/src/bin/mastichaven-ctl.rs
+++ b/node/src/bin/mastichaven-ctl.rs
@@ -2,22 +2,38 @@
 
 use std::fmt;
 use std::fs;
+use std::io;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::str::FromStr;
 
 use bpaf::Bpaf;
+use mastichaven_core::Code;
 use mastichaven_core::ids::HostName;
+use mastichaven_core::ids::is_valid_name;
 use mastichaven_node::folder_publisher::FolderPublisher;
 use mastichaven_node::http_store::HttpStore;
+use mastichaven_node::process;
+use mastichaven_node::process::Failure;
 use mastichaven_node::publish;
 use mastichaven_node::publish::Base;
+use mastichaven_node::publish::PublishError;
 use mastichaven_node::status;
 use mastichaven_node::tls::DevelopmentCa;
 use mastichaven_node::tls::Role;
 
+/// Permissions of a private key's file.
+const KEY_MODE: u32 = 0o600;
+
+/// Seconds a process may take to show its state.
+const DUMP_TIMEOUT_SECONDS: u64 = 5;
+
 /// Operators' tool of mastichaven.
+///
+/// Exit codes: 0 done, 1 failed, 2 wrong arguments, 3 configuration refused.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
 enum Arguments {
@@ -32,6 +48,7 @@
     #[bpaf(command)]
     Publish {
         /// The platform's address, such as http://127.0.0.1:7000
+        #[bpaf(argument("URL"))]
         platform: String,
         /// Publish again whenever the folder changes
         watch: bool,
@@ -62,7 +79,11 @@
     #[bpaf(command)]
     Certs {
         /// Folder the PEM files are written to
+        #[bpaf(argument("FOLDER"))]
         out: PathBuf,
+        /// Days for which the certificates are valid
+        #[bpaf(argument("DAYS"), fallback(365))]
+        days: u32,
         /// Hosts as ROLE:NAME, where ROLE is entry, agent or ctl
         #[bpaf(positional("ROLE:NAME"), some("name at least one host"))]
         hosts: Vec<String>,
@@ -98,20 +119,14 @@
 }
 
 fn main() -> ExitCode {
-    match run(arguments().run()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("mastichaven-ctl: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    process::run_program("mastichaven-ctl", &arguments(), run)
 }
 
-fn run(arguments: Arguments) -> Result<(), String> {
+fn run(arguments: Arguments) -> Result<(), Failure> {
     match arguments {
         Arguments::Check { folder } => {
-            let texts = publish::read_folder(&folder).map_err(|error| error.to_string())?;
-            publish::check(&texts).map_err(|error| error.to_string())?;
+            let texts = publish::read_folder(&folder).map_err(Failure::refused)?;
+            publish::check(&texts).map_err(Failure::refused)?;
             println!("{}: ok", folder.display());
         }
         Arguments::Publish { platform, watch, allow_empty, base, folder } => {
@@ -124,40 +139,61 @@
             if watch {
                 publisher.watch(base);
             }
-            let accepted = publisher.once(base).map_err(|error| error.to_string())?;
+            let accepted = publisher.once(base).map_err(publish_failure)?;
             println!("{accepted}");
         }
         Arguments::Status { platform } => {
             let store = HttpStore::new(platform);
-            let report = status::report(&store).map_err(|code| code.to_string())?;
+            let report = status::report(&store).map_err(Failure::failed)?;
             print!("{report}");
         }
         Arguments::Dump { address } => {
             let response = minreq::get(format!("http://{address}/dump"))
-                .with_timeout(5)
+                .with_timeout(DUMP_TIMEOUT_SECONDS)
                 .send()
-                .map_err(|error| error.to_string())?;
-            print!("{}", response.as_str().map_err(|error| error.to_string())?);
+                .map_err(Failure::failed)?;
+            print!("{}", response.as_str().map_err(Failure::failed)?);
         }
-        Arguments::Certs { out, hosts } => make_certificates(&out, &hosts)?,
+        Arguments::Certs { out, days, hosts } => make_certificates(&out, days, &hosts)?,
     }
     Ok(())
 }
 
-fn make_certificates(out: &Path, hosts: &[String]) -> Result<(), String> {
-    let text = |error: std::io::Error| error.to_string();
-    fs::create_dir_all(out).map_err(text)?;
-    let ca = DevelopmentCa::generate().map_err(|error| error.to_string())?;
-    fs::write(out.join("ca.pem"), ca.pem()).map_err(text)?;
-    for host in hosts {
-        let (role, name) = scan_host(host).ok_or_else(|| format!("{host}: not ROLE:NAME"))?;
-        let issued = ca.issue(&name, role, 365).map_err(|error| error.to_string())?;
-        fs::write(out.join(format!("{name}.pem")), issued.certificate).map_err(text)?;
-        fs::write(out.join(format!("{name}.key.pem")), issued.key).map_err(text)?;
+fn publish_failure(error: PublishError) -> Failure {
+    match error {
+        PublishError::Platform(_) => Failure::failed(error),
+        _ => Failure::refused(error),
+    }
+}
+
+fn make_certificates(out: &Path, days: u32, hosts: &[String]) -> Result<(), Failure> {
+    let hosts: Vec<(Role, HostName)> = hosts
+        .iter()
+        .map(|host| {
+            scan_host(host).ok_or_else(|| {
+                Failure::refused(format!("{host}: E{} not ROLE:NAME", Code::BadArgument.number()))
+            })
+        })
+        .collect::<Result<_, _>>()?;
+    fs::create_dir_all(out).map_err(Failure::failed)?;
+    let ca = DevelopmentCa::generate().map_err(Failure::failed)?;
+    fs::write(out.join("ca.pem"), ca.pem()).map_err(Failure::failed)?;
+    for (role, name) in &hosts {
+        let issued = ca.issue(name, *role, i64::from(days)).map_err(Failure::failed)?;
+        fs::write(out.join(format!("{name}.pem")), issued.certificate).map_err(Failure::failed)?;
+        write_key(&out.join(format!("{name}.key.pem")), &issued.key).map_err(Failure::failed)?;
     }
+    println!("{}: certificate authority and {} certificates", out.display(), hosts.len());
     Ok(())
 }
 
+/// Writes a private key that its owner alone may read.
+fn write_key(file: &Path, key: &str) -> io::Result<()> {
+    let _ = fs::remove_file(file);
+    let mut f = fs::OpenOptions::new().create_new(true).write(true).mode(KEY_MODE).open(file)?;
+    f.write_all(key.as_bytes())
+}
+
 fn scan_host(text: &str) -> Option<(Role, HostName)> {
     let (role, name) = text.split_once(':')?;
     let role = match role {
@@ -166,5 +202,5 @@
         "ctl" => Role::Ctl,
         _ => return None,
     };
-    Some((role, HostName::new(name)))
+    is_valid_name(name).then(|| (role, HostName::new(name)))
 }
