--- a/standins/src/origin.rs
+++ b/standins/src/origin.rs
@@ -3,6 +3,7 @@
 //! `POST /faults` takes a JSON object with fields of [`OriginFaults`]; `GET /faults` shows them and
 //! what has been sent.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::io;
 use std::sync::Arc;
@@ -100,6 +101,8 @@
 #[derive(Debug)]
 struct State {
     objects: HashMap<Digest, Bytes>,
+    sent_to: BTreeMap<String, u64>,
+    cut_off: Vec<String>,
     counts: OriginCounts,
     faults: OriginFaults,
     bucket: Bucket,
@@ -117,6 +120,8 @@
     pub fn start(address: &str, bytes_per_second: f64) -> io::Result<Origin> {
         let state = Arc::new(Mutex::new(State {
             objects: HashMap::new(),
+            sent_to: BTreeMap::new(),
+            cut_off: Vec::new(),
             counts: OriginCounts::default(),
             faults: OriginFaults { stall: DEFAULT_STALL, ..OriginFaults::default() },
             bucket: Bucket::full(Instant::now()),
@@ -158,6 +163,21 @@
         change(&mut lock(&self.state).faults);
     }
 
+    /// Base address for one host, so that its pulls can be counted and cut off.
+    pub fn base_for(&self, host: &str) -> String {
+        format!("{}/from/{host}", self.base())
+    }
+
+    /// Bytes sent so far to each host that uses its own base address.
+    pub fn sent_to(&self) -> BTreeMap<String, u64> {
+        self.state.lock().expect("no holder of this lock panics").sent_to.clone()
+    }
+
+    /// Refuses everything that these hosts ask.
+    pub fn set_cut_off(&self, hosts: Vec<String>) {
+        self.state.lock().expect("no holder of this lock panics").cut_off = hosts;
+    }
+
     /// Corrupts the next `count` objects sent.
     pub fn corrupt_next(&self, count: u32) {
         self.set_faults(|faults| faults.corrupt_next = count);
@@ -185,7 +205,8 @@
         return answer_faults(state, req);
     }
     let digest = req.path.rsplit('/').next().and_then(Digest::from_hex);
-    let fate = decide(&mut lock(state), digest);
+    let host = req.path.strip_prefix("/from/").and_then(|rest| rest.split('/').next());
+    let fate = decide(&mut lock(state), digest, host.unwrap_or_default());
     match fate {
         Fate::Refuse(status) => req.respond(status, &[], ""),
         Fate::Send(bytes) => {
@@ -211,8 +232,8 @@
     req.respond_json(&json!({"faults": state.faults, "counts": state.counts}));
 }
 
-fn decide(state: &mut State, digest: Option<Digest>) -> Fate {
-    if state.faults.down {
+fn decide(state: &mut State, digest: Option<Digest>, host: &str) -> Fate {
+    if state.faults.down || state.cut_off.iter().any(|cut| cut == host) {
         return Fate::Refuse(503);
     }
     let rate = state.faults.requests_per_second;
@@ -233,6 +254,7 @@
         bytes[0] ^= 1;
     }
     state.counts.sent += bytes.len() as u64;
+    *state.sent_to.entry(host.to_owned()).or_default() += bytes.len() as u64;
     state.counts.objects += 1;
     if take_one(&mut state.faults.stall_next) {
         return Fate::Stall(bytes, state.faults.stall);
