--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,10 +7,12 @@
 use bpaf::Bpaf;
 use mastichaven_bench::bookings;
 use mastichaven_bench::bookings::Plan;
+use mastichaven_bench::faults;
 use mastichaven_bench::load;
 use serde::Serialize;
 
 mod demo;
+mod weights;
 
 /// Runs the whole path or an experiment in one process, on stand-ins over loopback.
 #[derive(Bpaf, Clone, Debug)]
@@ -33,6 +35,12 @@
         #[bpaf(argument("FILE"), optional)]
         json: Option<PathBuf>,
     },
+    /// Faults alone and in pairs against whole fleets, whose histories are checked
+    #[bpaf(command)]
+    Faults(#[bpaf(external(faults::command::options))] faults::command::Options),
+    /// Time and bytes until every host has a version: ways side by side, and the swarm under faults
+    #[bpaf(command)]
+    Weights(#[bpaf(external(weights::options))] weights::Options),
     /// Bookings that may not be repeated, under every fault at once
     #[bpaf(command)]
     Bookings {
@@ -57,6 +65,8 @@
         }
         Arguments::Load { seconds, json } => run_load(seconds, json.as_deref()),
         Arguments::Demo { json } => demo::run(json.as_deref()),
+        Arguments::Faults(options) => faults::command::run(&options),
+        Arguments::Weights(options) => weights::run(&options),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod share;
 pub mod spread;
 pub mod stream;
+pub mod swarm;
 pub mod time;
 pub mod weights;
 pub mod wire;
