Operators' port: broken weights are cut off, and a slow reader holds up nobody

Cause: tiny_http's chunked writer ends its body when it is dropped, so that weights whose source broke off half-way looked whole to the engine; its one thread wrote each dump itself, so that a reader who stopped kept the balancer from hearing that the process lives. minreq in the stand-in engine took the short answer for a whole one. Conclusion: an engine cannot take part of a model for the model.

--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -44,6 +44,7 @@
 use crate::http_store::HttpStore;
 use crate::operator;
 use crate::operator::Operated;
+use crate::operator::WholeBody;
 use crate::origin::Origin;
 use crate::settings::AgentSettings;
 use crate::settings::EndpointSettings;
@@ -331,8 +332,9 @@
         })
     }
 
-    fn weights(&self, manifest: Digest) -> Option<Box<dyn std::io::Read + Send>> {
-        self.store.read(manifest).map(|whole| Box::new(whole) as Box<dyn std::io::Read + Send>)
+    fn weights(&self, manifest: Digest) -> Option<WholeBody> {
+        let whole = self.store.read(manifest)?;
+        Some(WholeBody { len: whole.len(), reader: Box::new(whole) })
     }
 
     fn send_gauges(&self) {
--- a/node/src/weights/store.rs
+++ b/node/src/weights/store.rs
@@ -323,6 +323,18 @@
     current: Bytes,
 }
 
+impl Whole {
+    /// Bytes of the whole version.
+    pub fn len(&self) -> u64 {
+        self.manifest.len()
+    }
+
+    /// Whether the version has no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.manifest.is_empty()
+    }
+}
+
 impl Read for Whole {
     fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
         while self.current.is_empty() {
--- a/node/tests/shell/main.rs
+++ b/node/tests/shell/main.rs
@@ -1,6 +1,7 @@
 //! The outer parts: settings, ports, TLS, the platform's adapter, and the programs themselves.
 
 mod examples;
+mod operator;
 mod platform;
 mod programs;
 mod settings;
--- a/standins/src/engine/orders.rs
+++ b/standins/src/engine/orders.rs
@@ -134,15 +134,24 @@
         return None;
     }
     let mut response = response;
+    let announced = response.headers.iter().find(|(name, _)| name == "content-length");
+    let mut left: Option<u64> = announced.and_then(|(_, value)| value.parse().ok());
     let mut hasher = blake3::Hasher::new();
     let mut buf = vec![0; READ_LEN];
     loop {
         match response.read(&mut buf) {
             Ok(0) => break,
-            Ok(len) => hasher.update(&buf[..len]),
+            Ok(len) => {
+                hasher.update(&buf[..len]);
+                left = left.map(|left| left.saturating_sub(len as u64));
+            }
             Err(_) if partial => break,
             Err(_) => return None,
-        };
+        }
+    }
+    // minreq does not tell an answer that ends early from a whole one.
+    if left != Some(0) && !partial {
+        return None;
     }
     Some(Digest(*hasher.finalize().as_bytes()))
 }
--- a/standins/tests/faults/engine.rs
+++ b/standins/tests/faults/engine.rs
@@ -90,6 +90,18 @@
     assert_eq!(engine.weights(), Some(Digest::of(b"01234")));
 }
 
+#[test]
+fn load_of_source_that_ends_early_is_refused() {
+    // The same broken link, and an engine that minds. It keeps what it had.
+    let (engine, origin) = loaded(b"old weights");
+    origin.set_faults(|faults| {
+        faults.stall_next = 1;
+        faults.stall = Duration::from_millis(200);
+    });
+    assert_eq!(load(&engine, &origin, b"0123456789", 2), 500);
+    assert_eq!(engine.weights(), Some(Digest::of(b"old weights")));
+}
+
 #[test]
 fn poison_cuts_every_request() {
     // One request makes the engine's process end. Every request running beside it is cut off too,
