--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 use bpaf::Bpaf;
 use mastichaven_bench::bookings;
 use mastichaven_bench::bookings::Plan;
+use mastichaven_bench::faults;
 
 mod demo;
 mod weights;
@@ -22,6 +23,9 @@
         #[bpaf(argument("FILE"), optional)]
         json: Option<PathBuf>,
     },
+    /// Faults alone and in pairs against whole fleets, whose histories are checked
+    #[bpaf(command)]
+    Faults(#[bpaf(external(faults::command::options))] faults::command::Options),
     /// Time and bytes until every host has a version: ways side by side, and the swarm under faults
     #[bpaf(command)]
     Weights(#[bpaf(external(weights::options))] weights::Options),
@@ -48,6 +52,7 @@
             run_bookings(Plan { bookings, seed, faults: !quiet }, json.as_deref())
         }
         Arguments::Demo { json } => demo::run(json.as_deref()),
+        Arguments::Faults(options) => faults::command::run(&options),
         Arguments::Weights(options) => weights::run(&options),
     };
     match result {
