Requests that crash endpoints: suspects run alone, the culprit is quarantined everywhere

Cause: a prompt that crashes engines was sent again for as long as its caller asked. Change: the agent says how many ran beside a request when its endpoint died; entries keep suspects by digest, tell each other of each crash, and run suspects alone until they come through or crash.

--- a/bench/tests/requests/main.rs
+++ b/bench/tests/requests/main.rs
@@ -1,3 +1,4 @@
 //! Requests through real entries and agents on stand-ins that fail.
 
 mod bookings;
+mod model;
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod members;
 pub mod plan;
 pub mod platform;
+pub mod quarantine;
 pub mod queue;
 pub mod record;
 pub mod relay;
--- a/core/src/wire.rs
+++ b/core/src/wire.rs
@@ -13,6 +13,7 @@
 use crate::ids::Incarnation;
 use crate::members::MembersAsk;
 use crate::members::MembersReply;
+use crate::quarantine::Crash;
 use crate::relay::RelayAsk;
 use crate::relay::RelayReply;
 use crate::run::RunAsk;
@@ -68,6 +69,8 @@
     Spread(SpreadAsk),
     /// An entry that cannot reach the platform asks another to pass a call on.
     Relay(RelayAsk),
+    /// An entry tells another that a request was running when its endpoint crashed.
+    Suspect(Crash),
 }
 
 /// One answering message.
@@ -94,6 +97,8 @@
     Spread(SpreadReply),
     /// Answer to [`AskBody::Relay`].
     Relay(RelayReply),
+    /// Answer to [`AskBody::Suspect`].
+    Noted,
     /// The ask is refused; nothing was done.
     Refused(Code),
 }
--- a/core/tests/requests/main.rs
+++ b/core/tests/requests/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod claim;
 mod limits;
+mod quarantine;
 mod queue;
 mod record;
 mod route;
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -22,6 +22,7 @@
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::Incarnation;
 use mastichaven_core::ids::ModelName;
+use mastichaven_core::ids::StartId;
 use mastichaven_core::members::EndpointKind;
 use mastichaven_core::members::Member;
 use mastichaven_core::members::Serving;
@@ -89,6 +90,7 @@
     admission: Mutex<Admission>,
     record: Mutex<Record>,
     shares: Mutex<Shares>,
+    last_crash: Mutex<(StartId, u32)>,
     runs: flume::Sender<run::Job>,
     store: Arc<Store>,
     weights: Weights,
@@ -194,6 +196,7 @@
             admission: Mutex::new(Admission::cold(warm_limit)),
             record: Mutex::default(),
             shares: Mutex::default(),
+            last_crash: Mutex::default(),
             runs,
             store,
             weights,
--- a/node/src/agent/asks.rs
+++ b/node/src/agent/asks.rs
@@ -42,7 +42,7 @@
             ReplyBody::Members(MembersReply::Me(shared.member()))
         }
         AskBody::Spread(ask) => ReplyBody::Spread(spread(shared, &ask)),
-        AskBody::Weights(_) | AskBody::Relay(_) => {
+        AskBody::Weights(_) | AskBody::Relay(_) | AskBody::Suspect(_) => {
             ReplyBody::Refused(mastichaven_core::Code::WrongRole)
         }
     };
--- a/node/src/agent/run.rs
+++ b/node/src/agent/run.rs
@@ -350,15 +350,22 @@
 
 /// An attempt that ended without a whole answer: finds out whether its endpoint still lives.
 async fn cut(shared: &Arc<Shared>, ask: &RunAsk, code: Code, start: StartId) -> Ended {
-    let beside = load(shared).requests.saturating_sub(1);
+    let mut beside = load(shared).requests.saturating_sub(1);
     let mut crashed = false;
     if code == Code::CallerLeft || code == Code::DeadlineDuringRun {
         endpoint::cancel(shared.engine.base(), ask).await;
     } else {
-        crashed = endpoint::start_id(shared.engine.base()).await != Ok(start);
-        if crashed {
+        let found = endpoint::start_id(shared.engine.base()).await;
+        crashed = match found {
+            Ok(found) => found != start,
+            Err(code) => code == Code::EndpointClosed,
+        };
+        if found != Ok(start) {
             close_gate(shared, start);
         }
+        if crashed {
+            beside = most_beside(shared, start, beside);
+        }
     }
     let record = match code.outcome() {
         Outcome::NotRun => VoidReply::Voided,
@@ -368,6 +375,15 @@
     Ended { frame, record, left: Left::Early }
 }
 
+/// How many ran beside a request when the life `start` ended. Those that it took with it leave one
+/// by one, so the last of them would look as if it had run alone.
+fn most_beside(shared: &Shared, start: StartId, beside: u32) -> u32 {
+    let mut last = lock(&shared.last_crash);
+    let most = if last.0 == start { last.1.max(beside) } else { beside };
+    *last = (start, most);
+    most
+}
+
 fn first_byte_limit(shared: &Shared, ask: &RunAsk) -> Duration {
     if !ask.idempotent {
         return UNREPEATABLE_WAIT;
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -54,6 +54,7 @@
 mod planner;
 pub(crate) mod requests;
 mod router;
+mod suspects;
 
 /// Result of starting an entry.
 pub type Result<T> = std::result::Result<T, Code>;
@@ -80,6 +81,7 @@
     serial: AtomicU64,
     claims: claims::Handle,
     router: router::Router,
+    suspects: suspects::Suspects,
 }
 
 impl Shared {
@@ -161,6 +163,7 @@
             serial: AtomicU64::new(0),
             claims: claims::Handle::new(claim_jobs),
             router: router::Router::default(),
+            suspects: suspects::Suspects::default(),
         });
         let operators = operator::start(operators, shared.clone())?;
         let callers = callers::start(callers, shared.clone())?;
--- a/node/src/entry/asks.rs
+++ b/node/src/entry/asks.rs
@@ -29,6 +29,10 @@
 
 fn answer(shared: &Shared, incoming: Incoming) {
     let body = match incoming.ask.body {
+        AskBody::Suspect(crash) => {
+            shared.suspects.told(shared, crash);
+            ReplyBody::Noted
+        }
         AskBody::Relay(ask) => return shared.claims.relay(ask, incoming.replies),
         AskBody::Members(MembersAsk::Probe) => {
             ReplyBody::Members(MembersReply::Me(shared.member()))
--- a/node/src/entry/dispatch.rs
+++ b/node/src/entry/dispatch.rs
@@ -8,6 +8,9 @@
 use mastichaven_core::Outcome;
 use mastichaven_core::claim::Dispatch;
 use mastichaven_core::ids::Attempt;
+use mastichaven_core::ids::Digest;
+use mastichaven_core::quarantine::Crash;
+use mastichaven_core::quarantine::Verdict;
 use mastichaven_core::route::Ended;
 use mastichaven_core::run::RunAsk;
 use mastichaven_core::run::RunFrame;
@@ -24,6 +27,7 @@
 use super::Shared;
 use super::parse::Parsed;
 use super::router::Lease;
+use super::suspects;
 use crate::telemetry::Counter;
 use crate::transport::Call;
 
@@ -69,6 +73,9 @@
     order: FrameOrder,
     patience: Duration,
     lease: Lease,
+    /// What the request is known by, should it crash its endpoint.
+    request: Digest,
+    alone: bool,
 }
 
 /// Sends one attempt and waits for the head of its answer.
@@ -88,7 +95,13 @@
     if left.is_zero() {
         return Err(Code::DeadlineBeforeRun.into());
     }
-    let ask = run_ask(parsed, &lease.to, attempt, resume_after, left);
+    let mut ask = run_ask(parsed, &lease.to, attempt, resume_after, left);
+    ask.alone = match shared.suspects.verdict(shared, parsed) {
+        Verdict::Free => false,
+        Verdict::Alone => true,
+        Verdict::Refused => return Err(Code::Quarantined.into()),
+    };
+    let (request, alone) = (parsed.digest(), ask.alone);
     let patience = Duration::from_millis(limits.between_bytes_ms) + AGENT_SLACK;
     let first_byte = Duration::from_millis(limits.first_byte_ms) + AGENT_SLACK;
     let wait = if parsed.idempotent { left.min(first_byte) } else { left };
@@ -96,7 +109,7 @@
     let call = shared.transport.call(lease.to.address, &shared.ask(AskBody::Run(ask)));
     let order = FrameOrder::new(attempt);
     let (status, content_type) = (0, SmolStr::default());
-    let mut opening = Opened { status, content_type, call, order, patience, lease };
+    let mut opening = Opened { status, content_type, call, order, patience, lease, request, alone };
     let head = timeout(wait, opening.head()).await;
     let head = head.unwrap_or(Err(Code::DeadlineDuringRun.into()));
     opening.note(head).map(|()| opening)
@@ -158,6 +171,10 @@
                 self.lease.refused();
             }
             RunFrame::End { load, .. } => self.lease.report(*load),
+            RunFrame::Failed { crashed: true, beside, .. } => {
+                let crash = Crash { request: self.request, beside: *beside };
+                suspects::crashed(self.lease.shared(), crash);
+            }
             _ => {}
         }
         Ok(frame)
@@ -191,6 +208,9 @@
                 Taken::Bytes(bytes) => return Ok(Some(bytes)),
                 Taken::End => {
                     self.lease.set_ended(Ended::Answered);
+                    if self.alone {
+                        self.lease.shared().suspects.came_through(self.request);
+                    }
                     return Ok(None);
                 }
                 Taken::Dropped => {}
--- a/node/src/entry/requests.rs
+++ b/node/src/entry/requests.rs
@@ -223,7 +223,7 @@
             return if self.refused < MAX_REFUSED { Ok(()) } else { Err(code.into()) };
         }
         self.failed += 1;
-        if self.failed >= MAX_FAILED {
+        if self.failed >= MAX_FAILED || code == Code::Quarantined {
             return Err(code.into());
         }
         if router::may_retry(shared) {
--- a/node/src/entry/router.rs
+++ b/node/src/entry/router.rs
@@ -136,6 +136,11 @@
 }
 
 impl Lease {
+    /// The entry it belongs to.
+    pub(super) fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
     /// Notes the load that the agent reported.
     pub(super) fn report(&self, load: Load) {
         let now = self.shared.clock.now();
@@ -170,6 +175,9 @@
     /// Notes why the attempt gave no whole answer. An agent that refuses is sound, and has said so
     /// already; one out of reach is not.
     pub(super) fn note_failure(&mut self, code: Code) {
+        if code == Code::Quarantined {
+            return;
+        }
         let is_sound = code.outcome() == Outcome::NotRun && code != Code::Unreachable;
         if is_sound {
             self.refused();
--- a/node/src/tls.rs
+++ b/node/src/tls.rs
@@ -103,7 +103,9 @@
     /// enough to spend another agent's endpoint or to write to the platform.
     pub fn may_ask(self, body: &AskBody) -> bool {
         match body {
-            AskBody::Run(_) | AskBody::Void(_) | AskBody::Relay(_) => self == Role::Entry,
+            AskBody::Run(_) | AskBody::Void(_) | AskBody::Relay(_) | AskBody::Suspect(_) => {
+                self == Role::Entry
+            }
             AskBody::Weights(_) => self != Role::Ctl,
             AskBody::Members(_) | AskBody::Spread(_) => true,
         }
