--- a/bench/src/weights.rs
+++ b/bench/src/weights.rs
@@ -24,6 +24,7 @@
 use mastichaven_node::clock::Clock;
 use mastichaven_node::http_store::HttpStore;
 use mastichaven_node::origin::Origin as OriginClient;
+use mastichaven_node::telemetry::Telemetry;
 use mastichaven_node::tls::DevelopmentCa;
 use mastichaven_node::tls::Role;
 use mastichaven_node::transport::Transport;
@@ -257,6 +258,7 @@
         platform: Arc::new(HttpStore::new(platform.base())),
         link: Arc::new(HostLink { net: net.clone(), me: n }),
         clock,
+        telemetry: Telemetry::silent(),
         sender: Arc::new(move || from.clone()),
     });
     let server = weights.server();
--- a/bench/tests/callers/operators.rs
+++ b/bench/tests/callers/operators.rs
@@ -33,6 +33,7 @@
     assert_eq!(counts(entry)["E100"], before + 1);
     assert_eq!(counts(entry)["E102"], 1);
     assert_eq!(counts(agent)["engine.orders"], 1);
+    assert_eq!(counts(agent)["weights.origin_bytes"], port::MODEL_LEN);
     for address in [entry, agent] {
         let dump = get(address, "/dump");
         let dump = dump.as_str().unwrap();
--- a/bench/tests/callers/port.rs
+++ b/bench/tests/callers/port.rs
@@ -16,7 +16,7 @@
 /// Far longer than anything here takes, also on a busy machine.
 const LIMIT: Duration = Duration::from_secs(60);
 
-const MODEL_LEN: usize = 100_000;
+pub const MODEL_LEN: usize = 100_000;
 
 pub fn fleet() -> Fleet {
     let layout =
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -176,7 +176,7 @@
         };
         let clock = Clock::start();
         let store = open_store(&settings)?;
-        let weights = start_weights(&settings, &transport, &store, &clock, incarnation);
+        let weights = start_weights(&settings, &telemetry, &transport, &store, &clock, incarnation);
         let shared = Arc::new(Shared {
             platform: HttpStore::new(&settings.platform),
             engine: Engine::new(address),
@@ -264,6 +264,7 @@
 
 fn start_weights(
     settings: &AgentSettings,
+    telemetry: &Telemetry,
     transport: &Transport,
     store: &Arc<Store>,
     clock: &Clock,
@@ -286,6 +287,7 @@
         platform: Arc::new(HttpStore::new(&settings.platform)),
         link: Arc::new(Uplink::new(settings.link_bytes_per_second)),
         clock: *clock,
+        telemetry: telemetry.clone(),
         sender: Arc::new(move || from.clone()),
     })
 }
--- a/node/src/telemetry/metric.rs
+++ b/node/src/telemetry/metric.rs
@@ -34,6 +34,16 @@
         RequestsBegun = "requests.begun",
         /// Attempts sent to agents.
         AttemptsSent = "attempts.sent",
+        /// Chunks taken from the origin.
+        OriginChunks = "weights.origin_chunks",
+        /// Bytes taken from the origin.
+        OriginBytes = "weights.origin_bytes",
+        /// Chunks taken from peers.
+        PeerChunks = "weights.peer_chunks",
+        /// Bytes taken from peers.
+        PeerBytes = "weights.peer_bytes",
+        /// Chunks that did not match their digest.
+        CorruptChunks = "weights.corrupt_chunks",
         /// Orders given to the engine.
         Orders = "engine.orders",
         /// Orders that the engine refused or did not carry out.
--- a/node/src/weights.rs
+++ b/node/src/weights.rs
@@ -32,6 +32,7 @@
 
 use crate::clock::Clock;
 use crate::origin::Origin;
+use crate::telemetry::Telemetry;
 use crate::transport::Incoming;
 use crate::transport::Transport;
 
@@ -70,6 +71,8 @@
     pub link: Arc<dyn Link>,
     /// The clock of this process.
     pub clock: Clock,
+    /// Counts what comes from where.
+    pub telemetry: Telemetry,
     /// What asks say of this process.
     pub sender: Arc<dyn Fn() -> Sender + Send + Sync>,
 }
--- a/node/src/weights/pull.rs
+++ b/node/src/weights/pull.rs
@@ -38,6 +38,7 @@
 use super::serve;
 use super::spawn;
 use super::store::Store;
+use crate::telemetry::Counter;
 use crate::transport::Transport;
 
 /// How often the swarm decides at least.
@@ -185,6 +186,7 @@
     fn done(&mut self, request: &Request, end: End, told: Option<Have>, error: Option<Code>) {
         let now = self.setup.clock.now();
         self.last_error = error.or(self.last_error);
+        self.count(request, &end);
         if let (To::Peer(id), Some(have)) = (request.to, told) {
             self.swarm.heard(id, request.version, have.chunks, have.queue, now);
         }
@@ -237,6 +239,22 @@
         });
     }
 
+    fn count(&self, request: &Request, end: &End) {
+        let telemetry = &self.setup.telemetry;
+        match (end, request.what, request.to) {
+            (End::Stored, What::Chunk { len, .. }, To::Origin) => {
+                telemetry.count(Counter::OriginChunks);
+                telemetry.add(Counter::OriginBytes, len.into());
+            }
+            (End::Stored, What::Chunk { len, .. }, To::Peer(_)) => {
+                telemetry.count(Counter::PeerChunks);
+                telemetry.add(Counter::PeerBytes, len.into());
+            }
+            (End::Corrupt, ..) => telemetry.count(Counter::CorruptChunks),
+            _ => {}
+        }
+    }
+
     fn publish(&self) {
         let mut progress = self.progress.lock().expect("no holder of this lock panics");
         progress.missing = self.swarm.missing();
--- a/node/tests/shell/telemetry.rs
+++ b/node/tests/shell/telemetry.rs
@@ -6,7 +6,9 @@
 use mastichaven_core::Code;
 use mastichaven_core::Outcome;
 use mastichaven_node::telemetry::Counter;
+use mastichaven_node::telemetry::Gauge;
 use mastichaven_node::telemetry::Telemetry;
+use mastichaven_node::telemetry::Timer;
 
 use crate::ANY;
 
@@ -31,3 +33,23 @@
     let counts = serde_json::json!({"engine.orders": 3, "E106": 1});
     assert_eq!(telemetry.counts(), counts);
 }
+
+#[test]
+fn documented_metrics_equal_the_code() {
+    let page = include_str!("../../../docs/CONFIGURATION.md");
+    let names = |kind: &str| -> Vec<String> {
+        let row = |line: &str| {
+            let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+            let known = cells.len() == 5 && cells[2] == kind && !cells[1].contains('…');
+            known.then(|| cells[1].trim_matches('`').to_owned())
+        };
+        page.lines().filter_map(row).collect()
+    };
+    let counters: Vec<&str> = Counter::ALL.iter().map(|counter| counter.name()).collect();
+    assert_eq!(names("counter"), counters);
+    let mut timers: Vec<&str> = Timer::ALL.iter().map(|timer| timer.name()).collect();
+    timers.push("requests.to_head");
+    assert_eq!(names("timer"), timers);
+    let gauges: Vec<&str> = Gauge::ALL.iter().map(|gauge| gauge.name()).collect();
+    assert_eq!(names("gauge"), gauges);
+}
