The programs as processes, stopped in the middle of an answer

Cause: the programs ran apart only by hand; their signals were not tested. Change: a test makes certificates, starts entry and agent as processes, publishes, reads the dump from the log after SIGUSR1, and sends SIGTERM (to the entry twice) while a caller reads an answer.

--- a/node/tests/shell/main.rs
+++ b/node/tests/shell/main.rs
@@ -7,6 +7,7 @@
 mod settings;
 mod telemetry;
 mod tls;
+mod walkthrough;
 
 /// Any free port on loopback.
 const ANY: &str = "127.0.0.1:0";
