--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -201,6 +201,7 @@
     view: u64,
     detail: u64,
     version: u64,
+    changed: Time,
 }
 
 impl Membership {
@@ -233,6 +234,7 @@
             view: 0,
             detail: 0,
             version: 0,
+            changed: Time::ZERO,
         }
     }
 
@@ -271,6 +273,11 @@
         self.version
     }
 
+    /// When somebody last came, left or died.
+    pub fn changed(&self) -> Time {
+        self.changed
+    }
+
     /// How many others are thought alive.
     pub fn alive(&self) -> usize {
         self.peers.values().filter(|peer| !peer.is_gone()).count()
@@ -736,6 +743,7 @@
             self.detail ^= detail(&host, peer.stamp());
         }
         if structural {
+            self.changed = peer.since;
             if let Some(old) = self.peers.get(&host) {
                 self.view ^= fingerprint(&old.member, old.health);
             }
--- a/node/src/agent/asks.rs
+++ b/node/src/agent/asks.rs
@@ -29,15 +29,17 @@
     match incoming.ask.body {
         AskBody::Weights(_) => return shared.weights.serve(incoming),
         AskBody::Members(_) | AskBody::Spread(_) => return shared.control.take(incoming),
-        AskBody::Run(_) | AskBody::Void(_) | AskBody::Relay(_) => {}
+        AskBody::Run(_) | AskBody::Void(_) | AskBody::Relay(_) | AskBody::Suspect(_) => {}
     }
     let Incoming { ask, replies, .. } = incoming;
     let body = match ask.body {
         AskBody::Run(ask) => return run::offer(shared, ask, replies),
         AskBody::Void(ask) => ReplyBody::Void(void(shared, &ask)),
-        AskBody::Weights(_) | AskBody::Members(_) | AskBody::Spread(_) | AskBody::Relay(_) => {
-            ReplyBody::Refused(mastichaven_core::Code::WrongRole)
-        }
+        AskBody::Weights(_)
+        | AskBody::Members(_)
+        | AskBody::Spread(_)
+        | AskBody::Relay(_)
+        | AskBody::Suspect(_) => ReplyBody::Refused(mastichaven_core::Code::WrongRole),
     };
     let generation = shared.documents.in_force().generation;
     let _ = replies.send(Reply { generation, body });
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -81,6 +82,11 @@
 /// The member list is refreshed at least this often, as flapping members calm down.
 const REFRESH: Duration = Duration::from_secs(1);
 
+/// Without a change of members for this long, they count as settled, and however many changes
+/// there are, after this long: a host that flaps must not hold up placement.
+const SETTLED: Duration = Duration::from_millis(1_500);
+const MAX_UNSETTLED: Duration = Duration::from_secs(10);
+
 /// Rounds of fetching missing parts for one update.
 const MAX_ROUNDS: u32 = 64;
 
@@ -152,6 +158,7 @@
     seeds: Vec<SocketAddr>,
     relay_rank: AtomicU32,
     alive: AtomicU64,
+    settled: AtomicBool,
 }
 
 /// Marks a process that is no relay.
@@ -168,6 +175,7 @@
             seeds,
             relay_rank: AtomicU32::new(NO_RELAY),
             alive: AtomicU64::new(0),
+            settled: AtomicBool::new(false),
         }
     }
 
@@ -181,6 +189,12 @@
         self.alive.load(Ordering::Acquire)
     }
 
+    /// Whether nobody came, left or died for a moment. While a fleet starts, or a rack fails, a plan
+    /// made from half the members would be thrown away at once, after weights moved for it.
+    pub fn is_settled(&self) -> bool {
+        self.settled.load(Ordering::Acquire)
+    }
+
     /// This process's place among its zone's relays, if it is one of them.
     pub fn relay_rank(&self) -> Option<u32> {
         let rank = self.relay_rank.load(Ordering::Acquire);
@@ -243,6 +257,7 @@
     refreshed: Time,
     version: u64,
     pulling: bool,
+    unsettled: Option<Time>,
     different_docs: u32,
     /// The zone's tree and this process's place in it.
     tree: Vec<(HostName, SocketAddr)>,
@@ -260,6 +275,7 @@
             refreshed: Time::ZERO,
             version: u64::MAX,
             pulling: false,
+            unsettled: None,
             different_docs: 0,
             tree: Vec::new(),
             rank: 0,
@@ -284,9 +300,20 @@
         self.membership.set_docs(self.node.documents().fingerprint());
         let sends = self.membership.tick(now, &mut rand::rng());
         self.send_all(sends);
+        self.settle(now);
         self.refresh(now);
     }
 
+    fn settle(&mut self, now: Time) {
+        let quiet = now.passed(self.membership.changed(), SETTLED) && now >= Time::ZERO + SETTLED;
+        if quiet {
+            self.unsettled = None;
+        }
+        let since = *self.unsettled.get_or_insert(now);
+        let settled = quiet || now.passed(since, MAX_UNSETTLED);
+        self.node.control().settled.store(settled, Ordering::Release);
+    }
+
     fn refresh(&mut self, now: Time) {
         let version = self.membership.version();
         if version == self.version && !now.passed(self.refreshed, REFRESH) {
--- a/node/src/entry/asks.rs
+++ b/node/src/entry/asks.rs
@@ -26,6 +26,11 @@
     match incoming.ask.body {
         AskBody::Members(_) | AskBody::Spread(_) => shared.control.take(incoming),
         AskBody::Relay(ask) => shared.claims.relay(ask, incoming.replies),
+        AskBody::Suspect(crash) => {
+            shared.suspects.told(shared, crash);
+            let generation = shared.documents.generation();
+            let _ = incoming.replies.send(Reply { generation, body: ReplyBody::Noted });
+        }
         AskBody::Run(_) | AskBody::Void(_) | AskBody::Weights(_) => {
             let generation = shared.documents.generation();
             let body = ReplyBody::Refused(Code::WrongRole);
--- a/node/src/entry/planner.rs
+++ b/node/src/entry/planner.rs
@@ -26,6 +26,10 @@
 /// Runs until the entry ends.
 pub(super) fn run(shared: &Shared) {
     while !shared.is_over() {
+        if !shared.control.is_settled() {
+            thread::sleep(INTERVAL);
+            continue;
+        }
         let in_force = shared.documents.in_force();
         let members = shared.members();
         for placement in in_force.config.placement.values() {
--- a/node/src/transport.rs
+++ b/node/src/transport.rs
@@ -26,12 +26,16 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
+use self::silence::Asks;
+use self::silence::Outstanding;
 use crate::tls::Identity;
 use crate::tls::Material;
 use crate::tls::PEER_NAME;
 use crate::tls::control_transport_config;
 use crate::tls::scan_identity;
 
+mod silence;
+
 /// Result of the transport.
 pub type Result<T> = std::result::Result<T, Code>;
 
@@ -149,9 +153,7 @@
     fn of(body: &AskBody) -> Use {
         match body {
             AskBody::Members(_) | AskBody::Spread(_) => Use::Control,
-            AskBody::Run(_) | AskBody::Void(_) | AskBody::Weights(_) | AskBody::Relay(_) => {
-                Use::Requests
-            }
+            _ => Use::Requests,
         }
     }
 }
@@ -296,36 +298,55 @@
     }
 }
 
+/// A connection that asks go out on, and which of them wait.
+#[derive(Clone)]
+struct Peer {
+    connection: Connection,
+    asks: Arc<Asks>,
+}
+
 /// The connections that asks go out on, one a peer and use.
 #[derive(Clone)]
 struct Pool {
     control: quinn::ClientConfig,
-    open: Arc<Mutex<HashMap<(SocketAddr, Use), Connection>>>,
+    open: Arc<Mutex<HashMap<(SocketAddr, Use), Peer>>>,
     meter: Meter,
 }
 
 impl Pool {
-    fn get(&self, to: SocketAddr, purpose: Use) -> Option<Connection> {
+    fn get(&self, to: SocketAddr, purpose: Use) -> Option<Peer> {
         let mut open = self.open.lock().expect("no holder of this lock panics");
-        let connection = open.get(&(to, purpose))?;
-        if connection.close_reason().is_some() {
+        let peer = open.get(&(to, purpose))?;
+        if peer.connection.close_reason().is_some() {
             open.remove(&(to, purpose));
             return None;
         }
-        Some(connection.clone())
+        Some(peer.clone())
     }
 
-    fn put(&self, to: SocketAddr, purpose: Use, connection: Connection) {
+    fn put(&self, to: SocketAddr, purpose: Use, connection: Connection) -> Peer {
         self.meter.add(&connection);
-        self.open.lock().expect("no holder of this lock panics").insert((to, purpose), connection);
+        let peer = Peer { connection, asks: Arc::default() };
+        let mut open = self.open.lock().expect("no holder of this lock panics");
+        open.insert((to, purpose), peer.clone());
+        peer
+    }
+
+    /// Requests go out on `connection` from now on; it is watched for silence.
+    fn replace(&self, endpoint: &Endpoint, to: SocketAddr, connection: Connection) -> Peer {
+        let peer = self.put(to, Use::Requests, connection.clone());
+        let asks = peer.asks.clone();
+        let watched = silence::watch(endpoint.clone(), self.clone(), to, connection, asks);
+        tokio::spawn(watched);
+        peer
     }
 
     /// A restarted peer knows nothing of the old connection, which would stay silent until its
     /// long idle timeout; the peer would be suspected all that time.
     fn give_up(&self, to: SocketAddr, purpose: Use) {
         let mut open = self.open.lock().expect("no holder of this lock panics");
-        if let Some(connection) = open.remove(&(to, purpose)) {
-            connection.close(0u8.into(), b"silent");
+        if let Some(peer) = open.remove(&(to, purpose)) {
+            peer.connection.close(0u8.into(), b"silent");
         }
     }
 }
@@ -348,14 +369,9 @@
     endpoint.wait_idle().await;
 }
 
-async fn connect(
-    endpoint: &Endpoint,
-    pool: &Pool,
-    to: SocketAddr,
-    purpose: Use,
-) -> Result<Connection> {
-    if let Some(connection) = pool.get(to, purpose) {
-        return Ok(connection);
+async fn connect(endpoint: &Endpoint, pool: &Pool, to: SocketAddr, purpose: Use) -> Result<Peer> {
+    if let Some(peer) = pool.get(to, purpose) {
+        return Ok(peer);
     }
     let connecting = match purpose {
         Use::Requests => endpoint.connect(to, PEER_NAME),
@@ -366,13 +382,16 @@
         .await
         .map_err(|_| Code::Unreachable)?
         .map_err(|_| Code::Unreachable)?;
-    pool.put(to, purpose, connection.clone());
-    Ok(connection)
+    Ok(match purpose {
+        Use::Requests => pool.replace(endpoint, to, connection),
+        Use::Control => pool.put(to, purpose, connection),
+    })
 }
 
 async fn serve_job(endpoint: Endpoint, pool: Pool, job: Job) {
     let Job { to, purpose, ask, replies, cancelled } = job;
-    let (mut tx, mut rx) = match open_stream(&endpoint, &pool, to, purpose).await {
+    let opened = open_stream(&endpoint, &pool, to, purpose).await;
+    let (mut tx, mut rx, _outstanding) = match opened {
         Ok(streams) => streams,
         Err(code) => {
             let _ = replies.send_async(Err(code)).await;
@@ -400,9 +419,11 @@
     pool: &Pool,
     to: SocketAddr,
     purpose: Use,
-) -> Result<(SendStream, RecvStream)> {
-    let connection = connect(endpoint, pool, to, purpose).await?;
-    connection.open_bi().await.map_err(|_| Code::Unreachable)
+) -> Result<(SendStream, RecvStream, Outstanding)> {
+    let peer = connect(endpoint, pool, to, purpose).await?;
+    let (tx, rx) = peer.connection.open_bi().await.map_err(|_| Code::Unreachable)?;
+    let outstanding = peer.asks.begin(&peer.connection);
+    Ok((tx, rx, outstanding))
 }
 
 async fn forward_replies(
