--- a/core/src/swarm/download.rs
+++ b/core/src/swarm/download.rs
@@ -15,6 +15,12 @@
 /// Asks for one chunk under way at once; the second only when the first is late.
 pub(super) const MAX_COPIES: u8 = 2;
 
+/// Missing chunks on offer that are compared for one request.
+const CANDIDATES: usize = 64;
+
+/// Loads this close count as equal, so that rarity decides between them.
+const LOAD_STEP: u32 = 2;
+
 /// One chunk of a version.
 #[derive(Clone, Debug)]
 pub(super) struct Part {
@@ -149,32 +155,43 @@
         }
     }
 
-    /// The missing chunk that fewest neighbours have and that `eligible` peers offer, at random
-    /// among equals, and who offers it. O(chunks × log neighbours).
-    pub(super) fn rarest(
+    /// The chunk to ask for next and the peer to ask: among [`CANDIDATES`] missing chunks from a
+    /// random place on, first the one whose holder's link is least busy, then the rarest.
+    ///
+    /// Strictly rarest first was measured and left: the whole zone asks the one owner of a new chunk
+    /// at once, and its link queues while others idle. `load` is `None` for peers not to be asked.
+    /// O(chunks) when little is on offer, O([`CANDIDATES`] × neighbours) else.
+    pub(super) fn choose(
         &self,
         random: u64,
-        eligible: &dyn Fn(PeerId) -> bool,
+        load: &dyn Fn(PeerId) -> Option<u32>,
         late: &dyn Fn(&Part) -> bool,
-    ) -> Option<(usize, Vec<PeerId>)> {
+    ) -> Option<(usize, PeerId)> {
         let len = self.parts.len();
         let start = random as usize % len.max(1);
-        let mut best: Option<(u16, usize)> = None;
+        let mut best: Option<((bool, u32, u16), usize, PeerId)> = None;
+        let mut seen = 0;
         for n in (start..len).chain(0..start) {
             let part = &self.parts[n];
             let free = part.flights == 0 || (part.flights < MAX_COPIES && late(part));
             if self.have.get(n) || part.is_repeat || part.holders == 0 || !free {
                 continue;
             }
-            let rank = part.holders + if part.flights > 0 { u16::MAX / 2 } else { 0 };
-            if best.is_some_and(|(found, _)| found <= rank) {
+            let loads = self.offers(n).filter_map(|id| Some((load(id)?, id)));
+            let Some((load, peer)) = loads.min_by_key(|(load, id)| (*load, id.0 ^ random as u32))
+            else {
                 continue;
+            };
+            let rank = (part.flights > 0, load / LOAD_STEP, part.holders);
+            if best.is_none_or(|(found, _, _)| rank < found) {
+                best = Some((rank, n, peer));
             }
-            if self.offers(n).any(eligible) {
-                best = Some((rank, n));
+            seen += 1;
+            if seen == CANDIDATES {
+                break;
             }
         }
-        best.map(|(_, n)| (n, self.offers(n).filter(|id| eligible(*id)).collect()))
+        best.map(|(_, n, peer)| (n, peer))
     }
 
     fn offers(&self, n: usize) -> impl Iterator<Item = PeerId> + '_ {
--- a/core/src/swarm/pull.rs
+++ b/core/src/swarm/pull.rs
@@ -33,6 +33,10 @@
 const PIPELINE: u32 = 5;
 const PIPELINE_A_PEER: u32 = 2;
 
+/// Chunks for neighbours that wait on a host's link at most; a host that is this busy is not asked
+/// until it tells that it is not. Short queues spread the asks over all links.
+pub const BUSY_QUEUE: u32 = 8;
+
 /// Chunks under way while live requests run on this host's link.
 const PIPELINE_BESIDE_REQUESTS: u32 = 2;
 
@@ -477,28 +481,25 @@
         }
     }
 
-    /// The rarest chunk of a version that a neighbour can send now, and the least busy such one.
+    /// The next chunk of a version and the neighbour to ask; demoted ones only when no other has it.
     fn pick<R: Rng>(&self, n: usize, now: Time, rng: &mut R) -> Option<(usize, PeerId)> {
         let download = &self.downloads[n];
         if download.missing == 0 {
             return None;
         }
-        let free = |id: PeerId| {
+        let load_if = |id: PeerId, demoted: bool| {
             let peer = self.peers.get(id);
-            peer.is_live() && peer.in_flight < PIPELINE_A_PEER
+            let free = peer.is_live()
+                && peer.in_flight < PIPELINE_A_PEER
+                && peer.queue < BUSY_QUEUE;
+            (free && (demoted || !peer.is_demoted())).then_some(peer.queue + 2 * peer.in_flight)
         };
-        let honest = |id: PeerId| free(id) && !self.peers.get(id).is_demoted();
         let late =
             |part: &super::download::Part| now.passed(part.asked_at, self.usual * LATE_TIMES);
         let random: u64 = rng.random();
-        let (index, offers) = download
-            .rarest(random, &honest, &late)
-            .or_else(|| download.rarest(random, &free, &late))?;
-        let load = |id: &PeerId| {
-            let peer = self.peers.get(*id);
-            (peer.queue + 2 * peer.in_flight, self.topology.affinity(*id) ^ random)
-        };
-        Some((index, offers.into_iter().min_by_key(load)?))
+        download
+            .choose(random, &|id| load_if(id, false), &late)
+            .or_else(|| download.choose(random, &|id| load_if(id, true), &late))
     }
 
     fn poll(&mut self, n: usize, now: Time, requests: &mut Vec<Request>) {
--- a/node/src/weights/serve.rs
+++ b/node/src/weights/serve.rs
@@ -9,6 +9,7 @@
 use mastichaven_core::Time;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
+use mastichaven_core::swarm::pull::BUSY_QUEUE;
 use mastichaven_core::weights::Have;
 use mastichaven_core::weights::MAX_PARK_MS;
 use mastichaven_core::weights::WeightsAsk;
@@ -148,6 +149,9 @@
             }
         };
         if self.is_here(wanted) {
+            if park_ms == 0 && self.queued.len() >= BUSY_QUEUE as usize {
+                return refuse_busy(&replies);
+            }
             return self.queue_bytes(&peer.host, wanted, replies);
         }
         if park_ms == 0 || self.parked.len() >= MAX_PARKED {
