Placement, planner under a lease, orders read back, gate in core

Cause: every entry wrote plans without a lease and switched all replicas at once; an agent reloaded its engine under running requests and believed the engine's answer. Change: core/placement makes the next plan (zones, memory, pins, exclusions, minimal moves, batches of a quarter, last ready replica kept, load-driven count with hysteresis, stand-ins); the planner holds the platform's lease and writes at the revision read; core/orders is a typestate from wanted to confirmed; the agent drains before an order, asks the replicas that stay, reads back, and distrusts a load whose bytes were not read to the end. A fresh agent waits for a useful host list: alone in it, it took every chunk for its own and the first demo ran out of its origin budget. Conclusion: rollouts and failures of it still need their tests.

--- a/core/src/members.rs
+++ b/core/src/members.rs
@@ -69,6 +69,8 @@
     pub leaving: bool,
     /// What stands beside it.
     pub endpoint: EndpointKind,
+    /// Memory of its engine, in MiB; 0 when it does not say.
+    pub memory_mib: u64,
     /// What its endpoint serves; `Nothing` for entries.
     pub serving: Serving,
     /// Its endpoint's load when this was said.
--- /dev/null
+++ b/core/src/placement.rs
@@ -0,0 +1,292 @@
+//! Placement: from the last plan, the configuration and the live hosts to the next plan.
+//!
+//! A plan changes as little as possible: hosts that may stay do, and each step of a rollout orders
+//! only a part of the replicas to switch. What a step may take away is counted against replicas
+//! that are ready now, so that the last ready replica of the serving version stays.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::config::Placement;
+use crate::ids::Digest;
+use crate::ids::HostName;
+use crate::ids::ModelName;
+use crate::ids::ZoneName;
+use crate::plan::Plan;
+use crate::plan::Replica;
+use crate::swarm::topology::key_of;
+use crate::time::Time;
+
+/// Of the replicas of a model, this part switches to a new version at once.
+const BATCH_PART: usize = 4;
+
+/// Candidates named in a plan at most.
+const MAX_CANDIDATES: usize = 256;
+
+/// Zones may differ by this many replicas before one is moved.
+const SPREAD_SLACK: usize = 2;
+
+/// Load, as a share of the admitted work, above which replicas are added.
+pub const HIGH_LOAD: f64 = 0.8;
+
+/// Load below which replicas are taken away again. The gap to [`HIGH_LOAD`] and the longer wait
+/// keep the count from swinging: fewer replicas raise the load of the rest.
+pub const LOW_LOAD: f64 = 0.3;
+
+/// How long the load must be high before replicas are added.
+pub const HIGH_FOR: Duration = Duration::from_secs(2);
+
+/// How long the load must be low before one replica is taken away.
+pub const LOW_FOR: Duration = Duration::from_secs(60);
+
+/// A live engine host that may hold a replica: its zone is in and allowed, it is not leaving.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Seat {
+    /// The host.
+    pub host: HostName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Memory of its engine, in MiB; 0 when it does not say.
+    pub memory_mib: u64,
+    /// The version its engine answers from now, if it is of this model.
+    pub ready: Option<Digest>,
+}
+
+/// What a plan is made for.
+#[derive(Clone, Debug)]
+pub struct Goal<'a> {
+    /// The model.
+    pub model: &'a ModelName,
+    /// The configured version.
+    pub version: Digest,
+    /// Memory one replica needs, in MiB.
+    pub memory_mib: u64,
+    /// Where it may run.
+    pub placement: &'a Placement,
+    /// Replicas wanted now, within the placement's bounds.
+    pub replicas: usize,
+    /// Hosts whose engines did not load the configured version in time.
+    pub failed: &'a BTreeSet<HostName>,
+    /// Hosts of other models' plans.
+    pub taken: &'a BTreeSet<HostName>,
+}
+
+impl Goal<'_> {
+    fn allows(&self, seat: &Seat) -> bool {
+        let placement = self.placement;
+        let zone = placement.zones.is_empty() || placement.zones.contains(&seat.zone);
+        let memory = seat.memory_mib == 0 || seat.memory_mib >= self.memory_mib;
+        zone && memory
+            && !placement.exclude.contains(&seat.host)
+            && !self.taken.contains(&seat.host)
+    }
+
+    /// Order in which spare hosts of one zone are taken: the same at each planner.
+    fn score(&self, host: &HostName) -> u64 {
+        key_of(Digest::of(format!("{host}/{}", self.model).as_bytes()))
+    }
+}
+
+/// The next plan. `None` when no host may hold the model.
+pub fn next_plan(old: Option<&Plan>, goal: &Goal, seats: &[Seat]) -> Option<Plan> {
+    let usable: Vec<&Seat> = seats.iter().filter(|seat| goal.allows(seat)).collect();
+    let chosen = choose_hosts(old, goal, &usable);
+    if chosen.is_empty() {
+        return None;
+    }
+    let (serving, loading, replicas) = choose_versions(old, goal, &usable, &chosen);
+    Some(Plan {
+        model: goal.model.clone(),
+        serving,
+        loading,
+        candidates: candidates(goal, &usable, &replicas),
+        replicas,
+    })
+}
+
+/// Hosts of the next plan: those of the old one that may stay, pins, then the emptiest zones.
+fn choose_hosts<'a>(old: Option<&Plan>, goal: &Goal, usable: &[&'a Seat]) -> Vec<&'a Seat> {
+    let pinned = |seat: &Seat| goal.placement.pin.contains(&seat.host);
+    let was = |seat: &Seat| old.is_some_and(|plan| plan.version_for(&seat.host).is_some());
+    let mut chosen: Vec<&Seat> =
+        usable.iter().copied().filter(|seat| was(seat) || pinned(seat)).collect();
+    let wanted = goal.replicas.max(chosen.iter().filter(|seat| pinned(seat)).count());
+    while chosen.len() < wanted {
+        let Some(seat) = emptiest(goal, usable, &chosen) else {
+            break;
+        };
+        chosen.push(seat);
+    }
+    if chosen.len() == wanted
+        && let Some(seat) = emptiest(goal, usable, &chosen)
+    {
+        // One more where a whole zone is short; the fullest zone gives one up below.
+        let counts = count_zones(&chosen);
+        let most = counts.values().copied().max().unwrap_or(0);
+        if counts.get(&seat.zone).copied().unwrap_or(0) + SPREAD_SLACK <= most {
+            chosen.push(seat);
+        }
+    }
+    while chosen.len() > wanted {
+        let counts = count_zones(&chosen);
+        let place =
+            chosen.iter().enumerate().filter(|(_, seat)| !pinned(seat)).max_by_key(|(_, seat)| {
+                (counts[&seat.zone], seat.ready.is_none(), goal.score(&seat.host))
+            });
+        let Some((n, _)) = place else {
+            break;
+        };
+        chosen.remove(n);
+    }
+    chosen.sort_by(|a, b| a.host.cmp(&b.host));
+    chosen
+}
+
+fn count_zones(chosen: &[&Seat]) -> BTreeMap<ZoneName, usize> {
+    let mut counts = BTreeMap::new();
+    for seat in chosen {
+        *counts.entry(seat.zone.clone()).or_default() += 1;
+    }
+    counts
+}
+
+/// The best spare host: of the zone with fewest replicas, and not one that failed to load.
+fn emptiest<'a>(goal: &Goal, usable: &[&'a Seat], chosen: &[&Seat]) -> Option<&'a Seat> {
+    let counts = count_zones(chosen);
+    let spare = usable.iter().copied().filter(|seat| {
+        !goal.failed.contains(&seat.host) && !chosen.iter().any(|c| c.host == seat.host)
+    });
+    spare.min_by_key(|seat| (counts.get(&seat.zone).copied().unwrap_or(0), goal.score(&seat.host)))
+}
+
+fn candidates(goal: &Goal, usable: &[&Seat], replicas: &[Replica]) -> Vec<HostName> {
+    let mut spare: Vec<HostName> = usable
+        .iter()
+        .map(|seat| &seat.host)
+        .filter(|host| !replicas.iter().any(|replica| replica.host == **host))
+        .cloned()
+        .collect();
+    spare.sort_by_key(|host| goal.score(host));
+    spare.truncate(MAX_CANDIDATES);
+    spare
+}
+
+/// Which version answers, which is rolled out, and what each host is to hold.
+fn choose_versions(
+    old: Option<&Plan>,
+    goal: &Goal,
+    usable: &[&Seat],
+    chosen: &[&Seat],
+) -> (Digest, Option<Digest>, Vec<Replica>) {
+    let target = goal.version;
+    let all_at_target = || {
+        let replica = |seat: &&Seat| Replica { host: seat.host.clone(), version: target };
+        (target, None, chosen.iter().map(replica).collect())
+    };
+    let ready = |version: Digest| chosen.iter().filter(move |s| s.ready == Some(version)).count();
+    let serving = old.map_or(target, |plan| plan.serving);
+    let live_old = usable.iter().any(|seat| seat.ready == Some(serving));
+    let enough = ready(target) >= chosen.len().div_ceil(2);
+    if serving == target || enough || (!live_old && ready(target) > 0) {
+        return all_at_target();
+    }
+    let mut replicas: Vec<Replica> = chosen
+        .iter()
+        .map(|seat| {
+            let was = old.and_then(|plan| plan.version_for(&seat.host));
+            let switched = was == Some(target) || was.is_none() || seat.ready == Some(target);
+            Replica { host: seat.host.clone(), version: if switched { target } else { serving } }
+        })
+        .collect();
+    flip_batch(goal, serving, chosen, &mut replicas);
+    if replicas.iter().all(|replica| replica.version == serving) {
+        // Nobody may be taken: one more host loads the new version beside the last ready one.
+        if let Some(seat) = emptiest(goal, usable, chosen) {
+            replicas.push(Replica { host: seat.host.clone(), version: target });
+            replicas.sort_by(|a, b| a.host.cmp(&b.host));
+        }
+    }
+    (serving, Some(target), replicas)
+}
+
+/// Orders the next part of the replicas to switch, if the ones before have.
+///
+/// Hosts that failed to load the new version count against the batch for good: a version that does
+/// not load stops after one batch instead of taking replica after replica out of service.
+fn flip_batch(goal: &Goal, serving: Digest, chosen: &[&Seat], replicas: &mut [Replica]) {
+    let target = goal.version;
+    let batch = (chosen.len() / BATCH_PART).max(1);
+    let ready_of =
+        |host: &HostName| chosen.iter().find(|seat| seat.host == *host).and_then(|seat| seat.ready);
+    let mut waiting = replicas
+        .iter()
+        .filter(|r| r.version == target && ready_of(&r.host) != Some(target))
+        .count();
+    let mut kept = replicas
+        .iter()
+        .filter(|r| r.version == serving && ready_of(&r.host) == Some(serving))
+        .count();
+    for replica in replicas.iter_mut().filter(|replica| replica.version == serving) {
+        if waiting >= batch {
+            return;
+        }
+        let is_ready = ready_of(&replica.host) == Some(serving);
+        if is_ready && kept <= 1 {
+            continue;
+        }
+        replica.version = target;
+        waiting += 1;
+        kept -= usize::from(is_ready);
+    }
+}
+
+/// The version a candidate loads by itself while no planner can be reached.
+///
+/// The replicas of a zone that are dead are matched in order with the zone's live candidates, so
+/// that each candidate comes to the same answer without asking the others. `is_dead` must mean
+/// silent for long, with the plan unchanged meanwhile: a planner that lives has replaced the host.
+pub fn stand_in(
+    plan: &Plan,
+    me: &HostName,
+    in_my_zone: impl Fn(&HostName) -> bool,
+    is_dead: impl Fn(&HostName) -> bool,
+) -> Option<Digest> {
+    let mut dead = plan.replicas.iter().filter(|r| in_my_zone(&r.host) && is_dead(&r.host));
+    let live = plan.candidates.iter().filter(|host| in_my_zone(host));
+    for candidate in live.filter(|host| *host == me || !is_dead(host)) {
+        let replica = dead.next()?;
+        if candidate == me {
+            return Some(replica.version);
+        }
+    }
+    None
+}
+
+/// How many replicas a model gets, from how loaded those it has are.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Scaler {
+    high_since: Option<Time>,
+    low_since: Option<Time>,
+}
+
+impl Scaler {
+    /// The replicas wanted now, from `current` ones at `load`, the share of admitted work in use.
+    pub fn wanted(&mut self, current: usize, placement: &Placement, load: f64, now: Time) -> usize {
+        let least = placement.replicas as usize;
+        let most = placement.max_replicas.map_or(least, |most| (most as usize).max(least));
+        let current = current.clamp(least, most);
+        let since = |was: Option<Time>, holds: bool| holds.then(|| was.unwrap_or(now));
+        self.high_since = since(self.high_since, load >= HIGH_LOAD);
+        self.low_since = since(self.low_since, load <= LOW_LOAD);
+        if self.high_since.is_some_and(|at| now.passed(at, HIGH_FOR)) {
+            self.high_since = None;
+            return (current + current.div_ceil(BATCH_PART)).min(most);
+        }
+        if self.low_since.is_some_and(|at| now.passed(at, LOW_FOR)) {
+            self.low_since = None;
+            return current.saturating_sub(1).max(least);
+        }
+        current
+    }
+}
--- a/core/src/swarm/pull.rs
+++ b/core/src/swarm/pull.rs
@@ -68,8 +68,10 @@
 /// Time without progress after which further hosts hold themselves responsible for a chunk.
 const STALL: Duration = Duration::from_millis(5_000);
 
-/// Waits after the origin refused or failed.
+/// First and longest wait after the origin or its budget refused. A spent budget stays spent for
+/// long, and each try costs the platform two reads.
 const ORIGIN_RETRY: Duration = Duration::from_millis(500);
+const ORIGIN_RETRY_LONGEST: Duration = Duration::from_secs(16);
 
 /// Versions on their way at once; more wait.
 pub const MAX_DOWNLOADS: usize = 8;
@@ -179,6 +181,7 @@
     flights: Arena<Flight>,
     usual: Duration,
     origin_from: Time,
+    origin_wait: Duration,
     beside_requests: bool,
     counts: Counts,
 }
@@ -199,6 +202,7 @@
             flights: Arena::new(),
             usual: CHUNK_TIMEOUT_LEAST / LATE_TIMES,
             origin_from: Time::ZERO,
+            origin_wait: ORIGIN_RETRY,
             beside_requests: false,
             counts: Counts::default(),
         }
@@ -489,9 +493,8 @@
         }
         let load_if = |id: PeerId, demoted: bool| {
             let peer = self.peers.get(id);
-            let free = peer.is_live()
-                && peer.in_flight < PIPELINE_A_PEER
-                && peer.queue < BUSY_QUEUE;
+            let free =
+                peer.is_live() && peer.in_flight < PIPELINE_A_PEER && peer.queue < BUSY_QUEUE;
             (free && (demoted || !peer.is_demoted())).then_some(peer.queue + 2 * peer.in_flight)
         };
         let late =
@@ -539,7 +542,10 @@
         if let To::Peer(id) = flight.to {
             self.judge_peer(id, &flight, &end, now);
         } else if !matches!(end, End::Stored | End::Manifest(_)) {
-            self.origin_from = now + ORIGIN_RETRY;
+            self.origin_from = now + self.origin_wait;
+            self.origin_wait = (self.origin_wait * 2).min(ORIGIN_RETRY_LONGEST);
+        } else {
+            self.origin_wait = ORIGIN_RETRY;
         }
         match end {
             End::Corrupt => self.counts.corrupt += 1,
--- a/core/tests/requests/route.rs
+++ b/core/tests/requests/route.rs
@@ -27,6 +27,7 @@
         incarnation: Incarnation(1),
         leaving: false,
         endpoint: EndpointKind::Engine,
+        memory_mib: 0,
         serving: Serving::Plain { service: "s".into(), start: StartId(1) },
         load: Load { work: 0, limit, requests: 0 },
     }
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -20,6 +20,7 @@
 use mastichaven_core::Code;
 use mastichaven_core::admission::Admission;
 use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::Incarnation;
 use mastichaven_core::ids::ModelName;
 use mastichaven_core::members::EndpointKind;
@@ -27,6 +28,7 @@
 use mastichaven_core::members::Serving;
 use mastichaven_core::plan::Plan;
 use mastichaven_core::platform::HostRole;
+use mastichaven_core::platform::ListedHost;
 use mastichaven_core::record::Record;
 use mastichaven_core::share::Shares;
 use mastichaven_core::swarm::PeerPlace;
@@ -91,6 +93,8 @@
     runs: flume::Sender<run::Job>,
     store: Arc<Store>,
     weights: Weights,
+    listed: Mutex<Vec<ListedHost>>,
+    standing_in: Mutex<Option<(ModelName, Digest)>>,
     weights_base: Mutex<String>,
     stopping: AtomicBool,
     over: AtomicBool,
@@ -124,6 +128,7 @@
             incarnation: self.incarnation,
             leaving: self.is_stopping(),
             endpoint: self.endpoint(),
+            memory_mib: self.settings.memory_mib,
             serving: self.serving.lock().expect("no holder of this lock panics").clone(),
             load: self.admission.lock().expect("no holder of this lock panics").load(),
         }
@@ -138,15 +143,29 @@
         Ask { from, body }
     }
 
-    /// The model that a plan wants on this host, with the plan and its revision.
+    /// The model that a plan wants on this host, with the plan and its revision. A host that stands
+    /// in for a dead one counts as well.
     fn wanted(&self) -> Option<(ModelName, u64, Plan)> {
         let in_force = self.documents.in_force();
-        let host = &self.settings.place.host;
         in_force.config.model.keys().find_map(|model| {
             let (revision, plan) = self.documents.plan(model)?;
-            plan.version_for(host).map(|_| (model.clone(), revision, plan))
+            self.wanted_version(&plan).map(|_| (model.clone(), revision, plan))
         })
     }
+
+    /// The version that `plan` wants on this host.
+    fn wanted_version(&self, plan: &Plan) -> Option<Digest> {
+        plan.version_for(&self.settings.place.host).or_else(|| {
+            let standing_in = self.standing_in.lock().expect("no holder of this lock panics");
+            standing_in.as_ref().filter(|(model, _)| *model == plan.model).map(|(_, v)| *v)
+        })
+    }
+
+    /// Where the platform's list says that `host` is.
+    fn address_of(&self, host: &HostName) -> Option<SocketAddr> {
+        let listed = self.listed.lock().expect("no holder of this lock panics");
+        listed.iter().find(|listed| listed.name == *host).map(|listed| listed.address)
+    }
 }
 
 /// A running agent.
@@ -192,6 +211,8 @@
             runs,
             store,
             weights,
+            listed: Mutex::default(),
+            standing_in: Mutex::default(),
             weights_base: Mutex::default(),
             stopping: AtomicBool::new(false),
             over: AtomicBool::new(false),
--- a/node/src/agent/run.rs
+++ b/node/src/agent/run.rs
@@ -16,6 +16,8 @@
 use mastichaven_core::claim;
 use mastichaven_core::config::Service;
 use mastichaven_core::config::ZoneState;
+use mastichaven_core::gate;
+use mastichaven_core::gate::Pass;
 use mastichaven_core::ids::StartId;
 use mastichaven_core::members::Serving;
 use mastichaven_core::run::RunAsk;
@@ -147,12 +149,7 @@
 
 fn open_for(shared: &Shared, ask: &RunAsk) -> Result<StartId, Code> {
     let serving = lock(&shared.serving);
-    match (&*serving, ask.version) {
-        (Serving::Model { version, start, .. }, Some(wanted)) if *version == wanted => Ok(*start),
-        (Serving::Model { .. }, _) => Err(Code::WrongVersion),
-        (Serving::Plain { service, start }, None) if *service == ask.service => Ok(*start),
-        _ => Err(Code::EndpointClosed),
-    }
+    gate::enter(&serving, &ask.service, ask.version).map(|pass| pass.start())
 }
 
 async fn enter(shared: &Arc<Shared>, ask: &RunAsk) -> Result<Entered, Code> {
@@ -278,10 +275,7 @@
 /// An engine that restarted or switched between the gate and the answer says so in its headers;
 /// without this check the caller would read an answer from other weights.
 fn check_answer(ask: &RunAsk, start: StartId, answer: Answer) -> Result<Answer, Code> {
-    if ask.version.is_some() && (answer.version != ask.version || answer.start != Some(start)) {
-        return Err(Code::EndpointLost);
-    }
-    Ok(answer)
+    Pass::new(start, ask.version).check(answer.start, answer.version).map(|()| answer)
 }
 
 /// An answer on its way from the endpoint to the entry.
--- a/node/src/engine.rs
+++ b/node/src/engine.rs
@@ -10,9 +10,9 @@
 
 use mastichaven_core::Code;
 use mastichaven_core::ids::Digest;
-use mastichaven_core::ids::Incarnation;
 use mastichaven_core::ids::ModelName;
 use mastichaven_core::ids::StartId;
+use mastichaven_core::orders::Fence;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -51,15 +51,6 @@
     pub running: u32,
 }
 
-/// Orders with a lower fence than one already taken are refused by engines that check it.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct Fence {
-    /// Revision of the plan behind the order.
-    pub plan: u64,
-    /// The agent's life.
-    pub incarnation: Incarnation,
-}
-
 /// Orders the engine to load a version.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadOrder {
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -116,6 +116,7 @@
             incarnation: self.incarnation,
             leaving: self.is_stopping(),
             endpoint: EndpointKind::None,
+            memory_mib: 0,
             serving: Serving::Nothing,
             load: Load::default(),
         }
--- a/node/src/entry/planner.rs
+++ b/node/src/entry/planner.rs
@@ -1,18 +1,33 @@
-//! Writes the plan of each model by conditional update.
+//! Writes the plan of each model, under the planner's lease, by conditional update.
+//!
+//! The plan is read from the platform, changed and written back at the revision read. A planner
+//! that was paused in between, or one of two that both believe to hold the lease, finds another
+//! revision there and writes nothing. A lost answer is resolved by the next reading.
 
+use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::thread;
 use std::time::Duration;
 
 use bytes::Bytes;
+use mastichaven_core::Time;
 use mastichaven_core::config::Config;
 use mastichaven_core::config::Placement;
 use mastichaven_core::config::ZoneState;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
+use mastichaven_core::ids::ModelName;
+use mastichaven_core::lease::Lease;
+use mastichaven_core::lease::Step;
+use mastichaven_core::lease::Terms;
 use mastichaven_core::members::EndpointKind;
 use mastichaven_core::members::Member;
+use mastichaven_core::members::Serving;
+use mastichaven_core::placement::Goal;
+use mastichaven_core::placement::Scaler;
+use mastichaven_core::placement::Seat;
+use mastichaven_core::placement::next_plan;
 use mastichaven_core::plan::Plan;
-use mastichaven_core::plan::Replica;
 use mastichaven_core::plan::plan_key;
 use mastichaven_core::platform::Expect;
 use mastichaven_core::platform::ObjectStore;
@@ -20,55 +35,197 @@
 
 use super::Shared;
 
+/// The object that holds the planner's lease.
+const LEASE_KEY: &str = "lease/planner";
+
 /// How often the planner looks.
 const INTERVAL: Duration = Duration::from_millis(300);
 
-/// Runs until the entry ends.
+/// How long an engine may take to load a version before the plan moves on to another host.
+const LOAD_PATIENCE: Duration = Duration::from_secs(120);
+
+/// A planner that sees less than half of a plan's hosts waits this long after it got the lease:
+/// its own view may still be filling, and moving every replica would be worse than waiting.
+const VIEW_PATIENCE: Duration = Duration::from_secs(10);
+
+struct Planner<'a> {
+    shared: &'a Shared,
+    lease: Lease,
+    held_since: Option<Time>,
+    scalers: HashMap<ModelName, Scaler>,
+    loading_since: HashMap<(HostName, Digest), Time>,
+}
+
+/// Runs until the entry ends, then gives the lease up.
 pub(super) fn run(shared: &Shared) {
+    let host = shared.settings.place.host.clone();
+    let mut planner = Planner {
+        shared,
+        lease: Lease::new(host, shared.incarnation, Terms::default()),
+        held_since: None,
+        scalers: HashMap::new(),
+        loading_since: HashMap::new(),
+    };
     while !shared.is_over() {
-        let in_force = shared.documents.in_force();
-        let members = shared.members();
+        planner.renew();
+        planner.plan_all();
+        thread::sleep(INTERVAL);
+    }
+    let step = planner.lease.release(shared.clock.now());
+    planner.carry_out(step);
+}
+
+impl Planner<'_> {
+    fn renew(&mut self) {
+        let step = self.lease.next(self.shared.clock.now());
+        self.carry_out(step);
+        let now = self.shared.clock.now();
+        let held = self.lease.token(now).is_some();
+        if held && self.held_since.is_none() {
+            info!(self.shared.telemetry.log, "this entry is the planner");
+        }
+        self.held_since = held.then(|| self.held_since.unwrap_or(now));
+    }
+
+    fn carry_out(&mut self, step: Step) {
+        match step {
+            Step::Idle => {}
+            Step::Read => {
+                let read = self.shared.platform.get(LEASE_KEY);
+                self.lease.on_read(self.shared.clock.now(), read);
+            }
+            Step::Write { value, expect } => {
+                self.lease.on_written(self.shared.platform.put(LEASE_KEY, value, expect));
+            }
+        }
+    }
+
+    fn plan_all(&mut self) {
+        let in_force = self.shared.documents.in_force();
+        let members = self.shared.members();
         for placement in in_force.config.placement.values() {
-            if let Some(plan) = make(&in_force.config, placement, &members) {
-                write(shared, &plan);
+            if self.lease.token(self.shared.clock.now()).is_some() {
+                self.plan_one(&in_force.config, placement, &members);
             }
         }
-        thread::sleep(INTERVAL);
+    }
+
+    fn plan_one(&mut self, config: &Config, placement: &Placement, members: &[Member]) {
+        let Some(version) = version_of(config, placement) else {
+            return;
+        };
+        let key = plan_key(&placement.model);
+        let Ok(object) = self.shared.platform.get(&key) else {
+            return;
+        };
+        let old: Option<Plan> =
+            object.as_ref().and_then(|object| serde_json::from_slice(&object.value).ok());
+        let now = self.shared.clock.now();
+        if old.as_ref().is_some_and(|old| self.sees_too_little(old, members, now)) {
+            return;
+        }
+        let seats = seats(config, &placement.model, members);
+        let failed = self.failed(old.as_ref(), version, &seats, now);
+        let taken = self.taken(config, &placement.model);
+        let current = old.as_ref().map_or(0, |plan| plan.replicas.len());
+        let scaler = self.scalers.entry(placement.model.clone()).or_default();
+        let goal = Goal {
+            model: &placement.model,
+            version,
+            memory_mib: config.model.get(&placement.model).map_or(0, |model| model.memory_mib),
+            placement,
+            replicas: scaler.wanted(current, placement, load_of(members, &placement.model), now),
+            failed: &failed,
+            taken: &taken,
+        };
+        let Some(plan) = next_plan(old.as_ref(), &goal, &seats) else {
+            return;
+        };
+        if old.as_ref() == Some(&plan) || self.lease.token(self.shared.clock.now()).is_none() {
+            return;
+        }
+        let expect = object.map_or(Expect::Absent, |object| Expect::At(object.revision));
+        let value = Bytes::from(serde_json::to_vec(&plan).expect("a plan always encodes"));
+        if let Ok(revision) = self.shared.platform.put(&key, value, expect) {
+            info!(self.shared.telemetry.log, "plan written";
+                "key" => key, "revision" => revision.0, "serving" => plan.serving.to_string(),
+                "loading" => plan.loading.map(|v| v.to_string()), "replicas" => plan.replicas.len());
+        }
+    }
+
+    fn sees_too_little(&self, old: &Plan, members: &[Member], now: Time) -> bool {
+        let seen = old.replicas.iter().filter(|r| members.iter().any(|m| m.host == r.host)).count();
+        let fresh = self.held_since.is_none_or(|since| !now.passed(since, VIEW_PATIENCE));
+        fresh && seen * 2 < old.replicas.len()
+    }
+
+    /// Hosts that were ordered to load `version` long ago and do not answer from it.
+    fn failed(
+        &mut self,
+        old: Option<&Plan>,
+        version: Digest,
+        seats: &[Seat],
+        now: Time,
+    ) -> BTreeSet<HostName> {
+        let ordered =
+            |host: &HostName| old.and_then(|plan| plan.version_for(host)) == Some(version);
+        let mut failed = BTreeSet::new();
+        for seat in seats {
+            let key = (seat.host.clone(), version);
+            if seat.ready == Some(version) {
+                self.loading_since.remove(&key);
+            } else if ordered(&seat.host) || self.loading_since.contains_key(&key) {
+                let since = *self.loading_since.entry(key).or_insert(now);
+                if now.passed(since, LOAD_PATIENCE) {
+                    failed.insert(seat.host.clone());
+                }
+            }
+        }
+        failed
+    }
+
+    /// Hosts that the plans of other models hold: an engine holds one model.
+    fn taken(&self, config: &Config, model: &ModelName) -> BTreeSet<HostName> {
+        let others = config.placement.values().map(|p| &p.model).filter(|other| *other != model);
+        let plans = others.filter_map(|other| self.shared.documents.plan(other));
+        plans.flat_map(|(_, plan)| plan.replicas).map(|replica| replica.host).collect()
     }
 }
 
-fn make(config: &Config, placement: &Placement, members: &[Member]) -> Option<Plan> {
+fn version_of(config: &Config, placement: &Placement) -> Option<Digest> {
     let model = config.model.get(&placement.model)?;
-    let version = Digest::from_hex(&config.version.get(&model.serve)?.manifest)?;
-    let allowed = |member: &&Member| {
-        let zone_in = config.zone.get(&member.zone).is_some_and(|z| z.state == ZoneState::In);
-        let zone_named = placement.zones.is_empty() || placement.zones.contains(&member.zone);
-        member.endpoint == EndpointKind::Engine && zone_in && zone_named && !member.leaving
-    };
-    let mut hosts: Vec<HostName> =
-        members.iter().filter(allowed).map(|member| member.host.clone()).collect();
-    hosts.sort_by_key(|h| Digest::of(format!("{h}/{}", placement.model).as_bytes()));
-    let spare = hosts.split_off(hosts.len().min(placement.replicas as usize));
-    if hosts.is_empty() {
-        return None;
-    }
-    let replicas = hosts.into_iter().map(|host| Replica { host, version }).collect();
-    let model = placement.model.clone();
-    Some(Plan { model, serving: version, loading: None, replicas, candidates: spare })
+    Digest::from_hex(&config.version.get(&model.serve)?.manifest)
 }
 
-fn write(shared: &Shared, plan: &Plan) {
-    let key = plan_key(&plan.model);
-    let Ok(old) = shared.platform.get(&key) else {
-        return;
-    };
-    let value = Bytes::from(serde_json::to_vec(plan).expect("a plan always encodes"));
-    let expect = match &old {
-        Some(object) if object.value == value => return,
-        Some(object) => Expect::At(object.revision),
-        None => Expect::Absent,
+fn seats(config: &Config, model: &ModelName, members: &[Member]) -> Vec<Seat> {
+    let zone_in = |member: &&Member| {
+        config.zone.get(&member.zone).is_some_and(|zone| zone.state == ZoneState::In)
     };
-    if let Ok(revision) = shared.platform.put(&key, value, expect) {
-        info!(shared.telemetry.log, "plan written"; "key" => key, "revision" => revision.0);
+    members
+        .iter()
+        .filter(|member| member.endpoint == EndpointKind::Engine && !member.leaving)
+        .filter(zone_in)
+        .map(|member| Seat {
+            host: member.host.clone(),
+            zone: member.zone.clone(),
+            memory_mib: member.memory_mib,
+            ready: ready_version(member, model),
+        })
+        .collect()
+}
+
+fn ready_version(member: &Member, model: &ModelName) -> Option<Digest> {
+    match &member.serving {
+        Serving::Model { model: served, version, .. } if served == model => Some(*version),
+        _ => None,
     }
 }
+
+/// The share of admitted work in use over the ready replicas of a model; 1 when the queues press.
+fn load_of(members: &[Member], model: &ModelName) -> f64 {
+    let ready = members.iter().filter(|member| ready_version(member, model).is_some());
+    let (work, limit) = ready.fold((0u64, 0u64), |(work, limit), member| {
+        (work + u64::from(member.load.work), limit + u64::from(member.load.limit))
+    });
+    if limit == 0 { 0.0 } else { work as f64 / limit as f64 }
+}
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -135,6 +135,9 @@
     /// Bytes of chunks kept at most.
     #[serde(default = "default_store_bytes")]
     pub store_bytes: u64,
+    /// Memory of the engine beside it, in MiB; it holds any model when left out.
+    #[serde(default)]
+    pub memory_mib: u64,
     /// Folder that keeps chunks across restarts; they are kept in memory when left out.
     #[serde(default)]
     pub cache_folder: Option<PathBuf>,
--- a/node/src/weights/store.rs
+++ b/node/src/weights/store.rs
@@ -59,6 +59,8 @@
     /// Where each chunk stands: version and index.
     places: HashMap<Digest, Vec<(Digest, u32)>>,
     used: u64,
+    /// How often each version was read to its end.
+    whole_reads: HashMap<Digest, u64>,
 }
 
 /// The chunk store of a host.
@@ -296,6 +298,7 @@
                 let _ = fs::remove_file(path);
             }
         }
+        inner.whole_reads.retain(|version, _| !gone.contains(version));
         for digest in touched {
             let Some(places) = inner.places.get_mut(&digest) else {
                 continue;
@@ -311,13 +314,20 @@
     /// Reads a whole version, chunk by chunk, for the engine. `None` until it is complete.
     pub fn read(self: &Arc<Store>, version: Digest) -> Option<Whole> {
         let manifest = self.manifest(version).filter(|_| self.is_complete(version))?;
-        Some(Whole { store: self.clone(), manifest, next: 0, current: Bytes::new() })
+        Some(Whole { store: self.clone(), version, manifest, next: 0, current: Bytes::new() })
+    }
+
+    /// How often a version was read to its end. An engine that took a broken connection for the end
+    /// of the weights would serve partial ones; this count tells.
+    pub fn whole_reads(&self, version: Digest) -> u64 {
+        self.lock().whole_reads.get(&version).copied().unwrap_or_default()
     }
 }
 
 /// The bytes of a whole version. A chunk that goes meanwhile is an error and no silent gap.
 pub struct Whole {
     store: Arc<Store>,
+    version: Digest,
     manifest: Arc<Manifest>,
     next: usize,
     current: Bytes,
@@ -327,6 +337,7 @@
     fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
         while self.current.is_empty() {
             let Some(chunk) = self.manifest.chunks.get(self.next) else {
+                *self.store.lock().whole_reads.entry(self.version).or_default() += 1;
                 return Ok(0);
             };
             let bytes = self.store.chunk(chunk.digest);
