--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,4 +1,7 @@
-//! What the experiments and the tests of whole runs share: a small fleet on stand-ins.
+//! What the experiments and the tests of whole runs share: a small fleet on stand-ins,
+//! and runs of it under faults whose histories are checked.
 
 pub mod bookings;
+pub mod faults;
 pub mod fleet;
+pub mod load;
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -23,6 +23,7 @@
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::Incarnation;
 use mastichaven_core::ids::ModelName;
+use mastichaven_core::ids::StartId;
 use mastichaven_core::members::EndpointKind;
 use mastichaven_core::members::Member;
 use mastichaven_core::members::Serving;
@@ -46,6 +47,7 @@
 use crate::http_store::HttpStore;
 use crate::operator;
 use crate::operator::Operated;
+use crate::operator::WholeBody;
 use crate::origin::Origin;
 use crate::settings::AgentSettings;
 use crate::settings::EndpointSettings;
@@ -67,8 +69,8 @@
 /// Result of starting an agent.
 pub type Result<T> = std::result::Result<T, Code>;
 
-/// Requests an endpoint is given at once when warm.
-const WARM_LIMIT: u32 = 16;
+/// Requests a plain endpoint is given at once when warm, until its service's configuration says.
+const PLAIN_LIMIT: u32 = 8;
 
 /// Asks waiting for the `asks` thread; more are refused as busy.
 const ASK_RING: usize = 256;
@@ -90,6 +92,7 @@
     admission: Mutex<Admission>,
     record: Mutex<Record>,
     shares: Mutex<Shares>,
+    last_crash: Mutex<(StartId, u32)>,
     runs: flume::Sender<run::Job>,
     store: Arc<Store>,
     weights: Weights,
@@ -188,13 +191,17 @@
         let transport = Transport::start(settings.place.peers, material, tx)?;
         let operators = settings.place.operators;
         let address = match &settings.endpoint {
-            EndpointSettings::Engine { address } | EndpointSettings::Plain { address, .. } => {
+            EndpointSettings::Engine { address, .. } | EndpointSettings::Plain { address, .. } => {
                 address.clone()
             }
         };
+        let warm_limit = match &settings.endpoint {
+            EndpointSettings::Engine { concurrent, .. } => *concurrent,
+            EndpointSettings::Plain { .. } => PLAIN_LIMIT,
+        };
         let clock = Clock::start();
         let store = open_store(&settings)?;
-        let weights = start_weights(&settings, &transport, &store, &clock, incarnation);
+        let weights = start_weights(&settings, &telemetry, &transport, &store, &clock, incarnation);
         let shared = Arc::new(Shared {
             platform: HttpStore::new(&settings.platform),
             engine: Engine::new(address),
@@ -205,9 +212,10 @@
             documents: Documents::default(),
             transport,
             serving: Mutex::new(Serving::Nothing),
-            admission: Mutex::new(Admission::cold(WARM_LIMIT)),
+            admission: Mutex::new(Admission::cold(warm_limit)),
             record: Mutex::default(),
             shares: Mutex::default(),
+            last_crash: Mutex::default(),
             runs,
             store,
             weights,
@@ -284,6 +292,7 @@
 
 fn start_weights(
     settings: &AgentSettings,
+    telemetry: &Telemetry,
     transport: &Transport,
     store: &Arc<Store>,
     clock: &Clock,
@@ -306,6 +315,7 @@
         platform: Arc::new(HttpStore::new(&settings.platform)),
         link: Arc::new(Uplink::new(settings.link_bytes_per_second)),
         clock: *clock,
+        telemetry: telemetry.clone(),
         sender: Arc::new(move || from.clone()),
     })
 }
@@ -352,8 +362,9 @@
         })
     }
 
-    fn weights(&self, manifest: Digest) -> Option<Box<dyn std::io::Read + Send>> {
-        self.store.read(manifest).map(|whole| Box::new(whole) as Box<dyn std::io::Read + Send>)
+    fn weights(&self, manifest: Digest) -> Option<WholeBody> {
+        let whole = self.store.read(manifest)?;
+        Some(WholeBody { len: whole.len(), reader: Box::new(whole) })
     }
 
     fn send_gauges(&self) {
