--- a/bench/src/load/entry_cost.rs
+++ b/bench/src/load/entry_cost.rs
@@ -86,6 +86,7 @@
         incarnation: Incarnation(1),
         leaving: false,
         endpoint: EndpointKind::Engine,
+        memory_mib: 0,
         serving: Serving::Plain { service: "s".into(), start: StartId(1) },
         load: Load { work: 0, limit: 16, requests: 0 },
     };
