--- a/node/tests/shell/examples.rs
+++ b/node/tests/shell/examples.rs
@@ -104,3 +104,16 @@
         assert_eq!(found, listed, "{name}");
     }
 }
+
+#[test]
+fn architecture_names_files_that_exist() {
+    // A newcomer follows the page into the code. A file that was renamed would end the walk.
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let page = fs::read_to_string(root.join("docs/ARCHITECTURE.md")).unwrap();
+    let named: BTreeSet<&str> =
+        page.split('`').skip(1).step_by(2).filter(|text| text.ends_with(".rs")).collect();
+    assert!(named.len() > 40, "only {} files are named", named.len());
+    for file in named {
+        assert!(root.join(file).exists(), "docs/ARCHITECTURE.md names {file}");
+    }
+}
