--- a/bench/src/member_net.rs
+++ b/bench/src/member_net.rs
@@ -321,6 +321,7 @@
         incarnation: Incarnation((1_700_000_000 + life) << 24),
         leaving: false,
         endpoint: if entry { EndpointKind::None } else { EndpointKind::Engine },
+        memory_mib: 0,
         serving: Serving::Nothing,
         load: Load::default(),
     }
--- a/core/src/swarm/pull.rs
+++ b/core/src/swarm/pull.rs
@@ -33,6 +33,10 @@
 const PIPELINE: u32 = 5;
 const PIPELINE_A_PEER: u32 = 2;
 
+/// Chunks for neighbours that wait on a host's link at most; a host that is this busy is not asked
+/// until it tells that it is not. Short queues spread the asks over all links.
+pub const BUSY_QUEUE: u32 = 8;
+
 /// Chunks under way while live requests run on this host's link.
 const PIPELINE_BESIDE_REQUESTS: u32 = 2;
 
@@ -64,8 +68,10 @@
 /// Time without progress after which further hosts hold themselves responsible for a chunk.
 const STALL: Duration = Duration::from_millis(5_000);
 
-/// Waits after the origin refused or failed.
+/// First and longest wait after the origin or its budget refused. A spent budget stays spent for
+/// long, and each try costs the platform two reads.
 const ORIGIN_RETRY: Duration = Duration::from_millis(500);
+const ORIGIN_RETRY_LONGEST: Duration = Duration::from_secs(16);
 
 /// Versions on their way at once; more wait.
 pub const MAX_DOWNLOADS: usize = 8;
@@ -175,6 +181,7 @@
     flights: Arena<Flight>,
     usual: Duration,
     origin_from: Time,
+    origin_wait: Duration,
     beside_requests: bool,
     counts: Counts,
 }
@@ -195,6 +202,7 @@
             flights: Arena::new(),
             usual: CHUNK_TIMEOUT_LEAST / LATE_TIMES,
             origin_from: Time::ZERO,
+            origin_wait: ORIGIN_RETRY,
             beside_requests: false,
             counts: Counts::default(),
         }
@@ -477,28 +485,24 @@
         }
     }
 
-    /// The rarest chunk of a version that a neighbour can send now, and the least busy such one.
+    /// The next chunk of a version and the neighbour to ask; demoted ones only when no other has it.
     fn pick<R: Rng>(&self, n: usize, now: Time, rng: &mut R) -> Option<(usize, PeerId)> {
         let download = &self.downloads[n];
         if download.missing == 0 {
             return None;
         }
-        let free = |id: PeerId| {
+        let load_if = |id: PeerId, demoted: bool| {
             let peer = self.peers.get(id);
-            peer.is_live() && peer.in_flight < PIPELINE_A_PEER
+            let free =
+                peer.is_live() && peer.in_flight < PIPELINE_A_PEER && peer.queue < BUSY_QUEUE;
+            (free && (demoted || !peer.is_demoted())).then_some(peer.queue + 2 * peer.in_flight)
         };
-        let honest = |id: PeerId| free(id) && !self.peers.get(id).is_demoted();
         let late =
             |part: &super::download::Part| now.passed(part.asked_at, self.usual * LATE_TIMES);
         let random: u64 = rng.random();
-        let (index, offers) = download
-            .rarest(random, &honest, &late)
-            .or_else(|| download.rarest(random, &free, &late))?;
-        let load = |id: &PeerId| {
-            let peer = self.peers.get(*id);
-            (peer.queue + 2 * peer.in_flight, self.topology.affinity(*id) ^ random)
-        };
-        Some((index, offers.into_iter().min_by_key(load)?))
+        download
+            .choose(random, &|id| load_if(id, false), &late)
+            .or_else(|| download.choose(random, &|id| load_if(id, true), &late))
     }
 
     fn poll(&mut self, n: usize, now: Time, requests: &mut Vec<Request>) {
@@ -538,7 +542,10 @@
         if let To::Peer(id) = flight.to {
             self.judge_peer(id, &flight, &end, now);
         } else if !matches!(end, End::Stored | End::Manifest(_)) {
-            self.origin_from = now + ORIGIN_RETRY;
+            self.origin_from = now + self.origin_wait;
+            self.origin_wait = (self.origin_wait * 2).min(ORIGIN_RETRY_LONGEST);
+        } else {
+            self.origin_wait = ORIGIN_RETRY;
         }
         match end {
             End::Corrupt => self.counts.corrupt += 1,
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -122,6 +122,7 @@
             incarnation: self.incarnation,
             leaving: self.is_leaving(),
             endpoint: EndpointKind::None,
+            memory_mib: 0,
             serving: Serving::Nothing,
             load: Load::default(),
         }
