--- a/bench/src/member_net.rs
+++ b/bench/src/member_net.rs
@@ -311,7 +311,7 @@
 
 fn member(index: usize, zones: usize, life: u64) -> Member {
     let zone = index / 4 % zones;
-    let entry = index % 4 == 0;
+    let entry = index.is_multiple_of(4);
     Member {
         host: HostName::new(format!("{}-{index}", if entry { "entry" } else { "agent" })),
         role: if entry { HostRole::Entry } else { HostRole::Agent },
