The silence test asks for a run's fate

Cause: it sent a members probe, which now goes out on a control connection, where each ask has a short timeout of its own and the silent connection is given up by that. Change: it sends a void ask, on the connections it is about; the assertions are the same. Conclusion: as strict for requests.

--- a/node/tests/requests/silence.rs
+++ b/node/tests/requests/silence.rs
@@ -4,7 +4,9 @@
 use std::time::Instant;
 
 use mastichaven_core::Code;
-use mastichaven_core::members::MembersAsk;
+use mastichaven_core::ids::Incarnation;
+use mastichaven_core::ids::RequestId;
+use mastichaven_core::run::VoidAsk;
 use mastichaven_core::wire::Ask;
 use mastichaven_core::wire::AskBody;
 use mastichaven_core::wire::Reply;
@@ -44,7 +46,9 @@
         }
     });
     let from = Sender { host: "asker".into(), ..Sender::default() };
-    Pair { asker, way, ask: Ask { from, body: AskBody::Members(MembersAsk::Probe) } }
+    // Control has connections of its own, on which each ask has a short timeout instead.
+    let void = VoidAsk { request: RequestId::default(), incarnation: Incarnation::default() };
+    Pair { asker, way, ask: Ask { from, body: AskBody::Void(void) } }
 }
 
 // Something between two processes forgets the connection that is open between them: what is sent
