Tests of swarm, placement, orders, gate and budget; what they found

Cause: tests showed: a rollout with a single replica never ended (the added one was taken away again); polls that prove a host dead starved behind chunk asks to it; a zone owner that sends damaged chunks held them back from its zone, and demoted peers were asked without a pause. Conclusion: bad peers delay, but no longer stop, a zone.

--- a/core/src/placement.rs
+++ b/core/src/placement.rs
@@ -132,7 +132,7 @@
         let counts = count_zones(&chosen);
         let place =
             chosen.iter().enumerate().filter(|(_, seat)| !pinned(seat)).max_by_key(|(_, seat)| {
-                (counts[&seat.zone], seat.ready.is_none(), goal.score(&seat.host))
+                (counts[&seat.zone], seat.ready != Some(goal.version), goal.score(&seat.host))
             });
         let Some((n, _)) = place else {
             break;
--- a/core/src/swarm/download.rs
+++ b/core/src/swarm/download.rs
@@ -30,6 +30,8 @@
     pub(super) source: Source,
     pub(super) flights: u8,
     pub(super) asked_at: Time,
+    /// When its owner was last asked.
+    pub(super) owner_asked_at: Option<Time>,
     holders: u16,
     /// Whether the same bytes stand earlier in the version; that place alone is asked for.
     pub(super) is_repeat: bool,
@@ -99,6 +101,7 @@
                 source: Source::Neighbours,
                 flights: 0,
                 asked_at: Time::ZERO,
+                owner_asked_at: None,
                 holders: 0,
                 is_repeat,
             });
@@ -165,7 +168,7 @@
         &self,
         random: u64,
         load: &dyn Fn(PeerId) -> Option<u32>,
-        late: &dyn Fn(&Part) -> bool,
+        may_ask: &dyn Fn(&Part) -> bool,
     ) -> Option<(usize, PeerId)> {
         let len = self.parts.len();
         let start = random as usize % len.max(1);
@@ -173,7 +176,7 @@
         let mut seen = 0;
         for n in (start..len).chain(0..start) {
             let part = &self.parts[n];
-            let free = part.flights == 0 || (part.flights < MAX_COPIES && late(part));
+            let free = part.flights < MAX_COPIES && may_ask(part);
             if self.have.get(n) || part.is_repeat || part.holders == 0 || !free {
                 continue;
             }
--- a/core/src/swarm/peers.rs
+++ b/core/src/swarm/peers.rs
@@ -132,9 +132,11 @@
         &mut self.all[id.0 as usize]
     }
 
-    /// Whether `id` counts as live.
-    pub fn is_live(&self, id: PeerId) -> bool {
-        self.get(id).is_live()
+    /// Whether `id` may own chunks: an owner that lives but sends damaged ones would hold them back
+    /// from its whole zone.
+    pub fn may_own(&self, id: PeerId) -> bool {
+        let peer = self.get(id);
+        peer.is_live() && !peer.is_demoted()
     }
 
     /// It answered: it is live, whatever was thought before.
@@ -151,7 +153,11 @@
     /// It sent a chunk that matches its digest.
     pub fn sent_good(&mut self, id: PeerId) {
         let peer = self.get_mut(id);
+        let before = peer.is_demoted();
         peer.good = peer.good.saturating_add(1);
+        if before != peer.is_demoted() {
+            self.epoch += 1;
+        }
     }
 
     /// It failed. Says whether it just went down.
@@ -163,7 +169,11 @@
                 return false;
             }
             Fault::Dishonest => {
+                let before = peer.is_demoted();
                 peer.bad = peer.bad.saturating_add(1);
+                if before != peer.is_demoted() {
+                    self.epoch += 1;
+                }
                 return false;
             }
             Fault::Silent => peer.strikes = peer.strikes.saturating_add(1),
--- a/core/src/swarm/pull.rs
+++ b/core/src/swarm/pull.rs
@@ -10,6 +10,7 @@
 
 use super::bitmap::Bitmap;
 use super::download::Download;
+use super::download::Part;
 use super::peers::Fault;
 use super::peers::Peers;
 use super::topology::MANIFEST_FANOUT;
@@ -73,6 +74,9 @@
 const ORIGIN_RETRY: Duration = Duration::from_millis(500);
 const ORIGIN_RETRY_LONGEST: Duration = Duration::from_secs(16);
 
+/// Wait before an owner is asked for the same chunk again.
+const OWNED_RETRY: Duration = Duration::from_millis(200);
+
 /// Versions on their way at once; more wait.
 pub const MAX_DOWNLOADS: usize = 8;
 
@@ -339,9 +343,11 @@
         }
         if let To::Peer(id) = to {
             let peer = self.peers.get_mut(id);
-            peer.asked_at = Some(now);
-            if matches!(what, What::Chunk { park: false, .. }) {
-                peer.in_flight += 1;
+            match what {
+                // Chunks asked of a dead host must not put off the poll that proves it dead.
+                What::Have => peer.asked_at = Some(now),
+                What::Chunk { park: false, .. } => peer.in_flight += 1,
+                What::Chunk { .. } | What::Manifest => {}
             }
         }
         let flight = Flight { to, version, what, started: now, deadline: now + timeout };
@@ -356,7 +362,7 @@
         }
         let way = if self.way == Way::Swarm { Way::Trees(MANIFEST_FANOUT) } else { self.way };
         let skip = self.skip(download.progress_at, now);
-        let live = |id: PeerId| self.peers.is_live(id);
+        let live = |id: PeerId| self.peers.may_own(id);
         let source = self.topology.source(way, key_of(version), &live, skip);
         let (to, timeout) = match source {
             Source::Peer(id) => (To::Peer(id), PARK + POLL_TIMEOUT),
@@ -379,7 +385,7 @@
             return;
         }
         let peers = &self.peers;
-        let live = |id: PeerId| peers.is_live(id);
+        let live = |id: PeerId| peers.may_own(id);
         let download = &mut self.downloads[n];
         download.worked_out_at = Some(at);
         download.owned.clear();
@@ -417,7 +423,8 @@
         owned.retain(|index| !self.downloads[n].have.get(*index as usize));
         for index in &owned {
             let part = &self.downloads[n].parts[*index as usize];
-            if part.flights > 0 {
+            let just_failed = part.owner_asked_at.is_some_and(|at| !now.passed(at, OWNED_RETRY));
+            if part.flights > 0 || just_failed {
                 continue;
             }
             let to = match part.source {
@@ -431,6 +438,7 @@
                 }
                 _ => continue,
             };
+            self.downloads[n].parts[*index as usize].owner_asked_at = Some(now);
             let park = to != To::Origin;
             let timeout = if park { PARK + self.chunk_timeout() } else { ORIGIN_TIMEOUT };
             self.ask_chunk(n, *index as usize, to, park, timeout, now, requests);
@@ -497,12 +505,15 @@
                 peer.is_live() && peer.in_flight < PIPELINE_A_PEER && peer.queue < BUSY_QUEUE;
             (free && (demoted || !peer.is_demoted())).then_some(peer.queue + 2 * peer.in_flight)
         };
-        let late =
-            |part: &super::download::Part| now.passed(part.asked_at, self.usual * LATE_TIMES);
+        let late = |part: &Part| now.passed(part.asked_at, self.usual * LATE_TIMES);
+        let free_or_late = |part: &Part| part.flights == 0 || late(part);
+        // A bad peer is asked only when nobody else has the chunk, and now and then: each try costs
+        // as much of the link as a good chunk.
+        let rested = |part: &Part| part.flights == 0 && now.passed(part.asked_at, WATCH);
         let random: u64 = rng.random();
         download
-            .choose(random, &|id| load_if(id, false), &late)
-            .or_else(|| download.choose(random, &|id| load_if(id, true), &late))
+            .choose(random, &|id| load_if(id, false), &free_or_late)
+            .or_else(|| download.choose(random, &|id| load_if(id, true), &rested))
     }
 
     fn poll(&mut self, n: usize, now: Time, requests: &mut Vec<Request>) {
--- /dev/null
+++ b/core/tests/weights/main.rs
@@ -0,0 +1,6 @@
+//! Weights: swarm, budget, placement, orders, gate.
+
+mod budget;
+mod orders;
+mod placement;
+mod swarm;
--- /dev/null
+++ b/core/tests/weights/placement.rs
@@ -0,0 +1,260 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use mastichaven_core::Time;
+use mastichaven_core::config::Placement;
+use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::HostName;
+use mastichaven_core::ids::ModelName;
+use mastichaven_core::placement::Goal;
+use mastichaven_core::placement::Scaler;
+use mastichaven_core::placement::Seat;
+use mastichaven_core::placement::next_plan;
+use mastichaven_core::placement::stand_in;
+use mastichaven_core::plan::Plan;
+use proptest::prelude::proptest;
+
+const OLD: Digest = Digest([1; 32]);
+const NEW: Digest = Digest([2; 32]);
+
+fn placement(replicas: u32) -> Placement {
+    Placement {
+        model: "rota".into(),
+        replicas,
+        max_replicas: Some(replicas * 2),
+        zones: Vec::new(),
+        pin: Vec::new(),
+        exclude: Vec::new(),
+    }
+}
+
+fn seats(zones: &[(&str, usize)]) -> Vec<Seat> {
+    let of_zone = |(zone, count): &(&str, usize)| {
+        let zone = (*zone).to_owned();
+        (0..*count).map(move |n| Seat {
+            host: HostName::new(format!("{zone}-{n}")),
+            zone: zone.as_str().into(),
+            memory_mib: 0,
+            ready: None,
+        })
+    };
+    zones.iter().flat_map(of_zone).collect()
+}
+
+struct Fixture {
+    placement: Placement,
+    model: ModelName,
+    failed: BTreeSet<HostName>,
+    taken: BTreeSet<HostName>,
+}
+
+impl Fixture {
+    fn new(replicas: u32) -> Fixture {
+        Fixture {
+            placement: placement(replicas),
+            model: "rota".into(),
+            failed: BTreeSet::new(),
+            taken: BTreeSet::new(),
+        }
+    }
+
+    fn next(&self, old: Option<&Plan>, version: Digest, seats: &[Seat]) -> Option<Plan> {
+        let goal = Goal {
+            model: &self.model,
+            version,
+            memory_mib: 100,
+            placement: &self.placement,
+            replicas: self.placement.replicas as usize,
+            failed: &self.failed,
+            taken: &self.taken,
+        };
+        next_plan(old, &goal, seats)
+    }
+}
+
+fn zones_of(plan: &Plan, seats: &[Seat]) -> BTreeMap<String, usize> {
+    let mut zones = BTreeMap::new();
+    for replica in &plan.replicas {
+        let seat = seats.iter().find(|seat| seat.host == replica.host).unwrap();
+        *zones.entry(seat.zone.to_string()).or_default() += 1;
+    }
+    zones
+}
+
+/// Engines do what the plan says, but for hosts in `broken`.
+fn obey(plan: &Plan, seats: &mut [Seat], broken: &[&str]) {
+    for seat in seats {
+        if let Some(version) = plan.version_for(&seat.host)
+            && !(version == NEW && broken.contains(&seat.host.as_str()))
+        {
+            seat.ready = Some(version);
+        }
+    }
+}
+
+#[test]
+fn next_plan_spreads_over_zones_within_limits() {
+    let mut fixture = Fixture::new(6);
+    fixture.placement.pin = vec!["serra-0".into()];
+    fixture.placement.exclude = vec!["lagoa-0".into()];
+    fixture.taken.insert("lagoa-1".into());
+    let mut seats = seats(&[("lagoa", 6), ("serra", 6), ("litoral", 6)]);
+    seats[2].memory_mib = 50;
+    let plan = fixture.next(None, OLD, &seats).unwrap();
+    assert!(zones_of(&plan, &seats).values().all(|count| *count == 2), "{plan:?}");
+    assert!(plan.version_for(&"serra-0".into()).is_some());
+    for host in ["lagoa-0", "lagoa-1", "lagoa-2"] {
+        let host = HostName::new(host);
+        assert!(plan.version_for(&host).is_none() && !plan.candidates.contains(&host), "{host}");
+    }
+    assert_eq!(fixture.next(Some(&plan), OLD, &seats), Some(plan), "nothing moves without need");
+}
+
+// A zone goes out and comes back. Replicas that move more than they must drag weights over thin
+// links a second time while the burst is on.
+#[test]
+fn next_plan_moves_little_when_zone_leaves_and_returns() {
+    let fixture = Fixture::new(6);
+    let all = seats(&[("lagoa", 6), ("serra", 6), ("litoral", 6)]);
+    let first = fixture.next(None, OLD, &all).unwrap();
+    let without: Vec<Seat> = all.iter().filter(|s| s.zone != "serra".into()).cloned().collect();
+    let second = fixture.next(Some(&first), OLD, &without).unwrap();
+    let stayed = first.replicas.iter().filter(|r| second.replicas.contains(r)).count();
+    assert_eq!((second.replicas.len(), stayed), (6, 4));
+    let mut plan = second;
+    for _ in 0..4 {
+        let next = fixture.next(Some(&plan), OLD, &all).unwrap();
+        let moved = next.replicas.iter().filter(|r| !plan.replicas.contains(r)).count();
+        assert!(moved <= 1, "one step moves one replica");
+        plan = next;
+    }
+    assert_eq!(zones_of(&plan, &all).values().min(), Some(&2));
+}
+
+// A version that no engine can load is published. If the plan went on, replica after replica would
+// leave the version that works, until callers found none.
+#[test]
+fn rollout_of_broken_version_stops_after_one_batch() {
+    let mut fixture = Fixture::new(8);
+    let mut seats = seats(&[("lagoa", 4), ("serra", 4)]);
+    let names: Vec<String> = seats.iter().map(|seat| seat.host.to_string()).collect();
+    let broken: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut plan = fixture.next(None, OLD, &seats).unwrap();
+    obey(&plan, &mut seats, &[]);
+    for _ in 0..20 {
+        plan = fixture.next(Some(&plan), NEW, &seats).unwrap();
+        obey(&plan, &mut seats, &broken);
+        fixture.failed = plan
+            .replicas
+            .iter()
+            .filter(|replica| replica.version == NEW)
+            .map(|replica| replica.host.clone())
+            .collect();
+    }
+    assert_eq!(plan.serving, OLD);
+    assert_eq!(plan.replicas.iter().filter(|replica| replica.version == OLD).count(), 6);
+    let back = fixture.next(Some(&plan), OLD, &seats).unwrap();
+    assert!(back.loading.is_none() && back.replicas.iter().all(|r| r.version == OLD));
+}
+
+// The only replica is to change its version. Taking it away first would be an outage.
+#[test]
+fn rollout_of_single_replica_adds_one_first() {
+    let fixture = Fixture::new(1);
+    let mut seats = seats(&[("lagoa", 2)]);
+    let first = fixture.next(None, OLD, &seats).unwrap();
+    obey(&first, &mut seats, &[]);
+    let second = fixture.next(Some(&first), NEW, &seats).unwrap();
+    assert_eq!((second.serving, second.replicas.len()), (OLD, 2));
+    obey(&second, &mut seats, &[]);
+    let mut plan = second;
+    for _ in 0..3 {
+        plan = fixture.next(Some(&plan), NEW, &seats).unwrap();
+        obey(&plan, &mut seats, &[]);
+    }
+    assert_eq!((plan.serving, plan.loading, plan.replicas.len()), (NEW, None, 1));
+    assert_eq!(plan.replicas[0].version, NEW);
+}
+
+proptest! {
+    // Hosts die and come back at any step of a rollout. Whatever the plan says, following it must
+    // not take the last live replica of the serving version.
+    #[test]
+    fn rollout_keeps_a_ready_replica_at_each_step(
+        replicas in 2u32..12,
+        deaths in proptest::collection::vec((0usize..14, 1usize..4), 0..12),
+    ) {
+        let fixture = Fixture::new(replicas);
+        let mut seats = seats(&[("lagoa", 5), ("serra", 5), ("litoral", 4)]);
+        let mut plan = fixture.next(None, OLD, &seats).unwrap();
+        obey(&plan, &mut seats, &[]);
+        let mut deaths = deaths.into_iter();
+        let mut done = false;
+        for _ in 0..60 {
+            let dead = deaths.next();
+            let live: Vec<Seat> = seats
+                .iter()
+                .enumerate()
+                .filter(|(n, _)| dead.is_none_or(|(from, count)| !(from..from + count).contains(n)))
+                .map(|(_, seat)| seat.clone())
+                .collect();
+            let before = live.iter().filter(|seat| seat.ready == Some(plan.serving)).count();
+            let next = fixture.next(Some(&plan), NEW, &live).unwrap();
+            // What is ready and would still be after every order of the plan was carried out.
+            let after = live
+                .iter()
+                .filter(|seat| seat.ready == Some(next.serving))
+                .filter(|seat| next.version_for(&seat.host).is_none_or(|v| v == next.serving))
+                .count();
+            assert!(before == 0 || after > 0, "{plan:?} to {next:?}");
+            plan = next;
+            obey(&plan, &mut seats, &[]);
+            done = plan.serving == NEW && plan.loading.is_none();
+        }
+        assert!(done, "{plan:?}");
+    }
+}
+
+// The platform is down for long and a host dies. Its zone's candidates must agree, without asking
+// anybody, which one of them steps in: two would waste a host, none would leave the zone short.
+#[test]
+fn stand_in_is_one_live_candidate_a_dead_replica() {
+    let fixture = Fixture::new(4);
+    let seats = seats(&[("lagoa", 5), ("serra", 5)]);
+    let plan = fixture.next(None, OLD, &seats).unwrap();
+    let in_lagoa = |host: &HostName| host.as_str().starts_with("lagoa");
+    let replica = plan.replicas.iter().find(|r| in_lagoa(&r.host)).unwrap().host.clone();
+    let first = plan.candidates.iter().find(|host| in_lagoa(host)).unwrap().clone();
+    let who = |dead: &[HostName]| -> Vec<HostName> {
+        let live = plan.candidates.iter().filter(|host| in_lagoa(host) && !dead.contains(host));
+        live.filter(|me| stand_in(&plan, me, in_lagoa, |host| dead.contains(host)).is_some())
+            .cloned()
+            .collect()
+    };
+    assert!(who(&[]).is_empty());
+    assert_eq!(who(std::slice::from_ref(&replica)), std::slice::from_ref(&first));
+    let second = who(&[replica, first.clone()]);
+    assert!(second.len() == 1 && second[0] != first);
+}
+
+#[test]
+fn scaler_follows_load_with_hysteresis() {
+    let placement = placement(4);
+    let mut scaler = Scaler::default();
+    let mut replicas = 4;
+    let mut at = |seconds: u64, load: f64| {
+        replicas = scaler.wanted(replicas, &placement, load, Time::from_millis(seconds * 1_000));
+        replicas
+    };
+    assert_eq!(at(0, 0.9), 4, "a moment's peak adds nothing");
+    assert_eq!(at(3, 0.9), 5);
+    assert_eq!(at(4, 0.5), 5, "between the bounds nothing changes");
+    for second in 5..60 {
+        at(second, 1.0);
+    }
+    assert_eq!(at(60, 1.0), 8, "never above the configured bound");
+    assert_eq!(at(61, 0.1), 8);
+    assert_eq!(at(100, 0.1), 8, "a pause takes nothing away");
+    assert_eq!(at(122, 0.1), 7);
+    assert_eq!(at(130, 0.9), 7);
+}
--- /dev/null
+++ b/core/tests/weights/swarm.rs
@@ -0,0 +1,225 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use mastichaven_core::Manifest;
+use mastichaven_core::Time;
+use mastichaven_core::ids::Digest;
+use mastichaven_core::swarm::Bitmap;
+use mastichaven_core::swarm::End;
+use mastichaven_core::swarm::PeerPlace;
+use mastichaven_core::swarm::Request;
+use mastichaven_core::swarm::Swarm;
+use mastichaven_core::swarm::To;
+use mastichaven_core::swarm::Way;
+use mastichaven_core::swarm::What;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+const CHUNKS: usize = 64;
+const STEP: Duration = Duration::from_millis(50);
+
+/// How a host treats those who ask it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Manner {
+    Honest,
+    Corrupt,
+    Liar,
+    Silent,
+}
+
+struct Host {
+    place: PeerPlace,
+    swarm: Swarm,
+    chunks: BTreeSet<Digest>,
+    manner: Manner,
+}
+
+/// Hosts that answer each other at once; only what they decide is under test.
+struct Hosts {
+    manifest: Manifest,
+    all: Vec<Host>,
+    cut: BTreeSet<usize>,
+    origin: BTreeMap<Digest, u32>,
+    now: Time,
+    rng: ChaCha8Rng,
+}
+
+impl Hosts {
+    fn new(zones: &[(&str, &str, usize)]) -> Hosts {
+        let weights: Vec<u8> = (0..CHUNKS * 8).map(|n| (n / 8) as u8).collect();
+        let manifest = Manifest::cut(&weights, 8);
+        let mut places = Vec::new();
+        for (region, zone, count) in zones {
+            places.extend((0..*count).map(|n| PeerPlace {
+                host: format!("{zone}-{n}").as_str().into(),
+                zone: (*zone).into(),
+                region: (*region).into(),
+            }));
+        }
+        let all = places.iter().map(|place| {
+            let mut swarm = Swarm::new(place, Way::Swarm);
+            swarm.set_peers(&places, None);
+            swarm.want(&[manifest.digest()], Time::ZERO);
+            swarm.open(&manifest, |_| false, Time::ZERO);
+            Host { place: place.clone(), swarm, chunks: BTreeSet::new(), manner: Manner::Honest }
+        });
+        Hosts {
+            all: all.collect(),
+            manifest,
+            cut: BTreeSet::new(),
+            origin: BTreeMap::new(),
+            now: Time::ZERO,
+            rng: ChaCha8Rng::seed_from_u64(1),
+        }
+    }
+
+    fn run(&mut self, steps: usize) {
+        for _ in 0..steps {
+            self.now = self.now + STEP;
+            for n in 0..self.all.len() {
+                let requests = self.all[n].swarm.step(self.now, &mut self.rng);
+                for request in requests {
+                    self.answer(n, &request);
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, n: usize, request: &Request) {
+        let end = match request.to {
+            To::Origin => self.from_origin(n, request),
+            To::Peer(id) => {
+                let host = self.all[n].swarm.place(id).host.clone();
+                let peer = self.all.iter().position(|h| h.place.host == host).unwrap();
+                self.from_peer(n, peer, request)
+            }
+        };
+        if let (End::Stored, What::Chunk { digest, .. }) = (&end, request.what) {
+            self.all[n].chunks.insert(digest);
+        }
+        self.all[n].swarm.end(request.flight, end, self.now);
+    }
+
+    fn from_origin(&mut self, n: usize, request: &Request) -> End {
+        let What::Chunk { digest, .. } = request.what else {
+            return End::Manifest(self.manifest.clone());
+        };
+        if self.cut.contains(&n) {
+            return End::NotNow;
+        }
+        *self.origin.entry(digest).or_default() += 1;
+        End::Stored
+    }
+
+    fn from_peer(&mut self, n: usize, peer: usize, request: &Request) -> End {
+        let manner = self.all[peer].manner;
+        if manner == Manner::Silent || self.cut.contains(&n) != self.cut.contains(&peer) {
+            return End::Silent;
+        }
+        match request.what {
+            What::Manifest => End::Manifest(self.manifest.clone()),
+            What::Have => {
+                let mut map = Bitmap::default();
+                for (index, chunk) in self.manifest.chunks.iter().enumerate() {
+                    if manner == Manner::Liar || self.all[peer].chunks.contains(&chunk.digest) {
+                        map.set(index);
+                    }
+                }
+                let To::Peer(id) = request.to else { unreachable!() };
+                self.all[n].swarm.heard(id, request.version, map, 0, self.now);
+                End::Told
+            }
+            What::Chunk { digest, .. } => match manner {
+                Manner::Corrupt => End::Corrupt,
+                Manner::Honest if self.all[peer].chunks.contains(&digest) => End::Stored,
+                _ => End::Absent,
+            },
+        }
+    }
+
+    fn complete(&self) -> usize {
+        self.all.iter().filter(|host| host.chunks.len() == CHUNKS).count()
+    }
+
+    fn origin_pulls(&self) -> u32 {
+        self.origin.values().sum()
+    }
+}
+
+const ZONES: [(&str, &str, usize); 3] =
+    [("sul", "lagoa", 8), ("sul", "serra", 8), ("costa", "litoral", 8)];
+
+#[test]
+fn swarm_takes_each_chunk_once_from_origin() {
+    let mut hosts = Hosts::new(&ZONES);
+    hosts.run(200);
+    assert_eq!((hosts.complete(), hosts.origin_pulls()), (24, CHUNKS as u32));
+}
+
+// One host in each zone sends damaged chunks, says that it has what it has not, or never answers.
+// Hosts that went on trusting it would never complete, and the replica would be missing in a burst.
+#[test]
+fn swarm_completes_beside_bad_peers() {
+    for manner in [Manner::Corrupt, Manner::Liar, Manner::Silent] {
+        let mut hosts = Hosts::new(&ZONES);
+        for bad in [3, 11, 19] {
+            hosts.all[bad].manner = manner;
+        }
+        hosts.run(1_200);
+        let good = hosts.all.iter().filter(|host| host.manner == Manner::Honest);
+        assert!(good.clone().all(|host| host.chunks.len() == CHUNKS), "{manner:?}");
+        assert!(hosts.origin_pulls() <= 2 * CHUNKS as u32, "{manner:?}: {}", hosts.origin_pulls());
+    }
+}
+
+// A zone is cut off in the middle of a push and comes back. Without it the others must go on, and
+// it must catch up afterwards without being served by the origin all over again.
+#[test]
+fn swarm_goes_on_without_cut_zone_and_heals() {
+    let mut hosts = Hosts::new(&ZONES);
+    hosts.run(4);
+    hosts.cut = (8..16).collect();
+    hosts.run(600);
+    let outside = (0..24).filter(|n| !hosts.cut.contains(n));
+    assert!(outside.into_iter().all(|n| hosts.all[n].chunks.len() == CHUNKS));
+    hosts.cut.clear();
+    hosts.run(600);
+    assert_eq!(hosts.complete(), 24);
+    assert!(hosts.origin_pulls() as f64 <= 1.3 * CHUNKS as f64, "{}", hosts.origin_pulls());
+}
+
+// Operators publish another version while the first is half way. Pulling on at chunks that nobody
+// wants any more would hold up the new ones on the same link.
+#[test]
+fn want_drops_old_version_at_once() {
+    let mut hosts = Hosts::new(&ZONES);
+    hosts.run(3);
+    let other = Manifest::cut(b"other weights altogether", 8);
+    let host = &mut hosts.all[0];
+    host.swarm.want(&[other.digest()], hosts.now);
+    host.swarm.open(&other, |_| false, hosts.now);
+    for _ in 0..40 {
+        hosts.now = hosts.now + STEP;
+        let requests = host.swarm.step(hosts.now, &mut hosts.rng);
+        assert!(requests.iter().all(|request| request.version == other.digest()));
+    }
+    assert_eq!(host.swarm.missing(), 3);
+}
+
+// A peer sends a map for a million chunks to fill this host's memory.
+#[test]
+fn heard_refuses_maps_longer_than_version() {
+    let mut hosts = Hosts::new(&ZONES);
+    let mut map = Bitmap::default();
+    map.set(1 << 19);
+    assert!(!map.set(usize::MAX) && !map.fits(CHUNKS));
+    let requests = hosts.all[0].swarm.step(Time::from_millis(300), &mut hosts.rng);
+    let poll = requests.iter().find(|request| request.what == What::Have).unwrap();
+    let To::Peer(id) = poll.to else { unreachable!() };
+    let host = &mut hosts.all[0];
+    for _ in 0..3 {
+        host.swarm.heard(id, poll.version, map.clone(), 0, hosts.now);
+    }
+    assert_eq!(host.swarm.troubled().count(), 1);
+}
