Tests of store, budget and a rollout under streams

Cause: the issue's failures need proofs. Change: node/tests/weights (store, budget), bench/tests/weights (rollout with engines that ignore orders and lose answers, six streaming callers).

--- /dev/null
+++ b/bench/tests/weights/main.rs
@@ -0,0 +1,3 @@
+//! Rollouts on a whole fleet.
+
+mod rollout;
