--- a/core/tests/weights/swarm.rs
+++ b/core/tests/weights/swarm.rs
@@ -88,11 +88,11 @@
 
     fn answer(&mut self, n: usize, request: &Request) {
         let end = match request.to {
-            To::Origin => self.from_origin(n, request),
+            To::Origin => self.ask_origin(n, request),
             To::Peer(id) => {
                 let host = self.all[n].swarm.place(id).host.clone();
                 let peer = self.all.iter().position(|h| h.place.host == host).unwrap();
-                self.from_peer(n, peer, request)
+                self.ask_peer(n, peer, request)
             }
         };
         if let (End::Stored, What::Chunk { digest, .. }) = (&end, request.what) {
@@ -101,7 +101,7 @@
         self.all[n].swarm.end(request.flight, end, self.now);
     }
 
-    fn from_origin(&mut self, n: usize, request: &Request) -> End {
+    fn ask_origin(&mut self, n: usize, request: &Request) -> End {
         let What::Chunk { digest, .. } = request.what else {
             return End::Manifest(self.manifest.clone());
         };
@@ -112,7 +112,7 @@
         End::Stored
     }
 
-    fn from_peer(&mut self, n: usize, peer: usize, request: &Request) -> End {
+    fn ask_peer(&mut self, n: usize, peer: usize, request: &Request) -> End {
         let manner = self.all[peer].manner;
         if manner == Manner::Silent || self.cut.contains(&n) != self.cut.contains(&peer) {
             return End::Silent;
@@ -151,7 +151,7 @@
     [("sul", "lagoa", 8), ("sul", "serra", 8), ("costa", "litoral", 8)];
 
 #[test]
-fn swarm_takes_each_chunk_once_from_origin() {
+fn swarm_takes_each_chunk_once_ask_origin() {
     let mut hosts = Hosts::new(&ZONES);
     hosts.run(200);
     assert_eq!((hosts.complete(), hosts.origin_pulls()), (24, CHUNKS as u32));
