--- a/bench/src/demo.rs
+++ b/bench/src/demo.rs
@@ -8,11 +8,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use mastichaven_bench::fleet::CUSTOMER_KEY;
-use mastichaven_bench::fleet::Fleet;
-use mastichaven_bench::fleet::Layout;
-use mastichaven_bench::fleet::Result;
-use mastichaven_bench::fleet::wait_until;
 use mastichaven_core::Config;
 use mastichaven_core::config::ZoneState;
 use mastichaven_core::ids::Digest;
@@ -21,6 +16,12 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::fleet::CUSTOMER_KEY;
+use crate::fleet::Fleet;
+use crate::fleet::Layout;
+use crate::fleet::Result;
+use crate::fleet::wait_until;
+
 const MODEL_LEN: usize = 4 << 20;
 const CHUNK_LEN: u32 = 64 << 10;
 const TOKENS: usize = 8;
@@ -28,11 +29,23 @@
 /// The zone that is taken out and brought back.
 const ZONE: &str = "serra";
 
-/// How long a step may take before it counts as failed.
-const STEP_LIMIT: Duration = Duration::from_secs(20);
+/// How long things may take.
+#[derive(Clone, Copy, Debug)]
+pub struct DemoLimits {
+    /// A step, before it counts as failed.
+    pub step: Duration,
+    /// From taking a zone out until it gets no new work.
+    pub zone_out: Duration,
+}
+
+impl Default for DemoLimits {
+    fn default() -> Self {
+        DemoLimits { step: Duration::from_secs(20), zone_out: Duration::from_secs(3) }
+    }
+}
 
-/// How long a zone that has been taken out may still be given new work.
-const OUT_LIMIT: Duration = Duration::from_secs(3);
+/// Rounds of one request an entry after which a zone without new work counts as out.
+const QUIET_ROUNDS: usize = 3;
 
 /// Model requests of each burst.
 const BURST: usize = 60;
@@ -46,6 +59,7 @@
     requests_sent: u64,
     requests_answered: u64,
     bookings_run: u32,
+    seconds_until_zone_out: f64,
     answers_while_zone_out: u64,
     seconds_until_zone_back: f64,
     seconds_in_all: f64,
@@ -56,17 +70,19 @@
     fleet: Fleet,
     weights: Digest,
     started: Instant,
+    limits: DemoLimits,
     figures: Figures,
 }
 
 /// Runs the demonstration; fails if a promise broke.
-pub fn run(json_file: Option<&Path>) -> Result<()> {
+pub fn run(limits: DemoLimits, json_file: Option<&Path>) -> Result<()> {
     let layout = Layout::default();
     let weights = random_weights(1, MODEL_LEN);
     let mut demo = Demo {
         fleet: Fleet::start(&layout)?,
         weights: Digest::of(&weights),
         started: Instant::now(),
+        limits,
         figures: Figures::default(),
     };
     let manifest = demo.fleet.origin.put(&weights, CHUNK_LEN);
@@ -100,7 +116,7 @@
         self.fleet.publish(config)?;
         self.say("configuration published");
         let wanted = self.fleet.engines.len();
-        let took = wait_until(STEP_LIMIT, || self.fleet.replicas(self.weights) == wanted)
+        let took = wait_until(self.limits.step, || self.fleet.replicas(self.weights) == wanted)
             .ok_or("the replicas were not there in time")?;
         self.figures.replicas = wanted;
         self.figures.seconds_to_replicas = took.as_secs_f64();
@@ -119,7 +135,7 @@
     fn answer(&mut self) -> Result<()> {
         let ready = |n| ask_model(&self.fleet, n, self.weights).is_ok();
         let entries = self.fleet.entries.len();
-        wait_until(STEP_LIMIT, || (0..entries).all(ready))
+        wait_until(self.limits.step, || (0..entries).all(ready))
             .ok_or_else(|| format!("{:?}", ask_model(&self.fleet, 0, self.weights)))?;
         self.burst();
         let answer = post(&self.fleet, 0, "/book", "pen-7".to_owned());
@@ -150,7 +166,12 @@
         set_zone(config, ZoneState::Out)?;
         self.fleet.publish(config)?;
         self.say(&format!("zone {ZONE} taken out"));
-        std::thread::sleep(OUT_LIMIT);
+        let limit = self.limits.zone_out;
+        match wait_until(self.limits.step, || self.is_zone_quiet()) {
+            Some(took) if took <= limit => self.figures.seconds_until_zone_out = took.as_secs_f64(),
+            Some(took) => self.broken(format!("a zone that is out got new work for {took:?}")),
+            None => return Err("a zone that is out never stopped getting new work".to_owned()),
+        }
         let before = self.fleet.completed_in(ZONE);
         let answered = self.figures.requests_answered;
         self.burst();
@@ -159,12 +180,12 @@
             self.broken("a zone that is out was given new work".to_owned());
         }
         self.say(&format!(
-            "{} requests answered by the other zones",
-            self.figures.answers_while_zone_out
+            "no new work there after {:.2} s, {} requests answered by the other zones",
+            self.figures.seconds_until_zone_out, self.figures.answers_while_zone_out
         ));
         set_zone(config, ZoneState::In)?;
         self.fleet.publish(config)?;
-        let took = wait_until(STEP_LIMIT, || {
+        let took = wait_until(self.limits.step, || {
             let answers = (0..self.fleet.entries.len())
                 .filter(|n| ask_model(&self.fleet, *n, self.weights).is_ok())
                 .count();
@@ -176,6 +197,15 @@
         Ok(())
     }
 
+    /// Sends a few requests through each entry, and says whether none of them ran in the zone.
+    fn is_zone_quiet(&self) -> bool {
+        let before = self.fleet.completed_in(ZONE);
+        for n in 0..QUIET_ROUNDS * self.fleet.entries.len() {
+            let _ = ask_model(&self.fleet, n, self.weights);
+        }
+        self.fleet.completed_in(ZONE) == before
+    }
+
     fn check_engines(&mut self) {
         let fell_over: u64 = self.fleet.engines.values().map(|e| e.counts().fell_over).sum();
         if fell_over > 0 {
@@ -194,7 +224,8 @@
         println!("time to replicas      {:.2} s", figures.seconds_to_replicas);
         println!("copies from origin    {:.2}", figures.origin_copies);
         println!("requests answered     {}/{}", figures.requests_answered, figures.requests_sent);
-        println!("  while a zone is out {}", figures.answers_while_zone_out);
+        println!("zone out of service   {:.2} s", figures.seconds_until_zone_out);
+        println!("  answered meanwhile  {}", figures.answers_while_zone_out);
         println!("zone back in service  {:.2} s", figures.seconds_until_zone_back);
         println!("promises broken       {}", figures.broken.len());
         if let Some(file) = json_file {
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,6 +2,7 @@
 //! and runs of it under faults whose histories are checked.
 
 pub mod bookings;
+pub mod demo;
 pub mod faults;
 pub mod fleet;
 pub mod load;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,11 +7,12 @@
 use bpaf::Bpaf;
 use mastichaven_bench::bookings;
 use mastichaven_bench::bookings::Plan;
+use mastichaven_bench::demo;
+use mastichaven_bench::demo::DemoLimits;
 use mastichaven_bench::faults;
 use mastichaven_bench::load;
 use serde::Serialize;
 
-mod demo;
 mod weights;
 
 /// Runs the whole path or an experiment in one process, on stand-ins over loopback.
@@ -64,7 +65,7 @@
             run_bookings(Plan { bookings, seed, faults: !quiet }, json.as_deref())
         }
         Arguments::Load { seconds, json } => run_load(seconds, json.as_deref()),
-        Arguments::Demo { json } => demo::run(json.as_deref()),
+        Arguments::Demo { json } => demo::run(DemoLimits::default(), json.as_deref()),
         Arguments::Faults(options) => faults::command::run(&options),
         Arguments::Weights(options) => weights::run(&options),
     };
