An answer of the wrong role is not taken

Cause: the asking side checked only that the peer belongs to the fleet. Whoever holds an agent's key and has its address passed off as an entry's could answer for the platform, and a booking that is claimed would seem free. Change: runs, voids and weights are answered by agents alone, relayed platform calls by entries alone. Conclusion: both directions of a connection hold to the role in the certificate.

--- a/node/src/tls.rs
+++ b/node/src/tls.rs
@@ -110,6 +110,18 @@
             AskBody::Members(_) | AskBody::Spread(_) => true,
         }
     }
+
+    /// The role whose answer to `body` alone is taken; `None` where any peer's is.
+    ///
+    /// A certificate proves a role and not an address, and addresses are hearsay. Without this, an
+    /// agent's certificate would be enough to answer for the platform.
+    pub fn answerer(body: &AskBody) -> Option<Role> {
+        match body {
+            AskBody::Run(_) | AskBody::Void(_) | AskBody::Weights(_) => Some(Role::Agent),
+            AskBody::Relay(_) => Some(Role::Entry),
+            _ => None,
+        }
+    }
 }
 
 /// Who a peer's certificate says it is.
--- a/node/src/transport.rs
+++ b/node/src/transport.rs
@@ -30,6 +30,7 @@
 use crate::tls::Identity;
 use crate::tls::Material;
 use crate::tls::PEER_NAME;
+use crate::tls::Role;
 use crate::tls::scan_identity;
 
 mod silence;
@@ -142,6 +143,8 @@
 
 struct Job {
     to: SocketAddr,
+    /// The role that alone may answer, if not any may.
+    answerer: Option<Role>,
     ask: Vec<u8>,
     replies: flume::Sender<Result<Reply>>,
     cancelled: oneshot::Receiver<()>,
@@ -208,7 +211,9 @@
     pub fn call(&self, to: SocketAddr, ask: &Ask) -> Call {
         let (replies, rx) = flume::bounded(REPLY_RING);
         let (cancel, cancelled) = oneshot::channel();
-        let job = Job { to, ask: wire::encode(ask), replies: replies.clone(), cancelled };
+        let answerer = Role::answerer(&ask.body);
+        let ask = wire::encode(ask);
+        let job = Job { to, answerer, ask, replies: replies.clone(), cancelled };
         if self.jobs.try_send(job).is_err() {
             let _ = replies.try_send(Err(Code::Busy));
         }
@@ -229,6 +234,7 @@
 #[derive(Clone)]
 struct Peer {
     connection: Connection,
+    role: Option<Role>,
     asks: Arc<Asks>,
 }
 
@@ -251,7 +257,8 @@
 
     /// Asks go out on `connection` from now on; it is watched for silence.
     fn replace(&self, endpoint: &Endpoint, to: SocketAddr, connection: Connection) -> Peer {
-        let peer = Peer { connection: connection.clone(), asks: Arc::default() };
+        let role = identity_of(&connection).map(|identity| identity.role);
+        let peer = Peer { connection: connection.clone(), role, asks: Arc::default() };
         self.open.lock().expect("no holder of this lock panics").insert(to, peer.clone());
         let asks = peer.asks.clone();
         let watched = silence::watch(endpoint.clone(), self.clone(), to, connection, asks);
@@ -286,8 +293,9 @@
 }
 
 async fn serve_job(endpoint: Endpoint, pool: Pool, job: Job) {
-    let Job { to, ask, replies, cancelled } = job;
-    let (mut tx, mut rx, _outstanding) = match open_stream(&endpoint, &pool, to).await {
+    let Job { to, answerer, ask, replies, cancelled } = job;
+    let opened = open_stream(&endpoint, &pool, to, answerer).await;
+    let (mut tx, mut rx, _outstanding) = match opened {
         Ok(streams) => streams,
         Err(code) => {
             let _ = replies.send_async(Err(code)).await;
@@ -310,8 +318,12 @@
     endpoint: &Endpoint,
     pool: &Pool,
     to: SocketAddr,
+    answerer: Option<Role>,
 ) -> Result<(SendStream, RecvStream, Outstanding)> {
     let peer = connect(endpoint, pool, to).await?;
+    if answerer.is_some() && peer.role != answerer {
+        return Err(Code::WrongRole);
+    }
     let (tx, rx) = peer.connection.open_bi().await.map_err(|_| Code::Unreachable)?;
     let outstanding = peer.asks.begin(&peer.connection);
     Ok((tx, rx, outstanding))
--- a/node/tests/shell/tls.rs
+++ b/node/tests/shell/tls.rs
@@ -121,3 +121,14 @@
     let client = transport(&material(&ca, "entry-2", Role::Entry, 1));
     assert!(refused(ask(&client, server.local_addr(), "entry-3", relay())));
 }
+
+#[test]
+fn answer_of_wrong_role_is_not_taken() {
+    // The intruder on an endpoint host has its address passed off as an entry's. If an entry took its
+    // word for the platform's, it would believe that a booking was never claimed, and run it again.
+    let ca = DevelopmentCa::generate().unwrap();
+    let entry = transport(&material(&ca, "entry-1", Role::Entry, 1));
+    let agent = transport(&material(&ca, "agent-1", Role::Agent, 1));
+    let reply = ask(&entry, agent.local_addr(), "entry-1", relay());
+    assert_eq!(reply, Err(Code::WrongRole));
+}
