--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod spread;
 pub mod stream;
 pub mod swarm;
+pub mod sweep;
 pub mod time;
 pub mod weights;
 pub mod wire;
--- a/core/src/reserve.rs
+++ b/core/src/reserve.rs
@@ -1,8 +1,8 @@
-//! The last free place of a service, kept for customers that use less than their share.
+//! The last free places of a service, kept for customers that use less than their share.
 //!
 //! Under a flood every place is taken again the moment it is free, so even a customer whose turn
 //! comes first waits until some request ends. While several customers are active, one that holds
-//! more than its share leaves a place free.
+//! more than its share leaves some free.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -13,6 +13,9 @@
 /// How long a customer counts as active after its last request.
 const ACTIVE_FOR: Duration = Duration::from_secs(5);
 
+/// Places kept free by each entry.
+const KEPT: u32 = 2;
+
 /// Places for each entry below which none is kept: it would cost too much of so few.
 const MIN_PLACES: u32 = 16;
 
@@ -60,13 +63,13 @@
     pub fn may_take(
         &self,
         customer: &CustomerName,
-        free: f64,
+        free: u32,
         places: u32,
         entries: usize,
         now: Time,
     ) -> bool {
         let is_scarce = places < MIN_PLACES * u32::try_from(entries).unwrap_or(u32::MAX);
-        if free >= 2.0 || is_scarce {
+        if free > KEPT || is_scarce {
             return true;
         }
         let active = self.by_customer.values().filter(|used| is_active(used, now)).count();
--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -106,6 +106,11 @@
         f64::from(self.sent) + f64::from(others) * (1.0 - age).max(0.0)
     }
 
+    fn free_as_reported(&self) -> u32 {
+        let others = self.load.requests.saturating_sub(self.sent_at_load);
+        self.load.limit.saturating_sub(self.sent + others)
+    }
+
     fn fill(&self, now: Time) -> f64 {
         self.likely(now) / f64::from(self.load.limit.max(1))
     }
@@ -181,10 +186,11 @@
         self.endpoints.iter().any(|endpoint| endpoint.has_room(now))
     }
 
-    /// Places likely free at all endpoints together. O(tracked endpoints).
-    pub fn free(&self, now: Time) -> f64 {
-        let free = |e: &Endpoint| f64::from(e.load.limit) - e.likely(now);
-        self.endpoints.iter().filter(|e| e.has_room(now)).map(free).sum()
+    /// Places free at all endpoints together, as far as reports tell that are still fresh.
+    /// O(tracked endpoints).
+    pub fn free(&self, now: Time) -> u32 {
+        let known = |e: &&Endpoint| e.has_room(now) && !now.passed(e.load_at, LOAD_AGE);
+        self.endpoints.iter().filter(known).map(Endpoint::free_as_reported).sum()
     }
 
     /// Places at all endpoints together, as their agents admit at present.
--- a/core/tests/requests/main.rs
+++ b/core/tests/requests/main.rs
@@ -9,3 +9,4 @@
 mod route;
 mod share;
 mod stream;
+mod sweep;
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -323,6 +323,7 @@
             "documents": self.documents.revisions(),
             "member": self.member(),
             "running": self.running.load(Ordering::Acquire),
+            "on_record": self.record.lock().expect("no holder of this lock panics").len(),
             "weights": {
                 "chunks": chunks,
                 "versions": versions,
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -6,6 +6,7 @@
 //! | `asks` | answers what peers ask | `entry/asks.rs` |
 //! | `control` | keeps documents and members up to date | `entry/control.rs` |
 //! | `claims-N` | call the platform for idempotency keys and relayed calls | `entry/claims.rs` |
+//! | `sweep` | deletes claims that have expired | `entry/sweep.rs` |
 //! | `planner` | writes plans while this entry holds the lease | `entry/planner.rs` |
 
 use std::net::SocketAddr;
@@ -55,6 +56,7 @@
 pub(crate) mod requests;
 mod router;
 mod suspects;
+mod sweep;
 
 /// Result of starting an entry.
 pub type Result<T> = std::result::Result<T, Code>;
@@ -170,9 +172,11 @@
         let asks = shared.clone();
         let control = shared.clone();
         let planner = shared.clone();
+        let sweeping = shared.clone();
         let mut threads = vec![
             spawn("asks", move || asks::serve(&asks, &rx)),
             spawn("control", move || control::run(&control)),
+            spawn("sweep", move || sweep::run(&sweeping)),
             spawn("planner", move || planner::run(&planner)),
         ];
         for n in 0..claims::THREADS {
@@ -245,6 +249,7 @@
             "member": self.member(),
             "members": self.members(),
             "running": self.running.load(Ordering::Acquire),
+            "services": router::dump(self),
             "counts": self.telemetry.counts(),
             "uptime_ms": self.clock.now().as_millis(),
         })
--- a/node/src/entry/router.rs
+++ b/node/src/entry/router.rs
@@ -34,6 +34,8 @@
 use mastichaven_core::route::Entries;
 use mastichaven_core::route::Pool;
 use mastichaven_core::run::Load;
+use serde_json::Value;
+use serde_json::json;
 use tokio::sync::oneshot;
 
 use super::Shared;
@@ -327,6 +329,25 @@
     line.map_or(USUAL_AFTER, |line| line.queue.expected_wait(&parsed.customer))
 }
 
+/// Services with their endpoints and queues, for the dump.
+pub(super) fn dump(shared: &Shared) -> Value {
+    let now = shared.clock.now();
+    let state = lock(shared);
+    let line = |(key, line): (&LineKey, &Line)| {
+        json!({
+            "service": key.service,
+            "version": key.version.map(Digest::to_hex),
+            "endpoints": line.pool.len(),
+            "places": line.pool.places(),
+            "places_free": line.pool.free(now),
+            "in_progress": line.pool.sent(),
+            "waiting": line.queue.len(),
+            "usual_head_ms": line.head_seconds.map(|seconds| seconds * 1_000.0),
+        })
+    };
+    Value::Array(state.lines.iter().map(line).collect())
+}
+
 enum Turn {
     Now(Dispatch),
     Later(oneshot::Receiver<Result<Lease, Code>>),
