Two faults in the outcome of requests, found by histories, mended with their tests

Change: an entry counts the attempts that are not proved not to have run; a claim that stands as it stood is no progress.

--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -5,6 +5,7 @@
 //! the history alone; the waits only end runs that hang.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use mastichaven_proof::Event;
 use mastichaven_proof::History;
@@ -50,6 +51,8 @@
     pub events: usize,
     /// Calls sent.
     pub calls: usize,
+    /// Seconds that each round took; no verdict comes from them.
+    pub seconds: BTreeMap<String, f64>,
     /// Events examined for each promise.
     pub examined: BTreeMap<String, usize>,
     /// Broken promises.
@@ -67,6 +70,7 @@
         for (promise, examined) in other.examined {
             *self.examined.entry(promise).or_default() += examined;
         }
+        self.seconds.extend(other.seconds);
         self.found.extend(other.found);
         self.stuck.extend(other.stuck);
     }
@@ -86,10 +90,12 @@
     let mut report = Report::default();
     for (pair, seed) in pairs.iter().zip(seed..) {
         report.rounds += 1;
+        let started = Instant::now();
         if let Err(why) = round::run(&mut world, *pair, seed) {
             report.stuck.push(format!("{pair:?} seed {seed}: {why}"));
             break;
         }
+        report.seconds.insert(format!("{pair:?} {seed}"), started.elapsed().as_secs_f64());
     }
     let history = world.recorder.finish();
     report.judge(&history);
--- /dev/null
+++ b/bench/tests/proof/main.rs
@@ -0,0 +1,4 @@
+//! Whole fleets under faults; their histories are checked.
+
+mod outcomes;
+mod pairs;
--- a/core/src/claim.rs
+++ b/core/src/claim.rs
@@ -217,7 +217,7 @@
 
     /// The next thing to do.
     pub fn step(&mut self, event: Event, now: Time) -> Do {
-        if !matches!(event, Event::Lost | Event::Down | Event::Waited | Event::Agent(None)) {
+        if self.is_progress(&event) {
             self.give_up = now + PATIENCE;
         }
         match (self.phase.clone(), event) {
@@ -241,6 +241,16 @@
         }
     }
 
+    /// Whether something new was learned. A claim that is read again and stands as it stood is
+    /// none: while its agent is out of reach, it would be read and asked for without an end.
+    fn is_progress(&self, event: &Event) -> bool {
+        match event {
+            Event::Lost | Event::Down | Event::Waited | Event::Agent(None) => false,
+            Event::Found(Some((revision, _))) => self.revision != Some(*revision),
+            _ => true,
+        }
+    }
+
     /// The named attempt is proved not to run: claims for another one.
     pub fn move_to(&mut self, mine: Dispatch) -> Do {
         self.mine = mine;
--- a/node/src/entry/dispatch.rs
+++ b/node/src/entry/dispatch.rs
@@ -93,13 +93,18 @@
     let first_byte = Duration::from_millis(limits.first_byte_ms) + AGENT_SLACK;
     let wait = if parsed.idempotent { left.min(first_byte) } else { left };
     shared.telemetry.count(Counter::AttemptsSent);
+    parsed.sent.add();
     let call = shared.transport.call(lease.to.address, &shared.ask(AskBody::Run(ask)));
     let order = FrameOrder::new(attempt);
     let (status, content_type) = (0, SmolStr::default());
     let mut opening = Opened { status, content_type, call, order, patience, lease };
     let head = timeout(wait, opening.head()).await;
     let head = head.unwrap_or(Err(Code::DeadlineDuringRun.into()));
-    opening.note(head).map(|()| opening)
+    let noted = opening.note(head);
+    if noted.is_err_and(Failure::is_not_run) {
+        parsed.sent.remove();
+    }
+    noted.map(|()| opening)
 }
 
 fn run_ask(
--- a/node/src/entry/parse.rs
+++ b/node/src/entry/parse.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -95,6 +96,31 @@
     }
 }
 
+/// Counts the attempts of a request that are not proved not to have run.
+///
+/// The refusal of the last attempt says nothing of the earlier ones: an endpoint that died of the
+/// first may have run it. Without this count its caller would be told `not-run`, and do by hand
+/// what was done already.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Sent(Arc<AtomicU32>);
+
+impl Sent {
+    /// An attempt is about to be sent.
+    pub(super) fn add(&self) {
+        self.0.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// An attempt is proved not to have run.
+    pub(super) fn remove(&self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    /// Whether some attempt may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.0.load(Ordering::Acquire) > 0
+    }
+}
+
 /// A request that was read.
 #[derive(Clone, Debug)]
 pub(super) struct Parsed {
@@ -118,6 +144,8 @@
     pub(super) deadline: Time,
     /// Who waits for the answer.
     pub(super) caller: Caller,
+    /// Attempts that may have run.
+    pub(super) sent: Sent,
     /// HTTP method.
     pub(super) method: SmolStr,
     /// Path and query.
@@ -178,6 +206,7 @@
         priority,
         deadline: now + deadline,
         caller: Caller::default(),
+        sent: Sent::default(),
         method,
         path,
         content_type,
--- a/node/src/entry/requests.rs
+++ b/node/src/entry/requests.rs
@@ -24,6 +24,7 @@
 use super::dispatch::Opened;
 use super::parse;
 use super::parse::Parsed;
+use super::parse::Sent;
 use super::router;
 use super::router::Admitted;
 use super::router::Lease;
@@ -102,7 +103,8 @@
         router::admit(shared, &parsed).map_err(|refused| refused_early(&parsed, refused))?;
     let held = Held { _in_progress: in_progress, _admitted: admitted };
     if parsed.idempotent {
-        return Ok(repeatable(shared, parsed, held).await?);
+        let sent = parsed.sent.clone();
+        return repeatable(shared, parsed, held).await.map_err(|e| refused_late(&sent, e.into()));
     }
     // A caller that leaves must not stop this half-way: its resend asks what came of it.
     let _watch = parsed.caller.watch();
@@ -126,6 +128,15 @@
     refusal
 }
 
+/// A refusal after some attempts: it stands for all of them only when each is proved not to have
+/// run.
+fn refused_late(sent: &Sent, mut refusal: Refusal) -> Refusal {
+    if sent.may_have_run() && refusal.outcome == Outcome::NotRun {
+        refusal.outcome = Outcome::Unknown;
+    }
+    refusal
+}
+
 async fn unrepeatable(shared: &Arc<Shared>, parsed: &Parsed) -> Result<WholeAnswer, Refusal> {
     let Some(key) = &parsed.key else {
         return Ok(once(shared, parsed).await?);
