--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod bookings;
 pub mod faults;
 pub mod fleet;
+pub mod load;
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -20,13 +20,16 @@
 use mastichaven_core::Code;
 use mastichaven_core::admission::Admission;
 use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::Incarnation;
 use mastichaven_core::ids::ModelName;
+use mastichaven_core::ids::StartId;
 use mastichaven_core::members::EndpointKind;
 use mastichaven_core::members::Member;
 use mastichaven_core::members::Serving;
 use mastichaven_core::plan::Plan;
 use mastichaven_core::platform::HostRole;
+use mastichaven_core::platform::ListedHost;
 use mastichaven_core::record::Record;
 use mastichaven_core::share::Shares;
 use mastichaven_core::swarm::PeerPlace;
@@ -44,6 +47,7 @@
 use crate::http_store::HttpStore;
 use crate::operator;
 use crate::operator::Operated;
+use crate::operator::WholeBody;
 use crate::origin::Origin;
 use crate::settings::AgentSettings;
 use crate::settings::EndpointSettings;
@@ -65,8 +69,8 @@
 /// Result of starting an agent.
 pub type Result<T> = std::result::Result<T, Code>;
 
-/// Requests an endpoint is given at once when warm.
-const WARM_LIMIT: u32 = 16;
+/// Requests a plain endpoint is given at once when warm, until its service's configuration says.
+const PLAIN_LIMIT: u32 = 8;
 
 /// Asks waiting for the `asks` thread; more are refused as busy.
 const ASK_RING: usize = 256;
@@ -88,9 +92,12 @@
     admission: Mutex<Admission>,
     record: Mutex<Record>,
     shares: Mutex<Shares>,
+    last_crash: Mutex<(StartId, u32)>,
     runs: flume::Sender<run::Job>,
     store: Arc<Store>,
     weights: Weights,
+    listed: Mutex<Vec<ListedHost>>,
+    standing_in: Mutex<Option<(ModelName, Digest)>>,
     weights_base: Mutex<String>,
     stopping: AtomicBool,
     over: AtomicBool,
@@ -124,6 +131,7 @@
             incarnation: self.incarnation,
             leaving: self.is_stopping(),
             endpoint: self.endpoint(),
+            memory_mib: self.settings.memory_mib,
             serving: self.serving.lock().expect("no holder of this lock panics").clone(),
             load: self.admission.lock().expect("no holder of this lock panics").load(),
         }
@@ -138,15 +146,29 @@
         Ask { from, body }
     }
 
-    /// The model that a plan wants on this host, with the plan and its revision.
+    /// The model that a plan wants on this host, with the plan and its revision. A host that stands
+    /// in for a dead one counts as well.
     fn wanted(&self) -> Option<(ModelName, u64, Plan)> {
         let in_force = self.documents.in_force();
-        let host = &self.settings.place.host;
         in_force.config.model.keys().find_map(|model| {
             let (revision, plan) = self.documents.plan(model)?;
-            plan.version_for(host).map(|_| (model.clone(), revision, plan))
+            self.wanted_version(&plan).map(|_| (model.clone(), revision, plan))
         })
     }
+
+    /// The version that `plan` wants on this host.
+    fn wanted_version(&self, plan: &Plan) -> Option<Digest> {
+        plan.version_for(&self.settings.place.host).or_else(|| {
+            let standing_in = self.standing_in.lock().expect("no holder of this lock panics");
+            standing_in.as_ref().filter(|(model, _)| *model == plan.model).map(|(_, v)| *v)
+        })
+    }
+
+    /// Where the platform's list says that `host` is.
+    fn address_of(&self, host: &HostName) -> Option<SocketAddr> {
+        let listed = self.listed.lock().expect("no holder of this lock panics");
+        listed.iter().find(|listed| listed.name == *host).map(|listed| listed.address)
+    }
 }
 
 /// A running agent.
@@ -169,13 +191,17 @@
         let transport = Transport::start(settings.place.peers, material, tx)?;
         let operators = settings.place.operators;
         let address = match &settings.endpoint {
-            EndpointSettings::Engine { address } | EndpointSettings::Plain { address, .. } => {
+            EndpointSettings::Engine { address, .. } | EndpointSettings::Plain { address, .. } => {
                 address.clone()
             }
         };
+        let warm_limit = match &settings.endpoint {
+            EndpointSettings::Engine { concurrent, .. } => *concurrent,
+            EndpointSettings::Plain { .. } => PLAIN_LIMIT,
+        };
         let clock = Clock::start();
         let store = open_store(&settings)?;
-        let weights = start_weights(&settings, &transport, &store, &clock, incarnation);
+        let weights = start_weights(&settings, &telemetry, &transport, &store, &clock, incarnation);
         let shared = Arc::new(Shared {
             platform: HttpStore::new(&settings.platform),
             engine: Engine::new(address),
@@ -186,12 +212,15 @@
             documents: Documents::default(),
             transport,
             serving: Mutex::new(Serving::Nothing),
-            admission: Mutex::new(Admission::cold(WARM_LIMIT)),
+            admission: Mutex::new(Admission::cold(warm_limit)),
             record: Mutex::default(),
             shares: Mutex::default(),
+            last_crash: Mutex::default(),
             runs,
             store,
             weights,
+            listed: Mutex::default(),
+            standing_in: Mutex::default(),
             weights_base: Mutex::default(),
             stopping: AtomicBool::new(false),
             over: AtomicBool::new(false),
@@ -263,6 +292,7 @@
 
 fn start_weights(
     settings: &AgentSettings,
+    telemetry: &Telemetry,
     transport: &Transport,
     store: &Arc<Store>,
     clock: &Clock,
@@ -285,6 +315,7 @@
         platform: Arc::new(HttpStore::new(&settings.platform)),
         link: Arc::new(Uplink::new(settings.link_bytes_per_second)),
         clock: *clock,
+        telemetry: telemetry.clone(),
         sender: Arc::new(move || from.clone()),
     })
 }
@@ -331,8 +362,9 @@
         })
     }
 
-    fn weights(&self, manifest: Digest) -> Option<Box<dyn std::io::Read + Send>> {
-        self.store.read(manifest).map(|whole| Box::new(whole) as Box<dyn std::io::Read + Send>)
+    fn weights(&self, manifest: Digest) -> Option<WholeBody> {
+        let whole = self.store.read(manifest)?;
+        Some(WholeBody { len: whole.len(), reader: Box::new(whole) })
     }
 
     fn send_gauges(&self) {
--- a/node/src/agent/run.rs
+++ b/node/src/agent/run.rs
@@ -16,6 +16,8 @@
 use mastichaven_core::claim;
 use mastichaven_core::config::Service;
 use mastichaven_core::config::ZoneState;
+use mastichaven_core::gate;
+use mastichaven_core::gate::Pass;
 use mastichaven_core::ids::StartId;
 use mastichaven_core::members::Serving;
 use mastichaven_core::run::RunAsk;
@@ -147,12 +149,7 @@
 
 fn open_for(shared: &Shared, ask: &RunAsk) -> Result<StartId, Code> {
     let serving = lock(&shared.serving);
-    match (&*serving, ask.version) {
-        (Serving::Model { version, start, .. }, Some(wanted)) if *version == wanted => Ok(*start),
-        (Serving::Model { .. }, _) => Err(Code::WrongVersion),
-        (Serving::Plain { service, start }, None) if *service == ask.service => Ok(*start),
-        _ => Err(Code::EndpointClosed),
-    }
+    gate::enter(&serving, &ask.service, ask.version).map(|pass| pass.start())
 }
 
 async fn enter(shared: &Arc<Shared>, ask: &RunAsk) -> Result<Entered, Code> {
@@ -278,10 +275,7 @@
 /// An engine that restarted or switched between the gate and the answer says so in its headers;
 /// without this check the caller would read an answer from other weights.
 fn check_answer(ask: &RunAsk, start: StartId, answer: Answer) -> Result<Answer, Code> {
-    if ask.version.is_some() && (answer.version != ask.version || answer.start != Some(start)) {
-        return Err(Code::EndpointLost);
-    }
-    Ok(answer)
+    Pass::new(start, ask.version).check(answer.start, answer.version).map(|()| answer)
 }
 
 /// An answer on its way from the endpoint to the entry.
@@ -350,15 +344,22 @@
 
 /// An attempt that ended without a whole answer: finds out whether its endpoint still lives.
 async fn cut(shared: &Arc<Shared>, ask: &RunAsk, code: Code, start: StartId) -> Ended {
-    let beside = load(shared).requests.saturating_sub(1);
+    let mut beside = load(shared).requests.saturating_sub(1);
     let mut crashed = false;
     if code == Code::CallerLeft || code == Code::DeadlineDuringRun {
         endpoint::cancel(shared.engine.base(), ask).await;
     } else {
-        crashed = endpoint::start_id(shared.engine.base()).await != Ok(start);
-        if crashed {
+        let found = endpoint::start_id(shared.engine.base()).await;
+        crashed = match found {
+            Ok(found) => found != start,
+            Err(code) => code == Code::EndpointClosed,
+        };
+        if found != Ok(start) {
             close_gate(shared, start);
         }
+        if crashed {
+            beside = most_beside(shared, start, beside);
+        }
     }
     let record = match code.outcome() {
         Outcome::NotRun => VoidReply::Voided,
@@ -368,6 +369,15 @@
     Ended { frame, record, left: Left::Early }
 }
 
+/// How many ran beside a request when the life `start` ended. Those that it took with it leave one
+/// by one, so the last of them would look as if it had run alone.
+fn most_beside(shared: &Shared, start: StartId, beside: u32) -> u32 {
+    let mut last = lock(&shared.last_crash);
+    let most = if last.0 == start { last.1.max(beside) } else { beside };
+    *last = (start, most);
+    most
+}
+
 fn first_byte_limit(shared: &Shared, ask: &RunAsk) -> Duration {
     if !ask.idempotent {
         return UNREPEATABLE_WAIT;
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -108,6 +108,9 @@
     Engine {
         /// Its base address, such as `http://127.0.0.1:5000`.
         address: String,
+        /// Requests it bears at once when warm; what this hardware has been measured to bear.
+        #[serde(default = "default_concurrent")]
+        concurrent: u32,
     },
     /// A plain service.
     Plain {
@@ -135,6 +138,9 @@
     /// Bytes of chunks kept at most.
     #[serde(default = "default_store_bytes")]
     pub store_bytes: u64,
+    /// Memory of the engine beside it, in MiB; it holds any model when left out.
+    #[serde(default)]
+    pub memory_mib: u64,
     /// Folder that keeps chunks across restarts; they are kept in memory when left out.
     #[serde(default)]
     pub cache_folder: Option<PathBuf>,
@@ -155,6 +161,10 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+fn default_concurrent() -> u32 {
+    16
+}
+
 fn default_store_bytes() -> u64 {
     1 << 30
 }
