--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -399,6 +399,7 @@
                 "received": self.transport.traffic().received,
             },
             "running": self.running.load(Ordering::Acquire),
+            "on_record": self.record.lock().expect("no holder of this lock panics").len(),
             "weights": {
                 "chunks": chunks,
                 "versions": versions,
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -7,6 +7,7 @@
 //! | `control` | membership, and configuration and plans from peers | `control.rs` |
 //! | `platform` | watches the platform while this entry is a relay | `platform_watch.rs` |
 //! | `claims-N` | call the platform for idempotency keys and relayed calls | `entry/claims.rs` |
+//! | `sweep` | deletes claims that have expired | `entry/sweep.rs` |
 //! | `planner` | writes plans while this entry holds the lease | `entry/planner.rs` |
 
 use std::net::SocketAddr;
@@ -58,6 +59,7 @@
 pub(crate) mod requests;
 mod router;
 mod suspects;
+mod sweep;
 
 /// Result of starting an entry.
 pub type Result<T> = std::result::Result<T, Code>;
@@ -182,10 +184,12 @@
         let callers = callers::start(callers, shared.clone())?;
         let asks = shared.clone();
         let planner = shared.clone();
+        let sweeping = shared.clone();
         let mut threads = vec![
             spawn("asks", move || asks::serve(&asks, &rx)),
             control::start(&shared),
             platform_watch::start(&shared, Arc::new(shared.platform.clone())),
+            spawn("sweep", move || sweep::run(&sweeping)),
             spawn("planner", move || planner::run(&planner)),
         ];
         for n in 0..claims::THREADS {
@@ -299,6 +303,7 @@
                 "received": self.transport.traffic().received,
             },
             "running": self.running.load(Ordering::Acquire),
+            "services": router::dump(self),
             "counts": self.telemetry.counts(),
             "uptime_ms": self.clock.now().as_millis(),
         })
--- a/node/src/transport.rs
+++ b/node/src/transport.rs
@@ -31,6 +31,7 @@
 use crate::tls::Identity;
 use crate::tls::Material;
 use crate::tls::PEER_NAME;
+use crate::tls::Role;
 use crate::tls::control_transport_config;
 use crate::tls::scan_identity;
 
@@ -204,6 +205,8 @@
 struct Job {
     to: SocketAddr,
     purpose: Use,
+    /// The role that alone may answer, if not any may.
+    answerer: Option<Role>,
     ask: Vec<u8>,
     replies: flume::Sender<Result<Reply>>,
     cancelled: oneshot::Receiver<()>,
@@ -280,8 +283,9 @@
     pub fn call(&self, to: SocketAddr, ask: &Ask) -> Call {
         let (replies, rx) = flume::bounded(REPLY_RING);
         let (cancel, cancelled) = oneshot::channel();
-        let purpose = Use::of(&ask.body);
-        let job = Job { to, purpose, ask: wire::encode(ask), replies: replies.clone(), cancelled };
+        let (purpose, answerer) = (Use::of(&ask.body), Role::answerer(&ask.body));
+        let ask = wire::encode(ask);
+        let job = Job { to, purpose, answerer, ask, replies: replies.clone(), cancelled };
         if self.jobs.try_send(job).is_err() {
             let _ = replies.try_send(Err(Code::Busy));
         }
@@ -302,6 +306,7 @@
 #[derive(Clone)]
 struct Peer {
     connection: Connection,
+    role: Option<Role>,
     asks: Arc<Asks>,
 }
 
@@ -326,7 +331,8 @@
 
     fn put(&self, to: SocketAddr, purpose: Use, connection: Connection) -> Peer {
         self.meter.add(&connection);
-        let peer = Peer { connection, asks: Arc::default() };
+        let role = identity_of(&connection).map(|identity| identity.role);
+        let peer = Peer { connection, role, asks: Arc::default() };
         let mut open = self.open.lock().expect("no holder of this lock panics");
         open.insert((to, purpose), peer.clone());
         peer
@@ -389,8 +395,8 @@
 }
 
 async fn serve_job(endpoint: Endpoint, pool: Pool, job: Job) {
-    let Job { to, purpose, ask, replies, cancelled } = job;
-    let opened = open_stream(&endpoint, &pool, to, purpose).await;
+    let Job { to, purpose, answerer, ask, replies, cancelled } = job;
+    let opened = open_stream(&endpoint, &pool, to, purpose, answerer).await;
     let (mut tx, mut rx, _outstanding) = match opened {
         Ok(streams) => streams,
         Err(code) => {
@@ -419,8 +425,12 @@
     pool: &Pool,
     to: SocketAddr,
     purpose: Use,
+    answerer: Option<Role>,
 ) -> Result<(SendStream, RecvStream, Outstanding)> {
     let peer = connect(endpoint, pool, to, purpose).await?;
+    if answerer.is_some() && peer.role != answerer {
+        return Err(Code::WrongRole);
+    }
     let (tx, rx) = peer.connection.open_bi().await.map_err(|_| Code::Unreachable)?;
     let outstanding = peer.asks.begin(&peer.connection);
     Ok((tx, rx, outstanding))
