--- a/node/tests/requests/silence.rs
+++ b/node/tests/requests/silence.rs
@@ -29,12 +29,12 @@
 fn pair(delay: Duration) -> Pair {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let ca = DevelopmentCa::generate().unwrap();
-    let start = |host: &str, tx| {
-        Transport::start(any, &ca.material(&host.into(), Role::Entry).unwrap(), tx).unwrap()
+    let start = |host: &str, role, tx| {
+        Transport::start(any, &ca.material(&host.into(), role).unwrap(), tx).unwrap()
     };
-    let (asker, _) = (start("asker", flume::bounded(1).0), ());
+    let asker = start("asker", Role::Entry, flume::bounded(1).0);
     let (tx, rx) = flume::bounded(16);
-    let answerer = start("answerer", tx);
+    let answerer = start("answerer", Role::Agent, tx);
     let way = DatagramDoor::open("127.0.0.1:0").unwrap();
     way.lead_to(answerer.local_addr());
     thread::spawn(move || {
