--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -15,6 +15,7 @@
 
 mod figures;
 mod members;
+mod spread;
 mod weights;
 
 /// Runs the whole path or an experiment in one process, on stand-ins over loopback.
@@ -35,6 +36,16 @@
         #[bpaf(argument("FILE"), optional)]
         json: Option<PathBuf>,
     },
+    /// A change in force in every process, by the real control code over loopback QUIC
+    #[bpaf(command)]
+    Spread {
+        /// Processes
+        #[bpaf(argument("N"), fallback(200))]
+        processes: usize,
+        /// Also write the figures to this file
+        #[bpaf(argument("FILE"), optional)]
+        json: Option<PathBuf>,
+    },
     /// Load against the usual ways of balancing, overload, a flood, and what an entry costs
     #[bpaf(command)]
     Load {
@@ -75,6 +86,7 @@
         }
         Arguments::Load { seconds, json } => run_load(seconds, json.as_deref()),
         Arguments::Demo { json } => demo::run(DemoLimits::default(), json.as_deref()),
+        Arguments::Spread { processes, json } => spread::run(processes, json.as_deref()),
         Arguments::Members { json } => members::run(json.as_deref()),
         Arguments::Faults(options) => faults::command::run(&options),
         Arguments::Weights(options) => weights::run(&options),
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -40,6 +40,7 @@
 use serde_json::Value;
 use serde_json::json;
 use slog::info;
+use slog::warn;
 
 use crate::clock::Clock;
 use crate::control;
@@ -78,6 +79,9 @@
 /// Asks waiting for the `asks` thread; more are refused as busy.
 const ASK_RING: usize = 256;
 
+/// How long a stopping agent still refuses requests before it ends.
+const LINGER: Duration = Duration::from_millis(1_000);
+
 /// How often the threads look for work.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -281,7 +285,17 @@
     /// Stops gracefully: takes nothing new, finishes every request in progress, leaves.
     pub fn stop(self) {
         self.shared.stopping.store(true, Ordering::Release);
+        // Entries hear meanwhile that it leaves. One that sent a request just as the process ended
+        // would not know whether it ran.
+        thread::sleep(LINGER);
+        let deadline = self.shared.settings.stop_deadline_ms.map(Duration::from_millis);
+        let begun = self.shared.clock.now();
         while self.shared.running.load(Ordering::Acquire) > 0 {
+            if deadline.is_some_and(|deadline| self.shared.clock.now().passed(begun, deadline)) {
+                let running = self.shared.running.load(Ordering::Acquire);
+                warn!(self.shared.telemetry.log, "stop deadline"; "cut_off" => running);
+                break;
+            }
             thread::sleep(TICK);
         }
         self.shared.over.store(true, Ordering::Release);
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -33,6 +33,7 @@
 use serde_json::Value;
 use serde_json::json;
 use slog::info;
+use slog::warn;
 
 use crate::callers;
 use crate::clock::Clock;
@@ -237,7 +238,14 @@
         self.shared.leaving.store(true, Ordering::Release);
         thread::sleep(Duration::from_millis(self.shared.settings.notice_ms));
         self.shared.stopping.store(true, Ordering::Release);
+        let deadline = self.shared.settings.stop_deadline_ms.map(Duration::from_millis);
+        let begun = self.shared.clock.now();
         while self.shared.running.load(Ordering::Acquire) > 0 {
+            if deadline.is_some_and(|deadline| self.shared.clock.now().passed(begun, deadline)) {
+                let running = self.shared.running.load(Ordering::Acquire);
+                warn!(self.shared.telemetry.log, "stop deadline"; "cut_off" => running);
+                break;
+            }
             thread::sleep(STOP_POLL);
         }
         self.shared.over.store(true, Ordering::Release);
