--- a/node/tests/requests/silence.rs
+++ b/node/tests/requests/silence.rs
@@ -4,7 +4,9 @@
 use std::time::Instant;
 
 use mastichaven_core::Code;
-use mastichaven_core::members::MembersAsk;
+use mastichaven_core::ids::Incarnation;
+use mastichaven_core::ids::RequestId;
+use mastichaven_core::run::VoidAsk;
 use mastichaven_core::wire::Ask;
 use mastichaven_core::wire::AskBody;
 use mastichaven_core::wire::Reply;
@@ -27,12 +29,12 @@
 fn pair(delay: Duration) -> Pair {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let ca = DevelopmentCa::generate().unwrap();
-    let start = |host: &str, tx| {
-        Transport::start(any, &ca.material(&host.into(), Role::Entry).unwrap(), tx).unwrap()
+    let start = |host: &str, role, tx| {
+        Transport::start(any, &ca.material(&host.into(), role).unwrap(), tx).unwrap()
     };
-    let (asker, _) = (start("asker", flume::bounded(1).0), ());
+    let asker = start("asker", Role::Entry, flume::bounded(1).0);
     let (tx, rx) = flume::bounded(16);
-    let answerer = start("answerer", tx);
+    let answerer = start("answerer", Role::Agent, tx);
     let way = DatagramDoor::open("127.0.0.1:0").unwrap();
     way.lead_to(answerer.local_addr());
     thread::spawn(move || {
@@ -44,7 +46,9 @@
         }
     });
     let from = Sender { host: "asker".into(), ..Sender::default() };
-    Pair { asker, way, ask: Ask { from, body: AskBody::Members(MembersAsk::Probe) } }
+    // Control has connections of its own, on which each ask has a short timeout instead.
+    let void = VoidAsk { request: RequestId::default(), incarnation: Incarnation::default() };
+    Pair { asker, way, ask: Ask { from, body: AskBody::Void(void) } }
 }
 
 // Something between two processes forgets the connection that is open between them: what is sent
