Kinds of the configuration folder documented and kept equal to the code

Change: every key with range and default in docs/CONFIGURATION.md; tests compare keys of all kinds but service, and the defaults of limits. Conclusion: defaults of the other kinds are not compared yet.

--- a/core/tests/control/folder.rs
+++ b/core/tests/control/folder.rs
@@ -1,5 +1,8 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use mastichaven_core::Code;
 use mastichaven_core::Config;
 use mastichaven_core::check;
 use mastichaven_core::config::ZoneState;
@@ -112,3 +115,47 @@
     let (_, problems) = read(&[first, ("b.toml", "[limits]\nqueue_len = 8\n")]);
     assert_eq!(problems.len(), 1);
 }
+
+/// Keys and defaults of each `### Kind:` table of the page.
+fn documented() -> BTreeMap<String, BTreeMap<String, String>> {
+    let mut tables: BTreeMap<String, BTreeMap<String, String>> = BTreeMap::new();
+    let mut kind = None;
+    for line in include_str!("../../../docs/CONFIGURATION.md").lines() {
+        if line.starts_with('#') {
+            kind = line.strip_prefix("### Kind: ").map(str::to_owned);
+        }
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        if let Some(kind) = &kind
+            && cells.len() == 6
+            && cells[1].starts_with('`')
+        {
+            let key = cells[1].trim_matches('`').to_owned();
+            let default = cells[3].trim_matches('`').to_owned();
+            tables.entry(kind.clone()).or_default().insert(key, default);
+        }
+    }
+    tables
+}
+
+#[test]
+fn documented_keys_equal_the_code() {
+    let documented = documented();
+    let kinds = ["zone", "customer", "model", "version", "placement", "route", "limits"];
+    for kind in kinds {
+        let name = if kind == "limits" { "limits".to_owned() } else { format!("{kind}.x") };
+        let (_, problems) = folder::parse("a.toml", &format!("[{name}]\nno_such_key = 1\n"));
+        let unknown = problems.iter().find(|problem| problem.code == Code::UnknownKey).unwrap();
+        let expected = unknown.detail.split_once("expected").expect("keys are listed").1;
+        let keys: BTreeSet<&str> = expected.split('`').skip(1).step_by(2).collect();
+        let found: BTreeSet<&str> = documented[kind].keys().map(String::as_str).collect();
+        assert_eq!(found, keys, "kind {kind} of docs/CONFIGURATION.md");
+    }
+}
+
+#[test]
+fn documented_limits_equal_the_code() {
+    let written: Vec<String> =
+        documented()["limits"].iter().map(|(key, value)| format!("{key} = {value}")).collect();
+    let limits: mastichaven_core::config::Limits = toml::from_str(&written.join("\n")).unwrap();
+    assert_eq!(limits, Default::default());
+}
