An engine that answers before its last read is noticed is not distrusted

Cause: the engine can have all bytes of its weights, and answer the order, before the sending thread counts the read as whole. The agent then distrusted it, unloaded it, and never trusted that start again. Change: the count is waited for up to 2 s; a load that was read whole ends the distrust. Conclusion: a busy host does not lose a replica to the order in which two threads run.

--- a/node/src/agent/engine_watch.rs
+++ b/node/src/agent/engine_watch.rs
@@ -40,6 +40,12 @@
 /// How long another replica may take to say that it is ready.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long the end of a read may be noticed after the engine has answered.
+const READ_GRACE: Duration = Duration::from_secs(2);
+
+/// How often that is looked for.
+const READ_POLL: Duration = Duration::from_millis(5);
+
 struct Watch<'a> {
     shared: &'a Shared,
     backoff: Backoff,
@@ -131,11 +137,15 @@
         let result = self.send_load(model, version, fence);
         let reported = self.reported();
         let confirmed = ordered.confirm(reported);
-        if let (Ok(start), true) = (confirmed, shared.store.whole_reads(version) == reads_before) {
-            // The connection broke half way and the engine took what it had for the whole: it would
-            // answer from partial weights. Nothing may run until it has loaded them again.
-            self.distrusted = Some((start, version));
-            let _ = shared.engine.unload(fence);
+        match confirmed {
+            Ok(_) if self.was_read_whole(version, reads_before) => self.distrusted = None,
+            Ok(start) => {
+                // The connection broke half way and the engine took what it had for the whole: it
+                // would answer from partial weights. Nothing may run until it has loaded them again.
+                self.distrusted = Some((start, version));
+                let _ = shared.engine.unload(fence);
+            }
+            Err(_) => {}
         }
         let trusted = confirmed.is_ok_and(|start| self.distrusted != Some((start, version)));
         if trusted {
@@ -149,6 +159,19 @@
         warn!(shared.telemetry.log, "engine did not load"; "code" => code.number());
     }
 
+    /// Whether the weights have been read to their end since there were `before` such reads. The
+    /// engine may answer before the thread that sends them has noticed that it sent the last byte.
+    fn was_read_whole(&self, version: Digest, before: u64) -> bool {
+        let begun = Instant::now();
+        while self.shared.store.whole_reads(version) == before {
+            if begun.elapsed() > READ_GRACE || self.shared.is_over() {
+                return false;
+            }
+            thread::sleep(READ_POLL);
+        }
+        true
+    }
+
     fn wait_until_idle(&self) {
         while self.shared.running.load(Ordering::Acquire) > 0 && !self.shared.is_over() {
             thread::sleep(TICK);
