--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,7 +2,9 @@
 //! and runs of it under faults whose histories are checked.
 
 pub mod bookings;
+pub mod capacity;
 pub mod demo;
 pub mod faults;
 pub mod fleet;
 pub mod load;
+pub mod report;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,10 +7,12 @@
 use bpaf::Bpaf;
 use mastichaven_bench::bookings;
 use mastichaven_bench::bookings::Plan;
+use mastichaven_bench::capacity;
 use mastichaven_bench::demo;
 use mastichaven_bench::demo::DemoLimits;
 use mastichaven_bench::faults;
 use mastichaven_bench::load;
+use mastichaven_bench::report;
 use serde::Serialize;
 
 mod weights;
@@ -36,6 +38,16 @@
         #[bpaf(argument("FILE"), optional)]
         json: Option<PathBuf>,
     },
+    /// What an idle fleet costs as it grows, by role
+    #[bpaf(command)]
+    Capacity {
+        /// Also write the figures to this file
+        #[bpaf(argument("FILE"), optional)]
+        json: Option<PathBuf>,
+    },
+    /// One page of plots and figures from the files that experiments wrote
+    #[bpaf(command)]
+    Report(#[bpaf(external(report::options))] report::Options),
     /// Faults alone and in pairs against whole fleets, whose histories are checked
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::command::options))] faults::command::Options),
@@ -66,6 +78,8 @@
         }
         Arguments::Load { seconds, json } => run_load(seconds, json.as_deref()),
         Arguments::Demo { json } => demo::run(DemoLimits::default(), json.as_deref()),
+        Arguments::Capacity { json } => capacity::run(json.as_deref()),
+        Arguments::Report(options) => report::run(&options),
         Arguments::Faults(options) => faults::command::run(&options),
         Arguments::Weights(options) => weights::run(&options),
     };
--- a/standins/src/datagrams.rs
+++ b/standins/src/datagrams.rs
@@ -32,6 +32,7 @@
     cut_peers: HashSet<SocketAddr>,
     seen: HashSet<ConnectionId>,
     forgotten: HashSet<ConnectionId>,
+    passed: u64,
 }
 
 impl State {
@@ -41,7 +42,9 @@
             return false;
         };
         self.seen.insert(id);
-        !self.cut && !self.cut_peers.contains(&peer) && !self.forgotten.contains(&id)
+        let passes = !self.cut && !self.cut_peers.contains(&peer) && !self.forgotten.contains(&id);
+        self.passed += if passes { datagram.len() as u64 } else { 0 };
+        passes
     }
 }
 
@@ -85,6 +88,11 @@
         self.address
     }
 
+    /// Bytes that got through so far, in both directions.
+    pub fn passed(&self) -> u64 {
+        lock(&self.state).passed
+    }
+
     /// Leads to the process at `target` from now on.
     pub fn lead_to(&self, target: SocketAddr) {
         lock(&self.state).target = Some(target);
