--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod faults;
 pub mod fleet;
 pub mod load;
+pub mod member_net;
 pub mod report;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -15,6 +15,8 @@
 use mastichaven_bench::report;
 use serde::Serialize;
 
+mod figures;
+mod members;
 mod weights;
 
 /// Runs the whole path or an experiment in one process, on stand-ins over loopback.
@@ -28,6 +30,13 @@
         #[bpaf(argument("FILE"), optional)]
         json: Option<PathBuf>,
     },
+    /// Membership: detection time, false suspicions, bytes a second and their slope
+    #[bpaf(command)]
+    Members {
+        /// Also write the figures to this file
+        #[bpaf(argument("FILE"), optional)]
+        json: Option<PathBuf>,
+    },
     /// Load against the usual ways of balancing, overload, a flood, and what an entry costs
     #[bpaf(command)]
     Load {
@@ -80,6 +89,7 @@
         Arguments::Demo { json } => demo::run(DemoLimits::default(), json.as_deref()),
         Arguments::Capacity { json } => capacity::run(json.as_deref()),
         Arguments::Report(options) => report::run(&options),
+        Arguments::Members { json } => members::run(json.as_deref()),
         Arguments::Faults(options) => faults::command::run(&options),
         Arguments::Weights(options) => weights::run(&options),
     };
--- a/node/src/agent.rs
+++ b/node/src/agent.rs
@@ -6,7 +6,8 @@
 //! | `requests` | hands requests to the endpoint, a task a request | `agent/run.rs` |
 //! | `engine` | watches the endpoint, opens and closes the gate, gives orders | `agent/engine_watch.rs` |
 //! | `pull` | tells the weight threads what the plan wants | `agent/pull.rs` |
-//! | `control` | keeps the documents up to date | `agent/control.rs` |
+//! | `control` | membership, and configuration and plans from peers | `control.rs` |
+//! | `platform` | finds the first peer | `platform_watch.rs` |
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,7 +30,6 @@
 use mastichaven_core::members::Serving;
 use mastichaven_core::plan::Plan;
 use mastichaven_core::platform::HostRole;
-use mastichaven_core::platform::ListedHost;
 use mastichaven_core::record::Record;
 use mastichaven_core::share::Shares;
 use mastichaven_core::swarm::PeerPlace;
@@ -42,6 +42,9 @@
 use slog::info;
 
 use crate::clock::Clock;
+use crate::control;
+use crate::control::Control;
+use crate::control::Controlled;
 use crate::documents::Documents;
 use crate::engine::Engine;
 use crate::http_store::HttpStore;
@@ -49,6 +52,7 @@
 use crate::operator::Operated;
 use crate::operator::WholeBody;
 use crate::origin::Origin;
+use crate::platform_watch;
 use crate::settings::AgentSettings;
 use crate::settings::EndpointSettings;
 use crate::telemetry::Gauge;
@@ -61,7 +65,6 @@
 use crate::weights::Weights;
 
 mod asks;
-mod control;
 mod engine_watch;
 mod pull;
 mod run;
@@ -86,7 +89,8 @@
     incarnation: Incarnation,
     documents: Documents,
     transport: Transport,
-    platform: HttpStore,
+    control: Control,
+    host_leaves: AtomicBool,
     engine: Engine,
     serving: Mutex<Serving>,
     admission: Mutex<Admission>,
@@ -96,7 +100,6 @@
     runs: flume::Sender<run::Job>,
     store: Arc<Store>,
     weights: Weights,
-    listed: Mutex<Vec<ListedHost>>,
     standing_in: Mutex<Option<(ModelName, Digest)>>,
     weights_base: Mutex<String>,
     stopping: AtomicBool,
@@ -113,6 +116,11 @@
         self.stopping.load(Ordering::Acquire)
     }
 
+    /// Whether it takes no new work, because it stops or its host is about to be taken away.
+    fn is_leaving(&self) -> bool {
+        self.is_stopping() || self.host_leaves.load(Ordering::Acquire)
+    }
+
     fn endpoint(&self) -> EndpointKind {
         match &self.settings.endpoint {
             EndpointSettings::Engine { .. } => EndpointKind::Engine,
@@ -129,7 +137,7 @@
             region: place.region.clone(),
             address: place.advertised.unwrap_or(self.transport.local_addr()),
             incarnation: self.incarnation,
-            leaving: self.is_stopping(),
+            leaving: self.is_leaving(),
             endpoint: self.endpoint(),
             memory_mib: self.settings.memory_mib,
             serving: self.serving.lock().expect("no holder of this lock panics").clone(),
@@ -164,10 +172,10 @@
         })
     }
 
-    /// Where the platform's list says that `host` is.
+    /// Where a member is.
     fn address_of(&self, host: &HostName) -> Option<SocketAddr> {
-        let listed = self.listed.lock().expect("no holder of this lock panics");
-        listed.iter().find(|listed| listed.name == *host).map(|listed| listed.address)
+        let members = self.control.members();
+        members.iter().find(|member| member.host == *host).map(|member| member.address)
     }
 }
 
@@ -202,8 +210,10 @@
         let clock = Clock::start();
         let store = open_store(&settings)?;
         let weights = start_weights(&settings, &telemetry, &transport, &store, &clock, incarnation);
+        let platform = Arc::new(HttpStore::new(&settings.platform));
         let shared = Arc::new(Shared {
-            platform: HttpStore::new(&settings.platform),
+            control: Control::new(settings.seeds.clone()),
+            host_leaves: AtomicBool::new(false),
             engine: Engine::new(address),
             settings,
             telemetry,
@@ -219,7 +229,6 @@
             runs,
             store,
             weights,
-            listed: Mutex::default(),
             standing_in: Mutex::default(),
             weights_base: Mutex::default(),
             stopping: AtomicBool::new(false),
@@ -234,7 +243,8 @@
         let threads = vec![
             spawn("requests", move || run::run(&requests, &jobs)),
             spawn("asks", move || asks::serve(&asks, &rx)),
-            spawn_duty("control", &shared, control::run),
+            control::start(&shared),
+            platform_watch::start(&shared, platform),
             spawn_duty("engine", &shared, engine_watch::run),
             spawn_duty("pull", &shared, pull::run),
         ];
@@ -329,9 +339,49 @@
     spawn(name, move || run(&shared))
 }
 
+impl Controlled for Shared {
+    fn member(&self) -> Member {
+        Shared::member(self)
+    }
+
+    fn ask(&self, body: AskBody) -> Ask {
+        Shared::ask(self, body)
+    }
+
+    fn documents(&self) -> &Documents {
+        &self.documents
+    }
+
+    fn transport(&self) -> &Transport {
+        &self.transport
+    }
+
+    fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    fn telemetry(&self) -> &Telemetry {
+        &self.telemetry
+    }
+
+    fn control(&self) -> &Control {
+        &self.control
+    }
+
+    fn is_over(&self) -> bool {
+        Shared::is_over(self)
+    }
+
+    fn host_leaves(&self, leaves: bool) {
+        if self.host_leaves.swap(leaves, Ordering::AcqRel) != leaves {
+            info!(self.telemetry.log, "host listed as leaving"; "leaves" => leaves);
+        }
+    }
+}
+
 impl Operated for Shared {
     fn is_ready(&self) -> bool {
-        !self.is_stopping()
+        !self.is_leaving()
             && *self.serving.lock().expect("no holder of this lock panics") != Serving::Nothing
     }
 
@@ -343,6 +393,11 @@
             "generation": self.documents.in_force().generation,
             "documents": self.documents.revisions(),
             "member": self.member(),
+            "members": self.control.members().len(),
+            "traffic": {
+                "sent": self.transport.traffic().sent,
+                "received": self.transport.traffic().received,
+            },
             "running": self.running.load(Ordering::Acquire),
             "on_record": self.record.lock().expect("no holder of this lock panics").len(),
             "weights": {
--- a/node/src/entry/planner.rs
+++ b/node/src/entry/planner.rs
@@ -68,7 +68,9 @@
     };
     while !shared.is_over() {
         planner.renew();
-        planner.plan_all();
+        if shared.control.is_settled() {
+            planner.plan_all();
+        }
         thread::sleep(INTERVAL);
     }
     let step = planner.lease.release(shared.clock.now());
