A chunk that was pulled before comes from peers, not from the origin again

Cause: a replica that joins late in a zone without any owns chunks that the fleet has long had; it pulled them again, and with the repeats spent it never completed. Change: neighbours go before the origin; the budget says PulledBefore, and then every other try goes to another zone's owner; only the third try may pay for a repeat.

--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -172,6 +172,8 @@
     StaleOrder = 307, 409, NotRun, "the order carries an old fencing token";
     /// The engine did not do what it was ordered.
     OrderIgnored = 308, 502, NotRun, "the engine did not carry out the order";
+    /// The chunk was pulled from the origin before.
+    PulledBefore = 309, 429, NotRun, "the chunk was pulled from the origin before; peers have it";
 
     /// A peer's certificate does not allow this request.
     WrongRole = 401, 403, NotRun, "the peer's role does not allow this";
--- a/core/src/swarm/download.rs
+++ b/core/src/swarm/download.rs
@@ -32,7 +32,9 @@
     pub(super) asked_at: Time,
     /// When its owner was last asked.
     pub(super) owner_asked_at: Option<Time>,
-    holders: u16,
+    /// How often it was asked for as a chunk that comes from the origin.
+    pub(super) origin_tries: u32,
+    pub(super) holders: u16,
     /// Whether the same bytes stand earlier in the version; that place alone is asked for.
     pub(super) is_repeat: bool,
 }
@@ -53,6 +55,7 @@
     pub(super) watch: BTreeSet<PeerId>,
     pub(super) worked_out_at: Option<(u64, usize)>,
     pub(super) progress_at: Time,
+    pub(super) opened_at: Time,
 }
 
 impl Download {
@@ -70,6 +73,7 @@
             watch: BTreeSet::new(),
             worked_out_at: None,
             progress_at: now,
+            opened_at: now,
         }
     }
 
@@ -88,6 +92,7 @@
             return;
         }
         self.has_manifest = true;
+        self.opened_at = now;
         self.have = Bitmap::zeros(manifest.chunks.len());
         self.progress_at = now;
         for (n, chunk) in manifest.chunks.iter().enumerate() {
@@ -102,6 +107,7 @@
                 flights: 0,
                 asked_at: Time::ZERO,
                 owner_asked_at: None,
+                origin_tries: 0,
                 holders: 0,
                 is_repeat,
             });
@@ -197,7 +203,7 @@
         best.map(|(_, n, peer)| (n, peer))
     }
 
-    fn offers(&self, n: usize) -> impl Iterator<Item = PeerId> + '_ {
+    pub(super) fn offers(&self, n: usize) -> impl Iterator<Item = PeerId> + '_ {
         self.maps.iter().filter(move |(_, map)| map.get(n)).map(|(id, _)| *id)
     }
 }
--- a/core/src/swarm/peers.rs
+++ b/core/src/swarm/peers.rs
@@ -132,6 +132,11 @@
         &mut self.all[id.0 as usize]
     }
 
+    /// Whether `id` ever answered.
+    pub fn is_heard(&self, id: PeerId) -> bool {
+        self.get(id).heard_at != Time::ZERO
+    }
+
     /// Whether `id` may own chunks: an owner that lives but sends damaged ones would hold them back
     /// from its whole zone.
     pub fn may_own(&self, id: PeerId) -> bool {
--- a/core/src/swarm/pull.rs
+++ b/core/src/swarm/pull.rs
@@ -74,6 +74,9 @@
 const ORIGIN_RETRY: Duration = Duration::from_millis(500);
 const ORIGIN_RETRY_LONGEST: Duration = Duration::from_secs(16);
 
+/// Tries for an origin chunk after which a pull that others made before may be repeated.
+const REPEAT_AFTER: u32 = 2;
+
 /// Wait before an owner is asked for the same chunk again.
 const OWNED_RETRY: Duration = Duration::from_millis(200);
 
@@ -105,6 +108,8 @@
         len: u32,
         /// Whether the peer may hold the ask until it has the chunk.
         park: bool,
+        /// Whether the origin may be asked although the chunk was pulled from it before.
+        repeat: bool,
     },
     /// What the peer has of it.
     Have,
@@ -144,6 +149,8 @@
     Silent,
     /// The peer cannot be reached.
     Unreachable,
+    /// The chunk was pulled from the origin before: some host has it or is about to.
+    PulledBefore,
     /// This host has no room or the budget is spent; nobody else is to blame.
     NotNow,
 }
@@ -427,18 +434,20 @@
             if part.flights > 0 || just_failed {
                 continue;
             }
-            let to = match part.source {
-                Source::Origin if from_origin < MAX_FROM_ORIGIN && now >= self.origin_from => {
+            let to = match self.source_now(n, *index as usize, now) {
+                Some(To::Origin) if from_origin < MAX_FROM_ORIGIN && now >= self.origin_from => {
                     from_origin += 1;
                     To::Origin
                 }
-                Source::Peer(id) if awaited < MAX_AWAITED => {
+                Some(To::Peer(id)) if awaited < MAX_AWAITED => {
                     awaited += 1;
                     To::Peer(id)
                 }
                 _ => continue,
             };
-            self.downloads[n].parts[*index as usize].owner_asked_at = Some(now);
+            let part = &mut self.downloads[n].parts[*index as usize];
+            part.owner_asked_at = Some(now);
+            part.origin_tries += u32::from(part.source == Source::Origin);
             let park = to != To::Origin;
             let timeout = if park { PARK + self.chunk_timeout() } else { ORIGIN_TIMEOUT };
             self.ask_chunk(n, *index as usize, to, park, timeout, now, requests);
@@ -446,6 +455,33 @@
         self.downloads[n].owned = owned;
     }
 
+    /// Whom to ask for an owned chunk now; `None` while neighbours offer it or may still do.
+    ///
+    /// A replica that joins late owns chunks that the whole fleet has long had. So neighbours go
+    /// before the origin, and when the origin's budget says that the chunk was pulled before, every
+    /// other try goes to another zone's owner.
+    fn source_now(&self, n: usize, index: usize, now: Time) -> Option<To> {
+        let download = &self.downloads[n];
+        let part = &download.parts[index];
+        let live = |id: PeerId| self.peers.may_own(id);
+        match part.source {
+            Source::Neighbours => None,
+            Source::Peer(id) => Some(To::Peer(id)),
+            Source::Origin if self.way != Way::Swarm => Some(To::Origin),
+            Source::Origin if part.holders > 0 && download.offers(index).any(live) => None,
+            Source::Origin if part.origin_tries % 2 == 1 => {
+                let turn = part.origin_tries as usize / 2;
+                let other = self.topology.elsewhere(part.key, &live, turn);
+                Some(other.map_or(To::Origin, To::Peer))
+            }
+            Source::Origin => {
+                let near = self.neighbours.iter().filter(|id| self.peers.is_heard(**id)).count();
+                let told = download.maps.len() >= near && near == self.neighbours.len();
+                (told || now.passed(download.opened_at, WATCH)).then_some(To::Origin)
+            }
+        }
+    }
+
     #[expect(clippy::too_many_arguments, reason = "one request's fields")]
     fn ask_chunk(
         &mut self,
@@ -463,7 +499,8 @@
         if part.flights > 1 {
             self.counts.doubled += 1;
         }
-        let what = What::Chunk { digest: part.digest, len: part.len, park };
+        let repeat = part.origin_tries > REPEAT_AFTER;
+        let what = What::Chunk { digest: part.digest, len: part.len, park, repeat };
         let version = self.downloads[n].version;
         requests.push(self.launch(to, version, what, timeout, now));
     }
@@ -552,6 +589,8 @@
         };
         if let To::Peer(id) = flight.to {
             self.judge_peer(id, &flight, &end, now);
+        } else if end == End::PulledBefore {
+            // The chunk's next try goes to a peer; other chunks need not wait.
         } else if !matches!(end, End::Stored | End::Manifest(_)) {
             self.origin_from = now + self.origin_wait;
             self.origin_wait = (self.origin_wait * 2).min(ORIGIN_RETRY_LONGEST);
@@ -612,7 +651,7 @@
                 }
                 return;
             }
-            End::Told | End::NotNow => return self.peers.heard(id, now),
+            End::Told | End::NotNow | End::PulledBefore => return self.peers.heard(id, now),
             End::Absent if !direct => return self.peers.heard(id, now),
             End::Absent | End::Corrupt => Fault::Dishonest,
             End::Busy => Fault::Busy,
--- a/core/src/swarm/topology.rs
+++ b/core/src/swarm/topology.rs
@@ -213,6 +213,21 @@
         }
     }
 
+    /// The owner of `key` in another live zone; `turn` goes round the zones.
+    pub fn elsewhere(
+        &self,
+        key: u64,
+        is_live: &dyn Fn(PeerId) -> bool,
+        turn: usize,
+    ) -> Option<PeerId> {
+        let mut zones: Vec<usize> = (0..self.zones.len())
+            .filter(|zone| *zone != self.my_zone && self.has_live(*zone, is_live))
+            .collect();
+        zones.sort_by_key(|zone| mix(self.zones[*zone].hash ^ key));
+        let zone = zones.get(turn % zones.len().max(1))?;
+        self.owner(*zone, key, is_live, 0)
+    }
+
     fn is_owner(&self, key: u64, is_live: &dyn Fn(PeerId) -> bool, skip: usize) -> bool {
         if skip == 0 {
             return self.owner(self.my_zone, key, is_live, 0) == Some(PeerId(self.me));
--- a/core/tests/weights/swarm.rs
+++ b/core/tests/weights/swarm.rs
@@ -102,12 +102,15 @@
     }
 
     fn ask_origin(&mut self, n: usize, request: &Request) -> End {
-        let What::Chunk { digest, .. } = request.what else {
+        let What::Chunk { digest, repeat, .. } = request.what else {
             return End::Manifest(self.manifest.clone());
         };
         if self.cut.contains(&n) {
             return End::NotNow;
         }
+        if !repeat && self.origin.contains_key(&digest) {
+            return End::PulledBefore;
+        }
         *self.origin.entry(digest).or_default() += 1;
         End::Stored
     }
@@ -157,6 +160,28 @@
     assert_eq!((hosts.complete(), hosts.origin_pulls()), (24, CHUNKS as u32));
 }
 
+// A burst adds replicas in a zone that had none. The chunks that fall to them are owned by nobody
+// else there; were they pulled again, each such burst would cost the origin a part of a copy.
+#[test]
+fn late_zone_takes_nothing_from_origin() {
+    let mut hosts = Hosts::new(&ZONES);
+    let late: Vec<usize> = (16..24).collect();
+    hosts.cut = late.iter().copied().collect();
+    hosts.run(400);
+    let before = hosts.origin_pulls();
+    hosts.cut.clear();
+    let places: Vec<PeerPlace> = hosts.all.iter().map(|host| host.place.clone()).collect();
+    for n in late {
+        let host = &mut hosts.all[n];
+        host.swarm = Swarm::new(&host.place, Way::Swarm);
+        host.swarm.set_peers(&places, None);
+        host.swarm.want(&[hosts.manifest.digest()], hosts.now);
+        host.swarm.open(&hosts.manifest, |_| false, hosts.now);
+    }
+    hosts.run(400);
+    assert_eq!((hosts.complete(), hosts.origin_pulls()), (24, before));
+}
+
 // One host in each zone sends damaged chunks, says that it has what it has not, or never answers.
 // Hosts that went on trusting it would never complete, and the replica would be missing in a burst.
 #[test]
--- a/node/src/weights/budget.rs
+++ b/node/src/weights/budget.rs
@@ -36,6 +36,8 @@
     pub index: usize,
     /// Its bytes.
     pub len: u64,
+    /// Whether a repeated pull may be paid for.
+    pub repeat: bool,
 }
 
 /// Pays for one host.
@@ -53,6 +55,7 @@
 
     /// Pays for one pull of a chunk.
     ///
+    /// [`Code::PulledBefore`] when this would be a repeat and the price does not allow one;
     /// [`Code::OriginBudget`] when nothing is left; the platform's code while it cannot be reached.
     /// A lost answer may have taken effect: the grant then counts as spent and is not used, so that
     /// the bound holds, and a later try pays again.
@@ -64,6 +67,9 @@
         if self.change(&key, |first: &mut FirstPulls| first.grant(price.index))? {
             return Ok(());
         }
+        if !price.repeat {
+            return Err(Code::PulledBefore);
+        }
         let limit = repeats_limit(price.version_len, price.copies);
         let key = repeats_key(price.version);
         let granted = self.change(&key, |repeats: &mut Repeats| repeats.grant(price.len, limit))?;
--- a/node/src/weights/fetch.rs
+++ b/node/src/weights/fetch.rs
@@ -34,6 +34,7 @@
             let (end, error) = match self.fetch(&job) {
                 Ok(end) => (end, None),
                 Err(Code::CorruptChunk) => (End::Corrupt, Some(Code::CorruptChunk)),
+                Err(Code::PulledBefore) => (End::PulledBefore, None),
                 Err(code) => (End::NotNow, Some(code)),
             };
             let Some(events) = events.upgrade() else {
@@ -54,34 +55,41 @@
                 self.store.put_manifest(manifest.clone())?;
                 Ok(End::Manifest(manifest))
             }
-            What::Chunk { digest, len, .. } => self.chunk(job, version, digest, len),
+            What::Chunk { digest, len, repeat, .. } => {
+                let pull = Pull { version, digest, len, repeat };
+                self.chunk(job.copies, pull)
+            }
             What::Have => Ok(End::Told),
         }
     }
 
-    fn chunk(
-        &mut self,
-        job: &Fetch,
-        version: Digest,
-        digest: Digest,
-        len: u32,
-    ) -> Result<End, Code> {
-        let manifest = self.store.manifest(version).ok_or(Code::NoChunk)?;
-        let index = manifest.chunks.iter().position(|chunk| chunk.digest == digest);
+    fn chunk(&mut self, copies: f64, pull: Pull) -> Result<End, Code> {
+        let manifest = self.store.manifest(pull.version).ok_or(Code::NoChunk)?;
+        let index = manifest.chunks.iter().position(|chunk| chunk.digest == pull.digest);
         let price = Price {
-            version,
+            version: pull.version,
             version_len: manifest.len(),
-            copies: job.copies,
+            copies,
             index: index.ok_or(Code::NoChunk)?,
-            len: u64::from(len),
+            len: u64::from(pull.len),
+            repeat: pull.repeat,
         };
         self.budget.pay(&price)?;
-        let bytes = self.origin.chunk(digest).inspect_err(|code| {
+        let bytes = self.origin.chunk(pull.digest).inspect_err(|code| {
             if matches!(code, Code::Unreachable | Code::NoChunk | Code::OriginBudget) {
                 self.budget.give_back(&price);
             }
         })?;
-        self.store.put_chunk(digest, &bytes)?;
+        self.store.put_chunk(pull.digest, &bytes)?;
         Ok(End::Stored)
     }
 }
+
+/// A chunk to take from the origin.
+#[derive(Clone, Copy)]
+struct Pull {
+    version: Digest,
+    digest: Digest,
+    len: u32,
+    repeat: bool,
+}
--- a/node/tests/weights/budget.rs
+++ b/node/tests/weights/budget.rs
@@ -14,7 +14,14 @@
 
 fn price(index: usize) -> Price {
     let version_len = CHUNKS as u64 * LEN;
-    Price { version: Digest::of(b"rota"), version_len, copies: COPIES, index, len: LEN }
+    Price {
+        version: Digest::of(b"rota"),
+        version_len,
+        copies: COPIES,
+        index,
+        len: LEN,
+        repeat: true,
+    }
 }
 
 fn pay_all(platform: &Platform) -> u64 {
