--- a/bench/src/weights.rs
+++ b/bench/src/weights.rs
@@ -60,7 +60,7 @@
 const STORE_LEN: u64 = 64 << 20;
 
 /// A way that needs longer than this many lower bounds is stopped and reported as unfinished.
-const LONGEST: f64 = 4.0;
+const LONGEST: f64 = 3.0;
 
 /// How often completion is looked at.
 const POLL: Duration = Duration::from_millis(25);
