--- a/bench/src/weights.rs
+++ b/bench/src/weights.rs
@@ -17,9 +17,9 @@
 use mastichaven_bench::fleet::Result;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
+use mastichaven_core::swarm::Counts;
 use mastichaven_core::swarm::PeerPlace;
 use mastichaven_core::swarm::Way;
-use mastichaven_core::swarm::pull::Counts;
 use mastichaven_core::wire::Sender;
 use mastichaven_node::clock::Clock;
 use mastichaven_node::http_store::HttpStore;
@@ -40,12 +40,13 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 
+mod faults;
 mod net;
 
+use faults::Faults;
 use net::HostLink;
 use net::Net;
 use net::Rates;
-use net::ZONES;
 use net::place_of;
 
 const ANY: &str = "127.0.0.1:0";
@@ -75,10 +76,6 @@
 const ASK_LEN: u64 = 100;
 
 const DEFAULT_HOSTS: usize = 200;
-const KILLED_SHARE: f64 = 0.05;
-const STALLED_SHARE: f64 = 0.02;
-const CORRUPT_SHARE: f64 = 0.01;
-const CUT_ZONE: usize = 4;
 
 /// Options of the experiment.
 #[derive(Bpaf, Clone, Debug)]
@@ -438,74 +435,3 @@
         failed: sum(|c| c.failed),
     }
 }
-
-/// When which fault happens, as shares of the lower bound.
-struct Faults {
-    on: bool,
-    count: usize,
-    lower_bound: Duration,
-    stage: usize,
-    killed: Vec<usize>,
-}
-
-/// Times of the faults: corruption from the start, then these.
-const STAGES: [f64; 4] = [0.2, 0.3, 0.4, 0.6];
-
-impl Faults {
-    fn new(on: bool, count: usize, lower_bound: Duration) -> Faults {
-        Faults { on, count, lower_bound, stage: 0, killed: Vec::new() }
-    }
-
-    fn is_over(&self) -> bool {
-        !self.on || self.stage == STAGES.len()
-    }
-
-    /// Hosts picked evenly over the fleet, starting at `from`.
-    fn some(&self, share: f64, from: usize) -> Vec<usize> {
-        let hosts = ((self.count as f64 * share).round() as usize).max(1);
-        (0..hosts).map(|n| (from + n * self.count / hosts + n) % self.count).collect()
-    }
-
-    /// Killed hosts, and those of the cut zone, do not reach the origin either.
-    fn cut_off_origin(&self, run: &Run, zone_is_cut: bool) {
-        let cut =
-            |n: &usize| self.killed.contains(n) || (zone_is_cut && place_of(*n).0 == CUT_ZONE);
-        let names = (0..self.count).filter(cut).map(|n| name_of(n).to_string());
-        run.origin.set_cut_off(names.collect());
-    }
-
-    fn step(&mut self, elapsed: Duration, run: &Run) {
-        if self.is_over() || elapsed < self.lower_bound.mul_f64(STAGES[self.stage]) {
-            return;
-        }
-        match self.stage {
-            0 => {
-                run.net.set_corrupt_share(CORRUPT_SHARE);
-                for n in self.some(STALLED_SHARE, 5) {
-                    run.net.set_stalled(n, true);
-                }
-            }
-            1 => {
-                run.net.set_cut(Some(CUT_ZONE));
-                self.cut_off_origin(run, true);
-            }
-            2 => {
-                self.killed = self.some(KILLED_SHARE, 3);
-                for n in &self.killed {
-                    run.net.kill(*n);
-                }
-                self.cut_off_origin(run, true);
-            }
-            _ => {
-                run.net.set_cut(None);
-                self.cut_off_origin(run, false);
-                for n in self.some(STALLED_SHARE, 5) {
-                    run.net.set_stalled(n, false);
-                }
-            }
-        }
-        self.stage += 1;
-    }
-}
-
-const _: () = assert!(CUT_ZONE < ZONES);
--- a/core/src/swarm.rs
+++ b/core/src/swarm.rs
@@ -7,20 +7,26 @@
 //! set of neighbours, several at once. [`peers`] keeps what each peer has proved to be worth, and
 //! [`budget`] bounds the bytes that leave the origin whatever the agents believe of each other.
 
+mod ask;
 pub mod bitmap;
 pub mod budget;
 mod download;
 pub mod peers;
 pub mod pull;
+mod request;
 pub mod topology;
 
+pub use ask::BUSY_QUEUE;
+pub use ask::PARK;
 pub use bitmap::Bitmap;
-pub use pull::End;
-pub use pull::FlightKey;
-pub use pull::Request;
 pub use pull::Swarm;
-pub use pull::To;
-pub use pull::What;
+pub use request::Counts;
+pub use request::End;
+pub use request::Flight;
+pub use request::FlightKey;
+pub use request::Request;
+pub use request::To;
+pub use request::What;
 pub use topology::PeerId;
 pub use topology::PeerPlace;
 pub use topology::Way;
--- a/node/src/weights.rs
+++ b/node/src/weights.rs
@@ -24,9 +24,9 @@
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::RegionName;
 use mastichaven_core::platform::ObjectStore;
+use mastichaven_core::swarm::Counts;
 use mastichaven_core::swarm::PeerPlace;
 use mastichaven_core::swarm::Way;
-use mastichaven_core::swarm::pull::Counts;
 use mastichaven_core::wire::Sender;
 pub use store::Store;
 
--- a/node/src/weights/serve.rs
+++ b/node/src/weights/serve.rs
@@ -9,7 +9,7 @@
 use mastichaven_core::Time;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
-use mastichaven_core::swarm::pull::BUSY_QUEUE;
+use mastichaven_core::swarm::BUSY_QUEUE;
 use mastichaven_core::weights::Have;
 use mastichaven_core::weights::MAX_PARK_MS;
 use mastichaven_core::weights::WeightsAsk;
