--- a/node/src/entry/planner.rs
+++ b/node/src/entry/planner.rs
@@ -17,6 +17,7 @@
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::ModelName;
+use mastichaven_core::ids::ZoneName;
 use mastichaven_core::lease::Lease;
 use mastichaven_core::lease::Step;
 use mastichaven_core::lease::Terms;
@@ -48,12 +49,17 @@
 /// its own view may still be filling, and moving every replica would be worse than waiting.
 const VIEW_PATIENCE: Duration = Duration::from_secs(10);
 
+/// A host that stopped answering keeps its place for this long. One lost probe on a busy network
+/// would else move its replica: unload, reload, and the same again at the next probe.
+const HOST_PATIENCE: Duration = Duration::from_secs(10);
+
 struct Planner<'a> {
     shared: &'a Shared,
     lease: Lease,
     held_since: Option<Time>,
     scalers: HashMap<ModelName, Scaler>,
     loading_since: HashMap<(HostName, Digest), Time>,
+    seen: HashMap<HostName, (Time, Seat)>,
 }
 
 /// Runs until the entry ends, then gives the lease up.
@@ -65,6 +71,7 @@
         held_since: None,
         scalers: HashMap::new(),
         loading_since: HashMap::new(),
+        seen: HashMap::new(),
     };
     while !shared.is_over() {
         planner.renew();
@@ -124,7 +131,8 @@
         if old.as_ref().is_some_and(|old| self.sees_too_little(old, members, now)) {
             return;
         }
-        let seats = seats(config, &placement.model, members);
+        let mut seats = seats(config, &placement.model, members);
+        self.add_recent(&mut seats, config, members, now);
         let failed = self.failed(old.as_ref(), version, &seats, now);
         let taken = self.taken(config, &placement.model);
         let current = old.as_ref().map_or(0, |plan| plan.replicas.len());
@@ -159,6 +167,28 @@
         fresh && seen * 2 < old.replicas.len()
     }
 
+    /// Adds hosts that were seen a moment ago, as not ready. Those that said that they leave, or
+    /// whose zone is out, are gone at once.
+    fn add_recent(
+        &mut self,
+        seats: &mut Vec<Seat>,
+        config: &Config,
+        members: &[Member],
+        now: Time,
+    ) {
+        for seat in seats.iter() {
+            let remembered = Seat { ready: None, ..seat.clone() };
+            self.seen.insert(seat.host.clone(), (now, remembered));
+        }
+        self.seen.retain(|host, (at, seat)| {
+            let here = seats.iter().any(|seat| seat.host == *host);
+            let said_no = members.iter().any(|member| member.host == *host);
+            here || (!said_no && zone_in(config, &seat.zone) && !now.passed(*at, HOST_PATIENCE))
+        });
+        let silent = self.seen.values().filter(|(at, _)| *at != now).map(|(_, seat)| seat.clone());
+        seats.extend(silent.collect::<Vec<_>>());
+    }
+
     /// Hosts that were ordered to load `version` long ago and do not answer from it.
     fn failed(
         &mut self,
@@ -197,14 +227,15 @@
     Digest::from_hex(&config.version.get(&model.serve)?.manifest)
 }
 
+fn zone_in(config: &Config, zone: &ZoneName) -> bool {
+    config.zone.get(zone).is_some_and(|zone| zone.state == ZoneState::In)
+}
+
 fn seats(config: &Config, model: &ModelName, members: &[Member]) -> Vec<Seat> {
-    let zone_in = |member: &&Member| {
-        config.zone.get(&member.zone).is_some_and(|zone| zone.state == ZoneState::In)
-    };
     members
         .iter()
         .filter(|member| member.endpoint == EndpointKind::Engine && !member.leaving)
-        .filter(zone_in)
+        .filter(|member| zone_in(config, &member.zone))
         .map(|member| Seat {
             host: member.host.clone(),
             zone: member.zone.clone(),
--- a/node/src/weights/pull.rs
+++ b/node/src/weights/pull.rs
@@ -196,6 +196,8 @@
         }
         if let (End::Stored, What::Chunk { digest, .. }) = (&end, request.what) {
             self.tell_server(digest);
+            // Also when the swarm has given the request up meanwhile: the chunk is here.
+            self.swarm.stored(digest, now);
         }
         self.swarm.end(request.flight, end, now);
     }
--- a/node/src/weights/store.rs
+++ b/node/src/weights/store.rs
@@ -349,7 +349,6 @@
     fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
         while self.current.is_empty() {
             let Some(chunk) = self.manifest.chunks.get(self.next) else {
-                *self.store.lock().whole_reads.entry(self.version).or_default() += 1;
                 return Ok(0);
             };
             let bytes = self.store.chunk(chunk.digest);
@@ -359,6 +358,9 @@
         }
         let len = buf.len().min(self.current.len());
         self.current.copy_to_slice(&mut buf[..len]);
+        if self.current.is_empty() && self.next == self.manifest.chunks.len() {
+            *self.store.lock().whole_reads.entry(self.version).or_default() += 1;
+        }
         Ok(len)
     }
 }
