--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod faults;
 pub mod fleet;
 pub mod load;
+pub mod member_net;
--- a/node/src/agent/pull.rs
+++ b/node/src/agent/pull.rs
@@ -10,13 +10,13 @@
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::ModelName;
+use mastichaven_core::members::Member;
 use mastichaven_core::members::MembersAsk;
 use mastichaven_core::members::Serving;
 use mastichaven_core::placement::stand_in;
 use mastichaven_core::plan::Plan;
 use mastichaven_core::platform::HostRole;
 use mastichaven_core::platform::ListedHost;
-use mastichaven_core::platform::ObjectStore;
 use mastichaven_core::swarm::PeerPlace;
 use mastichaven_core::wire::AskBody;
 
@@ -25,11 +25,8 @@
 use crate::weights::PeerAddress;
 use crate::weights::Wanted;
 
-/// How often the platform's host list is read.
-const HOSTS_INTERVAL: Duration = Duration::from_secs(2);
-
-/// How long a fresh agent waits for a host list with at least half of the plan's hosts. The list
-/// lags: an agent that starts alone in it would hold itself responsible for every chunk and spend
+/// How long a fresh agent waits until it knows at least half of the plan's hosts. Members come to
+/// be known one after the other: an agent that starts with few of them would hold itself responsible for every chunk and spend
 /// the origin budget on chunks that others pull, too.
 const LIST_PATIENCE: Duration = Duration::from_secs(10);
 
@@ -57,18 +54,10 @@
 
 /// Runs until the agent ends.
 pub(super) fn run(shared: &Shared) {
-    let mut read_at = None;
     let mut probes = HashMap::new();
     let started = shared.clock.now();
     while !shared.is_over() {
-        let now = shared.clock.now();
-        if read_at.is_none_or(|at| now.passed(at, HOSTS_INTERVAL))
-            && let Ok(hosts) = shared.platform.hosts()
-        {
-            *shared.listed.lock().expect("no holder of this lock panics") = hosts;
-            read_at = Some(now);
-        }
-        let listed = shared.listed.lock().expect("no holder of this lock panics").clone();
+        let listed: Vec<ListedHost> = shared.control.members().iter().map(listed_of).collect();
         look_for_dead(shared, &listed, &mut probes);
         step(shared, &listed, started);
         thread::sleep(TICK);
@@ -106,6 +95,18 @@
     PeerAddress { place, address: listed.address }
 }
 
+/// The place of a member; a pull does not need more of it.
+fn listed_of(member: &Member) -> ListedHost {
+    ListedHost {
+        name: member.host.clone(),
+        role: member.role,
+        zone: member.zone.clone(),
+        region: member.region.clone(),
+        address: member.address,
+        leaving: member.leaving,
+    }
+}
+
 /// The version the engine answers from now. Its chunks stay, so that a rollback needs no link.
 fn loaded(shared: &Shared) -> Option<Digest> {
     match &*shared.serving.lock().expect("no holder of this lock panics") {
--- a/node/src/entry/suspects.rs
+++ b/node/src/entry/suspects.rs
@@ -53,7 +53,7 @@
     warn!(shared.telemetry.log, "endpoint crashed under a request";
         "request" => crash.request.to_string(), "beside" => crash.beside);
     shared.suspects.told(shared, crash);
-    for member in shared.members() {
+    for member in shared.members().iter() {
         if member.role != HostRole::Entry || member.host == shared.settings.place.host {
             continue;
         }
