--- a/node/src/weights/pull.rs
+++ b/node/src/weights/pull.rs
@@ -11,13 +11,13 @@
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::swarm::End;
+use mastichaven_core::swarm::PARK;
 use mastichaven_core::swarm::PeerId;
 use mastichaven_core::swarm::PeerPlace;
 use mastichaven_core::swarm::Request;
 use mastichaven_core::swarm::Swarm;
 use mastichaven_core::swarm::To;
 use mastichaven_core::swarm::What;
-use mastichaven_core::swarm::pull::PARK;
 use mastichaven_core::swarm::topology::key_of;
 use mastichaven_core::weights::Have;
 use mastichaven_core::weights::WeightsAsk;
@@ -196,6 +196,8 @@
         }
         if let (End::Stored, What::Chunk { digest, .. }) = (&end, request.what) {
             self.tell_server(digest);
+            // Also when the swarm has given the request up meanwhile: the chunk is here.
+            self.swarm.stored(digest, now);
         }
         self.swarm.end(request.flight, end, now);
     }
