Refusals that proved too much, answers that came too late

An entry without configuration refused a resend as 'unknown customer, not-run' although its first sending had run through another entry. A resend whose claim named a dead agent life asked for it for 3 s each time, longer than its caller waited; a platform that hung kept callers past their deadline. Change: a fresh entry answers E126; any refusal of a keyed request before its claim is read is unknown; a claim on a life that has been replaced is settled as unknown at once; a sending's caller is answered at its deadline; an unreadable reply counts as a lost peer, not as nothing sent.

--- a/bench/src/bookings.rs
+++ b/bench/src/bookings.rs
@@ -337,7 +337,8 @@
     }
 }
 
-fn configuration() -> Result<Config> {
+/// The configuration that bookings run under.
+pub fn configuration() -> Result<Config> {
     let text = format!(
         r#"
         [zone.lagoa]
--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -132,6 +132,8 @@
     AnswerNotKept = 124, 410, Ran, "the request ran before; its answer was not kept";
     /// The caller sends its request too slowly.
     SlowCaller = 125, 408, NotRun, "the request was sent too slowly";
+    /// No configuration has reached this process yet.
+    NotConfigured = 126, 503, NotRun, "no configuration is in force here yet; come back after Retry-After";
 
     /// A setting or key is not known.
     UnknownKey = 201, 400, NotRun, "the key is not known here";
--- a/node/src/entry/claims.rs
+++ b/node/src/entry/claims.rs
@@ -15,6 +15,7 @@
 use mastichaven_core::claim;
 use mastichaven_core::claim::Claim;
 use mastichaven_core::claim::ClaimRun;
+use mastichaven_core::claim::Dispatch;
 use mastichaven_core::claim::Do;
 use mastichaven_core::claim::Event;
 use mastichaven_core::ids::Attempt;
@@ -27,6 +28,7 @@
 use mastichaven_core::platform::PlatformError;
 use mastichaven_core::relay::RelayAsk;
 use mastichaven_core::relay::RelayReply;
+use mastichaven_core::run::VoidReply;
 use mastichaven_core::run::WholeAnswer;
 use mastichaven_core::wire::AskBody;
 use mastichaven_core::wire::Reply;
@@ -274,6 +276,13 @@
     }
 }
 
+/// Whether a later life of the agent has been heard of. Nobody can tell any more what the life that
+/// the claim names did; to ask for it until patience runs out would keep each resend waiting.
+fn is_replaced(shared: &Shared, to: &Dispatch) -> bool {
+    let is_later = |m: &Member| m.host == to.agent && m.incarnation > to.incarnation;
+    shared.members().iter().any(is_later)
+}
+
 async fn carry_out(shared: &Shared, object: &str, call: Do) -> Event {
     let key = object.to_owned();
     match call {
@@ -281,6 +290,7 @@
             let value = Bytes::from(claim.encode());
             shared.claims.call(|tx| Job::Write(key, value, expect, tx)).await
         }
+        Do::AskAgent(to) if is_replaced(shared, &to) => Event::Agent(Some(VoidReply::Unknown)),
         Do::AskAgent(to) => Event::Agent(dispatch::void(shared, &to).await),
         Do::Wait(span) => {
             tokio::time::sleep(span).await;
--- a/node/src/entry/dispatch.rs
+++ b/node/src/entry/dispatch.rs
@@ -245,7 +245,8 @@
         Some(Ok(reply)) => match reply.body {
             ReplyBody::Run(frame) => Ok(frame),
             ReplyBody::Refused(code) => Err(code.into()),
-            _ => Err(Code::BadMessage.into()),
+            // A reply to something else proves nothing of this attempt.
+            _ => Err(Code::PeerLost.into()),
         },
         Some(Err(code)) => Err(code.into()),
         None => Err(Code::PeerLost.into()),
--- a/node/src/entry/parse.rs
+++ b/node/src/entry/parse.rs
@@ -16,6 +16,7 @@
 use mastichaven_core::config::Service;
 use mastichaven_core::ids::CustomerName;
 use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::Generation;
 use mastichaven_core::ids::ServiceName;
 use serde::Deserialize;
 use smol_str::SmolStr;
@@ -165,12 +166,20 @@
     }
 }
 
+/// Whether a request names an idempotency key, so that an earlier sending of it may have run.
+pub(super) fn is_keyed(req: &Request<Incoming>) -> bool {
+    req.headers().contains_key(IDEMPOTENCY_HEADER)
+}
+
 /// Reads a request.
 pub(super) async fn parse(shared: &Shared, req: Request<Incoming>, now: Time) -> Result<Parsed> {
     if callers::is_head_too_large(&req) {
         return Err(Code::TooLarge);
     }
     let in_force = shared.documents.in_force();
+    if in_force.generation == Generation::default() {
+        return Err(Code::NotConfigured);
+    }
     let config = &in_force.config;
     let text = |name: &str| {
         let value = req.headers().get(name).and_then(|value| value.to_str().ok());
--- a/node/src/entry/requests.rs
+++ b/node/src/entry/requests.rs
@@ -46,6 +46,9 @@
 /// The soonest that a second attempt is hedged.
 const HEDGE_SOONEST: Duration = Duration::from_millis(100);
 
+/// What a sending is given past its deadline to say itself why it ended.
+const DEADLINE_SLACK: Duration = Duration::from_millis(250);
+
 /// Keeps count of requests in progress, also when the caller leaves.
 pub(super) struct InProgress(Arc<Shared>);
 
@@ -95,12 +98,13 @@
     in_progress: InProgress,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let now = shared.clock.now();
-    let parsed = parse::parse(shared, req, now).await?;
+    let keyed = parse::is_keyed(&req);
+    let early = |refused| refused_early(keyed, refused);
+    let parsed = parse::parse(shared, req, now).await.map_err(|code| early(code.into()))?;
     if shared.is_stopping() {
-        return Err(refused_early(&parsed, Code::Stopping.into()));
+        return Err(early(Code::Stopping.into()));
     }
-    let admitted =
-        router::admit(shared, &parsed).map_err(|refused| refused_early(&parsed, refused))?;
+    let admitted = router::admit(shared, &parsed).map_err(early)?;
     let held = Held { _in_progress: in_progress, _admitted: admitted };
     if parsed.idempotent {
         let sent = parsed.sent.clone();
@@ -109,20 +113,25 @@
     // A caller that leaves must not stop this half-way: its resend asks what came of it.
     let _watch = parsed.caller.watch();
     let shared = shared.clone();
+    let left = parsed.deadline.since(shared.clock.now()) + DEADLINE_SLACK;
     let task = tokio::spawn(async move {
         let result = unrepeatable(&shared, &parsed).await;
         drop(held);
         result
     });
-    let whole = task.await.unwrap_or(Err(Code::EndpointLost.into()))?;
+    // A platform or an agent that hangs must not keep the caller past its deadline. The task goes
+    // on, so that a resend finds out what came of this sending.
+    let ended = timeout(left, task).await.map_err(|_| Code::DeadlineDuringRun)?;
+    let whole = ended.unwrap_or(Err(Code::EndpointLost.into()))?;
     Ok(answer::whole(whole)?)
 }
 
 /// A refusal before the key's claim is known proves only that this sending did not run: an
-/// earlier one under the same key may have, so `not-run` must not be said of the request.
-fn refused_early(parsed: &Parsed, refused: Refused) -> Refusal {
+/// earlier one under the same key may have, so `not-run` must not be said of the request. That
+/// holds, too, for an entry that cannot read it yet because its configuration is old or missing.
+fn refused_early(keyed: bool, refused: Refused) -> Refusal {
     let mut refusal = Refusal::from(refused);
-    if parsed.key.is_some() && refusal.outcome == Outcome::NotRun {
+    if keyed && refusal.outcome == Outcome::NotRun {
         refusal.outcome = Outcome::Unknown;
     }
     refusal
@@ -144,7 +153,7 @@
     let claimed = claims::serve(shared, parsed, key).await;
     claimed.result.map_err(|refused| match claimed.not_run || refused.code == Code::KeyReused {
         true => Refusal::from(refused),
-        false => refused_early(parsed, refused),
+        false => refused_early(true, refused),
     })
 }
 
--- a/node/src/transport.rs
+++ b/node/src/transport.rs
@@ -445,7 +445,8 @@
         let reply = match read_message::<Reply>(rx).await {
             Ok(Some(reply)) => Ok(reply),
             Ok(None) => return,
-            Err(code) => Err(code),
+            // The ask was taken, whatever is wrong with its reply: no proof that it did not run.
+            Err(_) => Err(Code::PeerLost),
         };
         let last = reply.is_err();
         answered.store(true, Ordering::Relaxed);
