--- a/core/src/swarm/request.rs
+++ b/core/src/swarm/request.rs
@@ -43,7 +43,7 @@
 /// A request to carry out.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Request {
-    /// Names it in [`Swarm::end`].
+    /// Names it in [`Swarm::end`](super::Swarm::end).
     pub flight: FlightKey,
     /// Who is asked.
     pub to: To,
@@ -66,7 +66,7 @@
     Corrupt,
     /// The peer does not have it.
     Absent,
-    /// The peer is up and told what it has; see [`Swarm::heard`].
+    /// The peer is up and told what it has; see [`Swarm::heard`](super::Swarm::heard).
     Told,
     /// The peer is busy.
     Busy,
