--- a/bench/src/load.rs
+++ b/bench/src/load.rs
@@ -98,7 +98,7 @@
     /// Nothing: three attempts, and engines fall over.
     None,
     /// The same admission at each engine that our agents have when all goes well; what it refuses
-    /// is balanced again after [`BASELINE_PAUSE`] until the deadline.
+    /// is balanced again after `BASELINE_PAUSE` until the deadline.
     Admission,
 }
 
