A candidate that lost sight of a dead replica steps in all the same

Cause: since members replaced the platform's host list, a dead replica drops out of what its zone's candidates see; they no longer knew that it stood in their zone and never counted it as dead. Change: the zones of the hosts of a plan are remembered as long as the plan names them; looked at once a second instead of ten times.

--- a/bench/tests/weights/main.rs
+++ b/bench/tests/weights/main.rs
@@ -1,3 +1,4 @@
 //! Rollouts on a whole fleet.
 
+mod outage;
 mod rollout;
--- a/node/src/agent/pull.rs
+++ b/node/src/agent/pull.rs
@@ -2,6 +2,7 @@
 //! in for a dead replica of its zone while no planner does.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::ModelName;
+use mastichaven_core::ids::ZoneName;
 use mastichaven_core::members::Member;
 use mastichaven_core::members::MembersAsk;
 use mastichaven_core::members::Serving;
@@ -26,10 +28,13 @@
 use crate::weights::Wanted;
 
 /// How long a fresh agent waits until it knows at least half of the plan's hosts. Members come to
-/// be known one after the other: an agent that starts with few of them would hold itself responsible for every chunk and spend
-/// the origin budget on chunks that others pull, too.
+/// be known one after the other: an agent that starts with few of them would hold itself
+/// responsible for every chunk and spend the origin budget on chunks that others pull, too.
 const LIST_PATIENCE: Duration = Duration::from_secs(10);
 
+/// How often the agent looks whether it is to stand in.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How often a candidate probes the replicas of its zone.
 const PROBE_INTERVAL: Duration = Duration::from_secs(3);
 
@@ -55,10 +60,17 @@
 /// Runs until the agent ends.
 pub(super) fn run(shared: &Shared) {
     let mut probes = HashMap::new();
+    let mut zones = HashMap::new();
+    let mut looked_at: Option<Time> = None;
     let started = shared.clock.now();
     while !shared.is_over() {
         let listed: Vec<ListedHost> = shared.control.members().iter().map(listed_of).collect();
-        look_for_dead(shared, &listed, &mut probes);
+        let now = shared.clock.now();
+        if looked_at.is_none_or(|at| now.passed(at, LOOK_INTERVAL)) {
+            looked_at = Some(now);
+            remember_zones(shared, &listed, &mut zones);
+            look_for_dead(shared, &zones, &mut probes);
+        }
         step(shared, &listed, started);
         thread::sleep(TICK);
     }
@@ -115,10 +127,31 @@
     }
 }
 
+/// Notes where the hosts of the plans stand. A dead host drops out of the members, and a candidate
+/// that then no longer knew its zone would never count it as dead.
+fn remember_zones(shared: &Shared, listed: &[ListedHost], zones: &mut HashMap<HostName, ZoneName>) {
+    let in_force = shared.documents.in_force();
+    let plans: Vec<Plan> =
+        in_force.config.model.keys().filter_map(|m| Some(shared.documents.plan(m)?.1)).collect();
+    let hosts = |plan: &Plan| -> HashSet<HostName> {
+        let replicas = plan.replicas.iter().map(|replica| &replica.host);
+        replicas.chain(&plan.candidates).cloned().collect()
+    };
+    let named: HashSet<HostName> = plans.iter().flat_map(hosts).collect();
+    zones.retain(|host, _| named.contains(host));
+    for host in listed.iter().filter(|host| named.contains(&host.name)) {
+        zones.insert(host.name.clone(), host.zone.clone());
+    }
+}
+
 /// While the platform or every planner is out of reach, the plan stands, and a dead replica would
 /// stay missing for as long. So the candidates of its zone watch the replicas and step in in the
 /// plan's order.
-fn look_for_dead(shared: &Shared, listed: &[ListedHost], probes: &mut HashMap<ModelName, Probes>) {
+fn look_for_dead(
+    shared: &Shared,
+    zones: &HashMap<HostName, ZoneName>,
+    probes: &mut HashMap<ModelName, Probes>,
+) {
     let in_force = shared.documents.in_force();
     let mut standing_in = None;
     for model in in_force.config.model.keys() {
@@ -126,7 +159,7 @@
             continue;
         };
         let probes = probes.entry(model.clone()).or_default();
-        if let Some(version) = stand_in_for(shared, listed, &plan, revision, probes) {
+        if let Some(version) = stand_in_for(shared, zones, &plan, revision, probes) {
             standing_in = Some((model.clone(), version));
         }
     }
@@ -135,7 +168,7 @@
 
 fn stand_in_for(
     shared: &Shared,
-    listed: &[ListedHost],
+    zones: &HashMap<HostName, ZoneName>,
     plan: &Plan,
     revision: u64,
     probes: &mut Probes,
@@ -145,8 +178,7 @@
     if probes.revision != revision {
         *probes = Probes { revision, unchanged_since: now, ..Probes::default() };
     }
-    let in_my_zone =
-        |host: &HostName| listed.iter().any(|h| h.name == *host && h.zone == place.zone);
+    let in_my_zone = |host: &HostName| zones.get(host) == Some(&place.zone);
     let mut first = plan.candidates.iter().filter(|host| in_my_zone(host)).take(PROBING_CANDIDATES);
     if !first.any(|host| *host == place.host) {
         return None;
