Service while a zone leaves and while everything is restarted; ready only with members known

Cause: whether a rolling restart loses anything had not been measured. It did: a restarted entry said ready before it knew any endpoint, and refused 336 of 18,458 requests with E109. Change: `mastichaven-bench zone` and `restart`; an entry is ready once its members have settled.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod load;
 pub mod member_net;
 pub mod report;
+pub mod service;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -13,6 +13,7 @@
 use mastichaven_bench::faults;
 use mastichaven_bench::load;
 use mastichaven_bench::report;
+use mastichaven_bench::service;
 use serde::Serialize;
 
 mod figures;
@@ -48,6 +49,20 @@
         #[bpaf(argument("FILE"), optional)]
         json: Option<PathBuf>,
     },
+    /// Service second by second while a zone leaves and returns
+    #[bpaf(command)]
+    Zone {
+        /// Also write the figures to this file
+        #[bpaf(argument("FILE"), optional)]
+        json: Option<PathBuf>,
+    },
+    /// Service while every entry and every agent is restarted in turn
+    #[bpaf(command)]
+    Restart {
+        /// Also write the figures to this file
+        #[bpaf(argument("FILE"), optional)]
+        json: Option<PathBuf>,
+    },
     /// Load against the usual ways of balancing, overload, a flood, and what an entry costs
     #[bpaf(command)]
     Load {
@@ -101,6 +116,8 @@
         Arguments::Capacity { json } => capacity::run(json.as_deref()),
         Arguments::Report(options) => report::run(&options),
         Arguments::Spread { processes, json } => spread::run(processes, json.as_deref()),
+        Arguments::Zone { json } => run_zone(json.as_deref()),
+        Arguments::Restart { json } => run_restart(json.as_deref()),
         Arguments::Members { json } => members::run(json.as_deref()),
         Arguments::Faults(options) => faults::command::run(&options),
         Arguments::Weights(options) => weights::run(&options),
@@ -127,6 +144,20 @@
     if missed.is_empty() { Ok(()) } else { Err(missed.join("; ")) }
 }
 
+fn run_zone(json: Option<&Path>) -> Result<(), String> {
+    let report = service::zone()?;
+    show(&report, json)?;
+    let kept = report.fell_over == 0 && report.callers.cut_off == 0 && report.callers.ran_twice == 0;
+    if kept { Ok(()) } else { Err("a promise was broken".to_owned()) }
+}
+
+fn run_restart(json: Option<&Path>) -> Result<(), String> {
+    let report = service::restart()?;
+    show(&report, json)?;
+    let kept = report.fell_over == 0 && report.callers.cut_off == 0 && report.callers.ran_twice == 0;
+    if kept { Ok(()) } else { Err("a promise was broken".to_owned()) }
+}
+
 fn show(report: &impl Serialize, json: Option<&Path>) -> Result<(), String> {
     let text = serde_json::to_string_pretty(report).map_err(|e| e.to_string())?;
     println!("{text}");
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -159,6 +159,7 @@
     relay_rank: AtomicU32,
     alive: AtomicU64,
     settled: AtomicBool,
+    has_settled: AtomicBool,
 }
 
 /// Marks a process that is no relay.
@@ -176,6 +177,7 @@
             relay_rank: AtomicU32::new(NO_RELAY),
             alive: AtomicU64::new(0),
             settled: AtomicBool::new(false),
+            has_settled: AtomicBool::new(false),
         }
     }
 
@@ -195,6 +197,12 @@
         self.settled.load(Ordering::Acquire)
     }
 
+    /// Whether the members have settled once in this life. Before that an entry knows some
+    /// endpoints only, or none, and would refuse what others can answer.
+    pub fn has_settled(&self) -> bool {
+        self.has_settled.load(Ordering::Acquire)
+    }
+
     /// This process's place among its zone's relays, if it is one of them.
     pub fn relay_rank(&self) -> Option<u32> {
         let rank = self.relay_rank.load(Ordering::Acquire);
@@ -311,7 +319,9 @@
         }
         let since = *self.unsettled.get_or_insert(now);
         let settled = quiet || now.passed(since, MAX_UNSETTLED);
-        self.node.control().settled.store(settled, Ordering::Release);
+        let control = self.node.control();
+        control.settled.store(settled, Ordering::Release);
+        control.has_settled.fetch_or(settled, Ordering::AcqRel);
     }
 
     fn refresh(&mut self, now: Time) {
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -295,7 +295,8 @@
 
 impl Operated for Shared {
     fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.documents.in_force().generation.0 > 0
+        let is_configured = self.documents.in_force().generation.0 > 0;
+        !self.is_leaving() && is_configured && self.control.has_settled()
     }
 
     fn dump(&self) -> Value {
