--- a/node/src/entry/planner.rs
+++ b/node/src/entry/planner.rs
@@ -18,8 +18,6 @@
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::ModelName;
 use mastichaven_core::ids::ZoneName;
-use mastichaven_core::lease::Lease;
-use mastichaven_core::lease::Step;
 use mastichaven_core::lease::Terms;
 use mastichaven_core::members::EndpointKind;
 use mastichaven_core::members::Member;
@@ -35,9 +33,8 @@
 use slog::info;
 
 use super::Shared;
-
-/// The object that holds the planner's lease.
-const LEASE_KEY: &str = "lease/planner";
+use crate::lease_keeper::LeaseKeeper;
+use crate::lease_keeper::PLANNER_LEASE_KEY;
 
 /// How often the planner looks.
 const INTERVAL: Duration = Duration::from_millis(300);
@@ -55,7 +52,7 @@
 
 struct Planner<'a> {
     shared: &'a Shared,
-    lease: Lease,
+    lease: LeaseKeeper,
     held_since: Option<Time>,
     scalers: HashMap<ModelName, Scaler>,
     loading_since: HashMap<(HostName, Digest), Time>,
@@ -65,9 +62,11 @@
 /// Runs until the entry ends, then gives the lease up.
 pub(super) fn run(shared: &Shared) {
     let host = shared.settings.place.host.clone();
+    let terms = Terms::default();
+    let lease = LeaseKeeper::new(PLANNER_LEASE_KEY, host, shared.incarnation, terms, shared.clock);
     let mut planner = Planner {
         shared,
-        lease: Lease::new(host, shared.incarnation, Terms::default()),
+        lease,
         held_since: None,
         scalers: HashMap::new(),
         loading_since: HashMap::new(),
@@ -80,40 +79,25 @@
         }
         thread::sleep(INTERVAL);
     }
-    let step = planner.lease.release(shared.clock.now());
-    planner.carry_out(step);
+    planner.lease.release(&shared.platform);
 }
 
 impl Planner<'_> {
     fn renew(&mut self) {
-        let step = self.lease.next(self.shared.clock.now());
-        self.carry_out(step);
+        self.lease.tick(&self.shared.platform);
         let now = self.shared.clock.now();
-        let held = self.lease.token(now).is_some();
+        let held = self.lease.token().is_some();
         if held && self.held_since.is_none() {
             info!(self.shared.telemetry.log, "this entry is the planner");
         }
         self.held_since = held.then(|| self.held_since.unwrap_or(now));
     }
 
-    fn carry_out(&mut self, step: Step) {
-        match step {
-            Step::Idle => {}
-            Step::Read => {
-                let read = self.shared.platform.get(LEASE_KEY);
-                self.lease.on_read(self.shared.clock.now(), read);
-            }
-            Step::Write { value, expect } => {
-                self.lease.on_written(self.shared.platform.put(LEASE_KEY, value, expect));
-            }
-        }
-    }
-
     fn plan_all(&mut self) {
         let in_force = self.shared.documents.in_force();
         let members = self.shared.members();
         for placement in in_force.config.placement.values() {
-            if self.lease.token(self.shared.clock.now()).is_some() {
+            if self.lease.token().is_some() {
                 self.plan_one(&in_force.config, placement, &members);
             }
         }
@@ -151,7 +135,7 @@
         let Some(plan) = next_plan(old.as_ref(), &goal, &seats) else {
             return;
         };
-        if old.as_ref() == Some(&plan) || self.lease.token(self.shared.clock.now()).is_none() {
+        if old.as_ref() == Some(&plan) || self.lease.token().is_none() {
             return;
         }
         let expect = object.map_or(Expect::Absent, |object| Expect::At(object.revision));
