The target's deployment as a folder, measured

Cause: whether the target size can be declared, and what it costs a process, was not measured. Change: `mastichaven-bench config` writes, reads, merges and checks it.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod member_net;
 pub mod report;
 pub mod service;
+pub mod target;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -14,6 +14,7 @@
 use mastichaven_bench::load;
 use mastichaven_bench::report;
 use mastichaven_bench::service;
+use mastichaven_bench::target;
 use serde::Serialize;
 
 mod figures;
@@ -49,6 +50,16 @@
         #[bpaf(argument("FILE"), optional)]
         json: Option<PathBuf>,
     },
+    /// The target's deployment as a folder: time and memory to read, merge and check it
+    #[bpaf(command)]
+    Config {
+        /// Where the folder is written
+        #[bpaf(argument("FOLDER"), fallback(PathBuf::from("out/target")))]
+        out: PathBuf,
+        /// Also write the figures to this file
+        #[bpaf(argument("FILE"), optional)]
+        json: Option<PathBuf>,
+    },
     /// Service second by second while a zone leaves and returns
     #[bpaf(command)]
     Zone {
@@ -116,6 +127,9 @@
         Arguments::Capacity { json } => capacity::run(json.as_deref()),
         Arguments::Report(options) => report::run(&options),
         Arguments::Spread { processes, json } => spread::run(processes, json.as_deref()),
+        Arguments::Config { out, json } => {
+            target::run(&out).and_then(|report| show(&report, json.as_deref()))
+        }
         Arguments::Zone { json } => run_zone(json.as_deref()),
         Arguments::Restart { json } => run_restart(json.as_deref()),
         Arguments::Members { json } => members::run(json.as_deref()),
