--- a/core/tests/weights/placement.rs
+++ b/core/tests/weights/placement.rs
@@ -214,7 +214,9 @@
 // held it before are all that still answer. Callers find no endpoint if the plan takes those, too.
 #[test]
 fn rollout_when_holders_die_between_steps() {
-    roll_out(3, &[(11, 3), (3, 1), (8, 3)]);
+    for deaths in [[(11, 3), (3, 1), (8, 3)], [(0, 1), (12, 2), (8, 3)]] {
+        roll_out(3, &deaths);
+    }
 }
 
 proptest! {
