--- /dev/null
+++ b/core/src/direct.rs
@@ -0,0 +1,12 @@
+//! Decisions of the direct path, on which an entry sends a request straight to an endpoint.
+//!
+//! [`catalog`] says where a request may go, [`roster`] which endpoints stand there and what they can
+//! bear, [`shares`] how much of a fleet-wide bound one entry may use, [`freshness`] whether what the
+//! entry knows is young enough to act on, [`events`] where a broken stream resumes, and [`rollout`] when an endpoint loads a new version.
+
+pub mod catalog;
+pub mod events;
+pub mod freshness;
+pub mod rollout;
+pub mod roster;
+pub mod shares;
--- /dev/null
+++ b/core/src/direct/roster.rs
@@ -0,0 +1,413 @@
+//! The endpoints that an entry may send to, and the choice among them.
+//!
+//! Three sources feed it: the platform's list (which endpoints exist and whether they leave), load
+//! reports of the agents (what runs there now, and which weights), and the entry's own requests.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use super::shares::ColdSends;
+use crate::arena::Arena;
+use crate::arena::Key;
+use crate::ids::RegionName;
+use crate::ids::ServiceName;
+use crate::ids::ZoneName;
+use crate::time::Time;
+
+/// A load report older than this says nothing of the present load. Agents report every 100 ms; three
+/// lost in a row are rare.
+const REPORT_VALID: Duration = Duration::from_millis(400);
+
+/// Requests beyond its slots that an endpoint may hold. With about 1.1 s a request on 16 slots, one
+/// slot frees every 70 ms, so the last in a queue of four starts after 280 ms: inside an objective
+/// of 400 ms.
+pub const QUEUE_PLACES: u32 = 4;
+
+/// Load, in requests, that an endpoint of another zone of the region may have less before it is
+/// preferred, and one of another region. A request that crosses a region costs about 2% of its worth
+/// in bytes, a place in a queue more.
+const ZONE_PENALTY: f64 = 1.0;
+const REGION_PENALTY: f64 = 3.0;
+
+/// Random part of the score, in requests, so that entries that saw the same reports do not all pick
+/// the same endpoint.
+const SPREAD: f64 = 1.5;
+
+/// Failures in a row after which an endpoint rests, and for how long.
+const FAILURES_TO_REST: u32 = 3;
+const REST: Duration = Duration::from_millis(1_500);
+
+/// What the platform's list says of an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// Its incarnation's name.
+    pub id: SmolStr,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests it processes at once.
+    pub slots: u32,
+    /// Whether it is about to stop and takes nothing new.
+    pub is_draining: bool,
+    /// How much longer it stays cold.
+    pub cold_for: Duration,
+    /// The version of each model of which it holds all layers.
+    pub weights: Vec<(SmolStr, u64)>,
+    /// Whether it runs a model, so that it serves only with weights.
+    pub is_engine: bool,
+    /// When it started, in milliseconds of the Unix epoch; 0 if it does not say.
+    pub born: u64,
+}
+
+/// What an agent says of the endpoint beside it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Requests that the endpoint works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Whether it takes new requests, i.e. is not about to load other weights.
+    pub accepts: bool,
+    /// The version of each model of which it holds all layers.
+    pub weights: Vec<(SmolStr, u64)>,
+    /// When it started, in milliseconds of the Unix epoch.
+    pub born: u64,
+    /// Entries that ask this agent for reports.
+    pub entries: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Load {
+    at: Time,
+    others: u32,
+    accepts: bool,
+}
+
+/// An endpoint of the roster.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    listed: Listed,
+    region: RegionName,
+    cold_until: Time,
+    load: Option<Load>,
+    own: u32,
+    cold_sends: ColdSends,
+    failures: u32,
+    rests_until: Time,
+}
+
+/// Names an endpoint while it is on the roster.
+pub type EndpointKey = Key<Endpoint>;
+
+/// What a request needs of an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The model and the oldest version that may answer.
+    pub model: Option<(&'a str, u64)>,
+    /// Regions that may serve; empty lists do not bind.
+    pub regions: [&'a [RegionName]; 2],
+    /// Endpoints already tried.
+    pub tried: &'a [EndpointKey],
+    /// Requests a second that a cold endpoint of the service bears.
+    pub cold_per_second: f64,
+}
+
+/// Why no endpoint can be had.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Unavailable {
+    /// None that could serve it exists.
+    None,
+    /// All that could serve it are full.
+    Full,
+}
+
+/// Result of choosing an endpoint.
+pub type Result<T> = std::result::Result<T, Unavailable>;
+
+/// All endpoints that an entry knows.
+#[derive(Debug)]
+pub struct Roster {
+    zone: ZoneName,
+    region: RegionName,
+    regions: HashMap<ZoneName, RegionName>,
+    endpoints: Arena<Endpoint>,
+    by_id: HashMap<SmolStr, EndpointKey>,
+    by_service: HashMap<ServiceName, Vec<EndpointKey>>,
+    evacuated: HashSet<ZoneName>,
+    entries: u32,
+}
+
+impl Roster {
+    /// An empty roster of an entry in `zone`; `regions` gives the region of each zone.
+    pub fn new(zone: ZoneName, regions: HashMap<ZoneName, RegionName>) -> Roster {
+        let region = regions.get(&zone).cloned().unwrap_or_default();
+        Roster {
+            zone,
+            region,
+            regions,
+            endpoints: Arena::new(),
+            by_id: HashMap::new(),
+            by_service: HashMap::new(),
+            evacuated: HashSet::new(),
+            entries: 1,
+        }
+    }
+
+    /// Ids of all endpoints.
+    pub fn ids(&self) -> impl Iterator<Item = &SmolStr> {
+        self.by_id.keys()
+    }
+
+    /// Adds an endpoint or takes in what changed of it.
+    pub fn put(&mut self, listed: Listed, now: Time) {
+        let cold_until = now + listed.cold_for;
+        if let Some(key) = self.by_id.get(&listed.id).copied()
+            && let Some(endpoint) = self.endpoints.get_mut(key)
+        {
+            let is_same_life = endpoint.listed.born == listed.born
+                && endpoint.listed.address == listed.address
+                && endpoint.listed.service == listed.service;
+            if is_same_life {
+                endpoint.cold_until = cold_until;
+                endpoint.listed = listed;
+                return;
+            }
+            self.remove(&listed.id);
+        }
+        let region = self.regions.get(&listed.zone).cloned().unwrap_or_default();
+        let id = listed.id.clone();
+        let service = listed.service.clone();
+        let key = self.endpoints.insert(Endpoint {
+            listed,
+            region,
+            cold_until,
+            load: None,
+            own: 0,
+            cold_sends: ColdSends::default(),
+            failures: 0,
+            rests_until: Time::ZERO,
+        });
+        self.by_id.insert(id, key);
+        self.by_service.entry(service).or_default().push(key);
+    }
+
+    /// An endpoint is gone.
+    pub fn remove(&mut self, id: &str) {
+        let Some(key) = self.by_id.remove(id) else {
+            return;
+        };
+        self.endpoints.remove(key);
+        for list in self.by_service.values_mut() {
+            list.retain(|other| *other != key);
+        }
+    }
+
+    /// The zones to whose endpoints nothing may be sent.
+    pub fn set_evacuated(&mut self, zones: HashSet<ZoneName>) {
+        self.evacuated = zones;
+    }
+
+    /// An agent reported on the endpoint at `address`. Reports of another life are ignored.
+    pub fn reported(&mut self, address: SocketAddr, report: &LoadReport, now: Time) {
+        let found = self.endpoints.iter().find(|(_, endpoint)| endpoint.listed.address == address);
+        let Some(key) = found.map(|(key, _)| key) else {
+            return;
+        };
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let is_other_life = report.born != 0
+            && endpoint.listed.born != 0
+            && endpoint.listed.born != report.born;
+        if is_other_life {
+            return;
+        }
+        let total = report.running + report.waiting;
+        let others = total.saturating_sub(endpoint.own);
+        endpoint.load = Some(Load { at: now, others, accepts: report.accepts });
+        endpoint.listed.weights.clone_from(&report.weights);
+    }
+
+    /// The number of entries that share the bounds, as the agents count them.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
+    /// The number of entries that share the bounds.
+    pub fn entries(&self) -> u32 {
+        self.entries
+    }
+
+    /// Addresses of all engines, whose agents report loads.
+    pub fn engines(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let engines = self.endpoints.iter().filter(|(_, endpoint)| endpoint.listed.is_engine);
+        engines.map(|(_, endpoint)| endpoint.listed.address)
+    }
+
+    /// What the list says of an endpoint.
+    pub fn get(&self, key: EndpointKey) -> Option<&Listed> {
+        self.endpoints.get(key).map(|endpoint| &endpoint.listed)
+    }
+
+    /// Whether an endpoint may still be sent to: it is listed, stays, and its zone is in service.
+    pub fn is_open(&self, key: EndpointKey) -> bool {
+        self.endpoints.get(key).is_some_and(|endpoint| {
+            !endpoint.listed.is_draining && !self.evacuated.contains(&endpoint.listed.zone)
+        })
+    }
+
+    /// All endpoints as they are known now.
+    pub fn dump(&self, now: Time) -> Vec<serde_json::Value> {
+        let shown = self.endpoints.iter().map(|(_, endpoint)| {
+            let load = endpoint.load.as_ref();
+            serde_json::json!({
+                "id": endpoint.listed.id,
+                "service": endpoint.listed.service,
+                "zone": endpoint.listed.zone,
+                "draining": endpoint.listed.is_draining,
+                "weights": endpoint.listed.weights,
+                "own": endpoint.own,
+                "others": load.map(|load| load.others),
+                "report_age_ms": load.map(|load| now.since(load.at).as_millis() as u64),
+                "rests": endpoint.rests_until > now,
+            })
+        });
+        shown.collect()
+    }
+
+    /// Endpoints known.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    /// Chooses the endpoint with the least load that may serve `need`. O(endpoints of the service).
+    pub fn choose<R: Rng>(&mut self, need: &Need<'_>, now: Time, rng: &mut R) -> Result<EndpointKey> {
+        let Some(keys) = self.by_service.get(need.service).cloned() else {
+            return Err(Unavailable::None);
+        };
+        let mut best: Option<(f64, EndpointKey)> = None;
+        let mut resting: Option<(f64, EndpointKey)> = None;
+        let mut is_any_fit = false;
+        for key in keys {
+            if need.tried.contains(&key) || !self.fits(key, need) {
+                continue;
+            }
+            is_any_fit = true;
+            let Some(score) = self.score(key, need, now) else {
+                continue;
+            };
+            let score = score + rng.random_range(0.0..SPREAD);
+            let rests = self.endpoints.get(key).is_some_and(|e| e.rests_until > now);
+            let place = if rests { &mut resting } else { &mut best };
+            if place.is_none_or(|(least, _)| score < least) {
+                *place = Some((score, key));
+            }
+        }
+        let found = best.or(resting).map(|(_, key)| key);
+        found.ok_or(if is_any_fit { Unavailable::Full } else { Unavailable::None })
+    }
+
+    fn fits(&self, key: EndpointKey, need: &Need<'_>) -> bool {
+        let Some(endpoint) = self.endpoints.get(key) else {
+            return false;
+        };
+        let in_region = |regions: &&[RegionName]| {
+            regions.is_empty() || regions.contains(&endpoint.region)
+        };
+        let holds = need.model.is_none_or(|(model, oldest)| {
+            let weights = &endpoint.listed.weights;
+            weights.iter().any(|(name, version)| name == model && *version >= oldest)
+        });
+        self.is_open(key) && need.regions.iter().all(in_region) && holds
+    }
+
+    /// Load of an endpoint in requests, with a penalty for distance; `None` while it is full.
+    fn score(&mut self, key: EndpointKey, need: &Need<'_>, now: Time) -> Option<f64> {
+        let entries = self.entries;
+        let (zone, region) = (self.zone.clone(), self.region.clone());
+        let endpoint = self.endpoints.get_mut(key)?;
+        let is_cold = endpoint.cold_until > now && need.cold_per_second > 0.0;
+        if is_cold && !endpoint.cold_sends.may_send(need.cold_per_second, entries, now) {
+            return None;
+        }
+        let load = endpoint.load.as_ref().filter(|load| !now.passed(load.at, REPORT_VALID));
+        if load.is_some_and(|load| !load.accepts) {
+            return None;
+        }
+        let room = endpoint.listed.slots + QUEUE_PLACES;
+        let busy = match load {
+            Some(load) => load.others + endpoint.own,
+            // Without a report, the others are taken to send as much as this entry does.
+            None => endpoint.own * entries.div_ceil(2),
+        };
+        if busy >= room {
+            return None;
+        }
+        let distance = if endpoint.listed.zone == zone {
+            0.0
+        } else if endpoint.region == region {
+            ZONE_PENALTY
+        } else {
+            REGION_PENALTY
+        };
+        Some(f64::from(busy) + distance)
+    }
+
+    /// A request goes to the endpoint.
+    pub fn sent(&mut self, key: EndpointKey, now: Time) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.own += 1;
+            endpoint.cold_sends.sent(now);
+        }
+    }
+
+    /// A request has left the endpoint.
+    pub fn left(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.own = endpoint.own.saturating_sub(1);
+        }
+    }
+
+    /// The endpoint answered well.
+    pub fn succeeded(&mut self, key: EndpointKey) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.failures = 0;
+        }
+    }
+
+    /// The endpoint failed a request; after several in a row it rests, unless nobody else is left.
+    pub fn failed(&mut self, key: EndpointKey, now: Time) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.failures += 1;
+            if endpoint.failures >= FAILURES_TO_REST {
+                endpoint.rests_until = now + REST;
+            }
+        }
+    }
+
+    /// The endpoint refused as full: nothing more goes there until the next report, or for a while.
+    pub fn refused(&mut self, key: EndpointKey, now: Time) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            let others = (endpoint.listed.slots + QUEUE_PLACES).saturating_sub(endpoint.own);
+            endpoint.load = Some(Load { at: now, others, accepts: true });
+        }
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod claim;
 pub mod code;
 pub mod config;
+pub mod direct;
 pub mod folder;
 pub mod gate;
 pub mod generation;
--- a/core/src/swarm/pull.rs
+++ b/core/src/swarm/pull.rs
@@ -116,7 +116,17 @@
 
     /// The manifest of a version is here; `is_here` says which of its chunks are, too.
     pub fn open(&mut self, manifest: &Manifest, is_here: impl Fn(Digest) -> bool, now: Time) {
-        let version = manifest.digest();
+        self.open_as(manifest.digest(), manifest, is_here, now);
+    }
+
+    /// Like [`Swarm::open`], where something else than the manifest's digest names the version.
+    pub fn open_as(
+        &mut self,
+        version: Digest,
+        manifest: &Manifest,
+        is_here: impl Fn(Digest) -> bool,
+        now: Time,
+    ) {
         if let Some(download) = self.downloads.iter_mut().find(|d| d.version == version) {
             download.open(manifest, is_here, now);
         }
--- a/node/src/bin/mastichaven-entry.rs
+++ b/node/src/bin/mastichaven-entry.rs
@@ -4,6 +4,8 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use mastichaven_node::direct;
+use mastichaven_node::direct::settings::DirectSettings;
 use mastichaven_node::entry::Entry;
 use mastichaven_node::process;
 use mastichaven_node::process::Failure;
@@ -19,9 +21,13 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
 struct Arguments {
-    /// The settings file (TOML); docs/CONFIGURATION.md lists its keys
-    #[bpaf(positional("SETTINGS"))]
-    settings: PathBuf,
+    /// Run on the direct path, between callers and endpoints without any other process
+    direct: bool,
+
+    /// The settings file (TOML); docs/CONFIGURATION.md lists its keys. When left out, the platform's
+    /// variable names it
+    #[bpaf(positional("SETTINGS"), optional)]
+    settings: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -29,7 +35,12 @@
 }
 
 fn run(arguments: Arguments) -> Result<(), Failure> {
-    let settings: EntrySettings = settings::load(&arguments.settings).map_err(Failure::refused)?;
+    let file = process::settings_file(arguments.settings)?;
+    if arguments.direct {
+        let settings: DirectSettings = settings::load(&file).map_err(Failure::refused)?;
+        return process::run_local(direct::entry::run(settings));
+    }
+    let settings: EntrySettings = settings::load(&file).map_err(Failure::refused)?;
     let tls = &settings.tls;
     let material = Material::load(&tls.certificate, &tls.key, &tls.ca).map_err(Failure::refused)?;
     let telemetry = Telemetry::start(&settings.place.host, settings.place.statsd);
--- /dev/null
+++ b/node/src/direct.rs
@@ -0,0 +1,24 @@
+//! The direct path: an entry that answers callers straight from endpoints, and the agent that keeps
+//! the weights and the load report of the endpoint beside it.
+//!
+//! A request enters through [`gateway`], is sent by [`forward`] over a connection of [`pool`], and its
+//! answer leaves through [`relay`]. What an entry knows comes from the platform's store by [`watch`]
+//! and from agents by [`loads`]. The agent's part is [`keeper`], with [`swarm`] and [`staging`].
+
+pub mod entry;
+pub mod forward;
+pub mod gateway;
+pub mod keeper;
+pub mod link;
+pub mod loads;
+pub mod log;
+pub mod metrics;
+pub mod peers;
+pub mod pool;
+pub mod relay;
+pub mod settings;
+pub mod staging;
+pub mod state;
+pub mod store;
+pub mod swarm;
+pub mod watch;
--- /dev/null
+++ b/node/src/direct/gateway.rs
@@ -0,0 +1,225 @@
+//! Where callers come in: reads a request, decides whether it may pass, and answers it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use mastichaven_core::Time;
+use mastichaven_core::direct::catalog::Catalog;
+use mastichaven_core::direct::catalog::Customer;
+use mastichaven_core::direct::catalog::Route;
+use mastichaven_platform::call;
+use mastichaven_platform::call::CallHead;
+use rand::RngExt;
+use tokio::time::timeout;
+
+use super::forward;
+use super::forward::Call;
+use super::forward::Refusal;
+use super::forward::Trail;
+use super::relay::AnswerBody;
+use super::state::State;
+
+/// Deadline of a caller that names none.
+const USUAL_DEADLINE: Duration = Duration::from_secs(10);
+
+/// Every how many answers one is logged. Refusals and failures are logged each.
+const LOG_EVERY: u64 = 32;
+
+/// Seconds after which a refused caller is asked to come back: two to four free places of an
+/// endpoint, drawn at random so that callers do not all return at once.
+const RETRY_AFTER_S: std::ops::Range<f64> = 0.15..0.45;
+
+/// Why a request does not pass.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Barred {
+    /// Nothing is known yet, or what is known is too old to act on.
+    Stale,
+    UnknownRoute,
+    UnknownKey,
+    BodyTooLong,
+    BodyTooSlow,
+    BodyBroken,
+}
+
+impl Barred {
+    fn status(self) -> StatusCode {
+        match self {
+            Barred::Stale => StatusCode::SERVICE_UNAVAILABLE,
+            Barred::UnknownRoute => StatusCode::NOT_FOUND,
+            Barred::UnknownKey => StatusCode::UNAUTHORIZED,
+            Barred::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Barred::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Barred::BodyBroken => StatusCode::BAD_REQUEST,
+        }
+    }
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Barred::Stale => "configuration too old",
+            Barred::UnknownRoute => "unknown route",
+            Barred::UnknownKey => "unknown key",
+            Barred::BodyTooLong => "body too long",
+            Barred::BodyTooSlow => "body too slow",
+            Barred::BodyBroken => "body broken",
+        }
+    }
+}
+
+/// Answers one request of a caller.
+pub async fn answer(state: Rc<State>, req: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived = state.now();
+    let head = call::scan_call(req.headers());
+    state.metrics.count("requests");
+    let mut response = match pass(&state, &head, req, arrived).await {
+        Ok(call) => forward_call(&state, Rc::new(call)).await,
+        Err(barred) => {
+            log_end(&state, &head, arrived, barred.status(), barred.as_str(), &Trail::default());
+            refuse(&state, barred.status(), barred.as_str())
+        }
+    };
+    if state.is_stopping.get() {
+        // The next request of this caller belongs on another entry.
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Checks a request and reads its body.
+async fn pass(
+    state: &State,
+    head: &CallHead,
+    req: Request<Incoming>,
+    arrived: Time,
+) -> Result<Call, Barred> {
+    if !state.freshness.borrow().holds(arrived) {
+        return Err(Barred::Stale);
+    }
+    let catalog = state.catalog.borrow().clone().ok_or(Barred::Stale)?;
+    let route = catalog.route(&head.host, req.uri().path()).ok_or(Barred::UnknownRoute)?.clone();
+    let customer = customer_of(&catalog, &route, head)?;
+    let draw = state.with_rng(|rng| rng.random::<f64>());
+    let service = route.service(draw).ok_or(Barred::UnknownRoute)?.clone();
+    let cold_per_second = catalog.service(&service).map_or(0.0, |s| s.cold_per_second);
+    let limits = catalog.limits();
+    let (parts, body) = req.into_parts();
+    let body = read_body(body, limits.body_len, limits.head_timeout).await?;
+    let allowed = head.deadline.unwrap_or(USUAL_DEADLINE).min(route.timeout);
+    Ok(Call {
+        head: head.clone(),
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        route,
+        service,
+        customer,
+        cold_per_second,
+        arrived,
+        deadline: arrived + allowed,
+    })
+}
+
+fn customer_of(
+    catalog: &Catalog,
+    route: &Route,
+    head: &CallHead,
+) -> Result<Option<Customer>, Barred> {
+    let customer = head.key.as_deref().and_then(|key| catalog.customer(key));
+    if customer.is_none() && catalog.has_customers() && !route.is_open {
+        return Err(Barred::UnknownKey);
+    }
+    Ok(customer.cloned())
+}
+
+async fn read_body(body: Incoming, max_len: usize, within: Duration) -> Result<Bytes, Barred> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    if body.size_hint().lower() > max_len as u64 {
+        return Err(Barred::BodyTooLong);
+    }
+    match timeout(within, Limited::new(body, max_len).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Barred::BodyTooLong),
+        Ok(Err(_)) => Err(Barred::BodyBroken),
+        Err(_) => Err(Barred::BodyTooSlow),
+    }
+}
+
+async fn forward_call(state: &Rc<State>, call: Rc<Call>) -> Response<AnswerBody> {
+    let mut trail = Trail::default();
+    match forward::serve(state, call.clone(), &mut trail).await {
+        Ok(response) => {
+            state.metrics.time("head", state.now().since(call.arrived));
+            let status = response.status();
+            log_end(state, &call.head, call.arrived, status, "answered", &trail);
+            response
+        }
+        Err(refusal) => {
+            log_end(state, &call.head, call.arrived, refusal.status(), refusal.as_str(), &trail);
+            refuse(state, refusal.status(), refusal.as_str())
+        }
+    }
+}
+
+/// An answer of this entry's own. 503 always names a time to come back.
+fn refuse(state: &State, status: StatusCode, reason: &'static str) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::from_static(reason.as_bytes())));
+    *response.status_mut() = status;
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let seconds = state.with_rng(|rng| rng.random_range(RETRY_AFTER_S));
+        if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.2}")) {
+            response.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// The counter of answers of a kind.
+fn counter(status: StatusCode, reason: &str) -> &'static str {
+    match status.as_u16() {
+        200..=299 => "answered",
+        503 if reason == Refusal::Full.as_str() => "refused_full",
+        503 if reason == Refusal::NoEndpoint.as_str() => "refused_no_endpoint",
+        503 => "refused_other",
+        502 => "failed_lost",
+        504 => "failed_timeout",
+        400..=499 => "refused_caller",
+        _ => "failed_endpoint",
+    }
+}
+
+fn log_end(
+    state: &State,
+    head: &CallHead,
+    arrived: Time,
+    status: StatusCode,
+    reason: &'static str,
+    trail: &Trail,
+) {
+    let now = state.now();
+    state.metrics.count(counter(status, reason));
+    let is_sampled = state.with_rng(|rng| rng.random_range(0..LOG_EVERY)) == 0;
+    if status.is_success() && !is_sampled {
+        return;
+    }
+    let age = state.freshness.borrow().age(now).map_or(-1, |age| age.as_millis() as i64);
+    let version = state.catalog.borrow().as_ref().map_or(0, |catalog| catalog.version());
+    slog::info!(state.log, "request ended";
+        "id" => head.id.as_deref().unwrap_or_default(),
+        "status" => status.as_u16(), "reason" => reason,
+        "took_ms" => now.since(arrived).as_millis() as u64,
+        "offers" => trail.offers(),
+        "endpoint" => trail.last.as_deref().unwrap_or_default(),
+        "config" => version, "config_age_ms" => age);
+}
--- /dev/null
+++ b/node/src/direct/keeper.rs
@@ -0,0 +1,482 @@
+//! The agent on the direct path: keeps its endpoint's weights at the newest version and tells entries
+//! of its load. It has no state that its endpoint and the store do not give back after a restart.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use mastichaven_core::Time;
+use mastichaven_core::direct::catalog::Catalog;
+use mastichaven_core::direct::catalog::ModelShape;
+use mastichaven_core::direct::rollout;
+use mastichaven_core::direct::rollout::Situation;
+use mastichaven_core::direct::roster::Listed;
+use mastichaven_core::ids::HostName;
+use mastichaven_core::ids::ServiceName;
+use mastichaven_core::ids::ZoneName;
+use mastichaven_core::swarm::PeerPlace;
+use mastichaven_platform::config;
+use mastichaven_platform::endpoints;
+use mastichaven_platform::engine::Report;
+use mastichaven_platform::objects::Kind;
+use mastichaven_platform::weights;
+use smol_str::SmolStr;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::loads::ASKED_FOR;
+use super::loads::Ask;
+use super::loads::MAX_DATAGRAM_LEN;
+use super::loads::Told;
+use super::log::EventLog;
+use super::metrics::Metrics;
+use super::relay::AnswerBody;
+use super::settings::DirectSettings;
+use super::staging::Staging;
+use super::store::StoreClient;
+use super::swarm::SwarmHost;
+use crate::clock::BootClock;
+
+/// How often the endpoint is asked for its load, which is free on its own host.
+const REPORT_EVERY: Duration = Duration::from_millis(100);
+
+/// A report that says the same as the last one is sent only every so many times.
+const SAME_REPORT_EVERY: u32 = 2;
+
+/// Pause between tries to learn the model from the store.
+const LEARN_EVERY: Duration = Duration::from_millis(300);
+
+/// How often peers are read again while chunks are missing.
+const PEERS_EVERY: Duration = Duration::from_millis(2_000);
+
+/// How often the store is asked for the newest version while no entry asks: entries tell it else.
+const ALONE_EVERY: Duration = Duration::from_millis(3_000);
+
+/// How often a load that is due or under way is looked at.
+const LOAD_POLL: Duration = Duration::from_millis(50);
+
+/// Pause after an order that was not carried out.
+const ORDER_RETRY: Duration = Duration::from_millis(300);
+
+/// Time for the endpoint to show that an order has begun.
+const ORDER_SHOWN_WITHIN: Duration = Duration::from_secs(8);
+
+/// Entries that one agent reports to at most.
+const MAX_ASKERS: usize = 256;
+
+/// Result of running an agent.
+pub type Result<T> = io::Result<T>;
+
+/// What an agent knows and shares among its tasks.
+struct Keeper {
+    cfg: DirectSettings,
+    clock: BootClock,
+    log: slog::Logger,
+    metrics: Rc<Metrics>,
+    staging: Rc<Staging>,
+    swarm: Rc<SwarmHost>,
+    place: PeerPlace,
+    model: RefCell<Option<ModelShape>>,
+    newest: Cell<Option<(u64, Time)>>,
+    wave: Cell<u32>,
+    report: RefCell<Option<Report>>,
+    is_ordering: Cell<bool>,
+    askers: RefCell<HashMap<SocketAddr, (u64, Time)>>,
+    told: Notify,
+}
+
+/// Runs an agent until SIGTERM.
+pub async fn run(cfg: DirectSettings) -> Result<()> {
+    let missing = || io::Error::new(io::ErrorKind::InvalidInput, "the settings lack `endpoint`");
+    let endpoint = cfg.endpoint.ok_or_else(missing)?;
+    let log = EventLog::start(cfg.host.as_str())?;
+    let mut stop = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let peers_at = SocketAddr::new(cfg.ip, cfg.agent_port);
+    let peers_listener = TcpListener::bind(peers_at).await?;
+    let asks_socket = Rc::new(UdpSocket::bind(peers_at).await?);
+    let metrics_listener = TcpListener::bind((cfg.ip, cfg.metrics_port)).await?;
+    let clock = BootClock::start();
+    let metrics = Rc::new(Metrics::default());
+    let staging = Rc::new(Staging::new(endpoint));
+    let place = PeerPlace {
+        host: host_at(endpoint),
+        zone: cfg.zone.clone(),
+        region: cfg.region(),
+    };
+    let swarm =
+        SwarmHost::new(&place, clock, log.root.clone(), metrics.clone(), staging.clone());
+    let keeper = Rc::new(Keeper {
+        cfg,
+        clock,
+        log: log.root.clone(),
+        metrics,
+        staging,
+        swarm: Rc::new(swarm),
+        place,
+        model: RefCell::default(),
+        newest: Cell::new(None),
+        wave: Cell::new(0),
+        report: RefCell::default(),
+        is_ordering: Cell::new(false),
+        askers: RefCell::default(),
+        told: Notify::new(),
+    });
+    slog::info!(keeper.log, "started"; "endpoint" => endpoint.to_string());
+    spawn_local(keeper.clone().listen(asks_socket.clone()));
+    spawn_local(keeper.clone().report(asks_socket));
+    spawn_local(keeper.clone().follow());
+    spawn_local(keeper.clone().load());
+    spawn_local(keeper.swarm.clone().run());
+    spawn_local(keeper.swarm.clone().serve(peers_listener));
+    spawn_local(serve_status(keeper.clone(), metrics_listener));
+    loop {
+        tokio::select! {
+            _ = stop.recv() => break,
+            _ = reload.recv() => slog::info!(keeper.log, "settings reloaded, nothing to change"),
+        }
+    }
+    // Requests do not pass through here, and a chunk that is cut off is asked of another peer.
+    slog::info!(keeper.log, "stopped");
+    drop(log);
+    Ok(())
+}
+
+/// Agents are known to each other by the address of their endpoint.
+fn host_at(address: SocketAddr) -> HostName {
+    HostName::new(address.to_string())
+}
+
+impl Keeper {
+    /// Learns the model, its newest version and the peers from the store, then follows them.
+    async fn follow(self: Rc<Self>) {
+        let mut client = StoreClient::new(self.cfg.store);
+        while self.model.borrow().is_none() {
+            if !self.learn(&mut client).await {
+                sleep(LEARN_EVERY).await;
+            }
+        }
+        loop {
+            let wait = if self.swarm.is_complete() { ALONE_EVERY } else { PEERS_EVERY };
+            let is_told = timeout(wait, self.told.notified()).await.is_ok();
+            let is_alone = self.live_askers(self.clock.now()) == 0;
+            if is_told || !self.swarm.is_complete() {
+                self.learn_origin(&mut client).await;
+                self.learn_peers(&mut client).await;
+            }
+            if is_alone {
+                self.learn_newest(&mut client).await;
+            }
+        }
+    }
+
+    /// Learns all that a fresh agent needs; false if something is not known yet.
+    async fn learn(&self, client: &mut StoreClient) -> bool {
+        self.learn_origin(client).await;
+        if self.model.borrow().is_none() {
+            return false;
+        }
+        self.learn_peers(client).await;
+        self.learn_newest(client).await
+    }
+
+    async fn learn_origin(&self, client: &mut StoreClient) {
+        let objects = match client.list(Kind::Config, true).await {
+            Ok((objects, _)) => objects,
+            Err(e) => return self.note_store(Kind::Config, e.as_str()),
+        };
+        let Some(catalog) = objects.iter().find_map(config::scan_config) else {
+            return;
+        };
+        let origin = catalog.origin();
+        self.swarm.set_origin(origin.map(|origin| origin.address));
+        *self.model.borrow_mut() = self.model_in(&catalog);
+    }
+
+    fn model_in(&self, catalog: &Catalog) -> Option<ModelShape> {
+        let own = self.cfg.service.as_ref().and_then(|name| catalog.service(name));
+        own.or_else(|| catalog.services().find(|service| service.model.is_some()))?.model.clone()
+    }
+
+    fn note_store(&self, kind: Kind, error: &'static str) {
+        self.metrics.count("store_failures");
+        slog::warn!(self.log, "store not read"; "kind" => kind.as_str(), "error" => error);
+    }
+
+    async fn learn_peers(&self, client: &mut StoreClient) {
+        let objects = match client.list(Kind::Endpoints, true).await {
+            Ok((objects, _)) => objects,
+            Err(e) => return self.note_store(Kind::Endpoints, e.as_str()),
+        };
+        let layers = self.model.borrow().as_ref().map(|model| model.layers);
+        let mine = self.cfg.service.clone();
+        let layers_of =
+            |service: &ServiceName| if mine.as_ref() == Some(service) { layers } else { None };
+        let listed = objects.iter().filter_map(|object| endpoints::scan_endpoint(object, layers_of));
+        let engines: Vec<Listed> = listed.filter(|listed| listed.is_engine).collect();
+        let regions = self.cfg.regions();
+        let region_of = |zone: &ZoneName| regions.get(zone).cloned().unwrap_or_default();
+        let mut places: Vec<(PeerPlace, SocketAddr)> = engines
+            .into_iter()
+            .map(|listed| {
+                let at = SocketAddr::new(listed.address.ip(), self.cfg.agent_port);
+                let region = region_of(&listed.zone);
+                let place = PeerPlace { host: host_at(listed.address), zone: listed.zone, region };
+                (place, at)
+            })
+            .collect();
+        if !places.iter().any(|(place, _)| place.host == self.place.host) {
+            let at = SocketAddr::new(self.staging.address().ip(), self.cfg.agent_port);
+            places.push((self.place.clone(), at));
+        }
+        places.sort_by(|(a, _), (b, _)| (&a.zone, &a.host).cmp(&(&b.zone, &b.host)));
+        let zone = places.iter().filter(|(place, _)| place.zone == self.place.zone);
+        let rank = zone.map(|(place, _)| &place.host).position(|host| *host == self.place.host);
+        self.wave.set(rollout::wave_of(rank.unwrap_or(0)));
+        self.swarm.set_peers(&places, None);
+    }
+
+    /// Asks the store for the newest version; the first one needs no entry there.
+    async fn learn_newest(&self, client: &mut StoreClient) -> bool {
+        let Some(model) = self.model.borrow().as_ref().map(|model| model.name.clone()) else {
+            return false;
+        };
+        let objects = match client.list(Kind::Weights, true).await {
+            Ok((objects, _)) => objects,
+            Err(e) => {
+                self.note_store(Kind::Weights, e.as_str());
+                return false;
+            }
+        };
+        let named = objects.iter().filter_map(weights::scan_newest);
+        let version = named.filter(|newest| newest.model == model).map(|newest| newest.version).max();
+        self.named(&model, version.unwrap_or(FIRST_VERSION));
+        true
+    }
+
+    /// A version was named. Lower ones than known are old news.
+    fn named(&self, model: &SmolStr, version: u64) {
+        if self.model.borrow().as_ref().is_none_or(|own| own.name != *model) {
+            return;
+        }
+        if self.newest.get().is_some_and(|(known, _)| known >= version) {
+            return;
+        }
+        slog::info!(self.log, "weights named"; "model" => model.as_str(), "version" => version);
+        self.newest.set(Some((version, self.clock.now())));
+        self.swarm.want(model, version);
+        self.told.notify_one();
+    }
+
+    fn live_askers(&self, now: Time) -> usize {
+        let askers = self.askers.borrow();
+        askers.values().filter(|(_, at)| !now.passed(*at, ASKED_FOR)).count()
+    }
+
+    /// Takes in what entries ask and tell.
+    async fn listen(self: Rc<Self>, socket: Rc<UdpSocket>) {
+        let mut buf = vec![0; MAX_DATAGRAM_LEN];
+        loop {
+            let Ok((len, from)) = socket.recv_from(&mut buf).await else {
+                // An entry that is gone shows as an error on the next receive.
+                continue;
+            };
+            let Ok(ask) = postcard::from_bytes::<Ask>(&buf[..len]) else {
+                self.metrics.count("asks_unreadable");
+                continue;
+            };
+            let now = self.clock.now();
+            let mut askers = self.askers.borrow_mut();
+            askers.retain(|_, (_, at)| !now.passed(*at, ASKED_FOR));
+            if askers.len() < MAX_ASKERS || askers.contains_key(&from) {
+                askers.insert(from, (ask.entry, now));
+            }
+            drop(askers);
+            for (model, version) in &ask.newest {
+                self.named(model, *version);
+            }
+        }
+    }
+
+    /// Asks the endpoint for its load and sends it to the entries.
+    async fn report(self: Rc<Self>, socket: Rc<UdpSocket>) {
+        let mut same = 0;
+        let mut last = None;
+        loop {
+            sleep(REPORT_EVERY).await;
+            let layers = self.model.borrow().as_ref().map_or(0, |model| model.layers);
+            let report = match self.staging.report(layers).await {
+                Ok(report) => report,
+                Err(e) => {
+                    if self.report.borrow_mut().take().is_some() {
+                        slog::warn!(self.log, "endpoint lost"; "error" => e.as_str());
+                    }
+                    continue;
+                }
+            };
+            self.note_life(&report);
+            let mut load = report.load.clone();
+            load.accepts &= !self.is_ordering.get();
+            load.entries = self.live_askers(self.clock.now()) as u32;
+            *self.report.borrow_mut() = Some(report);
+            same = if last.as_ref() == Some(&load) { same + 1 } else { 0 };
+            last = Some(load.clone());
+            if same % SAME_REPORT_EVERY == 0 {
+                self.send(&socket, Told { port: self.staging.address().port(), report: load });
+            }
+        }
+    }
+
+    /// An endpoint that started again has lost its layers and, after a loss of power, what was staged.
+    fn note_life(&self, report: &Report) {
+        let before = self.report.borrow().as_ref().map(|report| report.load.born);
+        if before != Some(report.load.born) {
+            slog::info!(self.log, "endpoint seen"; "born" => report.load.born,
+                "weights" => report.load.weights.first().map_or(0, |(_, version)| *version));
+        }
+    }
+
+    fn send(&self, socket: &UdpSocket, told: Told) {
+        let bytes = match postcard::to_stdvec(&told) {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                slog::error!(self.log, "report cannot be encoded"; "error" => e.to_string());
+                return;
+            }
+        };
+        let now = self.clock.now();
+        for (address, (_, at)) in self.askers.borrow().iter() {
+            if !now.passed(*at, ASKED_FOR) {
+                // A datagram may be lost anyway; the next report follows.
+                let _ = socket.try_send_to(&bytes, *address);
+            }
+        }
+    }
+
+    /// The version that the endpoint holds whole.
+    fn held(&self) -> Option<u64> {
+        let model = self.model.borrow();
+        let name = &model.as_ref()?.name;
+        let report = self.report.borrow();
+        let weights = &report.as_ref()?.load.weights;
+        weights.iter().find(|(model, _)| model == name).map(|(_, version)| *version)
+    }
+
+    /// Orders loads when they are due.
+    async fn load(self: Rc<Self>) {
+        loop {
+            sleep(LOAD_POLL).await;
+            let Some((newest, named_at)) = self.newest.get() else {
+                continue;
+            };
+            let is_busy = self.report.borrow().as_ref().is_none_or(|report| report.is_busy);
+            let situation = Situation {
+                newest,
+                held: self.held(),
+                is_staged: self.swarm.is_complete(),
+                named_at,
+                wave: self.wave.get(),
+                bound: Duration::from_millis(self.cfg.bounds.weights_ms),
+            };
+            if !is_busy && rollout::may_load(&situation, self.clock.now()) {
+                self.order(newest).await;
+            }
+        }
+    }
+
+    async fn order(&self, version: u64) {
+        // Chunks rot while they lie staged, so they are read once more right before the load.
+        if !self.swarm.check_staged().await {
+            return;
+        }
+        let Some(target) = self.swarm.target().filter(|target| target.version == version) else {
+            return;
+        };
+        self.is_ordering.set(true);
+        let ordered = self.staging.load(&target.model, version).await;
+        match ordered {
+            Ok(()) => slog::info!(self.log, "load ordered"; "version" => version),
+            Err(e) => {
+                slog::warn!(self.log, "load not ordered"; "version" => version,
+                    "error" => e.as_str(), "status" => format!("{e:?}"));
+                sleep(ORDER_RETRY).await;
+            }
+        }
+        let began = self.clock.now();
+        while ordered.is_ok() && !self.clock.now().passed(began, ORDER_SHOWN_WITHIN) {
+            sleep(LOAD_POLL).await;
+            let is_busy = self.report.borrow().as_ref().is_some_and(|report| report.is_busy);
+            if self.held() == Some(version) {
+                let took = self.clock.now().since(began).as_millis() as u64;
+                slog::info!(self.log, "weights in use"; "version" => version, "took_ms" => took);
+                break;
+            }
+            let has_shown = self.clock.now().passed(began, REPORT_EVERY * 3);
+            if has_shown && !is_busy {
+                slog::warn!(self.log, "load not carried out"; "version" => version);
+                break;
+            }
+        }
+        self.is_ordering.set(false);
+    }
+}
+
+/// Version that a model has before any is named.
+const FIRST_VERSION: u64 = 1;
+
+async fn serve_status(keeper: Rc<Keeper>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(LOAD_POLL).await;
+            continue;
+        };
+        let keeper = keeper.clone();
+        spawn_local(async move {
+            let service = service_fn(|req: Request<Incoming>| {
+                let text = match req.uri().path() {
+                    "/metrics" => keeper.metrics.to_text(),
+                    _ => keeper.dump(),
+                };
+                let response = Response::new(AnswerBody::whole(Bytes::from(text)));
+                async move { Ok::<_, std::convert::Infallible>(response) }
+            });
+            let builder = http1::Builder::new();
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+impl Keeper {
+    /// All that is believed now, for operators.
+    fn dump(&self) -> String {
+        let now = self.clock.now();
+        let newest = self.newest.get();
+        serde_json::json!({
+            "host": self.cfg.host.as_str(),
+            "newest": newest.map(|(version, _)| version),
+            "named_ago_ms": newest.map(|(_, at)| now.since(at).as_millis() as u64),
+            "held": self.held(),
+            "staged": self.swarm.is_complete(),
+            "wave": self.wave.get(),
+            "entries": self.live_askers(now),
+        })
+        .to_string()
+    }
+}
--- /dev/null
+++ b/node/src/direct/loads.rs
@@ -0,0 +1,102 @@
+//! Load reports: entries ask agents for them, agents send them, all in datagrams.
+//!
+//! An entry asks each agent once a second, at the endpoint's own IP number, and tells which versions
+//! are the newest. An agent sends its reports to whoever asked lately. So neither needs a list of the
+//! others, and the agents' count of askers tells the entries how many they are.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mastichaven_core::Time;
+use mastichaven_core::direct::roster::LoadReport;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::state::State;
+
+/// How often an entry asks each agent.
+const ASK_EVERY: Duration = Duration::from_secs(1);
+
+/// How long an agent sends reports after it was asked: three asks may be lost in a row.
+pub const ASKED_FOR: Duration = Duration::from_millis(3_500);
+
+/// Bytes of a datagram at most.
+pub const MAX_DATAGRAM_LEN: usize = 1_200;
+
+/// How long an agent's count of entries is believed.
+const COUNT_VALID: Duration = Duration::from_secs(2);
+
+/// What an entry asks an agent.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Ask {
+    /// A number drawn by the entry at its start.
+    pub entry: u64,
+    /// Newest version of each model.
+    pub newest: Vec<(SmolStr, u64)>,
+}
+
+/// What an agent sends.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Told {
+    /// Port of the endpoint; its IP number is the sender's.
+    pub port: u16,
+    /// The report.
+    pub report: LoadReport,
+}
+
+/// Asks all agents and takes in their reports until the process ends.
+pub async fn follow(state: Rc<State>, socket: UdpSocket) {
+    let socket = Rc::new(socket);
+    let entry: u64 = rand::random();
+    tokio::task::spawn_local(ask_all(state.clone(), socket.clone(), entry));
+    let mut buf = vec![0; MAX_DATAGRAM_LEN];
+    let mut counts: HashMap<SocketAddr, (u32, Time)> = HashMap::new();
+    loop {
+        let Ok((len, from)) = socket.recv_from(&mut buf).await else {
+            // An agent's host that is gone shows as an error on the next receive.
+            continue;
+        };
+        let Ok(told) = postcard::from_bytes::<Told>(&buf[..len]) else {
+            state.metrics.count("reports_unreadable");
+            continue;
+        };
+        let now = state.now();
+        let address = SocketAddr::new(from.ip(), told.port);
+        counts.insert(address, (told.report.entries, now));
+        counts.retain(|_, (_, at)| !now.passed(*at, COUNT_VALID));
+        let entries = counts.values().map(|(count, _)| *count).max().unwrap_or(1);
+        let mut roster = state.roster.borrow_mut();
+        roster.set_entries(entries);
+        roster.reported(address, &told.report, now);
+        drop(roster);
+        state.freed.notify_one();
+    }
+}
+
+async fn ask_all(state: Rc<State>, socket: Rc<UdpSocket>, entry: u64) {
+    loop {
+        let newest = state.newest.borrow();
+        let newest = newest.iter().map(|(model, newest)| (model.clone(), newest.version)).collect();
+        let ask = Ask { entry, newest };
+        let agents: Vec<SocketAddr> = state.roster.borrow().engines().collect();
+        match postcard::to_stdvec(&ask) {
+            Ok(bytes) => {
+                for agent in agents {
+                    let address = SocketAddr::new(agent.ip(), state.cfg.agent_port);
+                    // A datagram may be lost anyway; the next ask follows.
+                    let _ = socket.try_send_to(&bytes, address);
+                }
+            }
+            Err(e) => slog::error!(state.log, "ask cannot be encoded"; "error" => e.to_string()),
+        }
+        // A new version is told at once; a new endpoint within a fifth of a second.
+        let _ = timeout(ASK_EVERY / 2, state.named.notified()).await;
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/node/src/direct/state.rs
@@ -0,0 +1,184 @@
+//! What an entry on the direct path knows and shares among its tasks, all on one thread.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mastichaven_core::Time;
+use mastichaven_core::direct::catalog::Catalog;
+use mastichaven_core::direct::freshness::Freshness;
+use mastichaven_core::direct::roster::EndpointKey;
+use mastichaven_core::direct::roster::Roster;
+use mastichaven_core::direct::shares::RepeatBudget;
+use mastichaven_core::ids::ServiceName;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::Value;
+use serde_json::json;
+use slog::Logger;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+
+use super::metrics::Metrics;
+use super::pool::Pool;
+use super::settings::DirectSettings;
+use crate::clock::BootClock;
+
+/// Part of the revocation bound for which a confirmed read lets the entry act on its keys. The rest
+/// is for what was accepted just before the bound and still travels to an endpoint.
+const LEASE_PART: f64 = 0.88;
+
+/// Part of the bound on weights after which requests no longer go to an older version. A request
+/// begins to run when it leaves the endpoint's queue, up to a second after it was sent.
+const OLD_WEIGHTS_PART: f64 = 0.75;
+
+/// The newest version of a model.
+#[derive(Clone, Copy, Debug)]
+pub struct Newest {
+    /// The version.
+    pub version: u64,
+    /// When it became known here, except for the first one, which is known from the start.
+    pub known_since: Option<Time>,
+}
+
+/// Everything that the tasks of an entry share.
+#[derive(Debug)]
+pub struct State {
+    /// Settings of this process.
+    pub cfg: DirectSettings,
+    /// The clock of all decisions; it goes on while the host is suspended.
+    pub clock: BootClock,
+    /// Logger of the process.
+    pub log: Logger,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The configuration in force.
+    pub catalog: RefCell<Option<Rc<Catalog>>>,
+    /// The endpoints.
+    pub roster: RefCell<Roster>,
+    /// Whether the list of endpoints was read in this life.
+    pub has_list: Cell<bool>,
+    /// Lease on the configuration.
+    pub freshness: RefCell<Freshness>,
+    /// Newest version of each model.
+    pub newest: RefCell<HashMap<SmolStr, Newest>>,
+    /// Idle connections to endpoints.
+    pub pool: Pool,
+    /// Signals that a place at an endpoint has become free.
+    pub freed: Notify,
+    /// Signals that a new version was named.
+    pub named: Notify,
+    /// Whether the process is about to stop.
+    pub is_stopping: Cell<bool>,
+    budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
+    rng: RefCell<SmallRng>,
+}
+
+impl State {
+    /// The state of an entry that knows nothing yet.
+    pub fn new(cfg: DirectSettings, log: Logger, entries: u32) -> State {
+        let mut roster = Roster::new(cfg.zone.clone(), cfg.regions());
+        roster.set_entries(entries);
+        let lease = Duration::from_millis(cfg.bounds.key_revocation_ms).mul_f64(LEASE_PART);
+        State {
+            clock: BootClock::start(),
+            log,
+            metrics: Metrics::default(),
+            catalog: RefCell::default(),
+            roster: RefCell::new(roster),
+            has_list: Cell::new(false),
+            freshness: RefCell::new(Freshness::new(lease)),
+            newest: RefCell::default(),
+            pool: Pool::default(),
+            freed: Notify::new(),
+            named: Notify::new(),
+            is_stopping: Cell::new(false),
+            budgets: RefCell::default(),
+            rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
+            cfg,
+        }
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Runs `f` with the random source.
+    pub fn with_rng<T>(&self, f: impl FnOnce(&mut SmallRng) -> T) -> T {
+        f(&mut self.rng.borrow_mut())
+    }
+
+    /// Whether new connections are welcome: all that an answer needs is known and fresh.
+    pub fn is_ready(&self, now: Time) -> bool {
+        !self.is_stopping.get()
+            && self.catalog.borrow().is_some()
+            && self.has_list.get()
+            && self.freshness.borrow().holds(now)
+    }
+
+    /// The oldest version of `model` that may still answer.
+    pub fn oldest_weights(&self, model: &str, now: Time) -> u64 {
+        let newest = self.newest.borrow();
+        let Some(newest) = newest.get(model) else {
+            return 0;
+        };
+        let bound = Duration::from_millis(self.cfg.bounds.weights_ms).mul_f64(OLD_WEIGHTS_PART);
+        match newest.known_since {
+            Some(since) if !now.passed(since, bound) => newest.version.saturating_sub(1),
+            _ => newest.version,
+        }
+    }
+
+    /// All that is believed now and how old it is, for operators.
+    pub fn dump(&self, now: Time) -> Value {
+        let newest = self.newest.borrow();
+        let weights: HashMap<&str, u64> =
+            newest.iter().map(|(model, newest)| (model.as_str(), newest.version)).collect();
+        json!({
+            "host": self.cfg.host.as_str(),
+            "ready": self.is_ready(now),
+            "config": self.catalog.borrow().as_ref().map(|catalog| catalog.version()),
+            "config_age_ms": self.freshness.borrow().age(now).map(|age| age.as_millis() as u64),
+            "entries": self.roster.borrow().entries(),
+            "weights": weights,
+            "endpoints": self.roster.borrow().dump(now),
+        })
+    }
+
+    /// Runs `f` with the repeat budget of a service.
+    pub fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let bounds = &self.cfg.bounds;
+            let window = Duration::from_secs_f64(bounds.repeat_window_s);
+            RepeatBudget::new(bounds.repeat_ratio, bounds.repeat_slack, window)
+        });
+        f(budget)
+    }
+}
+
+/// A place that a request holds at an endpoint until it is dropped.
+#[derive(Debug)]
+pub struct Place {
+    state: Rc<State>,
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+}
+
+impl Place {
+    /// Takes a place at `endpoint`.
+    pub fn take(state: &Rc<State>, endpoint: EndpointKey) -> Place {
+        state.roster.borrow_mut().sent(endpoint, state.now());
+        Place { state: state.clone(), endpoint }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.state.roster.borrow_mut().left(self.endpoint);
+        self.state.freed.notify_one();
+    }
+}
--- /dev/null
+++ b/node/src/direct/swarm.rs
@@ -0,0 +1,458 @@
+//! Carries out what the swarm decides: pulls chunks, checks them, stages them, serves them to peers.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use mastichaven_core::Manifest;
+use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::HostName;
+use mastichaven_core::ids::RegionName;
+use mastichaven_core::manifest::Chunk;
+use mastichaven_core::swarm::BUSY_QUEUE;
+use mastichaven_core::swarm::Bitmap;
+use mastichaven_core::swarm::End;
+use mastichaven_core::swarm::PARK;
+use mastichaven_core::swarm::PeerId;
+use mastichaven_core::swarm::PeerPlace;
+use mastichaven_core::swarm::Request;
+use mastichaven_core::swarm::Swarm;
+use mastichaven_core::swarm::To;
+use mastichaven_core::swarm::Way;
+use mastichaven_core::swarm::What;
+use mastichaven_platform::origin;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use smol_str::SmolStr;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use super::link;
+use super::link::Link;
+use super::link::LinkError;
+use super::metrics::Metrics;
+use super::peers;
+use super::peers::PeerAsk;
+use super::peers::PeerError;
+use super::peers::PeerTold;
+use super::staging::Staging;
+use super::staging::sha256;
+use crate::clock::BootClock;
+
+/// How often the swarm decides while chunks are missing and nothing else wakes it.
+const STEP: Duration = Duration::from_millis(40);
+
+/// Time for an origin's connection; its link is narrow and it takes few connections.
+const ORIGIN_CONNECT_WITHIN: Duration = Duration::from_secs(1);
+
+/// Time for a chunk or a manifest from the origin. A chunk takes 27 ms of its link alone; a stalled
+/// origin is better left after a second or two.
+const ORIGIN_WITHIN: Duration = Duration::from_millis(2_500);
+
+/// Bytes of an origin's answer at most.
+const MAX_ANSWER_LEN: usize = 4 << 20;
+
+/// Questions of peers answered at once.
+const MAX_ASKS: usize = 64;
+
+/// Names a version of a model among agents.
+pub fn version_digest(model: &str, version: u64) -> Digest {
+    Digest::of(format!("{model}@{version}").as_bytes())
+}
+
+/// The version being pulled.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The model.
+    pub model: SmolStr,
+    /// Its version.
+    pub version: u64,
+    /// Names it among agents.
+    pub digest: Digest,
+}
+
+#[derive(Clone, Debug)]
+struct Chunks {
+    chunk_len: u32,
+    digests: Vec<Digest>,
+    have: Vec<bool>,
+}
+
+/// The swarm of one agent with its sockets.
+#[derive(Debug)]
+pub struct SwarmHost {
+    clock: BootClock,
+    log: slog::Logger,
+    metrics: Rc<Metrics>,
+    staging: Rc<Staging>,
+    swarm: RefCell<Swarm>,
+    addresses: RefCell<HashMap<HostName, SocketAddr>>,
+    origin: Cell<Option<SocketAddr>>,
+    target: RefCell<Option<Target>>,
+    chunks: RefCell<Option<Chunks>>,
+    sending: Cell<u32>,
+    changed: Notify,
+    rng: RefCell<SmallRng>,
+}
+
+impl SwarmHost {
+    /// The swarm of the agent at `me`.
+    pub fn new(
+        me: &PeerPlace,
+        clock: BootClock,
+        log: slog::Logger,
+        metrics: Rc<Metrics>,
+        staging: Rc<Staging>,
+    ) -> SwarmHost {
+        SwarmHost {
+            clock,
+            log,
+            metrics,
+            staging,
+            swarm: RefCell::new(Swarm::new(me, Way::Swarm)),
+            addresses: RefCell::default(),
+            origin: Cell::new(None),
+            target: RefCell::default(),
+            chunks: RefCell::default(),
+            sending: Cell::new(0),
+            changed: Notify::new(),
+            rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
+        }
+    }
+
+    /// Takes in the agents that take part, this one among them.
+    pub fn set_peers(&self, places: &[(PeerPlace, SocketAddr)], origin_region: Option<&RegionName>) {
+        let peers: Vec<PeerPlace> = places.iter().map(|(place, _)| place.clone()).collect();
+        self.swarm.borrow_mut().set_peers(&peers, origin_region);
+        let addresses = places.iter().map(|(place, address)| (place.host.clone(), *address));
+        *self.addresses.borrow_mut() = addresses.collect();
+    }
+
+    /// Where weights come from.
+    pub fn set_origin(&self, origin: Option<SocketAddr>) {
+        self.origin.set(origin);
+    }
+
+    /// The version that this host is to have; any older one is dropped at once.
+    pub fn want(&self, model: &SmolStr, version: u64) {
+        let digest = version_digest(model, version);
+        if self.target.borrow().as_ref().is_some_and(|target| target.digest == digest) {
+            return;
+        }
+        *self.target.borrow_mut() = Some(Target { model: model.clone(), version, digest });
+        *self.chunks.borrow_mut() = None;
+        let now = self.clock.now();
+        self.swarm.borrow_mut().want(&[digest], now);
+        self.changed.notify_waiters();
+    }
+
+    /// The version wanted.
+    pub fn target(&self) -> Option<Target> {
+        self.target.borrow().clone()
+    }
+
+    /// Whether all chunks of the wanted version were staged.
+    pub fn is_complete(&self) -> bool {
+        let target = self.target.borrow();
+        target.as_ref().is_some_and(|target| self.swarm.borrow().is_complete(target.digest))
+    }
+
+    /// Reads all staged chunks again. Those that have turned bad are pulled anew; says whether all
+    /// are good.
+    pub async fn check_staged(&self) -> bool {
+        let (Some(target), Some(chunks)) = (self.target(), self.chunks.borrow().clone()) else {
+            return false;
+        };
+        let mut have = vec![false; chunks.digests.len()];
+        for (index, digest) in chunks.digests.iter().enumerate() {
+            have[index] = self.staging.chunk(&target.model, index, *digest).await.is_ok();
+        }
+        let bad = have.iter().filter(|have| !**have).count();
+        if self.target().is_none_or(|now| now.digest != target.digest) {
+            return false;
+        }
+        if bad > 0 {
+            slog::warn!(self.log, "staged chunks are bad"; "version" => target.version, "bad" => bad);
+            self.metrics.add("chunks_rotten", bad as u64);
+            self.swarm.borrow_mut().want(&[], self.clock.now());
+            self.swarm.borrow_mut().want(&[target.digest], self.clock.now());
+            self.open(&target, chunks.chunk_len, chunks.digests, have);
+        }
+        bad == 0
+    }
+
+    fn open(&self, target: &Target, chunk_len: u32, digests: Vec<Digest>, have: Vec<bool>) {
+        let chunks = digests.iter().map(|digest| Chunk { digest: *digest, len: chunk_len });
+        let manifest = Manifest { chunks: chunks.collect() };
+        let here: HashMap<Digest, bool> = digests.iter().copied().zip(have.iter().copied()).collect();
+        let is_here = |digest| here.get(&digest).copied().unwrap_or(false);
+        let now = self.clock.now();
+        self.swarm.borrow_mut().open_as(target.digest, &manifest, is_here, now);
+        *self.chunks.borrow_mut() = Some(Chunks { chunk_len, digests, have });
+        self.changed.notify_waiters();
+    }
+
+    /// Pulls what is missing until the process ends.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            let requests = {
+                let mut rng = self.rng.borrow_mut();
+                self.swarm.borrow_mut().step(self.clock.now(), &mut *rng)
+            };
+            for request in requests {
+                spawn_local(self.clone().carry_out(request));
+            }
+            let is_idle = self.target.borrow().is_none() || self.is_complete();
+            let wait = if is_idle { Duration::from_secs(1) } else { STEP };
+            let _ = timeout(wait, self.changed.notified()).await;
+        }
+    }
+
+    async fn carry_out(self: Rc<Self>, request: Request) {
+        let end = match (request.to, request.what) {
+            (To::Origin, What::Manifest) => self.manifest_from_origin(&request).await,
+            (To::Origin, What::Chunk { digest, .. }) => {
+                self.chunk_from_origin(&request, digest).await
+            }
+            (To::Origin, What::Have) => End::Absent,
+            (To::Peer(id), _) => self.ask_peer(id, &request).await,
+        };
+        self.swarm.borrow_mut().end(request.flight, end, self.clock.now());
+        self.changed.notify_waiters();
+    }
+
+    fn target_of(&self, request: &Request) -> Option<Target> {
+        self.target().filter(|target| target.digest == request.version)
+    }
+
+    async fn from_origin(&self, path: &str) -> std::result::Result<Bytes, End> {
+        let Some(address) = self.origin.get() else {
+            return Err(End::NotNow);
+        };
+        let opened = Link::open(address, ORIGIN_CONNECT_WITHIN).await;
+        let mut link = opened.map_err(|_| End::Unreachable)?;
+        let req = link::request("GET", address, path, Bytes::new());
+        let answer = link.call(req, MAX_ANSWER_LEN, ORIGIN_WITHIN).await.map_err(|e| match e {
+            LinkError::NotSent => End::Unreachable,
+            LinkError::Broken | LinkError::TimedOut => End::Silent,
+        })?;
+        if answer.status() != StatusCode::OK {
+            slog::info!(self.log, "origin refused"; "path" => path,
+                "status" => answer.status().as_u16());
+            return Err(End::Absent);
+        }
+        self.metrics.add("origin_bytes", answer.body().len() as u64);
+        Ok(answer.into_body())
+    }
+
+    async fn manifest_from_origin(&self, request: &Request) -> End {
+        let Some(target) = self.target_of(request) else {
+            return End::NotNow;
+        };
+        let path = origin::manifest_path(&target.model, target.version);
+        match self.from_origin(&path).await {
+            Ok(body) => match origin::scan_manifest(&body, target.version) {
+                Some(found) => self.take_manifest(&target, found.chunk_len, found.digests).await,
+                None => End::Corrupt,
+            },
+            Err(end) => end,
+        }
+    }
+
+    /// Takes a version's digests in, after a look at which of its chunks are staged already.
+    async fn take_manifest(&self, target: &Target, chunk_len: u32, digests: Vec<Digest>) -> End {
+        let staged = self.staging.staged(&target.model).await.unwrap_or_default();
+        let mut have = vec![false; digests.len()];
+        for index in staged.into_iter().filter(|index| *index < digests.len()) {
+            have[index] = self.staging.chunk(&target.model, index, digests[index]).await.is_ok();
+        }
+        if self.target().is_none_or(|now| now.digest != target.digest) {
+            return End::NotNow;
+        }
+        let here = have.iter().filter(|have| **have).count();
+        slog::info!(self.log, "digests known"; "version" => target.version,
+            "chunks" => digests.len(), "staged" => here);
+        let chunks = digests.iter().map(|digest| Chunk { digest: *digest, len: chunk_len });
+        let manifest = Manifest { chunks: chunks.collect() };
+        self.open(target, chunk_len, digests, have);
+        End::Manifest(manifest)
+    }
+
+    async fn chunk_from_origin(&self, request: &Request, digest: Digest) -> End {
+        let Some((target, index)) = self.target_of(request).zip(self.index_of(digest)) else {
+            return End::NotNow;
+        };
+        let path = origin::chunk_path(&target.model, target.version, index);
+        match self.from_origin(&path).await {
+            Ok(bytes) => {
+                self.metrics.count("chunks_from_origin");
+                self.take_chunk(&target, index, digest, bytes).await
+            }
+            Err(end) => end,
+        }
+    }
+
+    fn index_of(&self, digest: Digest) -> Option<usize> {
+        self.chunks.borrow().as_ref()?.digests.iter().position(|found| *found == digest)
+    }
+
+    async fn take_chunk(&self, target: &Target, index: usize, digest: Digest, bytes: Bytes) -> End {
+        if sha256(&bytes) != digest {
+            self.metrics.count("chunks_corrupt");
+            return End::Corrupt;
+        }
+        if let Err(e) = self.staging.stage(&target.model, index, bytes).await {
+            slog::warn!(self.log, "chunk not staged"; "index" => index, "error" => e.as_str());
+            return End::NotNow;
+        }
+        if self.target().is_none_or(|now| now.digest != target.digest) {
+            return End::NotNow;
+        }
+        if let Some(chunks) = self.chunks.borrow_mut().as_mut() {
+            chunks.have[index] = true;
+        }
+        End::Stored
+    }
+
+    async fn ask_peer(&self, id: PeerId, request: &Request) -> End {
+        let host = self.swarm.borrow().place(id).host.clone();
+        let Some(address) = self.addresses.borrow().get(&host).copied() else {
+            return End::Unreachable;
+        };
+        let ask = match request.what {
+            What::Have => PeerAsk::Have { version: request.version },
+            What::Manifest => PeerAsk::Manifest { version: request.version },
+            What::Chunk { digest, park, .. } => {
+                PeerAsk::Chunk { version: request.version, digest, park }
+            }
+        };
+        let told = match peers::ask(address, &ask, request.timeout).await {
+            Ok(told) => told,
+            Err(PeerError::Unreachable) => return End::Unreachable,
+            Err(PeerError::Silent) => return End::Silent,
+        };
+        match (told, request.what) {
+            (PeerTold::Have { map, queue }, What::Have) => {
+                let now = self.clock.now();
+                self.swarm.borrow_mut().heard(id, request.version, map, queue, now);
+                End::Told
+            }
+            (PeerTold::Manifest { chunk_len, digests }, What::Manifest) => {
+                match self.target_of(request) {
+                    Some(target) => self.take_manifest(&target, chunk_len, digests).await,
+                    None => End::NotNow,
+                }
+            }
+            (PeerTold::Chunk(bytes), What::Chunk { digest, .. }) => {
+                let Some((target, index)) = self.target_of(request).zip(self.index_of(digest))
+                else {
+                    return End::NotNow;
+                };
+                self.metrics.count("chunks_from_peers");
+                self.take_chunk(&target, index, digest, bytes).await
+            }
+            (PeerTold::Busy, _) => End::Busy,
+            (PeerTold::Absent, _) => End::Absent,
+            _ => End::Corrupt,
+        }
+    }
+
+    /// Answers peers until the process ends.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let asks = Rc::new(Cell::new(0));
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(STEP).await;
+                continue;
+            };
+            if asks.get() >= MAX_ASKS {
+                continue;
+            }
+            asks.set(asks.get() + 1);
+            let (host, asks) = (self.clone(), asks.clone());
+            spawn_local(async move {
+                // A peer that goes away in the middle asks somebody else.
+                let _ = timeout(PARK * 4, host.serve_peer(stream)).await;
+                asks.set(asks.get() - 1);
+            });
+        }
+    }
+
+    async fn serve_peer(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        link::prepare(&stream)?;
+        let ask: PeerAsk = peers::read(&mut stream).await?;
+        let told = match ask {
+            PeerAsk::Have { version } => self.tell_have(version),
+            PeerAsk::Manifest { version } => self.tell_manifest(version).await,
+            PeerAsk::Chunk { version, digest, park } => {
+                if self.sending.get() >= BUSY_QUEUE {
+                    return peers::write(&mut stream, &PeerTold::Busy).await;
+                }
+                self.tell_chunk(version, digest, park).await
+            }
+        };
+        if !matches!(told, PeerTold::Chunk(_)) {
+            return peers::write(&mut stream, &told).await;
+        }
+        self.sending.set(self.sending.get() + 1);
+        let written = peers::write(&mut stream, &told).await;
+        self.sending.set(self.sending.get() - 1);
+        written
+    }
+
+    fn is_target(&self, version: Digest) -> bool {
+        self.target.borrow().as_ref().is_some_and(|target| target.digest == version)
+    }
+
+    fn tell_have(&self, version: Digest) -> PeerTold {
+        let chunks = self.chunks.borrow();
+        let Some(chunks) = chunks.as_ref().filter(|_| self.is_target(version)) else {
+            return PeerTold::Have { map: Bitmap::default(), queue: 0 };
+        };
+        let mut map = Bitmap::zeros(chunks.have.len());
+        for (index, _) in chunks.have.iter().enumerate().filter(|(_, have)| **have) {
+            map.set(index);
+        }
+        PeerTold::Have { map, queue: self.sending.get() }
+    }
+
+    async fn tell_manifest(&self, version: Digest) -> PeerTold {
+        let until = Instant::now() + PARK;
+        loop {
+            let found = self.chunks.borrow().clone().filter(|_| self.is_target(version));
+            if let Some(Chunks { chunk_len, digests, .. }) = found {
+                return PeerTold::Manifest { chunk_len, digests };
+            }
+            if tokio::time::timeout_at(until, self.changed.notified()).await.is_err() {
+                return PeerTold::Absent;
+            }
+        }
+    }
+
+    async fn tell_chunk(&self, version: Digest, digest: Digest, park: bool) -> PeerTold {
+        let until = Instant::now() + PARK;
+        loop {
+            let index = self.index_of(digest).filter(|_| self.is_target(version));
+            let has = |index: &usize| {
+                self.chunks.borrow().as_ref().is_some_and(|chunks| chunks.have[*index])
+            };
+            if let Some((index, target)) = index.filter(has).zip(self.target()) {
+                let read = self.staging.chunk(&target.model, index, digest).await;
+                return read.map_or(PeerTold::Absent, PeerTold::Chunk);
+            }
+            let waited = tokio::time::timeout_at(until, self.changed.notified()).await;
+            if !park || waited.is_err() {
+                return PeerTold::Absent;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/direct/watch.rs
@@ -0,0 +1,294 @@
+//! Follows the store: a task for each kind of object lists it, then watches it.
+//!
+//! A list is a state and a watch a stream of changes; both end in [`Follower::take_all`] or
+//! [`Follower::take_changes`]. Failures are answered with a short, growing and random pause, and with
+//! a watch that returns at once, as it also renews the lease on the configuration.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mastichaven_core::Time;
+use mastichaven_core::direct::catalog::Catalog;
+use mastichaven_core::ids::ServiceName;
+use mastichaven_platform::config;
+use mastichaven_platform::endpoints;
+use mastichaven_platform::objects::Change;
+use mastichaven_platform::objects::Kind;
+use mastichaven_platform::objects::Object;
+use mastichaven_platform::weights;
+use rand::RngExt;
+use smol_str::SmolStr;
+use tokio::time::sleep;
+
+use super::state::Newest;
+use super::state::State;
+use super::store::StoreClient;
+use super::store::StoreError;
+
+/// How long a watch waits for a change. That of the configuration renews the lease on it, so it ends
+/// well inside the lease; the others end often enough to notice a store that answers nothing.
+fn wait_for(kind: Kind) -> Duration {
+    match kind {
+        Kind::Config => Duration::from_millis(1_500),
+        Kind::Endpoints => Duration::from_millis(4_000),
+        Kind::Evacuations => Duration::from_millis(3_000),
+        Kind::Weights => Duration::from_millis(5_000),
+    }
+}
+
+/// Pause after changes before the next watch, so that changes that come together cost one call.
+/// Endpoints report draining well before they stop, and agents tell of their load on their own.
+fn gather_for(kind: Kind) -> Duration {
+    match kind {
+        Kind::Endpoints => Duration::from_millis(200),
+        Kind::Config | Kind::Evacuations | Kind::Weights => Duration::from_millis(20),
+    }
+}
+
+/// Wait of a watch right after a failure: it returns at once and tells whether the store is back.
+const PROBE_WAIT: Duration = Duration::from_millis(1);
+
+/// First and longest pause after a failure.
+const PAUSE_FIRST: Duration = Duration::from_millis(80);
+const PAUSE_LONGEST: Duration = Duration::from_millis(700);
+
+/// Endpoints that vanish from the list this soon after the store was in trouble may only have been
+/// unable to renew their entry. They are kept for [`LAPSE_FOR`], in which a live one is back.
+const LAPSE_AFTER_TROUBLE: Duration = Duration::from_millis(3_000);
+const LAPSE_FOR: Duration = Duration::from_millis(1_700);
+
+/// Follows one kind of object.
+pub struct Follower {
+    state: Rc<State>,
+    client: StoreClient,
+    kind: Kind,
+    trouble_until: Option<Time>,
+    is_lost: bool,
+    pause: Duration,
+    lapsed: HashMap<SmolStr, Time>,
+    evacuated: HashSet<SmolStr>,
+}
+
+impl Follower {
+    /// A follower of `kind`.
+    pub fn new(state: Rc<State>, kind: Kind) -> Follower {
+        Follower {
+            client: StoreClient::new(state.cfg.store),
+            state,
+            kind,
+            trouble_until: None,
+            is_lost: false,
+            pause: PAUSE_FIRST,
+            lapsed: HashMap::new(),
+            evacuated: HashSet::new(),
+        }
+    }
+
+    /// Follows until the process ends.
+    pub async fn run(mut self) {
+        loop {
+            let sent = self.state.now();
+            match self.client.list(self.kind, false).await {
+                Ok((objects, revision)) => {
+                    self.answered(sent);
+                    self.take_all(&objects);
+                    self.watch_from(revision).await;
+                }
+                Err(e) => self.failed(e).await,
+            }
+        }
+    }
+
+    /// Watches from `revision` on until its history is gone.
+    async fn watch_from(&mut self, mut revision: u64) {
+        let mut probe = false;
+        loop {
+            let wait = if probe { PROBE_WAIT } else { wait_for(self.kind) };
+            let sent = self.state.now();
+            match self.client.watch(self.kind, revision, wait).await {
+                Ok(changes) => {
+                    self.answered(sent);
+                    probe = false;
+                    revision = revision.max(changes.revision);
+                    let is_any = !changes.changes.is_empty();
+                    self.take_changes(changes.changes);
+                    if is_any {
+                        sleep(gather_for(self.kind)).await;
+                    }
+                }
+                Err(StoreError::Compacted) => {
+                    slog::info!(self.state.log, "store history gone, listing again";
+                        "kind" => self.kind.as_str(), "revision" => revision);
+                    return;
+                }
+                Err(e) => {
+                    self.failed(e).await;
+                    probe = true;
+                }
+            }
+            self.end_lapsed();
+        }
+    }
+
+    fn answered(&mut self, sent: Time) {
+        self.pause = PAUSE_FIRST;
+        if self.kind == Kind::Config {
+            self.state.freshness.borrow_mut().confirm(sent);
+        }
+        if self.is_lost {
+            self.is_lost = false;
+            let now = self.state.now();
+            self.trouble_until = Some(now + LAPSE_AFTER_TROUBLE);
+            slog::info!(self.state.log, "store regained"; "kind" => self.kind.as_str());
+        }
+    }
+
+    async fn failed(&mut self, e: StoreError) {
+        self.state.metrics.count("store_failures");
+        if !self.is_lost {
+            self.is_lost = true;
+            let age = self.state.freshness.borrow().age(self.state.now());
+            slog::warn!(self.state.log, "store lost"; "kind" => self.kind.as_str(),
+                "error" => e.as_str(),
+                "config_age_ms" => age.map_or(-1, |age| age.as_millis() as i64));
+        }
+        let part = self.state.with_rng(|rng| rng.random_range(0.5..1.0));
+        sleep(self.pause.mul_f64(part)).await;
+        self.pause = (self.pause * 2).min(PAUSE_LONGEST);
+    }
+
+    fn take_all(&mut self, objects: &[Object]) {
+        match self.kind {
+            Kind::Config => objects.iter().for_each(|object| self.take_config(object)),
+            Kind::Endpoints => self.take_endpoints(objects),
+            Kind::Evacuations => {
+                self.evacuated = objects.iter().map(|object| object.name.clone()).collect();
+                self.set_evacuated();
+            }
+            Kind::Weights => objects.iter().for_each(|object| self.take_weights(object, None)),
+        }
+        slog::info!(self.state.log, "listed"; "kind" => self.kind.as_str(),
+            "objects" => objects.len());
+    }
+
+    fn take_changes(&mut self, changes: Vec<Change>) {
+        let now = self.state.now();
+        for change in changes {
+            match (self.kind, change) {
+                (Kind::Config, Change::Put(object)) => self.take_config(&object),
+                (Kind::Endpoints, Change::Put(object)) => self.put_endpoint(&object),
+                (Kind::Endpoints, Change::Gone(name)) => self.endpoint_gone(name, now),
+                (Kind::Evacuations, Change::Put(object)) => {
+                    self.evacuated.insert(object.name);
+                    self.set_evacuated();
+                }
+                (Kind::Evacuations, Change::Gone(name)) => {
+                    self.evacuated.remove(&name);
+                    self.set_evacuated();
+                }
+                (Kind::Weights, Change::Put(object)) => self.take_weights(&object, Some(now)),
+                (Kind::Config | Kind::Weights, Change::Gone(_)) => {}
+            }
+        }
+    }
+
+    /// A configuration never gives way to an older one, whichever way either came.
+    fn take_config(&mut self, object: &Object) {
+        let Some(catalog) = config::scan_config(object) else {
+            slog::warn!(self.state.log, "configuration cannot be read"; "name" => object.name.as_str());
+            return;
+        };
+        let mut current = self.state.catalog.borrow_mut();
+        if current.as_ref().is_some_and(|current| current.version() >= catalog.version()) {
+            return;
+        }
+        slog::info!(self.state.log, "configuration in force"; "version" => catalog.version());
+        *current = Some(Rc::new(catalog));
+    }
+
+    fn take_endpoints(&mut self, objects: &[Object]) {
+        let now = self.state.now();
+        let known: Vec<SmolStr> = self.state.roster.borrow().ids().cloned().collect();
+        let listed: HashSet<&SmolStr> = objects.iter().map(|object| &object.name).collect();
+        for name in known.into_iter().filter(|name| !listed.contains(name)) {
+            self.endpoint_gone(name, now);
+        }
+        for object in objects {
+            self.put_endpoint(object);
+        }
+        self.state.has_list.set(true);
+    }
+
+    fn put_endpoint(&mut self, object: &Object) {
+        let catalog: Option<Rc<Catalog>> = self.state.catalog.borrow().clone();
+        let layers_of = |service: &ServiceName| {
+            let service = catalog.as_ref()?.service(service)?;
+            service.model.as_ref().map(|model| model.layers)
+        };
+        let now = self.state.now();
+        self.lapsed.remove(&object.name);
+        match endpoints::scan_endpoint(object, layers_of) {
+            Some(listed) => {
+                slog::info!(self.state.log, "endpoint listed"; "endpoint" => listed.id.as_str(),
+                    "service" => listed.service.as_str(), "zone" => listed.zone.as_str(),
+                    "draining" => listed.is_draining,
+                    "weights" => listed.weights.first().map_or(0, |(_, version)| *version),
+                    "cold_ms" => listed.cold_for.as_millis() as u64);
+                self.state.roster.borrow_mut().put(listed, now);
+                self.state.freed.notify_waiters();
+            }
+            None => {
+                slog::warn!(self.state.log, "endpoint entry cannot be read";
+                    "endpoint" => object.name.as_str(), "entry" => object.spec.to_string());
+                self.state.roster.borrow_mut().remove(&object.name);
+            }
+        }
+    }
+
+    fn endpoint_gone(&mut self, name: SmolStr, now: Time) {
+        if self.trouble_until.is_some_and(|until| now < until) {
+            self.lapsed.entry(name).or_insert(now + LAPSE_FOR);
+            return;
+        }
+        slog::info!(self.state.log, "endpoint gone"; "endpoint" => name.as_str());
+        self.state.roster.borrow_mut().remove(&name);
+    }
+
+    /// Drops the endpoints whose entry has not come back.
+    fn end_lapsed(&mut self) {
+        let now = self.state.now();
+        let over: Vec<SmolStr> =
+            self.lapsed.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
+        for id in over {
+            self.lapsed.remove(&id);
+            slog::info!(self.state.log, "endpoint gone"; "endpoint" => id.as_str());
+            self.state.roster.borrow_mut().remove(&id);
+        }
+    }
+
+    fn set_evacuated(&self) {
+        let zones = self.evacuated.iter().map(mastichaven_core::ids::ZoneName::new).collect();
+        slog::info!(self.state.log, "zones out of service"; "zones" => format!("{:?}", self.evacuated));
+        self.state.roster.borrow_mut().set_evacuated(zones);
+    }
+
+    /// `since` is `None` for what the first list shows: how long it has been named is unknown then.
+    fn take_weights(&mut self, object: &Object, since: Option<Time>) {
+        let Some(newest) = weights::scan_newest(object) else {
+            slog::warn!(self.state.log, "weights cannot be read"; "name" => object.name.as_str());
+            return;
+        };
+        let mut known = self.state.newest.borrow_mut();
+        if known.get(&newest.model).is_some_and(|known| known.version >= newest.version) {
+            return;
+        }
+        slog::info!(self.state.log, "weights named"; "model" => newest.model.as_str(),
+            "version" => newest.version);
+        let newest_now = Newest { version: newest.version, known_since: since };
+        known.insert(newest.model, newest_now);
+        drop(known);
+        self.state.named.notify_one();
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod callers;
 pub mod clock;
 pub mod control;
+pub mod direct;
 pub mod documents;
 pub mod endpoint;
 pub mod engine;
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -1,6 +1,7 @@
 //! What a program does once: its arguments, its incarnation, its signals and its exit code.
 
 use std::io;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::thread;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use bpaf::OptionParser;
 use bpaf::ParseFailure;
 use mastichaven_core::ids::Incarnation;
+use mastichaven_platform::SETTINGS_VARIABLE;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::consts::SIGUSR1;
@@ -93,6 +95,22 @@
     }
 }
 
+/// The settings file: the one given, or the one that the platform's variable names.
+pub fn settings_file(given: Option<PathBuf>) -> std::result::Result<PathBuf, Failure> {
+    let named = || std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    let missing = || Failure::refused(format!("no settings file given, {SETTINGS_VARIABLE} not set"));
+    given.or_else(named).ok_or_else(missing)
+}
+
+/// Runs a program whose tasks all share one thread.
+pub fn run_local(
+    program: impl Future<Output = io::Result<()>>,
+) -> std::result::Result<(), Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(Failure::failed)?;
+    tokio::task::LocalSet::new().block_on(&runtime, program).map_err(Failure::failed)
+}
+
 /// Reads the command line, runs the program and gives its exit code.
 ///
 /// 0: success, `--help` and `--version`; 1: failed at run time; 2: wrong arguments; 3: settings or
--- a/node/src/settings/check.rs
+++ b/node/src/settings/check.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
+use std::time::Duration;
 
 use mastichaven_core::Code;
 use mastichaven_core::Config;
@@ -12,6 +13,7 @@
 use super::EndpointSettings;
 use super::EntrySettings;
 use super::Place;
+use crate::direct::settings::DirectSettings;
 
 /// Milliseconds that a stop may be given.
 pub const STOP_DEADLINE_MS: RangeInclusive<u64> = 1_000..=86_400_000;
@@ -19,6 +21,10 @@
 /// Bytes that a chunk store may have: two chunks of the largest kind up to a TiB.
 pub const STORE_BYTES: RangeInclusive<u64> = 2 * MAX_CHUNK_LEN as u64..=1 << 40;
 
+/// Milliseconds after which keys that were taken away must not work. A shorter bound would need more
+/// reads of the store than it allows.
+pub const REVOCATION_MS: RangeInclusive<u64> = 2_000..=600_000;
+
 /// A setting out of its range.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Problem {
@@ -83,6 +89,27 @@
     }
 }
 
+impl Checked for DirectSettings {
+    fn problem(&self) -> Option<Problem> {
+        let bounds = &self.bounds;
+        let window = Duration::try_from_secs_f64(bounds.repeat_window_s).unwrap_or_default();
+        let stop = Duration::try_from_secs_f64(bounds.stop_s).unwrap_or_default();
+        if !self.regions.contains_key(&self.zone) {
+            return bad_value("zone", format!("{} is not among the zones of `regions`", self.zone));
+        }
+        if window.is_zero() {
+            return bad_value("repeat_window_s", "must be above 0".to_owned());
+        }
+        if stop.is_zero() {
+            return bad_value("stop_s", "must be above 0".to_owned());
+        }
+        if !(0.0..=10.0).contains(&bounds.repeat_ratio) {
+            return bad_value("repeat_ratio", format!("{} is not 0 to 10", bounds.repeat_ratio));
+        }
+        range("key_revocation_ms", bounds.key_revocation_ms, REVOCATION_MS)
+    }
+}
+
 fn bad_value(key: &'static str, detail: String) -> Option<Problem> {
     Some(Problem { key, code: Code::BadValue, detail })
 }
