--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -2,7 +2,8 @@
 //!
 //! [`catalog`] says where a request may go, [`roster`] which endpoints stand there and what they can
 //! bear, [`shares`] how much of a fleet-wide bound one entry may use, [`freshness`] whether what the
-//! entry knows is young enough to act on, [`events`] where a broken stream resumes, and [`rollout`] when an endpoint loads a new version.
+//! entry knows is young enough to act on, [`events`] where a broken stream resumes, [`versions`]
+//! which weights may answer, and [`rollout`] when an endpoint loads a new version.
 
 pub mod catalog;
 pub mod events;
@@ -10,3 +11,4 @@
 pub mod rollout;
 pub mod roster;
 pub mod shares;
+pub mod versions;
--- a/core/src/direct/rollout.rs
+++ b/core/src/direct/rollout.rs
@@ -25,6 +25,8 @@
     pub is_staged: bool,
     /// When the newest version became known here.
     pub named_at: Time,
+    /// When the first version newer than the held one became known here.
+    pub outdated_since: Time,
     /// This host's wave, below [`WAVES`].
     pub wave: u32,
     /// The time after which requests must not begin on an older version.
@@ -39,9 +41,9 @@
     if situation.held.is_none() {
         return true;
     }
-    let age = now.since(situation.named_at);
-    let latest = situation.bound.mul_f64(LATEST_PART);
-    age >= (FIRST_WAVE_AFTER + WAVE_GAP * situation.wave).min(latest)
+    let turn = situation.named_at + FIRST_WAVE_AFTER + WAVE_GAP * situation.wave;
+    let latest = situation.outdated_since + situation.bound.mul_f64(LATEST_PART);
+    now >= turn.min(latest)
 }
 
 /// The first wave starts when the chunks are usually there, so that waves stay apart: 24 hosts with
--- /dev/null
+++ b/core/src/direct/versions.rs
@@ -0,0 +1,54 @@
+//! The versions of a model that may still answer requests.
+//!
+//! A new version may be named before the one before it is everywhere. Each counts from its own
+//! naming: with versions 2 and 3 named four seconds apart, endpoints with version 1 may answer until
+//! the bound of version 2 has passed, not only until 3 is known.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Versions remembered beside the newest; older ones have long passed their bound.
+const MAX_NAMED: usize = 16;
+
+/// The versions of one model in the order in which they were named.
+#[derive(Clone, Debug)]
+pub struct Versions {
+    named: Vec<(u64, Option<Time>)>,
+}
+
+impl Versions {
+    /// A model whose newest version is `version`; nobody knows how long it has been.
+    pub fn first(version: u64) -> Versions {
+        Versions { named: vec![(version, None)] }
+    }
+
+    /// A version was named at `now`. False if it is not newer than the newest.
+    pub fn name(&mut self, version: u64, now: Time) -> bool {
+        if version <= self.newest() {
+            return false;
+        }
+        if self.named.len() >= MAX_NAMED {
+            self.named.remove(0);
+        }
+        self.named.push((version, Some(now)));
+        true
+    }
+
+    /// The newest version.
+    pub fn newest(&self) -> u64 {
+        self.named.last().map_or(0, |(version, _)| *version)
+    }
+
+    /// The oldest version that may answer: the newest of those named at least `bound` ago.
+    pub fn oldest_allowed(&self, bound: Duration, now: Time) -> u64 {
+        let binds = |at: &Option<Time>| at.is_none_or(|at| now.passed(at, bound));
+        let bound_by = self.named.iter().rev().find(|(_, at)| binds(at));
+        bound_by.map_or(0, |(version, _)| *version)
+    }
+
+    /// When the first version newer than `held` was named, if one was.
+    pub fn outdated_since(&self, held: u64) -> Option<Time> {
+        self.named.iter().find(|(version, _)| *version > held).and_then(|(_, at)| *at)
+    }
+}
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -22,6 +22,7 @@
 use mastichaven_core::direct::roster::Listed;
 use mastichaven_core::direct::roster::Need;
 use mastichaven_core::direct::roster::Unavailable;
+use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_platform::answer;
 use mastichaven_platform::answer::Verdict;
@@ -389,7 +390,7 @@
 ) -> Request<Full<Bytes>> {
     // While an older version may still answer, any that the endpoint holds is welcome.
     let version = call.head.model.as_deref().and_then(|model| {
-        let newest = state.newest.borrow().get(model).map(|newest| newest.version)?;
+        let newest = state.versions.borrow().get(model).map(Versions::newest)?;
         (state.oldest_weights(model, now) == newest).then_some(newest)
     });
     let resume_after = resume_after.or(call.head.resumes_after.as_deref());
--- a/node/src/direct/keeper.rs
+++ b/node/src/direct/keeper.rs
@@ -22,6 +22,7 @@
 use mastichaven_core::direct::rollout;
 use mastichaven_core::direct::rollout::Situation;
 use mastichaven_core::direct::roster::Listed;
+use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
@@ -95,6 +96,7 @@
     place: PeerPlace,
     model: RefCell<Option<ModelShape>>,
     newest: Cell<Option<(u64, Time)>>,
+    versions: RefCell<Versions>,
     wave: Cell<u32>,
     report: RefCell<Option<Report>>,
     is_ordering: Cell<bool>,
@@ -133,6 +135,7 @@
         place,
         model: RefCell::default(),
         newest: Cell::new(None),
+        versions: RefCell::new(Versions::first(0)),
         wave: Cell::new(0),
         report: RefCell::default(),
         is_ordering: Cell::new(false),
@@ -280,7 +283,9 @@
             return;
         }
         slog::info!(self.log, "weights named"; "model" => model.as_str(), "version" => version);
-        self.newest.set(Some((version, self.clock.now())));
+        let now = self.clock.now();
+        self.newest.set(Some((version, now)));
+        self.versions.borrow_mut().name(version, now);
         self.swarm.want(model, version);
         self.told.notify_one();
     }
@@ -332,6 +337,8 @@
                 }
             };
             self.note_life(&report);
+            // Only a link that carries no live requests is free for weights.
+            self.swarm.set_beside_requests(!report.load.weights.is_empty());
             let mut load = report.load.clone();
             load.accepts &= !self.is_ordering.get();
             load.entries = self.live_askers(self.clock.now()) as u32;
@@ -387,11 +394,14 @@
                 continue;
             };
             let is_busy = self.report.borrow().as_ref().is_none_or(|report| report.is_busy);
+            let held = self.held();
+            let outdated_since = self.versions.borrow().outdated_since(held.unwrap_or(0));
             let situation = Situation {
                 newest,
-                held: self.held(),
+                held,
                 is_staged: self.swarm.is_complete(),
                 named_at,
+                outdated_since: outdated_since.unwrap_or(named_at),
                 wave: self.wave.get(),
                 bound: Duration::from_millis(self.cfg.bounds.weights_ms),
             };
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -122,10 +122,11 @@
     stream.flush().await
 }
 
-/// Bytes of a chunk that are handed to the kernel at once, and the pause after them. They fill half
-/// of a link of 7.6 Mbit/s, so that an event of a stream waits behind one piece and not a whole chunk.
-const PIECE_LEN: usize = 4 << 10;
-const PIECE_PAUSE: Duration = Duration::from_millis(5);
+/// Bytes of a chunk that are handed to the kernel at once, and the pause after them. They fill
+/// about 80% of a link of 7.6 Mbit/s, so that an event of a stream waits behind one piece and not
+/// behind a whole chunk.
+const PIECE_LEN: usize = 8 << 10;
+const PIECE_PAUSE: Duration = Duration::from_millis(9);
 
 /// Writes a long message in pieces, leaving room on the link between them.
 pub async fn write_paced<T: Serialize>(stream: &mut TcpStream, message: &T) -> io::Result<()> {
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -12,6 +12,7 @@
 use mastichaven_core::direct::roster::EndpointKey;
 use mastichaven_core::direct::roster::Roster;
 use mastichaven_core::direct::shares::RepeatBudget;
+use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::ServiceName;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -34,15 +35,6 @@
 /// begins to run when it leaves the endpoint's queue, within half a second after it was sent.
 const OLD_WEIGHTS_PART: f64 = 0.9;
 
-/// The newest version of a model.
-#[derive(Clone, Copy, Debug)]
-pub struct Newest {
-    /// The version.
-    pub version: u64,
-    /// When it became known here, except for the first one, which is known from the start.
-    pub known_since: Option<Time>,
-}
-
 /// Everything that the tasks of an entry share.
 #[derive(Debug)]
 pub struct State {
@@ -62,8 +54,8 @@
     pub has_list: Cell<bool>,
     /// Lease on the configuration.
     pub freshness: RefCell<Freshness>,
-    /// Newest version of each model.
-    pub newest: RefCell<HashMap<SmolStr, Newest>>,
+    /// Versions of each model.
+    pub versions: RefCell<HashMap<SmolStr, Versions>>,
     /// Idle connections to endpoints.
     pub pool: Pool,
     /// Signals that a place at an endpoint has become free.
@@ -90,7 +82,7 @@
             roster: RefCell::new(roster),
             has_list: Cell::new(false),
             freshness: RefCell::new(Freshness::new(lease)),
-            newest: RefCell::default(),
+            versions: RefCell::default(),
             pool: Pool::default(),
             freed: Notify::new(),
             named: Notify::new(),
@@ -121,28 +113,20 @@
 
     /// The oldest version of `model` that may still answer.
     pub fn oldest_weights(&self, model: &str, now: Time) -> u64 {
-        let newest = self.newest.borrow();
-        let Some(newest) = newest.get(model) else {
-            return 0;
-        };
         let bound = Duration::from_millis(self.cfg.bounds.weights_ms).mul_f64(OLD_WEIGHTS_PART);
-        match newest.known_since {
-            Some(since) if !now.passed(since, bound) => newest.version.saturating_sub(1),
-            _ => newest.version,
-        }
+        let versions = self.versions.borrow();
+        versions.get(model).map_or(0, |versions| versions.oldest_allowed(bound, now))
     }
 
     /// The newest version of each model.
     pub fn newest_versions(&self) -> Vec<(SmolStr, u64)> {
-        let newest = self.newest.borrow();
-        newest.iter().map(|(model, newest)| (model.clone(), newest.version)).collect()
+        let versions = self.versions.borrow();
+        versions.iter().map(|(model, versions)| (model.clone(), versions.newest())).collect()
     }
 
     /// All that is believed now and how old it is, for operators.
     pub fn dump(&self, now: Time) -> Value {
-        let newest = self.newest.borrow();
-        let weights: HashMap<&str, u64> =
-            newest.iter().map(|(model, newest)| (model.as_str(), newest.version)).collect();
+        let weights: HashMap<SmolStr, u64> = self.newest_versions().into_iter().collect();
         json!({
             "host": self.cfg.host.as_str(),
             "ready": self.is_ready(now),
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -120,15 +120,12 @@
         metrics: Rc<Metrics>,
         staging: Rc<Staging>,
     ) -> SwarmHost {
-        let mut swarm = Swarm::new(me, Way::Swarm);
-        // The endpoint's streams leave through the same link as chunks.
-        swarm.set_beside_requests(true);
         SwarmHost {
             clock,
             log,
             metrics,
             staging,
-            swarm: RefCell::new(swarm),
+            swarm: RefCell::new(Swarm::new(me, Way::Swarm)),
             addresses: RefCell::default(),
             origin: Cell::new(None),
             target: RefCell::default(),
@@ -171,6 +168,11 @@
         self.target.borrow().clone()
     }
 
+    /// Whether live requests run on this host's link.
+    pub fn set_beside_requests(&self, beside: bool) {
+        self.swarm.borrow_mut().set_beside_requests(beside);
+    }
+
     /// Whether all chunks of the wanted version were staged.
     pub fn is_complete(&self) -> bool {
         let target = self.target.borrow();
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -11,6 +11,7 @@
 
 use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::Catalog;
+use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_platform::config;
 use mastichaven_platform::endpoints;
@@ -22,7 +23,6 @@
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
-use super::state::Newest;
 use super::state::State;
 use super::store::StoreClient;
 use super::store::StoreError;
@@ -280,15 +280,26 @@
             slog::warn!(self.state.log, "weights cannot be read"; "name" => object.name.as_str());
             return;
         };
-        let mut known = self.state.newest.borrow_mut();
-        if known.get(&newest.model).is_some_and(|known| known.version >= newest.version) {
+        let mut known = self.state.versions.borrow_mut();
+        let is_news = match (known.get_mut(&newest.model), since) {
+            (Some(versions), _) => versions.name(newest.version, self.state.now()),
+            (None, Some(now)) => {
+                let mut versions = Versions::first(newest.version.saturating_sub(1));
+                versions.name(newest.version, now);
+                known.insert(newest.model.clone(), versions);
+                true
+            }
+            (None, None) => {
+                known.insert(newest.model.clone(), Versions::first(newest.version));
+                true
+            }
+        };
+        drop(known);
+        if !is_news {
             return;
         }
         slog::info!(self.state.log, "weights named"; "model" => newest.model.as_str(),
             "version" => newest.version);
-        let newest_now = Newest { version: newest.version, known_since: since };
-        known.insert(newest.model, newest_now);
-        drop(known);
         self.state.named.notify_one();
     }
 }
