Requests avoid endpoints on full links; chunks travel piece by piece

Now a chunk has 8 KB under way at a time, agents echo the entries' clock, and a round trip of 250 ms or more keeps requests away; endpoints that lose answers rest longer and come back with one request at a time.

--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -37,13 +37,29 @@
 const ZONE_PENALTY: f64 = 1.0;
 const REGION_PENALTY: f64 = 3.0;
 
+/// How long an endpoint that refused as full is spared: about until its next report.
+const FULL_FOR: Duration = Duration::from_millis(120);
+
+/// Usual time until a place of an endpoint frees: 1.1 s a request on 16 slots.
+const PLACE_FREES: Duration = Duration::from_millis(70);
+
+/// Round trip to an agent from which on its endpoint gets nothing: its link is so full that answers
+/// would be late and callers' leaving would reach the endpoint only after their requests have run.
+const SLOW_WAY: Duration = Duration::from_millis(250);
+
 /// Random part of the score, in requests, so that entries that saw the same reports do not all pick
 /// the same endpoint.
 const SPREAD: f64 = 1.5;
 
-/// Failures in a row after which an endpoint rests, and for how long.
+/// Answers lost in a row after which an endpoint rests, and failures that it signed itself: some of
+/// those are the request's own.
+const LOSSES_TO_REST: u32 = 2;
 const FAILURES_TO_REST: u32 = 3;
-const REST: Duration = Duration::from_millis(1_500);
+
+/// First and longest rest. After it one request at a time goes there until one is answered, so that
+/// a link that takes seconds does not swallow a share of all requests again and again.
+const REST_FIRST: Duration = Duration::from_millis(1_500);
+const REST_LONGEST: Duration = Duration::from_secs(8);
 
 /// What the platform's list says of an endpoint.
 #[derive(Clone, Debug, PartialEq)]
@@ -92,6 +108,7 @@
     at: Time,
     others: u32,
     accepts: bool,
+    round_trip: Duration,
 }
 
 /// An endpoint of the roster.
@@ -103,10 +120,48 @@
     load: Option<Load>,
     own: u32,
     cold_sends: ColdSends,
+    health: Health,
+    full_until: Time,
+}
+
+/// What the outcomes of an endpoint's requests say of it.
+#[derive(Clone, Debug, Default)]
+struct Health {
     failures: u32,
+    losses: u32,
+    rest: Duration,
     rests_until: Time,
 }
 
+impl Health {
+    fn failed(&mut self, is_lost: bool, now: Time) {
+        self.failures += 1;
+        self.losses += u32::from(is_lost);
+        let is_bad = self.losses >= LOSSES_TO_REST || self.failures >= FAILURES_TO_REST;
+        // Requests that were under way together fail together; they are one reason to rest.
+        if (is_bad || !self.rest.is_zero()) && now >= self.rests_until {
+            self.rest = (self.rest * 2).clamp(REST_FIRST, REST_LONGEST);
+            self.rests_until = now + self.rest;
+        }
+    }
+
+    /// Whether a request may go there, when `own` of this entry are there already.
+    fn takes(&self, own: u32, now: Time) -> bool {
+        self.rest.is_zero() || (now >= self.rests_until && own == 0)
+    }
+}
+
+impl Endpoint {
+    /// Whether nothing speaks against sending it a request: no lost answers, no full link, and an
+    /// agent that reports if it ever did.
+    fn takes(&self, now: Time) -> bool {
+        let is_near = self.load.as_ref().is_none_or(|load| {
+            !now.passed(load.at, REPORT_VALID) && load.round_trip < SLOW_WAY
+        });
+        is_near && self.health.takes(self.own, now)
+    }
+}
+
 /// Names an endpoint while it is on the roster.
 pub type EndpointKey = Key<Endpoint>;
 
@@ -197,8 +252,8 @@
             load: None,
             own: 0,
             cold_sends: ColdSends::default(),
-            failures: 0,
-            rests_until: Time::ZERO,
+            health: Health::default(),
+            full_until: Time::ZERO,
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
@@ -220,8 +275,15 @@
         self.evacuated = zones;
     }
 
-    /// An agent reported on the endpoint at `address`. Reports of another life are ignored.
-    pub fn reported(&mut self, address: SocketAddr, report: &LoadReport, now: Time) {
+    /// An agent reported on the endpoint at `address`, over a way that took `round_trip` there and
+    /// back. Reports of another life are ignored.
+    pub fn reported(
+        &mut self,
+        address: SocketAddr,
+        report: &LoadReport,
+        round_trip: Duration,
+        now: Time,
+    ) {
         let found = self.endpoints.iter().find(|(_, endpoint)| endpoint.listed.address == address);
         let Some(key) = found.map(|(key, _)| key) else {
             return;
@@ -237,7 +299,7 @@
         }
         let total = report.running + report.waiting;
         let others = total.saturating_sub(endpoint.own);
-        endpoint.load = Some(Load { at: now, others, accepts: report.accepts });
+        endpoint.load = Some(Load { at: now, others, accepts: report.accepts, round_trip });
         endpoint.listed.weights.clone_from(&report.weights);
     }
 
@@ -282,7 +344,7 @@
                 "own": endpoint.own,
                 "others": load.map(|load| load.others),
                 "report_age_ms": load.map(|load| now.since(load.at).as_millis() as u64),
-                "rests": endpoint.rests_until > now,
+                "rests": endpoint.health.rests_until > now,
             })
         });
         shown.collect()
@@ -306,21 +368,25 @@
         let mut best: Option<(f64, EndpointKey)> = None;
         let mut resting: Option<(f64, EndpointKey)> = None;
         let mut is_any_fit = false;
+        let mut is_any_healthy = false;
         for key in keys {
             if need.tried.contains(&key) || !self.fits(key, need) {
                 continue;
             }
             is_any_fit = true;
+            let takes = self.endpoints.get(key).is_some_and(|endpoint| endpoint.takes(now));
+            is_any_healthy |= takes;
             let Some(score) = self.score(key, need, now) else {
                 continue;
             };
             let score = score + rng.random_range(0.0..SPREAD);
-            let rests = self.endpoints.get(key).is_some_and(|e| e.rests_until > now);
-            let place = if rests { &mut resting } else { &mut best };
+            let place = if takes { &mut best } else { &mut resting };
             if place.is_none_or(|(least, _)| score < least) {
                 *place = Some((score, key));
             }
         }
+        // An endpoint that loses answers is worse than none while others are merely full.
+        let resting = resting.filter(|_| !is_any_healthy);
         let found = best.or(resting).map(|(_, key)| key);
         found.ok_or(if is_any_fit { Unavailable::Full } else { Unavailable::None })
     }
@@ -348,6 +414,9 @@
         if is_cold && !endpoint.cold_sends.may_send(need.cold_per_second, entries, now) {
             return None;
         }
+        if endpoint.full_until > now {
+            return None;
+        }
         let load = endpoint.load.as_ref().filter(|load| !now.passed(load.at, REPORT_VALID));
         if load.is_some_and(|load| !load.accepts) {
             return None;
@@ -361,6 +430,8 @@
         if busy >= room {
             return None;
         }
+        // What waits on a slow link is as late as what waits in a queue.
+        let on_the_way = load.map_or(0.0, |load| load.round_trip.div_duration_f64(PLACE_FREES));
         let distance = if endpoint.listed.zone == zone {
             0.0
         } else if endpoint.region == region {
@@ -368,7 +439,7 @@
         } else {
             REGION_PENALTY
         };
-        Some(f64::from(busy) + distance)
+        Some(f64::from(busy) + distance + on_the_way)
     }
 
     /// A request goes to the endpoint.
@@ -389,25 +460,23 @@
     /// The endpoint answered well.
     pub fn succeeded(&mut self, key: EndpointKey) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.failures = 0;
+            endpoint.health = Health::default();
         }
     }
 
-    /// The endpoint failed a request; after several in a row it rests, unless nobody else is left.
-    pub fn failed(&mut self, key: EndpointKey, now: Time) {
+    /// The endpoint failed a request, with an answer of its own or, if `is_lost`, without one. After
+    /// several in a row it rests, unless nobody else is left.
+    pub fn failed(&mut self, key: EndpointKey, is_lost: bool, now: Time) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.failures += 1;
-            if endpoint.failures >= FAILURES_TO_REST {
-                endpoint.rests_until = now + REST;
-            }
+            endpoint.health.failed(is_lost, now);
         }
     }
 
-    /// The endpoint refused as full: nothing more goes there until the next report, or for a while.
+    /// The endpoint refused a request as full: it is spared for a while, as its load is not known
+    /// better than by reports that said otherwise.
     pub fn refused(&mut self, key: EndpointKey, now: Time) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
-            let others = (endpoint.listed.slots + QUEUE_PLACES).saturating_sub(endpoint.own);
-            endpoint.load = Some(Load { at: now, others, accepts: true });
+            endpoint.full_until = now + FULL_FOR;
         }
     }
 }
--- a/node/src/direct/entry.rs
+++ b/node/src/direct/entry.rs
@@ -123,12 +123,14 @@
     let began = state.now();
     slog::info!(state.log, "stopping"; "callers" => callers.0.get());
     sleep(NOTICE).await;
+    // Callers that the balancer still sends are refused here and go to another entry; taken now, a
+    // long answer might not be over before the end.
+    accepting.abort();
     let _ = close.send(true);
     let end = state.cfg.bounds.stop().saturating_sub(STOP_MARGIN);
     while callers.0.get() > 0 && !state.now().passed(began, end) {
         sleep(STOP_POLL).await;
     }
-    accepting.abort();
     slog::info!(state.log, "stopped"; "callers" => callers.0.get());
     drop(log);
     Ok(())
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -369,7 +369,7 @@
         Verdict::Failed => {
             trail.may_have_run = true;
             state.metrics.count("endpoint_failures");
-            state.roster.borrow_mut().failed(endpoint, state.now());
+            state.roster.borrow_mut().failed(endpoint, false, state.now());
             failed_answer(state, &listed, link, response).await
         }
         Verdict::Foreign => {
@@ -417,7 +417,7 @@
     e: LinkError,
     at: &'static str,
 ) {
-    state.roster.borrow_mut().failed(endpoint, state.now());
+    state.roster.borrow_mut().failed(endpoint, true, state.now());
     state.metrics.count("endpoint_losses");
     slog::info!(state.log, "attempt failed";
         "id" => call.head.id.as_deref().unwrap_or_default(),
--- a/node/src/direct/keeper.rs
+++ b/node/src/direct/keeper.rs
@@ -22,6 +22,7 @@
 use mastichaven_core::direct::rollout;
 use mastichaven_core::direct::rollout::Situation;
 use mastichaven_core::direct::roster::Listed;
+use mastichaven_core::direct::roster::LoadReport;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::ServiceName;
@@ -100,6 +101,7 @@
     wave: Cell<u32>,
     report: RefCell<Option<Report>>,
     is_ordering: Cell<bool>,
+    /// When each entry asked last, and what its own clock said then.
     askers: RefCell<HashMap<SocketAddr, (u64, Time)>>,
     told: Notify,
 }
@@ -311,7 +313,7 @@
             let mut askers = self.askers.borrow_mut();
             askers.retain(|_, (_, at)| !now.passed(*at, ASKED_FOR));
             if askers.len() < MAX_ASKERS || askers.contains_key(&from) {
-                askers.insert(from, (ask.entry, now));
+                askers.insert(from, (ask.sent_us, now));
             }
             drop(askers);
             for (model, version) in &ask.newest {
@@ -346,7 +348,7 @@
             same = if last.as_ref() == Some(&load) { same + 1 } else { 0 };
             last = Some(load.clone());
             if same % SAME_REPORT_EVERY == 0 {
-                self.send(&socket, Told { port: self.staging.address().port(), report: load });
+                self.send(&socket, load);
             }
         }
     }
@@ -360,19 +362,20 @@
         }
     }
 
-    fn send(&self, socket: &UdpSocket, told: Told) {
-        let bytes = match postcard::to_stdvec(&told) {
-            Ok(bytes) => bytes,
-            Err(e) => {
-                slog::error!(self.log, "report cannot be encoded"; "error" => e.to_string());
-                return;
-            }
-        };
+    fn send(&self, socket: &UdpSocket, report: LoadReport) {
         let now = self.clock.now();
-        for (address, (_, at)) in self.askers.borrow().iter() {
-            if !now.passed(*at, ASKED_FOR) {
+        let port = self.staging.address().port();
+        let mut told = Told { port, report, asked_us: 0, held_us: 0 };
+        for (address, (asked_us, at)) in self.askers.borrow().iter() {
+            if now.passed(*at, ASKED_FOR) {
+                continue;
+            }
+            told.asked_us = *asked_us;
+            told.held_us = now.since(*at).as_micros() as u64;
+            match postcard::to_stdvec(&told) {
                 // A datagram may be lost anyway; the next report follows.
-                let _ = socket.try_send_to(&bytes, *address);
+                Ok(bytes) => drop(socket.try_send_to(&bytes, *address)),
+                Err(e) => slog::error!(self.log, "report not encoded"; "error" => e.to_string()),
             }
         }
     }
--- a/node/src/direct/loads.rs
+++ b/node/src/direct/loads.rs
@@ -35,8 +35,8 @@
 /// What an entry asks an agent.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Ask {
-    /// A number drawn by the entry at its start.
-    pub entry: u64,
+    /// Microseconds of the entry's clock when it asked.
+    pub sent_us: u64,
     /// Newest version of each model.
     pub newest: Vec<(SmolStr, u64)>,
 }
@@ -48,13 +48,16 @@
     pub port: u16,
     /// The report.
     pub report: LoadReport,
+    /// When the entry sent the last ask that came in, by its own clock.
+    pub asked_us: u64,
+    /// Microseconds for which the agent has held that ask.
+    pub held_us: u64,
 }
 
 /// Asks all agents and takes in their reports until the process ends.
 pub async fn follow(state: Rc<State>, socket: UdpSocket) {
     let socket = Rc::new(socket);
-    let entry: u64 = rand::random();
-    tokio::task::spawn_local(ask_all(state.clone(), socket.clone(), entry));
+    tokio::task::spawn_local(ask_all(state.clone(), socket.clone()));
     let mut buf = vec![0; MAX_DATAGRAM_LEN];
     let mut counts: HashMap<SocketAddr, (u32, Time)> = HashMap::new();
     loop {
@@ -73,15 +76,16 @@
         let entries = counts.values().map(|(count, _)| *count).max().unwrap_or(1);
         let mut roster = state.roster.borrow_mut();
         roster.set_entries(entries);
-        roster.reported(address, &told.report, now);
+        let round_trip = now.since(Time::from_micros(told.asked_us.saturating_add(told.held_us)));
+        roster.reported(address, &told.report, round_trip, now);
         drop(roster);
         state.freed.notify_one();
     }
 }
 
-async fn ask_all(state: Rc<State>, socket: Rc<UdpSocket>, entry: u64) {
+async fn ask_all(state: Rc<State>, socket: Rc<UdpSocket>) {
     loop {
-        let ask = Ask { entry, newest: state.newest_versions() };
+        let ask = Ask { sent_us: state.now().as_micros(), newest: state.newest_versions() };
         let agents: Vec<SocketAddr> = state.roster.borrow().engines().collect();
         match postcard::to_stdvec(&ask) {
             Ok(bytes) => {
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -16,6 +16,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
 use super::link;
@@ -79,8 +80,8 @@
         /// SHA-256 of each chunk.
         digests: Vec<Digest>,
     },
-    /// A chunk.
-    Chunk(Bytes),
+    /// It has the chunk, of this length, and sends a piece whenever it is asked for the next one.
+    ChunkFollows(u32),
     /// It does not have what was asked for.
     Absent,
     /// It is sending enough already.
@@ -105,6 +106,65 @@
     }
 }
 
+/// Bytes of a chunk under way to a host at once. Chunks share the host's link with live requests: on
+/// 7.6 Mbit/s a request waits behind a piece for 9 ms, behind a whole chunk for 34 ms, and on a link
+/// that is squeezed to a tenth for ten times as long.
+pub const PIECE_LEN: usize = 8 << 10;
+
+/// Asks for the next piece of a chunk.
+const NEXT: u8 = 1;
+
+/// Takes a chunk from the agent at `address`, or what it says instead.
+pub async fn take_chunk(
+    address: SocketAddr,
+    ask: &PeerAsk,
+    within: Duration,
+) -> Result<std::result::Result<Bytes, PeerTold>> {
+    let connected = timeout(CONNECT_WITHIN, TcpStream::connect(address)).await;
+    let mut stream = match connected {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_)) | Err(_) => return Err(PeerError::Unreachable),
+    };
+    let exchange = async {
+        link::prepare(&stream)?;
+        write(&mut stream, ask).await?;
+        match read(&mut stream).await? {
+            PeerTold::ChunkFollows(len) if len <= MAX_MESSAGE_LEN => {
+                read_pieces(&mut stream, len as usize).await.map(Ok)
+            }
+            other => Ok(Err(other)),
+        }
+    };
+    match timeout(within, exchange).await {
+        Ok(Ok(taken)) => Ok(taken),
+        Ok(Err::<_, io::Error>(_)) | Err(_) => Err(PeerError::Silent),
+    }
+}
+
+async fn read_pieces(stream: &mut TcpStream, len: usize) -> io::Result<Bytes> {
+    let mut buf = vec![0; len];
+    for piece in buf.chunks_mut(PIECE_LEN) {
+        stream.write_u8(NEXT).await?;
+        stream.read_exact(piece).await?;
+    }
+    Ok(Bytes::from(buf))
+}
+
+/// Sends a chunk piece by piece, as the peer asks for them. Pieces to several peers take turns.
+pub async fn send_pieces(
+    stream: &mut TcpStream,
+    chunk: &[u8],
+    turn: &Semaphore,
+) -> io::Result<()> {
+    write(stream, &PeerTold::ChunkFollows(chunk.len() as u32)).await?;
+    for piece in chunk.chunks(PIECE_LEN) {
+        stream.read_u8().await?;
+        let _turn = turn.acquire().await.map_err(io::Error::other)?;
+        stream.write_all(piece).await?;
+    }
+    stream.flush().await
+}
+
 /// Reads a message.
 pub async fn read<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
     let len = stream.read_u32().await?;
@@ -122,21 +182,6 @@
     stream.flush().await
 }
 
-/// Bytes of a chunk that are handed to the kernel at once, and the pause after them. They fill
-/// about 80% of a link of 7.6 Mbit/s, so that an event of a stream waits behind one piece and not
-/// behind a whole chunk.
-const PIECE_LEN: usize = 8 << 10;
-const PIECE_PAUSE: Duration = Duration::from_millis(9);
-
-/// Writes a long message in pieces, leaving room on the link between them.
-pub async fn write_paced<T: Serialize>(stream: &mut TcpStream, message: &T) -> io::Result<()> {
-    for piece in frame(message)?.chunks(PIECE_LEN) {
-        stream.write_all(piece).await?;
-        tokio::time::sleep(PIECE_PAUSE).await;
-    }
-    stream.flush().await
-}
-
 fn frame<T: Serialize>(message: &T) -> io::Result<Vec<u8>> {
     let body = postcard::to_stdvec(message).map_err(io::Error::other)?;
     let len = u32::try_from(body.len()).map_err(io::Error::other)?;
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -356,41 +356,48 @@
         let Some(address) = self.addresses.borrow().get(&host).copied() else {
             return End::Unreachable;
         };
+        let version = request.version;
         let ask = match request.what {
-            What::Have => PeerAsk::Have { version: request.version },
-            What::Manifest => PeerAsk::Manifest { version: request.version },
+            What::Have => PeerAsk::Have { version },
+            What::Manifest => PeerAsk::Manifest { version },
             What::Chunk { digest, park, .. } => {
-                PeerAsk::Chunk { version: request.version, digest, park }
+                return self.chunk_from_peer(address, request, digest, park).await;
             }
         };
-        let told = match peers::ask(address, &ask, request.timeout).await {
-            Ok(told) => told,
-            Err(PeerError::Unreachable) => return End::Unreachable,
-            Err(PeerError::Silent) => return End::Silent,
-        };
-        match (told, request.what) {
-            (PeerTold::Have { map, queue }, What::Have) => {
+        match (peers::ask(address, &ask, request.timeout).await, request.what) {
+            (Ok(PeerTold::Have { map, queue }), What::Have) => {
                 let now = self.clock.now();
-                self.swarm.borrow_mut().heard(id, request.version, map, queue, now);
+                self.swarm.borrow_mut().heard(id, version, map, queue, now);
                 End::Told
             }
-            (PeerTold::Manifest { chunk_len, digests }, What::Manifest) => {
+            (Ok(PeerTold::Manifest { chunk_len, digests }), What::Manifest) => {
                 match self.target_of(request) {
                     Some(target) => self.take_manifest(&target, chunk_len, digests).await,
                     None => End::NotNow,
                 }
             }
-            (PeerTold::Chunk(bytes), What::Chunk { digest, .. }) => {
-                let Some((target, index)) = self.target_of(request).zip(self.index_of(digest))
-                else {
-                    return End::NotNow;
-                };
+            (told, _) => end_of(told),
+        }
+    }
+
+    async fn chunk_from_peer(
+        &self,
+        address: SocketAddr,
+        request: &Request,
+        digest: Digest,
+        park: bool,
+    ) -> End {
+        let Some((target, index)) = self.target_of(request).zip(self.index_of(digest)) else {
+            return End::NotNow;
+        };
+        let ask = PeerAsk::Chunk { version: request.version, digest, park };
+        match peers::take_chunk(address, &ask, request.timeout).await {
+            Ok(Ok(bytes)) => {
                 self.metrics.count("chunks_from_peers");
                 self.take_chunk(&target, index, digest, bytes).await
             }
-            (PeerTold::Busy, _) => End::Busy,
-            (PeerTold::Absent, _) => End::Absent,
-            _ => End::Corrupt,
+            Ok(Err(told)) => end_of(Ok(told)),
+            Err(e) => end_of(Err(e)),
         }
     }
 
@@ -421,22 +428,22 @@
         let told = match ask {
             PeerAsk::Have { version } => self.tell_have(version),
             PeerAsk::Manifest { version } => self.tell_manifest(version).await,
+            PeerAsk::Chunk { .. } if self.sending.get() >= BUSY_QUEUE => PeerTold::Busy,
             PeerAsk::Chunk { version, digest, park } => {
-                if self.sending.get() >= BUSY_QUEUE {
-                    return peers::write(&mut stream, &PeerTold::Busy).await;
+                match self.find_chunk(version, digest, park).await {
+                    Some(chunk) => return self.send_chunk(&mut stream, &chunk).await,
+                    None => PeerTold::Absent,
                 }
-                self.tell_chunk(version, digest, park).await
             }
         };
-        if !matches!(told, PeerTold::Chunk(_)) {
-            return peers::write(&mut stream, &told).await;
-        }
+        peers::write(&mut stream, &told).await
+    }
+
+    async fn send_chunk(&self, stream: &mut TcpStream, chunk: &Bytes) -> std::io::Result<()> {
         self.sending.set(self.sending.get() + 1);
-        let turn = self.link_turn.acquire().await;
-        let written = peers::write_paced(&mut stream, &told).await;
-        drop(turn);
+        let sent = peers::send_pieces(stream, chunk, &self.link_turn).await;
         self.sending.set(self.sending.get() - 1);
-        written
+        sent
     }
 
     fn is_target(&self, version: Digest) -> bool {
@@ -468,7 +475,8 @@
         }
     }
 
-    async fn tell_chunk(&self, version: Digest, digest: Digest, park: bool) -> PeerTold {
+    /// A chunk that is staged here, or is within the time that an ask may wait.
+    async fn find_chunk(&self, version: Digest, digest: Digest, park: bool) -> Option<Bytes> {
         let until = Instant::now() + PARK;
         loop {
             let index = self.index_of(digest).filter(|_| self.is_target(version));
@@ -477,12 +485,25 @@
             };
             if let Some((index, target)) = index.filter(has).zip(self.target()) {
                 let read = self.staging.chunk(&target.model, index, digest).await;
-                return read.map_or(PeerTold::Absent, PeerTold::Chunk);
+                return read.ok();
             }
             let waited = tokio::time::timeout_at(until, self.changed.notified()).await;
             if !park || waited.is_err() {
-                return PeerTold::Absent;
+                return None;
             }
         }
     }
 }
+
+/// How an ask ended that brought nothing.
+fn end_of(told: peers::Result<PeerTold>) -> End {
+    match told {
+        Ok(PeerTold::Busy) => End::Busy,
+        Ok(PeerTold::Absent) => End::Absent,
+        Ok(PeerTold::Have { .. } | PeerTold::Manifest { .. } | PeerTold::ChunkFollows(_)) => {
+            End::Corrupt
+        }
+        Err(PeerError::Unreachable) => End::Unreachable,
+        Err(PeerError::Silent) => End::Silent,
+    }
+}
