--- a/core/src/direct/catalog.rs
+++ b/core/src/direct/catalog.rs
@@ -197,6 +197,13 @@
         self.services.iter().find(|service| service.name == *name)
     }
 
+    /// Whether every request of a service can be continued at another endpoint.
+    pub fn is_all_resumable(&self, service: &ServiceName) -> bool {
+        let leads_there = |route: &&Route| route.splits.iter().any(|s| s.service == *service);
+        let mut routes = self.routes.iter().filter(leads_there);
+        routes.all(|route| route.repeat == Repeat::Resumable)
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.services.iter()
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -47,6 +47,10 @@
 /// would be late and callers' leaving would reach the endpoint only after their requests have run.
 const SLOW_WAY: Duration = Duration::from_millis(250);
 
+/// Age of the last ask that an agent has answered from which on its link counts as full, too: asks go
+/// out every 300 ms, and one may be lost.
+const ASK_VALID: Duration = Duration::from_millis(800);
+
 /// Random part of the score, in requests, so that entries that saw the same reports do not all pick
 /// the same endpoint.
 const SPREAD: f64 = 1.5;
@@ -108,6 +112,7 @@
     at: Time,
     others: u32,
     accepts: bool,
+    asked: Time,
     round_trip: Duration,
 }
 
@@ -156,7 +161,9 @@
     /// agent that reports if it ever did.
     fn takes(&self, now: Time) -> bool {
         let is_near = self.load.as_ref().is_none_or(|load| {
-            !now.passed(load.at, REPORT_VALID) && load.round_trip < SLOW_WAY
+            let is_heard = !now.passed(load.at, REPORT_VALID);
+            let hears = !now.passed(load.asked, ASK_VALID);
+            is_heard && hears && load.round_trip < SLOW_WAY
         });
         is_near && self.health.takes(self.own, now)
     }
@@ -275,12 +282,13 @@
         self.evacuated = zones;
     }
 
-    /// An agent reported on the endpoint at `address`, over a way that took `round_trip` there and
-    /// back. Reports of another life are ignored.
+    /// An agent reported on the endpoint at `address` in answer to what it was asked at `asked`, over
+    /// a way that took `round_trip` there and back. Reports of another life are ignored.
     pub fn reported(
         &mut self,
         address: SocketAddr,
         report: &LoadReport,
+        asked: Time,
         round_trip: Duration,
         now: Time,
     ) {
@@ -299,7 +307,7 @@
         }
         let total = report.running + report.waiting;
         let others = total.saturating_sub(endpoint.own);
-        endpoint.load = Some(Load { at: now, others, accepts: report.accepts, round_trip });
+        endpoint.load = Some(Load { at: now, others, accepts: report.accepts, asked, round_trip });
         endpoint.listed.weights.clone_from(&report.weights);
     }
 
@@ -467,7 +475,11 @@
     /// The endpoint failed a request, with an answer of its own or, if `is_lost`, without one. After
     /// several in a row it rests, unless nobody else is left.
     pub fn failed(&mut self, key: EndpointKey, is_lost: bool, now: Time) {
-        if let Some(endpoint) = self.endpoints.get_mut(key) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        // An endpoint that is about to load cuts off what runs; that is no sign of ill health.
+        if endpoint.load.as_ref().is_none_or(|load| load.accepts) {
             endpoint.health.failed(is_lost, now);
         }
     }
--- a/core/src/direct/versions.rs
+++ b/core/src/direct/versions.rs
@@ -47,6 +47,11 @@
         bound_by.map_or(0, |(version, _)| *version)
     }
 
+    /// When `version` was named.
+    pub fn named_at(&self, version: u64) -> Option<Time> {
+        self.named.iter().find(|(named, _)| *named == version).and_then(|(_, at)| *at)
+    }
+
     /// When the first version newer than `held` was named, if one was.
     pub fn outdated_since(&self, held: u64) -> Option<Time> {
         self.named.iter().find(|(version, _)| *version > held).and_then(|(_, at)| *at)
--- a/core/src/swarm/pull.rs
+++ b/core/src/swarm/pull.rs
@@ -55,6 +55,7 @@
     pub(super) usual: Duration,
     pub(super) origin_from: Time,
     pub(super) origin_wait: Duration,
+    origin_wait_longest: Duration,
     pub(super) beside_requests: bool,
     pub(super) counts: Counts,
 }
@@ -76,11 +77,19 @@
             usual: CHUNK_TIMEOUT_LEAST / LATE_TIMES,
             origin_from: Time::ZERO,
             origin_wait: ORIGIN_RETRY,
+            origin_wait_longest: ORIGIN_RETRY_LONGEST,
             beside_requests: false,
             counts: Counts::default(),
         }
     }
 
+    /// Sets the longest wait before the origin is asked again. Where no budget guards the origin, a
+    /// try costs little, and a wait that outlives an outage costs every host the version.
+    pub fn set_origin_retry(&mut self, longest: Duration) {
+        self.origin_wait_longest = longest;
+        self.origin_wait = self.origin_wait.min(longest);
+    }
+
     /// Takes in the hosts that take part, this one among them.
     pub fn set_peers(&mut self, places: &[PeerPlace], origin_region: Option<&RegionName>) {
         let ids = self.peers.set(places);
@@ -219,7 +228,7 @@
             // The chunk's next try goes to a peer; other chunks need not wait.
         } else if !matches!(end, End::Stored | End::Manifest(_)) {
             self.origin_from = now + self.origin_wait;
-            self.origin_wait = (self.origin_wait * 2).min(ORIGIN_RETRY_LONGEST);
+            self.origin_wait = (self.origin_wait * 2).min(self.origin_wait_longest);
         } else {
             self.origin_wait = ORIGIN_RETRY;
         }
--- /dev/null
+++ b/core/tests/direct/roster.rs
@@ -0,0 +1,250 @@
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use mastichaven_core::Time;
+use mastichaven_core::direct::roster::EndpointKey;
+use mastichaven_core::direct::roster::Listed;
+use mastichaven_core::direct::roster::LoadReport;
+use mastichaven_core::direct::roster::Need;
+use mastichaven_core::direct::roster::QUEUE_PLACES;
+use mastichaven_core::direct::roster::Roster;
+use mastichaven_core::direct::roster::Unavailable;
+use mastichaven_core::ids::RegionName;
+use mastichaven_core::ids::ServiceName;
+use mastichaven_core::ids::ZoneName;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const SLOTS: u32 = 16;
+const NEAR: Duration = Duration::from_millis(3);
+
+fn now(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(7)
+}
+
+fn roster() -> Roster {
+    let zones = [("lagoa", "south"), ("serra", "hills"), ("litoral", "coast")];
+    let regions: HashMap<ZoneName, RegionName> =
+        zones.iter().map(|(zone, region)| (ZoneName::new(zone), RegionName::new(region))).collect();
+    Roster::new(ZoneName::new("lagoa"), regions)
+}
+
+fn address(n: u8) -> std::net::SocketAddr {
+    ([10, 0, 0, n], 80).into()
+}
+
+fn listed(n: u8, zone: &str) -> Listed {
+    Listed {
+        id: format!("i-{n}").into(),
+        service: ServiceName::new("redator"),
+        address: address(n),
+        zone: ZoneName::new(zone),
+        slots: SLOTS,
+        is_draining: false,
+        cold_for: Duration::ZERO,
+        weights: vec![("m".into(), 1)],
+        is_engine: true,
+        born: 0,
+    }
+}
+
+fn report(running: u32) -> LoadReport {
+    LoadReport {
+        running,
+        waiting: 0,
+        accepts: true,
+        weights: vec![("m".into(), 1)],
+        born: 0,
+        entries: 8,
+    }
+}
+
+fn choose(roster: &mut Roster, at: Time) -> Result<EndpointKey, Unavailable> {
+    let service = ServiceName::new("redator");
+    let need = Need {
+        service: &service,
+        model: Some(("m", 1)),
+        regions: [&[], &[]],
+        tried: &[],
+        cold_per_second: 36.0,
+    };
+    roster.choose(&need, at, &mut rng())
+}
+
+fn chosen(roster: &mut Roster, at: Time) -> String {
+    let key = choose(roster, at).expect("an endpoint");
+    roster.get(key).expect("on the roster").id.to_string()
+}
+
+#[test]
+fn choose_prefers_the_least_load_then_the_own_zone() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    roster.put(listed(2, "serra"), now(0));
+    roster.reported(address(1), &report(6), now(0), NEAR, now(0));
+    roster.reported(address(2), &report(6), now(0), NEAR, now(0));
+    assert_eq!(chosen(&mut roster, now(1)), "i-1");
+    roster.reported(address(1), &report(15), now(2), NEAR, now(2));
+    assert_eq!(chosen(&mut roster, now(3)), "i-2");
+}
+
+// Requests that are sent between two reports are not in the reports. Without counting them, an entry
+// would send its whole burst to the endpoint that was least loaded a moment ago.
+#[test]
+fn choose_counts_own_requests_between_reports() {
+    let mut roster = roster();
+    for n in 1..=4 {
+        roster.put(listed(n, "lagoa"), now(0));
+        roster.reported(address(n), &report(4), now(0), NEAR, now(0));
+    }
+    let mut sent: HashMap<String, u32> = HashMap::new();
+    for _ in 0..32 {
+        let key = choose(&mut roster, now(10)).expect("an endpoint");
+        roster.sent(key, now(10));
+        *sent.entry(roster.get(key).expect("listed").id.to_string()).or_default() += 1;
+    }
+    assert!(sent.values().all(|count| (6..=10).contains(count)), "{sent:?}");
+}
+
+// A burst fills all endpoints. A request that waits behind more than a few others is late anyway, so
+// its caller is better told at once to come back.
+#[test]
+fn choose_refuses_when_all_are_full() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    roster.reported(address(1), &report(SLOTS + QUEUE_PLACES), now(0), NEAR, now(0));
+    assert_eq!(choose(&mut roster, now(1)), Err(Unavailable::Full));
+    roster.reported(address(1), &report(SLOTS), now(2), NEAR, now(2));
+    assert!(choose(&mut roster, now(3)).is_ok());
+}
+
+// An endpoint drains or its zone is taken out. A request sent there would be cut off when it stops.
+#[test]
+fn choose_avoids_draining_endpoints_and_evacuated_zones() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    roster.put(Listed { is_draining: true, ..listed(2, "serra") }, now(0));
+    assert_eq!(chosen(&mut roster, now(1)), "i-1");
+    roster.set_evacuated(HashSet::from([ZoneName::new("lagoa")]));
+    assert_eq!(choose(&mut roster, now(2)), Err(Unavailable::None));
+    roster.set_evacuated(HashSet::new());
+    assert_eq!(chosen(&mut roster, now(3)), "i-1");
+}
+
+// An endpoint with an older version than allowed, or with none, would answer from wrong weights.
+#[test]
+fn choose_needs_the_weights() {
+    let mut roster = roster();
+    roster.put(Listed { weights: Vec::new(), ..listed(1, "lagoa") }, now(0));
+    assert_eq!(choose(&mut roster, now(1)), Err(Unavailable::None));
+    // Its agent tells of the weights before the list does.
+    roster.reported(address(1), &report(0), now(2), NEAR, now(2));
+    assert!(choose(&mut roster, now(3)).is_ok());
+}
+
+// The link of an endpoint is squeezed by weights or by the network. Requests reach it seconds later,
+// when their callers have left, and it works on them in vain.
+#[test]
+fn choose_avoids_an_endpoint_behind_a_full_link() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    roster.put(listed(2, "litoral"), now(0));
+    roster.reported(address(1), &report(0), now(0), Duration::from_millis(400), now(0));
+    roster.reported(address(2), &report(12), now(0), NEAR, now(0));
+    assert_eq!(chosen(&mut roster, now(1)), "i-2");
+}
+
+// Asks wait behind seconds of other bytes on the way to an agent. Its reports still come at once,
+// but they answer old asks.
+#[test]
+fn choose_avoids_an_endpoint_whose_agent_hears_nothing() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    roster.put(listed(2, "litoral"), now(0));
+    roster.reported(address(1), &report(0), now(0), NEAR, now(1_000));
+    roster.reported(address(2), &report(12), now(900), NEAR, now(1_000));
+    assert_eq!(chosen(&mut roster, now(1_001)), "i-2");
+}
+
+// An endpoint goes dark: its connections hang. Each request that is sent there costs its caller more
+// than a second.
+#[test]
+fn failed_rests_an_endpoint_that_loses_answers() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    roster.put(listed(2, "serra"), now(0));
+    for at in [0, 10] {
+        roster.reported(address(1), &report(0), now(at), NEAR, now(at));
+        roster.reported(address(2), &report(10), now(at), NEAR, now(at));
+        let key = choose(&mut roster, now(at)).expect("an endpoint");
+        roster.failed(key, true, now(at));
+    }
+    roster.reported(address(1), &report(0), now(20), NEAR, now(20));
+    roster.reported(address(2), &report(10), now(20), NEAR, now(20));
+    assert_eq!(chosen(&mut roster, now(30)), "i-2");
+}
+
+// After its rest the endpoint may still be bad. One request shows that as well as many.
+#[test]
+fn failed_lets_one_request_probe_after_the_rest() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    roster.put(listed(2, "serra"), now(0));
+    let first = choose(&mut roster, now(0)).expect("an endpoint");
+    roster.failed(first, true, now(0));
+    roster.failed(first, true, now(0));
+    let id = roster.get(first).expect("listed").id.to_string();
+    roster.reported(address(1), &report(0), now(2_000), NEAR, now(2_000));
+    roster.reported(address(2), &report(10), now(2_000), NEAR, now(2_000));
+    assert_eq!(chosen(&mut roster, now(2_001)), id);
+    roster.sent(first, now(2_001));
+    assert_ne!(chosen(&mut roster, now(2_002)), id);
+    roster.left(first);
+    roster.succeeded(first);
+    assert_eq!(chosen(&mut roster, now(2_003)), id);
+}
+
+// The agent of an endpoint that is about to load cuts off what runs there. Resting it for that would
+// keep it idle for seconds after a load of a third of a second.
+#[test]
+fn failed_forgives_an_endpoint_that_loads() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    let key = choose(&mut roster, now(0)).expect("an endpoint");
+    let loading = LoadReport { accepts: false, ..report(5) };
+    roster.reported(address(1), &loading, now(10), NEAR, now(10));
+    assert_eq!(choose(&mut roster, now(11)), Err(Unavailable::Full));
+    for _ in 0..5 {
+        roster.failed(key, true, now(20));
+    }
+    roster.reported(address(1), &report(0), now(30), NEAR, now(30));
+    assert_eq!(chosen(&mut roster, now(31)), "i-1");
+}
+
+// All agents are killed at once and report nothing, while the endpoints go on. Callers must not be
+// refused for that.
+#[test]
+fn choose_goes_on_without_any_report() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    roster.put(listed(2, "serra"), now(0));
+    roster.reported(address(1), &report(0), now(0), NEAR, now(0));
+    roster.reported(address(2), &report(0), now(0), NEAR, now(0));
+    assert!(choose(&mut roster, now(5_000)).is_ok());
+}
+
+// An address is given to an endpoint of another service. The old entry must not be used with it.
+#[test]
+fn put_starts_anew_when_the_address_changes() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    let before = choose(&mut roster, now(0)).expect("an endpoint");
+    roster.put(Listed { address: address(9), ..listed(1, "lagoa") }, now(1));
+    assert!(roster.get(before).is_none());
+    assert_eq!(roster.len(), 1);
+}
--- a/node/src/direct/keeper.rs
+++ b/node/src/direct/keeper.rs
@@ -24,12 +24,14 @@
 use mastichaven_core::direct::roster::Listed;
 use mastichaven_core::direct::roster::LoadReport;
 use mastichaven_core::direct::versions::Versions;
+use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
 use mastichaven_core::swarm::PeerPlace;
 use mastichaven_platform::config;
 use mastichaven_platform::endpoints;
+use mastichaven_platform::engine::LoadMode;
 use mastichaven_platform::engine::Report;
 use mastichaven_platform::objects::Kind;
 use mastichaven_platform::weights;
@@ -54,6 +56,7 @@
 use super::staging::Staging;
 use super::store::StoreClient;
 use super::swarm::SwarmHost;
+use super::swarm::Target;
 use crate::clock::BootClock;
 
 /// How often the endpoint is asked for its load, which is free on its own host.
@@ -74,6 +77,10 @@
 /// How often a load that is due or under way is looked at.
 const LOAD_POLL: Duration = Duration::from_millis(50);
 
+/// How long an endpoint that is about to load may go on with what runs; most requests end in this
+/// time, and the streams that are left are continued elsewhere.
+const EMPTY_FOR: Duration = Duration::from_millis(800);
+
 /// Pause after an order that was not carried out.
 const ORDER_RETRY: Duration = Duration::from_millis(300);
 
@@ -98,12 +105,17 @@
     model: RefCell<Option<ModelShape>>,
     newest: Cell<Option<(u64, Time)>>,
     versions: RefCell<Versions>,
-    wave: Cell<u32>,
+    /// This host's place among the hosts that load, and their number.
+    rank: Cell<(u32, u32)>,
+    /// Whether all streams of the service can be continued elsewhere.
+    may_cut: Cell<bool>,
     report: RefCell<Option<Report>>,
     is_ordering: Cell<bool>,
     /// When each entry asked last, and what its own clock said then.
     askers: RefCell<HashMap<SocketAddr, (u64, Time)>>,
     told: Notify,
+    /// Signals that entries must hear of a change at once.
+    report_now: Notify,
 }
 
 /// Runs an agent until SIGTERM.
@@ -138,11 +150,13 @@
         model: RefCell::default(),
         newest: Cell::new(None),
         versions: RefCell::new(Versions::first(0)),
-        wave: Cell::new(0),
+        rank: Cell::new((0, 1)),
+        may_cut: Cell::new(false),
         report: RefCell::default(),
         is_ordering: Cell::new(false),
         askers: RefCell::default(),
         told: Notify::new(),
+        report_now: Notify::new(),
     });
     slog::info!(keeper.log, "started"; "endpoint" => endpoint.to_string());
     spawn_local(keeper.clone().listen(asks_socket.clone()));
@@ -213,6 +227,8 @@
         let origin = catalog.origin();
         self.swarm.set_origin(origin.map(|origin| origin.address));
         *self.model.borrow_mut() = self.model_in(&catalog);
+        let may_cut = self.cfg.service.as_ref().is_some_and(|own| catalog.is_all_resumable(own));
+        self.may_cut.set(may_cut);
     }
 
     fn model_in(&self, catalog: &Catalog) -> Option<ModelShape> {
@@ -251,10 +267,10 @@
             let at = SocketAddr::new(self.staging.address().ip(), self.cfg.agent_port);
             places.push((self.place.clone(), at));
         }
-        places.sort_by(|(a, _), (b, _)| (&a.zone, &a.host).cmp(&(&b.zone, &b.host)));
-        let zone = places.iter().filter(|(place, _)| place.zone == self.place.zone);
-        let rank = zone.map(|(place, _)| &place.host).position(|host| *host == self.place.host);
-        self.wave.set(rollout::wave_of(rank.unwrap_or(0)));
+        // By a hash, so that hosts of a zone do not load one right after the other.
+        places.sort_by_key(|(place, _)| Digest::of(place.host.as_str().as_bytes()));
+        let rank = places.iter().position(|(place, _)| place.host == self.place.host);
+        self.rank.set((rank.unwrap_or(0) as u32, places.len() as u32));
         self.swarm.set_peers(&places, None);
     }
 
@@ -327,7 +343,7 @@
         let mut same = 0;
         let mut last = None;
         loop {
-            sleep(REPORT_EVERY).await;
+            let _ = timeout(REPORT_EVERY, self.report_now.notified()).await;
             let layers = self.model.borrow().as_ref().map_or(0, |model| model.layers);
             let report = match self.staging.report(layers).await {
                 Ok(report) => report,
@@ -393,61 +409,98 @@
     async fn load(self: Rc<Self>) {
         loop {
             sleep(LOAD_POLL).await;
-            let Some((newest, named_at)) = self.newest.get() else {
+            if self.swarm.is_complete() {
+                // The newest version is whole: an older one need not be loaded any more.
+                self.swarm.drop_kept().await;
+            }
+            let Some(target) = self.swarm.loadable() else {
                 continue;
             };
             let is_busy = self.report.borrow().as_ref().is_none_or(|report| report.is_busy);
-            let held = self.held();
-            let outdated_since = self.versions.borrow().outdated_since(held.unwrap_or(0));
-            let situation = Situation {
-                newest,
-                held,
-                is_staged: self.swarm.is_complete(),
-                named_at,
-                outdated_since: outdated_since.unwrap_or(named_at),
-                wave: self.wave.get(),
-                bound: Duration::from_millis(self.cfg.bounds.weights_ms),
-            };
-            if !is_busy && rollout::may_load(&situation, self.clock.now()) {
-                self.order(newest).await;
+            if !is_busy && rollout::may_load(&self.situation(&target), self.clock.now()) {
+                self.order(&target).await;
             }
         }
     }
 
-    async fn order(&self, version: u64) {
-        // Chunks rot while they lie staged, so they are read once more right before the load.
-        if !self.swarm.check_staged().await {
-            return;
-        }
-        let Some(target) = self.swarm.target().filter(|target| target.version == version) else {
-            return;
-        };
+    fn situation(&self, target: &Target) -> Situation {
+        let held = self.held();
+        let versions = self.versions.borrow();
+        let named_at = versions.named_at(target.version).unwrap_or_default();
+        let outdated_since = versions.outdated_since(held.unwrap_or(0)).unwrap_or(named_at);
+        let (rank, hosts) = self.rank.get();
+        let bound = Duration::from_millis(self.cfg.bounds.weights_ms);
+        Situation { staged: target.version, named_at, held, outdated_since, rank, hosts, bound }
+    }
+
+    async fn order(&self, target: &Target) {
         self.is_ordering.set(true);
-        let ordered = self.staging.load(&target.model, version).await;
-        match ordered {
-            Ok(()) => slog::info!(self.log, "load ordered"; "version" => version),
+        self.report_now.notify_one();
+        if self.held().is_some() && self.may_cut.get() {
+            self.empty().await;
+        }
+        let ordered = self.order_checked(target).await;
+        if ordered {
+            self.swarm.drop_kept().await;
+            self.wait_for(target.version).await;
+        }
+        self.is_ordering.set(false);
+        self.report_now.notify_one();
+        if !ordered {
+            sleep(ORDER_RETRY).await;
+        }
+    }
+
+    /// Waits a while for requests to end, as entries send no new ones.
+    async fn empty(&self) {
+        let began = self.clock.now();
+        while !self.clock.now().passed(began, EMPTY_FOR) {
+            sleep(LOAD_POLL).await;
+            let report = self.report.borrow();
+            if report.as_ref().is_some_and(|r| r.load.running + r.load.waiting == 0) {
+                return;
+            }
+        }
+    }
+
+    /// Orders the load of a version that has just been read once more.
+    async fn order_checked(&self, target: &Target) -> bool {
+        if !self.swarm.check_staged(target).await {
+            return false;
+        }
+        let may_cut = self.may_cut.get();
+        let mode = if may_cut { LoadMode::CutRunning } else { LoadMode::AfterRunning };
+        match self.staging.load(&target.model, target.version, mode).await {
+            Ok(()) => {
+                slog::info!(self.log, "load ordered"; "version" => target.version,
+                    "rank" => self.rank.get().0);
+                true
+            }
             Err(e) => {
-                slog::warn!(self.log, "load not ordered"; "version" => version,
-                    "error" => e.as_str(), "status" => format!("{e:?}"));
-                sleep(ORDER_RETRY).await;
+                slog::warn!(self.log, "load not ordered"; "version" => target.version,
+                    "error" => e.as_str(), "detail" => format!("{e:?}"));
+                false
             }
         }
+    }
+
+    /// Waits until the endpoint shows the version or that it has not carried out the order.
+    async fn wait_for(&self, version: u64) {
         let began = self.clock.now();
-        while ordered.is_ok() && !self.clock.now().passed(began, ORDER_SHOWN_WITHIN) {
+        while !self.clock.now().passed(began, ORDER_SHOWN_WITHIN) {
             sleep(LOAD_POLL).await;
             let is_busy = self.report.borrow().as_ref().is_some_and(|report| report.is_busy);
             if self.held() == Some(version) {
                 let took = self.clock.now().since(began).as_millis() as u64;
                 slog::info!(self.log, "weights in use"; "version" => version, "took_ms" => took);
-                break;
+                return;
             }
             let has_shown = self.clock.now().passed(began, REPORT_EVERY * 3);
             if has_shown && !is_busy {
                 slog::warn!(self.log, "load not carried out"; "version" => version);
-                break;
+                return;
             }
         }
-        self.is_ordering.set(false);
     }
 }
 
@@ -487,7 +540,7 @@
             "named_ago_ms": newest.map(|(_, at)| now.since(at).as_millis() as u64),
             "held": self.held(),
             "staged": self.swarm.is_complete(),
-            "wave": self.wave.get(),
+            "rank": self.rank.get().0,
             "entries": self.live_askers(now),
         })
         .to_string()
--- a/node/src/direct/loads.rs
+++ b/node/src/direct/loads.rs
@@ -20,8 +20,9 @@
 
 use super::state::State;
 
-/// How often an entry asks each agent.
-const ASK_EVERY: Duration = Duration::from_secs(1);
+/// How often an entry asks each agent. An ask that is not answered in time shows a full link, so the
+/// interval bounds how long requests go on to it.
+const ASK_EVERY: Duration = Duration::from_millis(300);
 
 /// How long an agent sends reports after it was asked: three asks may be lost in a row.
 pub const ASKED_FOR: Duration = Duration::from_millis(3_500);
@@ -76,8 +77,9 @@
         let entries = counts.values().map(|(count, _)| *count).max().unwrap_or(1);
         let mut roster = state.roster.borrow_mut();
         roster.set_entries(entries);
+        let asked = Time::from_micros(told.asked_us);
         let round_trip = now.since(Time::from_micros(told.asked_us.saturating_add(told.held_us)));
-        roster.reported(address, &told.report, round_trip, now);
+        roster.reported(address, &told.report, asked, round_trip, now);
         drop(roster);
         state.freed.notify_one();
     }
@@ -98,7 +100,7 @@
             Err(e) => slog::error!(state.log, "ask cannot be encoded"; "error" => e.to_string()),
         }
         // A new version is told at once; a new endpoint within a fifth of a second.
-        let _ = timeout(ASK_EVERY / 2, state.named.notified()).await;
+        let _ = timeout(ASK_EVERY, state.named.notified()).await;
         sleep(Duration::from_millis(20)).await;
     }
 }
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -111,6 +111,13 @@
 /// that is squeezed to a tenth for ten times as long.
 pub const PIECE_LEN: usize = 8 << 10;
 
+/// Pieces under way on a host's link at once, in each direction: one travels while the next is asked
+/// for.
+pub const PIECES_AT_ONCE: usize = 2;
+
+/// How long a piece may keep others from the link.
+const PIECE_WITHIN: Duration = Duration::from_millis(1_000);
+
 /// Asks for the next piece of a chunk.
 const NEXT: u8 = 1;
 
@@ -119,6 +126,7 @@
     address: SocketAddr,
     ask: &PeerAsk,
     within: Duration,
+    intake: &Semaphore,
 ) -> Result<std::result::Result<Bytes, PeerTold>> {
     let connected = timeout(CONNECT_WITHIN, TcpStream::connect(address)).await;
     let mut stream = match connected {
@@ -130,7 +138,7 @@
         write(&mut stream, ask).await?;
         match read(&mut stream).await? {
             PeerTold::ChunkFollows(len) if len <= MAX_MESSAGE_LEN => {
-                read_pieces(&mut stream, len as usize).await.map(Ok)
+                read_pieces(&mut stream, len as usize, intake).await.map(Ok)
             }
             other => Ok(Err(other)),
         }
@@ -141,28 +149,35 @@
     }
 }
 
-async fn read_pieces(stream: &mut TcpStream, len: usize) -> io::Result<Bytes> {
+async fn read_pieces(stream: &mut TcpStream, len: usize, intake: &Semaphore) -> io::Result<Bytes> {
     let mut buf = vec![0; len];
     for piece in buf.chunks_mut(PIECE_LEN) {
+        let _turn = intake.acquire().await.map_err(io::Error::other)?;
         stream.write_u8(NEXT).await?;
         stream.read_exact(piece).await?;
     }
     Ok(Bytes::from(buf))
 }
 
-/// Sends a chunk piece by piece, as the peer asks for them. Pieces to several peers take turns.
+/// Sends a chunk piece by piece, as the peer asks for them. A piece keeps its turn on the link until
+/// the peer asks for the one after it, which shows that it has arrived.
 pub async fn send_pieces(
     stream: &mut TcpStream,
     chunk: &[u8],
     turn: &Semaphore,
 ) -> io::Result<()> {
     write(stream, &PeerTold::ChunkFollows(chunk.len() as u32)).await?;
+    stream.read_u8().await?;
     for piece in chunk.chunks(PIECE_LEN) {
-        stream.read_u8().await?;
         let _turn = turn.acquire().await.map_err(io::Error::other)?;
         stream.write_all(piece).await?;
+        // The end of the connection shows that the last piece has arrived.
+        match timeout(PIECE_WITHIN, stream.read_u8()).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) | Err(_) => return Ok(()),
+        }
     }
-    stream.flush().await
+    Ok(())
 }
 
 /// Reads a message.
--- a/node/src/direct/staging.rs
+++ b/node/src/direct/staging.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 use mastichaven_core::ids::Digest;
 use mastichaven_platform::engine;
+use mastichaven_platform::engine::LoadMode;
 use mastichaven_platform::engine::Report;
 use sha2::Digest as _;
 use sha2::Sha256;
@@ -134,8 +135,8 @@
 
     /// Orders the endpoint to load the staged chunks of a version. An order without an answer may
     /// have been accepted; given again it changes nothing.
-    pub async fn load(&self, model: &str, version: u64) -> Result<()> {
-        let order = Bytes::from(engine::load_order(model, version));
+    pub async fn load(&self, model: &str, version: u64, mode: LoadMode) -> Result<()> {
+        let order = Bytes::from(engine::load_order(model, version, mode));
         let answer = self.call("POST", engine::ORDER_PATH, order).await?;
         if answer.status().is_success() {
             Ok(())
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -42,6 +43,7 @@
 use super::link::LinkError;
 use super::metrics::Metrics;
 use super::peers;
+use super::peers::PIECES_AT_ONCE;
 use super::peers::PeerAsk;
 use super::peers::PeerError;
 use super::peers::PeerTold;
@@ -64,6 +66,10 @@
 /// How long a chunk in hand waits for an endpoint that is starting.
 const ENDPOINT_STARTS_WITHIN: Duration = Duration::from_secs(3);
 
+/// Longest wait before an origin that failed is asked again. An outage of 6 s with the swarm's usual
+/// 16 s left all hosts without the version for 20 s.
+const ORIGIN_RETRY_LONGEST: Duration = Duration::from_millis(800);
+
 /// Bytes of an origin's answer at most.
 const MAX_ANSWER_LEN: usize = 4 << 20;
 
@@ -105,8 +111,13 @@
     origin: Cell<Option<SocketAddr>>,
     target: RefCell<Option<Target>>,
     chunks: RefCell<Option<Chunks>>,
+    /// An older version that is staged whole and still to be loaded. Until then the chunks of the
+    /// target wait in memory, as the endpoint has room for one version only.
+    kept: RefCell<Option<(Target, Chunks)>>,
+    waiting: RefCell<BTreeMap<usize, Bytes>>,
     sending: Cell<u32>,
     link_turn: Semaphore,
+    intake: Semaphore,
     changed: Notify,
     rng: RefCell<SmallRng>,
 }
@@ -120,18 +131,23 @@
         metrics: Rc<Metrics>,
         staging: Rc<Staging>,
     ) -> SwarmHost {
+        let mut swarm = Swarm::new(me, Way::Swarm);
+        swarm.set_origin_retry(ORIGIN_RETRY_LONGEST);
         SwarmHost {
             clock,
             log,
             metrics,
             staging,
-            swarm: RefCell::new(Swarm::new(me, Way::Swarm)),
+            swarm: RefCell::new(swarm),
             addresses: RefCell::default(),
             origin: Cell::new(None),
             target: RefCell::default(),
             chunks: RefCell::default(),
+            kept: RefCell::default(),
+            waiting: RefCell::default(),
             sending: Cell::new(0),
-            link_turn: Semaphore::new(1),
+            link_turn: Semaphore::new(PIECES_AT_ONCE),
+            intake: Semaphore::new(PIECES_AT_ONCE),
             changed: Notify::new(),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
         }
@@ -156,8 +172,13 @@
         if self.target.borrow().as_ref().is_some_and(|target| target.digest == digest) {
             return;
         }
-        *self.target.borrow_mut() = Some(Target { model: model.clone(), version, digest });
-        *self.chunks.borrow_mut() = None;
+        let is_staged = self.is_complete() && self.waiting.borrow().is_empty();
+        let before = self.target.replace(Some(Target { model: model.clone(), version, digest }));
+        let chunks = self.chunks.take();
+        if is_staged {
+            *self.kept.borrow_mut() = before.zip(chunks);
+        }
+        self.waiting.borrow_mut().clear();
         let now = self.clock.now();
         self.swarm.borrow_mut().want(&[digest], now);
         self.changed.notify_waiters();
@@ -179,28 +200,65 @@
         target.as_ref().is_some_and(|target| self.swarm.borrow().is_complete(target.digest))
     }
 
-    /// Reads all staged chunks again. Those that have turned bad are pulled anew; says whether all
-    /// are good.
-    pub async fn check_staged(&self) -> bool {
-        let (Some(target), Some(chunks)) = (self.target(), self.chunks.borrow().clone()) else {
+    /// The version that can be loaded: one kept for that, or the target once it is whole.
+    pub fn loadable(&self) -> Option<Target> {
+        if let Some((kept, _)) = self.kept.borrow().as_ref() {
+            return Some(kept.clone());
+        }
+        let is_staged = self.is_complete() && self.waiting.borrow().is_empty();
+        self.target().filter(|_| is_staged)
+    }
+
+    /// Gives up or has loaded the older version: the chunks that wait are staged now.
+    pub async fn drop_kept(&self) {
+        let Some(target) = self.target() else {
+            return;
+        };
+        *self.kept.borrow_mut() = None;
+        loop {
+            let next = self.waiting.borrow().first_key_value().map(|(n, bytes)| (*n, bytes.clone()));
+            let Some((index, bytes)) = next else {
+                return;
+            };
+            if let Err(e) = self.stage(&target, index, bytes).await {
+                // The check before the load finds it missing and pulls it again.
+                slog::warn!(self.log, "chunk not staged"; "index" => index, "error" => e.as_str());
+            }
+            if self.target().is_none_or(|now| now.digest != target.digest) {
+                return;
+            }
+            self.waiting.borrow_mut().remove(&index);
+        }
+    }
+
+    /// Reads all staged chunks of `version` again, as they turn bad while they lie there. Bad ones
+    /// are pulled anew; says whether all are good.
+    pub async fn check_staged(&self, version: &Target) -> bool {
+        let kept = self.kept.borrow().clone().filter(|(kept, _)| kept.digest == version.digest);
+        let is_kept = kept.is_some();
+        let Some(chunks) = kept.map(|(_, chunks)| chunks).or_else(|| self.chunks.borrow().clone())
+        else {
             return false;
         };
         let mut have = vec![false; chunks.digests.len()];
         for (index, digest) in chunks.digests.iter().enumerate() {
-            have[index] = self.staging.chunk(&target.model, index, *digest).await.is_ok();
+            have[index] = self.staging.chunk(&version.model, index, *digest).await.is_ok();
         }
         let bad = have.iter().filter(|have| !**have).count();
-        if self.target().is_none_or(|now| now.digest != target.digest) {
-            return false;
+        if bad == 0 {
+            return true;
         }
-        if bad > 0 {
-            slog::warn!(self.log, "staged chunks are bad"; "version" => target.version, "bad" => bad);
-            self.metrics.add("chunks_rotten", bad as u64);
+        slog::warn!(self.log, "staged chunks are bad"; "version" => version.version, "bad" => bad);
+        self.metrics.add("chunks_rotten", bad as u64);
+        if is_kept {
+            // A newer version is on its way; the older one is not pulled again.
+            self.drop_kept().await;
+        } else if self.is_target(version.digest) {
             self.swarm.borrow_mut().want(&[], self.clock.now());
-            self.swarm.borrow_mut().want(&[target.digest], self.clock.now());
-            self.open(&target, chunks.chunk_len, chunks.digests, have);
+            self.swarm.borrow_mut().want(&[version.digest], self.clock.now());
+            self.open(version, chunks.chunk_len, chunks.digests, have);
         }
-        bad == 0
+        false
     }
 
     fn open(&self, target: &Target, chunk_len: u32, digests: Vec<Digest>, have: Vec<bool>) {
@@ -283,7 +341,15 @@
 
     /// Takes a version's digests in, after a look at which of its chunks are staged already.
     async fn take_manifest(&self, target: &Target, chunk_len: u32, digests: Vec<Digest>) -> End {
-        let staged = self.staging.staged(&target.model).await.unwrap_or_default();
+        let is_free = self.kept.borrow().is_none();
+        let staged = match self.staging.staged(&target.model).await {
+            Ok(staged) if is_free => staged,
+            Ok(_) => Vec::new(),
+            Err(e) => {
+                slog::warn!(self.log, "staged chunks not listed"; "error" => e.as_str());
+                Vec::new()
+            }
+        };
         let mut have = vec![false; digests.len()];
         for index in staged.into_iter().filter(|index| *index < digests.len()) {
             have[index] = self.staging.chunk(&target.model, index, digests[index]).await.is_ok();
@@ -323,7 +389,9 @@
             self.metrics.count("chunks_corrupt");
             return End::Corrupt;
         }
-        if let Err(e) = self.stage(target, index, bytes).await {
+        if self.kept.borrow().is_some() {
+            self.waiting.borrow_mut().insert(index, bytes);
+        } else if let Err(e) = self.stage(target, index, bytes).await {
             slog::warn!(self.log, "chunk not staged"; "index" => index, "error" => e.as_str());
             return End::NotNow;
         }
@@ -391,7 +459,7 @@
             return End::NotNow;
         };
         let ask = PeerAsk::Chunk { version: request.version, digest, park };
-        match peers::take_chunk(address, &ask, request.timeout).await {
+        match peers::take_chunk(address, &ask, request.timeout, &self.intake).await {
             Ok(Ok(bytes)) => {
                 self.metrics.count("chunks_from_peers");
                 self.take_chunk(&target, index, digest, bytes).await
@@ -484,6 +552,9 @@
                 self.chunks.borrow().as_ref().is_some_and(|chunks| chunks.have[*index])
             };
             if let Some((index, target)) = index.filter(has).zip(self.target()) {
+                if let Some(bytes) = self.waiting.borrow().get(&index) {
+                    return Some(bytes.clone());
+                }
                 let read = self.staging.chunk(&target.model, index, digest).await;
                 return read.ok();
             }
--- /dev/null
+++ b/node/tests/direct/entry.rs
@@ -0,0 +1,191 @@
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mastichaven_standins::served::endpoint::EndpointFault;
+use mastichaven_standins::served::store::StoreFault;
+use serde_json::json;
+
+use super::fixture::PATIENCE;
+use super::fixture::Site;
+use super::fixture::is_within;
+use super::fixture::until;
+
+const STREAM: &str = "id: 0\ndata: 0\n\nid: 1\ndata: 1\n\nid: 2\ndata: 2\n\n\
+                      id: 3\ndata: 3\n\nid: 4\ndata: 4\n\nid: 5\ndata: 5\n\n";
+
+#[test]
+fn ask_gets_whole_answers() {
+    let site = Site::start();
+    let writer = site.endpoint("i-w", "writer", Some(1));
+    let desk = site.endpoint("i-d", "desk", None);
+    let entry = site.entry("whole");
+    until("endpoints known", || entry.dump()["endpoints"].as_array().map(Vec::len) == Some(2));
+    let stream = entry.ask("/stream/a", "s1", "key-1").unwrap();
+    assert_eq!((stream.status, stream.body.as_str()), (200, STREAM));
+    let booking = entry.ask("/booking/a?x=1", "b1", "key-2").unwrap();
+    assert_eq!((booking.status, booking.body.as_str()), (200, "answer to b1 by i-d"));
+    assert_eq!(booking.stamp.as_deref(), Some("stamp-of-i-d"));
+    let run = &desk.runs()[0];
+    assert_eq!((run.id.as_str(), run.body.as_slice()), ("b1", &b"the body"[..]));
+    assert_eq!(run.customer.as_deref(), Some("crews"));
+    assert!(run.deadline_ms.is_some_and(|ms| ms <= 3_000));
+    assert_eq!(writer.runs().len(), 1);
+}
+
+#[test]
+fn ask_refuses_unknown_routes_and_keys() {
+    let site = Site::start();
+    let desk = site.endpoint("i-d", "desk", None);
+    let entry = site.entry("unknown");
+    assert_eq!(entry.ask("/nowhere/", "a", "key-1").unwrap().status, 404);
+    assert_eq!(entry.ask("/lookup/a", "b", "no-key").unwrap().status, 401);
+    assert!(desk.runs().is_empty());
+}
+
+// The operator takes a key away. Callers that hold it must be refused on every entry soon, and a
+// newer configuration never gives way to an older one.
+#[test]
+fn configure_takes_a_key_away() {
+    let site = Site::start();
+    let _desk = site.endpoint("i-d", "desk", None);
+    let entry = site.entry("revoked");
+    until("served", || entry.ask("/lookup/a", "a", "key-2").unwrap().status == 200);
+    site.configure(5, &["key-1"], true);
+    let is_refused = || entry.ask("/lookup/a", "b", "key-2").unwrap().status == 401;
+    assert!(is_within(Duration::from_secs(2), is_refused));
+    site.configure(3, &["key-1", "key-2"], true);
+    thread::sleep(Duration::from_millis(300));
+    assert!(is_refused());
+    assert_eq!(entry.ask("/lookup/a", "c", "key-1").unwrap().status, 200);
+}
+
+// An entry is cut off from the store. It cannot know whether a key was taken away, so after the bound
+// it must refuse, with a promise that nothing has run, and not be sent new callers.
+#[test]
+fn ask_is_refused_without_fresh_configuration() {
+    let site = Site::start();
+    let desk = site.endpoint("i-d", "desk", None);
+    let entry = site.entry("stale");
+    until("served", || entry.ask("/lookup/a", "a", "key-1").unwrap().status == 200);
+    site.store.set_fault(StoreFault::Silent);
+    thread::sleep(Duration::from_secs(5));
+    assert!(!entry.is_ready());
+    let before = desk.runs().len();
+    let refused = entry.ask("/lookup/a", "b", "key-1").unwrap();
+    assert_eq!(refused.status, 503);
+    assert!(refused.retry_after.is_some_and(|seconds| seconds > 0.0));
+    assert_eq!(desk.runs().len(), before);
+    site.store.set_fault(StoreFault::None);
+    until("served again", || entry.ask("/lookup/a", "c", "key-1").unwrap().status == 200);
+    assert!(entry.is_ready());
+}
+
+// The store forgets its history while endpoints come and go. An entry that only went on with its
+// watch would never hear of them.
+#[test]
+fn watch_lists_again_after_the_history_is_gone() {
+    let site = Site::start();
+    let _first = site.endpoint("i-1", "desk", None);
+    let entry = site.entry("compacted");
+    site.store.compact();
+    site.store.delete("servers", "i-1");
+    let _second = site.endpoint("i-2", "desk", None);
+    until("the second answers", || {
+        entry.ask("/lookup/a", "a", "key-1").is_ok_and(|answer| answer.body.ends_with("by i-2"))
+    });
+}
+
+#[test]
+fn list_goes_on_over_pages() {
+    let site = Site::start();
+    site.store.set_page_len(2);
+    let endpoints: Vec<_> =
+        (0..5).map(|n| site.endpoint(&format!("i-{n}"), "desk", None)).collect();
+    let entry = site.entry("pages");
+    let count = endpoints.len();
+    until("all are known", || entry.dump()["endpoints"].as_array().map(Vec::len) == Some(count));
+}
+
+// Entries of the list may be written by somebody else. One that cannot be read must not keep the
+// others from being used.
+#[test]
+fn watch_ignores_entries_that_cannot_be_read() {
+    let site = Site::start();
+    site.store.put("servers", "i-0", json!({"service": 7, "address": "nowhere"}));
+    site.store.put("servers", "i-1", json!("bytes"));
+    let _desk = site.endpoint("i-2", "desk", None);
+    let entry = site.entry("malformed");
+    until("served", || entry.ask("/lookup/a", "a", "key-1").unwrap().status == 200);
+}
+
+// An endpoint is about to stop. New requests that still went there would be cut off.
+#[test]
+fn watch_takes_a_draining_endpoint_out() {
+    let site = Site::start();
+    let leaving = site.endpoint("i-1", "desk", None);
+    let _other = site.endpoint("i-2", "desk", None);
+    let entry = site.entry("draining");
+    until("both are known", || entry.dump()["endpoints"].as_array().map(Vec::len) == Some(2));
+    site.list("i-1", "desk", &leaving, "draining");
+    thread::sleep(Duration::from_secs(2));
+    let before = leaving.runs().len();
+    for n in 0..20 {
+        assert_eq!(entry.ask("/lookup/a", &format!("a{n}"), "key-1").unwrap().status, 200);
+    }
+    assert_eq!(leaving.runs().len(), before);
+}
+
+// A whole zone is taken out of service and brought back.
+#[test]
+fn watch_takes_a_zone_out_and_back() {
+    let site = Site::start();
+    let desk = site.endpoint("i-1", "desk", None);
+    let entry = site.entry("evacuated");
+    until("served", || entry.ask("/lookup/a", "a", "key-1").unwrap().status == 200);
+    site.store.put("evacuations", "zone-a", json!({}));
+    until("refused", || entry.ask("/lookup/a", "b", "key-1").unwrap().status == 503);
+    let before = desk.runs().len();
+    assert_eq!(entry.ask("/booking/a", "c", "key-1").unwrap().status, 503);
+    assert_eq!(desk.runs().len(), before);
+    site.store.delete("evacuations", "zone-a");
+    until("served again", || entry.ask("/lookup/a", "d", "key-1").unwrap().status == 200);
+}
+
+// A caller hangs up while its request runs. The endpoint would go on for nobody and lack the slot.
+#[test]
+fn caller_that_leaves_ends_its_run() {
+    let site = Site::start();
+    let writer = site.endpoint("i-w", "writer", Some(1));
+    let entry = site.entry("left");
+    until("served", || entry.ask("/stream/a", "a", "key-1").unwrap().status == 200);
+    writer.set_fault(EndpointFault::Dark);
+    let mut stream = TcpStream::connect(entry.callers).unwrap();
+    let head = "POST /stream/a HTTP/1.1\r\nHost: site.example\r\nX-Mastichaven-Attempt-Id: gone\r\n\
+                X-Mastichaven-Model: m\r\nAuthorization: Token key-1\r\nContent-Length: 0\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    until("it runs", || writer.runs().iter().any(|run| run.id == "gone"));
+    let left = Instant::now();
+    drop(stream);
+    let is_ended = || writer.runs().iter().any(|run| run.id == "gone" && run.is_abandoned);
+    assert!(is_within(PATIENCE, is_ended));
+    assert!(left.elapsed() < Duration::from_millis(1_500), "{:?}", left.elapsed());
+}
+
+// A body that is longer than allowed would fill the memory of the entry.
+#[test]
+fn ask_refuses_a_body_that_is_too_long() {
+    let site = Site::start();
+    let _desk = site.endpoint("i-d", "desk", None);
+    let entry = site.entry("long");
+    let mut stream = TcpStream::connect(entry.callers).unwrap();
+    let head = "POST /booking/a HTTP/1.1\r\nHost: site.example\r\nX-Mastichaven-Attempt-Id: long\r\n\
+                Authorization: Token key-1\r\nContent-Length: 70000\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut answer = [0; 64];
+    let len = stream.read(&mut answer).unwrap();
+    assert!(answer[..len].starts_with(b"HTTP/1.1 413"), "{:?}", String::from_utf8_lossy(&answer));
+}
--- /dev/null
+++ b/node/tests/direct/fixture.rs
@@ -0,0 +1,260 @@
+//! A small platform on loopback with the programs beside it.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mastichaven_standins::served::endpoint::ServedEndpoint;
+use mastichaven_standins::served::origin;
+use mastichaven_standins::served::origin::ServedOrigin;
+use mastichaven_standins::served::store::ServedStore;
+use serde_json::Value;
+use serde_json::json;
+
+/// Longest wait for something that is sure to come, also on a busy machine.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+const POLL: Duration = Duration::from_millis(20);
+
+/// Agents listen on one port, the same on all hosts, so each host has an IP number of its own.
+static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
+
+/// An unused IP number of the loopback network.
+fn new_ip() -> String {
+    let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id() % 200 + 20;
+    format!("127.{process}.{}.{}", host / 200, host % 200 + 1)
+}
+
+fn free_port(ip: &str) -> u16 {
+    let listener = TcpListener::bind((ip, 0)).expect("loopback has free ports");
+    listener.local_addr().expect("bound").port()
+}
+
+/// A program that is killed when the test ends.
+pub struct Program {
+    child: Child,
+    folder: PathBuf,
+}
+
+impl Program {
+    fn start(binary: &str, name: &str, settings: &str) -> Program {
+        let folder = std::env::temp_dir().join(format!("mastichaven-{}-{name}", std::process::id()));
+        fs::create_dir_all(&folder).expect("a temporary folder");
+        let file = folder.join("settings.toml");
+        fs::write(&file, settings).expect("written");
+        let log = fs::File::create(folder.join("log")).expect("created");
+        let child = Command::new(binary)
+            .arg("--direct")
+            .arg(&file)
+            .stdout(Stdio::from(log))
+            .spawn()
+            .expect("the program starts");
+        Program { child, folder }
+    }
+
+    /// What it has logged so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// Waits until it has ended and says whether it ended well.
+    pub fn wait(&mut self) -> bool {
+        until("the program ends", || self.child.try_wait().expect("a child").is_some());
+        self.child.wait().expect("a child").success()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until `is_so`, or fails.
+pub fn until(what: &str, is_so: impl FnMut() -> bool) {
+    assert!(is_within(PATIENCE, is_so), "in vain: {what}");
+}
+
+/// Whether `is_so` comes true in time.
+pub fn is_within(span: Duration, mut is_so: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + span;
+    while !is_so() {
+        if Instant::now() > end {
+            return false;
+        }
+        thread::sleep(POLL);
+    }
+    true
+}
+
+/// The platform of one test.
+pub struct Site {
+    pub store: ServedStore,
+    pub origin: ServedOrigin,
+    agent_port: u16,
+}
+
+impl Site {
+    /// A platform with a first configuration and no endpoint.
+    pub fn start() -> Site {
+        let store = ServedStore::start("127.0.0.1:0").expect("the store starts");
+        let origin = ServedOrigin::start("127.0.0.1:0").expect("the origin starts");
+        let site = Site { store, origin, agent_port: free_port("127.0.0.1") };
+        site.configure(1, &["key-1", "key-2"], true);
+        site
+    }
+
+    /// Writes a version of the configuration.
+    pub fn configure(&self, version: u64, keys: &[&str], resumes: bool) {
+        let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
+            json!({
+                "name": name, "host": "site.example", "path_prefix": prefix, "kind": kind,
+                "timeout_ms": 3000, "target_latency_ms": 300, "priority": 1, "service": service,
+                "max_attempts": attempts, "allow_anonymous": false, "stream_resume": resumes,
+                "target_gap_ms": 300, "allowed_regions": []
+            })
+        };
+        let spec = json!({
+            "version": version,
+            "routes": [
+                route("stream", "/stream/", "streaming", "writer", 2),
+                route("lookup", "/lookup/", "idempotent", "desk", 2),
+                route("booking", "/booking/", "non_idempotent", "desk", 2),
+            ],
+            "services": [
+                {"name": "writer", "cold_start_s": 0.0, "cold_per_s": 0.0, "engine": {
+                    "slots": 4, "layers": 4, "chunks": origin::CHUNKS,
+                    "chunk_bytes": origin::CHUNK_LEN, "models": [{"name": "m"}]}},
+                {"name": "desk", "cold_per_s": 0.0},
+                {"name": "weights", "origin": self.origin.address().to_string(), "zone": "zone-a"},
+            ],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "tenants": [{"name": "crews", "api_keys": keys, "priority": 1, "allowed_regions": []}]
+        });
+        self.store.put("config", "main", spec);
+    }
+
+    /// Starts an endpoint and lists it.
+    pub fn endpoint(&self, id: &str, service: &str, version: Option<u64>) -> ServedEndpoint {
+        let at = format!("{}:0", new_ip());
+        let endpoint = ServedEndpoint::start(&at, id, version).expect("the endpoint starts");
+        self.list(id, service, &endpoint, "ready");
+        endpoint
+    }
+
+    /// Lists an endpoint as ready or draining.
+    pub fn list(&self, id: &str, service: &str, endpoint: &ServedEndpoint, state: &str) {
+        self.store.put("servers", id, endpoint.entry(service, "zone-a", state));
+    }
+
+    fn settings(&self, name: &str, ip: &str, own: &str) -> String {
+        format!(
+            "host = \"{name}\"\nip = \"{ip}\"\nzone = \"zone-a\"\nstore = \"{}\"\n\
+             agent_port = {}\nmetrics_port = {}\n{own}\n\
+             [regions]\nzone-a = \"region-a\"\n\
+             [bounds]\nkey_revocation_ms = 5000\nweights_ms = 3000\nstop_s = 8.0\n\
+             repeat_ratio = 0.2\nrepeat_slack = 100.0\nrepeat_window_s = 10.0\n\
+             [limits]\ndescriptors = 1000\nmemory_mb = 200\n",
+            self.store.address(),
+            self.agent_port,
+            free_port(ip),
+        )
+    }
+
+    /// Starts an entry and waits until it is ready.
+    pub fn entry(&self, name: &str) -> Entry {
+        let entry = self.entry_unready(name);
+        until("the entry is ready", || entry.is_ready());
+        entry
+    }
+
+    /// Starts an entry.
+    pub fn entry_unready(&self, name: &str) -> Entry {
+        let ip = new_ip();
+        let callers = SocketAddr::new(ip.parse().expect("an IP"), free_port(&ip));
+        let ready = SocketAddr::new(ip.parse().expect("an IP"), free_port(&ip));
+        let own = format!("callers = \"{callers}\"\nready = \"{ready}\"");
+        let binary = env!("CARGO_BIN_EXE_mastichaven-entry");
+        let program = Program::start(binary, name, &self.settings(name, &ip, &own));
+        Entry { program, callers, ready }
+    }
+
+    /// Starts the agent of an endpoint.
+    pub fn agent(&self, name: &str, endpoint: &ServedEndpoint) -> Program {
+        let ip = endpoint.address().ip().to_string();
+        let own = format!("endpoint = \"{}\"\nservice = \"writer\"", endpoint.address());
+        let binary = env!("CARGO_BIN_EXE_mastichaven-agent");
+        Program::start(binary, name, &self.settings(name, &ip, &own))
+    }
+}
+
+/// A running entry.
+pub struct Entry {
+    pub program: Program,
+    pub callers: SocketAddr,
+    ready: SocketAddr,
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub body: String,
+    pub retry_after: Option<f64>,
+    pub stamp: Option<String>,
+}
+
+impl Entry {
+    /// Whether it tells the balancer that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let asked = minreq::get(format!("http://{}/ready", self.ready)).with_timeout(2).send();
+        asked.is_ok_and(|answer| answer.status_code == 200)
+    }
+
+    /// Its state dump.
+    pub fn dump(&self) -> Value {
+        let asked = minreq::get(format!("http://{}/dump", self.ready)).with_timeout(2).send();
+        let text = asked.expect("a dump").as_str().expect("text").to_owned();
+        serde_json::from_str(&text).expect("JSON")
+    }
+
+    /// Sends a request under `key`; `Err` when the answer broke off or none came.
+    pub fn ask(&self, path: &str, id: &str, key: &str) -> Result<Answer, minreq::Error> {
+        let method = if path.starts_with("/lookup/") { minreq::Method::Get } else { minreq::Method::Post };
+        let answer = minreq::Request::new(method, format!("http://{}{path}", self.callers))
+            .with_header("Host", "site.example")
+            .with_header("X-Mastichaven-Attempt-Id", id)
+            .with_header("X-Mastichaven-Deadline-Ms", "3000")
+            .with_header("X-Mastichaven-Model", "m")
+            .with_header("Authorization", format!("Token {key}"))
+            .with_body("the body")
+            .with_timeout(10)
+            .send()?;
+        let header = |name: &str| answer.header(name).map(str::to_owned);
+        Ok(Answer {
+            status: answer.status_code,
+            retry_after: header("retry-after").and_then(|value| value.parse().ok()),
+            stamp: header("x-mastichaven-response-stamp"),
+            body: answer.as_str()?.to_owned(),
+        })
+    }
+}
--- /dev/null
+++ b/node/tests/direct/keeper.rs
@@ -0,0 +1,138 @@
+use std::thread;
+use std::time::Duration;
+
+use mastichaven_standins::served::endpoint::ServedEndpoint;
+use mastichaven_standins::served::origin::CHUNKS;
+use serde_json::json;
+
+use super::fixture::Program;
+use super::fixture::Site;
+use super::fixture::until;
+
+fn name_version(site: &Site, version: u64) {
+    site.store.put("versions", "m", json!({"model": "m", "version": version}));
+}
+
+fn fleet(site: &Site, test: &str, count: usize, version: Option<u64>) -> Vec<(ServedEndpoint, Program)> {
+    let start = |n| {
+        let endpoint = site.endpoint(&format!("i-{n}"), "writer", version);
+        let agent = site.agent(&format!("{test}-{n}"), &endpoint);
+        (endpoint, agent)
+    };
+    (0..count).map(start).collect()
+}
+
+fn all_hold(fleet: &[(ServedEndpoint, Program)], version: u64) -> bool {
+    fleet.iter().all(|(endpoint, _)| endpoint.version() == Some(version))
+}
+
+// A new endpoint holds nothing. Its agent brings the weights from peers and has it load them.
+#[test]
+fn new_endpoint_gets_weights_from_peers() {
+    let site = Site::start();
+    let old = fleet(&site, "peers", 2, Some(1));
+    let entry = site.entry("peers");
+    until("old ones know the digests", || {
+        old.iter().all(|(_, agent)| agent.log().contains("digests known"))
+    });
+    let new = site.endpoint("i-new", "writer", None);
+    let _agent = site.agent("peers-new", &new);
+    until("the new one answers from version 1", || new.version() == Some(1));
+    assert_eq!(new.mixed_loads(), 0);
+    assert_eq!(site.origin.chunks_sent(), 0);
+    until("it is sent requests", || {
+        let _ = entry.ask("/stream/a", "a", "key-1");
+        !new.runs().is_empty()
+    });
+}
+
+// A new version is named. Every endpoint must answer from it in time, the origin must send about one
+// copy, and callers must be answered throughout.
+#[test]
+fn new_version_reaches_all_while_callers_are_answered() {
+    let site = Site::start();
+    let fleet = fleet(&site, "version", 3, Some(1));
+    let entry = site.entry("version");
+    until("agents report", || entry.dump()["entries"] == 1);
+    name_version(&site, 2);
+    let mut asked = 0;
+    until("all hold version 2", || {
+        asked += 1;
+        let answer = entry.ask("/stream/a", &format!("s{asked}"), "key-1").unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+        all_hold(&fleet, 2)
+    });
+    assert!(fleet.iter().all(|(endpoint, _)| endpoint.mixed_loads() == 0));
+    assert!(site.origin.chunks_sent() <= CHUNKS as u64 * 2, "{}", site.origin.chunks_sent());
+}
+
+// Staged chunks turn bad while they lie there. Loading them would answer callers from wrong weights.
+#[test]
+fn rotten_chunks_are_never_loaded() {
+    let site = Site::start();
+    let fleet = fleet(&site, "rotten", 2, Some(1));
+    let _entry = site.entry("rotten");
+    until("digests known", || fleet.iter().all(|(_, a)| a.log().contains("digests known")));
+    name_version(&site, 2);
+    for _ in 0..60 {
+        for (endpoint, _) in &fleet {
+            endpoint.rot(3);
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    until("all hold version 2", || all_hold(&fleet, 2));
+    assert!(fleet.iter().all(|(endpoint, _)| endpoint.mixed_loads() == 0));
+}
+
+// The origin is down when a version is named, and sends wrong chunks when it is back.
+#[test]
+fn version_comes_after_an_outage_of_the_origin() {
+    let site = Site::start();
+    let fleet = fleet(&site, "outage", 2, Some(1));
+    let _entry = site.entry("outage");
+    until("digests known", || fleet.iter().all(|(_, a)| a.log().contains("digests known")));
+    site.origin.set_down(true);
+    name_version(&site, 2);
+    thread::sleep(Duration::from_secs(3));
+    site.origin.set_garbled(true);
+    site.origin.set_down(false);
+    thread::sleep(Duration::from_secs(1));
+    site.origin.set_garbled(false);
+    let back = std::time::Instant::now();
+    until("all hold version 2", || all_hold(&fleet, 2));
+    assert!(back.elapsed() < Duration::from_secs(8), "{:?}", back.elapsed());
+    assert!(fleet.iter().all(|(endpoint, _)| endpoint.mixed_loads() == 0));
+}
+
+// Version 3 is named right after version 2. No endpoint may load chunks of both.
+#[test]
+fn two_versions_in_a_row_never_mix() {
+    let site = Site::start();
+    let fleet = fleet(&site, "row", 3, Some(1));
+    let _entry = site.entry("row");
+    until("digests known", || fleet.iter().all(|(_, a)| a.log().contains("digests known")));
+    name_version(&site, 2);
+    thread::sleep(Duration::from_millis(900));
+    name_version(&site, 3);
+    until("all hold version 3", || all_hold(&fleet, 3));
+    assert!(fleet.iter().all(|(endpoint, _)| endpoint.mixed_loads() == 0));
+}
+
+// All agents are killed in the middle of a download and start again. They find what is staged and go
+// on.
+#[test]
+fn agents_killed_midway_go_on() {
+    let site = Site::start();
+    let mut fleet = fleet(&site, "killed", 2, Some(1));
+    let _entry = site.entry("killed");
+    until("digests known", || fleet.iter().all(|(_, a)| a.log().contains("digests known")));
+    name_version(&site, 2);
+    until("a chunk has come", || site.origin.chunks_sent() > 0);
+    for (n, (endpoint, agent)) in fleet.iter_mut().enumerate() {
+        agent.signal("KILL");
+        agent.wait();
+        *agent = site.agent(&format!("killed-again-{n}"), endpoint);
+    }
+    until("all hold version 2", || all_hold(&fleet, 2));
+    assert!(fleet.iter().all(|(endpoint, _)| endpoint.mixed_loads() == 0));
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod platform;
 pub mod seen;
 mod serve;
+pub mod served;
 
 pub use crate::datagrams::DatagramDoor;
 pub use crate::engine::Engine;
