--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -299,9 +299,8 @@
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
-        let is_other_life = report.born != 0
-            && endpoint.listed.born != 0
-            && endpoint.listed.born != report.born;
+        let is_other_life =
+            report.born != 0 && endpoint.listed.born != 0 && endpoint.listed.born != report.born;
         if is_other_life {
             return;
         }
@@ -369,7 +368,12 @@
     }
 
     /// Chooses the endpoint with the least load that may serve `need`. O(endpoints of the service).
-    pub fn choose<R: Rng>(&mut self, need: &Need<'_>, now: Time, rng: &mut R) -> Result<EndpointKey> {
+    pub fn choose<R: Rng>(
+        &mut self,
+        need: &Need<'_>,
+        now: Time,
+        rng: &mut R,
+    ) -> Result<EndpointKey> {
         let Some(keys) = self.by_service.get(need.service).cloned() else {
             return Err(Unavailable::None);
         };
@@ -403,9 +407,8 @@
         let Some(endpoint) = self.endpoints.get(key) else {
             return false;
         };
-        let in_region = |regions: &&[RegionName]| {
-            regions.is_empty() || regions.contains(&endpoint.region)
-        };
+        let in_region =
+            |regions: &&[RegionName]| regions.is_empty() || regions.contains(&endpoint.region);
         let holds = need.model.is_none_or(|(model, oldest)| {
             let weights = &endpoint.listed.weights;
             weights.iter().any(|(name, version)| name == model && *version >= oldest)
--- a/core/src/direct/shares.rs
+++ b/core/src/direct/shares.rs
@@ -25,13 +25,7 @@
 impl RepeatBudget {
     /// A budget of `ratio` repeats a first attempt, plus `slack` for all entries together.
     pub fn new(ratio: f64, slack: f64, window: Duration) -> RepeatBudget {
-        RepeatBudget {
-            ratio,
-            slack,
-            window,
-            firsts: VecDeque::new(),
-            repeats: VecDeque::new(),
-        }
+        RepeatBudget { ratio, slack, window, firsts: VecDeque::new(), repeats: VecDeque::new() }
     }
 
     /// A request made its first attempt.
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -353,9 +353,7 @@
     };
     let id = call.head.id.as_deref();
     match answer::judge(response.status(), response.headers(), id) {
-        Verdict::Success => {
-            Outcome::Answering(Box::new(Run { listed, link, place, response }))
-        }
+        Verdict::Success => Outcome::Answering(Box::new(Run { listed, link, place, response })),
         Verdict::NotRun => {
             state.roster.borrow_mut().refused(endpoint, state.now());
             state.metrics.count("endpoint_refusals");
--- a/node/src/direct/keeper.rs
+++ b/node/src/direct/keeper.rs
@@ -132,13 +132,8 @@
     let clock = BootClock::start();
     let metrics = Rc::new(Metrics::default());
     let staging = Rc::new(Staging::new(endpoint));
-    let place = PeerPlace {
-        host: host_at(endpoint),
-        zone: cfg.zone.clone(),
-        region: cfg.region(),
-    };
-    let swarm =
-        SwarmHost::new(&place, clock, log.root.clone(), metrics.clone(), staging.clone());
+    let place = PeerPlace { host: host_at(endpoint), zone: cfg.zone.clone(), region: cfg.region() };
+    let swarm = SwarmHost::new(&place, clock, log.root.clone(), metrics.clone(), staging.clone());
     let keeper = Rc::new(Keeper {
         cfg,
         clock,
@@ -250,7 +245,8 @@
         let mine = self.cfg.service.clone();
         let layers_of =
             |service: &ServiceName| if mine.as_ref() == Some(service) { layers } else { None };
-        let listed = objects.iter().filter_map(|object| endpoints::scan_endpoint(object, layers_of));
+        let listed =
+            objects.iter().filter_map(|object| endpoints::scan_endpoint(object, layers_of));
         let engines: Vec<Listed> = listed.filter(|listed| listed.is_engine).collect();
         let regions = self.cfg.regions();
         let region_of = |zone: &ZoneName| regions.get(zone).cloned().unwrap_or_default();
@@ -287,7 +283,8 @@
             }
         };
         let named = objects.iter().filter_map(weights::scan_newest);
-        let version = named.filter(|newest| newest.model == model).map(|newest| newest.version).max();
+        let version =
+            named.filter(|newest| newest.model == model).map(|newest| newest.version).max();
         self.named(&model, version.unwrap_or(FIRST_VERSION));
         true
     }
--- a/node/src/direct/link.rs
+++ b/node/src/direct/link.rs
@@ -60,10 +60,8 @@
 pub fn prepare(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    let probes = TcpKeepalive::new()
-        .with_time(PROBE_EVERY)
-        .with_interval(PROBE_EVERY)
-        .with_retries(PROBES);
+    let probes =
+        TcpKeepalive::new().with_time(PROBE_EVERY).with_interval(PROBE_EVERY).with_retries(PROBES);
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(SILENT_AFTER))
 }
--- a/node/src/direct/log.rs
+++ b/node/src/direct/log.rs
@@ -57,7 +57,8 @@
         // A log that cannot be written has nowhere to be reported.
         let _ = stdout.write_all(&taken.lines);
         if taken.dropped > 0 {
-            let _ = writeln!(stdout, "{{\"msg\":\"log lines dropped\",\"count\":{}}}", taken.dropped);
+            let _ =
+                writeln!(stdout, "{{\"msg\":\"log lines dropped\",\"count\":{}}}", taken.dropped);
         }
         let _ = stdout.flush();
     }
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -111,15 +111,18 @@
 /// that is squeezed to a tenth for ten times as long.
 pub const PIECE_LEN: usize = 8 << 10;
 
-/// Pieces under way on a host's link at once, in each direction: one travels while the next is asked
-/// for.
-pub const PIECES_AT_ONCE: usize = 2;
+/// Pieces under way out of a host at once: one travels while the next is asked for.
+pub const PIECES_OUT: usize = 2;
+
+/// Pieces under way into a host at once: one more, as a peer may be busy.
+pub const PIECES_IN: usize = 3;
 
 /// How long a piece may keep others from the link.
 const PIECE_WITHIN: Duration = Duration::from_millis(1_000);
 
-/// Asks for the next piece of a chunk.
+/// Asks for the next piece of a chunk, and tells that a piece has arrived.
 const NEXT: u8 = 1;
+const ARRIVED: u8 = 2;
 
 /// Takes a chunk from the agent at `address`, or what it says instead.
 pub async fn take_chunk(
@@ -152,34 +155,36 @@
 async fn read_pieces(stream: &mut TcpStream, len: usize, intake: &Semaphore) -> io::Result<Bytes> {
     let mut buf = vec![0; len];
     for piece in buf.chunks_mut(PIECE_LEN) {
-        let _turn = intake.acquire().await.map_err(io::Error::other)?;
+        let turn = intake.acquire().await.map_err(io::Error::other)?;
         stream.write_u8(NEXT).await?;
         stream.read_exact(piece).await?;
+        drop(turn);
+        // Told at once and not with the next ask, which may wait for a turn here: the peer keeps its
+        // own link for this piece until then, and two hosts that wait for each other would stand still.
+        stream.write_u8(ARRIVED).await?;
     }
     Ok(Bytes::from(buf))
 }
 
 /// Sends a chunk piece by piece, as the peer asks for them. A piece keeps its turn on the link until
-/// the peer asks for the one after it, which shows that it has arrived.
-pub async fn send_pieces(
-    stream: &mut TcpStream,
-    chunk: &[u8],
-    turn: &Semaphore,
-) -> io::Result<()> {
+/// the peer tells that it has arrived.
+pub async fn send_pieces(stream: &mut TcpStream, chunk: &[u8], turn: &Semaphore) -> io::Result<()> {
     write(stream, &PeerTold::ChunkFollows(chunk.len() as u32)).await?;
-    stream.read_u8().await?;
     for piece in chunk.chunks(PIECE_LEN) {
+        expect(stream, NEXT).await?;
         let _turn = turn.acquire().await.map_err(io::Error::other)?;
         stream.write_all(piece).await?;
-        // The end of the connection shows that the last piece has arrived.
-        match timeout(PIECE_WITHIN, stream.read_u8()).await {
-            Ok(Ok(_)) => {}
-            Ok(Err(_)) | Err(_) => return Ok(()),
-        }
+        let arrived = timeout(PIECE_WITHIN, expect(stream, ARRIVED)).await;
+        arrived.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)))?;
     }
     Ok(())
 }
 
+async fn expect(stream: &mut TcpStream, wanted: u8) -> io::Result<()> {
+    let told = stream.read_u8().await?;
+    if told == wanted { Ok(()) } else { Err(io::Error::from(io::ErrorKind::InvalidData)) }
+}
+
 /// Reads a message.
 pub async fn read<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
     let len = stream.read_u32().await?;
--- a/node/src/direct/relay.rs
+++ b/node/src/direct/relay.rs
@@ -53,7 +53,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<std::result::Result<Frame<Bytes>, BrokenOff>>> {
         match self.get_mut() {
-            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            AnswerBody::Whole(bytes) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
             AnswerBody::Pieces(rx) => {
                 rx.poll_recv(cx).map(|piece| piece.map(|piece| piece.map(Frame::data)))
             }
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -139,7 +139,11 @@
     }
 
     /// Runs `f` with the repeat budget of a service.
-    pub fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
+    pub fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        f: impl FnOnce(&mut RepeatBudget) -> T,
+    ) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
             let bounds = &self.cfg.bounds;
--- a/node/src/direct/store.rs
+++ b/node/src/direct/store.rs
@@ -24,7 +24,7 @@
 /// Time for a connection, and for an answer beyond the wait that was asked for. The store answers in
 /// about 4 ms; slower ones are better asked again than waited for while the lease runs out.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
-const ANSWER_WITHIN: Duration = Duration::from_millis(900);
+const ANSWER_WITHIN: Duration = Duration::from_millis(700);
 
 /// Result of a call to the store.
 pub type Result<T> = std::result::Result<T, StoreError>;
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -43,7 +43,8 @@
 use super::link::LinkError;
 use super::metrics::Metrics;
 use super::peers;
-use super::peers::PIECES_AT_ONCE;
+use super::peers::PIECES_IN;
+use super::peers::PIECES_OUT;
 use super::peers::PeerAsk;
 use super::peers::PeerError;
 use super::peers::PeerTold;
@@ -146,15 +147,19 @@
             kept: RefCell::default(),
             waiting: RefCell::default(),
             sending: Cell::new(0),
-            link_turn: Semaphore::new(PIECES_AT_ONCE),
-            intake: Semaphore::new(PIECES_AT_ONCE),
+            link_turn: Semaphore::new(PIECES_OUT),
+            intake: Semaphore::new(PIECES_IN),
             changed: Notify::new(),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
         }
     }
 
     /// Takes in the agents that take part, this one among them.
-    pub fn set_peers(&self, places: &[(PeerPlace, SocketAddr)], origin_region: Option<&RegionName>) {
+    pub fn set_peers(
+        &self,
+        places: &[(PeerPlace, SocketAddr)],
+        origin_region: Option<&RegionName>,
+    ) {
         let peers: Vec<PeerPlace> = places.iter().map(|(place, _)| place.clone()).collect();
         self.swarm.borrow_mut().set_peers(&peers, origin_region);
         let addresses = places.iter().map(|(place, address)| (place.host.clone(), *address));
@@ -216,7 +221,8 @@
         };
         *self.kept.borrow_mut() = None;
         loop {
-            let next = self.waiting.borrow().first_key_value().map(|(n, bytes)| (*n, bytes.clone()));
+            let next =
+                self.waiting.borrow().first_key_value().map(|(n, bytes)| (*n, bytes.clone()));
             let Some((index, bytes)) = next else {
                 return;
             };
@@ -264,7 +270,8 @@
     fn open(&self, target: &Target, chunk_len: u32, digests: Vec<Digest>, have: Vec<bool>) {
         let chunks = digests.iter().map(|digest| Chunk { digest: *digest, len: chunk_len });
         let manifest = Manifest { chunks: chunks.collect() };
-        let here: HashMap<Digest, bool> = digests.iter().copied().zip(have.iter().copied()).collect();
+        let here: HashMap<Digest, bool> =
+            digests.iter().copied().zip(have.iter().copied()).collect();
         let is_here = |digest| here.get(&digest).copied().unwrap_or(false);
         let now = self.clock.now();
         self.swarm.borrow_mut().open_as(target.digest, &manifest, is_here, now);
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -28,11 +28,12 @@
 use super::store::StoreError;
 
 /// How long a watch waits for a change. That of the configuration renews the lease on it, so it ends
-/// well inside the lease; the others end often enough to notice a store that answers nothing.
+/// well inside the lease. That of endpoints ends often enough to find a connection that has gone silent
+/// before an endpoint that has told that it leaves must get nothing new, after 2 s.
 fn wait_for(kind: Kind) -> Duration {
     match kind {
         Kind::Config => Duration::from_millis(1_500),
-        Kind::Endpoints => Duration::from_millis(4_000),
+        Kind::Endpoints => Duration::from_millis(1_000),
         Kind::Evacuations => Duration::from_millis(3_000),
         Kind::Weights => Duration::from_millis(5_000),
     }
@@ -259,8 +260,12 @@
     /// Drops the endpoints whose entry has not come back.
     fn end_lapsed(&mut self) {
         let now = self.state.now();
-        let over: Vec<SmolStr> =
-            self.lapsed.iter().filter(|(_, until)| **until <= now).map(|(id, _)| id.clone()).collect();
+        let over: Vec<SmolStr> = self
+            .lapsed
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
         for id in over {
             self.lapsed.remove(&id);
             slog::info!(self.state.log, "endpoint gone"; "endpoint" => id.as_str());
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -99,7 +99,8 @@
 /// The settings file: the one given, or the one that the platform's variable names.
 pub fn settings_file(given: Option<PathBuf>) -> std::result::Result<PathBuf, Failure> {
     let named = || std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
-    let missing = || Failure::refused(format!("no settings file given, {SETTINGS_VARIABLE} not set"));
+    let missing =
+        || Failure::refused(format!("no settings file given, {SETTINGS_VARIABLE} not set"));
     given.or_else(named).ok_or_else(missing)
 }
 
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -48,7 +48,8 @@
 
 impl Program {
     fn start(binary: &str, name: &str, settings: &str) -> Program {
-        let folder = std::env::temp_dir().join(format!("mastichaven-{}-{name}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("mastichaven-{}-{name}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let file = folder.join("settings.toml");
         fs::write(&file, settings).expect("written");
@@ -69,7 +70,8 @@
 
     /// Sends it a signal.
     pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        let sent =
+            Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
         assert!(sent.expect("kill runs").success());
     }
 
@@ -239,7 +241,8 @@
 
     /// Sends a request under `key`; `Err` when the answer broke off or none came.
     pub fn ask(&self, path: &str, id: &str, key: &str) -> Result<Answer, minreq::Error> {
-        let method = if path.starts_with("/lookup/") { minreq::Method::Get } else { minreq::Method::Post };
+        let method =
+            if path.starts_with("/lookup/") { minreq::Method::Get } else { minreq::Method::Post };
         let answer = minreq::Request::new(method, format!("http://{}{path}", self.callers))
             .with_header("Host", "site.example")
             .with_header("X-Mastichaven-Attempt-Id", id)
--- a/node/tests/direct/keeper.rs
+++ b/node/tests/direct/keeper.rs
@@ -13,7 +13,12 @@
     site.store.put("versions", "m", json!({"model": "m", "version": version}));
 }
 
-fn fleet(site: &Site, test: &str, count: usize, version: Option<u64>) -> Vec<(ServedEndpoint, Program)> {
+fn fleet(
+    site: &Site,
+    test: &str,
+    count: usize,
+    version: Option<u64>,
+) -> Vec<(ServedEndpoint, Program)> {
     let start = |n| {
         let endpoint = site.endpoint(&format!("i-{n}"), "writer", version);
         let agent = site.agent(&format!("{test}-{n}"), &endpoint);
--- a/standins/src/served/endpoint.rs
+++ b/standins/src/served/endpoint.rs
@@ -285,8 +285,7 @@
 ) -> bool {
     let stamp = format!("stamp-of-{}", shared.id);
     let echoed = if fault == EndpointFault::WrongId { "another" } else { id };
-    let headers =
-        [("x-mastichaven-attempt-id", echoed), ("x-mastichaven-response-stamp", &stamp)];
+    let headers = [("x-mastichaven-attempt-id", echoed), ("x-mastichaven-response-stamp", &stamp)];
     match fault {
         EndpointFault::LostAnswer => return false,
         EndpointFault::Failing => {
--- a/standins/src/served/store.rs
+++ b/standins/src/served/store.rs
@@ -167,7 +167,8 @@
 fn list(shared: &Shared, req: Req, kind: &str) {
     let objects = shared.lock();
     let after = req.query("after_rev").unwrap_or_default();
-    let of_kind = objects.objects.iter().filter(|((k, name), _)| k == kind && name.as_str() > after);
+    let of_kind =
+        objects.objects.iter().filter(|((k, name), _)| k == kind && name.as_str() > after);
     let items: Vec<Value> = of_kind.map(|(_, (_, object))| object.clone()).collect();
     let truncated = items.len() > objects.page_len;
     let page = &items[..items.len().min(objects.page_len)];
