--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -312,7 +312,7 @@
         self.target().filter(|target| target.digest == request.version)
     }
 
-    async fn from_origin(&self, path: &str) -> std::result::Result<Bytes, End> {
+    async fn ask_origin(&self, path: &str) -> std::result::Result<Bytes, End> {
         let Some(address) = self.origin.get() else {
             return Err(End::NotNow);
         };
@@ -337,7 +337,7 @@
             return End::NotNow;
         };
         let path = origin::manifest_path(&target.model, target.version);
-        match self.from_origin(&path).await {
+        match self.ask_origin(&path).await {
             Ok(body) => match origin::scan_manifest(&body, target.version) {
                 Some(found) => self.take_manifest(&target, found.chunk_len, found.digests).await,
                 None => End::Corrupt,
@@ -378,7 +378,7 @@
             return End::NotNow;
         };
         let path = origin::chunk_path(&target.model, target.version, index);
-        match self.from_origin(&path).await {
+        match self.ask_origin(&path).await {
             Ok(bytes) => {
                 self.metrics.count("chunks_from_origin");
                 self.take_chunk(&target, index, digest, bytes).await
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -1,7 +1,7 @@
 //! Follows the store: a task for each kind of object lists it, then watches it.
 //!
-//! A list is a state and a watch a stream of changes; both end in [`Follower::take_all`] or
-//! [`Follower::take_changes`]. Failures are answered with a short, growing and random pause, and with
+//! A list is a state and a watch a stream of changes; both end in `Follower::take_all` or
+//! `Follower::take_changes`. Failures are answered with a short, growing and random pause, and with
 //! a watch that returns at once, as it also renews the lease on the configuration.
 
 use std::collections::HashMap;
