--- a/core/src/swarm.rs
+++ b/core/src/swarm.rs
@@ -18,6 +18,7 @@
 
 pub use ask::BUSY_QUEUE;
 pub use ask::PARK;
+pub use ask::Pace;
 pub use bitmap::Bitmap;
 pub use pull::Swarm;
 pub use request::Counts;
--- a/core/src/swarm/ask.rs
+++ b/core/src/swarm/ask.rs
@@ -34,6 +34,27 @@
 const MAX_AWAITED: usize = 24;
 const MAX_FROM_ORIGIN: usize = 2;
 
+/// Chunks under way at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pace {
+    /// From neighbours, while nothing else uses this host's link.
+    pub alone: u32,
+    /// From neighbours, while live requests use it, too.
+    pub beside_requests: u32,
+    /// From the origin.
+    pub from_origin: usize,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Pace {
+            alone: PIPELINE,
+            beside_requests: PIPELINE_BESIDE_REQUESTS,
+            from_origin: MAX_FROM_ORIGIN,
+        }
+    }
+}
+
 /// How often a neighbour is asked what it has, unless its chunks told it along the way.
 const POLL: Duration = Duration::from_millis(250);
 
@@ -164,7 +185,9 @@
                 continue;
             }
             let to = match self.source_now(n, *index as usize, now) {
-                Some(To::Origin) if from_origin < MAX_FROM_ORIGIN && now >= self.origin_from => {
+                Some(To::Origin)
+                    if from_origin < self.pace.from_origin && now >= self.origin_from =>
+                {
                     from_origin += 1;
                     To::Origin
                 }
@@ -246,7 +269,8 @@
         rng: &mut R,
         requests: &mut Vec<Request>,
     ) {
-        let limit = if self.beside_requests { PIPELINE_BESIDE_REQUESTS } else { PIPELINE };
+        let Pace { alone, beside_requests, .. } = self.pace;
+        let limit = if self.beside_requests { beside_requests } else { alone };
         let direct = |flight: &Flight| matches!(flight.what, What::Chunk { park: false, .. });
         let mut under_way =
             self.count_flights(|flight| direct(flight) && flight.to != To::Origin) as u32;
--- a/core/src/swarm/pull.rs
+++ b/core/src/swarm/pull.rs
@@ -10,6 +10,7 @@
 use super::ask::CHUNK_TIMEOUT_LEAST;
 use super::ask::LATE_TIMES;
 use super::ask::POLL_TIMEOUT;
+use super::ask::Pace;
 use super::bitmap::Bitmap;
 use super::download::Download;
 use super::peers::Fault;
@@ -57,6 +58,7 @@
     pub(super) origin_wait: Duration,
     origin_wait_longest: Duration,
     pub(super) beside_requests: bool,
+    pub(super) pace: Pace,
     pub(super) counts: Counts,
 }
 
@@ -79,10 +81,16 @@
             origin_wait: ORIGIN_RETRY,
             origin_wait_longest: ORIGIN_RETRY_LONGEST,
             beside_requests: false,
+            pace: Pace::default(),
             counts: Counts::default(),
         }
     }
 
+    /// Sets how many chunks are under way at once.
+    pub fn set_pace(&mut self, pace: Pace) {
+        self.pace = pace;
+    }
+
     /// Sets the longest wait before the origin is asked again. Where no budget guards the origin, a
     /// try costs little, and a wait that outlives an outage costs every host the version.
     pub fn set_origin_retry(&mut self, longest: Duration) {
--- a/node/src/direct/keeper.rs
+++ b/node/src/direct/keeper.rs
@@ -301,7 +301,7 @@
         let now = self.clock.now();
         self.newest.set(Some((version, now)));
         self.versions.borrow_mut().name(version, now);
-        self.swarm.want(model, version);
+        self.swarm.want(model, version, self.held());
         self.told.notify_one();
     }
 
@@ -406,9 +406,10 @@
     async fn load(self: Rc<Self>) {
         loop {
             sleep(LOAD_POLL).await;
-            if self.swarm.is_complete() {
-                // The newest version is whole: an older one need not be loaded any more.
-                self.swarm.drop_kept().await;
+            let is_held = |target: Target| self.held().is_some_and(|held| held >= target.version);
+            if self.swarm.is_newer_complete() || self.swarm.loadable().is_some_and(is_held) {
+                // An older version that is loaded or overtaken makes room for the newer one.
+                self.swarm.drop_older().await;
             }
             let Some(target) = self.swarm.loadable() else {
                 continue;
@@ -438,7 +439,7 @@
         }
         let ordered = self.order_checked(target).await;
         if ordered {
-            self.swarm.drop_kept().await;
+            self.swarm.drop_older().await;
             self.wait_for(target.version).await;
         }
         self.is_ordering.set(false);
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -111,11 +111,12 @@
 /// that is squeezed to a tenth for ten times as long.
 pub const PIECE_LEN: usize = 8 << 10;
 
-/// Pieces under way out of a host at once: one travels while the next is asked for.
-pub const PIECES_OUT: usize = 2;
+/// Pieces under way out of a host at once. A piece waits on two links; two left them half empty.
+/// half.
+pub const PIECES_OUT: usize = 3;
 
-/// Pieces under way into a host at once: one more, as a peer may be busy.
-pub const PIECES_IN: usize = 3;
+/// Pieces under way into a host at once: more, as some peers are busy.
+pub const PIECES_IN: usize = 4;
 
 /// How long a piece may keep others from the link.
 const PIECE_WITHIN: Duration = Duration::from_millis(1_000);
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -32,8 +32,8 @@
 const LEASE_PART: f64 = 0.88;
 
 /// Part of the bound on weights after which requests no longer go to an older version. A request
-/// begins to run when it leaves the endpoint's queue, within half a second after it was sent.
-const OLD_WEIGHTS_PART: f64 = 0.9;
+/// begins to run when it leaves the endpoint's queue; under overload that took up to 1.3 s.
+const OLD_WEIGHTS_PART: f64 = 0.82;
 
 /// Everything that the tasks of an entry share.
 #[derive(Debug)]
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -19,6 +19,7 @@
 use mastichaven_core::swarm::Bitmap;
 use mastichaven_core::swarm::End;
 use mastichaven_core::swarm::PARK;
+use mastichaven_core::swarm::Pace;
 use mastichaven_core::swarm::PeerId;
 use mastichaven_core::swarm::PeerPlace;
 use mastichaven_core::swarm::Request;
@@ -67,6 +68,11 @@
 /// How long a chunk in hand waits for an endpoint that is starting.
 const ENDPOINT_STARTS_WITHIN: Duration = Duration::from_secs(3);
 
+/// Chunks under way at once. What fills the link is bounded by pieces; more chunks than pieces keep it
+/// busy while some peers are slow. One at a time from the origin, as each of its chunks then comes
+/// early and goes on to others while the next is on its way.
+const PACE: Pace = Pace { alone: 6, beside_requests: 4, from_origin: 1 };
+
 /// Longest wait before an origin that failed is asked again. An outage of 6 s with the swarm's usual
 /// 16 s left all hosts without the version for 20 s.
 const ORIGIN_RETRY_LONGEST: Duration = Duration::from_millis(800);
@@ -82,8 +88,8 @@
     Digest::of(format!("{model}@{version}").as_bytes())
 }
 
-/// The version being pulled.
-#[derive(Clone, Debug)]
+/// A version that is pulled.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
     /// The model.
     pub model: SmolStr,
@@ -100,6 +106,41 @@
     have: Vec<bool>,
 }
 
+impl Chunks {
+    fn index_of(&self, digest: Digest) -> Option<usize> {
+        self.digests.iter().position(|found| *found == digest)
+    }
+
+    fn missing(&self) -> usize {
+        self.have.iter().filter(|have| !**have).count()
+    }
+}
+
+/// A version on its way. The endpoint has room for one version; the chunks of a newer one wait in
+/// memory until that is loaded or given up.
+#[derive(Clone, Debug)]
+struct Pull {
+    target: Target,
+    chunks: Option<Chunks>,
+    waiting: BTreeMap<usize, Bytes>,
+}
+
+impl Pull {
+    fn new(target: Target) -> Pull {
+        Pull { target, chunks: None, waiting: BTreeMap::new() }
+    }
+
+    fn is_complete(&self) -> bool {
+        self.chunks.as_ref().is_some_and(|chunks| chunks.missing() == 0)
+    }
+
+    /// Whether little enough is missing that a newer version is better pulled beside it than in its
+    /// place. Chunks that all hosts nearly have come from peers even while the origin is down.
+    fn is_nearly_complete(&self) -> bool {
+        self.chunks.as_ref().is_some_and(|chunks| chunks.missing() * 2 <= chunks.have.len())
+    }
+}
+
 /// The swarm of one agent with its sockets.
 #[derive(Debug)]
 pub struct SwarmHost {
@@ -110,12 +151,8 @@
     swarm: RefCell<Swarm>,
     addresses: RefCell<HashMap<HostName, SocketAddr>>,
     origin: Cell<Option<SocketAddr>>,
-    target: RefCell<Option<Target>>,
-    chunks: RefCell<Option<Chunks>>,
-    /// An older version that is staged whole and still to be loaded. Until then the chunks of the
-    /// target wait in memory, as the endpoint has room for one version only.
-    kept: RefCell<Option<(Target, Chunks)>>,
-    waiting: RefCell<BTreeMap<usize, Bytes>>,
+    /// The version that is staged, then perhaps a newer one that waits in memory.
+    pulls: RefCell<Vec<Pull>>,
     sending: Cell<u32>,
     link_turn: Semaphore,
     intake: Semaphore,
@@ -134,6 +171,7 @@
     ) -> SwarmHost {
         let mut swarm = Swarm::new(me, Way::Swarm);
         swarm.set_origin_retry(ORIGIN_RETRY_LONGEST);
+        swarm.set_pace(PACE);
         SwarmHost {
             clock,
             log,
@@ -142,10 +180,7 @@
             swarm: RefCell::new(swarm),
             addresses: RefCell::default(),
             origin: Cell::new(None),
-            target: RefCell::default(),
-            chunks: RefCell::default(),
-            kept: RefCell::default(),
-            waiting: RefCell::default(),
+            pulls: RefCell::default(),
             sending: Cell::new(0),
             link_turn: Semaphore::new(PIECES_OUT),
             intake: Semaphore::new(PIECES_IN),
@@ -171,27 +206,29 @@
         self.origin.set(origin);
     }
 
-    /// The version that this host is to have; any older one is dropped at once.
-    pub fn want(&self, model: &SmolStr, version: u64) {
+    /// The version that this host is to have. The one before it goes on only if it is nearly here and
+    /// `held`, what the endpoint has loaded, is older.
+    pub fn want(&self, model: &SmolStr, version: u64, held: Option<u64>) {
         let digest = version_digest(model, version);
-        if self.target.borrow().as_ref().is_some_and(|target| target.digest == digest) {
+        let target = Target { model: model.clone(), version, digest };
+        let mut pulls = self.pulls.borrow_mut();
+        if pulls.iter().any(|pull| pull.target == target) {
             return;
         }
-        let is_staged = self.is_complete() && self.waiting.borrow().is_empty();
-        let before = self.target.replace(Some(Target { model: model.clone(), version, digest }));
-        let chunks = self.chunks.take();
-        if is_staged {
-            *self.kept.borrow_mut() = before.zip(chunks);
-        }
-        self.waiting.borrow_mut().clear();
-        let now = self.clock.now();
-        self.swarm.borrow_mut().want(&[digest], now);
-        self.changed.notify_waiters();
+        pulls.truncate(1);
+        let is_held = |pull: &Pull| held.is_some_and(|held| held >= pull.target.version);
+        pulls.retain(|pull| pull.is_nearly_complete() && !is_held(pull));
+        pulls.push(Pull::new(target));
+        drop(pulls);
+        self.follow_pulls();
     }
 
-    /// The version wanted.
-    pub fn target(&self) -> Option<Target> {
-        self.target.borrow().clone()
+    /// Tells the swarm which versions are wanted now.
+    fn follow_pulls(&self) {
+        let pulls = self.pulls.borrow();
+        let wanted: Vec<Digest> = pulls.iter().map(|pull| pull.target.digest).collect();
+        self.swarm.borrow_mut().want(&wanted, self.clock.now());
+        self.changed.notify_waiters();
     }
 
     /// Whether live requests run on this host's link.
@@ -199,70 +236,96 @@
         self.swarm.borrow_mut().set_beside_requests(beside);
     }
 
-    /// Whether all chunks of the wanted version were staged.
+    /// Whether the newest version is here as a whole.
     pub fn is_complete(&self) -> bool {
-        let target = self.target.borrow();
-        target.as_ref().is_some_and(|target| self.swarm.borrow().is_complete(target.digest))
+        self.pulls.borrow().last().is_some_and(Pull::is_complete)
     }
 
-    /// The version that can be loaded: one kept for that, or the target once it is whole.
+    /// The version that is staged whole.
     pub fn loadable(&self) -> Option<Target> {
-        if let Some((kept, _)) = self.kept.borrow().as_ref() {
-            return Some(kept.clone());
-        }
-        let is_staged = self.is_complete() && self.waiting.borrow().is_empty();
-        self.target().filter(|_| is_staged)
+        let pulls = self.pulls.borrow();
+        let staged = pulls.first().filter(|pull| pull.is_complete() && pull.waiting.is_empty())?;
+        Some(staged.target.clone())
     }
 
-    /// Gives up or has loaded the older version: the chunks that wait are staged now.
-    pub async fn drop_kept(&self) {
-        let Some(target) = self.target() else {
-            return;
-        };
-        *self.kept.borrow_mut() = None;
-        loop {
-            let next =
-                self.waiting.borrow().first_key_value().map(|(n, bytes)| (*n, bytes.clone()));
-            let Some((index, bytes)) = next else {
+    /// Whether a newer version waits in memory, and all of it is here.
+    pub fn is_newer_complete(&self) -> bool {
+        let pulls = self.pulls.borrow();
+        pulls.len() > 1 && pulls.last().is_some_and(Pull::is_complete)
+    }
+
+    /// The older version is loaded or given up: the chunks of the newer one are staged now.
+    pub async fn drop_older(&self) {
+        let digest = {
+            let mut pulls = self.pulls.borrow_mut();
+            if pulls.len() < 2 {
                 return;
-            };
+            }
+            pulls.remove(0);
+            pulls[0].target.digest
+        };
+        self.follow_pulls();
+        while let Some((target, index, bytes)) = self.next_waiting(digest) {
             if let Err(e) = self.stage(&target, index, bytes).await {
                 // The check before the load finds it missing and pulls it again.
                 slog::warn!(self.log, "chunk not staged"; "index" => index, "error" => e.as_str());
             }
-            if self.target().is_none_or(|now| now.digest != target.digest) {
-                return;
-            }
-            self.waiting.borrow_mut().remove(&index);
+            self.with_pull(digest, |pull| pull.waiting.remove(&index));
         }
     }
 
-    /// Reads all staged chunks of `version` again, as they turn bad while they lie there. Bad ones
+    fn next_waiting(&self, digest: Digest) -> Option<(Target, usize, Bytes)> {
+        let pulls = self.pulls.borrow();
+        let pull = pulls.first().filter(|pull| pull.target.digest == digest)?;
+        let (index, bytes) = pull.waiting.first_key_value()?;
+        Some((pull.target.clone(), *index, bytes.clone()))
+    }
+
+    fn with_pull<T>(&self, digest: Digest, f: impl FnOnce(&mut Pull) -> T) -> Option<T> {
+        let mut pulls = self.pulls.borrow_mut();
+        pulls.iter_mut().find(|pull| pull.target.digest == digest).map(f)
+    }
+
+    fn target_of(&self, digest: Digest) -> Option<Target> {
+        self.with_pull(digest, |pull| pull.target.clone())
+    }
+
+    fn chunks_of(&self, digest: Digest) -> Option<Chunks> {
+        self.with_pull(digest, |pull| pull.chunks.clone()).flatten()
+    }
+
+    /// Whether the chunks of a version go to the endpoint and do not wait in memory.
+    fn is_staged(&self, digest: Digest) -> bool {
+        self.pulls.borrow().first().is_some_and(|pull| pull.target.digest == digest)
+    }
+
+    /// Reads all staged chunks of a version again, as they turn bad while they lie there. Bad ones
     /// are pulled anew; says whether all are good.
-    pub async fn check_staged(&self, version: &Target) -> bool {
-        let kept = self.kept.borrow().clone().filter(|(kept, _)| kept.digest == version.digest);
-        let is_kept = kept.is_some();
-        let Some(chunks) = kept.map(|(_, chunks)| chunks).or_else(|| self.chunks.borrow().clone())
-        else {
+    pub async fn check_staged(&self, target: &Target) -> bool {
+        let chunks = self.chunks_of(target.digest).filter(|_| self.is_staged(target.digest));
+        let Some(chunks) = chunks else {
             return false;
         };
         let mut have = vec![false; chunks.digests.len()];
         for (index, digest) in chunks.digests.iter().enumerate() {
-            have[index] = self.staging.chunk(&version.model, index, *digest).await.is_ok();
+            have[index] = self.staging.chunk(&target.model, index, *digest).await.is_ok();
         }
         let bad = have.iter().filter(|have| !**have).count();
         if bad == 0 {
             return true;
         }
-        slog::warn!(self.log, "staged chunks are bad"; "version" => version.version, "bad" => bad);
+        slog::warn!(self.log, "staged chunks are bad"; "version" => target.version, "bad" => bad);
         self.metrics.add("chunks_rotten", bad as u64);
-        if is_kept {
-            // A newer version is on its way; the older one is not pulled again.
-            self.drop_kept().await;
-        } else if self.is_target(version.digest) {
-            self.swarm.borrow_mut().want(&[], self.clock.now());
-            self.swarm.borrow_mut().want(&[version.digest], self.clock.now());
-            self.open(version, chunks.chunk_len, chunks.digests, have);
+        if self.is_staged(target.digest) {
+            let others: Vec<Digest> = {
+                let pulls = self.pulls.borrow();
+                let all = pulls.iter().map(|pull| pull.target.digest);
+                all.filter(|digest| *digest != target.digest).collect()
+            };
+            // The swarm believes that it has them all; it starts this version anew.
+            self.swarm.borrow_mut().want(&others, self.clock.now());
+            self.follow_pulls();
+            self.open(target, chunks.chunk_len, chunks.digests, have);
         }
         false
     }
@@ -275,7 +338,8 @@
         let is_here = |digest| here.get(&digest).copied().unwrap_or(false);
         let now = self.clock.now();
         self.swarm.borrow_mut().open_as(target.digest, &manifest, is_here, now);
-        *self.chunks.borrow_mut() = Some(Chunks { chunk_len, digests, have });
+        let chunks = Chunks { chunk_len, digests, have };
+        self.with_pull(target.digest, |pull| pull.chunks = Some(chunks));
         self.changed.notify_waiters();
     }
 
@@ -289,7 +353,7 @@
             for request in requests {
                 spawn_local(self.clone().carry_out(request));
             }
-            let is_idle = self.target.borrow().is_none() || self.is_complete();
+            let is_idle = self.pulls.borrow().iter().all(Pull::is_complete);
             let wait = if is_idle { Duration::from_secs(1) } else { STEP };
             let _ = timeout(wait, self.changed.notified()).await;
         }
@@ -308,10 +372,6 @@
         self.changed.notify_waiters();
     }
 
-    fn target_of(&self, request: &Request) -> Option<Target> {
-        self.target().filter(|target| target.digest == request.version)
-    }
-
     async fn ask_origin(&self, path: &str) -> std::result::Result<Bytes, End> {
         let Some(address) = self.origin.get() else {
             return Err(End::NotNow);
@@ -333,7 +393,7 @@
     }
 
     async fn manifest_from_origin(&self, request: &Request) -> End {
-        let Some(target) = self.target_of(request) else {
+        let Some(target) = self.target_of(request.version) else {
             return End::NotNow;
         };
         let path = origin::manifest_path(&target.model, target.version);
@@ -348,9 +408,8 @@
 
     /// Takes a version's digests in, after a look at which of its chunks are staged already.
     async fn take_manifest(&self, target: &Target, chunk_len: u32, digests: Vec<Digest>) -> End {
-        let is_free = self.kept.borrow().is_none();
         let staged = match self.staging.staged(&target.model).await {
-            Ok(staged) if is_free => staged,
+            Ok(staged) if self.is_staged(target.digest) => staged,
             Ok(_) => Vec::new(),
             Err(e) => {
                 slog::warn!(self.log, "staged chunks not listed"; "error" => e.as_str());
@@ -361,7 +420,7 @@
         for index in staged.into_iter().filter(|index| *index < digests.len()) {
             have[index] = self.staging.chunk(&target.model, index, digests[index]).await.is_ok();
         }
-        if self.target().is_none_or(|now| now.digest != target.digest) {
+        if self.target_of(target.digest).is_none() {
             return End::NotNow;
         }
         let here = have.iter().filter(|have| **have).count();
@@ -374,7 +433,7 @@
     }
 
     async fn chunk_from_origin(&self, request: &Request, digest: Digest) -> End {
-        let Some((target, index)) = self.target_of(request).zip(self.index_of(digest)) else {
+        let Some((target, index)) = self.place_of(request.version, digest) else {
             return End::NotNow;
         };
         let path = origin::chunk_path(&target.model, target.version, index);
@@ -387,8 +446,13 @@
         }
     }
 
-    fn index_of(&self, digest: Digest) -> Option<usize> {
-        self.chunks.borrow().as_ref()?.digests.iter().position(|found| *found == digest)
+    /// Where a chunk belongs.
+    fn place_of(&self, version: Digest, digest: Digest) -> Option<(Target, usize)> {
+        let index_of = |pull: &mut Pull| {
+            let index = pull.chunks.as_ref()?.index_of(digest)?;
+            Some((pull.target.clone(), index))
+        };
+        self.with_pull(version, index_of).flatten()
     }
 
     async fn take_chunk(&self, target: &Target, index: usize, digest: Digest, bytes: Bytes) -> End {
@@ -396,19 +460,23 @@
             self.metrics.count("chunks_corrupt");
             return End::Corrupt;
         }
-        if self.kept.borrow().is_some() {
-            self.waiting.borrow_mut().insert(index, bytes);
-        } else if let Err(e) = self.stage(target, index, bytes).await {
-            slog::warn!(self.log, "chunk not staged"; "index" => index, "error" => e.as_str());
-            return End::NotNow;
-        }
-        if self.target().is_none_or(|now| now.digest != target.digest) {
-            return End::NotNow;
+        if self.is_staged(target.digest) {
+            if let Err(e) = self.stage(target, index, bytes).await {
+                slog::warn!(self.log, "chunk not staged"; "index" => index, "error" => e.as_str());
+                return End::NotNow;
+            }
+        } else {
+            self.with_pull(target.digest, |pull| pull.waiting.insert(index, bytes));
         }
-        if let Some(chunks) = self.chunks.borrow_mut().as_mut() {
-            chunks.have[index] = true;
+        let has_chunk = |pull: &mut Pull| {
+            if let Some(chunks) = &mut pull.chunks {
+                chunks.have[index] = true;
+            }
+        };
+        match self.with_pull(target.digest, has_chunk) {
+            Some(()) => End::Stored,
+            None => End::NotNow,
         }
-        End::Stored
     }
 
     /// Stages a chunk, waiting for an endpoint that is not up yet: it starts about a second after its
@@ -418,7 +486,7 @@
         loop {
             let staged = self.staging.stage(&target.model, index, bytes.clone()).await;
             let is_down = staged == Err(StagingError::Link(LinkError::NotSent));
-            let is_wanted = self.target().is_some_and(|now| now.digest == target.digest);
+            let is_wanted = self.is_staged(target.digest);
             if !is_down || !is_wanted || self.clock.now().passed(began, ENDPOINT_STARTS_WITHIN) {
                 return staged;
             }
@@ -446,7 +514,7 @@
                 End::Told
             }
             (Ok(PeerTold::Manifest { chunk_len, digests }), What::Manifest) => {
-                match self.target_of(request) {
+                match self.target_of(request.version) {
                     Some(target) => self.take_manifest(&target, chunk_len, digests).await,
                     None => End::NotNow,
                 }
@@ -462,7 +530,7 @@
         digest: Digest,
         park: bool,
     ) -> End {
-        let Some((target, index)) = self.target_of(request).zip(self.index_of(digest)) else {
+        let Some((target, index)) = self.place_of(request.version, digest) else {
             return End::NotNow;
         };
         let ask = PeerAsk::Chunk { version: request.version, digest, park };
@@ -521,13 +589,8 @@
         sent
     }
 
-    fn is_target(&self, version: Digest) -> bool {
-        self.target.borrow().as_ref().is_some_and(|target| target.digest == version)
-    }
-
     fn tell_have(&self, version: Digest) -> PeerTold {
-        let chunks = self.chunks.borrow();
-        let Some(chunks) = chunks.as_ref().filter(|_| self.is_target(version)) else {
+        let Some(chunks) = self.chunks_of(version) else {
             return PeerTold::Have { map: Bitmap::default(), queue: 0 };
         };
         let mut map = Bitmap::zeros(chunks.have.len());
@@ -540,8 +603,7 @@
     async fn tell_manifest(&self, version: Digest) -> PeerTold {
         let until = Instant::now() + PARK;
         loop {
-            let found = self.chunks.borrow().clone().filter(|_| self.is_target(version));
-            if let Some(Chunks { chunk_len, digests, .. }) = found {
+            if let Some(Chunks { chunk_len, digests, .. }) = self.chunks_of(version) {
                 return PeerTold::Manifest { chunk_len, digests };
             }
             if tokio::time::timeout_at(until, self.changed.notified()).await.is_err() {
@@ -554,16 +616,14 @@
     async fn find_chunk(&self, version: Digest, digest: Digest, park: bool) -> Option<Bytes> {
         let until = Instant::now() + PARK;
         loop {
-            let index = self.index_of(digest).filter(|_| self.is_target(version));
-            let has = |index: &usize| {
-                self.chunks.borrow().as_ref().is_some_and(|chunks| chunks.have[*index])
-            };
-            if let Some((index, target)) = index.filter(has).zip(self.target()) {
-                if let Some(bytes) = self.waiting.borrow().get(&index) {
-                    return Some(bytes.clone());
+            if let Some((target, index)) = self.place_of(version, digest)
+                && self.chunks_of(version).is_some_and(|chunks| chunks.have[index])
+            {
+                let waiting = |pull: &mut Pull| pull.waiting.get(&index).cloned();
+                if let Some(bytes) = self.with_pull(version, waiting).flatten() {
+                    return Some(bytes);
                 }
-                let read = self.staging.chunk(&target.model, index, digest).await;
-                return read.ok();
+                return self.staging.chunk(&target.model, index, digest).await.ok();
             }
             let waited = tokio::time::timeout_at(until, self.changed.notified()).await;
             if !park || waited.is_err() {
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -4,6 +4,7 @@
 //! `Follower::take_changes`. Failures are answered with a short, growing and random pause, and with
 //! a watch that returns at once, as it also renews the lease on the configuration.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -21,6 +22,7 @@
 use mastichaven_platform::weights;
 use rand::RngExt;
 use smol_str::SmolStr;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::state::State;
@@ -58,7 +60,8 @@
 /// Endpoints that vanish from the list this soon after the store was in trouble may only have been
 /// unable to renew their entry. They are kept for [`LAPSE_FOR`], in which a live one is back.
 const LAPSE_AFTER_TROUBLE: Duration = Duration::from_millis(3_000);
-const LAPSE_FOR: Duration = Duration::from_millis(1_700);
+/// It is well under the 2 s after which an endpoint that has left must get nothing more.
+const LAPSE_FOR: Duration = Duration::from_millis(1_500);
 
 /// Follows one kind of object.
 pub struct Follower {
@@ -68,7 +71,7 @@
     trouble_until: Option<Time>,
     is_lost: bool,
     pause: Duration,
-    lapsed: HashMap<SmolStr, Time>,
+    lapsed: Rc<RefCell<HashMap<SmolStr, Time>>>,
     evacuated: HashSet<SmolStr>,
 }
 
@@ -82,7 +85,7 @@
             trouble_until: None,
             is_lost: false,
             pause: PAUSE_FIRST,
-            lapsed: HashMap::new(),
+            lapsed: Rc::default(),
             evacuated: HashSet::new(),
         }
     }
@@ -129,7 +132,6 @@
                     probe = true;
                 }
             }
-            self.end_lapsed();
         }
     }
 
@@ -229,7 +231,7 @@
             service.model.as_ref().map(|model| model.layers)
         };
         let now = self.state.now();
-        self.lapsed.remove(&object.name);
+        self.lapsed.borrow_mut().remove(&object.name);
         match endpoints::scan_endpoint(object, layers_of) {
             Some(listed) => {
                 slog::info!(self.state.log, "endpoint listed"; "endpoint" => listed.id.as_str(),
@@ -249,28 +251,21 @@
     }
 
     fn endpoint_gone(&mut self, name: SmolStr, now: Time) {
-        if self.trouble_until.is_some_and(|until| now < until) {
-            self.lapsed.entry(name).or_insert(now + LAPSE_FOR);
-            return;
-        }
-        slog::info!(self.state.log, "endpoint gone"; "endpoint" => name.as_str());
-        self.state.roster.borrow_mut().remove(&name);
-    }
-
-    /// Drops the endpoints whose entry has not come back.
-    fn end_lapsed(&mut self) {
-        let now = self.state.now();
-        let over: Vec<SmolStr> = self
-            .lapsed
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in over {
-            self.lapsed.remove(&id);
-            slog::info!(self.state.log, "endpoint gone"; "endpoint" => id.as_str());
-            self.state.roster.borrow_mut().remove(&id);
+        let (state, lapsed) = (self.state.clone(), self.lapsed.clone());
+        let is_lapse = self.trouble_until.is_some_and(|until| now < until);
+        if !is_lapse {
+            return remove_endpoint(&state, &name);
         }
+        lapsed.borrow_mut().insert(name.clone(), now);
+        spawn_local(async move {
+            sleep(LAPSE_FOR).await;
+            // Back meanwhile, or gone a second time with a later task to see to it.
+            let is_still = lapsed.borrow().get(&name) == Some(&now);
+            if is_still {
+                lapsed.borrow_mut().remove(&name);
+                remove_endpoint(&state, &name);
+            }
+        });
     }
 
     fn set_evacuated(&self) {
@@ -308,3 +303,8 @@
         self.state.named.notify_one();
     }
 }
+
+fn remove_endpoint(state: &State, name: &str) {
+    slog::info!(state.log, "endpoint gone"; "endpoint" => name);
+    state.roster.borrow_mut().remove(name);
+}
