--- a/node/src/bin/mastichaven-ctl.rs
+++ b/node/src/bin/mastichaven-ctl.rs
@@ -16,6 +16,7 @@
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::is_valid_name;
+use mastichaven_node::direct::explain;
 use mastichaven_node::folder_publisher::FolderPublisher;
 use mastichaven_node::http_store::HttpStore;
 use mastichaven_node::process;
@@ -80,6 +81,23 @@
         #[bpaf(positional("ADDRESS"))]
         address: String,
     },
+    /// Puts the log lines of one request in order and names its cause
+    #[bpaf(command)]
+    Explain {
+        /// The request's id
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Logs of entries on the direct path
+        #[bpaf(positional("LOG"), some("name at least one log"))]
+        logs: Vec<PathBuf>,
+    },
+    /// Counts how requests ended in logs of entries on the direct path
+    #[bpaf(command)]
+    Summarize {
+        /// Logs of entries on the direct path
+        #[bpaf(positional("LOG"), some("name at least one log"))]
+        logs: Vec<PathBuf>,
+    },
     /// Prints the digest of a customer's key, read from standard input, for the configuration
     #[bpaf(command("key-digest"))]
     KeyDigest,
@@ -130,8 +148,36 @@
     process::run_program("mastichaven-ctl", &arguments(), run)
 }
 
+fn read_logs(files: &[PathBuf]) -> Result<Vec<String>, Failure> {
+    let read = |file: &PathBuf| {
+        fs::read_to_string(file).map_err(|e| Failure::failed(format!("{}: {e}", file.display())))
+    };
+    files.iter().map(read).collect()
+}
+
+fn explain_request(id: &str, files: &[PathBuf]) -> Result<(), Failure> {
+    let logs = read_logs(files)?;
+    let explained = explain::explain(id, logs.iter().flat_map(|log| log.lines()));
+    let Some(explained) = explained else {
+        return Err(Failure::failed(format!("no line names {id}")));
+    };
+    for line in explained.lines {
+        println!("{line}");
+    }
+    println!("{}", explained.cause);
+    Ok(())
+}
+
 fn run(arguments: Arguments) -> Result<(), Failure> {
     match arguments {
+        Arguments::Explain { id, logs } => explain_request(&id, &logs)?,
+        Arguments::Summarize { logs } => {
+            let logs = read_logs(&logs)?;
+            let counts = explain::summarize(logs.iter().flat_map(|log| log.lines()));
+            for ((status, reason), count) in counts {
+                println!("{count:>8} {status} {reason}");
+            }
+        }
         Arguments::Check { folder } => {
             let texts = publish::read_folder(&folder).map_err(Failure::refused)?;
             publish::check(&texts).map_err(Failure::refused)?;
--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -6,6 +6,7 @@
 //! and from agents by [`loads`]. The agent's part is [`keeper`], with [`swarm`] and [`staging`].
 
 pub mod entry;
+pub mod explain;
 pub mod forward;
 pub mod gateway;
 pub mod keeper;
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -112,7 +112,6 @@
 pub const PIECE_LEN: usize = 8 << 10;
 
 /// Pieces under way out of a host at once. A piece waits on two links; two left them half empty.
-/// half.
 pub const PIECES_OUT: usize = 3;
 
 /// Pieces under way into a host at once: more, as some peers are busy.
--- /dev/null
+++ b/node/tests/direct/explain.rs
@@ -0,0 +1,90 @@
+use mastichaven_node::direct::explain::explain;
+use mastichaven_node::direct::explain::summarize;
+
+const LOG: &str = r#"
+  12.1 edge-1 {"msg":"request ended","ts_ms":30,"host":"edge-1","config_age_ms":802,"offers":2,"endpoint":"i-2","took_ms":40,"reason":"answer lost","status":502,"id":"a1"}
+{"msg":"attempt failed","ts_ms":20,"host":"edge-1","error":"broken","at":"head","endpoint":"i-1","id":"a1"}
+{"msg":"request ended","ts_ms":25,"host":"edge-1","config_age_ms":4702,"took_ms":0,"reason":"configuration too old","status":503,"id":"b2"}
+{"msg":"request ended","ts_ms":26,"host":"edge-1","config_age_ms":4702,"took_ms":0,"reason":"configuration too old","status":503,"id":"a11"}
+not a line
+"#;
+
+#[test]
+fn explain_orders_the_lines_and_names_the_cause() {
+    let explained = explain("a1", LOG.lines()).unwrap();
+    assert_eq!(explained.lines.len(), 2);
+    assert!(explained.lines[0].contains("attempt failed"));
+    assert_eq!(
+        explained.cause,
+        "Answered 502 by edge-1 after 40 ms: an endpoint took it and its answer was lost. It may \
+         have run. Endpoint i-1 failed it at \"head\": broken."
+    );
+}
+
+#[test]
+fn explain_tells_of_stale_configuration() {
+    let cause = explain("b2", LOG.lines()).unwrap().cause;
+    assert!(cause.contains("no fresh configuration (4702 ms old). It has not run."), "{cause}");
+    assert!(explain("zz", LOG.lines()).is_none());
+}
+
+#[test]
+fn summarize_counts_by_reason() {
+    let counts = summarize(LOG.lines());
+    assert_eq!(counts[&(503, "configuration too old".to_owned())], 2);
+    assert_eq!(counts.len(), 2);
+}
+
+/// Words between the first pair of backquotes of each table row.
+fn documented(page: &str) -> Vec<&str> {
+    page.lines()
+        .filter(|line| line.starts_with("| `"))
+        .flat_map(|l| l.split('`').skip(1).step_by(2))
+        .collect()
+}
+
+/// The string literals that begin with the end of `call`.
+fn used_after(call: &str) -> Vec<String> {
+    used_by(call, |rest| rest.split('"').next().unwrap_or_default().to_owned())
+}
+
+/// The first string literal behind each `call`.
+fn used(call: &str) -> Vec<String> {
+    used_by(call, |rest| rest.split('"').nth(1).unwrap_or_default().to_owned())
+}
+
+/// What `read` takes from behind each `call` in the sources of the direct path.
+fn used_by(call: &str, read: impl Fn(&str) -> String) -> Vec<String> {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/src/direct");
+    let mut found = Vec::new();
+    for file in std::fs::read_dir(folder).unwrap() {
+        let text = std::fs::read_to_string(file.unwrap().path()).unwrap();
+        found.extend(text.split(call).skip(1).map(&read));
+    }
+    assert!(!found.is_empty(), "no use of {call}");
+    found
+}
+
+// An operator who meets a line that no page explains is left alone with it.
+#[test]
+fn docs_name_every_log_line() {
+    let page = documented(include_str!("../../../docs/LOGS.md"));
+    for level in ["slog::info!(", "slog::warn!(", "slog::error!("] {
+        for msg in used(level) {
+            assert!(page.contains(&msg.as_str()), "docs/LOGS.md lacks {msg:?}");
+        }
+    }
+}
+
+#[test]
+fn docs_name_every_metric() {
+    let page = documented(include_str!("../../../docs/METRICS.md"));
+    for call in ["metrics.count(\"", "metrics.add(\"", "metrics.time(\""] {
+        for part in used_after(call) {
+            let is_named = page
+                .iter()
+                .any(|name| name.trim_end_matches("_total").trim_end_matches("_ms") == part);
+            assert!(is_named, "docs/METRICS.md lacks {part:?}");
+        }
+    }
+}
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -1,6 +1,7 @@
 //! The programs on the direct path as processes of their own, against stand-ins of the platform.
 
 mod entry;
+mod explain;
 mod fixture;
 mod keeper;
 mod outcomes;
