--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -244,7 +244,13 @@
                 && endpoint.listed.service == listed.service;
             if is_same_life {
                 endpoint.cold_until = cold_until;
+                let weights = std::mem::take(&mut endpoint.listed.weights);
                 endpoint.listed = listed;
+                // The list lags: an endpoint that has lost power is still shown with its weights for
+                // a heartbeat, and requests sent there come back refused.
+                if endpoint.load.as_ref().is_some_and(|load| !now.passed(load.at, REPORT_VALID)) {
+                    endpoint.listed.weights = weights;
+                }
                 return;
             }
             self.remove(&listed.id);
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -147,6 +147,21 @@
     assert!(choose(&mut roster, now(3)).is_ok());
 }
 
+// An endpoint lost power and holds nothing; the list shows it as before for a while. Requests that
+// were sent there for the list's sake would come back refused.
+#[test]
+fn put_does_not_overrule_a_fresh_report() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    let empty = LoadReport { weights: Vec::new(), ..report(0) };
+    roster.reported(address(1), &empty, now(0), NEAR, now(0));
+    roster.put(listed(1, "lagoa"), now(100));
+    assert_eq!(choose(&mut roster, now(101)), Err(Unavailable::None));
+    // Without reports the list is all there is.
+    roster.put(listed(1, "lagoa"), now(2_000));
+    assert!(choose(&mut roster, now(2_001)).is_ok());
+}
+
 // The link of an endpoint is squeezed by weights or by the network. Requests reach it seconds later,
 // when their callers have left, and it works on them in vain.
 #[test]
--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -1,10 +1,11 @@
 //! The direct path: an entry that answers callers straight from endpoints, and the agent that keeps
 //! the weights and the load report of the endpoint beside it.
 //!
-//! A request enters through [`gateway`], is sent by [`forward`] over a connection of [`pool`], and its
-//! answer leaves through [`relay`]. What an entry knows comes from the platform's store by [`watch`]
+//! A request enters through [`gateway`]; [`forward`] chooses endpoints for it, `attempt` sends it to
+//! one over a connection of [`pool`], and `stream` passes events on to the body of [`relay`]. What an entry knows comes from the platform's store by [`watch`]
 //! and from agents by [`loads`]. The agent's part is [`keeper`], with [`swarm`] and [`staging`].
 
+mod attempt;
 pub mod entry;
 pub mod explain;
 pub mod forward;
@@ -21,5 +22,6 @@
 pub mod staging;
 pub mod state;
 pub mod store;
+mod stream;
 pub mod swarm;
 pub mod watch;
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http::StatusCode;
 use mastichaven_core::Manifest;
+use mastichaven_core::Time;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::RegionName;
@@ -123,11 +124,12 @@
     target: Target,
     chunks: Option<Chunks>,
     waiting: BTreeMap<usize, Bytes>,
+    began: Time,
 }
 
 impl Pull {
-    fn new(target: Target) -> Pull {
-        Pull { target, chunks: None, waiting: BTreeMap::new() }
+    fn new(target: Target, now: Time) -> Pull {
+        Pull { target, chunks: None, waiting: BTreeMap::new(), began: now }
     }
 
     fn is_complete(&self) -> bool {
@@ -218,7 +220,7 @@
         pulls.truncate(1);
         let is_held = |pull: &Pull| held.is_some_and(|held| held >= pull.target.version);
         pulls.retain(|pull| pull.is_nearly_complete() && !is_held(pull));
-        pulls.push(Pull::new(target));
+        pulls.push(Pull::new(target, self.clock.now()));
         drop(pulls);
         self.follow_pulls();
     }
@@ -468,9 +470,15 @@
         } else {
             self.with_pull(target.digest, |pull| pull.waiting.insert(index, bytes));
         }
+        let now = self.clock.now();
         let has_chunk = |pull: &mut Pull| {
-            if let Some(chunks) = &mut pull.chunks {
-                chunks.have[index] = true;
+            let Some(chunks) = &mut pull.chunks else {
+                return;
+            };
+            let is_new = !std::mem::replace(&mut chunks.have[index], true);
+            if is_new && chunks.missing() == 0 {
+                slog::info!(self.log, "weights here"; "version" => target.version,
+                    "took_ms" => now.since(pull.began).as_millis() as u64);
             }
         };
         match self.with_pull(target.digest, has_chunk) {
