Requests are paced to an engine that became free

Cause of most late streams: whenever an engine had loaded or was new, all entries saw it as the least loaded and sent it some twenty prompts between two reports; it read for up to a second and all its streams paused.

--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -15,6 +15,7 @@
 use smol_str::SmolStr;
 
 use super::shares::ColdSends;
+use super::shares::RecentSends;
 use crate::arena::Arena;
 use crate::arena::Key;
 use crate::ids::RegionName;
@@ -40,6 +41,14 @@
 /// How long an endpoint that refused as full is spared: about until its next report.
 const FULL_FOR: Duration = Duration::from_millis(120);
 
+/// Time in which an engine reads a prompt of usual length beside the streams that it writes.
+///
+/// Reports are 100 ms apart. Whenever an engine had just become free, all entries saw it as the least
+/// loaded one and sent it some twenty requests before the next report; their prompts took up to a
+/// second to read, in which all its streams paused. So what an entry sent lately counts, once for
+/// each entry, and an engine gets about one request in this time from all of them together.
+const READ_TIME: Duration = Duration::from_millis(50);
+
 /// Usual time until a place of an endpoint frees: 1.1 s a request on 16 slots.
 const PLACE_FREES: Duration = Duration::from_millis(70);
 
@@ -125,6 +134,7 @@
     load: Option<Load>,
     own: u32,
     cold_sends: ColdSends,
+    recent: RecentSends,
     health: Health,
     full_until: Time,
 }
@@ -265,6 +275,7 @@
             load: None,
             own: 0,
             cold_sends: ColdSends::default(),
+            recent: RecentSends::default(),
             health: Health::default(),
             full_until: Time::ZERO,
         });
@@ -458,7 +469,13 @@
         } else {
             REGION_PENALTY
         };
-        Some(f64::from(busy) + distance + on_the_way)
+        let arrivals = if endpoint.listed.is_engine {
+            // The others are taken to have sent there as often as this entry.
+            endpoint.recent.count(READ_TIME * entries, now) as f64 * f64::from(entries)
+        } else {
+            0.0
+        };
+        Some(f64::from(busy) + distance + on_the_way + arrivals)
     }
 
     /// A request goes to the endpoint.
@@ -466,6 +483,7 @@
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.own += 1;
             endpoint.cold_sends.sent(now);
+            endpoint.recent.sent(now);
         }
     }
 
--- a/core/src/direct/shares.rs
+++ b/core/src/direct/shares.rs
@@ -73,6 +73,25 @@
     }
 }
 
+/// Requests that this entry sent to an endpoint lately.
+#[derive(Clone, Debug, Default)]
+pub struct RecentSends {
+    sent: VecDeque<Time>,
+}
+
+impl RecentSends {
+    /// How many within `window`.
+    pub fn count(&mut self, window: Duration, now: Time) -> usize {
+        drop_older(&mut self.sent, now, window);
+        self.sent.len()
+    }
+
+    /// One was sent.
+    pub fn sent(&mut self, now: Time) {
+        self.sent.push_back(now);
+    }
+}
+
 fn drop_older(times: &mut VecDeque<Time>, now: Time, window: Duration) {
     while times.front().is_some_and(|at| now.passed(*at, window)) {
         times.pop_front();
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -93,6 +93,28 @@
     assert_eq!(chosen(&mut roster, now(3)), "i-2");
 }
 
+// An engine has just loaded a version and is free. Eight entries that each see it as the least loaded
+// send it a burst of prompts, and all its streams pause while it reads them.
+#[test]
+fn choose_does_not_flood_an_engine_that_became_free() {
+    let mut to_free = 0;
+    for _ in 0..8 {
+        let mut roster = roster();
+        roster.set_entries(8);
+        for n in 1..=8 {
+            roster.put(listed(n, "lagoa"), now(0));
+            let running = if n == 1 { 0 } else { 10 };
+            roster.reported(address(n), &report(running), now(0), NEAR, now(0));
+        }
+        for ms in [10, 40, 70, 100] {
+            let key = choose(&mut roster, now(ms)).expect("an endpoint");
+            roster.sent(key, now(ms));
+            to_free += u32::from(roster.get(key).expect("listed").id == "i-1");
+        }
+    }
+    assert!((8..=16).contains(&to_free), "{to_free} of 32 within 0.1 s");
+}
+
 // Requests that are sent between two reports are not in the reports. Without counting them, an entry
 // would send its whole burst to the endpoint that was least loaded a moment ago.
 #[test]
