--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -192,8 +192,15 @@
 }
 
 /// The endpoint to try next, or why there is none. Waits a short while for a place.
-pub(super) async fn next_endpoint(state: &Rc<State>, call: &Call, trail: &Trail) -> Result<EndpointKey> {
+pub(super) async fn next_endpoint(
+    state: &Rc<State>,
+    call: &Call,
+    trail: &Trail,
+) -> Result<EndpointKey> {
     let now = state.now();
+    if now >= call.deadline {
+        return Err(give_up(trail, Refusal::NotStarted));
+    }
     if trail.offers() > 0 {
         let runs_left = trail.arrivals < call.route.max_attempts;
         let time_left = call.deadline.since(now) >= LEAST_LEFT;
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -72,10 +72,7 @@
 }
 
 /// The next whole events, `None` at the proper end of the stream.
-async fn next_events(
-    run: &mut Run,
-    cutter: &mut EventCutter,
-) -> Result<Option<Bytes>> {
+async fn next_events(run: &mut Run, cutter: &mut EventCutter) -> Result<Option<Bytes>> {
     loop {
         let Some(frame) = run.response.body_mut().frame().await else {
             // An end inside an event is no end.
