Endpoints are read with the configuration in mind

Cause: the list of endpoints could be read before the configuration, which says how many layers make a model. Seen once as a test that waited in vain for reports (new_version_reaches_all_while_callers_are_answered), traced to this.

--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -48,6 +48,10 @@
     pub metrics: Metrics,
     /// The configuration in force.
     pub catalog: RefCell<Option<Rc<Catalog>>>,
+    /// Signals the first configuration.
+    pub configured: Notify,
+    /// Whether the models of services differ from those with which endpoints were read.
+    pub are_models_new: Cell<bool>,
     /// The endpoints.
     pub roster: RefCell<Roster>,
     /// Whether the list of endpoints was read in this life.
@@ -79,6 +83,8 @@
             log,
             metrics: Metrics::default(),
             catalog: RefCell::default(),
+            configured: Notify::new(),
+            are_models_new: Cell::new(false),
             roster: RefCell::new(roster),
             has_list: Cell::new(false),
             freshness: RefCell::new(Freshness::new(lease)),
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -92,6 +92,11 @@
 
     /// Follows until the process ends.
     pub async fn run(mut self) {
+        // Whether an endpoint is an engine, and how many layers make its weights whole, stands in the
+        // configuration. Read without it, one that holds half of its layers would pass for whole.
+        while self.kind == Kind::Endpoints && self.state.catalog.borrow().is_none() {
+            self.state.configured.notified().await;
+        }
         loop {
             let sent = self.state.now();
             match self.client.list(self.kind, false).await {
@@ -109,6 +114,9 @@
     async fn watch_from(&mut self, mut revision: u64) {
         let mut probe = false;
         loop {
+            if self.kind == Kind::Endpoints && self.state.are_models_new.take() {
+                return;
+            }
             let wait = if probe { PROBE_WAIT } else { wait_for(self.kind) };
             let sent = self.state.now();
             match self.client.watch(self.kind, revision, wait).await {
@@ -208,7 +216,18 @@
             return;
         }
         slog::info!(self.state.log, "configuration in force"; "version" => catalog.version());
+        let models = |catalog: &Catalog| -> Vec<(ServiceName, u32)> {
+            let engines = catalog
+                .services()
+                .filter_map(|service| Some((service.name.clone(), service.model.as_ref()?.layers)));
+            engines.collect()
+        };
+        if current.as_ref().is_some_and(|current| models(current) != models(&catalog)) {
+            // The endpoints were read with other models in mind; they are listed again.
+            self.state.are_models_new.set(true);
+        }
         *current = Some(Rc::new(catalog));
+        self.state.configured.notify_one();
     }
 
     fn take_endpoints(&mut self, objects: &[Object]) {
--- a/node/tests/direct/entry.rs
+++ b/node/tests/direct/entry.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use mastichaven_standins::served::endpoint::EndpointFault;
+use mastichaven_standins::served::site;
 use mastichaven_standins::served::store::StoreFault;
 use serde_json::json;
 
@@ -164,8 +165,7 @@
     until("served", || entry.ask("/stream/a", "a", "key-1").unwrap().status == 200);
     writer.set_fault(EndpointFault::Dark);
     let mut stream = TcpStream::connect(entry.callers).unwrap();
-    let head = "POST /stream/a HTTP/1.1\r\nHost: site.example\r\nX-Mastichaven-Attempt-Id: gone\r\n\
-                X-Mastichaven-Model: m\r\nAuthorization: Token key-1\r\nContent-Length: 0\r\n\r\n";
+    let head = site::caller_head("/stream/a", "gone", "key-1", 0);
     stream.write_all(head.as_bytes()).unwrap();
     until("it runs", || writer.runs().iter().any(|run| run.id == "gone"));
     let left = Instant::now();
@@ -182,10 +182,27 @@
     let _desk = site.endpoint("i-d", "desk", None);
     let entry = site.entry("long");
     let mut stream = TcpStream::connect(entry.callers).unwrap();
-    let head = "POST /booking/a HTTP/1.1\r\nHost: site.example\r\nX-Mastichaven-Attempt-Id: long\r\n\
-                Authorization: Token key-1\r\nContent-Length: 70000\r\n\r\n";
+    let head = site::caller_head("/booking/a", "long", "key-1", 70_000);
     stream.write_all(head.as_bytes()).unwrap();
     let mut answer = [0; 64];
     let len = stream.read(&mut answer).unwrap();
     assert!(answer[..len].starts_with(b"HTTP/1.1 413"), "{:?}", String::from_utf8_lossy(&answer));
 }
+
+// After a restart an entry may read the list of endpoints before the configuration, which says how many
+// layers make a model. An endpoint with half of them would answer from partial weights, and engines
+// would pass for plain services, whose load nobody reports.
+#[test]
+fn watch_reads_endpoints_with_the_configuration_in_mind() {
+    let site = Site::start_unconfigured();
+    let writer = site.endpoint("i-w", "writer", Some(1));
+    site.store.put(site::ENDPOINTS, "i-w", writer.half_entry("writer", "zone-a"));
+    let entry = site.entry_unready("early");
+    thread::sleep(Duration::from_millis(600));
+    site.configure(1, &["key-1"], true);
+    until("the entry is ready", || entry.is_ready());
+    assert_eq!(entry.ask("/stream/a", "a", "key-1").unwrap().status, 503);
+    assert!(writer.runs().is_empty());
+    site.list("i-w", "writer", &writer, "ready");
+    until("served", || entry.ask("/stream/a", "b", "key-1").unwrap().status == 200);
+}
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -17,11 +17,10 @@
 use mastichaven_node::direct::link::Link;
 use mastichaven_node::direct::link::LinkError;
 use mastichaven_standins::served::endpoint::ServedEndpoint;
-use mastichaven_standins::served::origin;
 use mastichaven_standins::served::origin::ServedOrigin;
+use mastichaven_standins::served::site;
 use mastichaven_standins::served::store::ServedStore;
 use serde_json::Value;
-use serde_json::json;
 
 /// Longest wait for something that is sure to come, also on a busy machine.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -120,41 +119,21 @@
 impl Site {
     /// A platform with a first configuration and no endpoint.
     pub fn start() -> Site {
-        let store = ServedStore::start("127.0.0.1:0").expect("the store starts");
-        let origin = ServedOrigin::start("127.0.0.1:0").expect("the origin starts");
-        let site = Site { store, origin, agent_port: free_port("127.0.0.1") };
+        let site = Site::start_unconfigured();
         site.configure(1, &["key-1", "key-2"], true);
         site
     }
 
+    /// A platform without a configuration.
+    pub fn start_unconfigured() -> Site {
+        let store = ServedStore::start("127.0.0.1:0").expect("the store starts");
+        let origin = ServedOrigin::start("127.0.0.1:0").expect("the origin starts");
+        Site { store, origin, agent_port: free_port("127.0.0.1") }
+    }
+
     /// Writes a version of the configuration.
     pub fn configure(&self, version: u64, keys: &[&str], resumes: bool) {
-        let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
-            json!({
-                "name": name, "host": "site.example", "path_prefix": prefix, "kind": kind,
-                "timeout_ms": 3000, "target_latency_ms": 300, "priority": 1, "service": service,
-                "max_attempts": attempts, "allow_anonymous": false, "stream_resume": resumes,
-                "target_gap_ms": 300, "allowed_regions": []
-            })
-        };
-        let spec = json!({
-            "version": version,
-            "routes": [
-                route("stream", "/stream/", "streaming", "writer", 2),
-                route("lookup", "/lookup/", "idempotent", "desk", 2),
-                route("booking", "/booking/", "non_idempotent", "desk", 2),
-            ],
-            "services": [
-                {"name": "writer", "cold_start_s": 0.0, "cold_per_s": 0.0, "engine": {
-                    "slots": 4, "layers": 4, "chunks": origin::CHUNKS,
-                    "chunk_bytes": origin::CHUNK_LEN, "models": [{"name": "m"}]}},
-                {"name": "desk", "cold_per_s": 0.0},
-                {"name": "weights", "origin": self.origin.address().to_string(), "zone": "zone-a"},
-            ],
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
-                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-            "tenants": [{"name": "crews", "api_keys": keys, "priority": 1, "allowed_regions": []}]
-        });
+        let spec = site::configuration(version, keys, resumes, self.origin.address());
         self.store.put("config", "main", spec);
     }
 
@@ -168,7 +147,7 @@
 
     /// Lists an endpoint as ready or draining.
     pub fn list(&self, id: &str, service: &str, endpoint: &ServedEndpoint, state: &str) {
-        self.store.put("servers", id, endpoint.entry(service, "zone-a", state));
+        self.store.put(site::ENDPOINTS, id, endpoint.entry(service, "zone-a", state));
     }
 
     fn settings(&self, name: &str, ip: &str, own: &str) -> String {
@@ -246,15 +225,7 @@
     pub fn ask(&self, path: &str, id: &str, key: &str) -> Result<Answer, LinkError> {
         let method = if path.starts_with("/lookup/") { "GET" } else { "POST" };
         let mut req = link::request(method, self.callers, path, "the body".into());
-        let key = format!("Token {key}");
-        let headers = [
-            ("host", "site.example"),
-            ("x-mastichaven-attempt-id", id),
-            ("x-mastichaven-deadline-ms", "3000"),
-            ("x-mastichaven-model", "m"),
-            ("authorization", &key),
-        ];
-        for (name, value) in headers {
+        for (name, value) in site::caller_headers(id, key) {
             req.headers_mut().insert(name, value.parse().expect("a valid value"));
         }
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -266,7 +237,7 @@
         Ok(Answer {
             status: answer.status().as_u16(),
             retry_after: header("retry-after").and_then(|value| value.parse().ok()),
-            stamp: header("x-mastichaven-response-stamp").map(str::to_owned),
+            stamp: header(site::STAMP).map(str::to_owned),
             body: String::from_utf8_lossy(answer.body()).into_owned(),
         })
     }
--- a/standins/src/served.rs
+++ b/standins/src/served.rs
@@ -3,4 +3,5 @@
 
 pub mod endpoint;
 pub mod origin;
+pub mod site;
 pub mod store;
--- a/standins/src/served/endpoint.rs
+++ b/standins/src/served/endpoint.rs
@@ -134,6 +134,13 @@
         entry
     }
 
+    /// An entry of the list with only half of the layers.
+    pub fn half_entry(&self, service: &str, zone: &str) -> Value {
+        let mut entry = self.entry(service, zone, "ready");
+        entry["layers"]["to"] = json!(LAYERS / 2);
+        entry
+    }
+
     /// Makes it fail, or work again.
     pub fn set_fault(&self, fault: EndpointFault) {
         self.shared.lock().fault = fault;
--- /dev/null
+++ b/standins/src/served/site.rs
@@ -0,0 +1,67 @@
+//! A small deployment on the served platform: its configuration, and what callers send.
+
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use serde_json::json;
+
+use super::origin;
+
+/// Host that callers ask for.
+pub const HOST: &str = "site.example";
+
+/// Name of the header with an endpoint's signature.
+pub const STAMP: &str = "x-mastichaven-response-stamp";
+
+/// Kind under which endpoints are listed.
+pub const ENDPOINTS: &str = "servers";
+
+/// The configuration of a service `writer` with a model, a service `desk` and an origin. Paths that begin
+/// with `/stream/`, `/lookup/` and `/booking/` lead to a stream, an idempotent and a non-idempotent route.
+pub fn configuration(version: u64, keys: &[&str], resumes: bool, origin: SocketAddr) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": prefix, "kind": kind,
+            "timeout_ms": 3000, "target_latency_ms": 300, "priority": 1, "service": service,
+            "max_attempts": 2, "allow_anonymous": false, "stream_resume": resumes,
+            "target_gap_ms": 300, "allowed_regions": []
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("stream", "/stream/", "streaming", "writer"),
+            route("lookup", "/lookup/", "idempotent", "desk"),
+            route("booking", "/booking/", "non_idempotent", "desk"),
+        ],
+        "services": [
+            {"name": "writer", "cold_start_s": 0.0, "cold_per_s": 0.0, "engine": {
+                "slots": 4, "layers": 4, "chunks": origin::CHUNKS,
+                "chunk_bytes": origin::CHUNK_LEN, "models": [{"name": "m"}]}},
+            {"name": "desk", "cold_per_s": 0.0},
+            {"name": "weights", "origin": origin.to_string(), "zone": "zone-a"},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "crews", "api_keys": keys, "priority": 1, "allowed_regions": []}]
+    })
+}
+
+/// The headers of a caller's request.
+pub fn caller_headers(id: &str, key: &str) -> [(&'static str, String); 5] {
+    [
+        ("host", HOST.to_owned()),
+        ("x-mastichaven-attempt-id", id.to_owned()),
+        ("x-mastichaven-deadline-ms", "3000".to_owned()),
+        ("x-mastichaven-model", "m".to_owned()),
+        ("authorization", format!("Token {key}")),
+    ]
+}
+
+/// The head of a caller's request as it goes over the wire.
+pub fn caller_head(path: &str, id: &str, key: &str, body_len: usize) -> String {
+    let headers = caller_headers(id, key);
+    let lines: String =
+        headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+    format!("POST {path} HTTP/1.1\r\n{lines}content-length: {body_len}\r\n\r\n")
+}
