--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod events;
 pub mod freshness;
+mod health;
 pub mod rollout;
 pub mod roster;
 pub mod shares;
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use super::health::Health;
 use super::shares::ColdSends;
 use super::shares::RecentSends;
 use crate::arena::Arena;
@@ -64,16 +65,6 @@
 /// the same endpoint.
 const SPREAD: f64 = 1.5;
 
-/// Answers lost in a row after which an endpoint rests, and failures that it signed itself: some of
-/// those are the request's own.
-const LOSSES_TO_REST: u32 = 2;
-const FAILURES_TO_REST: u32 = 3;
-
-/// First and longest rest. After it one request at a time goes there until one is answered, so that
-/// a link that takes seconds does not swallow a share of all requests again and again.
-const REST_FIRST: Duration = Duration::from_millis(1_500);
-const REST_LONGEST: Duration = Duration::from_secs(8);
-
 /// What the platform's list says of an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
@@ -139,33 +130,6 @@
     full_until: Time,
 }
 
-/// What the outcomes of an endpoint's requests say of it.
-#[derive(Clone, Debug, Default)]
-struct Health {
-    failures: u32,
-    losses: u32,
-    rest: Duration,
-    rests_until: Time,
-}
-
-impl Health {
-    fn failed(&mut self, is_lost: bool, now: Time) {
-        self.failures += 1;
-        self.losses += u32::from(is_lost);
-        let is_bad = self.losses >= LOSSES_TO_REST || self.failures >= FAILURES_TO_REST;
-        // Requests that were under way together fail together; they are one reason to rest.
-        if (is_bad || !self.rest.is_zero()) && now >= self.rests_until {
-            self.rest = (self.rest * 2).clamp(REST_FIRST, REST_LONGEST);
-            self.rests_until = now + self.rest;
-        }
-    }
-
-    /// Whether a request may go there, when `own` of this entry are there already.
-    fn takes(&self, own: u32, now: Time) -> bool {
-        self.rest.is_zero() || (now >= self.rests_until && own == 0)
-    }
-}
-
 impl Endpoint {
     /// Whether nothing speaks against sending it a request: no lost answers, no full link, and an
     /// agent that reports if it ever did.
@@ -368,7 +332,7 @@
                 "own": endpoint.own,
                 "others": load.map(|load| load.others),
                 "report_age_ms": load.map(|load| now.since(load.at).as_millis() as u64),
-                "rests": endpoint.health.rests_until > now,
+                "rests": endpoint.health.rests(now),
             })
         });
         shown.collect()
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -36,6 +36,9 @@
 /// after a second, which is later than a second endpoint would answer.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 
+/// Time for the rest of a refusal or failure, whose head is here already.
+const REST_WITHIN: Duration = Duration::from_millis(400);
+
 /// Time to the first event after which another endpoint is tried: an endpoint that queues the request
 /// as placement allows starts within 0.5 s.
 pub(super) const FIRST_EVENT_WITHIN: Duration = Duration::from_millis(1_800);
@@ -202,7 +205,7 @@
 /// Reads the short rest of an answer, so that its connection can be used again.
 async fn keep_after(state: &State, listed: &Listed, mut link: Link, response: Response<Incoming>) {
     let span = pool::idle_span(response.headers());
-    let rest = timeout(CONNECT_WITHIN, link::whole(response.into_body(), MAX_ANSWER_LEN)).await;
+    let rest = timeout(REST_WITHIN, link::whole(response.into_body(), MAX_ANSWER_LEN)).await;
     if matches!(rest, Ok(Ok(_))) && link.ready().await {
         state.pool.put(listed.address, &listed.id, link, span, state.now());
     }
@@ -216,7 +219,7 @@
 ) -> Outcome {
     let span = pool::idle_span(response.headers());
     let (head, body) = response.into_parts();
-    let body = timeout(CONNECT_WITHIN, link::whole(body, MAX_ANSWER_LEN)).await;
+    let body = timeout(REST_WITHIN, link::whole(body, MAX_ANSWER_LEN)).await;
     match body.unwrap_or(Err(LinkError::TimedOut)) {
         Ok(body) => {
             if link.ready().await {
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -88,13 +88,16 @@
     Busy,
 }
 
+async fn connect(address: SocketAddr) -> Result<TcpStream> {
+    match timeout(CONNECT_WITHIN, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(_)) | Err(_) => Err(PeerError::Unreachable),
+    }
+}
+
 /// Asks the agent at `address`.
 pub async fn ask(address: SocketAddr, ask: &PeerAsk, within: Duration) -> Result<PeerTold> {
-    let connected = timeout(CONNECT_WITHIN, TcpStream::connect(address)).await;
-    let mut stream = match connected {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(_)) | Err(_) => return Err(PeerError::Unreachable),
-    };
+    let mut stream = connect(address).await?;
     let exchange = async {
         link::prepare(&stream)?;
         write(&mut stream, ask).await?;
@@ -131,11 +134,7 @@
     within: Duration,
     intake: &Semaphore,
 ) -> Result<std::result::Result<Bytes, PeerTold>> {
-    let connected = timeout(CONNECT_WITHIN, TcpStream::connect(address)).await;
-    let mut stream = match connected {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(_)) | Err(_) => return Err(PeerError::Unreachable),
-    };
+    let mut stream = connect(address).await?;
     let exchange = async {
         link::prepare(&stream)?;
         write(&mut stream, ask).await?;
