Ports of the process tests are drawn together

Ports were drawn one after the other and let go, so two could be the same. Now they are held while drawn, and nothing takes the agents' port.

--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -37,9 +37,10 @@
     format!("127.{process}.{}.{}", host / 200, host % 200 + 1)
 }
 
-fn free_port(ip: &str) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).expect("loopback has free ports");
-    listener.local_addr().expect("bound").port()
+/// Free ports of `ip`, all different: a port that is drawn and let go may be drawn again.
+fn free_ports<const N: usize>(ip: &str) -> [u16; N] {
+    let listeners = [(); N].map(|()| TcpListener::bind((ip, 0)).expect("loopback has free ports"));
+    listeners.map(|listener| listener.local_addr().expect("bound").port())
 }
 
 /// A program that is killed when the test ends.
@@ -128,7 +129,8 @@
     pub fn start_unconfigured() -> Site {
         let store = ServedStore::start("127.0.0.1:0").expect("the store starts");
         let origin = ServedOrigin::start("127.0.0.1:0").expect("the origin starts");
-        Site { store, origin, agent_port: free_port("127.0.0.1") }
+        let [agent_port] = free_ports("127.0.0.1");
+        Site { store, origin, agent_port }
     }
 
     /// Writes a version of the configuration.
@@ -139,18 +141,26 @@
 
     /// Starts an endpoint and lists it.
     pub fn endpoint(&self, id: &str, service: &str, version: Option<u64>) -> ServedEndpoint {
-        let at = format!("{}:0", new_ip());
+        let ip = new_ip();
+        let port = self.port_beside_agent(&ip);
+        let at = format!("{ip}:{port}");
         let endpoint = ServedEndpoint::start(&at, id, version).expect("the endpoint starts");
         self.list(id, service, &endpoint, "ready");
         endpoint
     }
 
+    /// A free port that leaves the one of agents alone.
+    fn port_beside_agent(&self, ip: &str) -> u16 {
+        let ports: [u16; 2] = free_ports(ip);
+        ports.into_iter().find(|port| *port != self.agent_port).expect("two different ports")
+    }
+
     /// Lists an endpoint as ready or draining.
     pub fn list(&self, id: &str, service: &str, endpoint: &ServedEndpoint, state: &str) {
         self.store.put(site::ENDPOINTS, id, endpoint.entry(service, "zone-a", state));
     }
 
-    fn settings(&self, name: &str, ip: &str, own: &str) -> String {
+    fn settings(&self, name: &str, ip: &str, metrics_port: u16, own: &str) -> String {
         format!(
             "host = \"{name}\"\nip = \"{ip}\"\nzone = \"zone-a\"\nstore = \"{}\"\n\
              agent_port = {}\nmetrics_port = {}\n{own}\n\
@@ -160,7 +170,7 @@
              [limits]\ndescriptors = 1000\nmemory_mb = 200\n",
             self.store.address(),
             self.agent_port,
-            free_port(ip),
+            metrics_port,
         )
     }
 
@@ -174,11 +184,12 @@
     /// Starts an entry.
     pub fn entry_unready(&self, name: &str) -> Entry {
         let ip = new_ip();
-        let callers = SocketAddr::new(ip.parse().expect("an IP"), free_port(&ip));
-        let ready = SocketAddr::new(ip.parse().expect("an IP"), free_port(&ip));
+        let [callers, ready, metrics_port] = free_ports(&ip);
+        let at = |port| SocketAddr::new(ip.parse().expect("an IP"), port);
+        let (callers, ready) = (at(callers), at(ready));
         let own = format!("callers = \"{callers}\"\nready = \"{ready}\"");
         let binary = env!("CARGO_BIN_EXE_mastichaven-entry");
-        let program = Program::start(binary, name, &self.settings(name, &ip, &own));
+        let program = Program::start(binary, name, &self.settings(name, &ip, metrics_port, &own));
         Entry { program, callers, ready }
     }
 
@@ -186,8 +197,9 @@
     pub fn agent(&self, name: &str, endpoint: &ServedEndpoint) -> Program {
         let ip = endpoint.address().ip().to_string();
         let own = format!("endpoint = \"{}\"\nservice = \"writer\"", endpoint.address());
+        let metrics_port = self.port_beside_agent(&ip);
         let binary = env!("CARGO_BIN_EXE_mastichaven-agent");
-        Program::start(binary, name, &self.settings(name, &ip, &own))
+        Program::start(binary, name, &self.settings(name, &ip, metrics_port, &own))
     }
 }
 
