--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -142,9 +142,14 @@
     /// Starts an endpoint and lists it.
     pub fn endpoint(&self, id: &str, service: &str, version: Option<u64>) -> ServedEndpoint {
         let ip = new_ip();
-        let port = self.port_beside_agent(&ip);
-        let at = format!("{ip}:{port}");
-        let endpoint = ServedEndpoint::start(&at, id, version).expect("the endpoint starts");
+        let at = format!("{ip}:0");
+        // Bound at once: a port that is drawn and let go may be taken meanwhile.
+        let endpoint = loop {
+            let started = ServedEndpoint::start(&at, id, version).expect("the endpoint starts");
+            if started.address().port() != self.agent_port {
+                break started;
+            }
+        };
         self.list(id, service, &endpoint, "ready");
         endpoint
     }
