Slow owners of chunks are overtaken, the origin's chunks come first

Two versions 2 s apart: the first was dropped although nearly all of it was near. Chunks went first to regions other than the origin's and crossed one more border. Change: overdue chunks that no neighbour sends are brought in by the next host in order; the older version is finished from 0.7 near on; origin's region first; on owners the origin's chunks go before neighbours'; 8 pieces in, 6 out.

--- a/core/src/swarm/ask.rs
+++ b/core/src/swarm/ask.rs
@@ -5,6 +5,8 @@
 use rand::Rng;
 use rand::RngExt;
 
+use super::download::Download;
+use super::download::MAX_COPIES;
 use super::download::Part;
 use super::pull::Swarm;
 use super::request::Flight;
@@ -30,6 +32,9 @@
 /// Chunks under way while live requests run on this host's link.
 const PIPELINE_BESIDE_REQUESTS: u32 = 2;
 
+/// Chunks under way from neighbours while this host still brings in chunks from the origin.
+const BESIDE_ORIGIN: u32 = 2;
+
 /// Chunks awaited from owners in other zones at once, and pulled from the origin at once.
 const MAX_AWAITED: usize = 24;
 const MAX_FROM_ORIGIN: usize = 2;
@@ -134,13 +139,23 @@
         (now.since(progress_at).as_micros() / STALL.as_micros()) as usize
     }
 
-    /// Works out again where each missing chunk comes from, if a host went or came.
+    /// Works out again where each missing chunk comes from, if a host went or came, and while chunks
+    /// are overdue.
+    ///
+    /// An owner whose link has become slow still answers, so it counts as live, and it makes some
+    /// progress, so nothing stalls. Yet all hosts wait for its chunks, and with a tenth of a link a
+    /// version came only after the time in which it had to be in use. So an overdue chunk that no
+    /// neighbour sends is brought in by the next host in its order, too.
     pub(super) fn work_out(&mut self, n: usize, now: Time) {
         let skip = self.skip(self.downloads[n].progress_at, now);
-        let at = (self.peers.epoch(), skip);
-        if self.downloads[n].worked_out_at == Some(at) {
+        let overdue = self.downloads[n].overdue(now);
+        let at = (self.peers.epoch(), skip, overdue);
+        if overdue == 0 && self.downloads[n].worked_out_at == Some(at) {
             return;
         }
+        let stuck: Vec<bool> = (0..self.downloads[n].parts.len())
+            .map(|index| overdue > 0 && self.is_stuck(n, index, now))
+            .collect();
         let peers = &self.peers;
         let live = |id: PeerId| peers.may_own(id);
         let download = &mut self.downloads[n];
@@ -151,6 +166,8 @@
             if download.have.get(index) || part.is_repeat {
                 continue;
             }
+            part.is_overdue = stuck[index];
+            let skip = if part.is_overdue { skip.max(overdue) } else { skip };
             part.source = self.topology.source(self.way, part.key, &live, skip);
             match part.source {
                 Source::Neighbours => {
@@ -167,6 +184,18 @@
         download.owned.sort_unstable_by_key(|index| parts[*index as usize].key);
     }
 
+    /// Whether no neighbour that offers a missing chunk sends it in its usual time.
+    fn is_stuck(&self, n: usize, index: usize, now: Time) -> bool {
+        let download = &self.downloads[n];
+        let part = &download.parts[index];
+        if download.have.get(index) {
+            return false;
+        }
+        let is_late = part.flights > 0 && now.passed(part.asked_at, self.usual * LATE_TIMES);
+        let sends = |id: PeerId| self.peers.may_own(id) && self.peers.get(id).queue < BUSY_QUEUE;
+        is_late || !download.offers(index).any(sends)
+    }
+
     fn count_flights(&self, matches: impl Fn(&Flight) -> bool) -> usize {
         self.flights.iter().filter(|(_, flight)| matches(flight)).count()
     }
@@ -181,7 +210,8 @@
         for index in &owned {
             let part = &self.downloads[n].parts[*index as usize];
             let just_failed = part.owner_asked_at.is_some_and(|at| !now.passed(at, OWNED_RETRY));
-            if part.flights > 0 || just_failed {
+            let copies = if part.is_overdue { MAX_COPIES } else { 1 };
+            if part.flights >= copies || just_failed {
                 continue;
             }
             let to = match self.source_now(n, *index as usize, now) {
@@ -220,6 +250,7 @@
             Source::Neighbours => None,
             Source::Peer(id) => Some(To::Peer(id)),
             Source::Origin if self.way != Way::Swarm => Some(To::Origin),
+            Source::Origin if part.is_overdue => Some(To::Origin),
             Source::Origin if part.holders > 0 && download.offers(index).any(live) => None,
             Source::Origin if part.origin_tries % 2 == 1 => {
                 let turn = part.origin_tries as usize / 2;
@@ -269,8 +300,7 @@
         rng: &mut R,
         requests: &mut Vec<Request>,
     ) {
-        let Pace { alone, beside_requests, .. } = self.pace;
-        let limit = if self.beside_requests { beside_requests } else { alone };
+        let limit = self.neighbour_limit();
         let direct = |flight: &Flight| matches!(flight.what, What::Chunk { park: false, .. });
         let mut under_way =
             self.count_flights(|flight| direct(flight) && flight.to != To::Origin) as u32;
@@ -288,6 +318,21 @@
         }
     }
 
+    /// Chunks from neighbours at once. What this host brings in from the origin exists nowhere else, so
+    /// it goes first on the host's link: an origin that crashes then is more often done with.
+    fn neighbour_limit(&self) -> u32 {
+        let is_from_origin = |download: &Download| {
+            let mut owned = download.owned.iter().map(|index| *index as usize);
+            owned.any(|index| {
+                download.parts[index].source == Source::Origin && !download.have.get(index)
+            })
+        };
+        if self.downloads.iter().any(is_from_origin) {
+            return BESIDE_ORIGIN;
+        }
+        if self.beside_requests { self.pace.beside_requests } else { self.pace.alone }
+    }
+
     /// The next chunk of a version and the neighbour to ask; demoted ones only when no other has it.
     fn pick<R: Rng>(&self, n: usize, now: Time, rng: &mut R) -> Option<(usize, PeerId)> {
         let download = &self.downloads[n];
--- a/core/src/swarm/download.rs
+++ b/core/src/swarm/download.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::time::Duration;
 
 use super::bitmap::Bitmap;
 use super::topology::PeerId;
@@ -15,12 +16,26 @@
 /// Asks for one chunk under way at once; the second only when the first is late.
 pub(super) const MAX_COPIES: u8 = 2;
 
+/// The same for an overdue chunk: two owners may be slow, and a neighbour may have it by now.
+const MAX_COPIES_OVERDUE: u8 = 3;
+
 /// Missing chunks on offer that are compared for one request.
 const CANDIDATES: usize = 64;
 
 /// Loads this close count as equal, so that rarity decides between them.
 const LOAD_STEP: u32 = 2;
 
+/// Part of a version's chunks, here or on offer near, from which on the time for the rest is counted.
+/// Chunks come through up to three owners, so with a fifth of all links slow half of them come in time.
+const FIRST_PART: f64 = 0.4;
+
+/// Time for the rest, in times of the first part: at the same pace it takes 0.6 / 0.4.
+const REST_TIMES: f64 = 1.5;
+
+/// Least time that the rest may take. Asks, polls and the way through another zone take some 0.5 s
+/// whatever the size of a version.
+const REST_LEAST: Duration = Duration::from_secs(1);
+
 /// One chunk of a version.
 #[derive(Clone, Debug)]
 pub(super) struct Part {
@@ -37,6 +52,9 @@
     pub(super) holders: u16,
     /// Whether the same bytes stand earlier in the version; that place alone is asked for.
     pub(super) is_repeat: bool,
+    /// Whether it should be near by now and no neighbour sends it, so that others than its owner
+    /// bring it in, too.
+    pub(super) is_overdue: bool,
 }
 
 /// The state of one version.
@@ -53,9 +71,11 @@
     /// Missing chunks whose source is not the neighbours, in an order common to all hosts.
     pub(super) owned: Vec<u32>,
     pub(super) watch: BTreeSet<PeerId>,
-    pub(super) worked_out_at: Option<(u64, usize)>,
+    pub(super) worked_out_at: Option<(u64, usize, usize)>,
     pub(super) progress_at: Time,
     pub(super) opened_at: Time,
+    /// When [`FIRST_PART`] of the chunks was here or on offer near.
+    first_part_at: Option<Time>,
 }
 
 impl Download {
@@ -74,6 +94,7 @@
             worked_out_at: None,
             progress_at: now,
             opened_at: now,
+            first_part_at: None,
         }
     }
 
@@ -110,6 +131,7 @@
                 origin_tries: 0,
                 holders: 0,
                 is_repeat,
+                is_overdue: false,
             });
             if is_here(chunk.digest) {
                 self.have.set(n);
@@ -182,7 +204,8 @@
         let mut seen = 0;
         for n in (start..len).chain(0..start) {
             let part = &self.parts[n];
-            let free = part.flights < MAX_COPIES && may_ask(part);
+            let copies = if part.is_overdue { MAX_COPIES_OVERDUE } else { MAX_COPIES };
+            let free = part.flights < copies && may_ask(part);
             if self.have.get(n) || part.is_repeat || part.holders == 0 || !free {
                 continue;
             }
@@ -203,6 +226,26 @@
         best.map(|(_, n, peer)| (n, peer))
     }
 
+    /// The share of chunks that are here or on offer near. O(chunks).
+    pub(super) fn near_share(&self) -> f64 {
+        let is_near = |n: &usize| self.have.get(*n) || self.parts[*n].holders > 0;
+        let near = (0..self.parts.len()).filter(is_near).count();
+        near as f64 / self.parts.len().max(1) as f64
+    }
+
+    /// Periods by which what is still missing near is overdue. A period follows from the time that the
+    /// first part took, so it fits models and links of any size.
+    pub(super) fn overdue(&mut self, now: Time) -> usize {
+        if self.first_part_at.is_none() && self.near_share() >= FIRST_PART {
+            self.first_part_at = Some(now);
+        }
+        let Some(first_part_at) = self.first_part_at else {
+            return 0;
+        };
+        let period = first_part_at.since(self.opened_at).mul_f64(REST_TIMES).max(REST_LEAST);
+        (now.since(first_part_at).as_micros() / period.as_micros()) as usize
+    }
+
     pub(super) fn offers(&self, n: usize) -> impl Iterator<Item = PeerId> + '_ {
         self.maps.iter().filter(move |(_, map)| map.get(n)).map(|(id, _)| *id)
     }
--- a/core/src/swarm/pull.rs
+++ b/core/src/swarm/pull.rs
@@ -154,6 +154,13 @@
         self.downloads.iter().any(|d| d.version == version && d.is_complete())
     }
 
+    /// The share of a version's chunks that are here or on offer near: those that need neither the
+    /// origin nor another zone any more.
+    pub fn near_share(&self, version: Digest) -> f64 {
+        let download = self.downloads.iter().find(|d| d.version == version && d.has_manifest);
+        download.map_or(0.0, Download::near_share)
+    }
+
     /// Chunks still missing of all versions.
     pub fn missing(&self) -> usize {
         self.downloads.iter().map(|download| download.missing).sum()
--- a/core/tests/weights/swarm.rs
+++ b/core/tests/weights/swarm.rs
@@ -26,6 +26,8 @@
     Corrupt,
     Liar,
     Silent,
+    /// Tells what it has, but neither gets nor sends a chunk.
+    Stalled,
 }
 
 struct Host {
@@ -87,6 +89,10 @@
     }
 
     fn answer(&mut self, n: usize, request: &Request) {
+        let is_chunk = matches!(request.what, What::Chunk { .. });
+        if is_chunk && (self.is_stalled(n) || self.asks_stalled(n, request)) {
+            return;
+        }
         let end = match request.to {
             To::Origin => self.ask_origin(n, request),
             To::Peer(id) => {
@@ -101,6 +107,18 @@
         self.all[n].swarm.end(request.flight, end, self.now);
     }
 
+    fn is_stalled(&self, n: usize) -> bool {
+        self.all[n].manner == Manner::Stalled
+    }
+
+    fn asks_stalled(&self, n: usize, request: &Request) -> bool {
+        let To::Peer(id) = request.to else {
+            return false;
+        };
+        let host = &self.all[n].swarm.place(id).host;
+        self.all.iter().any(|h| h.place.host == *host && h.manner == Manner::Stalled)
+    }
+
     fn ask_origin(&mut self, n: usize, request: &Request) -> End {
         let What::Chunk { digest, repeat, .. } = request.what else {
             return End::Manifest(self.manifest.clone());
@@ -198,6 +216,20 @@
     }
 }
 
+// The link of one host in each zone is squeezed to nearly nothing while a version spreads. It lives and
+// answers, so nobody takes its place, and its chunks hold up every other host: endpoints get the
+// version after the time at which callers are refused for want of it.
+#[test]
+fn swarm_completes_beside_stalled_owners() {
+    let mut hosts = Hosts::new(&ZONES);
+    for slow in [3, 11, 19] {
+        hosts.all[slow].manner = Manner::Stalled;
+    }
+    hosts.run(70);
+    assert_eq!(hosts.complete(), 21);
+    assert!(hosts.origin_pulls() as f64 <= 1.3 * CHUNKS as f64, "{}", hosts.origin_pulls());
+}
+
 // A zone is cut off in the middle of a push and comes back. Without it the others must go on, and
 // it must catch up afterwards without being served by the origin all over again.
 #[test]
--- a/node/src/direct/keeper.rs
+++ b/node/src/direct/keeper.rs
@@ -26,6 +26,7 @@
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
+use mastichaven_core::ids::RegionName;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
 use mastichaven_core::swarm::PeerPlace;
@@ -103,6 +104,7 @@
     swarm: Rc<SwarmHost>,
     place: PeerPlace,
     model: RefCell<Option<ModelShape>>,
+    origin_region: RefCell<Option<RegionName>>,
     newest: Cell<Option<(u64, Time)>>,
     versions: RefCell<Versions>,
     /// This host's place among the hosts that load, and their number.
@@ -143,6 +145,7 @@
         swarm: Rc::new(swarm),
         place,
         model: RefCell::default(),
+        origin_region: RefCell::default(),
         newest: Cell::new(None),
         versions: RefCell::new(Versions::first(0)),
         rank: Cell::new((0, 1)),
@@ -221,6 +224,9 @@
         };
         let origin = catalog.origin();
         self.swarm.set_origin(origin.map(|origin| origin.address));
+        // Chunks that first go to another region than the origin's cross one more border.
+        let region = origin.and_then(|origin| self.cfg.regions.get(&origin.zone).cloned());
+        *self.origin_region.borrow_mut() = region;
         *self.model.borrow_mut() = self.model_in(&catalog);
         let may_cut = self.cfg.service.as_ref().is_some_and(|own| catalog.is_all_resumable(own));
         self.may_cut.set(may_cut);
@@ -267,7 +273,7 @@
         places.sort_by_key(|(place, _)| Digest::of(place.host.as_str().as_bytes()));
         let rank = places.iter().position(|(place, _)| place.host == self.place.host);
         self.rank.set((rank.unwrap_or(0) as u32, places.len() as u32));
-        self.swarm.set_peers(&places, None);
+        self.swarm.set_peers(&places, self.origin_region.borrow().as_ref());
     }
 
     /// Asks the store for the newest version; the first one needs no entry there.
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -114,11 +114,13 @@
 /// that is squeezed to a tenth for ten times as long.
 pub const PIECE_LEN: usize = 8 << 10;
 
-/// Pieces under way out of a host at once. A piece waits on two links; two left them half empty.
-pub const PIECES_OUT: usize = 3;
+/// Pieces under way out of a host at once. A piece waits on two links in turn, so with few pieces the
+/// links are often idle: 3 out and 4 in used 61% of them, 6 and 8 some 70%, 8 and 10 no more. The last
+/// of six waits for 52 ms, which events of streams on the link may, too.
+pub const PIECES_OUT: usize = 6;
 
 /// Pieces under way into a host at once: more, as some peers are busy.
-pub const PIECES_IN: usize = 4;
+pub const PIECES_IN: usize = 8;
 
 /// How long a piece may keep others from the link.
 const PIECE_WITHIN: Duration = Duration::from_millis(1_000);
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -70,14 +70,18 @@
 const ENDPOINT_STARTS_WITHIN: Duration = Duration::from_secs(3);
 
 /// Chunks under way at once. What fills the link is bounded by pieces; more chunks than pieces keep it
-/// busy while some peers are slow. One at a time from the origin, as each of its chunks then comes
-/// early and goes on to others while the next is on its way.
-const PACE: Pace = Pace { alone: 6, beside_requests: 4, from_origin: 1 };
+/// busy while some peers are slow. Two at a time from the origin keep its link busy.
+const PACE: Pace = Pace { alone: 10, beside_requests: 8, from_origin: 2 };
 
 /// Longest wait before an origin that failed is asked again. An outage of 6 s with the swarm's usual
 /// 16 s left all hosts without the version for 20 s.
 const ORIGIN_RETRY_LONGEST: Duration = Duration::from_millis(800);
 
+/// Share of a version's chunks near from which on it is still finished when a newer one is named. What
+/// is near comes from peers, also while the origin is down: then the newer version cannot come, and
+/// without the older one no endpoint may answer once the one before that has passed its bound.
+const KEPT_SHARE: f64 = 0.7;
+
 /// Bytes of an origin's answer at most.
 const MAX_ANSWER_LEN: usize = 4 << 20;
 
@@ -135,12 +139,6 @@
     fn is_complete(&self) -> bool {
         self.chunks.as_ref().is_some_and(|chunks| chunks.missing() == 0)
     }
-
-    /// Whether little enough is missing that a newer version is better pulled beside it than in its
-    /// place. Chunks that all hosts nearly have come from peers even while the origin is down.
-    fn is_nearly_complete(&self) -> bool {
-        self.chunks.as_ref().is_some_and(|chunks| chunks.missing() * 2 <= chunks.have.len())
-    }
 }
 
 /// The swarm of one agent with its sockets.
@@ -208,8 +206,8 @@
         self.origin.set(origin);
     }
 
-    /// The version that this host is to have. The one before it goes on only if it is nearly here and
-    /// `held`, what the endpoint has loaded, is older.
+    /// The version that this host is to have. The one before it goes on beside it only if most of it is
+    /// near and `held`, what the endpoint has loaded, is older.
     pub fn want(&self, model: &SmolStr, version: u64, held: Option<u64>) {
         let digest = version_digest(model, version);
         let target = Target { model: model.clone(), version, digest };
@@ -219,7 +217,8 @@
         }
         pulls.truncate(1);
         let is_held = |pull: &Pull| held.is_some_and(|held| held >= pull.target.version);
-        pulls.retain(|pull| pull.is_nearly_complete() && !is_held(pull));
+        let share = |pull: &Pull| self.swarm.borrow().near_share(pull.target.digest);
+        pulls.retain(|pull| !is_held(pull) && share(pull) >= KEPT_SHARE);
         pulls.push(Pull::new(target, self.clock.now()));
         drop(pulls);
         self.follow_pulls();
