--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -29,9 +29,16 @@
 const REPORT_VALID: Duration = Duration::from_millis(400);
 
 /// Requests beyond its slots that an endpoint may hold. With about 1.1 s a request on 16 slots, one
-/// slot frees every 70 ms, so the last in a queue of four starts after 280 ms: inside an objective
-/// of 400 ms.
-pub const QUEUE_PLACES: u32 = 4;
+/// slot frees every 70 ms. Under lasting overload every queue is full, so the last place decides when
+/// all requests start: with four places half of all first events came after 500 ms, later than an
+/// objective of 400 ms, and nearly all answers were late; with one they come in time, and what has no
+/// place is refused at once.
+pub const QUEUE_PLACES: u32 = 1;
+
+/// Free places that all entries together may take for each one that a report shows. Entries that saw
+/// the same report each take a part; most have nothing to send just then, so the parts add up to more
+/// than one. With 1.5 requests went to other regions for want of a part while places stayed free.
+const OVERBOOKED: f64 = 3.0;
 
 /// Load, in requests, that an endpoint of another zone of the region may have less before it is
 /// preferred, and one of another region. A request that crosses a region costs about 2% of its worth
@@ -111,6 +118,8 @@
 struct Load {
     at: Time,
     others: u32,
+    /// Requests that this entry may still send on the strength of this report.
+    places: u32,
     accepts: bool,
     asked: Time,
     round_trip: Duration,
@@ -264,15 +273,18 @@
     }
 
     /// An agent reported on the endpoint at `address` in answer to what it was asked at `asked`, over
-    /// a way that took `round_trip` there and back. Reports of another life are ignored.
+    /// a way that took `round_trip` there and back. Reports of another life are ignored. `draw` from 0
+    /// to 1 decides whether this entry gets a place that is too few to share.
     pub fn reported(
         &mut self,
         address: SocketAddr,
         report: &LoadReport,
         asked: Time,
         round_trip: Duration,
+        draw: f64,
         now: Time,
     ) {
+        let entries = f64::from(self.entries);
         let found = self.endpoints.iter().find(|(_, endpoint)| endpoint.listed.address == address);
         let Some(key) = found.map(|(key, _)| key) else {
             return;
@@ -287,7 +299,13 @@
         }
         let total = report.running + report.waiting;
         let others = total.saturating_sub(endpoint.own);
-        endpoint.load = Some(Load { at: now, others, accepts: report.accepts, asked, round_trip });
+        // All entries see a place that has become free at the same moment. If each took it, an endpoint
+        // that was just full would have a queue of as many requests as there are entries.
+        let free = (endpoint.listed.slots + QUEUE_PLACES).saturating_sub(total);
+        let part = f64::from(free) * (OVERBOOKED / entries).min(1.0);
+        let places = (part + draw).floor() as u32;
+        let accepts = report.accepts;
+        endpoint.load = Some(Load { at: now, others, places, accepts, asked, round_trip });
         endpoint.listed.weights.clone_from(&report.weights);
     }
 
@@ -412,7 +430,7 @@
             return None;
         }
         let load = endpoint.load.as_ref().filter(|load| !now.passed(load.at, REPORT_VALID));
-        if load.is_some_and(|load| !load.accepts) {
+        if load.is_some_and(|load| !load.accepts || load.places == 0) {
             return None;
         }
         let room = endpoint.listed.slots + QUEUE_PLACES;
@@ -446,6 +464,9 @@
     pub fn sent(&mut self, key: EndpointKey, now: Time) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.own += 1;
+            if let Some(load) = &mut endpoint.load {
+                load.places = load.places.saturating_sub(1);
+            }
             endpoint.cold_sends.sent(now);
             endpoint.recent.sent(now);
         }
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -18,6 +18,8 @@
 
 const SLOTS: u32 = 16;
 const NEAR: Duration = Duration::from_millis(3);
+/// Gives an entry every place that is shared by drawing.
+const DRAW: f64 = 0.99;
 
 fn now(ms: u64) -> Time {
     Time::from_millis(ms)
@@ -86,10 +88,10 @@
     let mut roster = roster();
     roster.put(listed(1, "lagoa"), now(0));
     roster.put(listed(2, "serra"), now(0));
-    roster.reported(address(1), &report(6), now(0), NEAR, now(0));
-    roster.reported(address(2), &report(6), now(0), NEAR, now(0));
+    roster.reported(address(1), &report(6), now(0), NEAR, DRAW, now(0));
+    roster.reported(address(2), &report(6), now(0), NEAR, DRAW, now(0));
     assert_eq!(chosen(&mut roster, now(1)), "i-1");
-    roster.reported(address(1), &report(15), now(2), NEAR, now(2));
+    roster.reported(address(1), &report(15), now(2), NEAR, DRAW, now(2));
     assert_eq!(chosen(&mut roster, now(3)), "i-2");
 }
 
@@ -104,7 +106,7 @@
         for n in 1..=8 {
             roster.put(listed(n, "lagoa"), now(0));
             let running = if n == 1 { 0 } else { 10 };
-            roster.reported(address(n), &report(running), now(0), NEAR, now(0));
+            roster.reported(address(n), &report(running), now(0), NEAR, DRAW, now(0));
         }
         for ms in [10, 40, 70, 100] {
             let key = choose(&mut roster, now(ms)).expect("an endpoint");
@@ -122,7 +124,7 @@
     let mut roster = roster();
     for n in 1..=4 {
         roster.put(listed(n, "lagoa"), now(0));
-        roster.reported(address(n), &report(4), now(0), NEAR, now(0));
+        roster.reported(address(n), &report(4), now(0), NEAR, DRAW, now(0));
     }
     let mut sent: HashMap<String, u32> = HashMap::new();
     for _ in 0..32 {
@@ -139,9 +141,9 @@
 fn choose_refuses_when_all_are_full() {
     let mut roster = roster();
     roster.put(listed(1, "lagoa"), now(0));
-    roster.reported(address(1), &report(SLOTS + QUEUE_PLACES), now(0), NEAR, now(0));
+    roster.reported(address(1), &report(SLOTS + QUEUE_PLACES), now(0), NEAR, DRAW, now(0));
     assert_eq!(choose(&mut roster, now(1)), Err(Unavailable::Full));
-    roster.reported(address(1), &report(SLOTS), now(2), NEAR, now(2));
+    roster.reported(address(1), &report(SLOTS), now(2), NEAR, DRAW, now(2));
     assert!(choose(&mut roster, now(3)).is_ok());
 }
 
@@ -165,7 +167,7 @@
     roster.put(Listed { weights: Vec::new(), ..listed(1, "lagoa") }, now(0));
     assert_eq!(choose(&mut roster, now(1)), Err(Unavailable::None));
     // Its agent tells of the weights before the list does.
-    roster.reported(address(1), &report(0), now(2), NEAR, now(2));
+    roster.reported(address(1), &report(0), now(2), NEAR, DRAW, now(2));
     assert!(choose(&mut roster, now(3)).is_ok());
 }
 
@@ -176,7 +178,7 @@
     let mut roster = roster();
     roster.put(listed(1, "lagoa"), now(0));
     let empty = LoadReport { weights: Vec::new(), ..report(0) };
-    roster.reported(address(1), &empty, now(0), NEAR, now(0));
+    roster.reported(address(1), &empty, now(0), NEAR, DRAW, now(0));
     roster.put(listed(1, "lagoa"), now(100));
     assert_eq!(choose(&mut roster, now(101)), Err(Unavailable::None));
     // Without reports the list is all there is.
@@ -191,8 +193,8 @@
     let mut roster = roster();
     roster.put(listed(1, "lagoa"), now(0));
     roster.put(listed(2, "litoral"), now(0));
-    roster.reported(address(1), &report(0), now(0), Duration::from_millis(400), now(0));
-    roster.reported(address(2), &report(12), now(0), NEAR, now(0));
+    roster.reported(address(1), &report(0), now(0), Duration::from_millis(400), DRAW, now(0));
+    roster.reported(address(2), &report(12), now(0), NEAR, DRAW, now(0));
     assert_eq!(chosen(&mut roster, now(1)), "i-2");
 }
 
@@ -203,8 +205,8 @@
     let mut roster = roster();
     roster.put(listed(1, "lagoa"), now(0));
     roster.put(listed(2, "litoral"), now(0));
-    roster.reported(address(1), &report(0), now(0), NEAR, now(1_000));
-    roster.reported(address(2), &report(12), now(900), NEAR, now(1_000));
+    roster.reported(address(1), &report(0), now(0), NEAR, DRAW, now(1_000));
+    roster.reported(address(2), &report(12), now(900), NEAR, DRAW, now(1_000));
     assert_eq!(chosen(&mut roster, now(1_001)), "i-2");
 }
 
@@ -216,13 +218,13 @@
     roster.put(listed(1, "lagoa"), now(0));
     roster.put(listed(2, "serra"), now(0));
     for at in [0, 10] {
-        roster.reported(address(1), &report(0), now(at), NEAR, now(at));
-        roster.reported(address(2), &report(10), now(at), NEAR, now(at));
+        roster.reported(address(1), &report(0), now(at), NEAR, DRAW, now(at));
+        roster.reported(address(2), &report(10), now(at), NEAR, DRAW, now(at));
         let key = choose(&mut roster, now(at)).expect("an endpoint");
         roster.failed(key, true, now(at));
     }
-    roster.reported(address(1), &report(0), now(20), NEAR, now(20));
-    roster.reported(address(2), &report(10), now(20), NEAR, now(20));
+    roster.reported(address(1), &report(0), now(20), NEAR, DRAW, now(20));
+    roster.reported(address(2), &report(10), now(20), NEAR, DRAW, now(20));
     assert_eq!(chosen(&mut roster, now(30)), "i-2");
 }
 
@@ -236,8 +238,8 @@
     roster.failed(first, true, now(0));
     roster.failed(first, true, now(0));
     let id = roster.get(first).expect("listed").id.to_string();
-    roster.reported(address(1), &report(0), now(2_000), NEAR, now(2_000));
-    roster.reported(address(2), &report(10), now(2_000), NEAR, now(2_000));
+    roster.reported(address(1), &report(0), now(2_000), NEAR, DRAW, now(2_000));
+    roster.reported(address(2), &report(10), now(2_000), NEAR, DRAW, now(2_000));
     assert_eq!(chosen(&mut roster, now(2_001)), id);
     roster.sent(first, now(2_001));
     assert_ne!(chosen(&mut roster, now(2_002)), id);
@@ -254,12 +256,12 @@
     roster.put(listed(1, "lagoa"), now(0));
     let key = choose(&mut roster, now(0)).expect("an endpoint");
     let loading = LoadReport { accepts: false, ..report(5) };
-    roster.reported(address(1), &loading, now(10), NEAR, now(10));
+    roster.reported(address(1), &loading, now(10), NEAR, DRAW, now(10));
     assert_eq!(choose(&mut roster, now(11)), Err(Unavailable::Full));
     for _ in 0..5 {
         roster.failed(key, true, now(20));
     }
-    roster.reported(address(1), &report(0), now(30), NEAR, now(30));
+    roster.reported(address(1), &report(0), now(30), NEAR, DRAW, now(30));
     assert_eq!(chosen(&mut roster, now(31)), "i-1");
 }
 
@@ -270,8 +272,8 @@
     let mut roster = roster();
     roster.put(listed(1, "lagoa"), now(0));
     roster.put(listed(2, "serra"), now(0));
-    roster.reported(address(1), &report(0), now(0), NEAR, now(0));
-    roster.reported(address(2), &report(0), now(0), NEAR, now(0));
+    roster.reported(address(1), &report(0), now(0), NEAR, DRAW, now(0));
+    roster.reported(address(2), &report(0), now(0), NEAR, DRAW, now(0));
     assert!(choose(&mut roster, now(5_000)).is_ok());
 }
 
@@ -285,3 +287,28 @@
     assert!(roster.get(before).is_none());
     assert_eq!(roster.len(), 1);
 }
+
+// Under lasting overload all endpoints are full, and whenever a request ends all entries learn of the
+// place at the same moment. Were each to send a request there, the queue would be as long as there
+// are entries, first events would come after the objective, and callers would wait for late answers.
+#[test]
+fn choose_shares_last_place_among_entries() {
+    let entries = 8;
+    let mut sent = 0;
+    let reports = 200;
+    for n in 0..reports {
+        for entry in 0..entries {
+            let mut roster = roster();
+            roster.set_entries(entries);
+            roster.put(listed(1, "lagoa"), now(0));
+            let draw = f64::from((n * 7 + entry * 25) % 200) / 200.0;
+            roster.reported(address(1), &report(SLOTS), now(0), NEAR, draw, now(0));
+            while let Ok(key) = choose(&mut roster, now(1)) {
+                roster.sent(key, now(1));
+                sent += 1;
+            }
+        }
+    }
+    let a_report = f64::from(sent) / f64::from(reports);
+    assert!((1.0..=3.1).contains(&a_report), "{a_report} requests for one place");
+}
--- a/node/src/direct/loads.rs
+++ b/node/src/direct/loads.rs
@@ -11,6 +11,7 @@
 
 use mastichaven_core::Time;
 use mastichaven_core::direct::roster::LoadReport;
+use rand::RngExt;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -75,11 +76,12 @@
         counts.insert(address, (told.report.entries, now));
         counts.retain(|_, (_, at)| !now.passed(*at, COUNT_VALID));
         let entries = counts.values().map(|(count, _)| *count).max().unwrap_or(1);
+        let draw = state.with_rng(|rng| rng.random::<f64>());
         let mut roster = state.roster.borrow_mut();
         roster.set_entries(entries);
         let asked = Time::from_micros(told.asked_us);
         let round_trip = now.since(Time::from_micros(told.asked_us.saturating_add(told.held_us)));
-        roster.reported(address, &told.report, asked, round_trip, now);
+        roster.reported(address, &told.report, asked, round_trip, draw, now);
         drop(roster);
         state.freed.notify_one();
     }
