--- a/node/src/direct/feed.rs
+++ b/node/src/direct/feed.rs
@@ -16,7 +16,6 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::feed::News;
 use mastichaven_core::direct::feed::Told;
-use mastichaven_core::direct::feed::before;
 use rand::RngExt;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -288,8 +287,7 @@
                     slog::info!(state.log, "following"; "watcher" => from.to_string());
                     early.drain(..).for_each(|news| state.learn(news));
                 }
-                let confirmed = ages.config.and_then(|age| before(asked, age));
-                confirmed.into_iter().for_each(|at| state.freshness.borrow_mut().confirm(at));
+                state.confirm(asked, &ages);
             }
         }
     }
--- a/node/src/direct/knowledge.rs
+++ b/node/src/direct/knowledge.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::Catalog;
@@ -70,6 +71,22 @@
         }
     }
 
+    /// A watcher told how old its knowledge is, in answer to what it was asked at `asked`.
+    pub fn confirm(&self, asked: Time, ages: &Ages) {
+        let seen = |age: Option<Duration>| age.and_then(|age| before(asked, age));
+        if let Some(at) = seen(ages.config) {
+            self.freshness.borrow_mut().confirm(at);
+        }
+        let kinds = [
+            (Kind::Config, ages.config),
+            (Kind::Endpoints, ages.endpoints),
+            (Kind::Evacuations, ages.evacuations),
+            (Kind::Weights, ages.weights),
+        ];
+        let mut confirmed = self.confirmed.borrow_mut();
+        confirmed.extend(kinds.into_iter().filter_map(|(kind, age)| Some((kind, seen(age)?))));
+    }
+
     /// A configuration never gives way to an older one, whichever way either came.
     fn learn_config(&self, catalog: Catalog) {
         let mut current = self.catalog.borrow_mut();
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -105,8 +105,9 @@
             match self.client.list(self.kind, false).await {
                 Ok(_) if self.state.is_following.get() => {}
                 Ok((objects, revision)) => {
+                    let unseen_for = self.unseen_for(sent);
                     self.answered(sent);
-                    self.take_all(&objects);
+                    self.take_all(&objects, unseen_for);
                     self.watch_from(revision).await;
                 }
                 Err(e) => self.failed(e).await,
@@ -114,6 +115,16 @@
         }
     }
 
+    /// How long what a list shows may have been there unseen; `None` for the first list in this life.
+    ///
+    /// A version of weights counts from its naming. Were one that a later list shows to count as old,
+    /// older ones would be barred at once, and after each outage of the store callers would be refused
+    /// for want of weights. While the store is away no time counts.
+    fn unseen_for(&self, sent: Time) -> Option<Duration> {
+        let seen = self.state.confirmed.borrow().get(&self.kind).copied()?;
+        Some(if self.is_lost { Duration::ZERO } else { sent.since(seen) })
+    }
+
     /// Watches from `revision` on until its history is gone.
     async fn watch_from(&mut self, mut revision: u64) {
         let mut probe = false;
@@ -192,7 +203,7 @@
         self.pause = (self.pause * 2).min(PAUSE_LONGEST);
     }
 
-    fn take_all(&mut self, objects: &[Object]) {
+    fn take_all(&mut self, objects: &[Object], unseen_for: Option<Duration>) {
         match self.kind {
             Kind::Config => objects.iter().for_each(|object| self.take_config(object)),
             Kind::Endpoints => self.take_endpoints(objects),
@@ -200,7 +211,9 @@
                 self.evacuated = objects.iter().map(|object| object.name.clone()).collect();
                 self.set_evacuated();
             }
-            Kind::Weights => objects.iter().for_each(|object| self.take_weights(object, None)),
+            Kind::Weights => {
+                objects.iter().for_each(|object| self.take_weights(object, unseen_for))
+            }
         }
         slog::info!(self.state.log, "listed"; "kind" => self.kind.as_str(),
             "objects" => objects.len());
@@ -290,7 +303,7 @@
         self.state.learn(News::Evacuated(zones));
     }
 
-    /// `ago` is `None` for what the first list shows: how long it has been named is unknown then.
+    /// `ago` is `None` where nobody knows how long the version has been named.
     fn take_weights(&mut self, object: &Object, ago: Option<Duration>) {
         let Some(newest) = weights::scan_newest(object) else {
             slog::warn!(self.state.log, "weights cannot be read"; "name" => object.name.as_str());
--- a/node/tests/direct/feed.rs
+++ b/node/tests/direct/feed.rs
@@ -106,3 +106,23 @@
     assert!(!is_unready);
     assert!(!pair.follows() && pair.takes_key("key-1"));
 }
+
+// The store is away while a version is named, and has forgotten its history when it is back, so the
+// entry learns of the version from a list. Taken for one that has long been named, it would bar all
+// endpoints that have not loaded it yet, and callers would be refused though they may be served.
+#[test]
+fn version_named_while_the_store_is_away_counts_from_its_return() {
+    let site = Site::start();
+    let _engine = site.endpoint("i-w", "writer", Some(1));
+    let entry = site.entry("away");
+    let is_served =
+        || entry.ask("/stream/a", "s", "key-1").is_ok_and(|answer| answer.status == 200);
+    until("served", is_served);
+    site.store.set_fault(StoreFault::Silent);
+    site.store.put("versions", "m", serde_json::json!({"model": "m", "version": 2}));
+    site.store.compact();
+    std::thread::sleep(Duration::from_millis(2_500));
+    site.store.set_fault(StoreFault::None);
+    until("the version is known", || entry.dump()["weights"]["m"] == 2);
+    assert!(is_served());
+}
