Entries that start late learn from others since when versions are named

Change: a follower is told the age of each version and dates its own; without any version known before, all older ones stay allowed until the bound.

--- a/core/src/direct/versions.rs
+++ b/core/src/direct/versions.rs
@@ -35,6 +35,27 @@
         true
     }
 
+    /// Another process knows that a version was named at `at`.
+    ///
+    /// A process that has just started finds the newest version without knowing since when, and takes it
+    /// as long named. It believes one that knows better, also of versions between.
+    pub fn date(&mut self, version: u64, at: Time) {
+        let n = self.named.partition_point(|(known, _)| *known < version);
+        match self.named.get(n) {
+            Some((known, None)) if *known == version && version > 0 => {
+                self.named[n].1 = Some(at);
+            }
+            Some((known, None)) if *known > version && self.named.len() < MAX_NAMED => {
+                self.named.insert(n, (version, Some(at)));
+            }
+            _ => return,
+        }
+        if n == 0 {
+            // Whatever came before may answer until the bound of this one.
+            self.named.insert(0, (0, None));
+        }
+    }
+
     /// The newest version.
     pub fn newest(&self) -> u64 {
         self.named.last().map_or(0, |(version, _)| *version)
--- a/core/tests/direct/versions.rs
+++ b/core/tests/direct/versions.rs
@@ -39,3 +39,18 @@
     assert_eq!(versions.outdated_since(2), Some(at(14)));
     assert_eq!(versions.outdated_since(3), None);
 }
+
+// An entry starts while versions 2 and 3 are on their way, finds 3 in the store and cannot know since
+// when. If it did not believe another entry that does, it would refuse callers whom endpoints with
+// version 1 may still answer.
+#[test]
+fn date_corrects_what_a_late_start_found() {
+    let bound = Duration::from_secs(8);
+    let mut versions = Versions::first(3);
+    assert_eq!(versions.oldest_allowed(bound, Time::from_millis(20_000)), 3);
+    versions.date(2, Time::from_millis(13_000));
+    versions.date(3, Time::from_millis(16_000));
+    assert_eq!(versions.newest(), 3);
+    let oldest = |ms| versions.oldest_allowed(bound, Time::from_millis(ms));
+    assert_eq!([oldest(20_000), oldest(21_000), oldest(24_000)], [0, 2, 3]);
+}
--- a/node/src/direct/knowledge.rs
+++ b/node/src/direct/knowledge.rs
@@ -21,7 +21,7 @@
 impl State {
     /// Takes in news and passes it on to the entries that follow this one.
     pub fn learn(&self, news: News) {
-        if !self.is_following.get() {
+        if !self.is_following.get() && !self.is_old(&news) {
             self.feed.publish(&news);
         }
         match news {
@@ -38,6 +38,16 @@
         }
     }
 
+    /// Whether the news tells a version of weights that is known. Followers date versions by what they
+    /// are told, and an object that is written again was not named again.
+    fn is_old(&self, news: &News) -> bool {
+        let News::Weights { model, version, .. } = news else {
+            return false;
+        };
+        let versions = self.versions.borrow();
+        versions.get(model).is_some_and(|versions| versions.newest() >= *version)
+    }
+
     /// All that is known now, for an entry that begins to follow this one.
     pub fn all_news(&self) -> Vec<News> {
         let now = self.now();
@@ -145,9 +155,16 @@
     fn learn_weights(&self, model: &SmolStr, version: u64, named_at: Option<Time>) {
         let mut known = self.versions.borrow_mut();
         let is_news = match (known.get_mut(model), named_at) {
+            (Some(versions), Some(at))
+                if self.is_following.get() && versions.newest() >= version =>
+            {
+                versions.date(version, at);
+                false
+            }
             (Some(versions), _) => versions.name(version, named_at.unwrap_or(self.now())),
             (None, Some(at)) => {
-                let mut versions = Versions::first(version.saturating_sub(1));
+                // None was named when the store was read before, so any older one may answer.
+                let mut versions = Versions::first(0);
                 versions.name(version, at);
                 known.insert(model.clone(), versions);
                 true
