--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -25,6 +25,11 @@
     }
 }
 
+/// What the boot-time clock shows when a process starts. Other processes tell it of things that
+/// happened before; were such moments cut off at its start, a version of weights named long ago would
+/// count as new, and requests would begin on older ones past their bound.
+const BEFORE_START: Duration = Duration::from_secs(3_600);
+
 /// Reads the clock that goes on while the host is suspended.
 ///
 /// The monotonic clock stands still meanwhile: a lease that it measures would still seem valid after
@@ -42,7 +47,7 @@
 
     /// The present time.
     pub fn now(&self) -> Time {
-        let passed = since_boot().saturating_sub(self.start);
+        let passed = BEFORE_START + since_boot().saturating_sub(self.start);
         Time::from_micros(u64::try_from(passed.as_micros()).unwrap_or(u64::MAX))
     }
 }
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -39,6 +39,11 @@
 /// endpoint, drawn at random so that callers do not all return at once.
 const RETRY_AFTER_S: std::ops::Range<f64> = 0.15..0.45;
 
+/// Part of a caller's time after which it is asked to come back when no endpoint may serve it at all.
+/// That lasts seconds: weights are loaded, a zone is out, endpoints start again. Callers wait up to a
+/// third of their time, and most come back once, so an early return would be refused again.
+const RETRY_AFTER_PART: std::ops::Range<f64> = 0.25..0.33;
+
 /// Why a request does not pass.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Barred {
@@ -84,7 +89,8 @@
         Ok(call) => forward_call(&state, Rc::new(call)).await,
         Err(barred) => {
             log_end(&state, &head, arrived, barred.status(), barred.as_str(), &Trail::default());
-            refuse(&state, barred.status(), barred.as_str())
+            let seconds = state.with_rng(|rng| rng.random_range(RETRY_AFTER_S));
+            refuse(barred.status(), barred.as_str(), seconds)
         }
     };
     if state.is_stopping.get() {
@@ -167,20 +173,29 @@
         }
         Err(refusal) => {
             log_end(state, &call.head, call.arrived, refusal.status(), refusal.as_str(), &trail);
-            refuse(state, refusal.status(), refusal.as_str())
+            let seconds = retry_after(state, refusal, call.deadline.since(state.now()));
+            refuse(refusal.status(), refusal.as_str(), seconds)
         }
     }
 }
 
+/// Seconds after which a refused caller with `left` of its time is asked to come back.
+fn retry_after(state: &State, refusal: Refusal, left: Duration) -> f64 {
+    let soon = state.with_rng(|rng| rng.random_range(RETRY_AFTER_S));
+    if refusal != Refusal::NoEndpoint {
+        return soon;
+    }
+    let part = state.with_rng(|rng| rng.random_range(RETRY_AFTER_PART));
+    soon.max(left.as_secs_f64() * part)
+}
+
 /// An answer of this entry's own. 503 always names a time to come back.
-fn refuse(state: &State, status: StatusCode, reason: &'static str) -> Response<AnswerBody> {
+fn refuse(status: StatusCode, reason: &'static str, retry_after_s: f64) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::whole(Bytes::from_static(reason.as_bytes())));
     *response.status_mut() = status;
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        let seconds = state.with_rng(|rng| rng.random_range(RETRY_AFTER_S));
-        if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.2}")) {
-            response.headers_mut().insert(header::RETRY_AFTER, value);
-        }
+    let value = HeaderValue::from_str(&format!("{retry_after_s:.2}"));
+    if let Some(value) = value.ok().filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
     }
     response
 }
--- a/node/tests/direct/feed.rs
+++ b/node/tests/direct/feed.rs
@@ -126,3 +126,24 @@
     until("the version is known", || entry.dump()["weights"]["m"] == 2);
     assert!(is_served());
 }
+
+// An entry starts seconds after a version was named and learns its age from the watcher. Were the naming
+// dated to the start of its process, it would send requests to endpoints with the older version past
+// the bound, while all other entries refuse them.
+#[test]
+fn version_named_before_the_start_keeps_its_age() {
+    let site = Site::start();
+    site.origin.set_down(true);
+    let engine = site.endpoint("i-w", "writer", Some(1));
+    let _agent = site.agent("early-agent", &engine);
+    let watcher = site.entry("early-watcher");
+    site.store.put("versions", "m", serde_json::json!({"model": "m", "version": 2}));
+    let is_served = |entry: &Entry| {
+        entry.ask("/stream/a", "s", "key-1").is_ok_and(|answer| answer.status == 200)
+    };
+    until("the version is known", || watcher.dump()["weights"]["m"] == 2);
+    until("the older one is barred", || !is_served(&watcher));
+    let late = site.entry("early-late");
+    until("it follows", || late.dump()["follows"] == true);
+    assert!(!is_served(&late));
+}
