--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -2,8 +2,10 @@
 //! the weights and the load report of the endpoint beside it.
 //!
 //! A request enters through [`gateway`]; [`forward`] chooses endpoints for it, `attempt` sends it to
-//! one over a connection of [`pool`], and `stream` passes events on to the body of [`relay`]. What an entry knows comes from the platform's store by [`watch`]
-//! and from agents by [`loads`]. The agent's part is [`keeper`], with [`swarm`] and [`staging`].
+//! one over a connection of [`pool`], and `stream` passes events on to the body of [`relay`]. What an
+//! entry knows comes from the platform's store by [`watch`], or from the entry that watches it by
+//! [`feed`], into `knowledge`, and from agents by [`loads`]. The agent's part is [`keeper`], with
+//! [`swarm`] and [`staging`].
 
 mod attempt;
 pub mod entry;
