--- a/node/src/direct/entry.rs
+++ b/node/src/direct/entry.rs
@@ -87,6 +87,11 @@
     }
 }
 
+/// Listens at `at`; the error names the address, as an entry listens at four.
+async fn listen(at: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(at).await.map_err(|e| io::Error::new(e.kind(), format!("{at}: {e}")))
+}
+
 /// Runs an entry until SIGTERM and the end of what is in progress.
 pub async fn run(cfg: DirectSettings) -> Result<()> {
     let callers_at = cfg.callers.ok_or_else(|| missing("callers"))?;
@@ -94,11 +99,11 @@
     let log = EventLog::start(cfg.host.as_str())?;
     let mut stop = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
-    let callers_listener = TcpListener::bind(callers_at).await?;
-    let ready_listener = TcpListener::bind(ready_at).await?;
+    let callers_listener = listen(callers_at).await?;
+    let ready_listener = listen(ready_at).await?;
     let metrics_at = SocketAddr::new(cfg.ip, cfg.metrics_port);
-    let metrics_listener = TcpListener::bind(metrics_at).await?;
-    let feed_listener = TcpListener::bind(SocketAddr::new(cfg.ip, cfg.agent_port)).await?;
+    let metrics_listener = listen(metrics_at).await?;
+    let feed_listener = listen(SocketAddr::new(cfg.ip, cfg.agent_port)).await?;
     let loads_socket = UdpSocket::bind(SocketAddr::new(cfg.ip, 0)).await?;
     let state = Rc::new(State::new(cfg, log.root.clone(), ENTRIES_AT_START));
     slog::info!(state.log, "started"; "zone" => state.cfg.zone.as_str());
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -160,6 +160,16 @@
         ports.into_iter().find(|port| *port != self.agent_port).expect("two different ports")
     }
 
+    /// Free ports that leave the one of agents alone: entries listen there, too, for their followers.
+    fn ports_of_entry(&self, ip: &str) -> [u16; 3] {
+        loop {
+            let ports = free_ports(ip);
+            if !ports.contains(&self.agent_port) {
+                return ports;
+            }
+        }
+    }
+
     /// Lists an endpoint as ready or draining.
     pub fn list(&self, id: &str, service: &str, endpoint: &ServedEndpoint, state: &str) {
         self.store.put(site::ENDPOINTS, id, endpoint.entry(service, "zone-a", state));
@@ -189,7 +199,7 @@
     /// Starts an entry.
     pub fn entry_unready(&self, name: &str) -> Entry {
         let ip = new_ip();
-        let [callers, ready, metrics_port] = free_ports(&ip);
+        let [callers, ready, metrics_port] = self.ports_of_entry(&ip);
         let at = |port| SocketAddr::new(ip.parse().expect("an IP"), port);
         let (callers, ready) = (at(callers), at(ready));
         let own = format!("callers = \"{callers}\"\nready = \"{ready}\"");
