Cold endpoints get turns dealt in time; lapsed endpoints are not told as listed

Turns are dealt in time now, placed at random; counts of entries are believed after a second and by the highest of two. The property test failed with the shares it replaces from 40 entries on.

Lapsed endpoints are told apart now: who knows them keeps them, nobody takes them up.

--- a/core/src/direct/feed.rs
+++ b/core/src/direct/feed.rs
@@ -25,7 +25,13 @@
     /// The configuration.
     Config(Box<CatalogParts>),
     /// All endpoints that there are.
-    Endpoints(Vec<Listed>),
+    Endpoints {
+        /// Those that the store lists.
+        listed: Vec<Listed>,
+        /// Those that it no longer lists, perhaps only because they could not renew their entry while
+        /// it was away. Whoever still knows them keeps them until more is known.
+        lapsed: Vec<SmolStr>,
+    },
     /// An endpoint is new or has changed.
     EndpointPut(Box<Listed>),
     /// An endpoint is gone.
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -16,7 +16,8 @@
 use smol_str::SmolStr;
 
 use super::health::Health;
-use super::shares::ColdSends;
+use super::shares::ColdTurns;
+use super::shares::EntryCount;
 use super::shares::RecentSends;
 use crate::arena::Arena;
 use crate::arena::Key;
@@ -157,7 +158,7 @@
     cold_until: Time,
     load: Option<Load>,
     own: u32,
-    cold_sends: ColdSends,
+    cold_turns: ColdTurns,
     recent: RecentSends,
     health: Health,
     full_until: Time,
@@ -216,6 +217,7 @@
     by_service: HashMap<ServiceName, Vec<EndpointKey>>,
     evacuated: HashSet<ZoneName>,
     entries: u32,
+    entry_count: EntryCount,
 }
 
 impl Roster {
@@ -231,6 +233,7 @@
             by_service: HashMap::new(),
             evacuated: HashSet::new(),
             entries: 1,
+            entry_count: EntryCount::default(),
         }
     }
 
@@ -270,7 +273,7 @@
             cold_until,
             load: None,
             own: 0,
-            cold_sends: ColdSends::default(),
+            cold_turns: ColdTurns::default(),
             recent: RecentSends::default(),
             health: Health::default(),
             full_until: Time::ZERO,
@@ -333,11 +336,19 @@
         endpoint.listed.weights.clone_from(&report.weights);
     }
 
-    /// The number of entries that share the bounds, as the agents count them.
+    /// The number of entries that share the bounds until an agent has counted them.
     pub fn set_entries(&mut self, entries: u32) {
         self.entries = entries.max(1);
     }
 
+    /// An agent has counted the entries that ask it.
+    pub fn entries_counted(&mut self, entries: u32, now: Time) {
+        self.entry_count.counted(entries, now);
+        if let Some(highest) = self.entry_count.highest() {
+            self.entries = highest.max(1);
+        }
+    }
+
     /// The number of entries that share the bounds.
     pub fn entries(&self) -> u32 {
         self.entries
@@ -424,7 +435,10 @@
             is_any_fit = true;
             let takes = self.endpoints.get(key).is_some_and(|endpoint| endpoint.takes(now));
             is_any_healthy |= takes;
-            let Some(score) = self.score(key, need, now) else {
+            if !self.may_warm(key, need, rng, now) {
+                continue;
+            }
+            let Some(score) = self.score(key, now) else {
                 continue;
             };
             let score = score + rng.random_range(0.0..SPREAD);
@@ -454,15 +468,28 @@
         self.is_open(key) && need.regions.iter().all(in_region) && holds
     }
 
+    /// Whether an endpoint is warm, or it is this entry's turn to send it a request.
+    fn may_warm<R: Rng>(
+        &mut self,
+        key: EndpointKey,
+        need: &Need<'_>,
+        rng: &mut R,
+        now: Time,
+    ) -> bool {
+        let entries = self.entry_count.for_bounds(now);
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return false;
+        };
+        let is_cold = endpoint.cold_until > now && need.cold_per_second > 0.0;
+        let rate = need.cold_per_second;
+        !is_cold || endpoint.cold_turns.may_send(rate, entries, rng.random(), now)
+    }
+
     /// Load of an endpoint in requests, with a penalty for distance; `None` while it is full.
-    fn score(&mut self, key: EndpointKey, need: &Need<'_>, now: Time) -> Option<f64> {
+    fn score(&mut self, key: EndpointKey, now: Time) -> Option<f64> {
         let entries = self.entries;
         let (zone, region) = (self.zone.clone(), self.region.clone());
         let endpoint = self.endpoints.get_mut(key)?;
-        let is_cold = endpoint.cold_until > now && need.cold_per_second > 0.0;
-        if is_cold && !endpoint.cold_sends.may_send(need.cold_per_second, entries, now) {
-            return None;
-        }
         if endpoint.full_until > now {
             return None;
         }
@@ -504,7 +531,12 @@
             if let Some(load) = &mut endpoint.load {
                 load.places = load.places.saturating_sub(1);
             }
-            endpoint.cold_sends.sent(now);
+            if endpoint.cold_until > now {
+                endpoint.cold_turns.sent(now);
+            } else {
+                // The next cold spell draws its turns anew.
+                endpoint.cold_turns = ColdTurns::default();
+            }
             endpoint.recent.sent(now);
         }
     }
--- a/core/src/direct/shares.rs
+++ b/core/src/direct/shares.rs
@@ -48,28 +48,94 @@
     }
 }
 
-/// Requests that this entry sent to a cold endpoint within the last second.
-#[derive(Clone, Debug, Default)]
-pub struct ColdSends {
-    sent: VecDeque<Time>,
+/// Part of a cold endpoint's rate that the turns of all entries add up to. The bound itself lies at one
+/// and a half times the rate and more; the rest is for entries that are not counted yet.
+const COLD_PART: f64 = 0.8;
+
+/// How long a turn may be used once it has come. Turns that were kept would be used together, by all
+/// entries at once, as soon as the last endpoint that is not cold is gone.
+const TURN_VALID: Duration = Duration::from_millis(200);
+
+/// When this entry may send to a cold endpoint.
+///
+/// An endpoint that has just started falls over under more than a few requests a second from all
+/// entries together. With more entries than requests a share is less than one, and if each rounded it
+/// up to one, 40 entries would send 40 where 26 are allowed. So shares are dealt in time: an entry's
+/// turn comes once in as many seconds as there are entries for each request a second. Entries need not
+/// agree whose turn it is, as each draws where in that span its own turns lie: at 14 a second any number
+/// of entries send 11 in a second on average, and more than 26 less than once in a hundred thousand
+/// seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ColdTurns {
+    /// The moment from which the next turn is counted, and its distance from there in periods.
+    next: Option<(Time, f64)>,
 }
 
-/// The span over which a cold endpoint's bound counts.
-const COLD_WINDOW: Duration = Duration::from_secs(1);
-
-impl ColdSends {
-    /// Whether one more may be sent to an endpoint that bears `per_second` from `entries`.
-    ///
-    /// A share below one request a second still lets one through, as the bound has room for it.
-    pub fn may_send(&mut self, per_second: f64, entries: u32, now: Time) -> bool {
-        drop_older(&mut self.sent, now, COLD_WINDOW);
-        let share = per_second / f64::from(entries.max(1));
-        (self.sent.len() as f64) < share.max(1.0).floor()
+impl ColdTurns {
+    /// Whether a request may be sent now to an endpoint that bears `per_second` from `entries`. `draw`
+    /// from 0 to 1 places the first turn.
+    pub fn may_send(&mut self, per_second: f64, entries: u32, draw: f64, now: Time) -> bool {
+        let period = Duration::from_secs_f64(f64::from(entries.max(1)) / (per_second * COLD_PART));
+        let (from, distance) = *self.next.get_or_insert((now, draw));
+        let opens = from + period.mul_f64(distance);
+        if now < opens {
+            return false;
+        }
+        let missed = now.since(opens).div_duration_f64(period).floor();
+        let opens = opens + period.mul_f64(missed);
+        self.next = Some((opens, 0.0));
+        !now.passed(opens, TURN_VALID)
     }
 
-    /// One was sent.
+    /// A request was sent: the turn is used.
     pub fn sent(&mut self, now: Time) {
-        self.sent.push_back(now);
+        let from = self.next.map_or(now, |(opens, _)| opens);
+        self.next = Some((from, 1.0));
+    }
+}
+
+/// Entries that share a bound, as long as nobody has counted them: as many as the largest fleet has.
+const ENTRIES_UNCOUNTED: u32 = 400;
+
+/// Time from the first count until counts are believed. Entries that start together ask the agents one
+/// after the other, so the first counts are too low.
+const COUNT_SETTLES: Duration = Duration::from_millis(1_000);
+
+/// How long a count is believed. The highest one of this span holds: agents that have just started
+/// count few entries at first.
+const COUNT_VALID: Duration = Duration::from_millis(2_000);
+
+/// How many entries share the bounds, from the counts that agents tell.
+#[derive(Clone, Debug, Default)]
+pub struct EntryCount {
+    /// Counts that no later one reaches, oldest and highest first.
+    counts: VecDeque<(Time, u32)>,
+    first: Option<Time>,
+}
+
+impl EntryCount {
+    /// An agent has counted `entries`.
+    pub fn counted(&mut self, entries: u32, now: Time) {
+        self.first.get_or_insert(now);
+        while self.counts.back().is_some_and(|(_, count)| *count <= entries) {
+            self.counts.pop_back();
+        }
+        self.counts.push_back((now, entries));
+        while self.counts.len() > 1 && now.passed(self.counts[0].0, COUNT_VALID) {
+            self.counts.pop_front();
+        }
+    }
+
+    /// The highest count that is still believed, `None` before the first.
+    pub fn highest(&self) -> Option<u32> {
+        self.counts.front().map(|(_, count)| *count)
+    }
+
+    /// Entries that a bound which must hold is shared among.
+    pub fn for_bounds(&self, now: Time) -> u32 {
+        let is_settled = self.first.is_some_and(|at| now.passed(at, COUNT_SETTLES));
+        let highest = self.highest().unwrap_or(ENTRIES_UNCOUNTED);
+        if is_settled { highest.max(1) } else { ENTRIES_UNCOUNTED }
     }
 }
 
--- a/core/tests/direct/shares.rs
+++ b/core/tests/direct/shares.rs
@@ -1,10 +1,14 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
-use mastichaven_core::direct::shares::ColdSends;
+use mastichaven_core::direct::shares::ColdTurns;
+use mastichaven_core::direct::shares::EntryCount;
 use mastichaven_core::direct::shares::RepeatBudget;
 use proptest::prop_assert;
 use proptest::proptest;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 const WINDOW: Duration = Duration::from_secs(10);
 const RATIO: f64 = 0.2;
@@ -47,17 +51,86 @@
 // A cold endpoint that gets its bound from each of eight entries falls over.
 #[test]
 fn may_send_shares_the_bound_of_a_cold_endpoint() {
-    let entries = 8;
-    let mut sends = vec![ColdSends::default(); entries];
-    let mut sent = 0;
-    for ms in 0..1_000 {
-        for share in &mut sends {
-            let now = Time::from_millis(ms);
-            if share.may_send(36.0, entries as u32, now) {
-                share.sent(now);
-                sent += 1;
+    let sent = sends(8, 36.0, 1, |_| true);
+    let in_second = sent.iter().filter(|at| **at < 1_000).count();
+    assert!((24..=36).contains(&in_second), "{in_second} in a second");
+}
+
+/// Milliseconds at which `entries` that all see the same cold endpoint send to it within 20 s, whenever
+/// `wants` says that they have something to send.
+fn sends(entries: u32, per_second: f64, seed: u64, wants: impl Fn(u64) -> bool) -> Vec<u64> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut turns = vec![ColdTurns::default(); entries as usize];
+    let mut sent = Vec::new();
+    for ms in (0..20_000).filter(|ms| wants(*ms)) {
+        let now = Time::from_millis(ms);
+        for turn in &mut turns {
+            if turn.may_send(per_second, entries, rng.random(), now) {
+                turn.sent(now);
+                sent.push(ms);
             }
         }
     }
-    assert!((24..=36).contains(&sent), "{sent} in a second");
+    sent
+}
+
+fn most_in_a_second(sent: &[u64]) -> usize {
+    let within = |from: &u64| sent.iter().filter(|at| (*from..*from + 1_000).contains(at)).count();
+    sent.iter().map(within).max().unwrap_or(0)
+}
+
+/// Requests that a cold endpoint of 14 a second may get in one second: half as many more and five.
+const COLD_BOUND: usize = 26;
+
+// All endpoints of a zone start again. Each of 40 entries sends the cold ones the one request a second
+// that its share is rounded up to, the endpoints fall over, and callers wait for them a second time.
+#[test]
+fn may_send_keeps_the_bound_at_any_number_of_entries() {
+    for entries in [1, 6, 40, 148, 381] {
+        for seed in 0..5 {
+            let sent = sends(entries, 14.0, seed, |_| true);
+            let most = most_in_a_second(&sent);
+            assert!(most <= COLD_BOUND, "{most} in a second from {entries} entries, seed {seed}");
+            let mean = sent.len() as f64 / 20.0;
+            assert!(mean >= 7.0, "{mean} a second from {entries} entries leave the endpoint idle");
+        }
+    }
+}
+
+// Nobody sends to a cold endpoint while others have room. Then the last of those is lost, and every
+// entry turns to the cold one in the same moment.
+#[test]
+fn may_send_does_not_save_turns_up() {
+    for entries in [1, 6, 40, 148, 381] {
+        for seed in 0..5 {
+            let sent = sends(entries, 14.0, seed, |ms| ms % 5_000 >= 4_000);
+            let most = most_in_a_second(&sent);
+            assert!(most <= COLD_BOUND, "{most} in a second from {entries} entries, seed {seed}");
+        }
+    }
+}
+
+// All entries and agents start again at once. The first agents have heard one entry, which takes itself
+// for the only one and sends all that a cold endpoint bears; so does each of the others.
+#[test]
+fn for_bounds_does_not_believe_the_first_counts() {
+    let mut count = EntryCount::default();
+    let now = Time::from_millis;
+    assert!(count.for_bounds(now(0)) >= 381);
+    count.counted(1, now(0));
+    assert!(count.for_bounds(now(10)) >= 381);
+    count.counted(40, now(600));
+    assert_eq!(count.for_bounds(now(1_000)), 40);
+}
+
+// The agents are restarted one after the other and count few entries at first.
+#[test]
+fn for_bounds_goes_by_the_highest_count_of_late() {
+    let mut count = EntryCount::default();
+    let now = Time::from_millis;
+    count.counted(40, now(0));
+    count.counted(2, now(1_500));
+    assert_eq!(count.for_bounds(now(1_600)), 40);
+    count.counted(3, now(2_100));
+    assert_eq!(count.for_bounds(now(2_100)), 3);
 }
--- a/node/src/direct/knowledge.rs
+++ b/node/src/direct/knowledge.rs
@@ -10,6 +10,7 @@
 use mastichaven_core::direct::feed::News;
 use mastichaven_core::direct::feed::before;
 use mastichaven_core::direct::roster::Listed;
+use mastichaven_core::direct::roster::Roster;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
@@ -26,7 +27,7 @@
         }
         match news {
             News::Config(parts) => self.learn_config(Catalog::from_parts(*parts)),
-            News::Endpoints(all) => self.learn_endpoints(all),
+            News::Endpoints { listed, lapsed } => self.learn_endpoints(listed, &lapsed),
             News::EndpointPut(listed) => self.learn_endpoint(*listed),
             News::EndpointGone(name) => self.endpoint_gone(&name),
             News::Evacuated(zones) => self.learn_evacuated(&zones),
@@ -57,7 +58,7 @@
         }
         let roster = self.roster.borrow();
         all.push(News::Evacuated(roster.evacuated().cloned().collect()));
-        all.push(News::Endpoints(roster.all_listed(now).collect()));
+        all.push(self.listed_endpoints(&roster, now));
         for (model, versions) in self.versions.borrow().iter() {
             let named = versions.ages(now);
             all.extend(named.map(|(version, ago)| News::Weights {
@@ -69,6 +70,20 @@
         all
     }
 
+    /// The endpoints, those apart that this entry keeps though the store no longer lists them.
+    ///
+    /// A watcher that was turned away by the store keeps lapsed endpoints for a while. An entry that
+    /// starts to follow it then may know better, as it heard in time that one of them has left. Were
+    /// it told of that endpoint as of any other, it would send requests there again, seconds late.
+    fn listed_endpoints(&self, roster: &Roster, now: Time) -> News {
+        let lapsed = self.lapsed.borrow();
+        let is_listed = |listed: &Listed| !lapsed.contains_key(&listed.id);
+        News::Endpoints {
+            listed: roster.all_listed(now).filter(is_listed).collect(),
+            lapsed: lapsed.keys().cloned().collect(),
+        }
+    }
+
     /// How old what this entry knows is.
     pub fn ages(&self) -> Ages {
         let now = self.now();
@@ -118,13 +133,13 @@
         self.configured.notify_one();
     }
 
-    fn learn_endpoints(&self, all: Vec<Listed>) {
-        let listed: HashSet<&SmolStr> = all.iter().map(|listed| &listed.id).collect();
+    fn learn_endpoints(&self, all: Vec<Listed>, lapsed: &[SmolStr]) {
+        let kept: HashSet<&SmolStr> = all.iter().map(|listed| &listed.id).chain(lapsed).collect();
         let known: Vec<SmolStr> = self.roster.borrow().ids().cloned().collect();
-        for name in known.iter().filter(|name| !listed.contains(name)) {
+        for name in known.iter().filter(|name| !kept.contains(name)) {
             self.endpoint_gone(name);
         }
-        drop(listed);
+        drop(kept);
         for listed in all {
             self.learn_endpoint(listed);
         }
--- a/node/src/direct/loads.rs
+++ b/node/src/direct/loads.rs
@@ -7,7 +7,6 @@
 //! Every entry hears of every endpoint, so the datagrams grow with the product of both numbers. Those
 //! of other regions, which get only what the own region has no place for, report half as often.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,9 +38,6 @@
 /// Bytes of a datagram at most.
 pub const MAX_DATAGRAM_LEN: usize = 1_200;
 
-/// How long an agent's count of entries is believed.
-const COUNT_VALID: Duration = Duration::from_secs(2);
-
 /// What an entry asks an agent.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Ask {
@@ -71,7 +67,6 @@
     let socket = Rc::new(socket);
     tokio::task::spawn_local(ask_all(state.clone(), socket.clone()));
     let mut buf = vec![0; MAX_DATAGRAM_LEN];
-    let mut counts: HashMap<SocketAddr, (u32, Time)> = HashMap::new();
     loop {
         let Ok((len, from)) = socket.recv_from(&mut buf).await else {
             // An agent's host that is gone shows as an error on the next receive.
@@ -83,12 +78,9 @@
         };
         let now = state.now();
         let address = SocketAddr::new(from.ip(), told.port);
-        counts.insert(address, (told.report.entries, now));
-        counts.retain(|_, (_, at)| !now.passed(*at, COUNT_VALID));
-        let entries = counts.values().map(|(count, _)| *count).max().unwrap_or(1);
         let draw = state.with_rng(|rng| rng.random::<f64>());
         let mut roster = state.roster.borrow_mut();
-        roster.set_entries(entries);
+        roster.entries_counted(told.report.entries, now);
         let asked = Time::from_micros(told.asked_us);
         if told.report.watcher.is_some() {
             state.watcher.set(told.report.watcher);
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -57,6 +57,8 @@
     pub are_models_new: Cell<bool>,
     /// The endpoints.
     pub roster: RefCell<Roster>,
+    /// Endpoints that are kept though the store no longer lists them, and since when.
+    pub lapsed: RefCell<HashMap<SmolStr, Time>>,
     /// Whether the list of endpoints was read in this life.
     pub has_list: Cell<bool>,
     /// Lease on the configuration.
@@ -99,6 +101,7 @@
             configured: Notify::new(),
             are_models_new: Cell::new(false),
             roster: RefCell::new(roster),
+            lapsed: RefCell::default(),
             has_list: Cell::new(false),
             freshness: RefCell::new(Freshness::new(lease)),
             versions: RefCell::default(),
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -4,8 +4,6 @@
 //! `Follower::take_changes`. Failures are answered with a short, growing and random pause, and with
 //! a watch that returns at once, as it also renews the lease on the configuration.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -73,7 +71,6 @@
     trouble_until: Option<Time>,
     is_lost: bool,
     pause: Duration,
-    lapsed: Rc<RefCell<HashMap<SmolStr, Time>>>,
     evacuated: HashSet<SmolStr>,
 }
 
@@ -87,7 +84,6 @@
             trouble_until: None,
             is_lost: false,
             pause: PAUSE_FIRST,
-            lapsed: Rc::default(),
             evacuated: HashSet::new(),
         }
     }
@@ -269,7 +265,7 @@
             let service = catalog.as_ref()?.service(service)?;
             service.model.as_ref().map(|model| model.layers)
         };
-        self.lapsed.borrow_mut().remove(&object.name);
+        self.state.lapsed.borrow_mut().remove(&object.name);
         match endpoints::scan_endpoint(object, layers_of) {
             Some(listed) => self.state.learn(News::EndpointPut(Box::new(listed))),
             None => {
@@ -281,18 +277,18 @@
     }
 
     fn endpoint_gone(&mut self, name: SmolStr, now: Time) {
-        let (state, lapsed) = (self.state.clone(), self.lapsed.clone());
+        let state = self.state.clone();
         let is_lapse = self.trouble_until.is_some_and(|until| now < until);
         if !is_lapse {
             return state.learn(News::EndpointGone(name));
         }
-        lapsed.borrow_mut().insert(name.clone(), now);
+        state.lapsed.borrow_mut().insert(name.clone(), now);
         spawn_local(async move {
             sleep(LAPSE_FOR).await;
             // Back meanwhile, or gone a second time with a later task to see to it.
-            let is_still = lapsed.borrow().get(&name) == Some(&now);
+            let is_still = state.lapsed.borrow().get(&name) == Some(&now);
             if is_still {
-                lapsed.borrow_mut().remove(&name);
+                state.lapsed.borrow_mut().remove(&name);
                 state.learn(News::EndpointGone(name));
             }
         });
--- /dev/null
+++ b/node/tests/direct/knowledge.rs
@@ -0,0 +1,95 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mastichaven_core::Time;
+use mastichaven_core::direct::feed::News;
+use mastichaven_core::direct::roster::Listed;
+use mastichaven_core::ids::ServiceName;
+use mastichaven_core::ids::ZoneName;
+use mastichaven_node::direct::settings::DirectSettings;
+use mastichaven_node::direct::state::State;
+
+const SETTINGS: &str = r#"
+host = "entry-1"
+ip = "127.0.0.1"
+zone = "zone-a"
+store = "127.0.0.1:1"
+agent_port = 1
+metrics_port = 2
+[regions]
+zone-a = "region-a"
+[bounds]
+key_revocation_ms = 5000
+weights_ms = 3000
+stop_s = 8.0
+repeat_ratio = 0.2
+repeat_slack = 100.0
+repeat_window_s = 10.0
+[limits]
+descriptors = 1000
+memory_mb = 200
+"#;
+
+fn state() -> State {
+    let cfg: DirectSettings = toml::from_str(SETTINGS).expect("complete settings");
+    State::new(cfg, slog::Logger::root(slog::Discard, slog::o!()), 1)
+}
+
+fn listed(id: &str) -> Listed {
+    Listed {
+        id: id.into(),
+        service: ServiceName::new("writer"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: ZoneName::new("zone-a"),
+        slots: 16,
+        is_draining: false,
+        cold_for: Duration::ZERO,
+        weights: Vec::new(),
+        is_engine: false,
+        born: 1,
+    }
+}
+
+fn put(state: &State, id: &str) {
+    state.learn(News::EndpointPut(Box::new(listed(id))));
+}
+
+fn known(state: &State) -> Vec<String> {
+    let mut ids: Vec<String> = state.roster.borrow().ids().map(|id| id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+fn tell_all(from: &State, to: &State) {
+    to.is_following.set(true);
+    from.all_news().into_iter().for_each(|news| to.learn(news));
+}
+
+// The store turned one entry away while an endpoint left; back again, that entry keeps the endpoint for
+// a while, as it may only have lapsed. It has the lowest address of its region, so another entry that
+// saw the endpoint leave long ago begins to follow it. Callers' requests must not go there again.
+#[test]
+fn all_news_does_not_bring_back_what_a_follower_saw_leave() {
+    let (watcher, follower) = (state(), state());
+    for entry in [&watcher, &follower] {
+        put(entry, "i-stays");
+        put(entry, "i-left");
+    }
+    follower.learn(News::EndpointGone("i-left".into()));
+    watcher.lapsed.borrow_mut().insert("i-left".into(), Time::ZERO);
+    tell_all(&watcher, &follower);
+    assert_eq!(known(&follower), ["i-stays"]);
+}
+
+// The store was away for all. An endpoint whose entry lapsed meanwhile still lives, and its callers are
+// served by entries that follow, too, until the watcher knows more.
+#[test]
+fn all_news_keeps_lapsed_endpoints_that_a_follower_knows() {
+    let (watcher, follower) = (state(), state());
+    put(&watcher, "i-lapsed");
+    put(&follower, "i-lapsed");
+    put(&follower, "i-unknown");
+    watcher.lapsed.borrow_mut().insert("i-lapsed".into(), Time::ZERO);
+    tell_all(&watcher, &follower);
+    assert_eq!(known(&follower), ["i-lapsed"]);
+}
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -5,5 +5,6 @@
 mod feed;
 mod fixture;
 mod keeper;
+mod knowledge;
 mod outcomes;
 mod stops;
