--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -118,7 +118,7 @@
     pub weights: Vec<(SmolStr, u64)>,
     /// When it started, in milliseconds of the Unix epoch.
     pub born: u64,
-    /// Entries that ask this agent for reports.
+    /// Entries that ask this agent for reports; 0 while it has not listened long enough to tell.
     pub entries: u32,
     /// The entry of the agent's region that watches the store for the others there.
     pub watcher: Option<IpAddr>,
@@ -476,7 +476,7 @@
         rng: &mut R,
         now: Time,
     ) -> bool {
-        let entries = self.entry_count.for_bounds(now);
+        let entries = self.entry_count.for_bounds();
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return false;
         };
--- a/core/src/direct/shares.rs
+++ b/core/src/direct/shares.rs
@@ -52,9 +52,11 @@
 /// and a half times the rate and more; the rest is for entries that are not counted yet.
 const COLD_PART: f64 = 0.8;
 
-/// How long a turn may be used once it has come. Turns that were kept would be used together, by all
-/// entries at once, as soon as the last endpoint that is not cold is gone.
+/// How long a turn may be used once it has come, if turns are more than a second apart. Turns that were
+/// kept would be used together, by all entries at once, as soon as the last endpoint that is not cold is
+/// gone. Where turns come more often there are few entries, and one kept turn each is within the bound.
 const TURN_VALID: Duration = Duration::from_millis(200);
+const FREQUENT: Duration = Duration::from_secs(1);
 
 /// When this entry may send to a cold endpoint.
 ///
@@ -84,7 +86,7 @@
         let missed = now.since(opens).div_duration_f64(period).floor();
         let opens = opens + period.mul_f64(missed);
         self.next = Some((opens, 0.0));
-        !now.passed(opens, TURN_VALID)
+        period <= FREQUENT || !now.passed(opens, TURN_VALID)
     }
 
     /// A request was sent: the turn is used.
@@ -97,10 +99,6 @@
 /// Entries that share a bound, as long as nobody has counted them: as many as the largest fleet has.
 const ENTRIES_UNCOUNTED: u32 = 400;
 
-/// Time from the first count until counts are believed. Entries that start together ask the agents one
-/// after the other, so the first counts are too low.
-const COUNT_SETTLES: Duration = Duration::from_millis(1_000);
-
 /// How long a count is believed. The highest one of this span holds: agents that have just started
 /// count few entries at first.
 const COUNT_VALID: Duration = Duration::from_millis(2_000);
@@ -110,13 +108,14 @@
 pub struct EntryCount {
     /// Counts that no later one reaches, oldest and highest first.
     counts: VecDeque<(Time, u32)>,
-    first: Option<Time>,
 }
 
 impl EntryCount {
-    /// An agent has counted `entries`.
+    /// An agent has counted `entries`; 0 if it has not listened long enough to tell.
     pub fn counted(&mut self, entries: u32, now: Time) {
-        self.first.get_or_insert(now);
+        if entries == 0 {
+            return;
+        }
         while self.counts.back().is_some_and(|(_, count)| *count <= entries) {
             self.counts.pop_back();
         }
@@ -132,10 +131,8 @@
     }
 
     /// Entries that a bound which must hold is shared among.
-    pub fn for_bounds(&self, now: Time) -> u32 {
-        let is_settled = self.first.is_some_and(|at| now.passed(at, COUNT_SETTLES));
-        let highest = self.highest().unwrap_or(ENTRIES_UNCOUNTED);
-        if is_settled { highest.max(1) } else { ENTRIES_UNCOUNTED }
+    pub fn for_bounds(&self) -> u32 {
+        self.highest().unwrap_or(ENTRIES_UNCOUNTED)
     }
 }
 
--- a/node/src/direct/keeper.rs
+++ b/node/src/direct/keeper.rs
@@ -97,6 +97,11 @@
 /// Time after its last ask at which an entry no longer counts as a watcher: two asks may be lost.
 const WATCHER_VALID: Duration = Duration::from_millis(1_000);
 
+/// Time from the start of an agent until it tells how many entries there are. They ask every 300 ms,
+/// those of other regions half as often; a count of the first ones alone would let each take a much too
+/// large share of what all may send.
+const COUNT_AFTER: Duration = Duration::from_millis(700);
+
 /// Entries that one agent reports to at most.
 const MAX_ASKERS: usize = 256;
 
@@ -117,6 +122,7 @@
 struct Keeper {
     cfg: DirectSettings,
     clock: BootClock,
+    started: Time,
     log: slog::Logger,
     metrics: Rc<Metrics>,
     staging: Rc<Staging>,
@@ -158,6 +164,7 @@
     let keeper = Rc::new(Keeper {
         cfg,
         clock,
+        started: clock.now(),
         log: log.root.clone(),
         metrics,
         staging,
@@ -348,6 +355,11 @@
         askers.values().filter(|asker| !now.passed(asker.at, ASKED_FOR)).count()
     }
 
+    /// The entries that share the bounds; 0 while that is not known.
+    fn entries(&self, now: Time) -> u32 {
+        if now.passed(self.started, COUNT_AFTER) { self.live_askers(now) as u32 } else { 0 }
+    }
+
     /// The entry that watches the store for the others of this region.
     fn watcher(&self, now: Time) -> Option<IpAddr> {
         let askers = self.askers.borrow();
@@ -405,7 +417,7 @@
             self.swarm.set_beside_requests(!report.load.weights.is_empty());
             let mut load = report.load.clone();
             load.accepts &= !self.is_ordering.get();
-            load.entries = self.live_askers(self.clock.now()) as u32;
+            load.entries = self.entries(self.clock.now());
             load.watcher = self.watcher(self.clock.now());
             *self.report.borrow_mut() = Some(report);
             same = if last.as_ref() == Some(&load) { same + 1 } else { 0 };
