Entries act once all kinds are known; followers that lose their watcher watch on from its revision

It answers 503 and is not ready until each kind was read or told. Followers that left a slow watcher read all lists anew, 400 KB each with 1,400 routes, 13 of them over one link of 3 MB/s; they watch on from the revision that pongs tell now.

--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -76,7 +76,7 @@
 
     fn as_str(self) -> &'static str {
         match self {
-            Barred::Stale => "configuration too old",
+            Barred::Stale => "knowledge missing or too old",
             Barred::UnknownRoute => "unknown route",
             Barred::UnknownKey => "unknown key",
             Barred::BodyTooLong => "body too long",
@@ -113,7 +113,7 @@
     req: Request<Incoming>,
     arrived: Time,
 ) -> Result<Call, Barred> {
-    if !state.freshness.borrow().holds(arrived) {
+    if !state.may_act(arrived) {
         return Err(Barred::Stale);
     }
     let catalog = state.catalog.borrow().clone().ok_or(Barred::Stale)?;
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -86,6 +86,8 @@
     pub is_following: Cell<bool>,
     /// Signals that this entry has to ask the store itself again.
     pub unfollowed: Notify,
+    /// The store's revision up to which each kind is known.
+    pub revisions: RefCell<HashMap<Kind, u64>>,
     /// The entries that follow this one.
     pub feed: Feed,
     longest_waits: RefCell<HashMap<SmolStr, LongestWait>>,
@@ -119,6 +121,7 @@
             watcher: Cell::new(None),
             is_following: Cell::new(false),
             unfollowed: Notify::new(),
+            revisions: RefCell::default(),
             feed: Feed::default(),
             longest_waits: RefCell::default(),
             budgets: RefCell::default(),
@@ -139,10 +142,17 @@
 
     /// Whether new connections are welcome: all that an answer needs is known and fresh.
     pub fn is_ready(&self, now: Time) -> bool {
-        !self.is_stopping.get()
-            && self.catalog.borrow().is_some()
-            && self.has_list.get()
+        !self.is_stopping.get() && self.has_list.get() && self.may_act(now)
+    }
+
+    /// Whether requests may be sent on: the configuration is fresh, and each of the other kinds was read
+    /// in this life. An entry that has started and can't read them yet knows of no version of weights
+    /// and of no zone that is out, and would send callers to what is barred everywhere else.
+    pub fn may_act(&self, now: Time) -> bool {
+        let confirmed = self.confirmed.borrow();
+        self.catalog.borrow().is_some()
             && self.freshness.borrow().holds(now)
+            && Kind::ALL.iter().all(|kind| confirmed.contains_key(kind))
     }
 
     /// The oldest version of `model` that may still answer.
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -104,6 +104,11 @@
         }
         loop {
             self.state.until_direct().await;
+            if let Some(revision) = self.known_revision() {
+                self.evacuated = self.evacuated_now();
+                self.watch_from(revision, true).await;
+                continue;
+            }
             let sent = self.state.now();
             match self.client.list(self.kind, false).await {
                 Ok(_) if self.state.is_following.get() => {}
@@ -111,13 +116,28 @@
                     let unseen_for = self.unseen_for(sent);
                     self.answered(sent);
                     self.take_all(&objects, unseen_for);
-                    self.watch_from(revision).await;
+                    self.state.revisions.borrow_mut().insert(self.kind, revision);
+                    self.watch_from(revision, false).await;
                 }
                 Err(e) => self.failed(e).await,
             }
         }
     }
 
+    /// Where to watch on, if another entry has told all up to there. What is known is used once: a list is
+    /// needed when that history is gone, and to find endpoints that were to lapse.
+    fn known_revision(&self) -> Option<u64> {
+        let is_lapsing = self.kind == Kind::Endpoints && !self.state.lapsed.borrow().is_empty();
+        let known = self.state.revisions.borrow_mut().remove(&self.kind);
+        known.filter(|_| !is_lapsing)
+    }
+
+    /// The zones that are out of service, as another entry told them.
+    fn evacuated_now(&self) -> HashSet<SmolStr> {
+        let roster = self.state.roster.borrow();
+        roster.evacuated().map(|zone| SmolStr::new(zone.as_str())).collect()
+    }
+
     /// How long what a list shows may have been there unseen; `None` for the first list in this life.
     ///
     /// A version of weights counts from its naming. Were one that a later list shows to count as old,
@@ -128,11 +148,14 @@
         Some(if self.is_lost { Duration::ZERO } else { sent.since(seen) })
     }
 
-    /// Watches from `revision` on until its history is gone.
-    async fn watch_from(&mut self, mut revision: u64) {
-        let mut probe = false;
+    /// Watches from `revision` on until its history is gone. If others told what came before, the first
+    /// watch returns at once, with what has changed unseen since.
+    async fn watch_from(&mut self, mut revision: u64, is_told: bool) {
+        let mut probe = is_told;
+        let mut is_unseen = is_told;
         loop {
             if self.kind == Kind::Endpoints && self.state.are_models_new.take() {
+                self.state.revisions.borrow_mut().remove(&self.kind);
                 return;
             }
             if self.state.is_following.get() {
@@ -144,6 +167,8 @@
                 // What another entry tells by now is newer.
                 Ok(_) if self.state.is_following.get() => return,
                 Ok(changes) => {
+                    let unseen_for = self.unseen_for(sent).filter(|_| is_unseen);
+                    is_unseen = false;
                     self.answered(sent);
                     if changes.changes.is_empty() {
                         self.heard_nothing(sent, wait);
@@ -151,7 +176,8 @@
                     probe = false;
                     revision = revision.max(changes.revision);
                     let is_any = !changes.changes.is_empty();
-                    self.take_changes(changes.changes);
+                    self.take_changes(changes.changes, unseen_for.unwrap_or_default());
+                    self.state.revisions.borrow_mut().insert(self.kind, revision);
                     if is_any {
                         let rest = (self.client.body_took() * LINK_REST).min(LINK_REST_LONGEST);
                         sleep(gather_for(self.kind).max(rest)).await;
@@ -160,6 +186,7 @@
                 Err(StoreError::Compacted) => {
                     slog::info!(self.state.log, "store history gone, listing again";
                         "kind" => self.kind.as_str(), "revision" => revision);
+                    self.state.revisions.borrow_mut().remove(&self.kind);
                     return;
                 }
                 Err(e) => {
@@ -223,7 +250,7 @@
             "objects" => objects.len());
     }
 
-    fn take_changes(&mut self, changes: Vec<Change>) {
+    fn take_changes(&mut self, changes: Vec<Change>, unseen_for: Duration) {
         let now = self.state.now();
         for change in changes {
             match (self.kind, change) {
@@ -239,7 +266,7 @@
                     self.set_evacuated();
                 }
                 (Kind::Weights, Change::Put(object)) => {
-                    self.take_weights(&object, Some(Duration::ZERO))
+                    self.take_weights(&object, Some(unseen_for))
                 }
                 (Kind::Config | Kind::Weights, Change::Gone(_)) => {}
             }
--- a/node/tests/direct/knowledge.rs
+++ b/node/tests/direct/knowledge.rs
@@ -2,12 +2,16 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
+use mastichaven_core::direct::catalog::CallerLimits;
+use mastichaven_core::direct::catalog::Catalog;
+use mastichaven_core::direct::feed::Ages;
 use mastichaven_core::direct::feed::News;
 use mastichaven_core::direct::roster::Listed;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
 use mastichaven_node::direct::settings::DirectSettings;
 use mastichaven_node::direct::state::State;
+use mastichaven_platform::objects::Kind;
 
 const SETTINGS: &str = r#"
 host = "entry-1"
@@ -93,3 +97,41 @@
     tell_all(&watcher, &follower);
     assert_eq!(known(&follower), ["i-lapsed"]);
 }
+
+fn configure(state: &State) {
+    let limits = CallerLimits {
+        head_len: 1 << 10,
+        body_len: 1 << 10,
+        head_timeout: Duration::from_secs(1),
+        idle_timeout: Duration::from_secs(1),
+    };
+    let parts = Catalog::new(1, Vec::new(), Vec::new(), Vec::new(), limits).parts();
+    state.learn(News::Config(Box::new(parts)));
+}
+
+// An entry starts while the links to the store are full. It gets the configuration and the endpoints, and
+// not yet the versions of weights. Taking requests then, it sends callers to endpoints with versions that
+// are barred on all other entries, and into zones that are out of service.
+#[test]
+fn may_act_needs_all_that_decides_where_requests_go() {
+    let state = state();
+    configure(&state);
+    let now = state.now();
+    let age = Some(Duration::ZERO);
+    let but_weights = Ages { config: age, endpoints: age, evacuations: age, weights: None };
+    state.confirm(now, &but_weights);
+    assert!(!state.may_act(now));
+    state.confirm(now, &Ages { weights: age, ..but_weights });
+    assert!(state.may_act(now));
+}
+
+// A follower loses its watcher. It goes on from what it was told, and reads no list: the lists of all
+// followers of a region at once would fill its links.
+#[test]
+fn take_revisions_tells_where_to_watch_on() {
+    let (watcher, follower) = (state(), state());
+    watcher.revisions.borrow_mut().insert(Kind::Config, 7);
+    follower.take_revisions(&watcher.known_revisions());
+    assert_eq!(follower.known_revisions().config, Some(7));
+    assert_eq!(follower.known_revisions().weights, None);
+}
