--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -25,6 +25,14 @@
 /// Bytes of a message at most.
 pub const MAX_MESSAGE_LEN: u32 = 8 << 20;
 
+/// Messages from this length on are compressed: configurations with many routes, above all. One of 1,400
+/// routes went to 13 followers over a link of 40 Mbit/s in 0.8 s; pongs waited behind it, all followers
+/// took their watcher for too old and turned to the store, whose links that filled for 15 s.
+const COMPRESS_FROM: usize = 4 << 10;
+
+/// Marks the length of a compressed message.
+const COMPRESSED: u32 = 1 << 31;
+
 /// Time for a connection to a peer.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
 
@@ -184,18 +192,22 @@
 
 async fn expect(stream: &mut TcpStream, wanted: u8) -> io::Result<()> {
     let told = stream.read_u8().await?;
-    if told == wanted { Ok(()) } else { Err(io::Error::from(io::ErrorKind::InvalidData)) }
+    if told == wanted { Ok(()) } else { Err(invalid()) }
 }
 
 /// Reads a message.
 pub async fn read<T: DeserializeOwned>(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<T> {
-    let len = stream.read_u32().await?;
+    let head = stream.read_u32().await?;
+    let len = head & !COMPRESSED;
     if len > MAX_MESSAGE_LEN {
-        return Err(io::Error::from(io::ErrorKind::InvalidData));
+        return Err(invalid());
+    }
+    let mut body = vec![0; len as usize];
+    stream.read_exact(&mut body).await?;
+    if head & COMPRESSED != 0 {
+        body = decompress(&body)?;
     }
-    let mut buf = vec![0; len as usize];
-    stream.read_exact(&mut buf).await?;
-    postcard::from_bytes(&buf).map_err(|_| io::Error::from(io::ErrorKind::InvalidData))
+    postcard::from_bytes(&body).map_err(|_| invalid())
 }
 
 /// Writes a message.
@@ -206,10 +218,28 @@
 
 /// The bytes of a message.
 pub fn frame<T: Serialize>(message: &T) -> io::Result<Vec<u8>> {
-    let body = postcard::to_stdvec(message).map_err(io::Error::other)?;
+    let mut body = postcard::to_stdvec(message).map_err(io::Error::other)?;
+    let mut mark = 0;
+    if body.len() >= COMPRESS_FROM {
+        body = lz4_flex::block::compress_prepend_size(&body);
+        mark = COMPRESSED;
+    }
     let len = u32::try_from(body.len()).map_err(io::Error::other)?;
     let mut buf = Vec::with_capacity(body.len() + 4);
-    buf.extend_from_slice(&len.to_be_bytes());
+    buf.extend_from_slice(&(len | mark).to_be_bytes());
     buf.extend_from_slice(&body);
     Ok(buf)
 }
+
+fn invalid() -> io::Error {
+    io::Error::from(io::ErrorKind::InvalidData)
+}
+
+/// Unpacks a message, but never one that claims to be longer than any may be.
+fn decompress(body: &[u8]) -> io::Result<Vec<u8>> {
+    let (len, packed) = lz4_flex::block::uncompressed_size(body).map_err(|_| invalid())?;
+    if len > MAX_MESSAGE_LEN as usize {
+        return Err(invalid());
+    }
+    lz4_flex::block::decompress(packed, len).map_err(|_| invalid())
+}
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -7,4 +7,5 @@
 mod keeper;
 mod knowledge;
 mod outcomes;
+mod peers;
 mod stops;
