--- a/node/src/direct/store.rs
+++ b/node/src/direct/store.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -65,13 +64,12 @@
 pub struct StoreClient {
     address: SocketAddr,
     link: Option<Link>,
-    body_took: Duration,
 }
 
 impl StoreClient {
     /// A client of the store at `address`; it connects with the first call.
     pub fn new(address: SocketAddr) -> StoreClient {
-        StoreClient { address, link: None, body_took: Duration::ZERO }
+        StoreClient { address, link: None }
     }
 
     /// Reads all objects of a kind, and the revision they show. The revision is that of the first
@@ -102,11 +100,6 @@
         objects::scan_changes(&body).map_err(|_| StoreError::Malformed)
     }
 
-    /// How long the body of the last answer took to arrive after its head.
-    pub fn body_took(&self) -> Duration {
-        self.body_took
-    }
-
     async fn get(&mut self, path: &str, within: Duration) -> Result<Bytes> {
         let mut link = match self.link.take() {
             Some(link) if link.is_ready() => link,
@@ -118,10 +111,8 @@
         let sent = timeout(within, link.send(req)).await;
         let response = sent.unwrap_or(Err(LinkError::TimedOut)).map_err(StoreError::Link)?;
         let (head, body) = response.into_parts();
-        let began = Instant::now();
         let body = link::whole_steadily(body, MAX_ANSWER_LEN, ANSWER_WITHIN).await;
         let body = body.map_err(StoreError::Link)?;
-        self.body_took = began.elapsed();
         if link.ready().await {
             self.link = Some(link);
         }
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -51,13 +51,6 @@
     }
 }
 
-/// Times that a change took to arrive which pass before the next is asked for, and the longest such
-/// pause. A configuration of 1,400 routes takes 0.13 s of a link between regions; changed every 60 ms it
-/// would fill that link, and weights and live requests would wait behind it for 10 s. This way it takes a
-/// quarter at most, and is still in force well within 2 s.
-const LINK_REST: u32 = 3;
-const LINK_REST_LONGEST: Duration = Duration::from_millis(600);
-
 /// Wait of a watch right after a failure: it returns at once and tells whether the store is back.
 const PROBE_WAIT: Duration = Duration::from_millis(1);
 
@@ -180,8 +173,7 @@
                     self.take_changes(changes.changes, unseen_for.unwrap_or_default());
                     self.state.revisions.borrow_mut().insert(self.kind, revision);
                     if is_any {
-                        let rest = (self.client.body_took() * LINK_REST).min(LINK_REST_LONGEST);
-                        sleep(gather_for(self.kind).max(rest)).await;
+                        sleep(gather_for(self.kind)).await;
                     }
                 }
                 Err(StoreError::Compacted) => {
@@ -237,7 +229,9 @@
 
     fn take_all(&mut self, objects: &[Object], unseen_for: Option<Duration>) {
         match self.kind {
-            Kind::Config => objects.iter().for_each(|object| self.take_config(object)),
+            Kind::Config => objects.iter().for_each(|object| {
+                self.take_config(object);
+            }),
             Kind::Endpoints => self.take_endpoints(objects),
             Kind::Evacuations => {
                 self.evacuated = objects.iter().map(|object| object.name.clone()).collect();
@@ -253,9 +247,11 @@
 
     fn take_changes(&mut self, changes: Vec<Change>, unseen_for: Duration) {
         let now = self.state.now();
+        if self.kind == Kind::Config {
+            return self.take_newest_config(changes);
+        }
         for change in changes {
             match (self.kind, change) {
-                (Kind::Config, Change::Put(object)) => self.take_config(&object),
                 (Kind::Endpoints, Change::Put(object)) => self.put_endpoint(&object),
                 (Kind::Endpoints, Change::Gone(name)) => self.endpoint_gone(name, now),
                 (Kind::Evacuations, Change::Put(object)) => {
@@ -269,17 +265,30 @@
                 (Kind::Weights, Change::Put(object)) => {
                     self.take_weights(&object, Some(unseen_for))
                 }
-                (Kind::Config | Kind::Weights, Change::Gone(_)) => {}
+                (Kind::Weights, Change::Gone(_)) | (Kind::Config, _) => {}
             }
         }
     }
 
-    fn take_config(&mut self, object: &Object) {
+    /// Takes in the newest configuration of several; each may hold thousands of routes to be read.
+    fn take_newest_config(&mut self, changes: Vec<Change>) {
+        for change in changes.into_iter().rev() {
+            if let Change::Put(object) = change
+                && self.take_config(&object)
+            {
+                return;
+            }
+        }
+    }
+
+    /// Takes in a configuration; false if the object is none.
+    fn take_config(&mut self, object: &Object) -> bool {
         let Some(catalog) = config::scan_config(object) else {
             slog::warn!(self.state.log, "configuration cannot be read"; "name" => object.name.as_str());
-            return;
+            return false;
         };
         self.state.learn(News::Config(Box::new(catalog.parts())));
+        true
     }
 
     fn take_endpoints(&mut self, objects: &[Object]) {
