--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -120,10 +120,13 @@
 
     /// Where to watch on, if another entry has told all up to there. What is known is used once: a list is
     /// needed when that history is gone, and to find endpoints that were to lapse.
+    ///
+    /// The configuration is listed all the same: a watch returns every version since, and ten large ones
+    /// kept two regions without a valid lease for 8 s.
     fn known_revision(&self) -> Option<u64> {
         let is_lapsing = self.kind == Kind::Endpoints && !self.state.lapsed.borrow().is_empty();
         let known = self.state.revisions.borrow_mut().remove(&self.kind);
-        known.filter(|_| !is_lapsing)
+        known.filter(|_| self.kind != Kind::Config && !is_lapsing)
     }
 
     /// The zones that are out of service, as another entry told them.
