--- a/core/src/direct/feed.rs
+++ b/core/src/direct/feed.rs
@@ -63,21 +63,6 @@
     pub weights: Option<Duration>,
 }
 
-/// The store's revisions up to which a watcher knows, so that a follower which loses it can watch on from
-/// there. Lists of everything, read by all followers of a region at once, would fill its links just
-/// when these are too full for the watcher.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Revisions {
-    /// The configuration.
-    pub config: Option<u64>,
-    /// The endpoints.
-    pub endpoints: Option<u64>,
-    /// The zones that are out of service.
-    pub evacuations: Option<u64>,
-    /// The weights.
-    pub weights: Option<u64>,
-}
-
 /// A message of a watcher to an entry that follows it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Told {
@@ -89,8 +74,6 @@
         asked_us: u64,
         /// How old its knowledge is.
         ages: Ages,
-        /// Up to where it reaches.
-        revisions: Revisions,
     },
     /// It does not watch the store itself.
     NotWatching,
--- a/node/src/direct/feed.rs
+++ b/node/src/direct/feed.rs
@@ -215,7 +215,7 @@
         let asked_us = read.read_u64().await?;
         let is_watching = !state.is_following.get() && !state.is_stopping.get();
         let told = if is_watching {
-            Told::Pong { asked_us, ages: state.ages(), revisions: state.known_revisions() }
+            Told::Pong { asked_us, ages: state.ages() }
         } else {
             Told::NotWatching
         };
@@ -281,7 +281,7 @@
             Told::News(news) if state.is_following.get() => state.learn(news),
             Told::News(news) => early.push(news),
             Told::NotWatching => return Err(FeedError::NotWatching),
-            Told::Pong { asked_us, ages, revisions } => {
+            Told::Pong { asked_us, ages } => {
                 let asked = Time::from_micros(asked_us);
                 if !ages.are_young(state.now().since(asked)) {
                     return Err(FeedError::Old);
@@ -291,7 +291,6 @@
                     early.drain(..).for_each(|news| state.learn(news));
                 }
                 state.confirm(asked, &ages);
-                state.take_revisions(&revisions);
             }
         }
     }
--- a/node/src/direct/knowledge.rs
+++ b/node/src/direct/knowledge.rs
@@ -8,7 +8,6 @@
 use mastichaven_core::direct::catalog::Catalog;
 use mastichaven_core::direct::feed::Ages;
 use mastichaven_core::direct::feed::News;
-use mastichaven_core::direct::feed::Revisions;
 use mastichaven_core::direct::feed::before;
 use mastichaven_core::direct::roster::Listed;
 use mastichaven_core::direct::roster::Roster;
@@ -113,30 +112,6 @@
         confirmed.extend(kinds.into_iter().filter_map(|(kind, age)| Some((kind, seen(age)?))));
     }
 
-    /// The store's revisions up to which this entry knows.
-    pub fn known_revisions(&self) -> Revisions {
-        let known = self.revisions.borrow();
-        let revision = |kind| known.get(&kind).copied();
-        Revisions {
-            config: revision(Kind::Config),
-            endpoints: revision(Kind::Endpoints),
-            evacuations: revision(Kind::Evacuations),
-            weights: revision(Kind::Weights),
-        }
-    }
-
-    /// A watcher has told all that it knows up to these revisions.
-    pub fn take_revisions(&self, told: &Revisions) {
-        let kinds = [
-            (Kind::Config, told.config),
-            (Kind::Endpoints, told.endpoints),
-            (Kind::Evacuations, told.evacuations),
-            (Kind::Weights, told.weights),
-        ];
-        let mut known = self.revisions.borrow_mut();
-        known.extend(kinds.into_iter().filter_map(|(kind, revision)| Some((kind, revision?))));
-    }
-
     /// A configuration never gives way to an older one, whichever way either came.
     fn learn_config(&self, catalog: Catalog) {
         let mut current = self.catalog.borrow_mut();
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -86,8 +86,6 @@
     pub is_following: Cell<bool>,
     /// Signals that this entry has to ask the store itself again.
     pub unfollowed: Notify,
-    /// The store's revision up to which each kind is known.
-    pub revisions: RefCell<HashMap<Kind, u64>>,
     /// The entries that follow this one.
     pub feed: Feed,
     longest_waits: RefCell<HashMap<SmolStr, LongestWait>>,
@@ -121,7 +119,6 @@
             watcher: Cell::new(None),
             is_following: Cell::new(false),
             unfollowed: Notify::new(),
-            revisions: RefCell::default(),
             feed: Feed::default(),
             longest_waits: RefCell::default(),
             budgets: RefCell::default(),
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -98,11 +98,6 @@
         }
         loop {
             self.state.until_direct().await;
-            if let Some(revision) = self.known_revision() {
-                self.evacuated = self.evacuated_now();
-                self.watch_from(revision, true).await;
-                continue;
-            }
             let sent = self.state.now();
             match self.client.list(self.kind, false).await {
                 Ok(_) if self.state.is_following.get() => {}
@@ -110,31 +105,13 @@
                     let unseen_for = self.unseen_for(sent);
                     self.answered(sent);
                     self.take_all(&objects, unseen_for);
-                    self.state.revisions.borrow_mut().insert(self.kind, revision);
-                    self.watch_from(revision, false).await;
+                    self.watch_from(revision).await;
                 }
                 Err(e) => self.failed(e).await,
             }
         }
     }
 
-    /// Where to watch on, if another entry has told all up to there. What is known is used once: a list is
-    /// needed when that history is gone, and to find endpoints that were to lapse.
-    ///
-    /// The configuration is listed all the same: a watch returns every version since, and ten large ones
-    /// kept two regions without a valid lease for 8 s.
-    fn known_revision(&self) -> Option<u64> {
-        let is_lapsing = self.kind == Kind::Endpoints && !self.state.lapsed.borrow().is_empty();
-        let known = self.state.revisions.borrow_mut().remove(&self.kind);
-        known.filter(|_| self.kind != Kind::Config && !is_lapsing)
-    }
-
-    /// The zones that are out of service, as another entry told them.
-    fn evacuated_now(&self) -> HashSet<SmolStr> {
-        let roster = self.state.roster.borrow();
-        roster.evacuated().map(|zone| SmolStr::new(zone.as_str())).collect()
-    }
-
     /// How long what a list shows may have been there unseen; `None` for the first list in this life.
     ///
     /// A version of weights counts from its naming. Were one that a later list shows to count as old,
@@ -145,14 +122,11 @@
         Some(if self.is_lost { Duration::ZERO } else { sent.since(seen) })
     }
 
-    /// Watches from `revision` on until its history is gone. If others told what came before, the first
-    /// watch returns at once, with what has changed unseen since.
-    async fn watch_from(&mut self, mut revision: u64, is_told: bool) {
-        let mut probe = is_told;
-        let mut is_unseen = is_told;
+    /// Watches from `revision` on until its history is gone.
+    async fn watch_from(&mut self, mut revision: u64) {
+        let mut probe = false;
         loop {
             if self.kind == Kind::Endpoints && self.state.are_models_new.take() {
-                self.state.revisions.borrow_mut().remove(&self.kind);
                 return;
             }
             if self.state.is_following.get() {
@@ -164,8 +138,6 @@
                 // What another entry tells by now is newer.
                 Ok(_) if self.state.is_following.get() => return,
                 Ok(changes) => {
-                    let unseen_for = self.unseen_for(sent).filter(|_| is_unseen);
-                    is_unseen = false;
                     self.answered(sent);
                     if changes.changes.is_empty() {
                         self.heard_nothing(sent, wait);
@@ -173,8 +145,7 @@
                     probe = false;
                     revision = revision.max(changes.revision);
                     let is_any = !changes.changes.is_empty();
-                    self.take_changes(changes.changes, unseen_for.unwrap_or_default());
-                    self.state.revisions.borrow_mut().insert(self.kind, revision);
+                    self.take_changes(changes.changes);
                     if is_any {
                         sleep(gather_for(self.kind)).await;
                     }
@@ -182,7 +153,6 @@
                 Err(StoreError::Compacted) => {
                     slog::info!(self.state.log, "store history gone, listing again";
                         "kind" => self.kind.as_str(), "revision" => revision);
-                    self.state.revisions.borrow_mut().remove(&self.kind);
                     return;
                 }
                 Err(e) => {
@@ -248,7 +218,7 @@
             "objects" => objects.len());
     }
 
-    fn take_changes(&mut self, changes: Vec<Change>, unseen_for: Duration) {
+    fn take_changes(&mut self, changes: Vec<Change>) {
         let now = self.state.now();
         if self.kind == Kind::Config {
             return self.take_newest_config(changes);
@@ -266,7 +236,7 @@
                     self.set_evacuated();
                 }
                 (Kind::Weights, Change::Put(object)) => {
-                    self.take_weights(&object, Some(unseen_for))
+                    self.take_weights(&object, Some(Duration::ZERO))
                 }
                 (Kind::Weights, Change::Gone(_)) | (Kind::Config, _) => {}
             }
--- a/node/tests/direct/knowledge.rs
+++ b/node/tests/direct/knowledge.rs
@@ -11,7 +11,6 @@
 use mastichaven_core::ids::ZoneName;
 use mastichaven_node::direct::settings::DirectSettings;
 use mastichaven_node::direct::state::State;
-use mastichaven_platform::objects::Kind;
 
 const SETTINGS: &str = r#"
 host = "entry-1"
@@ -124,14 +123,3 @@
     state.confirm(now, &Ages { weights: age, ..but_weights });
     assert!(state.may_act(now));
 }
-
-// A follower loses its watcher. It goes on from what it was told, and reads no list: the lists of all
-// followers of a region at once would fill its links.
-#[test]
-fn take_revisions_tells_where_to_watch_on() {
-    let (watcher, follower) = (state(), state());
-    watcher.revisions.borrow_mut().insert(Kind::Config, 7);
-    follower.take_revisions(&watcher.known_revisions());
-    assert_eq!(follower.known_revisions().config, Some(7));
-    assert_eq!(follower.known_revisions().weights, None);
-}
