--- a/node/tests/direct/keeper.rs
+++ b/node/tests/direct/keeper.rs
@@ -3,6 +3,7 @@
 
 use mastichaven_standins::served::endpoint::ServedEndpoint;
 use mastichaven_standins::served::origin::CHUNKS;
+use mastichaven_standins::served::store::StoreFault;
 use serde_json::json;
 
 use super::fixture::Program;
@@ -141,3 +142,17 @@
     until("all hold version 2", || all_hold(&fleet, 2));
     assert!(fleet.iter().all(|(endpoint, _)| endpoint.mixed_loads() == 0));
 }
+
+// All agents are restarted at once while the store's links are full. Each of them reading the
+// configuration for itself made that last for seconds, in which no endpoint could be judged. Entries know
+// it already and tell what agents need.
+#[test]
+fn restarted_agent_learns_its_service_from_an_entry() {
+    let site = Site::start();
+    let endpoint = site.endpoint("i-w", "writer", Some(1));
+    let _entry = site.entry("told-entry");
+    site.store.set_fault(StoreFault::Silent);
+    let agent = site.agent("told-agent", &endpoint);
+    until("the service is known", || agent.log().contains("service known"));
+    site.store.set_fault(StoreFault::None);
+}
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod fixture;
 mod keeper;
 mod knowledge;
+mod link;
 mod outcomes;
 mod peers;
 mod stops;
