--- a/node/src/direct/explain.rs
+++ b/node/src/direct/explain.rs
@@ -68,6 +68,7 @@
         _ => "",
     };
     let why = match text(line, "reason") {
+        "not all known yet" => format!("{host} had just started and did not know all it needs"),
         "configuration too old" => format!("{host} had no fresh configuration ({age} ms old)"),
         "all endpoints full" => "every endpoint that may serve it was full".to_owned(),
         "no endpoint" => "no endpoint that may serve it was known".to_owned(),
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -53,8 +53,10 @@
 /// Why a request does not pass.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Barred {
-    /// Nothing is known yet, or what is known is too old to act on.
+    /// The configuration is too old to act on.
     Stale,
+    /// The entry has just started and does not know yet all that decides where requests go.
+    Starting,
     UnknownRoute,
     UnknownKey,
     BodyTooLong,
@@ -65,7 +67,7 @@
 impl Barred {
     fn status(self) -> StatusCode {
         match self {
-            Barred::Stale => StatusCode::SERVICE_UNAVAILABLE,
+            Barred::Stale | Barred::Starting => StatusCode::SERVICE_UNAVAILABLE,
             Barred::UnknownRoute => StatusCode::NOT_FOUND,
             Barred::UnknownKey => StatusCode::UNAUTHORIZED,
             Barred::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -76,7 +78,8 @@
 
     fn as_str(self) -> &'static str {
         match self {
-            Barred::Stale => "knowledge missing or too old",
+            Barred::Stale => "configuration too old",
+            Barred::Starting => "not all known yet",
             Barred::UnknownRoute => "unknown route",
             Barred::UnknownKey => "unknown key",
             Barred::BodyTooLong => "body too long",
@@ -113,10 +116,13 @@
     req: Request<Incoming>,
     arrived: Time,
 ) -> Result<Call, Barred> {
-    if !state.may_act(arrived) {
+    if !state.knows_all() {
+        return Err(Barred::Starting);
+    }
+    if !state.freshness.borrow().holds(arrived) {
         return Err(Barred::Stale);
     }
-    let catalog = state.catalog.borrow().clone().ok_or(Barred::Stale)?;
+    let catalog = state.catalog.borrow().clone().ok_or(Barred::Starting)?;
     let route = catalog.route(&head.host, req.uri().path()).ok_or(Barred::UnknownRoute)?.clone();
     let customer = customer_of(&catalog, &route, head)?;
     let draw = state.with_rng(|rng| rng.random::<f64>());
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -139,17 +139,18 @@
 
     /// Whether new connections are welcome: all that an answer needs is known and fresh.
     pub fn is_ready(&self, now: Time) -> bool {
-        !self.is_stopping.get() && self.has_list.get() && self.may_act(now)
+        !self.is_stopping.get()
+            && self.has_list.get()
+            && self.knows_all()
+            && self.freshness.borrow().holds(now)
     }
 
-    /// Whether requests may be sent on: the configuration is fresh, and each of the other kinds was read
-    /// in this life. An entry that has started and can't read them yet knows of no version of weights
-    /// and of no zone that is out, and would send callers to what is barred everywhere else.
-    pub fn may_act(&self, now: Time) -> bool {
+    /// Whether each kind of object was read or told in this life. An entry that has started and can't read
+    /// one yet knows of no version of weights, or of no zone that is out, and would send callers to what
+    /// is barred everywhere else.
+    pub fn knows_all(&self) -> bool {
         let confirmed = self.confirmed.borrow();
-        self.catalog.borrow().is_some()
-            && self.freshness.borrow().holds(now)
-            && Kind::ALL.iter().all(|kind| confirmed.contains_key(kind))
+        self.catalog.borrow().is_some() && Kind::ALL.iter().all(|kind| confirmed.contains_key(kind))
     }
 
     /// The oldest version of `model` that may still answer.
--- a/node/tests/direct/knowledge.rs
+++ b/node/tests/direct/knowledge.rs
@@ -112,14 +112,14 @@
 // not yet the versions of weights. Taking requests then, it sends callers to endpoints with versions that
 // are barred on all other entries, and into zones that are out of service.
 #[test]
-fn may_act_needs_all_that_decides_where_requests_go() {
+fn knows_all_needs_all_that_decides_where_requests_go() {
     let state = state();
     configure(&state);
     let now = state.now();
     let age = Some(Duration::ZERO);
     let but_weights = Ages { config: age, endpoints: age, evacuations: age, weights: None };
     state.confirm(now, &but_weights);
-    assert!(!state.may_act(now));
+    assert!(!state.knows_all());
     state.confirm(now, &Ages { weights: age, ..but_weights });
-    assert!(state.may_act(now));
+    assert!(state.knows_all());
 }
