--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -270,7 +270,10 @@
             if is_same_life {
                 endpoint.cold_until = cold_until;
                 let weights = std::mem::take(&mut endpoint.listed.weights);
-                endpoint.listed = listed;
+                // Nobody who leaves stays after all. What says so is older, from another entry that the
+                // store could not reach, and would bring requests to an endpoint about to stop.
+                let is_draining = endpoint.listed.is_draining || listed.is_draining;
+                endpoint.listed = Listed { is_draining, ..listed };
                 // The list lags: an endpoint that has lost power is still shown with its weights for
                 // a heartbeat, and requests sent there come back refused.
                 if endpoint.load.as_ref().is_some_and(|load| load.is_heard(now)) {
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -412,3 +412,18 @@
     }
     sent
 }
+
+// An entry reads that an endpoint leaves. Then it follows another entry, which was cut off from the store
+// just before and still has the endpoint as ready. Callers' requests must not go there again: the endpoint
+// stops within two seconds, and they would be cut off.
+#[test]
+fn put_does_not_take_back_that_an_endpoint_leaves() {
+    let mut roster = roster();
+    let ready = listed(1, "lagoa");
+    let leaving = Listed { is_draining: true, ..ready.clone() };
+    roster.put(leaving, now(0));
+    roster.put(ready.clone(), now(300));
+    assert_eq!(choose(&mut roster, now(301)), Err(Unavailable::None));
+    roster.put(Listed { born: ready.born + 1, ..ready }, now(5_000));
+    assert!(choose(&mut roster, now(5_001)).is_ok());
+}
