Sight: what entries take in carries the store's revision, and logs tell it and who told

The incident's hypotheses could not be told apart by the logs: whether an endpoint was taken in from the store or from the region's watcher, how old that was, and that an entry keeps an endpoint that may have lapsed. News of endpoints and of zones now carry the revision of the store, and 'endpoint listed', 'endpoint gone', 'zones out of service' say it. Nothing decides by it yet.

--- a/core/src/direct/feed.rs
+++ b/core/src/direct/feed.rs
@@ -16,6 +16,7 @@
 
 use super::catalog::CatalogParts;
 use super::roster::Listed;
+use crate::ids::Revision;
 use crate::ids::ZoneName;
 use crate::time::Time;
 
@@ -26,6 +27,8 @@
     Config(Box<CatalogParts>),
     /// All endpoints that there are.
     Endpoints {
+        /// Revision of the store up to which all changes are in it.
+        as_of: Revision,
         /// Those that the store lists.
         listed: Vec<Listed>,
         /// Those that it no longer lists, perhaps only because they could not renew their entry while
@@ -35,9 +38,19 @@
     /// An endpoint is new or has changed.
     EndpointPut(Box<Listed>),
     /// An endpoint is gone.
-    EndpointGone(SmolStr),
+    EndpointGone {
+        /// Its id.
+        id: SmolStr,
+        /// Revision of its last entry: a higher one is of a later life.
+        last: Revision,
+    },
     /// All zones that are taken out of service.
-    Evacuated(Vec<ZoneName>),
+    Evacuated {
+        /// Revision of the store up to which all changes are in it.
+        as_of: Revision,
+        /// The zones.
+        zones: Vec<ZoneName>,
+    },
     /// A version of a model was named.
     Weights {
         /// The model.
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -23,6 +23,7 @@
 use crate::arena::Arena;
 use crate::arena::Key;
 use crate::ids::RegionName;
+use crate::ids::Revision;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
 use crate::time::Time;
@@ -88,6 +89,8 @@
 pub struct Listed {
     /// Its incarnation's name.
     pub id: SmolStr,
+    /// Revision of the store at which it was last changed: of two that differ, the higher one holds.
+    pub revision: Revision,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -231,7 +234,11 @@
     endpoints: Arena<Endpoint>,
     by_id: HashMap<SmolStr, EndpointKey>,
     by_service: HashMap<ServiceName, Vec<EndpointKey>>,
+    /// Revision of the store up to which all changes of endpoints are known.
+    as_of: Revision,
     evacuated: HashSet<ZoneName>,
+    /// The same for the zones that are out of service.
+    evacuated_as_of: Revision,
     entries: u32,
     entry_count: EntryCount,
 }
@@ -247,7 +254,9 @@
             endpoints: Arena::new(),
             by_id: HashMap::new(),
             by_service: HashMap::new(),
+            as_of: Revision::default(),
             evacuated: HashSet::new(),
+            evacuated_as_of: Revision::default(),
             entries: 1,
             entry_count: EntryCount::default(),
         }
@@ -258,6 +267,16 @@
         self.by_id.keys()
     }
 
+    /// All changes of endpoints up to this revision of the store are known.
+    pub fn seen(&mut self, as_of: Revision) {
+        self.as_of = self.as_of.max(as_of);
+    }
+
+    /// Revision of the store up to which all changes of endpoints are known.
+    pub fn as_of(&self) -> Revision {
+        self.as_of
+    }
+
     /// Adds an endpoint or takes in what changed of it.
     pub fn put(&mut self, listed: Listed, now: Time) {
         let cold_until = now + listed.cold_for;
@@ -312,9 +331,15 @@
         }
     }
 
-    /// The zones to whose endpoints nothing may be sent.
-    pub fn set_evacuated(&mut self, zones: HashSet<ZoneName>) {
+    /// The zones to whose endpoints nothing may be sent, with all changes up to `as_of`.
+    pub fn set_evacuated(&mut self, zones: HashSet<ZoneName>, as_of: Revision) {
         self.evacuated = zones;
+        self.evacuated_as_of = as_of;
+    }
+
+    /// Revision of the store up to which all changes of these zones are known.
+    pub fn evacuated_as_of(&self) -> Revision {
+        self.evacuated_as_of
     }
 
     /// An agent reported on the endpoint at `address` in answer to what it was asked at `asked`, over
@@ -379,6 +404,12 @@
         engines.map(|(_, endpoint)| (&endpoint.listed, endpoint.region != self.region))
     }
 
+    /// Revision of an endpoint's entry, if it is known.
+    pub fn revision_of(&self, id: &str) -> Option<Revision> {
+        let endpoint = self.endpoints.get(*self.by_id.get(id)?)?;
+        Some(endpoint.listed.revision)
+    }
+
     /// Whether an endpoint listens at `address`.
     pub fn has_address(&self, address: SocketAddr) -> bool {
         self.endpoints.iter().any(|(_, endpoint)| endpoint.listed.address == address)
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -11,6 +11,7 @@
 use mastichaven_core::direct::roster::Roster;
 use mastichaven_core::direct::roster::Unavailable;
 use mastichaven_core::ids::RegionName;
+use mastichaven_core::ids::Revision;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
 use rand::RngExt;
@@ -44,6 +45,7 @@
 fn listed(n: u8, zone: &str) -> Listed {
     Listed {
         id: format!("i-{n}").into(),
+        revision: Revision(1),
         service: ServiceName::new("redator"),
         address: address(n),
         zone: ZoneName::new(zone),
@@ -178,9 +180,9 @@
     roster.put(listed(1, "lagoa"), now(0));
     roster.put(Listed { is_draining: true, ..listed(2, "serra") }, now(0));
     assert_eq!(chosen(&mut roster, now(1)), "i-1");
-    roster.set_evacuated(HashSet::from([ZoneName::new("lagoa")]));
+    roster.set_evacuated(HashSet::from([ZoneName::new("lagoa")]), Revision(2));
     assert_eq!(choose(&mut roster, now(2)), Err(Unavailable::None));
-    roster.set_evacuated(HashSet::new());
+    roster.set_evacuated(HashSet::new(), Revision(3));
     assert_eq!(chosen(&mut roster, now(3)), "i-1");
 }
 
--- a/node/src/direct/knowledge.rs
+++ b/node/src/direct/knowledge.rs
@@ -12,6 +12,7 @@
 use mastichaven_core::direct::roster::Listed;
 use mastichaven_core::direct::roster::Roster;
 use mastichaven_core::direct::versions::Versions;
+use mastichaven_core::ids::Revision;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
 use mastichaven_platform::objects::Kind;
@@ -27,10 +28,12 @@
         }
         match news {
             News::Config(parts) => self.learn_config(Catalog::from_parts(*parts)),
-            News::Endpoints { listed, lapsed } => self.learn_endpoints(listed, &lapsed),
+            News::Endpoints { as_of, listed, lapsed } => {
+                self.learn_endpoints(as_of, listed, &lapsed);
+            }
             News::EndpointPut(listed) => self.learn_endpoint(*listed),
-            News::EndpointGone(name) => self.endpoint_gone(&name),
-            News::Evacuated(zones) => self.learn_evacuated(&zones),
+            News::EndpointGone { id, last } => self.endpoint_gone(&id, last),
+            News::Evacuated { as_of, zones } => self.learn_evacuated(as_of, &zones),
             News::Weights { model, version, ago } => {
                 let now = self.now();
                 let named_at = ago.map(|ago| before(now, ago).unwrap_or_default());
@@ -57,7 +60,8 @@
             all.push(News::Config(Box::new(catalog.parts())));
         }
         let roster = self.roster.borrow();
-        all.push(News::Evacuated(roster.evacuated().cloned().collect()));
+        let zones = roster.evacuated().cloned().collect();
+        all.push(News::Evacuated { as_of: roster.evacuated_as_of(), zones });
         all.push(self.listed_endpoints(&roster, now));
         for (model, versions) in self.versions.borrow().iter() {
             let named = versions.ages(now);
@@ -79,6 +83,7 @@
         let lapsed = self.lapsed.borrow();
         let is_listed = |listed: &Listed| !lapsed.contains_key(&listed.id);
         News::Endpoints {
+            as_of: roster.as_of(),
             listed: roster.all_listed(now).filter(is_listed).collect(),
             lapsed: lapsed.keys().cloned().collect(),
         }
@@ -133,21 +138,31 @@
         self.configured.notify_one();
     }
 
-    fn learn_endpoints(&self, all: Vec<Listed>, lapsed: &[SmolStr]) {
+    /// Where what is taken in now comes from, for logs.
+    fn source(&self) -> &'static str {
+        if self.is_following.get() { "watcher" } else { "store" }
+    }
+
+    fn learn_endpoints(&self, as_of: Revision, all: Vec<Listed>, lapsed: &[SmolStr]) {
+        slog::info!(self.log, "endpoints told"; "from" => self.source(), "as_of" => as_of.0,
+            "known_as_of" => self.roster.borrow().as_of().0, "listed" => all.len(),
+            "lapsed" => format!("{lapsed:?}"));
         let kept: HashSet<&SmolStr> = all.iter().map(|listed| &listed.id).chain(lapsed).collect();
         let known: Vec<SmolStr> = self.roster.borrow().ids().cloned().collect();
         for name in known.iter().filter(|name| !kept.contains(name)) {
-            self.endpoint_gone(name);
+            self.endpoint_gone(name, as_of);
         }
         drop(kept);
         for listed in all {
             self.learn_endpoint(listed);
         }
+        self.roster.borrow_mut().seen(as_of);
         self.has_list.set(true);
     }
 
     fn learn_endpoint(&self, listed: Listed) {
         slog::info!(self.log, "endpoint listed"; "endpoint" => listed.id.as_str(),
+            "from" => self.source(), "revision" => listed.revision.0,
             "service" => listed.service.as_str(), "zone" => listed.zone.as_str(),
             "draining" => listed.is_draining,
             "weights" => listed.weights.first().map_or(0, |(_, version)| *version),
@@ -156,14 +171,16 @@
         self.freed.notify_waiters();
     }
 
-    fn endpoint_gone(&self, name: &str) {
-        slog::info!(self.log, "endpoint gone"; "endpoint" => name);
-        self.roster.borrow_mut().remove(name);
+    fn endpoint_gone(&self, id: &str, last: Revision) {
+        slog::info!(self.log, "endpoint gone"; "endpoint" => id, "from" => self.source(),
+            "last" => last.0);
+        self.roster.borrow_mut().remove(id);
     }
 
-    fn learn_evacuated(&self, zones: &[ZoneName]) {
-        slog::info!(self.log, "zones out of service"; "zones" => format!("{zones:?}"));
-        self.roster.borrow_mut().set_evacuated(zones.iter().cloned().collect());
+    fn learn_evacuated(&self, as_of: Revision, zones: &[ZoneName]) {
+        slog::info!(self.log, "zones out of service"; "zones" => format!("{zones:?}"),
+            "from" => self.source(), "as_of" => as_of.0);
+        self.roster.borrow_mut().set_evacuated(zones.iter().cloned().collect(), as_of);
     }
 
     /// `named_at` is `None` where nobody knows how long the version has been named.
--- a/node/src/direct/store.rs
+++ b/node/src/direct/store.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::StatusCode;
+use mastichaven_core::ids::Revision;
 use mastichaven_platform::objects;
 use mastichaven_platform::objects::Changes;
 use mastichaven_platform::objects::Kind;
@@ -74,7 +75,7 @@
 
     /// Reads all objects of a kind, and the revision they show. The revision is that of the first
     /// page: what changes while later pages are read is then seen by the watch.
-    pub async fn list(&mut self, kind: Kind, stale: bool) -> Result<(Vec<Object>, u64)> {
+    pub async fn list(&mut self, kind: Kind, stale: bool) -> Result<(Vec<Object>, Revision)> {
         let mut objects = Vec::new();
         let mut revision = None;
         let mut after: Option<SmolStr> = None;
@@ -93,7 +94,12 @@
     }
 
     /// Waits up to `wait` for changes of a kind after `revision`.
-    pub async fn watch(&mut self, kind: Kind, revision: u64, wait: Duration) -> Result<Changes> {
+    pub async fn watch(
+        &mut self,
+        kind: Kind,
+        revision: Revision,
+        wait: Duration,
+    ) -> Result<Changes> {
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).max(1);
         let path = objects::watch_path(kind, revision, wait_ms);
         let body = self.get(&path, wait + ANSWER_WITHIN).await?;
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -11,6 +11,7 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::Catalog;
 use mastichaven_core::direct::feed::News;
+use mastichaven_core::ids::Revision;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
 use mastichaven_platform::config;
@@ -104,7 +105,7 @@
                 Ok((objects, revision)) => {
                     let unseen_for = self.unseen_for(sent);
                     self.answered(sent);
-                    self.take_all(&objects, unseen_for);
+                    self.take_all(&objects, revision, unseen_for);
                     self.watch_from(revision).await;
                 }
                 Err(e) => self.failed(e).await,
@@ -123,7 +124,7 @@
     }
 
     /// Watches from `revision` on until its history is gone.
-    async fn watch_from(&mut self, mut revision: u64) {
+    async fn watch_from(&mut self, mut revision: Revision) {
         let mut probe = false;
         loop {
             if self.kind == Kind::Endpoints && self.state.are_models_new.take() {
@@ -145,14 +146,14 @@
                     probe = false;
                     revision = revision.max(changes.revision);
                     let is_any = !changes.changes.is_empty();
-                    self.take_changes(changes.changes);
+                    self.take_changes(changes.changes, revision);
                     if is_any {
                         sleep(gather_for(self.kind)).await;
                     }
                 }
                 Err(StoreError::Compacted) => {
                     slog::info!(self.state.log, "store history gone, listing again";
-                        "kind" => self.kind.as_str(), "revision" => revision);
+                        "kind" => self.kind.as_str(), "revision" => revision.0);
                     return;
                 }
                 Err(e) => {
@@ -200,15 +201,16 @@
         self.pause = (self.pause * 2).min(PAUSE_LONGEST);
     }
 
-    fn take_all(&mut self, objects: &[Object], unseen_for: Option<Duration>) {
+    /// Takes in a list that holds all changes up to `as_of`.
+    fn take_all(&mut self, objects: &[Object], as_of: Revision, unseen_for: Option<Duration>) {
         match self.kind {
             Kind::Config => objects.iter().for_each(|object| {
                 self.take_config(object);
             }),
-            Kind::Endpoints => self.take_endpoints(objects),
+            Kind::Endpoints => self.take_endpoints(objects, as_of),
             Kind::Evacuations => {
                 self.evacuated = objects.iter().map(|object| object.name.clone()).collect();
-                self.set_evacuated();
+                self.set_evacuated(as_of);
             }
             Kind::Weights => {
                 objects.iter().for_each(|object| self.take_weights(object, unseen_for))
@@ -218,7 +220,8 @@
             "objects" => objects.len());
     }
 
-    fn take_changes(&mut self, changes: Vec<Change>) {
+    /// Takes in what changed up to `as_of`.
+    fn take_changes(&mut self, changes: Vec<Change>, as_of: Revision) {
         let now = self.state.now();
         if self.kind == Kind::Config {
             return self.take_newest_config(changes);
@@ -226,14 +229,17 @@
         for change in changes {
             match (self.kind, change) {
                 (Kind::Endpoints, Change::Put(object)) => self.put_endpoint(&object),
-                (Kind::Endpoints, Change::Gone(name)) => self.endpoint_gone(name, now),
+                (Kind::Endpoints, Change::Gone(name)) => {
+                    let last = self.state.roster.borrow().revision_of(&name);
+                    self.endpoint_gone(name, last.unwrap_or_default(), now);
+                }
                 (Kind::Evacuations, Change::Put(object)) => {
                     self.evacuated.insert(object.name);
-                    self.set_evacuated();
+                    self.set_evacuated(as_of);
                 }
                 (Kind::Evacuations, Change::Gone(name)) => {
                     self.evacuated.remove(&name);
-                    self.set_evacuated();
+                    self.set_evacuated(as_of);
                 }
                 (Kind::Weights, Change::Put(object)) => {
                     self.take_weights(&object, Some(Duration::ZERO))
@@ -264,12 +270,12 @@
         true
     }
 
-    fn take_endpoints(&mut self, objects: &[Object]) {
+    fn take_endpoints(&mut self, objects: &[Object], as_of: Revision) {
         let now = self.state.now();
         let known: Vec<SmolStr> = self.state.roster.borrow().ids().cloned().collect();
         let listed: HashSet<&SmolStr> = objects.iter().map(|object| &object.name).collect();
         for name in known.into_iter().filter(|name| !listed.contains(name)) {
-            self.endpoint_gone(name, now);
+            self.endpoint_gone(name, as_of, now);
         }
         for object in objects {
             self.put_endpoint(object);
@@ -289,32 +295,36 @@
             None => {
                 slog::warn!(self.state.log, "endpoint entry cannot be read";
                     "endpoint" => object.name.as_str(), "entry" => object.spec.to_string());
-                self.state.learn(News::EndpointGone(object.name.clone()));
+                let id = object.name.clone();
+                self.state.learn(News::EndpointGone { id, last: object.revision });
             }
         }
     }
 
-    fn endpoint_gone(&mut self, name: SmolStr, now: Time) {
+    /// An endpoint, whose entry was last changed at `last`, is no longer listed.
+    fn endpoint_gone(&mut self, id: SmolStr, last: Revision, now: Time) {
         let state = self.state.clone();
         let is_lapse = self.trouble_until.is_some_and(|until| now < until);
         if !is_lapse {
-            return state.learn(News::EndpointGone(name));
+            return state.learn(News::EndpointGone { id, last });
         }
-        state.lapsed.borrow_mut().insert(name.clone(), now);
+        slog::info!(state.log, "endpoint may have lapsed"; "endpoint" => id.as_str(),
+            "last" => last.0);
+        state.lapsed.borrow_mut().insert(id.clone(), now);
         spawn_local(async move {
             sleep(LAPSE_FOR).await;
             // Back meanwhile, or gone a second time with a later task to see to it.
-            let is_still = state.lapsed.borrow().get(&name) == Some(&now);
+            let is_still = state.lapsed.borrow().get(&id) == Some(&now);
             if is_still {
-                state.lapsed.borrow_mut().remove(&name);
-                state.learn(News::EndpointGone(name));
+                state.lapsed.borrow_mut().remove(&id);
+                state.learn(News::EndpointGone { id, last });
             }
         });
     }
 
-    fn set_evacuated(&self) {
+    fn set_evacuated(&self, as_of: Revision) {
         let zones = self.evacuated.iter().map(ZoneName::new).collect();
-        self.state.learn(News::Evacuated(zones));
+        self.state.learn(News::Evacuated { as_of, zones });
     }
 
     /// `ago` is `None` where nobody knows how long the version has been named.
--- a/node/tests/direct/knowledge.rs
+++ b/node/tests/direct/knowledge.rs
@@ -7,6 +7,7 @@
 use mastichaven_core::direct::feed::Ages;
 use mastichaven_core::direct::feed::News;
 use mastichaven_core::direct::roster::Listed;
+use mastichaven_core::ids::Revision;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
 use mastichaven_node::direct::settings::DirectSettings;
@@ -41,6 +42,7 @@
 fn listed(id: &str) -> Listed {
     Listed {
         id: id.into(),
+        revision: Revision(1),
         service: ServiceName::new("writer"),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         zone: ZoneName::new("zone-a"),
@@ -78,7 +80,7 @@
         put(entry, "i-stays");
         put(entry, "i-left");
     }
-    follower.learn(News::EndpointGone("i-left".into()));
+    follower.learn(News::EndpointGone { id: "i-left".into(), last: Revision(1) });
     watcher.lapsed.borrow_mut().insert("i-left".into(), Time::ZERO);
     tell_all(&watcher, &follower);
     assert_eq!(known(&follower), ["i-stays"]);
