Tests that fail: an entry gives way to a watcher that knows less

An entry that saw an endpoint go, or a zone taken out, begins to follow a watcher whose knowledge is older but young enough to be followed, and takes its state in whole. Callers' requests then reach an endpoint that has left, or a zone that is out of service.

--- a/node/tests/direct/knowledge.rs
+++ b/node/tests/direct/knowledge.rs
@@ -99,6 +99,48 @@
     assert_eq!(known(&follower), ["i-lapsed"]);
 }
 
+fn tell_endpoints(state: &State, as_of: u64, ids: &[&str]) {
+    let listed = ids.iter().map(|id| listed(id)).collect();
+    state.learn(News::Endpoints { as_of: Revision(as_of), listed, lapsed: Vec::new() });
+}
+
+// An endpoint leaves. One entry reads at once that it is gone; the region's watcher is cut off from the
+// store just before and still lists it. The first entry begins to follow the watcher, whose knowledge is
+// a second old and thus young enough. Callers' requests went to the endpoint again and were cut off
+// when it stopped.
+#[test]
+fn all_news_does_not_bring_back_what_an_older_list_still_shows() {
+    let (watcher, follower) = (state(), state());
+    tell_endpoints(&watcher, 3, &["i-left", "i-stays"]);
+    tell_endpoints(&follower, 3, &["i-left", "i-stays"]);
+    tell_endpoints(&follower, 5, &["i-stays"]);
+    tell_all(&watcher, &follower);
+    assert_eq!(known(&follower), ["i-stays"]);
+}
+
+// The same with an endpoint that is new: the entry that knows it must not lose it to an older list.
+#[test]
+fn all_news_keeps_what_an_older_list_does_not_show_yet() {
+    let (watcher, follower) = (state(), state());
+    tell_endpoints(&watcher, 3, &["i-stays"]);
+    tell_endpoints(&follower, 5, &["i-new", "i-stays"]);
+    tell_all(&watcher, &follower);
+    assert_eq!(known(&follower), ["i-new", "i-stays"]);
+}
+
+// An operator takes a zone out of service. One entry knows; the watcher that it begins to follow is cut
+// off from the store and does not. The entry sent requests into the zone again.
+#[test]
+fn all_news_does_not_return_a_zone_that_an_older_state_shows_in_service() {
+    let (watcher, follower) = (state(), state());
+    let zone = ZoneName::new("zone-a");
+    watcher.learn(News::Evacuated { as_of: Revision(3), zones: Vec::new() });
+    follower.learn(News::Evacuated { as_of: Revision(5), zones: vec![zone.clone()] });
+    tell_all(&watcher, &follower);
+    let evacuated: Vec<ZoneName> = follower.roster.borrow().evacuated().cloned().collect();
+    assert_eq!(evacuated, [zone]);
+}
+
 fn configure(state: &State) {
     let limits = CallerLimits {
         head_len: 1 << 10,
