An older list of endpoints no longer replaces a newer one

What callers saw: requests that reached an endpoint after it had left, and were cut off when it stopped. Cause: an entry that begins to follow another takes in its list whole, whichever of the two knows more. A watcher that the store turned away for a while lists endpoints that have left since; ages bound how old that may be (1.3 s), not whether it is older than what the follower knows. Mend: lists and entries carry the store's revision, as the store numbers all its changes. A list that is older than what is known is left out, changes up to the known revision are skipped, and a late end spares an endpoint that is back. This holds whoever tells what in which order, as all revisions come from the one store.

--- a/core/src/direct/feed.rs
+++ b/core/src/direct/feed.rs
@@ -44,6 +44,8 @@
         /// Revision of its last entry: a higher one is of a later life.
         last: Revision,
     },
+    /// All changes of endpoints up to this revision of the store have been told.
+    EndpointsSeen(Revision),
     /// All zones that are taken out of service.
     Evacuated {
         /// Revision of the store up to which all changes are in it.
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -277,12 +277,47 @@
         self.as_of
     }
 
-    /// Adds an endpoint or takes in what changed of it.
-    pub fn put(&mut self, listed: Listed, now: Time) {
+    /// Takes in all endpoints that the store lists as of a revision; those of `lapsed` stay if they are
+    /// known. False if the list is older than what is known, which then holds on.
+    ///
+    /// An older list, of an entry that the store turned away, would bring back endpoints that have left
+    /// since, and their callers would be cut off. What changes after it comes on its own.
+    pub fn put_all(
+        &mut self,
+        as_of: Revision,
+        listed: Vec<Listed>,
+        lapsed: &[SmolStr],
+        now: Time,
+    ) -> bool {
+        if as_of < self.as_of {
+            return false;
+        }
+        let kept: HashSet<&SmolStr> = listed.iter().map(|one| &one.id).chain(lapsed).collect();
+        let gone: Vec<SmolStr> = self.ids().filter(|id| !kept.contains(id)).cloned().collect();
+        drop(kept);
+        gone.iter().for_each(|id| self.remove(id, as_of));
+        for one in listed {
+            self.put_listed(one, now);
+        }
+        self.as_of = as_of;
+        true
+    }
+
+    /// Adds an endpoint or takes in what changed of it. False if that is older than what is known.
+    pub fn put(&mut self, listed: Listed, now: Time) -> bool {
+        // Changes up to there are known, and so is that the endpoint has gone since.
+        let is_past = listed.revision <= self.as_of && !self.by_id.contains_key(&listed.id);
+        !is_past && self.put_listed(listed, now)
+    }
+
+    fn put_listed(&mut self, listed: Listed, now: Time) -> bool {
         let cold_until = now + listed.cold_for;
         if let Some(key) = self.by_id.get(&listed.id).copied()
             && let Some(endpoint) = self.endpoints.get_mut(key)
         {
+            if listed.revision < endpoint.listed.revision {
+                return false;
+            }
             let is_same_life = endpoint.listed.born == listed.born
                 && endpoint.listed.address == listed.address
                 && endpoint.listed.service == listed.service;
@@ -298,9 +333,9 @@
                 if endpoint.load.as_ref().is_some_and(|load| load.is_heard(now)) {
                     endpoint.listed.weights = weights;
                 }
-                return;
+                return true;
             }
-            self.remove(&listed.id);
+            self.remove(&listed.id, listed.revision);
         }
         let region = self.regions.get(&listed.zone).cloned().unwrap_or_default();
         let id = listed.id.clone();
@@ -318,13 +353,16 @@
         });
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
+        true
     }
 
-    /// An endpoint is gone.
-    pub fn remove(&mut self, id: &str) {
-        let Some(key) = self.by_id.remove(id) else {
+    /// An endpoint is gone, whose entry was last changed at `last`. It stays if it has come back since.
+    pub fn remove(&mut self, id: &str, last: Revision) {
+        let is_back = self.revision_of(id).is_some_and(|known| known > last);
+        let Some(key) = self.by_id.get(id).copied().filter(|_| !is_back) else {
             return;
         };
+        self.by_id.remove(id);
         self.endpoints.remove(key);
         for list in self.by_service.values_mut() {
             list.retain(|other| *other != key);
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -429,3 +429,44 @@
     roster.put(Listed { born: ready.born + 1, ..ready }, now(5_000));
     assert!(choose(&mut roster, now(5_001)).is_ok());
 }
+
+// An endpoint starts again under the id that it had, just after its entry lapsed. News of the lapse
+// comes late, from an entry that kept it for a while. The endpoint would get no requests until it
+// writes to the store again.
+#[test]
+fn remove_spares_an_endpoint_that_is_back() {
+    let mut roster = roster();
+    roster.put_all(Revision(1), vec![listed(1, "lagoa")], &[], now(0));
+    roster.remove("i-1", Revision(1));
+    assert!(roster.is_empty());
+    assert!(roster.put(Listed { revision: Revision(4), ..listed(1, "lagoa") }, now(100)));
+    roster.remove("i-1", Revision(1));
+    assert!(choose(&mut roster, now(101)).is_ok());
+}
+
+// The list that an entry already knows changes of is told once more, change by change, by an entry that
+// reads it late. What has left since must not come back for the moment between two changes.
+#[test]
+fn put_refuses_what_is_older_than_the_list() {
+    let mut roster = roster();
+    roster.put_all(Revision(5), vec![listed(1, "lagoa")], &[], now(0));
+    let left = Listed { revision: Revision(3), ..listed(2, "serra") };
+    assert!(!roster.put(left, now(1)));
+    let newer = Listed { revision: Revision(7), is_draining: true, ..listed(1, "lagoa") };
+    assert!(roster.put(newer, now(2)));
+    assert!(!roster.put(Listed { revision: Revision(6), born: 9, ..listed(1, "lagoa") }, now(3)));
+    assert_eq!(choose(&mut roster, now(4)), Err(Unavailable::None));
+}
+
+// A list of the same revision is taken in again: weights are read anew when the models have changed.
+#[test]
+fn put_all_takes_a_list_of_the_same_revision() {
+    let mut roster = roster();
+    let half = Listed { weights: Vec::new(), ..listed(1, "lagoa") };
+    assert!(roster.put_all(Revision(5), vec![half], &[], now(0)));
+    assert!(choose(&mut roster, now(1)).is_err());
+    assert!(roster.put_all(Revision(5), vec![listed(1, "lagoa")], &[], now(2)));
+    assert!(choose(&mut roster, now(3)).is_ok());
+    assert!(!roster.put_all(Revision(4), Vec::new(), &[], now(4)));
+    assert!(choose(&mut roster, now(5)).is_ok());
+}
--- a/node/src/direct/knowledge.rs
+++ b/node/src/direct/knowledge.rs
@@ -1,6 +1,5 @@
 //! What an entry takes in, whether the store or another entry told it.
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -33,6 +32,7 @@
             }
             News::EndpointPut(listed) => self.learn_endpoint(*listed),
             News::EndpointGone { id, last } => self.endpoint_gone(&id, last),
+            News::EndpointsSeen(as_of) => self.roster.borrow_mut().seen(as_of),
             News::Evacuated { as_of, zones } => self.learn_evacuated(as_of, &zones),
             News::Weights { model, version, ago } => {
                 let now = self.now();
@@ -147,34 +147,37 @@
         slog::info!(self.log, "endpoints told"; "from" => self.source(), "as_of" => as_of.0,
             "known_as_of" => self.roster.borrow().as_of().0, "listed" => all.len(),
             "lapsed" => format!("{lapsed:?}"));
-        let kept: HashSet<&SmolStr> = all.iter().map(|listed| &listed.id).chain(lapsed).collect();
-        let known: Vec<SmolStr> = self.roster.borrow().ids().cloned().collect();
-        for name in known.iter().filter(|name| !kept.contains(name)) {
-            self.endpoint_gone(name, as_of);
-        }
-        drop(kept);
-        for listed in all {
-            self.learn_endpoint(listed);
+        if as_of < self.roster.borrow().as_of() {
+            return;
         }
-        self.roster.borrow_mut().seen(as_of);
+        all.iter().for_each(|listed| self.log_listed(listed));
+        self.roster.borrow_mut().put_all(as_of, all, lapsed, self.now());
         self.has_list.set(true);
+        self.freed.notify_waiters();
     }
 
-    fn learn_endpoint(&self, listed: Listed) {
+    fn log_listed(&self, listed: &Listed) {
         slog::info!(self.log, "endpoint listed"; "endpoint" => listed.id.as_str(),
             "from" => self.source(), "revision" => listed.revision.0,
             "service" => listed.service.as_str(), "zone" => listed.zone.as_str(),
             "draining" => listed.is_draining,
             "weights" => listed.weights.first().map_or(0, |(_, version)| *version),
             "cold_ms" => listed.cold_for.as_millis() as u64);
-        self.roster.borrow_mut().put(listed, self.now());
+    }
+
+    fn learn_endpoint(&self, listed: Listed) {
+        self.log_listed(&listed);
+        let id = listed.id.clone();
+        if !self.roster.borrow_mut().put(listed, self.now()) {
+            slog::info!(self.log, "older news of an endpoint left out"; "endpoint" => id.as_str());
+        }
         self.freed.notify_waiters();
     }
 
     fn endpoint_gone(&self, id: &str, last: Revision) {
         slog::info!(self.log, "endpoint gone"; "endpoint" => id, "from" => self.source(),
             "last" => last.0);
-        self.roster.borrow_mut().remove(id);
+        self.roster.borrow_mut().remove(id, last);
     }
 
     fn learn_evacuated(&self, as_of: Revision, zones: &[ZoneName]) {
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -11,6 +11,7 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::Catalog;
 use mastichaven_core::direct::feed::News;
+use mastichaven_core::direct::roster::Listed;
 use mastichaven_core::ids::Revision;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
@@ -147,6 +148,9 @@
                     revision = revision.max(changes.revision);
                     let is_any = !changes.changes.is_empty();
                     self.take_changes(changes.changes, revision);
+                    if is_any && self.kind == Kind::Endpoints {
+                        self.state.learn(News::EndpointsSeen(revision));
+                    }
                     if is_any {
                         sleep(gather_for(self.kind)).await;
                     }
@@ -272,42 +276,61 @@
 
     fn take_endpoints(&mut self, objects: &[Object], as_of: Revision) {
         let now = self.state.now();
-        let known: Vec<SmolStr> = self.state.roster.borrow().ids().cloned().collect();
+        let listed = objects.iter().filter_map(|object| self.scan_endpoint(object)).collect();
+        let lapsed = if self.is_troubled(now) { self.missing_from(objects) } else { Vec::new() };
+        lapsed.iter().for_each(|id| self.keep_lapsed(id.clone(), as_of, now));
+        self.state.learn(News::Endpoints { as_of, listed, lapsed });
+    }
+
+    /// Known endpoints that a list does not show.
+    fn missing_from(&self, objects: &[Object]) -> Vec<SmolStr> {
         let listed: HashSet<&SmolStr> = objects.iter().map(|object| &object.name).collect();
-        for name in known.into_iter().filter(|name| !listed.contains(name)) {
-            self.endpoint_gone(name, as_of, now);
-        }
-        for object in objects {
-            self.put_endpoint(object);
-        }
-        self.state.has_list.set(true);
+        let roster = self.state.roster.borrow();
+        roster.ids().filter(|id| !listed.contains(id)).cloned().collect()
     }
 
-    fn put_endpoint(&mut self, object: &Object) {
+    fn scan_endpoint(&self, object: &Object) -> Option<Listed> {
         let catalog: Option<Rc<Catalog>> = self.state.catalog.borrow().clone();
         let layers_of = |service: &ServiceName| {
             let service = catalog.as_ref()?.service(service)?;
             service.model.as_ref().map(|model| model.layers)
         };
         self.state.lapsed.borrow_mut().remove(&object.name);
-        match endpoints::scan_endpoint(object, layers_of) {
+        let listed = endpoints::scan_endpoint(object, layers_of);
+        if listed.is_none() {
+            slog::warn!(self.state.log, "endpoint entry cannot be read";
+                "endpoint" => object.name.as_str(), "entry" => object.spec.to_string());
+        }
+        listed
+    }
+
+    fn put_endpoint(&self, object: &Object) {
+        match self.scan_endpoint(object) {
             Some(listed) => self.state.learn(News::EndpointPut(Box::new(listed))),
             None => {
-                slog::warn!(self.state.log, "endpoint entry cannot be read";
-                    "endpoint" => object.name.as_str(), "entry" => object.spec.to_string());
                 let id = object.name.clone();
                 self.state.learn(News::EndpointGone { id, last: object.revision });
             }
         }
     }
 
+    /// Whether the store was in trouble just now, so that endpoints may have lapsed.
+    fn is_troubled(&self, now: Time) -> bool {
+        self.trouble_until.is_some_and(|until| now < until)
+    }
+
     /// An endpoint, whose entry was last changed at `last`, is no longer listed.
-    fn endpoint_gone(&mut self, id: SmolStr, last: Revision, now: Time) {
-        let state = self.state.clone();
-        let is_lapse = self.trouble_until.is_some_and(|until| now < until);
-        if !is_lapse {
-            return state.learn(News::EndpointGone { id, last });
+    fn endpoint_gone(&self, id: SmolStr, last: Revision, now: Time) {
+        if self.is_troubled(now) {
+            self.keep_lapsed(id, last, now);
+        } else {
+            self.state.learn(News::EndpointGone { id, last });
         }
+    }
+
+    /// Keeps an endpoint for a while whose entry, last changed at `last`, may only have lapsed.
+    fn keep_lapsed(&self, id: SmolStr, last: Revision, now: Time) {
+        let state = self.state.clone();
         slog::info!(state.log, "endpoint may have lapsed"; "endpoint" => id.as_str(),
             "last" => last.0);
         state.lapsed.borrow_mut().insert(id.clone(), now);
--- a/node/tests/direct/knowledge.rs
+++ b/node/tests/direct/knowledge.rs
@@ -55,8 +55,9 @@
     }
 }
 
-fn put(state: &State, id: &str) {
-    state.learn(News::EndpointPut(Box::new(listed(id))));
+fn tell_endpoints(state: &State, as_of: u64, ids: &[&str]) {
+    let listed = ids.iter().map(|id| listed(id)).collect();
+    state.learn(News::Endpoints { as_of: Revision(as_of), listed, lapsed: Vec::new() });
 }
 
 fn known(state: &State) -> Vec<String> {
@@ -77,8 +78,7 @@
 fn all_news_does_not_bring_back_what_a_follower_saw_leave() {
     let (watcher, follower) = (state(), state());
     for entry in [&watcher, &follower] {
-        put(entry, "i-stays");
-        put(entry, "i-left");
+        tell_endpoints(entry, 1, &["i-left", "i-stays"]);
     }
     follower.learn(News::EndpointGone { id: "i-left".into(), last: Revision(1) });
     watcher.lapsed.borrow_mut().insert("i-left".into(), Time::ZERO);
@@ -91,23 +91,20 @@
 #[test]
 fn all_news_keeps_lapsed_endpoints_that_a_follower_knows() {
     let (watcher, follower) = (state(), state());
-    put(&watcher, "i-lapsed");
-    put(&follower, "i-lapsed");
-    put(&follower, "i-unknown");
+    tell_endpoints(&watcher, 1, &["i-lapsed"]);
+    tell_endpoints(&follower, 1, &["i-lapsed", "i-unknown"]);
     watcher.lapsed.borrow_mut().insert("i-lapsed".into(), Time::ZERO);
     tell_all(&watcher, &follower);
     assert_eq!(known(&follower), ["i-lapsed"]);
 }
 
-fn tell_endpoints(state: &State, as_of: u64, ids: &[&str]) {
-    let listed = ids.iter().map(|id| listed(id)).collect();
-    state.learn(News::Endpoints { as_of: Revision(as_of), listed, lapsed: Vec::new() });
-}
-
 // An endpoint leaves. One entry reads at once that it is gone; the region's watcher is cut off from the
 // store just before and still lists it. The first entry begins to follow the watcher, whose knowledge is
-// a second old and thus young enough. Callers' requests went to the endpoint again and were cut off
-// when it stopped.
+// a second old and thus young enough. Callers' requests went to the endpoint again, and were cut off
+// when it stopped. The cause: whoever began to follow took in what it was told, and nothing said which of
+// two lists is the newer one. Logs proved it of an endpoint that was leaving: an entry read so from the
+// store, and a quarter of a second later listed it as ready, from its watcher. Lists now carry the
+// store's revision.
 #[test]
 fn all_news_does_not_bring_back_what_an_older_list_still_shows() {
     let (watcher, follower) = (state(), state());
