An older state of the zones no longer replaces a newer one

What callers would see: requests into a zone that operators have taken out, for up to 3.5 s (the age up to which a watcher is followed for zones). Mend: the zones carry the store's revision, and an older state is left out. The failing test passes.

--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -369,10 +369,15 @@
         }
     }
 
-    /// The zones to whose endpoints nothing may be sent, with all changes up to `as_of`.
-    pub fn set_evacuated(&mut self, zones: HashSet<ZoneName>, as_of: Revision) {
+    /// The zones to whose endpoints nothing may be sent, with all changes up to `as_of`. False if that is
+    /// older than what is known: it would send requests into a zone that was taken out since.
+    pub fn set_evacuated(&mut self, zones: HashSet<ZoneName>, as_of: Revision) -> bool {
+        if as_of < self.evacuated_as_of {
+            return false;
+        }
         self.evacuated = zones;
         self.evacuated_as_of = as_of;
+        true
     }
 
     /// Revision of the store up to which all changes of these zones are known.
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -470,3 +470,16 @@
     assert!(!roster.put_all(Revision(4), Vec::new(), &[], now(4)));
     assert!(choose(&mut roster, now(5)).is_ok());
 }
+
+// Two entries tell of the zones that are out of service, the one that knows less later.
+#[test]
+fn set_evacuated_keeps_what_is_newer() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    let lagoa = HashSet::from([ZoneName::new("lagoa")]);
+    assert!(roster.set_evacuated(lagoa, Revision(5)));
+    assert!(!roster.set_evacuated(HashSet::new(), Revision(4)));
+    assert_eq!(choose(&mut roster, now(1)), Err(Unavailable::None));
+    assert!(roster.set_evacuated(HashSet::new(), Revision(6)));
+    assert!(choose(&mut roster, now(2)).is_ok());
+}
--- a/node/src/direct/knowledge.rs
+++ b/node/src/direct/knowledge.rs
@@ -181,9 +181,10 @@
     }
 
     fn learn_evacuated(&self, as_of: Revision, zones: &[ZoneName]) {
+        let all = zones.iter().cloned().collect();
+        let is_taken = self.roster.borrow_mut().set_evacuated(all, as_of);
         slog::info!(self.log, "zones out of service"; "zones" => format!("{zones:?}"),
-            "from" => self.source(), "as_of" => as_of.0);
-        self.roster.borrow_mut().set_evacuated(zones.iter().cloned().collect(), as_of);
+            "from" => self.source(), "as_of" => as_of.0, "taken" => is_taken);
     }
 
     /// `named_at` is `None` where nobody knows how long the version has been named.
--- a/node/tests/direct/knowledge.rs
+++ b/node/tests/direct/knowledge.rs
@@ -126,7 +126,8 @@
 }
 
 // An operator takes a zone out of service. One entry knows; the watcher that it begins to follow is cut
-// off from the store and does not. The entry sent requests into the zone again.
+// off from the store and does not. The entry sent requests into the zone again. The cause is that of lists
+// of endpoints: what was told last replaced what was known, whichever was newer. This test proved it.
 #[test]
 fn all_news_does_not_return_a_zone_that_an_older_state_shows_in_service() {
     let (watcher, follower) = (state(), state());
