--- a/node/tests/direct/entry.rs
+++ b/node/tests/direct/entry.rs
@@ -18,6 +18,13 @@
 const STREAM: &str = "id: 0\ndata: 0\n\nid: 1\ndata: 1\n\nid: 2\ndata: 2\n\n\
                       id: 3\ndata: 3\n\nid: 4\ndata: 4\n\nid: 5\ndata: 5\n\n";
 
+/// Time in which a configuration has to be in force on all entries.
+const CONFIG_WITHIN: Duration = Duration::from_secs(2);
+
+/// A link that carries ten long configurations a second.
+const LONG_CONFIG_LEN: usize = 200_000;
+const LINK_BYTES_PER_S: f64 = 2_000_000.0;
+
 #[test]
 fn ask_gets_whole_answers() {
     let site = Site::start();
@@ -206,3 +213,19 @@
     site.list("i-w", "writer", &writer, "ready");
     until("served", || entry.ask("/stream/a", "b", "key-1").unwrap().status == 200);
 }
+
+// Large configurations come in quick succession, faster than the entry's link carries them. A watch tells
+// each version since the last one, so each answer holds more of them than the one before. Callers were
+// told that a route does not exist seconds after it was added.
+#[test]
+fn watch_catches_up_with_configurations_in_quick_succession() {
+    let site = Site::start();
+    let entry = site.entry("storm");
+    site.store.set_link(LINK_BYTES_PER_S);
+    let last = 80;
+    for version in 2..=last {
+        site.configure_long(version, &["key-1"], LONG_CONFIG_LEN);
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(is_within(CONFIG_WITHIN, || entry.dump()["config"] == last));
+}
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -139,6 +139,13 @@
         self.store.put("config", "main", spec);
     }
 
+    /// Writes a version of the configuration that is `len` bytes longer than it needs to be.
+    pub fn configure_long(&self, version: u64, keys: &[&str], len: usize) {
+        let mut spec = site::configuration(version, keys, true, self.origin.address());
+        spec["note"] = Value::String("n".repeat(len));
+        self.store.put("config", "main", spec);
+    }
+
     /// Starts an endpoint and lists it.
     pub fn endpoint(&self, id: &str, service: &str, version: Option<u64>) -> ServedEndpoint {
         let ip = new_ip();
--- a/standins/src/served/store.rs
+++ b/standins/src/served/store.rs
@@ -20,6 +20,9 @@
 /// Longest wait of a watch.
 const MAX_WAIT_MS: u64 = 30_000;
 
+/// Bytes of an answer that go over a narrow link at once; answers to several callers take turns.
+const PIECE_LEN: usize = 16 << 10;
+
 /// How the store fails.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum StoreFault {
@@ -41,12 +44,15 @@
     page_len: usize,
     fault: StoreFault,
     calls: u64,
+    bytes_per_second: Option<f64>,
 }
 
 #[derive(Debug, Default)]
 struct Shared {
     objects: Mutex<Objects>,
     changed: Condvar,
+    /// Held by the answer that sends a piece over the narrow link.
+    link: Mutex<()>,
 }
 
 impl Shared {
@@ -111,6 +117,11 @@
         self.shared.changed.notify_all();
     }
 
+    /// Narrows the link that all answers share.
+    pub fn set_link(&self, bytes_per_second: f64) {
+        self.shared.lock().bytes_per_second = Some(bytes_per_second);
+    }
+
     /// Sets how many objects a page of a list holds.
     pub fn set_page_len(&self, len: usize) {
         self.shared.lock().page_len = len;
@@ -174,7 +185,25 @@
     let page = &items[..items.len().min(objects.page_len)];
     let body = json!({"items": page, "truncated": truncated, "as_of": objects.revision});
     drop(objects);
-    req.respond_json(&body);
+    send(shared, req, &body);
+}
+
+/// Answers with a value, over the narrow link if there is one.
+fn send(shared: &Shared, req: Req, body: &Value) {
+    let Some(rate) = shared.lock().bytes_per_second else {
+        return req.respond_json(body);
+    };
+    let bytes = body.to_string().into_bytes();
+    let pieces = req.stream(200, &[("content-type", "application/json")]);
+    for piece in bytes.chunks(PIECE_LEN) {
+        let turn = shared.link.lock().expect("no holder of this lock panics");
+        std::thread::sleep(Duration::from_secs_f64(piece.len() as f64 / rate));
+        drop(turn);
+        if !pieces.send(piece.to_vec()) {
+            return;
+        }
+    }
+    pieces.end();
 }
 
 fn watch(shared: &Shared, req: Req, kind: &str, revision: u64, wait: Duration) {
@@ -192,7 +221,7 @@
         if !events.is_empty() || left.is_zero() || req.is_left() {
             let body = json!({"events": events, "as_of": objects.revision});
             drop(objects);
-            return req.respond_json(&body);
+            return send(shared, req, &body);
         }
         let wait = left.min(Duration::from_millis(50));
         objects = shared.changed.wait_timeout(objects, wait).expect("no holder panics").0;
