A configuration that changes faster than it is carried is listed, not watched

What callers saw: 404 for a route that was added 3.4 s before, from an entry that had been turned away by the store. Cause: a watch tells every version since its revision. After an outage, or when versions of a megabyte come faster than the link carries them, each answer holds more versions than the one before; the newest is known only once all have come. Mend: after a failure, and when a watch brings several versions, the entry lists, which shows the newest only, until a list shows nothing new; between lists it leaves the link to others for as long as the list took. The failing test passes: 80 versions of 200 KB, 50 a second, over 2 MB/s, the last in force within 2 s.

--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -160,6 +160,11 @@
         versions.get(model).map_or(0, |versions| versions.oldest_allowed(bound, now))
     }
 
+    /// The version of the configuration in force.
+    pub fn config_version(&self) -> Option<u64> {
+        self.catalog.borrow().as_ref().map(|catalog| catalog.version())
+    }
+
     /// The newest version of each model.
     pub fn newest_versions(&self) -> Vec<(SmolStr, u64)> {
         let versions = self.versions.borrow();
@@ -172,7 +177,7 @@
         json!({
             "host": self.cfg.host.as_str(),
             "ready": self.is_ready(now),
-            "config": self.catalog.borrow().as_ref().map(|catalog| catalog.version()),
+            "config": self.config_version(),
             "config_age_ms": self.freshness.borrow().age(now).map(|age| age.as_millis() as u64),
             "entries": self.roster.borrow().entries(),
             "watcher": self.watcher.get(),
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -56,6 +56,11 @@
 /// Wait of a watch right after a failure: it returns at once and tells whether the store is back.
 const PROBE_WAIT: Duration = Duration::from_millis(1);
 
+/// Pause between lists of a configuration that keeps changing: as long as the list took, so that half of the
+/// link is left to others, within these bounds.
+const CATCH_UP_SHORTEST: Duration = Duration::from_millis(20);
+const CATCH_UP_LONGEST: Duration = Duration::from_millis(400);
+
 /// First and longest pause after a failure.
 const PAUSE_FIRST: Duration = Duration::from_millis(80);
 const PAUSE_LONGEST: Duration = Duration::from_millis(700);
@@ -73,6 +78,8 @@
     kind: Kind,
     trouble_until: Option<Time>,
     is_lost: bool,
+    /// Whether versions of the configuration come faster than they can be watched.
+    is_behind: bool,
     pause: Duration,
     evacuated: HashSet<SmolStr>,
 }
@@ -86,6 +93,7 @@
             kind,
             trouble_until: None,
             is_lost: false,
+            is_behind: false,
             pause: PAUSE_FIRST,
             evacuated: HashSet::new(),
         }
@@ -105,9 +113,16 @@
                 Ok(_) if self.state.is_following.get() => {}
                 Ok((objects, revision)) => {
                     let unseen_for = self.unseen_for(sent);
+                    let before = self.state.config_version();
                     self.answered(sent);
                     self.take_all(&objects, revision, unseen_for);
-                    self.watch_from(revision).await;
+                    self.is_behind &= self.state.config_version() != before;
+                    if self.is_behind {
+                        let took = self.state.now().since(sent);
+                        sleep(took.clamp(CATCH_UP_SHORTEST, CATCH_UP_LONGEST)).await;
+                    } else {
+                        self.watch_from(revision).await;
+                    }
                 }
                 Err(e) => self.failed(e).await,
             }
@@ -125,6 +140,11 @@
     }
 
     /// Watches from `revision` on until its history is gone.
+    ///
+    /// A watch tells each version of the configuration since its revision. After an outage, or while one of
+    /// a megabyte is under way and others follow, the answers hold more and more of them, and callers are
+    /// told for seconds that a new route does not exist. A list holds the newest one only, so it is used
+    /// until it shows nothing new.
     async fn watch_from(&mut self, mut revision: Revision) {
         let mut probe = false;
         loop {
@@ -147,10 +167,15 @@
                     probe = false;
                     revision = revision.max(changes.revision);
                     let is_any = !changes.changes.is_empty();
+                    let are_many = changes.changes.len() > 1;
                     self.take_changes(changes.changes, revision);
                     if is_any && self.kind == Kind::Endpoints {
                         self.state.learn(News::EndpointsSeen(revision));
                     }
+                    if are_many && self.kind == Kind::Config {
+                        self.is_behind = true;
+                        return;
+                    }
                     if is_any {
                         sleep(gather_for(self.kind)).await;
                     }
@@ -162,6 +187,10 @@
                 }
                 Err(e) => {
                     self.failed(e).await;
+                    if self.kind == Kind::Config {
+                        self.is_behind = true;
+                        return;
+                    }
                     probe = true;
                 }
             }
