--- a/node/tests/direct/feed.rs
+++ b/node/tests/direct/feed.rs
@@ -12,6 +12,9 @@
 /// Time in which a key that was taken away must not work any more, less what a request takes.
 const KEY_GONE_WITHIN: Duration = Duration::from_secs(5);
 
+/// Longer than an entry may act on a configuration that the store does not confirm.
+const AWAY_FOR: Duration = Duration::from_secs(8);
+
 /// Two entries of one region with an agent that tells them of each other. The first has the lower
 /// address, so it watches the store, and the second follows it.
 struct Pair {
@@ -147,3 +150,23 @@
     until("it follows", || late.dump()["follows"] == true);
     assert!(!is_served(&late));
 }
+
+// The store turns the watcher of a region away for longer than the lease on the configuration lasts, and
+// serves the other entries. It refused all callers meanwhile, though its neighbours knew all it lacked.
+#[test]
+fn watcher_that_the_store_turns_away_follows_another() {
+    let site = Site::start();
+    let _desk = site.endpoint("i-d", "desk", None);
+    let engine = site.endpoint("i-w", "writer", Some(1));
+    let _agent = site.agent("away-agent", &engine);
+    let door = site.store.door().expect("the store has another address");
+    let watcher = site.entry_at("away-watcher", door.address());
+    let follower = site.entry("away-follower");
+    until("the second entry follows", || follower.dump()["follows"] == true);
+    door.set_closed(true);
+    let is_served = |key| watcher.ask("/lookup/a", "a", key).is_ok_and(|a| a.status == 200);
+    assert!(!is_within(AWAY_FOR, || !is_served("key-1") || !watcher.is_ready()));
+    site.configure(5, &["key-1"], true);
+    assert!(is_within(KEY_GONE_WITHIN, || !is_served("key-2")));
+    assert!(is_served("key-1") && watcher.dump()["follows"] == true);
+}
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -182,7 +182,14 @@
         self.store.put(site::ENDPOINTS, id, endpoint.entry(service, "zone-a", state));
     }
 
-    fn settings(&self, name: &str, ip: &str, metrics_port: u16, own: &str) -> String {
+    fn settings(
+        &self,
+        name: &str,
+        ip: &str,
+        metrics_port: u16,
+        store: SocketAddr,
+        own: &str,
+    ) -> String {
         format!(
             "host = \"{name}\"\nip = \"{ip}\"\nzone = \"zone-a\"\nstore = \"{}\"\n\
              agent_port = {}\nmetrics_port = {}\n{own}\n\
@@ -190,28 +197,36 @@
              [bounds]\nkey_revocation_ms = 5000\nweights_ms = 3000\nstop_s = 8.0\n\
              repeat_ratio = 0.2\nrepeat_slack = 100.0\nrepeat_window_s = 10.0\n\
              [limits]\ndescriptors = 1000\nmemory_mb = 200\n",
-            self.store.address(),
-            self.agent_port,
-            metrics_port,
+            store, self.agent_port, metrics_port,
         )
     }
 
     /// Starts an entry and waits until it is ready.
     pub fn entry(&self, name: &str) -> Entry {
-        let entry = self.entry_unready(name);
+        self.entry_at(name, self.store.address())
+    }
+
+    /// Starts an entry that reaches the store at `store`, and waits until it is ready.
+    pub fn entry_at(&self, name: &str, store: SocketAddr) -> Entry {
+        let entry = self.start_entry(name, store);
         until("the entry is ready", || entry.is_ready());
         entry
     }
 
     /// Starts an entry.
     pub fn entry_unready(&self, name: &str) -> Entry {
+        self.start_entry(name, self.store.address())
+    }
+
+    fn start_entry(&self, name: &str, store: SocketAddr) -> Entry {
         let ip = new_ip();
         let [callers, ready, metrics_port] = self.ports_of_entry(&ip);
         let at = |port| SocketAddr::new(ip.parse().expect("an IP"), port);
         let (callers, ready) = (at(callers), at(ready));
         let own = format!("callers = \"{callers}\"\nready = \"{ready}\"");
         let binary = env!("CARGO_BIN_EXE_mastichaven-entry");
-        let program = Program::start(binary, name, &self.settings(name, &ip, metrics_port, &own));
+        let settings = self.settings(name, &ip, metrics_port, store, &own);
+        let program = Program::start(binary, name, &settings);
         Entry { program, callers, ready }
     }
 
@@ -221,7 +236,8 @@
         let own = format!("endpoint = \"{}\"\nservice = \"writer\"", endpoint.address());
         let metrics_port = self.port_beside_agent(&ip);
         let binary = env!("CARGO_BIN_EXE_mastichaven-agent");
-        Program::start(binary, name, &self.settings(name, &ip, metrics_port, &own))
+        let store = self.store.address();
+        Program::start(binary, name, &self.settings(name, &ip, metrics_port, store, &own))
     }
 }
 
--- a/standins/src/served/store.rs
+++ b/standins/src/served/store.rs
@@ -7,6 +7,8 @@
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -68,6 +70,25 @@
     running: Running,
 }
 
+/// Another address of a store, which can turn its callers away while all others are served.
+#[derive(Debug)]
+pub struct Door {
+    is_closed: Arc<AtomicBool>,
+    running: Running,
+}
+
+impl Door {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.running.address
+    }
+
+    /// Turns callers away, or serves them again.
+    pub fn set_closed(&self, is_closed: bool) {
+        self.is_closed.store(is_closed, Ordering::Release);
+    }
+}
+
 impl ServedStore {
     /// Starts an empty store on `address`.
     pub fn start(address: &str) -> io::Result<ServedStore> {
@@ -84,6 +105,19 @@
         self.running.address
     }
 
+    /// Opens another address of this store.
+    pub fn door(&self) -> io::Result<Door> {
+        let is_closed = Arc::new(AtomicBool::new(false));
+        let (answering, closed) = (self.shared.clone(), is_closed.clone());
+        let running = serve::start("127.0.0.1:0", move |req| {
+            if closed.load(Ordering::Acquire) {
+                return req.respond(429, &[], "");
+            }
+            answer(&answering, req);
+        })?;
+        Ok(Door { is_closed, running })
+    }
+
     /// Writes an object.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         let mut objects = self.shared.lock();
