Entries follow one that can be followed; a watcher that the store turns away follows, too

What callers saw: entries that the store turned away refused them for 5 s, though their neighbours knew all. Cause: agents named the entry with the lowest address, whether or not it still heard of the store. Mend: with its asks an entry tells whether it may be followed (it asks the store itself, and its knowledge is young) and by how many it is. Agents name the one that most follow, so nobody changes over when an entry starts or is back. The failing test passes.

--- a/core/src/direct/feed.rs
+++ b/core/src/direct/feed.rs
@@ -4,9 +4,10 @@
 //! with the number of entries: at 34 entries they made 120 calls a second, and a configuration
 //! that changed every 80 ms filled the links between regions, so that entries applied it seconds too
 //! late. So one entry of each region watches, and the others of the region follow it. Which one that
-//! is needs no agreement: agents tell their entries the lowest address of those that ask them, and two
+//! is needs no agreement: agents tell their entries which of those that ask them may be followed, and two
 //! watchers at once cost calls, nothing else.
 
+use std::cmp::Reverse;
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -114,9 +115,23 @@
     }
 }
 
-/// The entry that watches the store among those that live in a region.
-pub fn watcher(entries: impl Iterator<Item = IpAddr>) -> Option<IpAddr> {
-    entries.min()
+/// An entry that others may follow: it asks the store itself, and what it knows is young.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Its address.
+    pub ip: IpAddr,
+    /// Entries that follow it.
+    pub followers: u32,
+}
+
+/// The entry that a region follows: the one that most follow already, the lowest address if there are
+/// several.
+///
+/// An entry that has just started, or that the store serves again, does not take the others over. They
+/// would all read the store anew, and the links between regions would be full for seconds.
+pub fn watcher(candidates: impl Iterator<Item = Candidate>) -> Option<IpAddr> {
+    let first = candidates.min_by_key(|one| (Reverse(one.followers), one.ip))?;
+    Some(first.ip)
 }
 
 /// The moment `span` before `at`; `None` if that is before the process started.
--- a/core/tests/direct/feed.rs
+++ b/core/tests/direct/feed.rs
@@ -3,6 +3,7 @@
 
 use mastichaven_core::Time;
 use mastichaven_core::direct::feed::Ages;
+use mastichaven_core::direct::feed::Candidate;
 use mastichaven_core::direct::feed::before;
 use mastichaven_core::direct::feed::watcher;
 
@@ -38,7 +39,18 @@
 #[test]
 fn watcher_is_the_same_for_all() {
     let ip = |n: u8| IpAddr::from([10, 1, 0, n]);
-    assert_eq!(watcher([ip(9), ip(4), ip(200)].into_iter()), Some(ip(4)));
-    assert_eq!(watcher([ip(200), ip(9), ip(4)].into_iter()), Some(ip(4)));
+    let new = |n| Candidate { ip: ip(n), followers: 0 };
+    assert_eq!(watcher([new(9), new(4), new(200)].into_iter()), Some(ip(4)));
+    assert_eq!(watcher([new(200), new(9), new(4)].into_iter()), Some(ip(4)));
     assert_eq!(watcher(std::iter::empty()), None);
 }
+
+// The watcher with the lowest address was away and is back. Were it to take its followers back at once,
+// each of them would read the store anew.
+#[test]
+fn watcher_stays_where_it_is_followed() {
+    let ip = |n: u8| IpAddr::from([10, 1, 0, n]);
+    let followed = Candidate { ip: ip(9), followers: 12 };
+    let is_back = Candidate { ip: ip(4), followers: 0 };
+    assert_eq!(watcher([is_back, followed].into_iter()), Some(ip(9)));
+}
--- a/node/src/direct/feed.rs
+++ b/node/src/direct/feed.rs
@@ -162,6 +162,20 @@
 }
 
 impl State {
+    /// Entries that follow this one; `None` if it may not be followed.
+    ///
+    /// An entry that the store turns away must not be named to the others. They would all ask the store
+    /// for themselves until it is back, and it would follow nobody and refuse its callers.
+    pub fn followers(&self) -> Option<u32> {
+        let may_be_followed = self.is_watching() && self.ages().are_young(Duration::ZERO);
+        may_be_followed.then(|| self.feed.len() as u32)
+    }
+
+    /// Whether this entry asks the store itself, and goes on doing so.
+    fn is_watching(&self) -> bool {
+        !self.is_following.get() && !self.is_stopping.get()
+    }
+
     /// Waits until this entry has to ask the store itself.
     pub async fn until_direct(&self) {
         while self.is_following.get() {
@@ -213,8 +227,7 @@
 async fn answer_pings(state: &State, read: &mut OwnedReadHalf, follower: &Follower) -> Result<()> {
     loop {
         let asked_us = read.read_u64().await?;
-        let is_watching = !state.is_following.get() && !state.is_stopping.get();
-        let told = if is_watching {
+        let told = if state.is_watching() {
             Told::Pong { asked_us, ages: state.ages() }
         } else {
             Told::NotWatching
--- a/node/src/direct/keeper.rs
+++ b/node/src/direct/keeper.rs
@@ -22,6 +22,7 @@
 use mastichaven_core::direct::catalog::ModelSetup;
 use mastichaven_core::direct::catalog::ModelShape;
 use mastichaven_core::direct::feed;
+use mastichaven_core::direct::feed::Candidate;
 use mastichaven_core::direct::rollout;
 use mastichaven_core::direct::rollout::Situation;
 use mastichaven_core::direct::roster::Listed;
@@ -121,6 +122,8 @@
     /// When that ask came in.
     at: Time,
     is_far: bool,
+    /// Entries that follow it; `None` if it may not be followed.
+    followers: Option<u32>,
 }
 
 /// What an agent knows and shares among its tasks.
@@ -376,7 +379,9 @@
         let near = askers
             .iter()
             .filter(|(_, asker)| !asker.is_far && !now.passed(asker.at, WATCHER_VALID));
-        feed::watcher(near.map(|(address, _)| address.ip()))
+        feed::watcher(near.filter_map(|(address, asker)| {
+            Some(Candidate { ip: address.ip(), followers: asker.followers? })
+        }))
     }
 
     /// Takes in what entries ask and tell.
@@ -395,7 +400,12 @@
             let mut askers = self.askers.borrow_mut();
             askers.retain(|_, asker| !now.passed(asker.at, ASKED_FOR));
             if askers.len() < MAX_ASKERS || askers.contains_key(&from) {
-                let asker = Asker { asked_us: ask.sent_us, at: now, is_far: ask.is_far };
+                let asker = Asker {
+                    asked_us: ask.sent_us,
+                    at: now,
+                    is_far: ask.is_far,
+                    followers: ask.followers,
+                };
                 askers.insert(from, asker);
             }
             drop(askers);
--- a/node/src/direct/loads.rs
+++ b/node/src/direct/loads.rs
@@ -54,6 +54,8 @@
     pub newest: Vec<(SmolStr, u64)>,
     /// Whether the entry is in another region than the agent.
     pub is_far: bool,
+    /// Entries that follow this one; `None` if it may not be followed.
+    pub followers: Option<u32>,
     /// What the agent has to know of its service, as long as it does not show that it does.
     pub setup: Option<ToldSetup>,
 }
@@ -193,6 +195,7 @@
 /// The asks of one round, encoded once for all agents that are asked the same.
 struct Asks {
     sent_us: u64,
+    followers: Option<u32>,
     newest: Vec<(SmolStr, u64)>,
     catalog: Option<Rc<Catalog>>,
     setups: HashMap<ServiceName, Option<ModelSetup>>,
@@ -203,6 +206,7 @@
     fn new(state: &State) -> Asks {
         Asks {
             sent_us: state.now().as_micros(),
+            followers: state.followers(),
             newest: state.newest_versions(),
             catalog: state.catalog.borrow().clone(),
             setups: HashMap::new(),
@@ -227,7 +231,13 @@
         }
         let version = catalog.map_or(0, |catalog| catalog.version());
         let setup = untold.map(|setup| ToldSetup { version, setup: setup.clone() });
-        let ask = Ask { sent_us: self.sent_us, newest: self.newest.clone(), is_far, setup };
+        let ask = Ask {
+            sent_us: self.sent_us,
+            newest: self.newest.clone(),
+            is_far,
+            followers: self.followers,
+            setup,
+        };
         let bytes = Bytes::from(postcard::to_stdvec(&ask)?);
         self.encoded.insert(key, bytes.clone());
         Ok(bytes)
