--- a/node/tests/direct/entry.rs
+++ b/node/tests/direct/entry.rs
@@ -25,6 +25,13 @@
 const LONG_CONFIG_LEN: usize = 200_000;
 const LINK_BYTES_PER_S: f64 = 2_000_000.0;
 
+/// Time after which an endpoint that has told that it leaves must get nothing new.
+const LEFT_WITHIN: Duration = Duration::from_secs(2);
+
+/// A link on which the entry of one endpoint is under way for 3 s.
+const SLOW_ENTRY_LEN: usize = 300_000;
+const SLOW_LINK_BYTES_PER_S: f64 = 100_000.0;
+
 #[test]
 fn ask_gets_whole_answers() {
     let site = Site::start();
@@ -229,3 +236,20 @@
     }
     assert!(is_within(CONFIG_WITHIN, || entry.dump()["config"] == last));
 }
+
+// An entry starts while its link is full, as when hundreds start at once, and its list of endpoints is
+// under way for seconds. One of them begins to leave meanwhile. The entry took the list for the present
+// state, and sent callers to the endpoint when it was about to stop.
+#[test]
+fn list_that_took_long_is_not_acted_on() {
+    let site = Site::start();
+    let endpoint = site.endpoint("i-d", "desk", None);
+    site.list_long("i-d", &endpoint, "ready", SLOW_ENTRY_LEN);
+    site.store.set_link(SLOW_LINK_BYTES_PER_S);
+    let entry = site.entry_unready("slow-link");
+    thread::sleep(Duration::from_millis(1_500));
+    site.list_long("i-d", &endpoint, "draining", SLOW_ENTRY_LEN);
+    thread::sleep(LEFT_WITHIN);
+    let is_sent = || entry.ask("/lookup/a", "a", "key-1").is_ok_and(|answer| answer.status == 200);
+    assert!(!is_within(Duration::from_secs(3), is_sent));
+}
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -182,6 +182,13 @@
         self.store.put(site::ENDPOINTS, id, endpoint.entry(service, "zone-a", state));
     }
 
+    /// Lists an endpoint with an entry that is `len` bytes longer than it needs to be.
+    pub fn list_long(&self, id: &str, endpoint: &ServedEndpoint, state: &str, len: usize) {
+        let mut entry = endpoint.entry("desk", "zone-a", state);
+        entry["note"] = Value::String("n".repeat(len));
+        self.store.put(site::ENDPOINTS, id, entry);
+    }
+
     fn settings(
         &self,
         name: &str,
