An entry begins to act only on a list of endpoints that is young when it has come

What callers would see: requests that an entry which has just started sends to an endpoint that is about to stop. Cause: the first list counted from when it came, however long it was under way; on a full link that is seconds. Later on it goes by what it knows, as an entry that the store turns away must go on serving.

--- a/core/src/direct/feed.rs
+++ b/core/src/direct/feed.rs
@@ -105,6 +105,11 @@
 const WEIGHTS_AGE: Duration = Duration::from_millis(5_500);
 
 impl Ages {
+    /// Whether the endpoints are young enough for an entry to begin to act on them.
+    pub fn has_young_endpoints(&self) -> bool {
+        self.endpoints.is_some_and(|age| age < ENDPOINTS_AGE)
+    }
+
     /// Whether a watcher that knows this much may be followed, `since` it said so.
     pub fn are_young(&self, since: Duration) -> bool {
         let is_young = |age: Option<Duration>, most| age.is_some_and(|age| age + since < most);
--- a/node/src/direct/knowledge.rs
+++ b/node/src/direct/knowledge.rs
@@ -115,6 +115,8 @@
         ];
         let mut confirmed = self.confirmed.borrow_mut();
         confirmed.extend(kinds.into_iter().filter_map(|(kind, age)| Some((kind, seen(age)?))));
+        drop(confirmed);
+        self.note_list();
     }
 
     /// A configuration never gives way to an older one, whichever way either came.
@@ -152,7 +154,6 @@
         }
         all.iter().for_each(|listed| self.log_listed(listed));
         self.roster.borrow_mut().put_all(as_of, all, lapsed, self.now());
-        self.has_list.set(true);
         self.freed.notify_waiters();
     }
 
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -64,8 +64,8 @@
     pub roster: RefCell<Roster>,
     /// Endpoints that are kept though the store no longer lists them, and since when.
     pub lapsed: RefCell<HashMap<SmolStr, Time>>,
-    /// Whether the list of endpoints was read in this life.
-    pub has_list: Cell<bool>,
+    /// Whether a list of endpoints has come in this life that was still young.
+    has_young_list: Cell<bool>,
     /// Lease on the configuration.
     pub freshness: RefCell<Freshness>,
     /// Versions of each model.
@@ -108,7 +108,7 @@
             are_models_new: Cell::new(false),
             roster: RefCell::new(roster),
             lapsed: RefCell::default(),
-            has_list: Cell::new(false),
+            has_young_list: Cell::new(false),
             freshness: RefCell::new(Freshness::new(lease)),
             versions: RefCell::default(),
             pool: Pool::default(),
@@ -139,18 +139,25 @@
 
     /// Whether new connections are welcome: all that an answer needs is known and fresh.
     pub fn is_ready(&self, now: Time) -> bool {
-        !self.is_stopping.get()
-            && self.has_list.get()
-            && self.knows_all()
-            && self.freshness.borrow().holds(now)
+        !self.is_stopping.get() && self.knows_all() && self.freshness.borrow().holds(now)
     }
 
     /// Whether each kind of object was read or told in this life. An entry that has started and can't read
     /// one yet knows of no version of weights, or of no zone that is out, and would send callers to what
-    /// is barred everywhere else.
+    /// is barred everywhere else. On a full link a list of endpoints is under way for seconds, and shows some
+    /// that have left meanwhile.
     pub fn knows_all(&self) -> bool {
         let confirmed = self.confirmed.borrow();
-        self.catalog.borrow().is_some() && Kind::ALL.iter().all(|kind| confirmed.contains_key(kind))
+        self.has_young_list.get()
+            && self.catalog.borrow().is_some()
+            && Kind::ALL.iter().all(|kind| confirmed.contains_key(kind))
+    }
+
+    /// Endpoints were taken in, or confirmed as they are.
+    pub fn note_list(&self) {
+        if self.ages().has_young_endpoints() {
+            self.has_young_list.set(true);
+        }
     }
 
     /// The oldest version of `model` that may still answer.
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -116,6 +116,7 @@
                     let before = self.state.config_version();
                     self.answered(sent);
                     self.take_all(&objects, revision, unseen_for);
+                    self.state.note_list();
                     self.is_behind &= self.state.config_version() != before;
                     if self.is_behind {
                         let took = self.state.now().since(sent);
@@ -172,6 +173,7 @@
                     if is_any && self.kind == Kind::Endpoints {
                         self.state.learn(News::EndpointsSeen(revision));
                     }
+                    self.state.note_list();
                     if are_many && self.kind == Kind::Config {
                         self.is_behind = true;
                         return;
