--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -1,7 +1,7 @@
 //! Decisions of the direct path, on which an entry sends a request straight to an endpoint.
 //!
-//! [`catalog`] says where a request may go, [`roster`] which endpoints stand there and what they can
-//! bear, `choice` which of them a request goes to, [`lateness`] which requests yield to others,
+//! [`catalog`] says where a request may go, [`roster`] which endpoints stand there, [`endpoint`] what each
+//! can bear, `choice` which of them a request goes to, [`lateness`] which requests yield to others,
 //! [`shares`] how much of a fleet-wide bound one entry may use, [`freshness`] whether what the
 //! entry knows is young enough to act on, [`events`] where a broken stream resumes, [`versions`]
 //! which weights may answer, and [`rollout`] when an endpoint loads a new version. [`feed`] is what
@@ -9,6 +9,7 @@
 
 pub mod catalog;
 mod choice;
+pub mod endpoint;
 pub mod events;
 pub mod feed;
 pub mod freshness;
--- /dev/null
+++ b/core/src/direct/endpoint.rs
@@ -0,0 +1,341 @@
+//! One endpoint as an entry sees it: what the platform's list and its agent say of it, and how the
+//! requests that went there have ended.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use super::health::Health;
+use super::shares::ColdTurns;
+use super::shares::RecentSends;
+use crate::ids::RegionName;
+use crate::ids::Revision;
+use crate::ids::ServiceName;
+use crate::ids::ZoneName;
+use crate::time::Time;
+
+/// A load report older than this says nothing of the present load. Agents report every 100 ms; three
+/// lost in a row are rare.
+const REPORT_VALID: Duration = Duration::from_millis(400);
+
+/// The same for endpoints of other regions, which report half as often.
+const FAR_REPORT_VALID: Duration = Duration::from_millis(800);
+
+/// Requests beyond its slots that an endpoint may hold. Under lasting overload every queue is full, so the
+/// last place decides when all requests start: with several places nearly all answers would be late.
+/// What has no place is refused at once.
+pub const QUEUE_PLACES: u32 = 1;
+
+/// Part of an engine's slots that late requests leave to others, beside the places in the queue. Past the
+/// knee, where all engines are full, nothing late is sent; with part of the fleet free it still is.
+const KEPT_FROM_LATE: f64 = 0.375;
+
+/// How long an endpoint that refused as full is spared: about until its next report.
+const FULL_FOR: Duration = Duration::from_millis(120);
+
+/// Time in which an engine reads a prompt of usual length beside the streams that it writes.
+///
+/// Reports are 100 ms apart. Whenever an engine had just become free, all entries would see it as the
+/// least loaded one and flood it before the next report; while it reads that many prompts, all its
+/// streams pause. So what an entry sent lately counts, once for each entry, and an engine gets about one
+/// request in this time from all of them together.
+const READ_TIME: Duration = Duration::from_millis(50);
+
+/// Usual time until a place of an endpoint frees: 1.1 s a request on 16 slots.
+const PLACE_FREES: Duration = Duration::from_millis(70);
+
+/// Round trip to an agent from which on its endpoint gets nothing: its link is so full that answers
+/// would be late and callers' leaving would reach the endpoint only after their requests have run.
+const SLOW_WAY: Duration = Duration::from_millis(250);
+
+/// Age of the last ask that an agent has answered from which on its link counts as full, too: asks go
+/// out every 300 ms, and one may be lost.
+const ASK_VALID: Duration = Duration::from_millis(800);
+
+/// The same for endpoints of other regions, which are asked half as often.
+const FAR_ASK_VALID: Duration = Duration::from_millis(1_600);
+
+/// What the platform's list says of an endpoint.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Listed {
+    /// Its incarnation's name.
+    pub id: SmolStr,
+    /// Revision of the store at which it was last changed: of two that differ, the higher one holds.
+    pub revision: Revision,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests it processes at once.
+    pub slots: u32,
+    /// Whether it is about to stop and takes nothing new.
+    pub is_draining: bool,
+    /// How much longer it stays cold.
+    pub cold_for: Duration,
+    /// The version of each model of which it holds all layers.
+    pub weights: Vec<(SmolStr, u64)>,
+    /// Whether it runs a model, so that it serves only with weights.
+    pub is_engine: bool,
+    /// When it started, in milliseconds of the Unix epoch; 0 if it does not say.
+    pub born: u64,
+}
+
+/// What an agent says of the endpoint beside it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Requests that the endpoint works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Whether it takes new requests, i.e. is not about to load other weights.
+    pub accepts: bool,
+    /// The version of each model of which it holds all layers.
+    pub weights: Vec<(SmolStr, u64)>,
+    /// When it started, in milliseconds of the Unix epoch.
+    pub born: u64,
+    /// Entries that ask this agent for reports.
+    pub entries: u32,
+    /// Whether the agent has listened long enough to have heard all entries.
+    pub has_heard_all: bool,
+    /// The entry of the agent's region that watches the store for the others there.
+    pub watcher: Option<IpAddr>,
+}
+
+/// How a report came.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Way {
+    /// When it came.
+    pub(super) at: Time,
+    /// When the ask was sent that it answers.
+    pub(super) asked: Time,
+    /// Time there and back.
+    pub(super) round_trip: Duration,
+    /// Whether it crossed a border of regions.
+    pub(super) is_far: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Load {
+    others: u32,
+    /// Requests that this entry may still send on the strength of this report.
+    places: u32,
+    accepts: bool,
+    way: Way,
+}
+
+impl Load {
+    /// Whether the report still says something of the present load.
+    fn is_heard(&self, now: Time) -> bool {
+        let valid = if self.way.is_far { FAR_REPORT_VALID } else { REPORT_VALID };
+        !now.passed(self.way.at, valid)
+    }
+
+    /// Whether the agent has lately answered an ask.
+    fn hears(&self, now: Time) -> bool {
+        let valid = if self.way.is_far { FAR_ASK_VALID } else { ASK_VALID };
+        !now.passed(self.way.asked, valid)
+    }
+}
+
+/// An endpoint of the roster.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    listed: Listed,
+    region: RegionName,
+    cold_until: Time,
+    load: Option<Load>,
+    /// Requests of this entry that are there now.
+    own: u32,
+    cold_turns: ColdTurns,
+    recent: RecentSends,
+    health: Health,
+    full_until: Time,
+}
+
+impl Endpoint {
+    /// An endpoint of which only the list is known.
+    pub(super) fn new(listed: Listed, region: RegionName, now: Time) -> Endpoint {
+        Endpoint {
+            cold_until: now + listed.cold_for,
+            listed,
+            region,
+            load: None,
+            own: 0,
+            cold_turns: ColdTurns::default(),
+            recent: RecentSends::default(),
+            health: Health::default(),
+            full_until: Time::ZERO,
+        }
+    }
+
+    /// What the list says of it.
+    pub(super) fn listed(&self) -> &Listed {
+        &self.listed
+    }
+
+    /// What the list would say of it now, with the cold time that is left.
+    pub(super) fn listed_now(&self, now: Time) -> Listed {
+        Listed { cold_for: self.cold_until.since(now), ..self.listed.clone() }
+    }
+
+    /// Its region.
+    pub(super) fn region(&self) -> &RegionName {
+        &self.region
+    }
+
+    /// Whether an entry of the list is of the same process.
+    pub(super) fn is_same_life(&self, listed: &Listed) -> bool {
+        self.listed.born == listed.born
+            && self.listed.address == listed.address
+            && self.listed.service == listed.service
+    }
+
+    /// Takes in a later entry of the same process.
+    pub(super) fn update(&mut self, listed: Listed, now: Time) {
+        self.cold_until = now + listed.cold_for;
+        let weights = std::mem::take(&mut self.listed.weights);
+        // Nobody who leaves stays after all: whatever says so would bring requests to an endpoint that is
+        // about to stop.
+        let is_draining = self.listed.is_draining || listed.is_draining;
+        self.listed = Listed { is_draining, ..listed };
+        // The list lags: an endpoint that has lost power is still shown with its weights for a heartbeat,
+        // and requests sent there come back refused.
+        if self.load.as_ref().is_some_and(|load| load.is_heard(now)) {
+            self.listed.weights = weights;
+        }
+    }
+
+    /// Whether a report is of another process at the same address.
+    pub(super) fn is_other_life(&self, report: &LoadReport) -> bool {
+        report.born != 0 && self.listed.born != 0 && self.listed.born != report.born
+    }
+
+    /// Its agent reported. Of the free places this entry may take `part`, and one more with the
+    /// probability of what is left over, as `draw` from 0 to 1 decides.
+    pub(super) fn reported(&mut self, report: &LoadReport, way: Way, part: f64, draw: f64) {
+        let total = report.running + report.waiting;
+        let free = (self.listed.slots + QUEUE_PLACES).saturating_sub(total);
+        self.load = Some(Load {
+            others: total.saturating_sub(self.own),
+            places: (f64::from(free) * part + draw).floor() as u32,
+            accepts: report.accepts,
+            way,
+        });
+        self.listed.weights.clone_from(&report.weights);
+    }
+
+    /// Requests that it may hold when one more is sent.
+    fn room(&self, is_late: bool) -> u32 {
+        let slots = self.listed.slots;
+        if is_late && self.listed.is_engine {
+            return slots - (f64::from(slots) * KEPT_FROM_LATE) as u32;
+        }
+        slots + QUEUE_PLACES
+    }
+
+    /// Whether nothing speaks against sending it a request: no lost answers, no full link, and an
+    /// agent that reports if it ever did.
+    pub(super) fn takes(&self, now: Time) -> bool {
+        let is_in_reach = self.load.as_ref().is_none_or(|load| {
+            load.is_heard(now) && load.hears(now) && load.way.round_trip < SLOW_WAY
+        });
+        is_in_reach && self.health.takes(self.own, now)
+    }
+
+    /// Whether it is warm, or it is this entry's turn to send it a request; `rate` is what a cold one
+    /// bears a second from all `entries`.
+    pub(super) fn may_warm(&mut self, rate: f64, entries: u32, draw: f64, now: Time) -> bool {
+        let is_cold = self.cold_until > now && rate > 0.0;
+        !is_cold || self.cold_turns.may_send(rate, entries, draw, now)
+    }
+
+    /// Its load in requests; `None` while it is full. The other entries are taken to send there as often
+    /// as this one.
+    pub(super) fn load(&mut self, entries: u32, is_late: bool, now: Time) -> Option<f64> {
+        if self.full_until > now {
+            return None;
+        }
+        let load = self.load.as_ref().filter(|load| load.is_heard(now));
+        if load.is_some_and(|load| !load.accepts || load.places == 0) {
+            return None;
+        }
+        let busy = match load {
+            Some(load) => load.others + self.own,
+            None => self.own * entries.div_ceil(2),
+        };
+        if busy >= self.room(is_late) {
+            return None;
+        }
+        // What waits on a slow link is as late as what waits in a queue.
+        let on_the_way = load.map_or(0.0, |load| load.way.round_trip.div_duration_f64(PLACE_FREES));
+        Some(f64::from(busy) + on_the_way + self.arrivals(entries, now))
+    }
+
+    /// Requests of all entries that an engine is taken to be reading now.
+    fn arrivals(&mut self, entries: u32, now: Time) -> f64 {
+        if !self.listed.is_engine {
+            return 0.0;
+        }
+        self.recent.count(READ_TIME * entries, now) as f64 * f64::from(entries)
+    }
+
+    /// A request goes there.
+    pub(super) fn sent(&mut self, now: Time) {
+        self.own += 1;
+        if let Some(load) = &mut self.load {
+            load.places = load.places.saturating_sub(1);
+        }
+        if self.cold_until > now {
+            self.cold_turns.sent(now);
+        } else {
+            // The next cold spell draws its turns anew.
+            self.cold_turns = ColdTurns::default();
+        }
+        self.recent.sent(now);
+    }
+
+    /// A request has left it.
+    pub(super) fn left(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// It answered well.
+    pub(super) fn succeeded(&mut self) {
+        self.health = Health::default();
+    }
+
+    /// It failed a request, without an answer if `is_lost`.
+    pub(super) fn failed(&mut self, is_lost: bool, now: Time) {
+        // An endpoint that is about to load cuts off what runs; that is no sign of ill health.
+        if self.load.as_ref().is_none_or(|load| load.accepts) {
+            self.health.failed(is_lost, now);
+        }
+    }
+
+    /// It refused a request as full, whatever its reports say.
+    pub(super) fn refused(&mut self, now: Time) {
+        self.full_until = now + FULL_FOR;
+    }
+
+    /// All that is known of it now.
+    pub(super) fn dump(&self, now: Time) -> serde_json::Value {
+        let load = self.load.as_ref();
+        serde_json::json!({
+            "id": self.listed.id,
+            "service": self.listed.service,
+            "zone": self.listed.zone,
+            "draining": self.listed.is_draining,
+            "weights": self.listed.weights,
+            "own": self.own,
+            "others": load.map(|load| load.others),
+            "report_age_ms": load.map(|load| now.since(load.way.at).as_millis() as u64),
+            "rests": self.health.rests(now),
+        })
+    }
+}
--- a/core/src/direct/feed.rs
+++ b/core/src/direct/feed.rs
@@ -16,7 +16,7 @@
 use smol_str::SmolStr;
 
 use super::catalog::CatalogParts;
-use super::roster::Listed;
+use super::endpoint::Listed;
 use crate::ids::Revision;
 use crate::ids::ZoneName;
 use crate::time::Time;
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
+use mastichaven_core::direct::endpoint::Listed;
+use mastichaven_core::direct::endpoint::LoadReport;
+use mastichaven_core::direct::endpoint::QUEUE_PLACES;
 use mastichaven_core::direct::roster::EndpointKey;
-use mastichaven_core::direct::roster::Listed;
-use mastichaven_core::direct::roster::LoadReport;
 use mastichaven_core::direct::roster::Need;
-use mastichaven_core::direct::roster::QUEUE_PLACES;
 use mastichaven_core::direct::roster::Roster;
 use mastichaven_core::direct::roster::Unavailable;
 use mastichaven_core::ids::RegionName;
--- a/node/src/direct/knowledge.rs
+++ b/node/src/direct/knowledge.rs
@@ -5,10 +5,10 @@
 
 use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::Catalog;
+use mastichaven_core::direct::endpoint::Listed;
 use mastichaven_core::direct::feed::Ages;
 use mastichaven_core::direct::feed::News;
 use mastichaven_core::direct::feed::before;
-use mastichaven_core::direct::roster::Listed;
 use mastichaven_core::direct::roster::Roster;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::Revision;
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -10,8 +10,8 @@
 
 use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::Catalog;
+use mastichaven_core::direct::endpoint::Listed;
 use mastichaven_core::direct::feed::News;
-use mastichaven_core::direct::roster::Listed;
 use mastichaven_core::ids::Revision;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
