--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -5,8 +5,9 @@
 //! [`shares`] how much of a fleet-wide bound one entry may use, [`freshness`] whether what the
 //! entry knows is young enough to act on, [`events`] where a broken stream resumes, [`versions`]
 //! which weights may answer, and [`rollout`] when an endpoint loads a new version. [`feed`] is what
-//! entries pass on to each other of the store.
+//! entries pass on to each other of the store, and [`askers`] are the entries that an agent hears of.
 
+pub mod askers;
 pub mod catalog;
 mod choice;
 pub mod endpoint;
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of the direct path, without network.
 
+mod askers;
 mod catalog;
 mod events;
 mod feed;
--- a/node/src/direct/keeper.rs
+++ b/node/src/direct/keeper.rs
@@ -3,9 +3,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::io;
-use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
@@ -19,12 +17,12 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use mastichaven_core::Time;
+use mastichaven_core::direct::askers::Asker;
+use mastichaven_core::direct::askers::Askers;
 use mastichaven_core::direct::catalog::ModelSetup;
 use mastichaven_core::direct::catalog::ModelShape;
 use mastichaven_core::direct::endpoint::Listed;
 use mastichaven_core::direct::endpoint::LoadReport;
-use mastichaven_core::direct::feed;
-use mastichaven_core::direct::feed::Candidate;
 use mastichaven_core::direct::rollout;
 use mastichaven_core::direct::rollout::Situation;
 use mastichaven_core::direct::versions::Versions;
@@ -50,7 +48,6 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use super::loads::ASKED_FOR;
 use super::loads::Ask;
 use super::loads::FAR_EVERY;
 use super::loads::MAX_DATAGRAM_LEN;
@@ -100,32 +97,14 @@
 /// Time for the endpoint to show that an order has begun.
 const ORDER_SHOWN_WITHIN: Duration = Duration::from_secs(8);
 
-/// Time after its last ask at which an entry no longer counts as a watcher: two asks may be lost.
-const WATCHER_VALID: Duration = Duration::from_millis(1_000);
-
 /// Time from the start of an agent after which its count of entries is that of all. They ask every 300 ms,
 /// those of other regions half as often; a count of the first ones alone would let each take a much too
 /// large share of what all may send.
 const COUNT_AFTER: Duration = Duration::from_millis(700);
 
-/// Entries that one agent reports to at most.
-const MAX_ASKERS: usize = 256;
-
 /// Result of running an agent.
 pub type Result<T> = io::Result<T>;
 
-/// An entry that asks for reports.
-#[derive(Clone, Copy, Debug)]
-struct Asker {
-    /// What its own clock said when it asked last.
-    asked_us: u64,
-    /// When that ask came in.
-    at: Time,
-    is_far: bool,
-    /// Entries that follow it; `None` if it may not be followed.
-    followers: Option<u32>,
-}
-
 /// What an agent knows and shares among its tasks.
 struct Keeper {
     cfg: DirectSettings,
@@ -144,7 +123,7 @@
     rank: Cell<(u32, u32)>,
     report: RefCell<Option<Report>>,
     is_ordering: Cell<bool>,
-    askers: RefCell<HashMap<SocketAddr, Asker>>,
+    askers: RefCell<Askers>,
     told: Notify,
     /// Signals that entries must hear of a change at once.
     report_now: Notify,
@@ -225,7 +204,7 @@
         loop {
             let wait = if self.swarm.is_complete() { ALONE_EVERY } else { PEERS_EVERY };
             let is_told = timeout(wait, self.told.notified()).await.is_ok();
-            let is_alone = self.live_askers(self.clock.now()) == 0;
+            let is_alone = self.askers.borrow().len(self.clock.now()) == 0;
             if is_told || !self.swarm.is_complete() {
                 self.learn_peers(&mut client).await;
             }
@@ -368,22 +347,6 @@
         self.told.notify_one();
     }
 
-    fn live_askers(&self, now: Time) -> usize {
-        let askers = self.askers.borrow();
-        askers.values().filter(|asker| !now.passed(asker.at, ASKED_FOR)).count()
-    }
-
-    /// The entry that watches the store for the others of this region.
-    fn watcher(&self, now: Time) -> Option<IpAddr> {
-        let askers = self.askers.borrow();
-        let near = askers
-            .iter()
-            .filter(|(_, asker)| !asker.is_far && !now.passed(asker.at, WATCHER_VALID));
-        feed::watcher(near.filter_map(|(address, asker)| {
-            Some(Candidate { ip: address.ip(), followers: asker.followers? })
-        }))
-    }
-
     /// Takes in what entries ask and tell.
     async fn listen(self: Rc<Self>, socket: Rc<UdpSocket>) {
         let mut buf = vec![0; MAX_DATAGRAM_LEN];
@@ -396,19 +359,13 @@
                 self.metrics.count("asks_unreadable");
                 continue;
             };
-            let now = self.clock.now();
-            let mut askers = self.askers.borrow_mut();
-            askers.retain(|_, asker| !now.passed(asker.at, ASKED_FOR));
-            if askers.len() < MAX_ASKERS || askers.contains_key(&from) {
-                let asker = Asker {
-                    asked_us: ask.sent_us,
-                    at: now,
-                    is_far: ask.is_far,
-                    followers: ask.followers,
-                };
-                askers.insert(from, asker);
-            }
-            drop(askers);
+            let asker = Asker {
+                asked_us: ask.sent_us,
+                at: self.clock.now(),
+                is_far: ask.is_far,
+                followers: ask.followers,
+            };
+            self.askers.borrow_mut().heard(from, asker);
             if let Some(told) = ask.setup {
                 self.take_setup(told);
             }
@@ -441,9 +398,10 @@
             self.swarm.set_beside_requests(!report.load.weights.is_empty());
             let mut load = report.load.clone();
             load.accepts &= !self.is_ordering.get();
-            load.entries = self.live_askers(self.clock.now()) as u32;
-            load.has_heard_all = self.clock.now().passed(self.started, COUNT_AFTER);
-            load.watcher = self.watcher(self.clock.now());
+            let now = self.clock.now();
+            load.entries = self.askers.borrow().len(now) as u32;
+            load.has_heard_all = now.passed(self.started, COUNT_AFTER);
+            load.watcher = self.askers.borrow().watcher(now);
             *self.report.borrow_mut() = Some(report);
             same = if last.as_ref() == Some(&load) { same + 1 } else { 0 };
             let is_turned = last.as_ref().is_none_or(|last| !serves_alike(last, &load));
@@ -489,10 +447,7 @@
         let report = Some(report).filter(|_| setup != 0);
         let named = self.named_lately(now);
         let mut told = Told { port, report, asked_us: 0, held_us: 0, setup, named };
-        for (address, asker) in self.askers.borrow().iter() {
-            if now.passed(asker.at, ASKED_FOR) || (asker.is_far && !is_for_all) {
-                continue;
-            }
+        for (address, asker) in self.askers.borrow().to_tell(is_for_all, now) {
             // Entries of other regions have a watcher of their own.
             if let Some(report) = &mut told.report {
                 report.watcher = watcher.filter(|_| !asker.is_far);
@@ -501,7 +456,7 @@
             told.held_us = now.since(asker.at).as_micros() as u64;
             match postcard::to_stdvec(&told) {
                 // A datagram may be lost anyway; the next report follows.
-                Ok(bytes) => drop(socket.try_send_to(&bytes, *address)),
+                Ok(bytes) => drop(socket.try_send_to(&bytes, address)),
                 Err(e) => slog::error!(self.log, "report not encoded"; "error" => e.to_string()),
             }
         }
@@ -652,7 +607,7 @@
             "held": self.held(),
             "staged": self.swarm.is_complete(),
             "rank": self.rank.get().0,
-            "entries": self.live_askers(now),
+            "entries": self.askers.borrow().len(now),
         })
         .to_string()
     }
--- a/node/src/direct/loads.rs
+++ b/node/src/direct/loads.rs
@@ -39,9 +39,6 @@
 /// 0.722 in place of 0.736).
 pub const FAR_EVERY: u32 = 2;
 
-/// How long an agent sends reports after it was asked: three asks may be lost in a row.
-pub const ASKED_FOR: Duration = Duration::from_millis(3_500);
-
 /// Bytes of a datagram at most.
 pub const MAX_DATAGRAM_LEN: usize = 1_200;
 
