--- a/core/src/direct/choice.rs
+++ b/core/src/direct/choice.rs
@@ -3,16 +3,14 @@
 //! All entries see nearly the same load reports, which are 100 to 200 ms old. Were each to take the
 //! endpoint with the least load, all would take the same one until its next report, and its prompts would
 //! queue for half a second while others idle. Two random choices spread what comes between two reports
-//! over all endpoints, and still keep away from the busy ones. With 40 entries and 88 engines at four
-//! fifths of their load, 98.5% of all requests were answered within their objective, where the least load
-//! of all gave 92.3%; with 6 entries and 24 engines both gave 98.8% (one run each).
+//! over all endpoints, and still keep away from the busy ones.
 
 use rand::Rng;
 use rand::RngExt;
 
 use super::roster::EndpointKey;
 
-/// Endpoints compared from each group. With three, 97.9% were in time.
+/// Endpoints compared from each group. With more of them, entries agree too often.
 const CHOICES: usize = 2;
 
 /// A random sample of the endpoints of one group.
--- a/core/src/direct/feed.rs
+++ b/core/src/direct/feed.rs
@@ -1,9 +1,8 @@
 //! What entries pass on to each other of the store, and whether that is young enough.
 //!
 //! Were each entry to watch the store for itself, its calls and the bytes between regions would grow
-//! with the number of entries: at 34 entries they made 120 calls a second, and a configuration
-//! that changed every 80 ms filled the links between regions, so that entries applied it seconds too
-//! late. So one entry of each region watches, and the others of the region follow it. Which one that
+//! with the number of entries, and a large configuration that changes often would fill the links between
+//! regions and be applied seconds late. So one entry of each region watches, and the others of the region follow it. Which one that
 //! is needs no agreement: agents tell their entries which of those that ask them may be followed, and two
 //! watchers at once cost calls, nothing else.
 
--- a/core/src/direct/lateness.rs
+++ b/core/src/direct/lateness.rs
@@ -3,8 +3,7 @@
 //! When all endpoints are full a request is refused, and its caller comes back a second later. Its
 //! objective has passed by then. Were it served like any other, it would take the place of one that can
 //! still be in time; that one is refused, comes back late as well, and soon most of what is served is late.
-//! With demand at 1.4 times what 14 engines can serve, 44% of the requests were answered in time and 36%
-//! late that way; with late ones yielding it is 62% and 18%, and as many are refused in the end (20%).
+//! With late ones yielding, more are answered in time and no more are refused in the end.
 //!
 //! Callers do not say that they come back. They say how long they still wait, and those of one route wait
 //! about equally long at first, so one that waits much shorter has used up the rest.
--- a/node/src/direct/keeper.rs
+++ b/node/src/direct/keeper.rs
@@ -77,8 +77,8 @@
 /// random. Entries ask about a second after they start, later if the configuration is large.
 const UNTOLD_FOR: Range<Duration> = Duration::from_secs(3)..Duration::from_secs(6);
 
-/// How often peers are read again while chunks are missing. The list of 88 takes 40 KB: read by 60 agents
-/// of other regions every 2 s it took a fifth of the links that the chunks have to cross.
+/// How often peers are read again while chunks are missing. All agents of a region read the list over the
+/// link that the chunks have to cross.
 const PEERS_EVERY: Duration = Duration::from_millis(5_000);
 
 /// How often the store is asked for the newest version while no entry asks: entries tell it else.
--- a/node/src/direct/loads.rs
+++ b/node/src/direct/loads.rs
@@ -34,9 +34,8 @@
 /// interval bounds how long requests go on to it.
 const ASK_EVERY: Duration = Duration::from_millis(300);
 
-/// Of how many asks, and of how many reports, one goes to another region. With four, a region whose
-/// own endpoints are out of service placed its requests worse (a day with one region evacuated served
-/// 0.722 in place of 0.736).
+/// Of how many asks, and of how many reports, one goes to another region. With fewer, a region whose
+/// own endpoints are out of service places its requests by old reports.
 pub const FAR_EVERY: u32 = 2;
 
 /// Bytes of a datagram at most.
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -25,9 +25,9 @@
 /// Bytes of a message at most.
 pub const MAX_MESSAGE_LEN: u32 = 8 << 20;
 
-/// Messages from this length on are compressed: configurations with many routes, above all. One of 1,400
-/// routes went to 13 followers over a link of 40 Mbit/s in 0.8 s; pongs waited behind it, all followers
-/// took their watcher for too old and turned to the store, whose links that filled for 15 s.
+/// Messages from this length on are compressed: configurations with many routes, above all. While
+/// one of them goes to all followers, pongs wait behind it; the followers would take their watcher for too
+/// old, turn to the store all at once, and fill its links for seconds.
 const COMPRESS_FROM: usize = 4 << 10;
 
 /// Marks the length of a compressed message.
@@ -124,8 +124,7 @@
 pub const PIECE_LEN: usize = 8 << 10;
 
 /// Pieces under way out of a host at once. A piece waits on two links in turn, so with few pieces the
-/// links are often idle: 3 out and 4 in used 61% of them, 6 and 8 some 70%, 8 and 10 no more. The last
-/// of six waits for 52 ms, which events of streams on the link may, too.
+/// links are often idle; with more of them, the events of streams on the link wait longer for the last.
 pub const PIECES_OUT: usize = 6;
 
 /// Pieces under way into a host at once: more, as some peers are busy.
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -30,10 +30,9 @@
 use super::store::StoreClient;
 use super::store::StoreError;
 
-/// How long a watch waits for a change. That of the configuration renews the lease on it, from the moment
-/// it was sent: with a wait of 1.5 s the lease was 1.5 to 3 s old whenever the store went away, and callers
-/// were refused 1.4 s after that at worst; with half of it, some 2.9 s after. That of endpoints ends often enough to find a connection that has gone silent
-/// before an endpoint that has told that it leaves must get nothing new, after 2 s, also by entries
+/// How long a watch waits for a change. That of the configuration renews the lease on it from the moment
+/// it was sent, so a longer wait leaves less of the lease whenever the store goes away. That of endpoints
+/// ends often enough to find a connection that has gone silent before an endpoint that has told that it leaves must get nothing new, after 2 s, also by entries
 /// that follow this one. Only one entry of a region watches, so short waits cost few calls.
 fn wait_for(kind: Kind) -> Duration {
     match kind {
