--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -32,8 +32,9 @@
 
 /// How long a watch waits for a change. That of the configuration renews the lease on it from the moment
 /// it was sent, so a longer wait leaves less of the lease whenever the store goes away. That of endpoints
-/// ends often enough to find a connection that has gone silent before an endpoint that has told that it leaves must get nothing new, after 2 s, also by entries
-/// that follow this one. Only one entry of a region watches, so short waits cost few calls.
+/// ends often enough to find a connection that has gone silent before an endpoint that leaves must get
+/// nothing new, after 2 s, also by entries that follow this one. Only one entry of a region watches, so
+/// short waits cost few calls.
 fn wait_for(kind: Kind) -> Duration {
     match kind {
         Kind::Config => Duration::from_millis(750),
