--- a/core/src/direct/feed.rs
+++ b/core/src/direct/feed.rs
@@ -2,9 +2,9 @@
 //!
 //! Were each entry to watch the store for itself, its calls and the bytes between regions would grow
 //! with the number of entries, and a large configuration that changes often would fill the links between
-//! regions and be applied seconds late. So one entry of each region watches, and the others of the region follow it. Which one that
-//! is needs no agreement: agents tell their entries which of those that ask them may be followed, and two
-//! watchers at once cost calls, nothing else.
+//! regions and be applied seconds late. So one entry of each region watches, and the others of the region
+//! follow it. Which one that is needs no agreement: agents tell their entries which of those that ask them
+//! may be followed, and two watchers at once cost calls, nothing else.
 
 use std::cmp::Reverse;
 use std::net::IpAddr;
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -121,7 +121,8 @@
     }
 
     /// Takes in all endpoints that the store lists as of a revision; those of `lapsed` stay if they are
-    /// known. False if the list is older than what is known, which then holds on.
+    /// known. Tells which ones are gone with it, or `None` if the list is older than what is known, which
+    /// then holds on.
     ///
     /// An older list, of an entry that the store turned away, would bring back endpoints that have left
     /// since, and their callers would be cut off. What changes after it comes on its own.
@@ -131,9 +132,9 @@
         listed: Vec<Listed>,
         lapsed: &[SmolStr],
         now: Time,
-    ) -> bool {
+    ) -> Option<Vec<SmolStr>> {
         if as_of < self.as_of {
-            return false;
+            return None;
         }
         let kept: HashSet<&SmolStr> = listed.iter().map(|one| &one.id).chain(lapsed).collect();
         let gone: Vec<SmolStr> = self.ids().filter(|id| !kept.contains(id)).cloned().collect();
@@ -143,7 +144,7 @@
             self.put_listed(one, now);
         }
         self.as_of = as_of;
-        true
+        Some(gone)
     }
 
     /// Adds an endpoint or takes in what changed of it. False if that is older than what is known.
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -463,12 +463,14 @@
 fn put_all_takes_a_list_of_the_same_revision() {
     let mut roster = roster();
     let half = Listed { weights: Vec::new(), ..listed(1, "lagoa") };
-    assert!(roster.put_all(Revision(5), vec![half], &[], now(0)));
+    assert!(roster.put_all(Revision(5), vec![half], &[], now(0)).is_some());
     assert!(choose(&mut roster, now(1)).is_err());
-    assert!(roster.put_all(Revision(5), vec![listed(1, "lagoa")], &[], now(2)));
+    assert!(roster.put_all(Revision(5), vec![listed(1, "lagoa")], &[], now(2)).is_some());
     assert!(choose(&mut roster, now(3)).is_ok());
-    assert!(!roster.put_all(Revision(4), Vec::new(), &[], now(4)));
+    assert_eq!(roster.put_all(Revision(4), Vec::new(), &[], now(4)), None);
     assert!(choose(&mut roster, now(5)).is_ok());
+    let gone = roster.put_all(Revision(6), Vec::new(), &[], now(6));
+    assert_eq!(gone, Some(vec!["i-1".into()]));
 }
 
 // Two entries tell of the zones that are out of service, the one that knows less later.
--- a/node/src/direct/knowledge.rs
+++ b/node/src/direct/knowledge.rs
@@ -146,14 +146,16 @@
     }
 
     fn learn_endpoints(&self, as_of: Revision, all: Vec<Listed>, lapsed: &[SmolStr]) {
+        let known_as_of = self.roster.borrow().as_of();
         slog::info!(self.log, "endpoints told"; "from" => self.source(), "as_of" => as_of.0,
-            "known_as_of" => self.roster.borrow().as_of().0, "listed" => all.len(),
+            "known_as_of" => known_as_of.0, "listed" => all.len(),
             "lapsed" => format!("{lapsed:?}"));
-        if as_of < self.roster.borrow().as_of() {
+        let told = all.clone();
+        let Some(gone) = self.roster.borrow_mut().put_all(as_of, all, lapsed, self.now()) else {
             return;
-        }
-        all.iter().for_each(|listed| self.log_listed(listed));
-        self.roster.borrow_mut().put_all(as_of, all, lapsed, self.now());
+        };
+        gone.iter().for_each(|id| self.log_gone(id, as_of));
+        told.iter().for_each(|listed| self.log_listed(listed));
         self.freed.notify_waiters();
     }
 
@@ -175,9 +177,13 @@
         self.freed.notify_waiters();
     }
 
-    fn endpoint_gone(&self, id: &str, last: Revision) {
+    fn log_gone(&self, id: &str, last: Revision) {
         slog::info!(self.log, "endpoint gone"; "endpoint" => id, "from" => self.source(),
             "last" => last.0);
+    }
+
+    fn endpoint_gone(&self, id: &str, last: Revision) {
+        self.log_gone(id, last);
         self.roster.borrow_mut().remove(id, last);
     }
 
