--- a/node/src/direct/loads.rs
+++ b/node/src/direct/loads.rs
@@ -116,28 +116,32 @@
             state.metrics.count("reports_unreadable");
             continue;
         };
-        let now = state.now();
         let address = SocketAddr::new(from.ip(), told.port);
         known.borrow_mut().insert(address, told.setup);
-        told.named.iter().for_each(|named| state.learn_named(named, now));
+        state.take_told(&told, address, state.now());
+    }
+}
+
+impl State {
+    /// Takes in what the agent beside the endpoint at `address` has sent.
+    pub fn take_told(&self, told: &Told, address: SocketAddr, now: Time) {
+        told.named.iter().for_each(|named| self.learn_named(named, now));
         let Some(report) = &told.report else {
-            continue;
+            return;
         };
-        let draw = state.with_rng(|rng| rng.random::<f64>());
-        let mut roster = state.roster.borrow_mut();
+        let draw = self.with_rng(|rng| rng.random::<f64>());
+        let mut roster = self.roster.borrow_mut();
         roster.entries_counted(report.entries, report.has_heard_all, now);
         let asked = Time::from_micros(told.asked_us);
         if report.watcher.is_some() {
-            state.watcher.set(report.watcher);
+            self.watcher.set(report.watcher);
         }
         let round_trip = now.since(Time::from_micros(told.asked_us.saturating_add(told.held_us)));
         roster.reported(address, report, asked, round_trip, draw, now);
         drop(roster);
-        state.freed.notify_one();
+        self.freed.notify_one();
     }
-}
 
-impl State {
     /// An agent has known of a version for a while. What it is worth stands with `known_since`.
     fn learn_named(&self, named: &NamedVersion, now: Time) {
         let known_for = Duration::from_millis(u64::from(named.known_for_ms));
--- a/node/tests/direct/knowledge.rs
+++ b/node/tests/direct/knowledge.rs
@@ -10,6 +10,8 @@
 use mastichaven_core::ids::Revision;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
+use mastichaven_node::direct::loads::NamedVersion;
+use mastichaven_node::direct::loads::Told;
 use mastichaven_node::direct::settings::DirectSettings;
 use mastichaven_node::direct::state::State;
 
@@ -165,3 +167,26 @@
     state.confirm(now, &Ages { weights: age, ..but_weights });
     assert!(state.knows_all());
 }
+
+// A version is named while configurations fill the link from the store to a region. The reports of agents
+// elsewhere, which tell since when they know of it, wait for a second in the same queue. The region's
+// entries took that second for time before the naming, and sent requests to the older version past its
+// bound.
+#[test]
+fn take_told_dates_a_version_whose_report_was_long_under_way() {
+    let state = state();
+    state.learn(News::Weights { model: "m".into(), version: 1, ago: None });
+    let named = NamedVersion { model: "m".into(), version: 2, known_for_ms: 200 };
+    let told = Told {
+        port: 9,
+        report: None,
+        asked_us: Time::from_millis(8_500).as_micros(),
+        held_us: 100_000,
+        setup: 0,
+        named: vec![named],
+    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    state.take_told(&told, address, Time::from_millis(10_000));
+    let named_at = state.versions.borrow()["m"].named_at(2);
+    assert_eq!(named_at, Some(Time::from_millis(8_400)));
+}
