--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -112,12 +112,7 @@
             match self.client.list(self.kind, false).await {
                 Ok(_) if self.state.is_following.get() => {}
                 Ok((objects, revision)) => {
-                    let unseen_for = self.unseen_for(sent);
-                    let before = self.state.config_version();
-                    self.answered(sent);
-                    self.take_all(&objects, revision, unseen_for);
-                    self.state.note_list();
-                    self.is_behind &= self.state.config_version() != before;
+                    self.take_list(&objects, revision, sent);
                     if self.is_behind {
                         let took = self.state.now().since(sent);
                         sleep(took.clamp(CATCH_UP_SHORTEST, CATCH_UP_LONGEST)).await;
@@ -130,6 +125,16 @@
         }
     }
 
+    /// Takes in a list that was asked for at `sent` and holds all changes up to `as_of`.
+    fn take_list(&mut self, objects: &[Object], as_of: Revision, sent: Time) {
+        let unseen_for = self.unseen_for(sent);
+        let before = self.state.config_version();
+        self.answered(sent);
+        self.take_all(objects, as_of, unseen_for);
+        self.state.note_list();
+        self.is_behind &= self.state.config_version() != before;
+    }
+
     /// How long what a list shows may have been there unseen; `None` for the first list in this life.
     ///
     /// A version of weights counts from its naming. Were one that a later list shows to count as old,
@@ -160,25 +165,20 @@
             match self.client.watch(self.kind, revision, wait).await {
                 // What another entry tells by now is newer.
                 Ok(_) if self.state.is_following.get() => return,
-                Ok(changes) => {
+                Ok(told) => {
+                    probe = false;
+                    revision = revision.max(told.revision);
+                    let count = told.changes.len();
                     self.answered(sent);
-                    if changes.changes.is_empty() {
+                    if count == 0 {
                         self.heard_nothing(sent, wait);
                     }
-                    probe = false;
-                    revision = revision.max(changes.revision);
-                    let is_any = !changes.changes.is_empty();
-                    let are_many = changes.changes.len() > 1;
-                    self.take_changes(changes.changes, revision);
-                    if is_any && self.kind == Kind::Endpoints {
-                        self.state.learn(News::EndpointsSeen(revision));
-                    }
-                    self.state.note_list();
-                    if are_many && self.kind == Kind::Config {
+                    self.take_changes(told.changes, revision);
+                    if count > 1 && self.kind == Kind::Config {
                         self.is_behind = true;
                         return;
                     }
-                    if is_any {
+                    if count > 0 {
                         sleep(gather_for(self.kind)).await;
                     }
                 }
@@ -257,6 +257,15 @@
 
     /// Takes in what changed up to `as_of`.
     fn take_changes(&mut self, changes: Vec<Change>, as_of: Revision) {
+        let is_any = !changes.is_empty();
+        self.take_each(changes, as_of);
+        if is_any && self.kind == Kind::Endpoints {
+            self.state.learn(News::EndpointsSeen(as_of));
+        }
+        self.state.note_list();
+    }
+
+    fn take_each(&mut self, changes: Vec<Change>, as_of: Revision) {
         let now = self.state.now();
         if self.kind == Kind::Config {
             return self.take_newest_config(changes);
