--- a/node/src/direct/loads.rs
+++ b/node/src/direct/loads.rs
@@ -125,10 +125,7 @@
 impl State {
     /// Takes in what the agent beside the endpoint at `address` has sent.
     pub fn take_told(&self, told: &Told, address: SocketAddr, now: Time) {
-        // No later than it was sent: it may have waited on a full link, and what it says of versions would
-        // count from too late.
-        let sent = Time::from_micros(told.asked_us.saturating_add(told.held_us)).min(now);
-        told.named.iter().for_each(|named| self.learn_named(named, sent));
+        told.named.iter().for_each(|named| self.learn_named(named, now));
         let Some(report) = &told.report else {
             return;
         };
@@ -139,18 +136,17 @@
         if report.watcher.is_some() {
             self.watcher.set(report.watcher);
         }
-        roster.reported(address, report, asked, now.since(sent), draw, now);
+        let round_trip = now.since(Time::from_micros(told.asked_us.saturating_add(told.held_us)));
+        roster.reported(address, report, asked, round_trip, draw, now);
         drop(roster);
         self.freed.notify_one();
     }
 
-    /// An agent that told at `sent` has known of a version for a while. What it is worth stands with
-    /// `known_since`.
-    fn learn_named(&self, named: &NamedVersion, sent: Time) {
+    /// An agent has known of a version for a while. What it is worth stands with `known_since`.
+    fn learn_named(&self, named: &NamedVersion, now: Time) {
         let known_for = Duration::from_millis(u64::from(named.known_for_ms));
         let mut all = self.versions.borrow_mut();
-        let (Some(at), Some(versions)) = (before(sent, known_for), all.get_mut(&named.model))
-        else {
+        let (Some(at), Some(versions)) = (before(now, known_for), all.get_mut(&named.model)) else {
             return;
         };
         let newest = versions.newest();
