--- a/node/tests/direct/entry.rs
+++ b/node/tests/direct/entry.rs
@@ -224,8 +224,8 @@
 // Large configurations come in quick succession, faster than the entry's link carries them. A watch tells
 // each version since the last one, so each answer holds more of them than the one before. Callers were
 // told that a route does not exist seconds after it was added. The log of an entry that the store had
-// turned away proved it: two answers of its watch came 3 and 2 s after they were asked for, each with a
-// version that was old by then.
+// turned away showed it: 2 s lay between two answers of its watch, and the version that it went by
+// meanwhile was already old when it came.
 #[test]
 fn watch_catches_up_with_configurations_in_quick_succession() {
     let site = Site::start();
--- a/node/tests/direct/feed.rs
+++ b/node/tests/direct/feed.rs
@@ -154,8 +154,8 @@
 // The store turns the watcher of a region away for longer than the lease on the configuration lasts, and
 // serves the other entries. It refused all callers meanwhile, though its neighbours knew all it lacked,
 // and these all asked the store for themselves. The cause: agents named the entry with the lowest address,
-// whatever it knew. The store's record of calls proved it: all entries of two regions called while two of
-// them were turned away.
+// whatever it knew. The store's record of calls showed it: in two regions the entries that else follow
+// called the store for seconds, beginning when it turned their watchers away.
 #[test]
 fn watcher_that_the_store_turns_away_follows_another() {
     let site = Site::start();
