Terms of the direct path: updates, subscribers, replication, agent

News, Told, Asker, Keeper and Feed become Update, Message and ReportMessage, Subscriber, Agent and Publisher; the store's Follower becomes StoreWatcher. Behaviour is unchanged.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -4,19 +4,19 @@
 //! can bear, `choice` which of them a request goes to, [`lateness`] which requests yield to others,
 //! [`shares`] how much of a fleet-wide bound one entry may use, [`freshness`] whether what the
 //! entry knows is young enough to act on, [`events`] where a broken stream resumes, [`versions`]
-//! which weights may answer, and [`rollout`] when an endpoint loads a new version. [`feed`] is what
-//! entries pass on to each other of the store, and [`askers`] are the entries that an agent hears of.
+//! which weights may answer, and [`rollout`] when an endpoint loads a new version. [`replication`] is what
+//! entries pass on to each other of the store, and [`subscribers`] are the entries that an agent hears of.
 
-pub mod askers;
 pub mod catalog;
 mod choice;
 pub mod endpoint;
 pub mod events;
-pub mod feed;
 pub mod freshness;
 mod health;
 pub mod lateness;
+pub mod replication;
 pub mod rollout;
 pub mod roster;
 pub mod shares;
+pub mod subscribers;
 pub mod versions;
--- a/core/src/direct/feed.rs
+++ b/core/src/direct/replication.rs
@@ -22,7 +22,7 @@
 
 /// Something that an entry learns.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum News {
+pub enum Update {
     /// The configuration.
     Config(Box<CatalogParts>),
     /// All endpoints that there are.
@@ -80,9 +80,9 @@
 
 /// A message of a watcher to an entry that follows it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum Told {
+pub enum Message {
     /// What it has learnt.
-    News(News),
+    Update(Update),
     /// All that it knew when it was asked has been told; the answer to a ping.
     Pong {
         /// Microseconds of the follower's clock when it asked.
@@ -142,7 +142,7 @@
 ///
 /// A pong that answers what was asked at `at` and tells an age proves that the read behind it was sent
 /// no earlier than that age before `at`.
-pub fn before(at: Time, span: Duration) -> Option<Time> {
+pub fn time_before(at: Time, span: Duration) -> Option<Time> {
     let span_us = u64::try_from(span.as_micros()).ok()?;
     at.as_micros().checked_sub(span_us).map(Time::from_micros)
 }
--- a/core/src/direct/askers.rs
+++ b/core/src/direct/subscribers.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::feed;
-use super::feed::Candidate;
+use super::replication;
+use super::replication::Candidate;
 use crate::time::Time;
 
 /// How long an entry is sent reports after it asked. Entries ask every 300 ms, and those of other regions
@@ -18,11 +18,11 @@
 const WATCHER_VALID: Duration = Duration::from_millis(1_000);
 
 /// Entries that one agent reports to at most.
-const MAX_ASKERS: usize = 256;
+const MAX_SUBSCRIBERS: usize = 256;
 
 /// An entry that asks for reports.
 #[derive(Clone, Copy, Debug)]
-pub struct Asker {
+pub struct Subscriber {
     /// What its own clock said when it asked last, in microseconds.
     pub asked_us: u64,
     /// When that ask came in.
@@ -35,16 +35,16 @@
 
 /// The entries that asked lately.
 #[derive(Debug, Default)]
-pub struct Askers {
-    by_address: HashMap<SocketAddr, Asker>,
+pub struct Subscribers {
+    by_address: HashMap<SocketAddr, Subscriber>,
 }
 
-impl Askers {
+impl Subscribers {
     /// An entry has asked. Beyond the most that one agent reports to, new ones are left out.
-    pub fn heard(&mut self, from: SocketAddr, asker: Asker) {
-        self.by_address.retain(|_, other| !asker.at.passed(other.at, ASKED_FOR));
-        if self.by_address.len() < MAX_ASKERS || self.by_address.contains_key(&from) {
-            self.by_address.insert(from, asker);
+    pub fn renew(&mut self, from: SocketAddr, subscriber: Subscriber) {
+        self.by_address.retain(|_, other| !subscriber.at.passed(other.at, ASKED_FOR));
+        if self.by_address.len() < MAX_SUBSCRIBERS || self.by_address.contains_key(&from) {
+            self.by_address.insert(from, subscriber);
         }
     }
 
@@ -54,26 +54,26 @@
     }
 
     /// Entries that are sent a report now: those of other regions only if it is for all.
-    pub fn to_tell(
+    pub fn receivers(
         &self,
         is_for_all: bool,
         now: Time,
-    ) -> impl Iterator<Item = (SocketAddr, Asker)> + '_ {
-        self.live(now).filter(move |(_, asker)| is_for_all || !asker.is_far)
+    ) -> impl Iterator<Item = (SocketAddr, Subscriber)> + '_ {
+        self.live(now).filter(move |(_, subscriber)| is_for_all || !subscriber.is_far)
     }
 
     /// The entry that asks the store for the others of this region.
     pub fn watcher(&self, now: Time) -> Option<IpAddr> {
-        let near = self
-            .live(now)
-            .filter(|(_, asker)| !asker.is_far && !now.passed(asker.at, WATCHER_VALID));
-        feed::watcher(near.filter_map(|(address, asker)| {
-            Some(Candidate { ip: address.ip(), followers: asker.followers? })
+        let near = self.live(now).filter(|(_, subscriber)| {
+            !subscriber.is_far && !now.passed(subscriber.at, WATCHER_VALID)
+        });
+        replication::watcher(near.filter_map(|(address, subscriber)| {
+            Some(Candidate { ip: address.ip(), followers: subscriber.followers? })
         }))
     }
 
-    fn live(&self, now: Time) -> impl Iterator<Item = (SocketAddr, Asker)> + '_ {
-        let all = self.by_address.iter().map(|(address, asker)| (*address, *asker));
-        all.filter(move |(_, asker)| !now.passed(asker.at, ASKED_FOR))
+    fn live(&self, now: Time) -> impl Iterator<Item = (SocketAddr, Subscriber)> + '_ {
+        let all = self.by_address.iter().map(|(address, subscriber)| (*address, *subscriber));
+        all.filter(move |(_, subscriber)| !now.passed(subscriber.at, ASKED_FOR))
     }
 }
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -1,12 +1,12 @@
 //! Decisions of the direct path, without network.
 
-mod askers;
 mod catalog;
 mod events;
-mod feed;
 mod freshness;
 mod lateness;
+mod replication;
 mod rollout;
 mod roster;
 mod shares;
+mod subscribers;
 mod versions;
--- a/core/tests/direct/feed.rs
+++ b/core/tests/direct/replication.rs
@@ -2,10 +2,10 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
-use mastichaven_core::direct::feed::Ages;
-use mastichaven_core::direct::feed::Candidate;
-use mastichaven_core::direct::feed::before;
-use mastichaven_core::direct::feed::watcher;
+use mastichaven_core::direct::replication::Ages;
+use mastichaven_core::direct::replication::Candidate;
+use mastichaven_core::direct::replication::time_before;
+use mastichaven_core::direct::replication::watcher;
 
 fn ages(ms: u64) -> Ages {
     let age = Some(Duration::from_millis(ms));
@@ -30,10 +30,10 @@
 #[test]
 fn before_ends_at_the_start() {
     assert_eq!(
-        before(Time::from_millis(900), Duration::from_millis(200)),
+        time_before(Time::from_millis(900), Duration::from_millis(200)),
         Some(Time::from_millis(700))
     );
-    assert_eq!(before(Time::from_millis(100), Duration::from_millis(200)), None);
+    assert_eq!(time_before(Time::from_millis(100), Duration::from_millis(200)), None);
 }
 
 #[test]
--- a/node/src/bin/mastichaven-agent.rs
+++ b/node/src/bin/mastichaven-agent.rs
@@ -38,7 +38,7 @@
     let file = process::settings_file(arguments.settings)?;
     if arguments.direct {
         let settings: DirectSettings = settings::load(&file).map_err(Failure::refused)?;
-        return process::run_local(direct::keeper::run(settings));
+        return process::run_local(direct::agent::run(settings));
     }
     let settings: AgentSettings = settings::load(&file).map_err(Failure::refused)?;
     let tls = &settings.tls;
--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -4,28 +4,28 @@
 //! A request enters through [`gateway`]; [`forward`] chooses endpoints for it, `attempt` sends it to
 //! one over a connection of [`pool`], and `stream` passes events on to the body of [`relay`]. What an
 //! entry knows comes from the platform's store by [`watch`], or from the entry that watches it by
-//! [`feed`], into `knowledge`, and from agents by [`loads`]. The agent's part is [`keeper`], with
+//! [`replication`], into `updates`, and from agents by [`load_reports`]. The agent's part is [`agent`], with
 //! [`swarm`] and [`staging`].
 
+pub mod agent;
 mod attempt;
 pub mod entry;
 pub mod explain;
-pub mod feed;
 pub mod forward;
 pub mod gateway;
-pub mod keeper;
-mod knowledge;
 pub mod link;
-pub mod loads;
+pub mod load_reports;
 pub mod log;
 pub mod metrics;
 pub mod peers;
 pub mod pool;
 pub mod relay;
+pub mod replication;
 pub mod settings;
 pub mod staging;
 pub mod state;
 pub mod store;
 mod stream;
 pub mod swarm;
+mod updates;
 pub mod watch;
--- a/node/src/direct/keeper.rs
+++ b/node/src/direct/agent.rs
@@ -17,14 +17,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use mastichaven_core::Time;
-use mastichaven_core::direct::askers::Asker;
-use mastichaven_core::direct::askers::Askers;
 use mastichaven_core::direct::catalog::ModelSetup;
 use mastichaven_core::direct::catalog::ModelShape;
 use mastichaven_core::direct::endpoint::Listed;
 use mastichaven_core::direct::endpoint::LoadReport;
 use mastichaven_core::direct::rollout;
 use mastichaven_core::direct::rollout::Situation;
+use mastichaven_core::direct::subscribers::Subscriber;
+use mastichaven_core::direct::subscribers::Subscribers;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
@@ -48,12 +48,12 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use super::loads::Ask;
-use super::loads::FAR_EVERY;
-use super::loads::MAX_DATAGRAM_LEN;
-use super::loads::NamedVersion;
-use super::loads::Told;
-use super::loads::ToldSetup;
+use super::load_reports::FAR_EVERY;
+use super::load_reports::MAX_DATAGRAM_LEN;
+use super::load_reports::NamedVersion;
+use super::load_reports::ReportMessage;
+use super::load_reports::ReportRequest;
+use super::load_reports::SetupUpdate;
 use super::log::EventLog;
 use super::metrics::Metrics;
 use super::relay::AnswerBody;
@@ -106,7 +106,7 @@
 pub type Result<T> = io::Result<T>;
 
 /// What an agent knows and shares among its tasks.
-struct Keeper {
+struct Agent {
     cfg: DirectSettings,
     clock: BootClock,
     started: Time,
@@ -116,14 +116,14 @@
     swarm: Rc<SwarmHost>,
     place: PeerPlace,
     /// What is known of the own service, from which version of the configuration.
-    setup: RefCell<Option<ToldSetup>>,
+    setup: RefCell<Option<SetupUpdate>>,
     newest: Cell<Option<(u64, Time)>>,
     versions: RefCell<Versions>,
     /// This host's place among the hosts that load, and their number.
     rank: Cell<(u32, u32)>,
     report: RefCell<Option<Report>>,
     is_ordering: Cell<bool>,
-    askers: RefCell<Askers>,
+    subscribers: RefCell<Subscribers>,
     told: Notify,
     /// Signals that entries must hear of a change at once.
     report_now: Notify,
@@ -145,7 +145,7 @@
     let staging = Rc::new(Staging::new(endpoint));
     let place = PeerPlace { host: host_at(endpoint), zone: cfg.zone.clone(), region: cfg.region() };
     let swarm = SwarmHost::new(&place, clock, log.root.clone(), metrics.clone(), staging.clone());
-    let keeper = Rc::new(Keeper {
+    let agent = Rc::new(Agent {
         cfg,
         clock,
         started: clock.now(),
@@ -160,26 +160,26 @@
         rank: Cell::new((0, 1)),
         report: RefCell::default(),
         is_ordering: Cell::new(false),
-        askers: RefCell::default(),
+        subscribers: RefCell::default(),
         told: Notify::new(),
         report_now: Notify::new(),
     });
-    slog::info!(keeper.log, "started"; "endpoint" => endpoint.to_string());
-    spawn_local(keeper.clone().listen(asks_socket.clone()));
-    spawn_local(keeper.clone().report(asks_socket));
-    spawn_local(keeper.clone().follow());
-    spawn_local(keeper.clone().load());
-    spawn_local(keeper.swarm.clone().run());
-    spawn_local(keeper.swarm.clone().serve(peers_listener));
-    spawn_local(serve_status(keeper.clone(), metrics_listener));
+    slog::info!(agent.log, "started"; "endpoint" => endpoint.to_string());
+    spawn_local(agent.clone().listen(asks_socket.clone()));
+    spawn_local(agent.clone().report(asks_socket));
+    spawn_local(agent.clone().follow());
+    spawn_local(agent.clone().load());
+    spawn_local(agent.swarm.clone().run());
+    spawn_local(agent.swarm.clone().serve(peers_listener));
+    spawn_local(serve_status(agent.clone(), metrics_listener));
     loop {
         tokio::select! {
             _ = stop.recv() => break,
-            _ = reload.recv() => slog::info!(keeper.log, "settings reloaded, nothing to change"),
+            _ = reload.recv() => slog::info!(agent.log, "settings reloaded, nothing to change"),
         }
     }
     // Requests do not pass through here, and a chunk that is cut off is asked of another peer.
-    slog::info!(keeper.log, "stopped");
+    slog::info!(agent.log, "stopped");
     drop(log);
     Ok(())
 }
@@ -194,22 +194,22 @@
     HostName::new(address.to_string())
 }
 
-impl Keeper {
+impl Agent {
     /// Learns the setup, the peers and the newest version, then follows them.
     async fn follow(self: Rc<Self>) {
         let mut client = StoreClient::new(self.cfg.store);
         self.until_set_up(&mut client).await;
-        self.learn_peers(&mut client).await;
-        self.learn_newest(&mut client).await;
+        self.fetch_peers(&mut client).await;
+        self.fetch_newest(&mut client).await;
         loop {
             let wait = if self.swarm.is_complete() { ALONE_EVERY } else { PEERS_EVERY };
             let is_told = timeout(wait, self.told.notified()).await.is_ok();
-            let is_alone = self.askers.borrow().len(self.clock.now()) == 0;
+            let is_alone = self.subscribers.borrow().len(self.clock.now()) == 0;
             if is_told || !self.swarm.is_complete() {
-                self.learn_peers(&mut client).await;
+                self.fetch_peers(&mut client).await;
             }
             if is_alone || self.newest.get().is_none() {
-                self.learn_newest(&mut client).await;
+                self.fetch_newest(&mut client).await;
             }
         }
     }
@@ -237,12 +237,12 @@
         let own = self.cfg.service.as_ref().and_then(|service| catalog.setup(service));
         let any = || catalog.services().find_map(|service| catalog.setup(&service.name));
         if let Some(setup) = own.or_else(any) {
-            self.take_setup(ToldSetup { version: catalog.version(), setup });
+            self.take_setup(SetupUpdate { version: catalog.version(), setup });
         }
     }
 
     /// Goes by a setup unless a newer one is known.
-    fn take_setup(&self, told: ToldSetup) {
+    fn take_setup(&self, told: SetupUpdate) {
         let known = self.setup.borrow().clone();
         if known.as_ref().is_some_and(|known| known.version >= told.version) {
             return;
@@ -282,7 +282,7 @@
         slog::warn!(self.log, "store not read"; "kind" => kind.as_str(), "error" => error);
     }
 
-    async fn learn_peers(&self, client: &mut StoreClient) {
+    async fn fetch_peers(&self, client: &mut StoreClient) {
         let objects = match client.list(Kind::Endpoints, true).await {
             Ok((objects, _)) => objects,
             Err(e) => return self.note_store(Kind::Endpoints, e.as_str()),
@@ -316,8 +316,8 @@
         self.swarm.set_peers(&places, self.origin_region().as_ref());
     }
 
-    /// Asks the store for the newest version; the first one needs no entry there.
-    async fn learn_newest(&self, client: &mut StoreClient) {
+    /// ReportRequests the store for the newest version; the first one needs no entry there.
+    async fn fetch_newest(&self, client: &mut StoreClient) {
         let Some(model) = self.model().map(|model| model.name) else {
             return;
         };
@@ -355,17 +355,17 @@
                 // An entry that is gone shows as an error on the next receive.
                 continue;
             };
-            let Ok(ask) = postcard::from_bytes::<Ask>(&buf[..len]) else {
+            let Ok(ask) = postcard::from_bytes::<ReportRequest>(&buf[..len]) else {
                 self.metrics.count("asks_unreadable");
                 continue;
             };
-            let asker = Asker {
+            let subscriber = Subscriber {
                 asked_us: ask.sent_us,
                 at: self.clock.now(),
                 is_far: ask.is_far,
                 followers: ask.followers,
             };
-            self.askers.borrow_mut().heard(from, asker);
+            self.subscribers.borrow_mut().renew(from, subscriber);
             if let Some(told) = ask.setup {
                 self.take_setup(told);
             }
@@ -375,7 +375,7 @@
         }
     }
 
-    /// Asks the endpoint for its load and sends it to the entries.
+    /// ReportRequests the endpoint for its load and sends it to the entries.
     async fn report(self: Rc<Self>, socket: Rc<UdpSocket>) {
         let mut same = 0;
         let mut turn = 0;
@@ -399,9 +399,9 @@
             let mut load = report.load.clone();
             load.accepts &= !self.is_ordering.get();
             let now = self.clock.now();
-            load.entries = self.askers.borrow().len(now) as u32;
+            load.entries = self.subscribers.borrow().len(now) as u32;
             load.has_heard_all = now.passed(self.started, COUNT_AFTER);
-            load.watcher = self.askers.borrow().watcher(now);
+            load.watcher = self.subscribers.borrow().watcher(now);
             *self.report.borrow_mut() = Some(report);
             same = if last.as_ref() == Some(&load) { same + 1 } else { 0 };
             let is_turned = last.as_ref().is_none_or(|last| !serves_alike(last, &load));
@@ -446,14 +446,14 @@
         let watcher = report.watcher;
         let report = Some(report).filter(|_| setup != 0);
         let named = self.named_lately(now);
-        let mut told = Told { port, report, asked_us: 0, held_us: 0, setup, named };
-        for (address, asker) in self.askers.borrow().to_tell(is_for_all, now) {
+        let mut told = ReportMessage { port, report, asked_us: 0, held_us: 0, setup, named };
+        for (address, subscriber) in self.subscribers.borrow().receivers(is_for_all, now) {
             // Entries of other regions have a watcher of their own.
             if let Some(report) = &mut told.report {
-                report.watcher = watcher.filter(|_| !asker.is_far);
+                report.watcher = watcher.filter(|_| !subscriber.is_far);
             }
-            told.asked_us = asker.asked_us;
-            told.held_us = now.since(asker.at).as_micros() as u64;
+            told.asked_us = subscriber.asked_us;
+            told.held_us = now.since(subscriber.at).as_micros() as u64;
             match postcard::to_stdvec(&told) {
                 // A datagram may be lost anyway; the next report follows.
                 Ok(bytes) => drop(socket.try_send_to(&bytes, address)),
@@ -573,18 +573,18 @@
 /// Version that a model has before any is named.
 const FIRST_VERSION: u64 = 1;
 
-async fn serve_status(keeper: Rc<Keeper>, listener: TcpListener) {
+async fn serve_status(agent: Rc<Agent>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(LOAD_POLL).await;
             continue;
         };
-        let keeper = keeper.clone();
+        let agent = agent.clone();
         spawn_local(async move {
             let service = service_fn(|req: Request<Incoming>| {
                 let text = match req.uri().path() {
-                    "/metrics" => keeper.metrics.to_text(),
-                    _ => keeper.dump(),
+                    "/metrics" => agent.metrics.to_text(),
+                    _ => agent.dump(),
                 };
                 let response = Response::new(AnswerBody::whole(Bytes::from(text)));
                 async move { Ok::<_, std::convert::Infallible>(response) }
@@ -595,7 +595,7 @@
     }
 }
 
-impl Keeper {
+impl Agent {
     /// All that is believed now, for operators.
     fn dump(&self) -> String {
         let now = self.clock.now();
@@ -607,7 +607,7 @@
             "held": self.held(),
             "staged": self.swarm.is_complete(),
             "rank": self.rank.get().0,
-            "entries": self.askers.borrow().len(now),
+            "entries": self.subscribers.borrow().len(now),
         })
         .to_string()
     }
--- a/node/src/direct/entry.rs
+++ b/node/src/direct/entry.rs
@@ -27,15 +27,15 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::feed;
 use super::gateway;
 use super::link;
-use super::loads;
+use super::load_reports;
 use super::log::EventLog;
 use super::relay::AnswerBody;
+use super::replication;
 use super::settings::DirectSettings;
 use super::state::State;
-use super::watch::Follower;
+use super::watch::StoreWatcher;
 
 /// Entries that are taken to share the bounds until an agent has counted them: more than there are,
 /// so that shares are too small at first and never too large.
@@ -108,11 +108,11 @@
     let state = Rc::new(State::new(cfg, log.root.clone(), ENTRIES_AT_START));
     slog::info!(state.log, "started"; "zone" => state.cfg.zone.as_str());
     for kind in Kind::ALL {
-        spawn_local(Follower::new(state.clone(), kind).run());
+        spawn_local(StoreWatcher::new(state.clone(), kind).run());
     }
-    spawn_local(feed::serve(state.clone(), feed_listener));
-    spawn_local(feed::follow(state.clone()));
-    spawn_local(loads::follow(state.clone(), loads_socket));
+    spawn_local(replication::serve(state.clone(), feed_listener));
+    spawn_local(replication::follow(state.clone()));
+    spawn_local(load_reports::follow(state.clone(), loads_socket));
     spawn_local(sweep(state.clone()));
     spawn_local(serve_status(state.clone(), ready_listener));
     spawn_local(serve_status(state.clone(), metrics_listener));
--- a/node/src/direct/loads.rs
+++ b/node/src/direct/load_reports.rs
@@ -2,7 +2,7 @@
 //!
 //! An entry asks each agent at intervals, at the endpoint's own IP number, and tells which versions are
 //! the newest. An agent sends its reports to whoever asked lately. So neither needs a list of the
-//! others, and the agents' count of askers tells the entries how many they are.
+//! others, and the agents' count of subscribers tells the entries how many they are.
 //!
 //! Every entry hears of every endpoint, so the datagrams grow with the product of both numbers. Those
 //! of other regions, which get only what the own region has no place for, report half as often.
@@ -18,7 +18,7 @@
 use mastichaven_core::direct::catalog::Catalog;
 use mastichaven_core::direct::catalog::ModelSetup;
 use mastichaven_core::direct::endpoint::LoadReport;
-use mastichaven_core::direct::feed::before;
+use mastichaven_core::direct::replication::time_before;
 use mastichaven_core::ids::ServiceName;
 use rand::RngExt;
 use serde::Deserialize;
@@ -43,7 +43,7 @@
 
 /// What an entry asks an agent.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Ask {
+pub struct ReportRequest {
     /// Microseconds of the entry's clock when it asked.
     pub sent_us: u64,
     /// Newest version of each model.
@@ -53,7 +53,7 @@
     /// Entries that follow this one; `None` if it may not be followed.
     pub followers: Option<u32>,
     /// What the agent has to know of its service, as long as it does not show that it does.
-    pub setup: Option<ToldSetup>,
+    pub setup: Option<SetupUpdate>,
 }
 
 /// What an agent has to know of its service, from one version of the configuration.
@@ -62,7 +62,7 @@
 /// would bring all of them to the store at once: with 1,400 routes 88 agents fetched 35 MB over links
 /// between regions of 3 MB/s, and weights and watches waited behind that for 10 s.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct ToldSetup {
+pub struct SetupUpdate {
     /// The version of the configuration.
     pub version: u64,
     /// What it says.
@@ -71,7 +71,7 @@
 
 /// What an agent sends.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Told {
+pub struct ReportMessage {
     /// Port of the endpoint; its IP number is the sender's.
     pub port: u16,
     /// The report. None from an agent that knows no setup yet: it can't tell whether the endpoint's weights
@@ -101,7 +101,7 @@
 /// Ids of the setups that agents go by, by the address of their endpoint.
 type KnownSetups = Rc<RefCell<HashMap<SocketAddr, u32>>>;
 
-/// Asks all agents and takes in their reports until the process ends.
+/// ReportRequests all agents and takes in their reports until the process ends.
 pub async fn follow(state: Rc<State>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     let known = KnownSetups::default();
@@ -112,20 +112,20 @@
             // An agent's host that is gone shows as an error on the next receive.
             continue;
         };
-        let Ok(told) = postcard::from_bytes::<Told>(&buf[..len]) else {
+        let Ok(told) = postcard::from_bytes::<ReportMessage>(&buf[..len]) else {
             state.metrics.count("reports_unreadable");
             continue;
         };
         let address = SocketAddr::new(from.ip(), told.port);
         known.borrow_mut().insert(address, told.setup);
-        state.take_told(&told, address, state.now());
+        state.apply_report(&told, address, state.now());
     }
 }
 
 impl State {
     /// Takes in what the agent beside the endpoint at `address` has sent.
-    pub fn take_told(&self, told: &Told, address: SocketAddr, now: Time) {
-        told.named.iter().for_each(|named| self.learn_named(named, now));
+    pub fn apply_report(&self, told: &ReportMessage, address: SocketAddr, now: Time) {
+        told.named.iter().for_each(|named| self.apply_named(named, now));
         let Some(report) = &told.report else {
             return;
         };
@@ -143,10 +143,11 @@
     }
 
     /// An agent has known of a version for a while. What it is worth stands with `known_since`.
-    fn learn_named(&self, named: &NamedVersion, now: Time) {
+    fn apply_named(&self, named: &NamedVersion, now: Time) {
         let known_for = Duration::from_millis(u64::from(named.known_for_ms));
         let mut all = self.versions.borrow_mut();
-        let (Some(at), Some(versions)) = (before(now, known_for), all.get_mut(&named.model)) else {
+        let (Some(at), Some(versions)) = (time_before(now, known_for), all.get_mut(&named.model))
+        else {
             return;
         };
         let newest = versions.newest();
@@ -171,9 +172,9 @@
     }
 }
 
-/// Asks the agents of the own region, and those of the others if `is_for_all`.
+/// ReportRequests the agents of the own region, and those of the others if `is_for_all`.
 fn ask_round(state: &State, socket: &UdpSocket, known: &KnownSetups, is_for_all: bool) {
-    let mut asks = Asks::new(state);
+    let mut asks = ReportRequests::new(state);
     let roster = state.roster.borrow();
     known.borrow_mut().retain(|address, _| roster.has_address(*address));
     for (listed, is_far) in roster.engines().filter(|(_, is_far)| is_for_all || !is_far) {
@@ -193,7 +194,7 @@
 }
 
 /// The asks of one round, encoded once for all agents that are asked the same.
-struct Asks {
+struct ReportRequests {
     sent_us: u64,
     followers: Option<u32>,
     newest: Vec<(SmolStr, u64)>,
@@ -202,9 +203,9 @@
     encoded: HashMap<(ServiceName, bool, bool), Bytes>,
 }
 
-impl Asks {
-    fn new(state: &State) -> Asks {
-        Asks {
+impl ReportRequests {
+    fn new(state: &State) -> ReportRequests {
+        ReportRequests {
             sent_us: state.now().as_micros(),
             followers: state.followers(),
             newest: state.newest_versions(),
@@ -230,8 +231,8 @@
             return Ok(bytes.clone());
         }
         let version = catalog.map_or(0, |catalog| catalog.version());
-        let setup = untold.map(|setup| ToldSetup { version, setup: setup.clone() });
-        let ask = Ask {
+        let setup = untold.map(|setup| SetupUpdate { version, setup: setup.clone() });
+        let ask = ReportRequest {
             sent_us: self.sent_us,
             newest: self.newest.clone(),
             is_far,
--- a/node/src/direct/feed.rs
+++ b/node/src/direct/replication.rs
@@ -1,7 +1,7 @@
 //! One entry of a region watches the store, the others of the region follow it over a connection.
 //!
 //! A follower sends pings, 8 bytes that hold its own clock. The watcher sends all that it knows, then
-//! news, and answers pings in the same order, so that a pong proves that everything before it has
+//! updates, and answers pings in the same order, so that a pong proves that everything before it has
 //! arrived. When pongs stay away or tell of old knowledge, the follower asks the store itself.
 
 use std::cell::Cell;
@@ -14,8 +14,8 @@
 
 use bytes::Bytes;
 use mastichaven_core::Time;
-use mastichaven_core::direct::feed::News;
-use mastichaven_core::direct::feed::Told;
+use mastichaven_core::direct::replication::Message;
+use mastichaven_core::direct::replication::Update;
 use rand::RngExt;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -53,11 +53,11 @@
 const RETRY_EVERY: Duration = Duration::from_millis(1_500);
 
 /// Result of following or serving.
-pub type Result<T> = std::result::Result<T, FeedError>;
+pub type Result<T> = std::result::Result<T, ReplicationError>;
 
 /// Why a follower left its watcher.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum FeedError {
+pub enum ReplicationError {
     /// No connection, or it broke off.
     Broken,
     /// Nothing came in time.
@@ -68,21 +68,21 @@
     NotWatching,
 }
 
-impl FeedError {
+impl ReplicationError {
     /// Its name in logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            FeedError::Broken => "broken",
-            FeedError::Silent => "silent",
-            FeedError::Old => "old",
-            FeedError::NotWatching => "not watching",
+            ReplicationError::Broken => "broken",
+            ReplicationError::Silent => "silent",
+            ReplicationError::Old => "old",
+            ReplicationError::NotWatching => "not watching",
         }
     }
 }
 
-impl From<io::Error> for FeedError {
-    fn from(_: io::Error) -> FeedError {
-        FeedError::Broken
+impl From<io::Error> for ReplicationError {
+    fn from(_: io::Error) -> ReplicationError {
+        ReplicationError::Broken
     }
 }
 
@@ -94,13 +94,13 @@
 
 /// What waits to be sent to one follower.
 #[derive(Debug, Default)]
-struct Follower {
+struct Outbox {
     waiting: RefCell<VecDeque<Frame>>,
     is_behind: Cell<bool>,
     added: Notify,
 }
 
-impl Follower {
+impl Outbox {
     /// A configuration takes the place of one that still waits: in a quick succession only the newest
     /// matters, and each may hold thousands of routes. It stays in that place, as a pong behind it
     /// promises it.
@@ -130,18 +130,18 @@
 
 /// The entries that follow this one.
 #[derive(Debug, Default)]
-pub struct Feed {
-    followers: RefCell<Vec<Rc<Follower>>>,
+pub struct Publisher {
+    followers: RefCell<Vec<Rc<Outbox>>>,
 }
 
-impl Feed {
-    /// Sends news to all followers.
-    pub fn publish(&self, news: &News) {
+impl Publisher {
+    /// Sends an update to all followers.
+    pub fn publish(&self, update: &Update) {
         let followers = self.followers.borrow();
         if followers.is_empty() {
             return;
         }
-        let frame = frame_of(&Told::News(news.clone()));
+        let frame = frame_of(&Message::Update(update.clone()));
         followers.iter().for_each(|follower| follower.take(&frame));
     }
 
@@ -156,8 +156,8 @@
     }
 }
 
-fn frame_of(told: &Told) -> io::Result<Frame> {
-    let is_config = matches!(told, Told::News(News::Config(_)));
+fn frame_of(told: &Message) -> io::Result<Frame> {
+    let is_config = matches!(told, Message::Update(Update::Config(_)));
     Ok(Frame { bytes: peers::frame(told)?.into(), is_config })
 }
 
@@ -168,7 +168,7 @@
     /// for themselves until it is back, and it would follow nobody and refuse its callers.
     pub fn followers(&self) -> Option<u32> {
         let may_be_followed = self.is_watching() && self.ages().are_young(Duration::ZERO);
-        may_be_followed.then(|| self.feed.len() as u32)
+        may_be_followed.then(|| self.publisher.len() as u32)
     }
 
     /// Whether this entry asks the store itself, and goes on doing so.
@@ -183,7 +183,7 @@
         }
     }
 
-    fn unfollow(&self, e: FeedError) {
+    fn unfollow(&self, e: ReplicationError) {
         if self.is_following.replace(false) {
             slog::warn!(self.log, "watcher lost"; "error" => e.as_str(),
                 "config_age_ms" => self.freshness.borrow().age(self.now()).map_or(-1, |age| age.as_millis() as i64));
@@ -200,46 +200,49 @@
             sleep(PING_EVERY).await;
             continue;
         };
-        if state.feed.len() >= MAX_FOLLOWERS {
+        if state.publisher.len() >= MAX_FOLLOWERS {
             continue;
         }
         let state = state.clone();
         spawn_local(async move {
-            let follower = Rc::new(Follower::default());
+            let follower = Rc::new(Outbox::default());
             // How it ended shows at the follower.
             let _ = serve_follower(&state, stream, &follower).await;
-            state.feed.followers.borrow_mut().retain(|other| !Rc::ptr_eq(other, &follower));
+            state.publisher.followers.borrow_mut().retain(|other| !Rc::ptr_eq(other, &follower));
         });
     }
 }
 
-async fn serve_follower(state: &State, stream: TcpStream, follower: &Rc<Follower>) -> Result<()> {
+async fn serve_follower(state: &State, stream: TcpStream, follower: &Rc<Outbox>) -> Result<()> {
     link::prepare(&stream)?;
     let (mut read, write) = stream.into_split();
-    state.all_news().into_iter().for_each(|news| follower.take(&frame_of(&Told::News(news))));
-    state.feed.followers.borrow_mut().push(follower.clone());
+    state
+        .snapshot()
+        .into_iter()
+        .for_each(|update| follower.take(&frame_of(&Message::Update(update))));
+    state.publisher.followers.borrow_mut().push(follower.clone());
     tokio::select! {
         ended = answer_pings(state, &mut read, follower) => ended,
         ended = send_frames(write, follower) => ended,
     }
 }
 
-async fn answer_pings(state: &State, read: &mut OwnedReadHalf, follower: &Follower) -> Result<()> {
+async fn answer_pings(state: &State, read: &mut OwnedReadHalf, follower: &Outbox) -> Result<()> {
     loop {
         let asked_us = read.read_u64().await?;
         let told = if state.is_watching() {
-            Told::Pong { asked_us, ages: state.ages() }
+            Message::Pong { asked_us, ages: state.ages() }
         } else {
-            Told::NotWatching
+            Message::NotWatching
         };
         if follower.is_behind.get() {
-            return Err(FeedError::Broken);
+            return Err(ReplicationError::Broken);
         }
         follower.take(&frame_of(&told));
     }
 }
 
-async fn send_frames(mut write: OwnedWriteHalf, follower: &Follower) -> Result<()> {
+async fn send_frames(mut write: OwnedWriteHalf, follower: &Outbox) -> Result<()> {
     loop {
         let frames = follower.take_all();
         if frames.is_empty() {
@@ -268,12 +271,12 @@
 
 async fn follow_one(state: &Rc<State>, address: SocketAddr) -> Result<()> {
     let connected = timeout(CONNECT_WITHIN, TcpStream::connect(address)).await;
-    let stream = connected.map_err(|_| FeedError::Silent)??;
+    let stream = connected.map_err(|_| ReplicationError::Silent)??;
     link::prepare(&stream)?;
     let (mut read, write) = stream.into_split();
     tokio::select! {
         ended = send_pings(state, write) => ended,
-        ended = take_news(state, &mut read, address) => ended,
+        ended = receive(state, &mut read, address) => ended,
     }
 }
 
@@ -284,24 +287,25 @@
     }
 }
 
-/// Takes news in. What comes before the first pong waits for it: only then is it known to be young.
-async fn take_news(state: &State, read: &mut OwnedReadHalf, from: SocketAddr) -> Result<()> {
+/// Applies updates. Those before the first pong wait for it: only then are they known to be fresh.
+async fn receive(state: &State, read: &mut OwnedReadHalf, from: SocketAddr) -> Result<()> {
     let mut early = Vec::new();
     loop {
-        let told: Told =
-            timeout(SILENT_AFTER, peers::read(read)).await.map_err(|_| FeedError::Silent)??;
+        let told: Message = timeout(SILENT_AFTER, peers::read(read))
+            .await
+            .map_err(|_| ReplicationError::Silent)??;
         match told {
-            Told::News(news) if state.is_following.get() => state.learn(news),
-            Told::News(news) => early.push(news),
-            Told::NotWatching => return Err(FeedError::NotWatching),
-            Told::Pong { asked_us, ages } => {
+            Message::Update(update) if state.is_following.get() => state.apply(update),
+            Message::Update(update) => early.push(update),
+            Message::NotWatching => return Err(ReplicationError::NotWatching),
+            Message::Pong { asked_us, ages } => {
                 let asked = Time::from_micros(asked_us);
                 if !ages.are_young(state.now().since(asked)) {
-                    return Err(FeedError::Old);
+                    return Err(ReplicationError::Old);
                 }
                 if !state.is_following.replace(true) {
                     slog::info!(state.log, "following"; "watcher" => from.to_string());
-                    early.drain(..).for_each(|news| state.learn(news));
+                    early.drain(..).for_each(|update| state.apply(update));
                 }
                 state.confirm(asked, &ages);
             }
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -26,9 +26,9 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
-use super::feed::Feed;
 use super::metrics::Metrics;
 use super::pool::Pool;
+use super::replication::Publisher;
 use super::settings::DirectSettings;
 use crate::clock::BootClock;
 
@@ -87,7 +87,7 @@
     /// Signals that this entry has to ask the store itself again.
     pub unfollowed: Notify,
     /// The entries that follow this one.
-    pub feed: Feed,
+    pub publisher: Publisher,
     longest_waits: RefCell<HashMap<SmolStr, LongestWait>>,
     budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
     rng: RefCell<SmallRng>,
@@ -119,7 +119,7 @@
             watcher: Cell::new(None),
             is_following: Cell::new(false),
             unfollowed: Notify::new(),
-            feed: Feed::default(),
+            publisher: Publisher::default(),
             longest_waits: RefCell::default(),
             budgets: RefCell::default(),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
@@ -189,7 +189,7 @@
             "entries": self.roster.borrow().entries(),
             "watcher": self.watcher.get(),
             "follows": self.is_following.get(),
-            "followers": self.feed.len(),
+            "followers": self.publisher.len(),
             "weights": weights,
             "endpoints": self.roster.borrow().dump(now),
         })
--- a/node/src/direct/knowledge.rs
+++ b/node/src/direct/updates.rs
@@ -6,9 +6,9 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::Catalog;
 use mastichaven_core::direct::endpoint::Listed;
-use mastichaven_core::direct::feed::Ages;
-use mastichaven_core::direct::feed::News;
-use mastichaven_core::direct::feed::before;
+use mastichaven_core::direct::replication::Ages;
+use mastichaven_core::direct::replication::Update;
+use mastichaven_core::direct::replication::time_before;
 use mastichaven_core::direct::roster::Roster;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::Revision;
@@ -20,32 +20,32 @@
 use super::state::State;
 
 impl State {
-    /// Takes in news and passes it on to the entries that follow this one.
-    pub fn learn(&self, news: News) {
-        if !self.is_following.get() && !self.is_old(&news) {
-            self.feed.publish(&news);
+    /// Applies an update and passes it on to the entries that follow this one.
+    pub fn apply(&self, update: Update) {
+        if !self.is_following.get() && !self.is_old(&update) {
+            self.publisher.publish(&update);
         }
-        match news {
-            News::Config(parts) => self.learn_config(Catalog::from_parts(*parts)),
-            News::Endpoints { as_of, listed, lapsed } => {
-                self.learn_endpoints(as_of, listed, &lapsed);
+        match update {
+            Update::Config(parts) => self.apply_config(Catalog::from_parts(*parts)),
+            Update::Endpoints { as_of, listed, lapsed } => {
+                self.apply_endpoints(as_of, listed, &lapsed);
             }
-            News::EndpointPut(listed) => self.learn_endpoint(*listed),
-            News::EndpointGone { id, last } => self.endpoint_gone(&id, last),
-            News::EndpointsSeen(as_of) => self.roster.borrow_mut().seen(as_of),
-            News::Evacuated { as_of, zones } => self.learn_evacuated(as_of, &zones),
-            News::Weights { model, version, ago } => {
+            Update::EndpointPut(listed) => self.apply_endpoint(*listed),
+            Update::EndpointGone { id, last } => self.endpoint_gone(&id, last),
+            Update::EndpointsSeen(as_of) => self.roster.borrow_mut().seen(as_of),
+            Update::Evacuated { as_of, zones } => self.apply_evacuated(as_of, &zones),
+            Update::Weights { model, version, ago } => {
                 let now = self.now();
-                let named_at = ago.map(|ago| before(now, ago).unwrap_or_default());
-                self.learn_weights(&model, version, named_at);
+                let named_at = ago.map(|ago| time_before(now, ago).unwrap_or_default());
+                self.apply_weights(&model, version, named_at);
             }
         }
     }
 
-    /// Whether the news tells a version of weights that is known. Followers date versions by what they
+    /// Whether the update tells a version of weights that is known. Followers date versions by what they
     /// are told, and an object that is written again was not named again.
-    fn is_old(&self, news: &News) -> bool {
-        let News::Weights { model, version, .. } = news else {
+    fn is_old(&self, update: &Update) -> bool {
+        let Update::Weights { model, version, .. } = update else {
             return false;
         };
         let versions = self.versions.borrow();
@@ -53,19 +53,19 @@
     }
 
     /// All that is known now, for an entry that begins to follow this one.
-    pub fn all_news(&self) -> Vec<News> {
+    pub fn snapshot(&self) -> Vec<Update> {
         let now = self.now();
         let mut all = Vec::new();
         if let Some(catalog) = self.catalog.borrow().as_ref() {
-            all.push(News::Config(Box::new(catalog.parts())));
+            all.push(Update::Config(Box::new(catalog.parts())));
         }
         let roster = self.roster.borrow();
         let zones = roster.evacuated().cloned().collect();
-        all.push(News::Evacuated { as_of: roster.evacuated_as_of(), zones });
+        all.push(Update::Evacuated { as_of: roster.evacuated_as_of(), zones });
         all.push(self.listed_endpoints(&roster, now));
         for (model, versions) in self.versions.borrow().iter() {
             let named = versions.ages(now);
-            all.extend(named.map(|(version, ago)| News::Weights {
+            all.extend(named.map(|(version, ago)| Update::Weights {
                 model: model.clone(),
                 version,
                 ago,
@@ -79,10 +79,10 @@
     /// A watcher that was turned away by the store keeps lapsed endpoints for a while. An entry that
     /// starts to follow it then may know better, as it heard in time that one of them has left. Were
     /// it told of that endpoint as of any other, it would send requests there again, seconds late.
-    fn listed_endpoints(&self, roster: &Roster, now: Time) -> News {
+    fn listed_endpoints(&self, roster: &Roster, now: Time) -> Update {
         let lapsed = self.lapsed.borrow();
         let is_listed = |listed: &Listed| !lapsed.contains_key(&listed.id);
-        News::Endpoints {
+        Update::Endpoints {
             as_of: roster.as_of(),
             listed: roster.all_listed(now).filter(is_listed).collect(),
             lapsed: lapsed.keys().cloned().collect(),
@@ -103,7 +103,7 @@
 
     /// A watcher told how old its knowledge is, in answer to what it was asked at `asked`.
     pub fn confirm(&self, asked: Time, ages: &Ages) {
-        let seen = |age: Option<Duration>| age.and_then(|age| before(asked, age));
+        let seen = |age: Option<Duration>| age.and_then(|age| time_before(asked, age));
         if let Some(at) = seen(ages.config) {
             self.freshness.borrow_mut().confirm(at);
         }
@@ -120,7 +120,7 @@
     }
 
     /// A configuration never gives way to an older one, whichever way either came.
-    fn learn_config(&self, catalog: Catalog) {
+    fn apply_config(&self, catalog: Catalog) {
         let mut current = self.catalog.borrow_mut();
         if current.as_ref().is_some_and(|current| current.version() >= catalog.version()) {
             return;
@@ -145,7 +145,7 @@
         if self.is_following.get() { "watcher" } else { "store" }
     }
 
-    fn learn_endpoints(&self, as_of: Revision, all: Vec<Listed>, lapsed: &[SmolStr]) {
+    fn apply_endpoints(&self, as_of: Revision, all: Vec<Listed>, lapsed: &[SmolStr]) {
         let known_as_of = self.roster.borrow().as_of();
         slog::info!(self.log, "endpoints told"; "from" => self.source(), "as_of" => as_of.0,
             "known_as_of" => known_as_of.0, "listed" => all.len(),
@@ -168,11 +168,11 @@
             "cold_ms" => listed.cold_for.as_millis() as u64);
     }
 
-    fn learn_endpoint(&self, listed: Listed) {
+    fn apply_endpoint(&self, listed: Listed) {
         self.log_listed(&listed);
         let id = listed.id.clone();
         if !self.roster.borrow_mut().put(listed, self.now()) {
-            slog::info!(self.log, "older news of an endpoint left out"; "endpoint" => id.as_str());
+            slog::info!(self.log, "older update of an endpoint ignored"; "endpoint" => id.as_str());
         }
         self.freed.notify_waiters();
     }
@@ -187,7 +187,7 @@
         self.roster.borrow_mut().remove(id, last);
     }
 
-    fn learn_evacuated(&self, as_of: Revision, zones: &[ZoneName]) {
+    fn apply_evacuated(&self, as_of: Revision, zones: &[ZoneName]) {
         let all = zones.iter().cloned().collect();
         let is_taken = self.roster.borrow_mut().set_evacuated(all, as_of);
         slog::info!(self.log, "zones out of service"; "zones" => format!("{zones:?}"),
@@ -195,7 +195,7 @@
     }
 
     /// `named_at` is `None` where nobody knows how long the version has been named.
-    fn learn_weights(&self, model: &SmolStr, version: u64, named_at: Option<Time>) {
+    fn apply_weights(&self, model: &SmolStr, version: u64, named_at: Option<Time>) {
         let mut known = self.versions.borrow_mut();
         let is_news = match (known.get_mut(model), named_at) {
             (Some(versions), Some(at))
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -1,7 +1,7 @@
 //! Follows the store: a task for each kind of object lists it, then watches it.
 //!
-//! A list is a state and a watch a stream of changes; both end in `Follower::take_all` or
-//! `Follower::take_changes`. Failures are answered with a short, growing and random pause, and with
+//! A list is a state and a watch a stream of changes; both end in `StoreWatcher::take_all` or
+//! `StoreWatcher::take_changes`. Failures are answered with a short, growing and random pause, and with
 //! a watch that returns at once, as it also renews the lease on the configuration.
 
 use std::collections::HashSet;
@@ -11,7 +11,7 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::Catalog;
 use mastichaven_core::direct::endpoint::Listed;
-use mastichaven_core::direct::feed::News;
+use mastichaven_core::direct::replication::Update;
 use mastichaven_core::ids::Revision;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
@@ -72,7 +72,7 @@
 const LAPSE_FOR: Duration = Duration::from_millis(1_500);
 
 /// Follows one kind of object.
-pub struct Follower {
+pub struct StoreWatcher {
     state: Rc<State>,
     client: StoreClient,
     kind: Kind,
@@ -84,10 +84,10 @@
     evacuated: HashSet<SmolStr>,
 }
 
-impl Follower {
+impl StoreWatcher {
     /// A follower of `kind`.
-    pub fn new(state: Rc<State>, kind: Kind) -> Follower {
-        Follower {
+    pub fn new(state: Rc<State>, kind: Kind) -> StoreWatcher {
+        StoreWatcher {
             client: StoreClient::new(state.cfg.store),
             state,
             kind,
@@ -260,7 +260,7 @@
         let is_any = !changes.is_empty();
         self.take_each(changes, as_of);
         if is_any && self.kind == Kind::Endpoints {
-            self.state.learn(News::EndpointsSeen(as_of));
+            self.state.apply(Update::EndpointsSeen(as_of));
         }
         self.state.note_list();
     }
@@ -310,7 +310,7 @@
             slog::warn!(self.state.log, "configuration cannot be read"; "name" => object.name.as_str());
             return false;
         };
-        self.state.learn(News::Config(Box::new(catalog.parts())));
+        self.state.apply(Update::Config(Box::new(catalog.parts())));
         true
     }
 
@@ -319,7 +319,7 @@
         let listed = objects.iter().filter_map(|object| self.scan_endpoint(object)).collect();
         let lapsed = if self.is_troubled(now) { self.missing_from(objects) } else { Vec::new() };
         lapsed.iter().for_each(|id| self.keep_lapsed(id.clone(), as_of, now));
-        self.state.learn(News::Endpoints { as_of, listed, lapsed });
+        self.state.apply(Update::Endpoints { as_of, listed, lapsed });
     }
 
     /// Known endpoints that a list does not show.
@@ -346,10 +346,10 @@
 
     fn put_endpoint(&self, object: &Object) {
         match self.scan_endpoint(object) {
-            Some(listed) => self.state.learn(News::EndpointPut(Box::new(listed))),
+            Some(listed) => self.state.apply(Update::EndpointPut(Box::new(listed))),
             None => {
                 let id = object.name.clone();
-                self.state.learn(News::EndpointGone { id, last: object.revision });
+                self.state.apply(Update::EndpointGone { id, last: object.revision });
             }
         }
     }
@@ -364,7 +364,7 @@
         if self.is_troubled(now) {
             self.keep_lapsed(id, last, now);
         } else {
-            self.state.learn(News::EndpointGone { id, last });
+            self.state.apply(Update::EndpointGone { id, last });
         }
     }
 
@@ -380,14 +380,14 @@
             let is_still = state.lapsed.borrow().get(&id) == Some(&now);
             if is_still {
                 state.lapsed.borrow_mut().remove(&id);
-                state.learn(News::EndpointGone { id, last });
+                state.apply(Update::EndpointGone { id, last });
             }
         });
     }
 
     fn set_evacuated(&self, as_of: Revision) {
         let zones = self.evacuated.iter().map(ZoneName::new).collect();
-        self.state.learn(News::Evacuated { as_of, zones });
+        self.state.apply(Update::Evacuated { as_of, zones });
     }
 
     /// `ago` is `None` where nobody knows how long the version has been named.
@@ -397,6 +397,6 @@
             return;
         };
         let weights::Newest { model, version } = newest;
-        self.state.learn(News::Weights { model, version, ago });
+        self.state.apply(Update::Weights { model, version, ago });
     }
 }
--- a/node/tests/direct/knowledge.rs
+++ b/node/tests/direct/updates.rs
@@ -5,13 +5,13 @@
 use mastichaven_core::direct::catalog::CallerLimits;
 use mastichaven_core::direct::catalog::Catalog;
 use mastichaven_core::direct::endpoint::Listed;
-use mastichaven_core::direct::feed::Ages;
-use mastichaven_core::direct::feed::News;
+use mastichaven_core::direct::replication::Ages;
+use mastichaven_core::direct::replication::Update;
 use mastichaven_core::ids::Revision;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
-use mastichaven_node::direct::loads::NamedVersion;
-use mastichaven_node::direct::loads::Told;
+use mastichaven_node::direct::load_reports::NamedVersion;
+use mastichaven_node::direct::load_reports::ReportMessage;
 use mastichaven_node::direct::settings::DirectSettings;
 use mastichaven_node::direct::state::State;
 
@@ -59,7 +59,7 @@
 
 fn tell_endpoints(state: &State, as_of: u64, ids: &[&str]) {
     let listed = ids.iter().map(|id| listed(id)).collect();
-    state.learn(News::Endpoints { as_of: Revision(as_of), listed, lapsed: Vec::new() });
+    state.apply(Update::Endpoints { as_of: Revision(as_of), listed, lapsed: Vec::new() });
 }
 
 fn known(state: &State) -> Vec<String> {
@@ -70,7 +70,7 @@
 
 fn tell_all(from: &State, to: &State) {
     to.is_following.set(true);
-    from.all_news().into_iter().for_each(|news| to.learn(news));
+    from.snapshot().into_iter().for_each(|news| to.apply(news));
 }
 
 // The store turned one entry away while an endpoint left; back again, that entry keeps the endpoint for
@@ -82,7 +82,7 @@
     for entry in [&watcher, &follower] {
         tell_endpoints(entry, 1, &["i-left", "i-stays"]);
     }
-    follower.learn(News::EndpointGone { id: "i-left".into(), last: Revision(1) });
+    follower.apply(Update::EndpointGone { id: "i-left".into(), last: Revision(1) });
     watcher.lapsed.borrow_mut().insert("i-left".into(), Time::ZERO);
     tell_all(&watcher, &follower);
     assert_eq!(known(&follower), ["i-stays"]);
@@ -134,8 +134,8 @@
 fn all_news_does_not_return_a_zone_that_an_older_state_shows_in_service() {
     let (watcher, follower) = (state(), state());
     let zone = ZoneName::new("zone-a");
-    watcher.learn(News::Evacuated { as_of: Revision(3), zones: Vec::new() });
-    follower.learn(News::Evacuated { as_of: Revision(5), zones: vec![zone.clone()] });
+    watcher.apply(Update::Evacuated { as_of: Revision(3), zones: Vec::new() });
+    follower.apply(Update::Evacuated { as_of: Revision(5), zones: vec![zone.clone()] });
     tell_all(&watcher, &follower);
     let evacuated: Vec<ZoneName> = follower.roster.borrow().evacuated().cloned().collect();
     assert_eq!(evacuated, [zone]);
@@ -149,7 +149,7 @@
         idle_timeout: Duration::from_secs(1),
     };
     let parts = Catalog::new(1, Vec::new(), Vec::new(), Vec::new(), limits).parts();
-    state.learn(News::Config(Box::new(parts)));
+    state.apply(Update::Config(Box::new(parts)));
 }
 
 // An entry starts while the links to the store are full. It gets the configuration and the endpoints, and
@@ -173,11 +173,11 @@
 // entries took that second for time before the naming, and sent requests to the older version past its
 // bound.
 #[test]
-fn take_told_dates_a_version_whose_report_was_long_under_way() {
+fn apply_report_dates_a_version_whose_report_was_long_under_way() {
     let state = state();
-    state.learn(News::Weights { model: "m".into(), version: 1, ago: None });
+    state.apply(Update::Weights { model: "m".into(), version: 1, ago: None });
     let named = NamedVersion { model: "m".into(), version: 2, known_for_ms: 200 };
-    let told = Told {
+    let told = ReportMessage {
         port: 9,
         report: None,
         asked_us: Time::from_millis(8_500).as_micros(),
@@ -186,7 +186,7 @@
         named: vec![named],
     };
     let address = SocketAddr::from(([127, 0, 0, 1], 9));
-    state.take_told(&told, address, Time::from_millis(10_000));
+    state.apply_report(&told, address, Time::from_millis(10_000));
     let named_at = state.versions.borrow()["m"].named_at(2);
     assert_eq!(named_at, Some(Time::from_millis(8_400)));
 }
