--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -99,12 +99,16 @@
     pub weights: Vec<(SmolStr, u64)>,
     /// When it started, in milliseconds of the Unix epoch.
     pub born: u64,
-    /// Entries that ask this agent for reports.
+    /// Entries that this agent has heard of lately.
     pub entries: u32,
+    /// Those of them that are sent its reports, and so share the endpoint's free places.
+    pub readers: u32,
     /// Whether the agent has listened long enough to have heard all entries.
     pub has_heard_all: bool,
-    /// The entry of the agent's region that watches the store for the others there.
-    pub watcher: Option<IpAddr>,
+    /// The entry that the others of the agent's region follow.
+    pub relay: Option<IpAddr>,
+    /// The entry that watches the store for all regions.
+    pub root: Option<IpAddr>,
 }
 
 /// How a report came.
@@ -126,6 +130,7 @@
     /// Requests that this entry may still send on the strength of this report.
     places: u32,
     accepts: bool,
+    readers: u32,
     way: Way,
 }
 
@@ -148,6 +153,10 @@
 pub struct Endpoint {
     listed: Listed,
     region: RegionName,
+    /// A fixed random number for the pair of this entry and the endpoint.
+    affinity: u64,
+    /// Whether this entry sends requests there and is sent its load reports.
+    is_covered: bool,
     cold_until: Time,
     load: Option<Load>,
     /// Requests of this entry that are there now.
@@ -160,8 +169,10 @@
 
 impl Endpoint {
     /// An endpoint of which only the list is known.
-    pub(super) fn new(listed: Listed, region: RegionName, now: Time) -> Endpoint {
+    pub(super) fn new(listed: Listed, region: RegionName, affinity: u64, now: Time) -> Endpoint {
         Endpoint {
+            affinity,
+            is_covered: true,
             cold_until: now + listed.cold_for,
             listed,
             region,
@@ -189,6 +200,21 @@
         &self.region
     }
 
+    /// A fixed random number for the pair of this entry and the endpoint.
+    pub(super) fn affinity(&self) -> u64 {
+        self.affinity
+    }
+
+    /// Whether this entry sends requests there and is sent its load reports.
+    pub(super) fn is_covered(&self) -> bool {
+        self.is_covered
+    }
+
+    /// Sets whether this entry sends requests there.
+    pub(super) fn set_covered(&mut self, is_covered: bool) {
+        self.is_covered = is_covered;
+    }
+
     /// Whether an entry of the list is of the same process.
     pub(super) fn is_same_life(&self, listed: &Listed) -> bool {
         self.listed.born == listed.born
@@ -225,6 +251,7 @@
             others: total.saturating_sub(self.own),
             places: (f64::from(free) * part + draw).floor() as u32,
             accepts: report.accepts,
+            readers: report.readers.max(1),
             way,
         });
         self.listed.weights.clone_from(&report.weights);
@@ -262,6 +289,7 @@
             return None;
         }
         let load = self.load.as_ref().filter(|load| load.is_heard(now));
+        let entries = load.map_or(entries, |load| load.readers);
         if load.is_some_and(|load| !load.accepts || load.places == 0) {
             return None;
         }
--- a/core/src/direct/replication.rs
+++ b/core/src/direct/replication.rs
@@ -1,13 +1,14 @@
-//! What entries pass on to each other of the store, and whether that is young enough.
+//! The replication tree of the store's objects, and whether a replica is fresh enough.
 //!
-//! Were each entry to watch the store for itself, its calls and the bytes between regions would grow
-//! with the number of entries, and a large configuration that changes often would fill the links between
-//! regions and be applied seconds late. So one entry of each region watches, and the others of the region
-//! follow it. Which one that is needs no agreement: agents tell their entries which of those that ask them
-//! may be followed, and two watchers at once cost calls, nothing else.
+//! Were each entry to watch the store for itself, calls to the store and bytes between regions would grow
+//! with the number of entries. So one entry of the fleet, the root, watches the store; one entry of each
+//! other region, its relay, follows the root, and the other entries of the region follow the relay. Which
+//! entries these are needs no agreement: agents tell their entries which of those that ask them may be
+//! followed, and two roots at once cost calls, nothing else.
 
 use std::cmp::Reverse;
 use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -16,8 +17,11 @@
 
 use super::catalog::CatalogParts;
 use super::endpoint::Listed;
+use crate::ids::Digest;
 use crate::ids::Revision;
+use crate::ids::ServiceName;
 use crate::ids::ZoneName;
+use crate::swarm::topology::key_of;
 use crate::time::Time;
 
 /// Something that an entry learns.
@@ -78,38 +82,120 @@
     pub weights: Option<Duration>,
 }
 
-/// A message of a watcher to an entry that follows it.
+/// The first message on a connection to an entry.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Hello {
+    /// Another entry follows this one.
+    Follow {
+        /// Its address.
+        ip: IpAddr,
+        /// Version of the configuration that it has, which need not be sent again.
+        config: Option<u64>,
+    },
+    /// An agent asks once for the peers of its endpoint. The answer is a [`PeerList`].
+    Peers {
+        /// The service of its endpoint.
+        service: ServiceName,
+        /// Id of the list that it has; 0 if it has none.
+        known: u64,
+    },
+}
+
+/// An endpoint of a service, and where it stands.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PeerEndpoint {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+/// The endpoints of a service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerList {
+    /// Names this content.
+    pub id: u64,
+    /// The endpoints; `None` if the agent has this list.
+    pub peers: Option<Vec<PeerEndpoint>>,
+}
+
+impl PeerList {
+    /// The list of `peers` for an agent that has the list `known`.
+    pub fn new(mut peers: Vec<PeerEndpoint>, known: u64) -> PeerList {
+        peers.sort();
+        let text: Vec<String> =
+            peers.iter().map(|peer| format!("{} {}", peer.address, peer.zone.as_str())).collect();
+        let id = key_of(Digest::of(text.join("\n").as_bytes()));
+        PeerList { id, peers: Some(peers).filter(|_| id != known) }
+    }
+}
+
+/// A message of an entry to one that follows it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
-    /// What it has learnt.
+    /// A change.
     Update(Update),
-    /// All that it knew when it was asked has been told; the answer to a ping.
+    /// All that it knew when it was asked has been sent; the answer to a ping.
     Pong {
         /// Microseconds of the follower's clock when it asked.
         asked_us: u64,
         /// How old its knowledge is.
         ages: Ages,
+        /// Its distance from the store.
+        depth: u8,
+        /// Followers that ask the store in its place if it is lost; some may be turned away, too.
+        successors: Vec<IpAddr>,
     },
-    /// It does not watch the store itself.
-    NotWatching,
+    /// It may not be followed now.
+    NotAvailable,
 }
 
-/// Ages up to which a watcher is followed. That of the configuration reaches twice the 1.5 s that its
-/// watch waits, and is well inside the lease of 4.4 s. The others reach what their watches wait, 0.9, 3
-/// and 5 s, and have some time for a store that is slow. An endpoint that tells that it leaves must get
-/// nothing after 2 s; a follower of a watcher that is cut off from the store leaves it in time.
+/// Distance from the store at which an entry may still be followed. Two are enough at rest; while the
+/// root or a relay is replaced the tree is one level deeper for a moment.
+pub const MAX_PARENT_DEPTH: u8 = 2;
+
+/// Followers of an entry that ask the store if it is lost.
+pub const SUCCESSORS: usize = 3;
+
+/// Ages up to which an entry is followed. That of the configuration is well inside the lease of 4.4 s. An
+/// endpoint that tells that it leaves must get nothing after 2 s; a follower of an entry that is cut off
+/// from the store leaves it in time. The others reach what their watches wait, and have some time for a
+/// store that is slow.
 const CONFIG_AGE: Duration = Duration::from_millis(3_500);
 const ENDPOINTS_AGE: Duration = Duration::from_millis(1_300);
 const EVACUATIONS_AGE: Duration = Duration::from_millis(3_500);
 const WEIGHTS_AGE: Duration = Duration::from_millis(5_500);
 
+/// Ages of the endpoints up to which an entry follows, by its place in the tree.
+///
+/// When the root loses the store, all entries would find their knowledge too old at the same moment and ask
+/// the store. So the root's successors leave it first, its other followers a little later, when a successor
+/// has what they need, and entries below them last.
+const SUCCESSOR_AGE: Duration = Duration::from_millis(900);
+const RELAY_AGE: Duration = Duration::from_millis(1_080);
+
+/// Age of the endpoints from which on an entry at `depth` leaves its parent.
+pub fn leaves_at(depth: u8, is_successor: bool) -> Duration {
+    match depth {
+        _ if is_successor => SUCCESSOR_AGE,
+        0 | 1 => RELAY_AGE,
+        _ => ENDPOINTS_AGE,
+    }
+}
+
 impl Ages {
     /// Whether the endpoints are young enough for an entry to begin to act on them.
     pub fn has_young_endpoints(&self) -> bool {
         self.endpoints.is_some_and(|age| age < ENDPOINTS_AGE)
     }
 
-    /// Whether a watcher that knows this much may be followed, `since` it said so.
+    /// Whether another entry may begin to follow one that knows this much, `since` it said so: it need not
+    /// leave again at once.
+    pub fn may_join(&self, since: Duration) -> bool {
+        self.are_young(since) && self.endpoints.is_some_and(|age| age + since < SUCCESSOR_AGE)
+    }
+
+    /// Whether an entry that knows this much may be followed, `since` it said so.
     pub fn are_young(&self, since: Duration) -> bool {
         let is_young = |age: Option<Duration>, most| age.is_some_and(|age| age + since < most);
         is_young(self.config, CONFIG_AGE)
@@ -119,25 +205,49 @@
     }
 }
 
-/// An entry that others may follow: it asks the store itself, and what it knows is young.
+/// What an entry offers to those that may follow it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Offer {
+    /// Entries that follow it.
+    pub followers: u32,
+    /// Its distance from the store: 0 if it asks the store itself.
+    pub depth: u8,
+    /// Milliseconds in which the store answers it at best.
+    pub store_ms: u16,
+}
+
+/// Difference in the time of the store's answers that the choice of the root ignores: less than a border of
+/// regions there and back.
+const STORE_MS_STEP: u16 = 4;
+
+/// An entry that others may follow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Candidate {
     /// Its address.
     pub ip: IpAddr,
-    /// Entries that follow it.
-    pub followers: u32,
+    /// What it offers.
+    pub offer: Offer,
 }
 
-/// The entry that a region follows: the one that most follow already, the lowest address if there are
-/// several.
+/// The entry to follow: the one that most follow already, the lowest address if there are several.
 ///
 /// An entry that has just started, or that the store serves again, does not take the others over. They
-/// would all read the store anew, and the links between regions would be full for seconds.
-pub fn watcher(candidates: impl Iterator<Item = Candidate>) -> Option<IpAddr> {
-    let first = candidates.min_by_key(|one| (Reverse(one.followers), one.ip))?;
+/// would all read everything anew, and the links between regions would be full for seconds.
+pub fn elect(candidates: impl Iterator<Item = Candidate>) -> Option<IpAddr> {
+    let first = candidates.min_by_key(|one| (Reverse(one.offer.followers), one.ip))?;
     Some(first.ip)
 }
 
+/// The entry that asks the store for the fleet: of those that are near it the one that most follow.
+///
+/// What the store sends to another region crosses the border uncompressed.
+pub fn elect_root(candidates: impl Iterator<Item = Candidate>) -> Option<IpAddr> {
+    let direct: Vec<Candidate> = candidates.filter(|one| one.offer.depth == 0).collect();
+    let step_of = |one: &Candidate| one.offer.store_ms / STORE_MS_STEP;
+    let nearest = direct.iter().map(step_of).min()?;
+    elect(direct.into_iter().filter(|one| step_of(one) == nearest))
+}
+
 /// The moment `span` before `at`; `None` if that is before the process started.
 ///
 /// A pong that answers what was asked at `at` and tells an age proves that the read behind it was sent
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -20,10 +20,13 @@
 use super::shares::EntryCount;
 use crate::arena::Arena;
 use crate::arena::Key;
+use crate::ids::Digest;
+use crate::ids::HostName;
 use crate::ids::RegionName;
 use crate::ids::Revision;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
+use crate::swarm::topology::key_of;
 use crate::time::Time;
 
 /// Free places that all entries together may take for each one that a report shows. Entries that saw
@@ -36,6 +39,22 @@
 const ZONE_PENALTY: f64 = 1.0;
 const REGION_PENALTY: f64 = 3.0;
 
+/// Engines of each other region that an entry sends requests to and is sent load reports of. With all of
+/// them, datagrams would grow with the product of entries and engines and fill the links between regions. A
+/// region's entries cover all engines of another several times over, as each draws its own.
+const COVERED_ELSEWHERE: usize = 8;
+
+/// How an entry relates to an engine.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Reach {
+    /// It is in the entry's region.
+    Near,
+    /// It is in another region and among those that the entry sends requests to.
+    Far,
+    /// It is in another region and left to other entries.
+    Uncovered,
+}
+
 /// Names an endpoint while it is on the roster.
 pub type EndpointKey = Key<Endpoint>;
 
@@ -71,6 +90,7 @@
 /// All endpoints that an entry knows.
 #[derive(Debug)]
 pub struct Roster {
+    host: HostName,
     zone: ZoneName,
     region: RegionName,
     regions: HashMap<ZoneName, RegionName>,
@@ -87,10 +107,11 @@
 }
 
 impl Roster {
-    /// An empty roster of an entry in `zone`; `regions` gives the region of each zone.
-    pub fn new(zone: ZoneName, regions: HashMap<ZoneName, RegionName>) -> Roster {
+    /// An empty roster of the entry on `host` in `zone`; `regions` gives the region of each zone.
+    pub fn new(host: HostName, zone: ZoneName, regions: HashMap<ZoneName, RegionName>) -> Roster {
         let region = regions.get(&zone).cloned().unwrap_or_default();
         Roster {
+            host,
             zone,
             region,
             regions,
@@ -139,10 +160,11 @@
         let kept: HashSet<&SmolStr> = listed.iter().map(|one| &one.id).chain(lapsed).collect();
         let gone: Vec<SmolStr> = self.ids().filter(|id| !kept.contains(id)).cloned().collect();
         drop(kept);
-        gone.iter().for_each(|id| self.remove(id, as_of));
+        gone.iter().for_each(|id| self.delete(id, as_of));
         for one in listed {
             self.put_listed(one, now);
         }
+        self.cover();
         self.as_of = as_of;
         Some(gone)
     }
@@ -151,7 +173,12 @@
     pub fn put(&mut self, listed: Listed, now: Time) -> bool {
         // Changes up to there are known, and so is that the endpoint has gone since.
         let is_past = listed.revision <= self.as_of && !self.by_id.contains_key(&listed.id);
-        !is_past && self.put_listed(listed, now)
+        let count = self.by_id.len();
+        let is_newer = !is_past && self.put_listed(listed, now);
+        if self.by_id.len() != count {
+            self.cover();
+        }
+        is_newer
     }
 
     fn put_listed(&mut self, listed: Listed, now: Time) -> bool {
@@ -165,12 +192,14 @@
                 endpoint.update(listed, now);
                 return true;
             }
-            self.remove(&listed.id, listed.revision);
+            self.delete(&listed.id, listed.revision);
         }
         let region = self.regions.get(&listed.zone).cloned().unwrap_or_default();
         let id = listed.id.clone();
         let service = listed.service.clone();
-        let key = self.endpoints.insert(Endpoint::new(listed, region, now));
+        let pair = format!("{} {}", self.host.as_str(), listed.address);
+        let affinity = key_of(Digest::of(pair.as_bytes()));
+        let key = self.endpoints.insert(Endpoint::new(listed, region, affinity, now));
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
         true
@@ -178,6 +207,29 @@
 
     /// An endpoint is gone, whose entry was last changed at `last`. It stays if it has come back since.
     pub fn remove(&mut self, id: &str, last: Revision) {
+        self.delete(id, last);
+        self.cover();
+    }
+
+    /// Works out which engines of other regions this entry sends requests to. O(n log n).
+    fn cover(&mut self) {
+        let mut far: HashMap<RegionName, Vec<(u64, EndpointKey)>> = HashMap::new();
+        for (key, one) in self.endpoints.iter().filter(|(_, one)| one.listed().is_engine) {
+            if *one.region() != self.region {
+                far.entry(one.region().clone()).or_default().push((one.affinity(), key));
+            }
+        }
+        for mut drawn in far.into_values() {
+            drawn.sort_unstable_by_key(|(affinity, _)| *affinity);
+            for (n, (_, key)) in drawn.into_iter().enumerate() {
+                if let Some(one) = self.endpoints.get_mut(key) {
+                    one.set_covered(n < COVERED_ELSEWHERE);
+                }
+            }
+        }
+    }
+
+    fn delete(&mut self, id: &str, last: Revision) {
         let is_back = self.revision_of(id).is_some_and(|known| known > last);
         let Some(key) = self.by_id.get(id).copied().filter(|_| !is_back) else {
             return;
@@ -219,7 +271,7 @@
     ) {
         // All entries see a place that has become free at the same moment. If each took it, an endpoint
         // that was just full would have a queue of as many requests as there are entries.
-        let part = (OVERBOOKED / f64::from(self.entries)).min(1.0);
+        let part = (OVERBOOKED / f64::from(report.readers.max(1))).min(1.0);
         let found = self.endpoints.iter().find(|(_, one)| one.listed().address == address);
         let Some(key) = found.map(|(key, _)| key) else {
             return;
@@ -252,11 +304,26 @@
         self.entries
     }
 
-    /// All engines, whose agents report loads, and whether each is in another region.
-    pub fn engines(&self) -> impl Iterator<Item = (&Listed, bool)> + '_ {
-        let all =
-            self.endpoints.iter().map(|(_, one)| (one.listed(), *one.region() != self.region));
-        all.filter(|(listed, _)| listed.is_engine)
+    /// All engines, and how this entry relates to each.
+    pub fn engines(&self) -> impl Iterator<Item = (&Listed, Reach)> + '_ {
+        let engines = self.endpoints.iter().filter(|(_, one)| one.listed().is_engine);
+        engines.map(|(_, one)| {
+            let reach = if *one.region() == self.region {
+                Reach::Near
+            } else if one.is_covered() {
+                Reach::Far
+            } else {
+                Reach::Uncovered
+            };
+            (one.listed(), reach)
+        })
+    }
+
+    /// The engines of a service.
+    pub fn engines_of(&self, service: &ServiceName) -> impl Iterator<Item = &Listed> + '_ {
+        let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        let all = keys.iter().filter_map(|key| self.get(*key));
+        all.filter(|listed| listed.is_engine)
     }
 
     /// Revision of an endpoint's entry, if it is known.
@@ -358,7 +425,7 @@
         });
         // A plain service takes any request, whatever model its caller names.
         let holds = holds || !endpoint.listed().is_engine;
-        self.is_open(key) && need.regions.iter().all(in_region) && holds
+        endpoint.is_covered() && self.is_open(key) && need.regions.iter().all(in_region) && holds
     }
 
     /// Whether an endpoint is warm, or it is this entry's turn to send it a request.
--- a/core/src/direct/subscribers.rs
+++ b/core/src/direct/subscribers.rs
@@ -1,5 +1,5 @@
-//! The entries that ask an agent for load reports: how many there are, who is sent the next report, and
-//! which of them the others of the region follow.
+//! The entries that an agent hears of: how many there are, who is sent the next report, and which of them
+//! the others follow.
 
 use std::collections::HashMap;
 use std::net::IpAddr;
@@ -8,17 +8,21 @@
 
 use super::replication;
 use super::replication::Candidate;
+use super::replication::Offer;
 use crate::time::Time;
 
 /// How long an entry is sent reports after it asked. Entries ask every 300 ms, and those of other regions
 /// half as often: some asks in a row may be lost.
 const ASKED_FOR: Duration = Duration::from_millis(3_500);
 
-/// Time after its last ask at which an entry no longer counts as a watcher: two asks may be lost.
-const WATCHER_VALID: Duration = Duration::from_millis(1_000);
+/// Time after its last ask at which an entry of the region is no longer followed: two asks may be lost.
+const RELAY_VALID: Duration = Duration::from_millis(1_000);
 
-/// Entries that one agent reports to at most.
-const MAX_SUBSCRIBERS: usize = 256;
+/// The same for the entry that asks the store for all regions; others than its own it asks half as often.
+const ROOT_VALID: Duration = Duration::from_millis(1_600);
+
+/// Entries that one agent counts at most.
+const MAX_SUBSCRIBERS: usize = 1_024;
 
 /// An entry that asks for reports.
 #[derive(Clone, Copy, Debug)]
@@ -29,8 +33,10 @@
     pub at: Time,
     /// Whether it is in another region.
     pub is_far: bool,
-    /// Entries that follow it; `None` if it may not be followed.
-    pub followers: Option<u32>,
+    /// Whether it is sent load reports; others only announce themselves.
+    pub wants_reports: bool,
+    /// What it offers to those that may follow it; `None` if it may not be followed.
+    pub offer: Option<Offer>,
 }
 
 /// The entries that asked lately.
@@ -53,23 +59,49 @@
         self.live(now).count()
     }
 
+    /// Entries that are sent load reports.
+    pub fn readers(&self, now: Time) -> usize {
+        self.live(now).filter(|(_, subscriber)| subscriber.wants_reports).count()
+    }
+
     /// Entries that are sent a report now: those of other regions only if it is for all.
     pub fn receivers(
         &self,
         is_for_all: bool,
         now: Time,
     ) -> impl Iterator<Item = (SocketAddr, Subscriber)> + '_ {
-        self.live(now).filter(move |(_, subscriber)| is_for_all || !subscriber.is_far)
+        let readers = self.live(now).filter(|(_, subscriber)| subscriber.wants_reports);
+        readers.filter(move |(_, subscriber)| is_for_all || !subscriber.is_far)
     }
 
-    /// The entry that asks the store for the others of this region.
-    pub fn watcher(&self, now: Time) -> Option<IpAddr> {
-        let near = self.live(now).filter(|(_, subscriber)| {
-            !subscriber.is_far && !now.passed(subscriber.at, WATCHER_VALID)
-        });
-        replication::watcher(near.filter_map(|(address, subscriber)| {
-            Some(Candidate { ip: address.ip(), followers: subscriber.followers? })
-        }))
+    /// The entry that the others of this region follow.
+    pub fn relay(&self, now: Time) -> Option<IpAddr> {
+        let near = self.candidates(RELAY_VALID, now).filter(|(_, is_far)| !is_far);
+        replication::elect(near.map(|(candidate, _)| candidate))
+    }
+
+    /// The entry that asks the store for all regions.
+    pub fn root(&self, now: Time) -> Option<IpAddr> {
+        replication::elect_root(self.candidates(ROOT_VALID, now).map(|(candidate, _)| candidate))
+    }
+
+    /// Entries of this region that may be followed.
+    pub fn near_entries(&self, now: Time) -> Vec<IpAddr> {
+        let all = self.candidates(RELAY_VALID, now);
+        all.filter(|(_, is_far)| !is_far).map(|(candidate, _)| candidate.ip).collect()
+    }
+
+    /// Entries that may be followed and asked within `valid`, and whether each is in another region.
+    fn candidates(
+        &self,
+        valid: Duration,
+        now: Time,
+    ) -> impl Iterator<Item = (Candidate, bool)> + '_ {
+        let lately = self.live(now).filter(move |(_, one)| !now.passed(one.at, valid));
+        lately.filter_map(|(address, one)| {
+            let candidate = Candidate { ip: address.ip(), offer: one.offer? };
+            Some((candidate, one.is_far))
+        })
     }
 
     fn live(&self, now: Time) -> impl Iterator<Item = (SocketAddr, Subscriber)> + '_ {
--- a/core/src/direct/versions.rs
+++ b/core/src/direct/versions.rs
@@ -56,21 +56,30 @@
         }
     }
 
-    /// Another process has known of a version since `at`: it was named then at the latest.
+    /// Another process learnt of a version between `earliest` and `latest`: it was named then at the latest.
     ///
     /// An entry whose own way to the store was blocked learns of a version seconds late, and would send
     /// requests to older ones past the bound. Agents hear of it from all entries, so the first to know
-    /// dates it for all.
-    pub fn known_since(&mut self, version: u64, at: Time) {
+    /// dates it for all. One that nobody else has told of is taken to have been named as early as may be.
+    pub fn known_since(&mut self, version: u64, earliest: Time, latest: Time) {
         match self.named.iter_mut().find(|(named, _)| *named == version) {
-            Some((_, Some(named_at))) => *named_at = at.min(*named_at),
+            Some((_, Some(named_at))) => *named_at = latest.min(*named_at),
             Some((_, None)) => {}
             None => {
-                self.name(version, at);
+                self.name(version, earliest);
             }
         }
     }
 
+    /// A version is proved to have been named no earlier than at `at`.
+    pub fn named_after(&mut self, version: u64, at: Time) {
+        if let Some((_, Some(named_at))) =
+            self.named.iter_mut().find(|(named, _)| *named == version)
+        {
+            *named_at = at.max(*named_at);
+        }
+    }
+
     /// The newest version.
     pub fn newest(&self) -> u64 {
         self.named.last().map_or(0, |(version, _)| *version)
--- a/core/tests/direct/replication.rs
+++ b/core/tests/direct/replication.rs
@@ -4,8 +4,13 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::replication::Ages;
 use mastichaven_core::direct::replication::Candidate;
+use mastichaven_core::direct::replication::Offer;
+use mastichaven_core::direct::replication::PeerEndpoint;
+use mastichaven_core::direct::replication::PeerList;
+use mastichaven_core::direct::replication::elect;
+use mastichaven_core::direct::replication::elect_root;
+use mastichaven_core::direct::replication::leaves_at;
 use mastichaven_core::direct::replication::time_before;
-use mastichaven_core::direct::replication::watcher;
 
 fn ages(ms: u64) -> Ages {
     let age = Some(Duration::from_millis(ms));
@@ -36,21 +41,61 @@
     assert_eq!(time_before(Time::from_millis(100), Duration::from_millis(200)), None);
 }
 
+fn candidate(n: u8, followers: u32, depth: u8, store_ms: u16) -> Candidate {
+    let offer = Offer { followers, depth, store_ms };
+    Candidate { ip: IpAddr::from([10, 1, 0, n]), offer }
+}
+
+fn ip(n: u8) -> Option<IpAddr> {
+    Some(IpAddr::from([10, 1, 0, n]))
+}
+
+#[test]
+fn elect_is_the_same_for_all() {
+    let new = |n| candidate(n, 0, 0, 5);
+    assert_eq!(elect([new(9), new(4), new(200)].into_iter()), ip(4));
+    assert_eq!(elect([new(200), new(9), new(4)].into_iter()), ip(4));
+    assert_eq!(elect(std::iter::empty()), None);
+}
+
+// An entry with a lower address comes back and takes all followers over, which read everything anew.
+#[test]
+fn elect_stays_where_it_is_followed() {
+    assert_eq!(elect([candidate(4, 0, 0, 5), candidate(9, 12, 0, 5)].into_iter()), ip(9));
+}
+
+// The root stands in another region than the store, so that each change crosses a border uncompressed.
+#[test]
+fn elect_root_prefers_the_region_of_the_store() {
+    let far = candidate(1, 40, 0, 11);
+    let near = candidate(2, 3, 0, 6);
+    assert_eq!(elect_root([far, near].into_iter()), ip(2));
+    assert_eq!(elect_root([near, candidate(3, 5, 0, 5)].into_iter()), ip(3));
+}
+
+// A relay that most of its region follow is taken for the root, and the fleet follows itself.
+#[test]
+fn elect_root_asks_the_store() {
+    let relay = candidate(1, 40, 1, 0);
+    assert_eq!(elect_root([relay, candidate(2, 0, 0, 11)].into_iter()), ip(2));
+    assert_eq!(elect_root([relay].into_iter()), None);
+}
+
+// The root loses the store, and all entries ask the store at the same moment.
 #[test]
-fn watcher_is_the_same_for_all() {
-    let ip = |n: u8| IpAddr::from([10, 1, 0, n]);
-    let new = |n| Candidate { ip: ip(n), followers: 0 };
-    assert_eq!(watcher([new(9), new(4), new(200)].into_iter()), Some(ip(4)));
-    assert_eq!(watcher([new(200), new(9), new(4)].into_iter()), Some(ip(4)));
-    assert_eq!(watcher(std::iter::empty()), None);
+fn leaves_at_lets_the_successor_go_first() {
+    let ping = Duration::from_millis(150);
+    let list = Duration::from_millis(100);
+    assert!(leaves_at(1, true) + list < leaves_at(1, false));
+    assert!(leaves_at(1, false) + ping < leaves_at(2, false));
+    assert_eq!(leaves_at(2, true), leaves_at(1, true));
 }
 
-// The watcher with the lowest address was away and is back. Were it to take its followers back at once,
-// each of them would read the store anew.
 #[test]
-fn watcher_stays_where_it_is_followed() {
-    let ip = |n: u8| IpAddr::from([10, 1, 0, n]);
-    let followed = Candidate { ip: ip(9), followers: 12 };
-    let is_back = Candidate { ip: ip(4), followers: 0 };
-    assert_eq!(watcher([is_back, followed].into_iter()), Some(ip(9)));
+fn peer_list_is_sent_once() {
+    let peer = |n| PeerEndpoint { address: ([10, 0, 0, n], 80).into(), zone: "a".into() };
+    let first = PeerList::new(vec![peer(1), peer(2)], 0);
+    assert_eq!(first.peers.as_ref().map(Vec::len), Some(2));
+    assert_eq!(PeerList::new(vec![peer(2), peer(1)], first.id).peers, None);
+    assert!(PeerList::new(vec![peer(1)], first.id).peers.is_some());
 }
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use mastichaven_core::Time;
@@ -8,8 +9,10 @@
 use mastichaven_core::direct::endpoint::QUEUE_PLACES;
 use mastichaven_core::direct::roster::EndpointKey;
 use mastichaven_core::direct::roster::Need;
+use mastichaven_core::direct::roster::Reach;
 use mastichaven_core::direct::roster::Roster;
 use mastichaven_core::direct::roster::Unavailable;
+use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::RegionName;
 use mastichaven_core::ids::Revision;
 use mastichaven_core::ids::ServiceName;
@@ -32,10 +35,14 @@
 }
 
 fn roster() -> Roster {
+    roster_on("entry-1")
+}
+
+fn roster_on(host: &str) -> Roster {
     let zones = [("lagoa", "south"), ("serra", "hills"), ("litoral", "coast")];
     let regions: HashMap<ZoneName, RegionName> =
         zones.iter().map(|(zone, region)| (ZoneName::new(zone), RegionName::new(region))).collect();
-    Roster::new(ZoneName::new("lagoa"), regions)
+    Roster::new(HostName::new(host), ZoneName::new("lagoa"), regions)
 }
 
 fn address(n: u8) -> std::net::SocketAddr {
@@ -59,6 +66,11 @@
 }
 
 fn report(running: u32) -> LoadReport {
+    report_to(1, running)
+}
+
+/// A report that as many entries share.
+fn report_to(readers: u32, running: u32) -> LoadReport {
     LoadReport {
         running,
         waiting: 0,
@@ -66,8 +78,10 @@
         weights: vec![("m".into(), 1)],
         born: 0,
         entries: 8,
+        readers,
         has_heard_all: true,
-        watcher: None,
+        relay: None,
+        root: None,
     }
 }
 
@@ -130,7 +144,7 @@
         for n in 1..=8 {
             roster.put(listed(n, "lagoa"), now(0));
             let running = if n == 1 { 0 } else { 10 };
-            roster.reported(address(n), &report(running), now(0), NEAR, DRAW, now(0));
+            roster.reported(address(n), &report_to(8, running), now(0), NEAR, DRAW, now(0));
         }
         for ms in [10, 40, 70, 100] {
             let key = choose_with(&mut roster, now(ms), &mut rng).expect("an endpoint");
@@ -328,7 +342,7 @@
             roster.set_entries(entries);
             roster.put(listed(1, "lagoa"), now(0));
             let draw = f64::from((n * 7 + entry * 25) % 200) / 200.0;
-            roster.reported(address(1), &report(SLOTS), now(0), NEAR, draw, now(0));
+            roster.reported(address(1), &report_to(entries, SLOTS), now(0), NEAR, draw, now(0));
             while let Ok(key) = choose(&mut roster, now(1)) {
                 roster.sent(key, now(1));
                 sent += 1;
@@ -366,7 +380,14 @@
         for n in 1..=engines {
             roster.put(listed(n, "lagoa"), now(0));
             let running = if n == 1 { 1 } else { 8 };
-            roster.reported(address(n), &report(running), now(0), NEAR, rng.random(), now(0));
+            roster.reported(
+                address(n),
+                &report_to(entries, running),
+                now(0),
+                NEAR,
+                rng.random(),
+                now(0),
+            );
         }
         let key = choose_with(&mut roster, now(1), rng).expect("an endpoint");
         *counts.entry(key).or_default() += 1;
@@ -485,3 +506,43 @@
     assert!(roster.set_evacuated(HashSet::new(), Revision(6)));
     assert!(choose(&mut roster, now(2)).is_ok());
 }
+
+fn covering(host: &str, engines: u8) -> (Roster, Vec<SocketAddr>) {
+    let mut roster = roster_on(host);
+    (1..=engines).for_each(|n| drop(roster.put(listed(n, "serra"), now(0))));
+    let far = roster.engines().filter(|(_, reach)| *reach == Reach::Far);
+    let covered = far.map(|(listed, _)| listed.address).collect();
+    (roster, covered)
+}
+
+// Each entry is sent the reports of all engines of all regions, and the links between them are full.
+#[test]
+fn engines_of_other_regions_are_covered_in_part() {
+    let (mut roster, covered) = covering("entry-1", 40);
+    assert!((4..=12).contains(&covered.len()), "{covered:?}");
+    for n in 1..=40 {
+        roster.reported(address(n), &report(0), now(1), NEAR, DRAW, now(1));
+    }
+    let mut rng = rng();
+    for ms in 2..60 {
+        let key = choose_with(&mut roster, now(ms), &mut rng).expect("an endpoint");
+        assert!(covered.contains(&roster.get(key).expect("listed").address));
+    }
+}
+
+// A region is out of service and its entries send all their requests to a few engines elsewhere.
+#[test]
+fn engines_are_covered_by_the_entries_of_a_region_together() {
+    let all: HashSet<SocketAddr> =
+        (0..20).flat_map(|n| covering(&format!("entry-{n}"), 40).1).collect();
+    assert_eq!(all.len(), 40);
+}
+
+#[test]
+fn engines_that_leave_are_replaced_among_the_covered() {
+    let (mut roster, covered) = covering("entry-1", 40);
+    let gone = roster.engines().find(|(_, reach)| *reach == Reach::Far).expect("one").0.id.clone();
+    roster.remove(&gone, Revision(9));
+    let now_covered = roster.engines().filter(|(_, reach)| *reach == Reach::Far).count();
+    assert_eq!(now_covered, covered.len());
+}
--- a/core/tests/direct/versions.rs
+++ b/core/tests/direct/versions.rs
@@ -62,16 +62,36 @@
     let mut versions = Versions::first(1);
     versions.name(2, at(9));
     assert_eq!(versions.oldest_allowed(BOUND, at(13)), 1);
-    versions.known_since(2, at(5));
+    versions.known_since(2, at(5), at(5));
     assert_eq!(versions.oldest_allowed(BOUND, at(13)), 2);
-    versions.known_since(2, at(11));
+    versions.known_since(2, at(11), at(11));
     assert_eq!(versions.named_at(2), Some(at(5)));
 }
 
 #[test]
 fn known_since_names_a_version_that_is_news() {
     let mut versions = Versions::first(1);
-    versions.known_since(2, at(5));
+    versions.known_since(2, at(5), at(5));
     assert_eq!(versions.newest(), 2);
     assert_eq!(versions.oldest_allowed(BOUND, at(12)), 1);
 }
+
+// A report that waited for seconds on a full link dates a version to its arrival, and requests go to the
+// older one past the bound.
+#[test]
+fn known_since_takes_an_unknown_version_for_the_oldest_that_it_may_be() {
+    let mut versions = Versions::first(1);
+    versions.known_since(2, at(5), at(8));
+    assert_eq!(versions.named_at(2), Some(at(5)));
+}
+
+// The same report dates it seconds too early, and callers are refused though an endpoint may answer them.
+#[test]
+fn named_after_corrects_a_date_that_is_too_early() {
+    let mut versions = Versions::first(1);
+    versions.known_since(2, at(5), at(8));
+    versions.named_after(2, at(7));
+    assert_eq!(versions.named_at(2), Some(at(7)));
+    versions.named_after(2, at(6));
+    assert_eq!(versions.named_at(2), Some(at(7)));
+}
--- a/node/src/direct/agent.rs
+++ b/node/src/direct/agent.rs
@@ -21,6 +21,9 @@
 use mastichaven_core::direct::catalog::ModelShape;
 use mastichaven_core::direct::endpoint::Listed;
 use mastichaven_core::direct::endpoint::LoadReport;
+use mastichaven_core::direct::replication::Hello;
+use mastichaven_core::direct::replication::PeerEndpoint;
+use mastichaven_core::direct::replication::PeerList;
 use mastichaven_core::direct::rollout;
 use mastichaven_core::direct::rollout::Situation;
 use mastichaven_core::direct::subscribers::Subscriber;
@@ -38,6 +41,7 @@
 use mastichaven_platform::engine::Report;
 use mastichaven_platform::objects::Kind;
 use mastichaven_platform::weights;
+use rand::seq::SliceRandom;
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -56,6 +60,7 @@
 use super::load_reports::SetupUpdate;
 use super::log::EventLog;
 use super::metrics::Metrics;
+use super::peers;
 use super::relay::AnswerBody;
 use super::settings::DirectSettings;
 use super::staging::Staging;
@@ -77,9 +82,13 @@
 /// random. Entries ask about a second after they start, later if the configuration is large.
 const UNTOLD_FOR: Range<Duration> = Duration::from_secs(3)..Duration::from_secs(6);
 
-/// How often peers are read again while chunks are missing. All agents of a region read the list over the
-/// link that the chunks have to cross.
-const PEERS_EVERY: Duration = Duration::from_millis(5_000);
+/// How often peers are read again while chunks are missing. An entry of the zone is asked, and answers in a
+/// few bytes if nothing has changed.
+const PEERS_EVERY: Duration = Duration::from_millis(1_000);
+
+/// Time for an entry to tell the peers, and entries that are asked at most before the store is.
+const PEERS_WITHIN: Duration = Duration::from_millis(500);
+const PEERS_TRIES: usize = 2;
 
 /// How often the store is asked for the newest version while no entry asks: entries tell it else.
 const ALONE_EVERY: Duration = Duration::from_millis(3_000);
@@ -97,10 +106,10 @@
 /// Time for the endpoint to show that an order has begun.
 const ORDER_SHOWN_WITHIN: Duration = Duration::from_secs(8);
 
-/// Time from the start of an agent after which its count of entries is that of all. They ask every 300 ms,
-/// those of other regions half as often; a count of the first ones alone would let each take a much too
-/// large share of what all may send.
-const COUNT_AFTER: Duration = Duration::from_millis(700);
+/// Time from the start of an agent after which its count of entries is that of all. Each announces itself
+/// at least every 1.6 s; a count of the first ones alone would let each take a much too large share of what
+/// all may send.
+const COUNT_AFTER: Duration = Duration::from_millis(1_800);
 
 /// Result of running an agent.
 pub type Result<T> = io::Result<T>;
@@ -121,6 +130,8 @@
     versions: RefCell<Versions>,
     /// This host's place among the hosts that load, and their number.
     rank: Cell<(u32, u32)>,
+    /// Id of the list of peers that an entry told last.
+    peer_list: Cell<u64>,
     report: RefCell<Option<Report>>,
     is_ordering: Cell<bool>,
     subscribers: RefCell<Subscribers>,
@@ -158,6 +169,7 @@
         newest: Cell::new(None),
         versions: RefCell::new(Versions::first(0)),
         rank: Cell::new((0, 1)),
+        peer_list: Cell::new(0),
         report: RefCell::default(),
         is_ordering: Cell::new(false),
         subscribers: RefCell::default(),
@@ -197,7 +209,7 @@
 impl Agent {
     /// Learns the setup, the peers and the newest version, then follows them.
     async fn follow(self: Rc<Self>) {
-        let mut client = StoreClient::new(self.cfg.store);
+        let mut client = StoreClient::new(self.cfg.store, self.metrics.clone());
         self.until_set_up(&mut client).await;
         self.fetch_peers(&mut client).await;
         self.fetch_newest(&mut client).await;
@@ -282,7 +294,35 @@
         slog::warn!(self.log, "store not read"; "kind" => kind.as_str(), "error" => error);
     }
 
+    /// Takes in the peers, as an entry tells them, or the store if none does.
     async fn fetch_peers(&self, client: &mut StoreClient) {
+        match self.ask_entries_for_peers().await {
+            Some(PeerList { id, peers: Some(peers) }) => {
+                self.peer_list.set(id);
+                self.set_peers(peers);
+            }
+            Some(PeerList { peers: None, .. }) => {}
+            None => self.list_peers(client).await,
+        }
+    }
+
+    async fn ask_entries_for_peers(&self) -> Option<PeerList> {
+        let service = self.cfg.service.clone()?;
+        let hello = Hello::Peers { service, known: self.peer_list.get() };
+        let mut entries = self.subscribers.borrow().near_entries(self.clock.now());
+        entries.shuffle(&mut rand::rng());
+        for ip in entries.into_iter().take(PEERS_TRIES) {
+            let address = SocketAddr::new(ip, self.cfg.agent_port);
+            match peers::ask(address, &hello, PEERS_WITHIN).await {
+                Ok(list) => return Some(list),
+                Err(e) => slog::info!(self.log, "peers not told"; "entry" => address.to_string(),
+                    "error" => e.as_str()),
+            }
+        }
+        None
+    }
+
+    async fn list_peers(&self, client: &mut StoreClient) {
         let objects = match client.list(Kind::Endpoints, true).await {
             Ok((objects, _)) => objects,
             Err(e) => return self.note_store(Kind::Endpoints, e.as_str()),
@@ -293,18 +333,20 @@
             |service: &ServiceName| if mine.as_ref() == Some(service) { layers } else { None };
         let listed =
             objects.iter().filter_map(|object| endpoints::scan_endpoint(object, layers_of));
-        let engines: Vec<Listed> = listed.filter(|listed| listed.is_engine).collect();
+        let peer = |listed: Listed| PeerEndpoint { address: listed.address, zone: listed.zone };
+        self.set_peers(listed.filter(|listed| listed.is_engine).map(peer).collect());
+    }
+
+    fn set_peers(&self, peers: Vec<PeerEndpoint>) {
         let regions = self.cfg.regions();
         let region_of = |zone: &ZoneName| regions.get(zone).cloned().unwrap_or_default();
-        let mut places: Vec<(PeerPlace, SocketAddr)> = engines
-            .into_iter()
-            .map(|listed| {
-                let at = SocketAddr::new(listed.address.ip(), self.cfg.agent_port);
-                let region = region_of(&listed.zone);
-                let place = PeerPlace { host: host_at(listed.address), zone: listed.zone, region };
-                (place, at)
-            })
-            .collect();
+        let place_of = |peer: PeerEndpoint| {
+            let at = SocketAddr::new(peer.address.ip(), self.cfg.agent_port);
+            let region = region_of(&peer.zone);
+            let place = PeerPlace { host: host_at(peer.address), zone: peer.zone, region };
+            (place, at)
+        };
+        let mut places: Vec<(PeerPlace, SocketAddr)> = peers.into_iter().map(place_of).collect();
         if !places.iter().any(|(place, _)| place.host == self.place.host) {
             let at = SocketAddr::new(self.staging.address().ip(), self.cfg.agent_port);
             places.push((self.place.clone(), at));
@@ -316,7 +358,7 @@
         self.swarm.set_peers(&places, self.origin_region().as_ref());
     }
 
-    /// ReportRequests the store for the newest version; the first one needs no entry there.
+    /// Asks the store for the newest version; the first one needs no entry there.
     async fn fetch_newest(&self, client: &mut StoreClient) {
         let Some(model) = self.model().map(|model| model.name) else {
             return;
@@ -363,7 +405,8 @@
                 asked_us: ask.sent_us,
                 at: self.clock.now(),
                 is_far: ask.is_far,
-                followers: ask.followers,
+                wants_reports: ask.wants_reports,
+                offer: ask.offer,
             };
             self.subscribers.borrow_mut().renew(from, subscriber);
             if let Some(told) = ask.setup {
@@ -375,7 +418,7 @@
         }
     }
 
-    /// ReportRequests the endpoint for its load and sends it to the entries.
+    /// Asks the endpoint for its load and sends it to the entries.
     async fn report(self: Rc<Self>, socket: Rc<UdpSocket>) {
         let mut same = 0;
         let mut turn = 0;
@@ -401,7 +444,9 @@
             let now = self.clock.now();
             load.entries = self.subscribers.borrow().len(now) as u32;
             load.has_heard_all = now.passed(self.started, COUNT_AFTER);
-            load.watcher = self.subscribers.borrow().watcher(now);
+            load.readers = self.subscribers.borrow().readers(now) as u32;
+            load.relay = self.subscribers.borrow().relay(now);
+            load.root = self.subscribers.borrow().root(now);
             *self.report.borrow_mut() = Some(report);
             same = if last.as_ref() == Some(&load) { same + 1 } else { 0 };
             let is_turned = last.as_ref().is_none_or(|last| !serves_alike(last, &load));
@@ -443,14 +488,15 @@
     fn send(&self, socket: &UdpSocket, report: LoadReport, setup: u32, is_for_all: bool) {
         let now = self.clock.now();
         let port = self.staging.address().port();
-        let watcher = report.watcher;
+        let (relay, root) = (report.relay, report.root);
         let report = Some(report).filter(|_| setup != 0);
         let named = self.named_lately(now);
         let mut told = ReportMessage { port, report, asked_us: 0, held_us: 0, setup, named };
         for (address, subscriber) in self.subscribers.borrow().receivers(is_for_all, now) {
-            // Entries of other regions have a watcher of their own.
+            // Entries of other regions have a relay of their own, and hear of the root there.
             if let Some(report) = &mut told.report {
-                report.watcher = watcher.filter(|_| !subscriber.is_far);
+                report.relay = relay.filter(|_| !subscriber.is_far);
+                report.root = root.filter(|_| !subscriber.is_far);
             }
             told.asked_us = subscriber.asked_us;
             told.held_us = now.since(subscriber.at).as_micros() as u64;
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -1,11 +1,10 @@
 //! Load reports: entries ask agents for them, agents send them, all in datagrams.
 //!
-//! An entry asks each agent at intervals, at the endpoint's own IP number, and tells which versions are
-//! the newest. An agent sends its reports to whoever asked lately. So neither needs a list of the
-//! others, and the agents' count of subscribers tells the entries how many they are.
+//! An entry asks at intervals, at the endpoint's own IP number, and tells which versions are the newest. An
+//! agent sends its reports to whoever asked for them lately. So neither needs a list of the others.
 //!
-//! Every entry hears of every endpoint, so the datagrams grow with the product of both numbers. Those
-//! of other regions, which get only what the own region has no place for, report half as often.
+//! An entry asks for the reports of its region's endpoints and of a few in each other region. To all
+//! other agents it only announces itself now and then, so that they can count the entries.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -18,7 +17,9 @@
 use mastichaven_core::direct::catalog::Catalog;
 use mastichaven_core::direct::catalog::ModelSetup;
 use mastichaven_core::direct::endpoint::LoadReport;
+use mastichaven_core::direct::replication::Offer;
 use mastichaven_core::direct::replication::time_before;
+use mastichaven_core::direct::roster::Reach;
 use mastichaven_core::ids::ServiceName;
 use rand::RngExt;
 use serde::Deserialize;
@@ -38,6 +39,13 @@
 /// own endpoints are out of service places its requests by old reports.
 pub const FAR_EVERY: u32 = 2;
 
+/// Of how many rounds one announces the entry to agents whose reports it does not ask for.
+const ANNOUNCE_EVERY: u32 = 5;
+
+/// Rounds after the start in which announcements are as frequent as asks, so that agents that start at the
+/// same time soon know how many entries there are.
+const STARTING_ROUNDS: u32 = 8;
+
 /// Bytes of a datagram at most.
 pub const MAX_DATAGRAM_LEN: usize = 1_200;
 
@@ -50,8 +58,10 @@
     pub newest: Vec<(SmolStr, u64)>,
     /// Whether the entry is in another region than the agent.
     pub is_far: bool,
-    /// Entries that follow this one; `None` if it may not be followed.
-    pub followers: Option<u32>,
+    /// Whether it wants load reports; else it only announces itself.
+    pub wants_reports: bool,
+    /// What it offers to those that may follow it; `None` if it may not be followed.
+    pub offer: Option<Offer>,
     /// What the agent has to know of its service, as long as it does not show that it does.
     pub setup: Option<SetupUpdate>,
 }
@@ -101,7 +111,7 @@
 /// Ids of the setups that agents go by, by the address of their endpoint.
 type KnownSetups = Rc<RefCell<HashMap<SocketAddr, u32>>>;
 
-/// ReportRequests all agents and takes in their reports until the process ends.
+/// Asks all agents and takes in their reports until the process ends.
 pub async fn follow(state: Rc<State>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     let known = KnownSetups::default();
@@ -125,7 +135,8 @@
 impl State {
     /// Takes in what the agent beside the endpoint at `address` has sent.
     pub fn apply_report(&self, told: &ReportMessage, address: SocketAddr, now: Time) {
-        told.named.iter().for_each(|named| self.apply_named(named, now));
+        let sent = Time::from_micros(told.asked_us.saturating_add(told.held_us)).min(now);
+        told.named.iter().for_each(|named| self.apply_named(named, sent, now));
         let Some(report) = &told.report else {
             return;
         };
@@ -133,25 +144,30 @@
         let mut roster = self.roster.borrow_mut();
         roster.entries_counted(report.entries, report.has_heard_all, now);
         let asked = Time::from_micros(told.asked_us);
-        if report.watcher.is_some() {
-            self.watcher.set(report.watcher);
+        if report.relay.is_some() {
+            self.relay.set(report.relay);
+        }
+        if report.root.is_some() {
+            self.root.set(report.root);
         }
-        let round_trip = now.since(Time::from_micros(told.asked_us.saturating_add(told.held_us)));
+        let round_trip = now.since(sent);
         roster.reported(address, report, asked, round_trip, draw, now);
         drop(roster);
         self.freed.notify_one();
     }
 
-    /// An agent has known of a version for a while. What it is worth stands with `known_since`.
-    fn apply_named(&self, named: &NamedVersion, now: Time) {
+    /// An agent said at `sent` or later that it has known of a version for a while.
+    fn apply_named(&self, named: &NamedVersion, sent: Time, now: Time) {
         let known_for = Duration::from_millis(u64::from(named.known_for_ms));
         let mut all = self.versions.borrow_mut();
-        let (Some(at), Some(versions)) = (time_before(now, known_for), all.get_mut(&named.model))
+        let (Some(latest), Some(versions)) =
+            (time_before(now, known_for), all.get_mut(&named.model))
         else {
             return;
         };
+        let earliest = time_before(sent, known_for).unwrap_or_default();
         let newest = versions.newest();
-        versions.known_since(named.version, at);
+        versions.known_since(named.version, earliest, latest);
         if versions.newest() > newest {
             slog::info!(self.log, "weights named"; "model" => named.model.as_str(),
                 "version" => named.version);
@@ -160,26 +176,36 @@
 }
 
 async fn ask_all(state: Rc<State>, socket: Rc<UdpSocket>, known: KnownSetups) {
-    let mut round = 0;
-    let mut is_news = true;
+    let mut round: u32 = 0;
+    let mut is_urgent = false;
     loop {
-        let is_for_all = is_news || round % FAR_EVERY == 0;
-        ask_round(&state, &socket, &known, is_for_all);
-        round += 1;
-        // A new version is told at once; a new endpoint within a fifth of a second.
-        is_news = timeout(ASK_EVERY, state.named.notified()).await.is_ok();
+        ask_round(&state, &socket, &known, |reach| match reach {
+            Reach::Near => true,
+            Reach::Far => !is_urgent && round.is_multiple_of(FAR_EVERY),
+            Reach::Uncovered => !is_urgent && round.is_multiple_of(announce_every(&state, round)),
+        });
+        if !is_urgent {
+            round = round.wrapping_add(1);
+        }
+        // A new version is sent at once; a new endpoint is asked within the interval.
+        is_urgent = timeout(ASK_EVERY, state.named.notified()).await.is_ok();
         sleep(Duration::from_millis(20)).await;
     }
 }
 
-/// ReportRequests the agents of the own region, and those of the others if `is_for_all`.
-fn ask_round(state: &State, socket: &UdpSocket, known: &KnownSetups, is_for_all: bool) {
-    let mut asks = ReportRequests::new(state);
+/// Agents of all regions name the root, so an entry that may be it is heard more often.
+fn announce_every(state: &State, round: u32) -> u32 {
+    if state.is_direct() || round < STARTING_ROUNDS { FAR_EVERY } else { ANNOUNCE_EVERY }
+}
+
+/// Asks the agents of the engines that are `due`.
+fn ask_round(state: &State, socket: &UdpSocket, known: &KnownSetups, due: impl Fn(Reach) -> bool) {
+    let mut requests = ReportRequests::new(state);
     let roster = state.roster.borrow();
     known.borrow_mut().retain(|address, _| roster.has_address(*address));
-    for (listed, is_far) in roster.engines().filter(|(_, is_far)| is_for_all || !is_far) {
+    for (listed, reach) in roster.engines().filter(|(_, reach)| due(*reach)) {
         let known_id = known.borrow().get(&listed.address).copied().unwrap_or(0);
-        match asks.bytes(&listed.service, is_far, known_id) {
+        match requests.bytes(&listed.service, reach, known_id) {
             Ok(bytes) => {
                 let address = SocketAddr::new(listed.address.ip(), state.cfg.agent_port);
                 // A datagram may be lost anyway; the next ask follows.
@@ -196,18 +222,18 @@
 /// The asks of one round, encoded once for all agents that are asked the same.
 struct ReportRequests {
     sent_us: u64,
-    followers: Option<u32>,
+    offer: Option<Offer>,
     newest: Vec<(SmolStr, u64)>,
     catalog: Option<Rc<Catalog>>,
     setups: HashMap<ServiceName, Option<ModelSetup>>,
-    encoded: HashMap<(ServiceName, bool, bool), Bytes>,
+    encoded: HashMap<(ServiceName, Reach, bool), Bytes>,
 }
 
 impl ReportRequests {
     fn new(state: &State) -> ReportRequests {
         ReportRequests {
             sent_us: state.now().as_micros(),
-            followers: state.followers(),
+            offer: state.offer(),
             newest: state.newest_versions(),
             catalog: state.catalog.borrow().clone(),
             setups: HashMap::new(),
@@ -219,14 +245,16 @@
     fn bytes(
         &mut self,
         service: &ServiceName,
-        is_far: bool,
+        reach: Reach,
         known_id: u32,
     ) -> postcard::Result<Bytes> {
         let catalog = self.catalog.as_ref();
         let setup_of = || catalog.and_then(|catalog| catalog.setup(service));
         let setup = self.setups.entry(service.clone()).or_insert_with(setup_of);
-        let untold = setup.as_ref().filter(|setup| setup.id() != known_id);
-        let key = (service.clone(), is_far, untold.is_some());
+        // Agents that do not report do not tell what they know; their own region's entries see to it.
+        let is_untold = |setup: &&ModelSetup| reach != Reach::Uncovered && setup.id() != known_id;
+        let untold = setup.as_ref().filter(is_untold);
+        let key = (service.clone(), reach, untold.is_some());
         if let Some(bytes) = self.encoded.get(&key) {
             return Ok(bytes.clone());
         }
@@ -235,8 +263,9 @@
         let ask = ReportRequest {
             sent_us: self.sent_us,
             newest: self.newest.clone(),
-            is_far,
-            followers: self.followers,
+            is_far: reach != Reach::Near,
+            wants_reports: reach != Reach::Uncovered,
+            offer: self.offer,
             setup,
         };
         let bytes = Bytes::from(postcard::to_stdvec(&ask)?);
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -48,6 +48,16 @@
     Silent,
 }
 
+impl PeerError {
+    /// Its name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            PeerError::Unreachable => "unreachable",
+            PeerError::Silent => "silent",
+        }
+    }
+}
+
 /// A question to a peer.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum PeerAsk {
@@ -104,8 +114,12 @@
     }
 }
 
-/// Asks the agent at `address`.
-pub async fn ask(address: SocketAddr, ask: &PeerAsk, within: Duration) -> Result<PeerTold> {
+/// Asks the process at `address`.
+pub async fn ask<T: DeserializeOwned>(
+    address: SocketAddr,
+    ask: &impl Serialize,
+    within: Duration,
+) -> Result<T> {
     let mut stream = connect(address).await?;
     let exchange = async {
         link::prepare(&stream)?;
--- a/node/src/direct/replication.rs
+++ b/node/src/direct/replication.rs
@@ -1,21 +1,33 @@
-//! One entry of a region watches the store, the others of the region follow it over a connection.
+//! The replication tree: this entry follows another one, and others follow it.
 //!
-//! A follower sends pings, 8 bytes that hold its own clock. The watcher sends all that it knows, then
+//! A follower sends pings, 8 bytes that hold its own clock. Its parent sends all that it knows, then
 //! updates, and answers pings in the same order, so that a pong proves that everything before it has
-//! arrived. When pongs stay away or tell of old knowledge, the follower asks the store itself.
+//! arrived. When pongs stay away or tell of old knowledge, the follower tries the root, then asks the store
+//! itself. An entry that has just started asks the seeds of its settings first.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use mastichaven_core::Time;
+use mastichaven_core::direct::endpoint::Listed;
+use mastichaven_core::direct::replication::Hello;
+use mastichaven_core::direct::replication::MAX_PARENT_DEPTH;
 use mastichaven_core::direct::replication::Message;
+use mastichaven_core::direct::replication::Offer;
+use mastichaven_core::direct::replication::PeerEndpoint;
+use mastichaven_core::direct::replication::PeerList;
+use mastichaven_core::direct::replication::SUCCESSORS;
 use mastichaven_core::direct::replication::Update;
+use mastichaven_core::direct::replication::leaves_at;
+use mastichaven_core::ids::ServiceName;
+use mastichaven_platform::objects::Kind;
 use rand::RngExt;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -31,6 +43,7 @@
 use super::link;
 use super::peers;
 use super::state::State;
+use super::store::StoreClient;
 
 /// Messages that wait for one follower at most; one that is further behind connects again. A zone with
 /// a hundred endpoints that all change twice fits.
@@ -40,22 +53,51 @@
 const MAX_FOLLOWERS: usize = 256;
 
 /// How often a follower pings. The bound for endpoints that leave, 2 s, has to hold the age at which a
-/// watcher is left (1.3 s), a ping and a list from the store.
-const PING_EVERY: Duration = Duration::from_millis(250);
+/// parent is left (1.3 s), a ping and a list from the store.
+const PING_EVERY: Duration = Duration::from_millis(150);
 
-/// Time without a message after which a watcher is left: three pings.
+/// Time without a message after which a parent is left: five pings.
 const SILENT_AFTER: Duration = Duration::from_millis(750);
 
-/// Time for a connection to a watcher.
+/// Time for a connection to a parent, and for the first message on one.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 
-/// Pause between tries to follow, drawn from half to all of it.
+/// Pause between tries to follow of an entry that asks the store, and of one that neither does nor follows;
+/// drawn from half to all of it.
 const RETRY_EVERY: Duration = Duration::from_millis(1_500);
+const REJOIN_EVERY: Duration = Duration::from_millis(400);
+
+/// Time in which a successor of a lost parent is expected to have asked the store, and the pause between tries
+/// to follow it.
+const SUCCEEDS_WITHIN: Duration = Duration::from_millis(250);
+const SUCCESSOR_EVERY: Duration = Duration::from_millis(60);
+
+/// Time for which a parent was followed from which on its loss counts as one.
+const FOLLOWED_FOR: Duration = Duration::from_millis(300);
+
+/// First and longest pause between the probes with which an entry that follows nobody looks whether the store
+/// answers it. The longest one grows with the fleet, as one entry that finds the store is enough for all.
+const PROBE_FIRST: Duration = Duration::from_millis(100);
+const PROBE_LONGEST: Duration = Duration::from_millis(700);
+const ENTRIES_WITH_SHORT_PAUSE: u32 = 16;
+
+/// How long an entry that has started looks for a seed to follow before it asks the store, and the pause
+/// between its tries.
+const JOIN_WITHIN: Duration = Duration::from_millis(1_500);
+const JOIN_EVERY: Duration = Duration::from_millis(100);
+
+/// How often a follower looks whether what it knows is too old.
+const AGE_EVERY: Duration = Duration::from_millis(40);
+
+/// How often a follower looks whether agents name another parent, and for how many times in a row they
+/// have to name the same one.
+const COMPARE_EVERY: Duration = Duration::from_millis(500);
+const COMPARISONS: u32 = 4;
 
 /// Result of following or serving.
 pub type Result<T> = std::result::Result<T, ReplicationError>;
 
-/// Why a follower left its watcher.
+/// Why a follower left its parent, or could not follow it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReplicationError {
     /// No connection, or it broke off.
@@ -64,8 +106,12 @@
     Silent,
     /// What it knows is too old.
     Old,
-    /// It does not watch the store itself.
-    NotWatching,
+    /// It stops, or it is too far from the store.
+    NotAvailable,
+    /// Agents name another one.
+    Moved,
+    /// There is none.
+    NoParent,
 }
 
 impl ReplicationError {
@@ -75,7 +121,9 @@
             ReplicationError::Broken => "broken",
             ReplicationError::Silent => "silent",
             ReplicationError::Old => "old",
-            ReplicationError::NotWatching => "not watching",
+            ReplicationError::NotAvailable => "not available",
+            ReplicationError::Moved => "moved",
+            ReplicationError::NoParent => "no parent",
         }
     }
 }
@@ -93,14 +141,24 @@
 }
 
 /// What waits to be sent to one follower.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Outbox {
+    ip: IpAddr,
     waiting: RefCell<VecDeque<Frame>>,
     is_behind: Cell<bool>,
     added: Notify,
 }
 
 impl Outbox {
+    fn new(ip: IpAddr) -> Outbox {
+        Outbox {
+            ip,
+            waiting: RefCell::default(),
+            is_behind: Cell::new(false),
+            added: Notify::new(),
+        }
+    }
+
     /// A configuration takes the place of one that still waits: in a quick succession only the newest
     /// matters, and each may hold thousands of routes. It stays in that place, as a pong behind it
     /// promises it.
@@ -145,6 +203,12 @@
         followers.iter().for_each(|follower| follower.take(&frame));
     }
 
+    /// The entries that have followed this one for longest.
+    fn successors(&self) -> Vec<IpAddr> {
+        let followers = self.followers.borrow();
+        followers.iter().take(SUCCESSORS).map(|follower| follower.ip).collect()
+    }
+
     /// Entries that follow this one.
     pub fn len(&self) -> usize {
         self.followers.borrow().len()
@@ -162,38 +226,99 @@
 }
 
 impl State {
-    /// Entries that follow this one; `None` if it may not be followed.
+    /// What this entry offers to those that may follow it; `None` if it may not be followed.
     ///
     /// An entry that the store turns away must not be named to the others. They would all ask the store
     /// for themselves until it is back, and it would follow nobody and refuse its callers.
-    pub fn followers(&self) -> Option<u32> {
-        let may_be_followed = self.is_watching() && self.ages().are_young(Duration::ZERO);
-        may_be_followed.then(|| self.publisher.len() as u32)
+    pub fn offer(&self) -> Option<Offer> {
+        let may_be_followed = self.is_sound() && self.ages().are_young(Duration::ZERO);
+        let followers = self.publisher.len() as u32;
+        let store_ms = self.store_time.get().as_millis() as u16;
+        may_be_followed.then(|| Offer { followers, depth: self.depth(), store_ms })
+    }
+
+    fn may_be_followed(&self) -> bool {
+        !self.is_stopping.get() && self.depth() <= MAX_PARENT_DEPTH
     }
 
-    /// Whether this entry asks the store itself, and goes on doing so.
-    fn is_watching(&self) -> bool {
-        !self.is_following.get() && !self.is_stopping.get()
+    /// Whether others may begin to follow this entry: what it asks the store is answered.
+    fn is_sound(&self) -> bool {
+        self.may_be_followed() && (self.is_following.get() || self.lost_kinds.borrow().is_empty())
+    }
+
+    /// Distance from the store: 0 if this entry asks it.
+    pub fn depth(&self) -> u8 {
+        let parent = self.parent.get().filter(|_| self.is_following.get());
+        parent.map_or(0, |(_, depth)| depth)
+    }
+
+    /// Whether this entry asks the store itself.
+    pub fn is_direct(&self) -> bool {
+        !self.is_following.get() && !self.is_joining.get()
     }
 
     /// Waits until this entry has to ask the store itself.
     pub async fn until_direct(&self) {
-        while self.is_following.get() {
+        while !self.is_direct() {
             self.unfollowed.notified().await;
         }
     }
 
+    /// The entry that this one is to follow: its region's relay, or the root if it is the relay itself.
+    fn named_parent(&self) -> Option<IpAddr> {
+        let me = self.cfg.ip;
+        let relay = self.relay.get()?;
+        if relay != me { Some(relay) } else { self.root.get().filter(|root| *root != me) }
+    }
+
+    /// Whether this entry asks the store if its parent is lost.
+    fn is_successor(&self) -> bool {
+        self.successors.borrow().contains(&self.cfg.ip)
+    }
+
+    /// The next entry to try that is none of `tried`.
+    fn next_parent(&self, tried: &[IpAddr]) -> Option<IpAddr> {
+        let has_lost = self.is_following.get();
+        if has_lost && self.is_successor() {
+            return None;
+        }
+        let successors = self.successors.borrow();
+        let successors = successors.iter().copied().filter(|_| has_lost);
+        let last = self.parent.get().map(|(parent, _)| parent);
+        let all = [self.named_parent(), self.root.get(), last];
+        let mut others = successors.chain(all.into_iter().flatten());
+        others.find(|ip| *ip != self.cfg.ip && !tried.contains(ip))
+    }
+
+    fn begin_following(&self, parent: IpAddr) {
+        self.is_joining.set(false);
+        if !self.is_following.replace(true) {
+            slog::info!(self.log, "following"; "parent" => parent.to_string());
+        }
+    }
+
     fn unfollow(&self, e: ReplicationError) {
+        let was_joining = self.is_joining.replace(false);
         if self.is_following.replace(false) {
-            slog::warn!(self.log, "watcher lost"; "error" => e.as_str(),
+            slog::warn!(self.log, "parent lost"; "error" => e.as_str(),
                 "config_age_ms" => self.freshness.borrow().age(self.now()).map_or(-1, |age| age.as_millis() as i64));
-            self.metrics.count("watchers_lost");
-            self.unfollowed.notify_waiters();
+            self.metrics.count("parents_lost");
+        } else if !was_joining {
+            return;
         }
+        self.unfollowed.notify_waiters();
+    }
+
+    /// The engines of a service that this entry knows of, for an agent that has the list `known`.
+    fn peer_list(&self, service: &ServiceName, known: u64) -> PeerList {
+        let roster = self.roster.borrow();
+        let peer =
+            |listed: &Listed| PeerEndpoint { address: listed.address, zone: listed.zone.clone() };
+        PeerList::new(roster.engines_of(service).map(peer).collect(), known)
     }
 }
 
-/// Serves the entries that follow this one until the process ends.
+/// Serves the entries that follow this one, and agents that ask for peers, until the process ends.
 pub async fn serve(state: Rc<State>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -205,21 +330,45 @@
         }
         let state = state.clone();
         spawn_local(async move {
-            let follower = Rc::new(Outbox::default());
-            // How it ended shows at the follower.
-            let _ = serve_follower(&state, stream, &follower).await;
-            state.publisher.followers.borrow_mut().retain(|other| !Rc::ptr_eq(other, &follower));
+            // How it ended shows at the other side.
+            let _ = serve_one(&state, stream).await;
         });
     }
 }
 
-async fn serve_follower(state: &State, stream: TcpStream, follower: &Rc<Outbox>) -> Result<()> {
+async fn serve_one(state: &State, mut stream: TcpStream) -> Result<()> {
     link::prepare(&stream)?;
+    let hello = timeout(CONNECT_WITHIN, peers::read(&mut stream)).await;
+    match hello.map_err(|_| ReplicationError::Silent)?? {
+        Hello::Follow { ip, config } => {
+            let follower = Rc::new(Outbox::new(ip));
+            let ended = serve_follower(state, stream, &follower, config).await;
+            state.publisher.followers.borrow_mut().retain(|other| !Rc::ptr_eq(other, &follower));
+            ended
+        }
+        Hello::Peers { service, known } => {
+            if state.knows_all() {
+                peers::write(&mut stream, &state.peer_list(&service, known)).await?;
+            }
+            Ok(())
+        }
+    }
+}
+
+async fn serve_follower(
+    state: &State,
+    stream: TcpStream,
+    follower: &Rc<Outbox>,
+    config: Option<u64>,
+) -> Result<()> {
+    // Two entries that follow each other would each take the other's knowledge for confirmed.
+    let is_parent = state.parent.get().is_some_and(|(parent, _)| parent == follower.ip);
     let (mut read, write) = stream.into_split();
-    state
-        .snapshot()
-        .into_iter()
-        .for_each(|update| follower.take(&frame_of(&Message::Update(update))));
+    let snapshot = state.snapshot(config);
+    snapshot.into_iter().for_each(|update| follower.take(&frame_of(&Message::Update(update))));
+    if !state.is_sound() || is_parent && state.is_following.get() {
+        follower.take(&frame_of(&Message::NotAvailable));
+    }
     state.publisher.followers.borrow_mut().push(follower.clone());
     tokio::select! {
         ended = answer_pings(state, &mut read, follower) => ended,
@@ -230,15 +379,16 @@
 async fn answer_pings(state: &State, read: &mut OwnedReadHalf, follower: &Outbox) -> Result<()> {
     loop {
         let asked_us = read.read_u64().await?;
-        let told = if state.is_watching() {
-            Message::Pong { asked_us, ages: state.ages() }
+        let message = if state.may_be_followed() {
+            let successors = state.publisher.successors();
+            Message::Pong { asked_us, ages: state.ages(), depth: state.depth(), successors }
         } else {
-            Message::NotWatching
+            Message::NotAvailable
         };
         if follower.is_behind.get() {
             return Err(ReplicationError::Broken);
         }
-        follower.take(&frame_of(&told));
+        follower.take(&frame_of(&message));
     }
 }
 
@@ -254,29 +404,134 @@
     }
 }
 
-/// Follows the region's watcher whenever there is one, until the process ends.
+/// Follows another entry whenever there is one, until the process ends.
+///
+/// An entry that has lost its parent asks the store itself only once a probe has been answered. While the store
+/// is away, hundreds of entries would else list all kinds again and again.
 pub async fn follow(state: Rc<State>) {
+    join(&state).await;
+    let mut probes = Probes::new(&state);
+    let mut lost_at = None;
     loop {
-        let part = state.with_rng(|rng| rng.random_range(0.5..1.0));
-        sleep(RETRY_EVERY.mul_f64(part)).await;
-        let Some(watcher) = state.watcher.get().filter(|ip| *ip != state.cfg.ip) else {
-            continue;
+        let (ended, has_followed) = follow_named(&state).await;
+        let now = state.now();
+        if has_followed {
+            lost_at = Some(now);
+            probes = Probes::new(&state);
+        }
+        let is_grace = lost_at.is_some_and(|at| !now.passed(at, SUCCEEDS_WITHIN));
+        let pause = if state.is_direct() {
+            RETRY_EVERY
+        } else if is_grace && !state.is_successor() {
+            SUCCESSOR_EVERY
+        } else {
+            if probes.is_answered(&state).await {
+                state.unfollow(ended);
+            }
+            state.successors.borrow_mut().clear();
+            REJOIN_EVERY
         };
-        let address = SocketAddr::new(watcher, state.cfg.agent_port);
-        if let Err(e) = follow_one(&state, address).await {
-            state.unfollow(e);
+        let part = state.with_rng(|rng| rng.random_range(0.5..1.0));
+        sleep(pause.mul_f64(part)).await;
+    }
+}
+
+/// Calls that show whether the store answers this entry.
+struct Probes {
+    client: StoreClient,
+    pause: Duration,
+    next: Time,
+}
+
+impl Probes {
+    fn new(state: &State) -> Probes {
+        Probes {
+            client: StoreClient::new(state.cfg.store, state.metrics.clone()),
+            pause: PROBE_FIRST,
+            next: Time::ZERO,
+        }
+    }
+
+    /// Whether a probe was due and the store has answered it.
+    async fn is_answered(&mut self, state: &State) -> bool {
+        if state.now() < self.next {
+            return false;
+        }
+        // Few objects, if any, so the answer is short.
+        let is_answered = self.client.list(Kind::Evacuations, false).await.is_ok();
+        let entries = state.roster.borrow().entries();
+        let longest = PROBE_LONGEST * entries.div_ceil(ENTRIES_WITH_SHORT_PAUSE);
+        let part = state.with_rng(|rng| rng.random_range(0.5..1.0));
+        self.next = state.now() + self.pause.mul_f64(part);
+        self.pause = (self.pause * 2).min(longest);
+        is_answered
+    }
+}
+
+/// Follows one of the seeds after the start, until it is lost or none can be followed in time. A seed itself
+/// asks the store at once.
+async fn join(state: &Rc<State>) {
+    let seeds: Vec<IpAddr> = state.cfg.seeds.iter().map(SocketAddr::ip).collect();
+    if seeds.is_empty() || seeds.contains(&state.cfg.ip) {
+        return state.unfollow(ReplicationError::NoParent);
+    }
+    let first = state.with_rng(|rng| rng.random_range(0..seeds.len()));
+    let began = state.now();
+    for seed in seeds.iter().cycle().skip(first) {
+        follow_one(state, *seed).await;
+        if state.is_following.get() || state.now().passed(began, JOIN_WITHIN) {
+            return;
+        }
+        sleep(JOIN_EVERY).await;
+    }
+}
+
+/// Follows those that agents name, one after the other as they are lost, until there is none. Tells why the
+/// last one was left and whether any was followed for a while.
+async fn follow_named(state: &Rc<State>) -> (ReplicationError, bool) {
+    let mut ended = ReplicationError::NoParent;
+    let mut has_followed = false;
+    let mut tried = Vec::new();
+    while let Some(parent) = state.next_parent(&tried) {
+        let began = state.now();
+        ended = follow_one(state, parent).await;
+        if state.now().passed(began, FOLLOWED_FOR) && ended != ReplicationError::Silent {
+            has_followed = true;
+        }
+        if ended == ReplicationError::Moved {
+            tried.clear();
+        } else {
+            tried.push(parent);
         }
     }
+    (ended, has_followed)
 }
 
-async fn follow_one(state: &Rc<State>, address: SocketAddr) -> Result<()> {
+/// Follows `parent` until it is lost or another one is named; tells why it ended.
+async fn follow_one(state: &Rc<State>, parent: IpAddr) -> ReplicationError {
+    match try_follow(state, parent).await {
+        Ok(()) => {
+            state.successors.borrow_mut().clear();
+            ReplicationError::Moved
+        }
+        Err(e) => e,
+    }
+}
+
+async fn try_follow(state: &Rc<State>, parent: IpAddr) -> Result<()> {
+    let asked = state.now();
+    let address = SocketAddr::new(parent, state.cfg.agent_port);
     let connected = timeout(CONNECT_WITHIN, TcpStream::connect(address)).await;
-    let stream = connected.map_err(|_| ReplicationError::Silent)??;
+    let mut stream = connected.map_err(|_| ReplicationError::Silent)??;
     link::prepare(&stream)?;
+    let hello = Hello::Follow { ip: state.cfg.ip, config: state.config_version() };
+    peers::write(&mut stream, &hello).await?;
     let (mut read, write) = stream.into_split();
     tokio::select! {
         ended = send_pings(state, write) => ended,
-        ended = receive(state, &mut read, address) => ended,
+        ended = receive(state, &mut read, parent, asked) => ended,
+        () = until_old(state) => Err(ReplicationError::Old),
+        () = until_another_is_named(state, parent) => Ok(()),
     }
 }
 
@@ -287,24 +542,71 @@
     }
 }
 
+/// Waits until what a follower knows of the endpoints is too old to go on with its parent.
+async fn until_old(state: &State) {
+    loop {
+        sleep(AGE_EVERY).await;
+        let limit = leaves_at(state.depth(), state.is_successor());
+        let age = state.ages().endpoints;
+        if state.is_following.get() && age.is_none_or(|age| age >= limit) {
+            return;
+        }
+    }
+}
+
+/// Waits until agents have named another parent for a while.
+async fn until_another_is_named(state: &State, parent: IpAddr) {
+    let mut last = None;
+    let mut count = 0;
+    while count < COMPARISONS {
+        sleep(COMPARE_EVERY).await;
+        let named = state.named_parent().filter(|named| *named != parent);
+        count = if named.is_some() && named == last { count + 1 } else { 0 };
+        last = named;
+    }
+}
+
 /// Applies updates. Those before the first pong wait for it: only then are they known to be fresh.
-async fn receive(state: &State, read: &mut OwnedReadHalf, from: SocketAddr) -> Result<()> {
+///
+/// What comes after the pong that answers what was asked at `asked` was sent after that moment.
+async fn receive(
+    state: &State,
+    read: &mut OwnedReadHalf,
+    parent: IpAddr,
+    mut asked: Time,
+) -> Result<()> {
     let mut early = Vec::new();
+    let mut is_proven = false;
     loop {
-        let told: Message = timeout(SILENT_AFTER, peers::read(read))
+        let message: Message = timeout(SILENT_AFTER, peers::read(read))
             .await
             .map_err(|_| ReplicationError::Silent)??;
-        match told {
-            Message::Update(update) if state.is_following.get() => state.apply(update),
-            Message::Update(update) => early.push(update),
-            Message::NotWatching => return Err(ReplicationError::NotWatching),
-            Message::Pong { asked_us, ages } => {
-                let asked = Time::from_micros(asked_us);
+        match message {
+            Message::Update(update) => {
+                let update = aged(update, state.now().since(asked));
+                if is_proven {
+                    state.apply(update);
+                } else {
+                    early.push(update);
+                }
+            }
+            Message::NotAvailable => return Err(ReplicationError::NotAvailable),
+            Message::Pong { asked_us, ages, depth, successors } => {
+                asked = Time::from_micros(asked_us);
                 if !ages.are_young(state.now().since(asked)) {
                     return Err(ReplicationError::Old);
                 }
-                if !state.is_following.replace(true) {
-                    slog::info!(state.log, "following"; "watcher" => from.to_string());
+                if depth > MAX_PARENT_DEPTH {
+                    return Err(ReplicationError::NotAvailable);
+                }
+                if !is_proven && !ages.may_join(state.now().since(asked)) {
+                    return Err(ReplicationError::Old);
+                }
+                state.parent.set(Some((parent, depth + 1)));
+                *state.successors.borrow_mut() = successors;
+                if !is_proven {
+                    is_proven = true;
+                    state.begin_following(parent);
                     early.drain(..).for_each(|update| state.apply(update));
                 }
                 state.confirm(asked, &ages);
@@ -312,3 +614,16 @@
         }
     }
 }
+
+/// An update that may have been under way for `span`.
+///
+/// Where a version of weights was dated to when a late update of it came, requests would go to the older
+/// one past its bound.
+fn aged(update: Update, span: Duration) -> Update {
+    match update {
+        Update::Weights { model, version, ago: Some(ago) } => {
+            Update::Weights { model, version, ago: Some(ago + span) }
+        }
+        other => other,
+    }
+}
--- a/node/src/direct/settings.rs
+++ b/node/src/direct/settings.rs
@@ -29,6 +29,9 @@
     pub zone: ZoneName,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Control addresses of entries that one which starts may ask first; some may be down.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// UDP and TCP port on which agents listen for entries and peers, the same on all hosts.
     pub agent_port: u16,
     /// Port of the metrics page.
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,6 +44,9 @@
 /// Routes whose callers' waits are remembered at most: some hundred KB.
 const MAX_ROUTES_WATCHED: usize = 4_096;
 
+/// Time of the store's answers before the first one.
+const STORE_TIME_UNKNOWN: Duration = Duration::from_secs(1);
+
 /// Everything that the tasks of an entry share.
 #[derive(Debug)]
 pub struct State {
@@ -53,7 +57,7 @@
     /// Logger of the process.
     pub log: Logger,
     /// Counters and histograms.
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
     /// The configuration in force.
     pub catalog: RefCell<Option<Rc<Catalog>>>,
     /// Signals the first configuration.
@@ -80,11 +84,23 @@
     pub is_stopping: Cell<bool>,
     /// When the read of each kind was sent that the store answered last.
     pub confirmed: RefCell<HashMap<Kind, Time>>,
-    /// The entry of the region that watches the store, as agents told last.
-    pub watcher: Cell<Option<IpAddr>>,
+    /// The entry that the others of the region follow, as agents told last.
+    pub relay: Cell<Option<IpAddr>>,
+    /// The entry that watches the store for all regions, as agents told last.
+    pub root: Cell<Option<IpAddr>>,
+    /// The entry that this one follows, and the distance from the store that it has with it.
+    pub parent: Cell<Option<(IpAddr, u8)>>,
+    /// The entries that ask the store if the parent is lost.
+    pub successors: RefCell<Vec<IpAddr>>,
     /// Whether another entry tells this one what the store says.
     pub is_following: Cell<bool>,
-    /// Signals that this entry has to ask the store itself again.
+    /// Whether this entry has started and still looks for one to follow.
+    pub is_joining: Cell<bool>,
+    /// Kinds of objects for which the store does not answer this entry.
+    pub lost_kinds: RefCell<HashSet<Kind>>,
+    /// The shortest time in which the store has answered.
+    pub store_time: Cell<Duration>,
+    /// Signals that this entry has to ask the store itself.
     pub unfollowed: Notify,
     /// The entries that follow this one.
     pub publisher: Publisher,
@@ -96,13 +112,13 @@
 impl State {
     /// The state of an entry that knows nothing yet.
     pub fn new(cfg: DirectSettings, log: Logger, entries: u32) -> State {
-        let mut roster = Roster::new(cfg.zone.clone(), cfg.regions());
+        let mut roster = Roster::new(cfg.host.clone(), cfg.zone.clone(), cfg.regions());
         roster.set_entries(entries);
         let lease = Duration::from_millis(cfg.bounds.key_revocation_ms).mul_f64(LEASE_PART);
         State {
             clock: BootClock::start(),
             log,
-            metrics: Metrics::default(),
+            metrics: Rc::default(),
             catalog: RefCell::default(),
             configured: Notify::new(),
             are_models_new: Cell::new(false),
@@ -116,8 +132,14 @@
             named: Notify::new(),
             is_stopping: Cell::new(false),
             confirmed: RefCell::default(),
-            watcher: Cell::new(None),
+            relay: Cell::new(None),
+            root: Cell::new(None),
+            parent: Cell::new(None),
+            successors: RefCell::default(),
             is_following: Cell::new(false),
+            is_joining: Cell::new(true),
+            lost_kinds: RefCell::default(),
+            store_time: Cell::new(STORE_TIME_UNKNOWN),
             unfollowed: Notify::new(),
             publisher: Publisher::default(),
             longest_waits: RefCell::default(),
@@ -187,8 +209,11 @@
             "config": self.config_version(),
             "config_age_ms": self.freshness.borrow().age(now).map(|age| age.as_millis() as u64),
             "entries": self.roster.borrow().entries(),
-            "watcher": self.watcher.get(),
+            "relay": self.relay.get(),
+            "root": self.root.get(),
             "follows": self.is_following.get(),
+            "parent": self.parent.get().map(|(ip, _)| ip),
+            "depth": self.depth(),
             "followers": self.publisher.len(),
             "weights": weights,
             "endpoints": self.roster.borrow().dump(now),
--- a/node/src/direct/store.rs
+++ b/node/src/direct/store.rs
@@ -1,6 +1,7 @@
 //! The one client of the platform's metadata store. It only reads.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use super::link;
 use super::link::Link;
 use super::link::LinkError;
+use super::metrics::Metrics;
 
 /// Bytes of an answer at most: a page holds about 1 MB.
 const MAX_ANSWER_LEN: usize = 4 << 20;
@@ -64,13 +66,28 @@
 #[derive(Debug)]
 pub struct StoreClient {
     address: SocketAddr,
+    metrics: Rc<Metrics>,
     link: Option<Link>,
 }
 
+/// What a call to the store is for, by its name in the metrics.
+fn counter(kind: Kind, is_watch: bool) -> &'static str {
+    match (kind, is_watch) {
+        (Kind::Config, false) => "store_lists_config",
+        (Kind::Config, true) => "store_watches_config",
+        (Kind::Endpoints, false) => "store_lists_endpoints",
+        (Kind::Endpoints, true) => "store_watches_endpoints",
+        (Kind::Evacuations, false) => "store_lists_evacuations",
+        (Kind::Evacuations, true) => "store_watches_evacuations",
+        (Kind::Weights, false) => "store_lists_weights",
+        (Kind::Weights, true) => "store_watches_weights",
+    }
+}
+
 impl StoreClient {
     /// A client of the store at `address`; it connects with the first call.
-    pub fn new(address: SocketAddr) -> StoreClient {
-        StoreClient { address, link: None }
+    pub fn new(address: SocketAddr, metrics: Rc<Metrics>) -> StoreClient {
+        StoreClient { address, metrics, link: None }
     }
 
     /// Reads all objects of a kind, and the revision they show. The revision is that of the first
@@ -81,6 +98,7 @@
         let mut after: Option<SmolStr> = None;
         for _ in 0..MAX_PAGES {
             let path = objects::list_path(kind, after.as_deref(), stale);
+            self.metrics.count(counter(kind, false));
             let body = self.get(&path, ANSWER_WITHIN).await?;
             let page = objects::scan_page(&body).map_err(|_| StoreError::Malformed)?;
             revision.get_or_insert(page.revision);
@@ -102,6 +120,7 @@
     ) -> Result<Changes> {
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX).max(1);
         let path = objects::watch_path(kind, revision, wait_ms);
+        self.metrics.count(counter(kind, true));
         let body = self.get(&path, wait + ANSWER_WITHIN).await?;
         objects::scan_changes(&body).map_err(|_| StoreError::Malformed)
     }
--- a/node/src/direct/updates.rs
+++ b/node/src/direct/updates.rs
@@ -22,7 +22,7 @@
 impl State {
     /// Applies an update and passes it on to the entries that follow this one.
     pub fn apply(&self, update: Update) {
-        if !self.is_following.get() && !self.is_old(&update) {
+        if !self.is_old(&update) {
             self.publisher.publish(&update);
         }
         match update {
@@ -42,21 +42,32 @@
         }
     }
 
-    /// Whether the update tells a version of weights that is known. Followers date versions by what they
+    /// Whether the update says nothing that is not known. Followers date versions of weights by what they
     /// are told, and an object that is written again was not named again.
     fn is_old(&self, update: &Update) -> bool {
-        let Update::Weights { model, version, .. } = update else {
-            return false;
-        };
-        let versions = self.versions.borrow();
-        versions.get(model).is_some_and(|versions| versions.newest() >= *version)
+        match update {
+            Update::Weights { model, version, .. } => {
+                let versions = self.versions.borrow();
+                versions.get(model).is_some_and(|versions| versions.newest() >= *version)
+            }
+            Update::Config(parts) => {
+                self.config_version().is_some_and(|known| known >= parts.version)
+            }
+            Update::Endpoints { as_of, .. } => {
+                let known = self.roster.borrow().as_of();
+                known != Revision::default() && *as_of <= known && self.is_following.get()
+            }
+            _ => false,
+        }
     }
 
-    /// All that is known now, for an entry that begins to follow this one.
-    pub fn snapshot(&self) -> Vec<Update> {
+    /// All that is known now, for an entry that begins to follow this one and has the version `config` of
+    /// the configuration.
+    pub fn snapshot(&self, config: Option<u64>) -> Vec<Update> {
         let now = self.now();
         let mut all = Vec::new();
-        if let Some(catalog) = self.catalog.borrow().as_ref() {
+        let is_newer = |catalog: &&Rc<Catalog>| Some(catalog.version()) != config;
+        if let Some(catalog) = self.catalog.borrow().as_ref().filter(is_newer) {
             all.push(Update::Config(Box::new(catalog.parts())));
         }
         let roster = self.roster.borrow();
@@ -142,7 +153,7 @@
 
     /// Where what is taken in now comes from, for logs.
     fn source(&self) -> &'static str {
-        if self.is_following.get() { "watcher" } else { "store" }
+        if self.is_following.get() { "parent" } else { "store" }
     }
 
     fn apply_endpoints(&self, as_of: Revision, all: Vec<Listed>, lapsed: &[SmolStr]) {
@@ -202,6 +213,7 @@
                 if self.is_following.get() && versions.newest() >= version =>
             {
                 versions.date(version, at);
+                versions.named_after(version, at);
                 false
             }
             (Some(versions), _) => versions.name(version, named_at.unwrap_or(self.now())),
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -32,15 +32,14 @@
 
 /// How long a watch waits for a change. That of the configuration renews the lease on it from the moment
 /// it was sent, so a longer wait leaves less of the lease whenever the store goes away. That of endpoints
-/// ends often enough to find a connection that has gone silent before an endpoint that leaves must get
-/// nothing new, after 2 s, also by entries that follow this one. Only one entry of a region watches, so
-/// short waits cost few calls.
+/// keeps what followers know young enough, two levels further down the tree and right after a change, too.
+/// Only one entry of the fleet watches, so short waits cost few calls.
 fn wait_for(kind: Kind) -> Duration {
     match kind {
-        Kind::Config => Duration::from_millis(750),
-        Kind::Endpoints => Duration::from_millis(900),
-        Kind::Evacuations => Duration::from_millis(3_000),
-        Kind::Weights => Duration::from_millis(5_000),
+        Kind::Config => Duration::from_millis(900),
+        Kind::Endpoints => Duration::from_millis(600),
+        Kind::Evacuations => Duration::from_millis(2_400),
+        Kind::Weights => Duration::from_millis(4_000),
     }
 }
 
@@ -48,11 +47,15 @@
 /// Endpoints report draining well before they stop, and agents tell of their load on their own.
 fn gather_for(kind: Kind) -> Duration {
     match kind {
-        Kind::Endpoints => Duration::from_millis(200),
+        Kind::Endpoints => Duration::from_millis(120),
         Kind::Config | Kind::Evacuations | Kind::Weights => Duration::from_millis(20),
     }
 }
 
+/// Shortest wait of a watch. One that follows a change waits for what the one before has left of its time:
+/// what is known is only as young as the moment at which the last answered watch was sent.
+const WAIT_SHORTEST: Duration = Duration::from_millis(50);
+
 /// Wait of a watch right after a failure: it returns at once and tells whether the store is back.
 const PROBE_WAIT: Duration = Duration::from_millis(1);
 
@@ -88,7 +91,7 @@
     /// A follower of `kind`.
     pub fn new(state: Rc<State>, kind: Kind) -> StoreWatcher {
         StoreWatcher {
-            client: StoreClient::new(state.cfg.store),
+            client: StoreClient::new(state.cfg.store, state.metrics.clone()),
             state,
             kind,
             trouble_until: None,
@@ -153,6 +156,7 @@
     /// until it shows nothing new.
     async fn watch_from(&mut self, mut revision: Revision) {
         let mut probe = false;
+        let mut left = wait_for(self.kind);
         loop {
             if self.kind == Kind::Endpoints && self.state.are_models_new.take() {
                 return;
@@ -160,7 +164,7 @@
             if self.state.is_following.get() {
                 return;
             }
-            let wait = if probe { PROBE_WAIT } else { wait_for(self.kind) };
+            let wait = if probe { PROBE_WAIT } else { left };
             let sent = self.state.now();
             match self.client.watch(self.kind, revision, wait).await {
                 // What another entry tells by now is newer.
@@ -170,8 +174,13 @@
                     revision = revision.max(told.revision);
                     let count = told.changes.len();
                     self.answered(sent);
-                    if count == 0 {
+                    left = wait_for(self.kind);
+                    if count > 0 {
+                        let took = self.state.now().since(sent);
+                        left = left.saturating_sub(took).max(WAIT_SHORTEST);
+                    } else {
                         self.heard_nothing(sent, wait);
+                        self.note_store_time(sent + wait);
                     }
                     self.take_changes(told.changes, revision);
                     if count > 1 && self.kind == Kind::Config {
@@ -201,6 +210,7 @@
 
     fn answered(&mut self, sent: Time) {
         self.pause = PAUSE_FIRST;
+        self.state.lost_kinds.borrow_mut().remove(&self.kind);
         self.state.confirmed.borrow_mut().insert(self.kind, sent);
         if self.kind == Kind::Config {
             self.state.freshness.borrow_mut().confirm(sent);
@@ -222,8 +232,15 @@
         }
     }
 
+    /// The store sent an answer at `due`.
+    fn note_store_time(&self, due: Time) {
+        let took = self.state.now().since(due);
+        self.state.store_time.set(self.state.store_time.get().min(took));
+    }
+
     async fn failed(&mut self, e: StoreError) {
         self.state.metrics.count("store_failures");
+        self.state.lost_kinds.borrow_mut().insert(self.kind);
         if !self.is_lost {
             self.is_lost = true;
             let age = self.state.freshness.borrow().age(self.state.now());
--- a/node/tests/direct/agent.rs
+++ b/node/tests/direct/agent.rs
@@ -156,3 +156,19 @@
     until("the service is known", || agent.log().contains("service known"));
     site.store.set_fault(StoreFault::None);
 }
+
+// An endpoint is added while the store is away. Its agent reads its peers there, and it stays empty.
+#[test]
+fn new_endpoint_gets_weights_while_the_store_is_away() {
+    let site = Site::start();
+    let old = fleet(&site, "away", 2, Some(1));
+    let entry = site.entry("away");
+    name_version(&site, 2);
+    until("all hold version 2", || all_hold(&old, 2));
+    let new = site.endpoint("i-new", "writer", None);
+    until("it is known", || entry.dump()["endpoints"].as_array().is_some_and(|all| all.len() == 3));
+    site.store.set_fault(StoreFault::Silent);
+    let _agent = site.agent("away-new", &new);
+    until("it answers from version 2", || new.version() == Some(2));
+    site.store.set_fault(StoreFault::None);
+}
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -215,22 +215,28 @@
 
     /// Starts an entry that reaches the store at `store`, and waits until it is ready.
     pub fn entry_at(&self, name: &str, store: SocketAddr) -> Entry {
-        let entry = self.start_entry(name, store);
+        let entry = self.start_entry(name, store, &[]);
         until("the entry is ready", || entry.is_ready());
         entry
     }
 
     /// Starts an entry.
     pub fn entry_unready(&self, name: &str) -> Entry {
-        self.start_entry(name, self.store.address())
+        self.start_entry(name, self.store.address(), &[])
     }
 
-    fn start_entry(&self, name: &str, store: SocketAddr) -> Entry {
+    /// Starts an entry that reaches the store at `store` and may ask `seeds` first.
+    pub fn entry_seeded(&self, name: &str, store: SocketAddr, seeds: &[&Entry]) -> Entry {
+        self.start_entry(name, store, seeds)
+    }
+
+    fn start_entry(&self, name: &str, store: SocketAddr, seeds: &[&Entry]) -> Entry {
         let ip = new_ip();
         let [callers, ready, metrics_port] = self.ports_of_entry(&ip);
         let at = |port| SocketAddr::new(ip.parse().expect("an IP"), port);
         let (callers, ready) = (at(callers), at(ready));
-        let own = format!("callers = \"{callers}\"\nready = \"{ready}\"");
+        let seeds: Vec<String> = seeds.iter().map(|seed| seed.callers.to_string()).collect();
+        let own = format!("callers = \"{callers}\"\nready = \"{ready}\"\nseeds = {seeds:?}");
         let binary = env!("CARGO_BIN_EXE_mastichaven-entry");
         let settings = self.settings(name, &ip, metrics_port, store, &own);
         let program = Program::start(binary, name, &settings);
--- a/node/tests/direct/replication.rs
+++ b/node/tests/direct/replication.rs
@@ -173,3 +173,28 @@
     assert!(is_within(KEY_GONE_WITHIN, || !is_served("key-2")));
     assert!(is_served("key-1") && watcher.dump()["follows"] == true);
 }
+
+// Hundreds of entries that start together all read the store, whose links are full for seconds.
+#[test]
+fn entry_that_starts_learns_all_from_a_seed() {
+    let site = Site::start();
+    let _desk = site.endpoint("i-d", "desk", None);
+    let seed = site.entry("seeded-first");
+    let door = site.store.door().expect("the store has another address");
+    door.set_closed(true);
+    let second = site.entry_seeded("seeded-second", door.address(), &[&seed]);
+    until("it is ready", || second.is_ready());
+    assert!(second.ask("/lookup/a", "a", "key-1").is_ok_and(|answer| answer.status == 200));
+    assert_eq!(second.dump()["depth"], 1);
+}
+
+// The seeds of an entry's settings are gone, and it waits for them instead of asking the store.
+#[test]
+fn entry_that_starts_without_its_seeds_asks_the_store() {
+    let site = Site::start();
+    let gone = site.entry("gone-first");
+    gone.program.signal("KILL");
+    let second = site.entry_seeded("gone-second", site.store.address(), &[&gone]);
+    until("it is ready", || second.is_ready());
+    assert_eq!(second.dump()["follows"], false);
+}
--- a/node/tests/direct/updates.rs
+++ b/node/tests/direct/updates.rs
@@ -70,7 +70,7 @@
 
 fn tell_all(from: &State, to: &State) {
     to.is_following.set(true);
-    from.snapshot().into_iter().for_each(|news| to.apply(news));
+    from.snapshot(None).into_iter().for_each(|news| to.apply(news));
 }
 
 // The store turned one entry away while an endpoint left; back again, that entry keeps the endpoint for
