--- a/core/tests/weights/main.rs
+++ b/core/tests/weights/main.rs
@@ -4,3 +4,4 @@
 mod orders;
 mod placement;
 mod swarm;
+mod topology;
--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -3,7 +3,7 @@
 //!
 //! A request enters through [`gateway`]; [`forward`] chooses endpoints for it, `attempt` sends it to
 //! one over a connection of [`pool`], and `stream` passes events on to the body of [`relay`]. What an
-//! entry knows comes from the platform's store by [`watch`], or from the entry that watches it by
+//! entry knows comes from the platform's store by [`watch`], or from another entry by
 //! [`replication`], into `updates`, and from agents by [`load_reports`]. The agent's part is [`agent`], with
 //! [`swarm`] and [`staging`].
 
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod pool;
+pub mod publisher;
 pub mod relay;
 pub mod replication;
 pub mod settings;
--- a/node/src/direct/entry.rs
+++ b/node/src/direct/entry.rs
@@ -31,6 +31,7 @@
 use super::link;
 use super::load_reports;
 use super::log::EventLog;
+use super::publisher;
 use super::relay::AnswerBody;
 use super::replication;
 use super::settings::DirectSettings;
@@ -110,7 +111,7 @@
     for kind in Kind::ALL {
         spawn_local(StoreWatcher::new(state.clone(), kind).run());
     }
-    spawn_local(replication::serve(state.clone(), feed_listener));
+    spawn_local(publisher::serve(state.clone(), feed_listener));
     spawn_local(replication::follow(state.clone()));
     spawn_local(load_reports::follow(state.clone(), loads_socket));
     spawn_local(sweep(state.clone()));
--- a/node/src/direct/replication.rs
+++ b/node/src/direct/replication.rs
@@ -1,42 +1,29 @@
-//! The replication tree: this entry follows another one, and others follow it.
+//! The replication tree: which entry this one follows, and when it asks the store instead.
 //!
 //! A follower sends pings, 8 bytes that hold its own clock. Its parent sends all that it knows, then
 //! updates, and answers pings in the same order, so that a pong proves that everything before it has
 //! arrived. When pongs stay away or tell of old knowledge, the follower tries the root, then asks the store
 //! itself. An entry that has just started asks the seeds of its settings first.
 
-use std::cell::Cell;
-use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use mastichaven_core::Time;
-use mastichaven_core::direct::endpoint::Listed;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::MAX_PARENT_DEPTH;
 use mastichaven_core::direct::replication::Message;
 use mastichaven_core::direct::replication::Offer;
-use mastichaven_core::direct::replication::PeerEndpoint;
-use mastichaven_core::direct::replication::PeerList;
-use mastichaven_core::direct::replication::SUCCESSORS;
 use mastichaven_core::direct::replication::Update;
 use mastichaven_core::direct::replication::leaves_at;
-use mastichaven_core::ids::ServiceName;
 use mastichaven_platform::objects::Kind;
 use rand::RngExt;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::sync::Notify;
-use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -45,13 +32,6 @@
 use super::state::State;
 use super::store::StoreClient;
 
-/// Messages that wait for one follower at most; one that is further behind connects again. A zone with
-/// a hundred endpoints that all change twice fits.
-const MAX_WAITING: usize = 512;
-
-/// Followers of one entry at most: those of the largest region, and some that come back.
-const MAX_FOLLOWERS: usize = 256;
-
 /// How often a follower pings. The bound for endpoints that leave, 2 s, has to hold the age at which a
 /// parent is left (1.3 s), a ping and a list from the store.
 const PING_EVERY: Duration = Duration::from_millis(150);
@@ -59,7 +39,7 @@
 /// Time without a message after which a parent is left: five pings.
 const SILENT_AFTER: Duration = Duration::from_millis(750);
 
-/// Time for a connection to a parent, and for the first message on one.
+/// Time for a connection to a parent.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 
 /// Pause between tries to follow of an entry that asks the store, and of one that neither does nor follows;
@@ -134,97 +114,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct Frame {
-    bytes: Bytes,
-    is_config: bool,
-}
-
-/// What waits to be sent to one follower.
-#[derive(Debug)]
-struct Outbox {
-    ip: IpAddr,
-    waiting: RefCell<VecDeque<Frame>>,
-    is_behind: Cell<bool>,
-    added: Notify,
-}
-
-impl Outbox {
-    fn new(ip: IpAddr) -> Outbox {
-        Outbox {
-            ip,
-            waiting: RefCell::default(),
-            is_behind: Cell::new(false),
-            added: Notify::new(),
-        }
-    }
-
-    /// A configuration takes the place of one that still waits: in a quick succession only the newest
-    /// matters, and each may hold thousands of routes. It stays in that place, as a pong behind it
-    /// promises it.
-    fn push(&self, frame: Frame) {
-        let mut waiting = self.waiting.borrow_mut();
-        let older = waiting.iter().position(|other| frame.is_config && other.is_config);
-        match older {
-            Some(n) => waiting[n] = frame,
-            None if waiting.len() < MAX_WAITING => waiting.push_back(frame),
-            None => self.is_behind.set(true),
-        }
-        self.added.notify_one();
-    }
-
-    /// A message that could not be encoded counts as one too many: a pong must not promise it.
-    fn take(&self, frame: &io::Result<Frame>) {
-        match frame {
-            Ok(frame) => self.push(frame.clone()),
-            Err(_) => self.is_behind.set(true),
-        }
-    }
-
-    fn take_all(&self) -> Vec<Frame> {
-        self.waiting.borrow_mut().drain(..).collect()
-    }
-}
-
-/// The entries that follow this one.
-#[derive(Debug, Default)]
-pub struct Publisher {
-    followers: RefCell<Vec<Rc<Outbox>>>,
-}
-
-impl Publisher {
-    /// Sends an update to all followers.
-    pub fn publish(&self, update: &Update) {
-        let followers = self.followers.borrow();
-        if followers.is_empty() {
-            return;
-        }
-        let frame = frame_of(&Message::Update(update.clone()));
-        followers.iter().for_each(|follower| follower.take(&frame));
-    }
-
-    /// The entries that have followed this one for longest.
-    fn successors(&self) -> Vec<IpAddr> {
-        let followers = self.followers.borrow();
-        followers.iter().take(SUCCESSORS).map(|follower| follower.ip).collect()
-    }
-
-    /// Entries that follow this one.
-    pub fn len(&self) -> usize {
-        self.followers.borrow().len()
-    }
-
-    /// Whether no entry follows this one.
-    pub fn is_empty(&self) -> bool {
-        self.followers.borrow().is_empty()
-    }
-}
-
-fn frame_of(told: &Message) -> io::Result<Frame> {
-    let is_config = matches!(told, Message::Update(Update::Config(_)));
-    Ok(Frame { bytes: peers::frame(told)?.into(), is_config })
-}
-
 impl State {
     /// What this entry offers to those that may follow it; `None` if it may not be followed.
     ///
@@ -237,12 +126,13 @@
         may_be_followed.then(|| Offer { followers, depth: self.depth(), store_ms })
     }
 
-    fn may_be_followed(&self) -> bool {
+    /// Whether this entry goes on serving those that follow it.
+    pub fn may_be_followed(&self) -> bool {
         !self.is_stopping.get() && self.depth() <= MAX_PARENT_DEPTH
     }
 
     /// Whether others may begin to follow this entry: what it asks the store is answered.
-    fn is_sound(&self) -> bool {
+    pub fn is_sound(&self) -> bool {
         self.may_be_followed() && (self.is_following.get() || self.lost_kinds.borrow().is_empty())
     }
 
@@ -308,100 +198,6 @@
         }
         self.unfollowed.notify_waiters();
     }
-
-    /// The engines of a service that this entry knows of, for an agent that has the list `known`.
-    fn peer_list(&self, service: &ServiceName, known: u64) -> PeerList {
-        let roster = self.roster.borrow();
-        let peer =
-            |listed: &Listed| PeerEndpoint { address: listed.address, zone: listed.zone.clone() };
-        PeerList::new(roster.engines_of(service).map(peer).collect(), known)
-    }
-}
-
-/// Serves the entries that follow this one, and agents that ask for peers, until the process ends.
-pub async fn serve(state: Rc<State>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(PING_EVERY).await;
-            continue;
-        };
-        if state.publisher.len() >= MAX_FOLLOWERS {
-            continue;
-        }
-        let state = state.clone();
-        spawn_local(async move {
-            // How it ended shows at the other side.
-            let _ = serve_one(&state, stream).await;
-        });
-    }
-}
-
-async fn serve_one(state: &State, mut stream: TcpStream) -> Result<()> {
-    link::prepare(&stream)?;
-    let hello = timeout(CONNECT_WITHIN, peers::read(&mut stream)).await;
-    match hello.map_err(|_| ReplicationError::Silent)?? {
-        Hello::Follow { ip, config } => {
-            let follower = Rc::new(Outbox::new(ip));
-            let ended = serve_follower(state, stream, &follower, config).await;
-            state.publisher.followers.borrow_mut().retain(|other| !Rc::ptr_eq(other, &follower));
-            ended
-        }
-        Hello::Peers { service, known } => {
-            if state.knows_all() {
-                peers::write(&mut stream, &state.peer_list(&service, known)).await?;
-            }
-            Ok(())
-        }
-    }
-}
-
-async fn serve_follower(
-    state: &State,
-    stream: TcpStream,
-    follower: &Rc<Outbox>,
-    config: Option<u64>,
-) -> Result<()> {
-    // Two entries that follow each other would each take the other's knowledge for confirmed.
-    let is_parent = state.parent.get().is_some_and(|(parent, _)| parent == follower.ip);
-    let (mut read, write) = stream.into_split();
-    let snapshot = state.snapshot(config);
-    snapshot.into_iter().for_each(|update| follower.take(&frame_of(&Message::Update(update))));
-    if !state.is_sound() || is_parent && state.is_following.get() {
-        follower.take(&frame_of(&Message::NotAvailable));
-    }
-    state.publisher.followers.borrow_mut().push(follower.clone());
-    tokio::select! {
-        ended = answer_pings(state, &mut read, follower) => ended,
-        ended = send_frames(write, follower) => ended,
-    }
-}
-
-async fn answer_pings(state: &State, read: &mut OwnedReadHalf, follower: &Outbox) -> Result<()> {
-    loop {
-        let asked_us = read.read_u64().await?;
-        let message = if state.may_be_followed() {
-            let successors = state.publisher.successors();
-            Message::Pong { asked_us, ages: state.ages(), depth: state.depth(), successors }
-        } else {
-            Message::NotAvailable
-        };
-        if follower.is_behind.get() {
-            return Err(ReplicationError::Broken);
-        }
-        follower.take(&frame_of(&message));
-    }
-}
-
-async fn send_frames(mut write: OwnedWriteHalf, follower: &Outbox) -> Result<()> {
-    loop {
-        let frames = follower.take_all();
-        if frames.is_empty() {
-            follower.added.notified().await;
-        }
-        for frame in frames {
-            write.write_all(&frame.bytes).await?;
-        }
-    }
 }
 
 /// Follows another entry whenever there is one, until the process ends.
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -29,7 +29,7 @@
 
 use super::metrics::Metrics;
 use super::pool::Pool;
-use super::replication::Publisher;
+use super::publisher::Publisher;
 use super::settings::DirectSettings;
 use crate::clock::BootClock;
 
