A test that fails: a follower that takes over after an outage dates a version to before it

Followers no longer ask the store during an outage, so their own watches did not count it as lost, and the first list after it dated the versions by the time since the last answer.

--- a/node/tests/direct/explain.rs
+++ b/node/tests/direct/explain.rs
@@ -1,3 +1,6 @@
+use std::path::Path;
+use std::path::PathBuf;
+
 use mastichaven_node::direct::explain::explain;
 use mastichaven_node::direct::explain::summarize;
 
@@ -53,12 +56,25 @@
     used_by(call, |rest| rest.split('"').nth(1).unwrap_or_default().to_owned())
 }
 
+fn files_below(folder: &Path) -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    for file in std::fs::read_dir(folder).unwrap() {
+        let path = file.unwrap().path();
+        if path.is_dir() {
+            found.extend(files_below(&path));
+        } else {
+            found.push(path);
+        }
+    }
+    found
+}
+
 /// What `read` takes from behind each `call` in the sources of the direct path.
 fn used_by(call: &str, read: impl Fn(&str) -> String) -> Vec<String> {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/src/direct");
     let mut found = Vec::new();
-    for file in std::fs::read_dir(folder).unwrap() {
-        let text = std::fs::read_to_string(file.unwrap().path()).unwrap();
+    for file in files_below(Path::new(folder)) {
+        let text = std::fs::read_to_string(file).unwrap();
         found.extend(text.split(call).skip(1).map(&read));
     }
     assert!(!found.is_empty(), "no use of {call}");
--- a/node/tests/direct/replication.rs
+++ b/node/tests/direct/replication.rs
@@ -198,3 +198,25 @@
     until("it is ready", || second.is_ready());
     assert_eq!(second.dump()["follows"], false);
 }
+
+// The store is away while a version is named, and the entry that asked it for the others is gone when it is
+// back. The entry that asks in its place takes the version for one that was named at the start of the outage,
+// and refuses callers for want of an endpoint that has loaded it.
+#[test]
+fn version_named_while_the_store_is_away_counts_from_its_return_for_a_follower() {
+    let pair = Pair::start("outage");
+    let is_served =
+        || pair.follower.ask("/stream/a", "s", "key-1").is_ok_and(|answer| answer.status == 200);
+    until("served", is_served);
+    // Its own watches of the store, from before it followed, end meanwhile.
+    std::thread::sleep(Duration::from_secs(5));
+    pair.site.origin.set_down(true);
+    pair.site.store.set_fault(StoreFault::Silent);
+    pair.site.store.put("versions", "m", serde_json::json!({"model": "m", "version": 2}));
+    pair.site.store.compact();
+    std::thread::sleep(Duration::from_millis(3_500));
+    pair.watcher.program.signal("KILL");
+    pair.site.store.set_fault(StoreFault::None);
+    until("the version is known", || pair.follower.dump()["weights"]["m"] == 2);
+    assert!(is_served());
+}
