An outage counts as such for entries that take over after it

Whether the store was lost is known to the whole entry now, not to each watch of its own: a probe that fails marks all kinds as lost until they are listed or a parent is followed. It also brings back the grace for endpoints whose entries lapsed during the outage.

--- a/node/src/direct/replication.rs
+++ b/node/src/direct/replication.rs
@@ -182,6 +182,7 @@
 
     fn begin_following(&self, parent: IpAddr) {
         self.is_joining.set(false);
+        self.lost_kinds.borrow_mut().clear();
         if !self.is_following.replace(true) {
             slog::info!(self.log, "following"; "parent" => parent.to_string());
         }
@@ -260,6 +261,10 @@
         let part = state.with_rng(|rng| rng.random_range(0.5..1.0));
         self.next = state.now() + self.pause.mul_f64(part);
         self.pause = (self.pause * 2).min(longest);
+        if !is_answered {
+            // What a list shows after this need not have been there for as long as it was not seen.
+            state.lost_kinds.borrow_mut().extend(Kind::ALL);
+        }
         is_answered
     }
 }
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -80,7 +80,6 @@
     client: StoreClient,
     kind: Kind,
     trouble_until: Option<Time>,
-    is_lost: bool,
     /// Whether versions of the configuration come faster than they can be watched.
     is_behind: bool,
     pause: Duration,
@@ -95,7 +94,6 @@
             state,
             kind,
             trouble_until: None,
-            is_lost: false,
             is_behind: false,
             pause: PAUSE_FIRST,
             evacuated: HashSet::new(),
@@ -145,7 +143,7 @@
     /// for want of weights. While the store is away no time counts.
     fn unseen_for(&self, sent: Time) -> Option<Duration> {
         let seen = self.state.confirmed.borrow().get(&self.kind).copied()?;
-        Some(if self.is_lost { Duration::ZERO } else { sent.since(seen) })
+        Some(if self.is_lost() { Duration::ZERO } else { sent.since(seen) })
     }
 
     /// Watches from `revision` on until its history is gone.
@@ -208,15 +206,19 @@
         }
     }
 
+    /// Whether the store did not answer this entry last.
+    fn is_lost(&self) -> bool {
+        self.state.lost_kinds.borrow().contains(&self.kind)
+    }
+
     fn answered(&mut self, sent: Time) {
         self.pause = PAUSE_FIRST;
-        self.state.lost_kinds.borrow_mut().remove(&self.kind);
+        let was_lost = self.state.lost_kinds.borrow_mut().remove(&self.kind);
         self.state.confirmed.borrow_mut().insert(self.kind, sent);
         if self.kind == Kind::Config {
             self.state.freshness.borrow_mut().confirm(sent);
         }
-        if self.is_lost {
-            self.is_lost = false;
+        if was_lost {
             let now = self.state.now();
             self.trouble_until = Some(now + LAPSE_AFTER_TROUBLE);
             slog::info!(self.state.log, "store regained"; "kind" => self.kind.as_str());
@@ -240,9 +242,7 @@
 
     async fn failed(&mut self, e: StoreError) {
         self.state.metrics.count("store_failures");
-        self.state.lost_kinds.borrow_mut().insert(self.kind);
-        if !self.is_lost {
-            self.is_lost = true;
+        if self.state.lost_kinds.borrow_mut().insert(self.kind) {
             let age = self.state.freshness.borrow().age(self.state.now());
             slog::warn!(self.state.log, "store lost"; "kind" => self.kind.as_str(),
                 "error" => e.as_str(),
