A test that fails: an entry that lost its parent leaves the next one before it has answered

Found by reading: the check for old knowledge runs from the connection on, so a parent whose first pong takes over 40 ms, behind a large configuration or on a full link, is left before it can tell that its knowledge is fresh.

--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod fixture;
 mod link;
 mod outcomes;
+mod parents;
 mod peers;
 mod replication;
 mod stops;
--- /dev/null
+++ b/node/tests/direct/parents.rs
@@ -0,0 +1,67 @@
+//! An entry that follows another one, against a parent that the test plays.
+
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mastichaven_core::direct::replication::Ages;
+use mastichaven_core::direct::replication::Hello;
+use mastichaven_core::direct::replication::Message;
+use mastichaven_node::direct::peers;
+use mastichaven_node::direct::replication;
+use mastichaven_node::direct::state::State;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::updates::state_with;
+
+const PARENT: IpAddr = IpAddr::V4(std::net::Ipv4Addr::new(127, 0, 0, 9));
+
+/// Answers the pings of one follower, the first one after `delay`, as an entry that asks the store.
+async fn serve_parent(listener: TcpListener, delay: Duration) -> std::io::Result<()> {
+    let (mut stream, _) = listener.accept().await?;
+    let _: Hello = peers::read(&mut stream).await?;
+    sleep(delay).await;
+    let age = Some(Duration::ZERO);
+    let ages = Ages { config: age, endpoints: age, evacuations: age, weights: age };
+    loop {
+        let asked_us = stream.read_u64().await?;
+        let pong = Message::Pong { asked_us, ages, depth: 0, successors: Vec::new() };
+        stream.write_all(&peers::frame(&pong)?).await?;
+    }
+}
+
+/// Whether an entry that has lost its parent follows one that answers after `delay`.
+async fn follows_after(delay: Duration) -> bool {
+    let listener = TcpListener::bind((PARENT, 0)).await.expect("a free port");
+    let port = listener.local_addr().expect("bound").port();
+    let state: Rc<State> = Rc::new(state_with(port));
+    state.is_joining.set(false);
+    state.is_following.set(true);
+    state.relay.set(Some(PARENT));
+    spawn_local(serve_parent(listener, delay));
+    spawn_local(replication::follow(state.clone()));
+    sleep(delay + Duration::from_millis(200)).await;
+    state.parent.get().is_some_and(|(parent, _)| parent == PARENT)
+}
+
+fn run(delay: Duration) -> bool {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), follows_after(delay))
+}
+
+#[test]
+fn follow_takes_the_parent_that_agents_name() {
+    assert!(run(Duration::ZERO));
+}
+
+// An entry has lost its parent, and the next one answers late, behind a large configuration. The entry takes its
+// own old knowledge for the new parent's, and never follows it.
+#[test]
+fn follow_waits_for_a_parent_that_answers_late() {
+    assert!(run(Duration::from_millis(150)));
+}
--- a/node/tests/direct/updates.rs
+++ b/node/tests/direct/updates.rs
@@ -37,7 +37,14 @@
 "#;
 
 fn state() -> State {
-    let cfg: DirectSettings = toml::from_str(SETTINGS).expect("complete settings");
+    state_with(1)
+}
+
+/// The state of an entry whose fleet listens at `agent_port`; its seed is nowhere.
+pub fn state_with(agent_port: u16) -> State {
+    let mut cfg: DirectSettings = toml::from_str(SETTINGS).expect("complete settings");
+    cfg.agent_port = agent_port;
+    cfg.seeds = vec![SocketAddr::from(([127, 0, 0, 3], 1))];
     State::new(cfg, slog::Logger::root(slog::Discard, slog::o!()), 1)
 }
 
