An entry that lost its parent waits for the first pong of the next one

Its knowledge counts as too old only once the new parent has shown that its own is fresh. Whether a parent was followed is that proof, too, not the time that the attempt took: a frozen parent now leaves its successors their head start.

--- a/node/src/direct/replication.rs
+++ b/node/src/direct/replication.rs
@@ -5,6 +5,7 @@
 //! arrived. When pongs stay away or tell of old knowledge, the follower tries the root, then asks the store
 //! itself. An entry that has just started asks the seeds of its settings first.
 
+use std::cell::Cell;
 use std::io;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -52,9 +53,6 @@
 const SUCCEEDS_WITHIN: Duration = Duration::from_millis(250);
 const SUCCESSOR_EVERY: Duration = Duration::from_millis(60);
 
-/// Time for which a parent was followed from which on its loss counts as one.
-const FOLLOWED_FOR: Duration = Duration::from_millis(300);
-
 /// First and longest pause between the probes with which an entry that follows nobody looks whether the store
 /// answers it. The longest one grows with the fleet, as one entry that finds the store is enough for all.
 const PROBE_FIRST: Duration = Duration::from_millis(100);
@@ -279,7 +277,7 @@
     let first = state.with_rng(|rng| rng.random_range(0..seeds.len()));
     let began = state.now();
     for seed in seeds.iter().cycle().skip(first) {
-        follow_one(state, *seed).await;
+        follow_one(state, *seed, &Cell::new(false)).await;
         if state.is_following.get() || state.now().passed(began, JOIN_WITHIN) {
             return;
         }
@@ -288,17 +286,15 @@
 }
 
 /// Follows those that agents name, one after the other as they are lost, until there is none. Tells why the
-/// last one was left and whether any was followed for a while.
+/// last one was left and whether any was followed.
 async fn follow_named(state: &Rc<State>) -> (ReplicationError, bool) {
     let mut ended = ReplicationError::NoParent;
     let mut has_followed = false;
     let mut tried = Vec::new();
     while let Some(parent) = state.next_parent(&tried) {
-        let began = state.now();
-        ended = follow_one(state, parent).await;
-        if state.now().passed(began, FOLLOWED_FOR) && ended != ReplicationError::Silent {
-            has_followed = true;
-        }
+        let is_proven = Cell::new(false);
+        ended = follow_one(state, parent, &is_proven).await;
+        has_followed |= is_proven.get();
         if ended == ReplicationError::Moved {
             tried.clear();
         } else {
@@ -309,8 +305,10 @@
 }
 
 /// Follows `parent` until it is lost or another one is named; tells why it ended.
-async fn follow_one(state: &Rc<State>, parent: IpAddr) -> ReplicationError {
-    match try_follow(state, parent).await {
+///
+/// Sets `is_proven` once the parent has shown that its knowledge is fresh.
+async fn follow_one(state: &Rc<State>, parent: IpAddr, is_proven: &Cell<bool>) -> ReplicationError {
+    match try_follow(state, parent, is_proven).await {
         Ok(()) => {
             state.successors.borrow_mut().clear();
             ReplicationError::Moved
@@ -319,7 +317,7 @@
     }
 }
 
-async fn try_follow(state: &Rc<State>, parent: IpAddr) -> Result<()> {
+async fn try_follow(state: &Rc<State>, parent: IpAddr, is_proven: &Cell<bool>) -> Result<()> {
     let asked = state.now();
     let address = SocketAddr::new(parent, state.cfg.agent_port);
     let connected = timeout(CONNECT_WITHIN, TcpStream::connect(address)).await;
@@ -330,8 +328,8 @@
     let (mut read, write) = stream.into_split();
     tokio::select! {
         ended = send_pings(state, write) => ended,
-        ended = receive(state, &mut read, parent, asked) => ended,
-        () = until_old(state) => Err(ReplicationError::Old),
+        ended = receive(state, &mut read, parent, asked, is_proven) => ended,
+        () = until_old(state, is_proven) => Err(ReplicationError::Old),
         () = until_another_is_named(state, parent) => Ok(()),
     }
 }
@@ -343,13 +341,14 @@
     }
 }
 
-/// Waits until what a follower knows of the endpoints is too old to go on with its parent.
-async fn until_old(state: &State) {
+/// Waits until what a follower knows of the endpoints is too old to go on with its parent, which is proven to be
+/// fresh at first.
+async fn until_old(state: &State, is_proven: &Cell<bool>) {
     loop {
         sleep(AGE_EVERY).await;
         let limit = leaves_at(state.depth(), state.is_successor());
         let age = state.ages().endpoints;
-        if state.is_following.get() && age.is_none_or(|age| age >= limit) {
+        if is_proven.get() && age.is_none_or(|age| age >= limit) {
             return;
         }
     }
@@ -375,9 +374,9 @@
     read: &mut OwnedReadHalf,
     parent: IpAddr,
     mut asked: Time,
+    is_proven: &Cell<bool>,
 ) -> Result<()> {
     let mut early = Vec::new();
-    let mut is_proven = false;
     loop {
         let message: Message = timeout(SILENT_AFTER, peers::read(read))
             .await
@@ -385,7 +384,7 @@
         match message {
             Message::Update(update) => {
                 let update = aged(update, state.now().since(asked));
-                if is_proven {
+                if is_proven.get() {
                     state.apply(update);
                 } else {
                     early.push(update);
@@ -400,17 +399,17 @@
                 if depth > MAX_PARENT_DEPTH {
                     return Err(ReplicationError::NotAvailable);
                 }
-                if !is_proven && !ages.may_join(state.now().since(asked)) {
+                if !is_proven.get() && !ages.may_join(state.now().since(asked)) {
                     return Err(ReplicationError::Old);
                 }
                 state.parent.set(Some((parent, depth + 1)));
                 *state.successors.borrow_mut() = successors;
-                if !is_proven {
-                    is_proven = true;
+                if !is_proven.get() {
                     state.begin_following(parent);
                     early.drain(..).for_each(|update| state.apply(update));
                 }
                 state.confirm(asked, &ages);
+                is_proven.set(true);
             }
         }
     }
