--- a/core/src/direct/replication.rs
+++ b/core/src/direct/replication.rs
@@ -68,7 +68,7 @@
     },
 }
 
-/// How old the knowledge of a watcher is. That of the configuration counts from when the read was sent
+/// How old the knowledge of an entry is. That of the configuration counts from when the read was sent
 /// that the store answered last, as the lease on keys does; the rest counts from when it ended.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Ages {
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -26,7 +26,7 @@
 pub const MAX_MESSAGE_LEN: u32 = 8 << 20;
 
 /// Messages from this length on are compressed: configurations with many routes, above all. While
-/// one of them goes to all followers, pongs wait behind it; the followers would take their watcher for too
+/// one of them goes to all followers, pongs wait behind it; the followers would take their parent for too
 /// old, turn to the store all at once, and fill its links for seconds.
 const COMPRESS_FROM: usize = 4 << 10;
 
--- a/node/src/direct/updates.rs
+++ b/node/src/direct/updates.rs
@@ -87,7 +87,7 @@
 
     /// The endpoints, those apart that this entry keeps though the store no longer lists them.
     ///
-    /// A watcher that was turned away by the store keeps lapsed endpoints for a while. An entry that
+    /// A parent that was turned away by the store keeps lapsed endpoints for a while. An entry that
     /// starts to follow it then may know better, as it heard in time that one of them has left. Were
     /// it told of that endpoint as of any other, it would send requests there again, seconds late.
     fn listed_endpoints(&self, roster: &Roster, now: Time) -> Update {
@@ -112,7 +112,7 @@
         }
     }
 
-    /// A watcher told how old its knowledge is, in answer to what it was asked at `asked`.
+    /// The parent told how old its knowledge is, in answer to what it was asked at `asked`.
     pub fn confirm(&self, asked: Time, ages: &Ages) {
         let seen = |age: Option<Duration>| age.and_then(|age| time_before(asked, age));
         if let Some(at) = seen(ages.config) {
--- a/node/tests/direct/updates.rs
+++ b/node/tests/direct/updates.rs
@@ -64,7 +64,7 @@
     }
 }
 
-fn tell_endpoints(state: &State, as_of: u64, ids: &[&str]) {
+fn apply_endpoints(state: &State, as_of: u64, ids: &[&str]) {
     let listed = ids.iter().map(|id| listed(id)).collect();
     state.apply(Update::Endpoints { as_of: Revision(as_of), listed, lapsed: Vec::new() });
 }
@@ -75,75 +75,64 @@
     ids
 }
 
-fn tell_all(from: &State, to: &State) {
+fn apply_snapshot(from: &State, to: &State) {
     to.is_following.set(true);
-    from.snapshot(None).into_iter().for_each(|news| to.apply(news));
+    from.snapshot(None).into_iter().for_each(|update| to.apply(update));
 }
 
-// The store turned one entry away while an endpoint left; back again, that entry keeps the endpoint for
-// a while, as it may only have lapsed. It has the lowest address of its region, so another entry that
-// saw the endpoint leave long ago begins to follow it. Callers' requests must not go there again.
+// A parent that the store turned away keeps a lapsed endpoint, and a new follower sends requests there again.
 #[test]
-fn all_news_does_not_bring_back_what_a_follower_saw_leave() {
-    let (watcher, follower) = (state(), state());
-    for entry in [&watcher, &follower] {
-        tell_endpoints(entry, 1, &["i-left", "i-stays"]);
+fn snapshot_does_not_bring_back_what_a_follower_saw_leave() {
+    let (parent, follower) = (state(), state());
+    for entry in [&parent, &follower] {
+        apply_endpoints(entry, 1, &["i-left", "i-stays"]);
     }
     follower.apply(Update::EndpointGone { id: "i-left".into(), last: Revision(1) });
-    watcher.lapsed.borrow_mut().insert("i-left".into(), Time::ZERO);
-    tell_all(&watcher, &follower);
+    parent.lapsed.borrow_mut().insert("i-left".into(), Time::ZERO);
+    apply_snapshot(&parent, &follower);
     assert_eq!(known(&follower), ["i-stays"]);
 }
 
-// The store was away for all. An endpoint whose entry lapsed meanwhile still lives, and its callers are
-// served by entries that follow, too, until the watcher knows more.
+// A live endpoint whose entry lapsed during an outage is lost to the entries that follow.
 #[test]
-fn all_news_keeps_lapsed_endpoints_that_a_follower_knows() {
-    let (watcher, follower) = (state(), state());
-    tell_endpoints(&watcher, 1, &["i-lapsed"]);
-    tell_endpoints(&follower, 1, &["i-lapsed", "i-unknown"]);
-    watcher.lapsed.borrow_mut().insert("i-lapsed".into(), Time::ZERO);
-    tell_all(&watcher, &follower);
+fn snapshot_keeps_lapsed_endpoints_that_a_follower_knows() {
+    let (parent, follower) = (state(), state());
+    apply_endpoints(&parent, 1, &["i-lapsed"]);
+    apply_endpoints(&follower, 1, &["i-lapsed", "i-unknown"]);
+    parent.lapsed.borrow_mut().insert("i-lapsed".into(), Time::ZERO);
+    apply_snapshot(&parent, &follower);
     assert_eq!(known(&follower), ["i-lapsed"]);
 }
 
-// An endpoint leaves. One entry reads at once that it is gone; the region's watcher is cut off from the
-// store just before and still lists it. The first entry begins to follow the watcher, whose knowledge is
-// a second old and thus young enough. Callers' requests went to the endpoint again, and were cut off
-// when it stopped. The cause: whoever began to follow took in what it was told, and nothing said which of
-// two lists is the newer one. Logs proved it of an endpoint that was leaving: an entry read so from the
-// store, and a quarter of a second later listed it as ready, from its watcher. Lists now carry the
-// store's revision.
+// A parent cut off from the store lists an endpoint that has left, and a new follower sends requests there.
 #[test]
-fn all_news_does_not_bring_back_what_an_older_list_still_shows() {
-    let (watcher, follower) = (state(), state());
-    tell_endpoints(&watcher, 3, &["i-left", "i-stays"]);
-    tell_endpoints(&follower, 3, &["i-left", "i-stays"]);
-    tell_endpoints(&follower, 5, &["i-stays"]);
-    tell_all(&watcher, &follower);
+fn snapshot_does_not_bring_back_what_an_older_list_still_shows() {
+    let (parent, follower) = (state(), state());
+    apply_endpoints(&parent, 3, &["i-left", "i-stays"]);
+    apply_endpoints(&follower, 3, &["i-left", "i-stays"]);
+    apply_endpoints(&follower, 5, &["i-stays"]);
+    apply_snapshot(&parent, &follower);
     assert_eq!(known(&follower), ["i-stays"]);
 }
 
-// The same with an endpoint that is new: the entry that knows it must not lose it to an older list.
+// A new endpoint is lost to an older list.
 #[test]
-fn all_news_keeps_what_an_older_list_does_not_show_yet() {
-    let (watcher, follower) = (state(), state());
-    tell_endpoints(&watcher, 3, &["i-stays"]);
-    tell_endpoints(&follower, 5, &["i-new", "i-stays"]);
-    tell_all(&watcher, &follower);
+fn snapshot_keeps_what_an_older_list_does_not_show_yet() {
+    let (parent, follower) = (state(), state());
+    apply_endpoints(&parent, 3, &["i-stays"]);
+    apply_endpoints(&follower, 5, &["i-new", "i-stays"]);
+    apply_snapshot(&parent, &follower);
     assert_eq!(known(&follower), ["i-new", "i-stays"]);
 }
 
-// An operator takes a zone out of service. One entry knows; the watcher that it begins to follow is cut
-// off from the store and does not. The entry sent requests into the zone again. The cause is that of lists
-// of endpoints: what was told last replaced what was known, whichever was newer. This test proved it.
+// An older state brings a zone back that was taken out of service.
 #[test]
-fn all_news_does_not_return_a_zone_that_an_older_state_shows_in_service() {
-    let (watcher, follower) = (state(), state());
+fn snapshot_does_not_return_a_zone_that_an_older_state_shows_in_service() {
+    let (parent, follower) = (state(), state());
     let zone = ZoneName::new("zone-a");
-    watcher.apply(Update::Evacuated { as_of: Revision(3), zones: Vec::new() });
+    parent.apply(Update::Evacuated { as_of: Revision(3), zones: Vec::new() });
     follower.apply(Update::Evacuated { as_of: Revision(5), zones: vec![zone.clone()] });
-    tell_all(&watcher, &follower);
+    apply_snapshot(&parent, &follower);
     let evacuated: Vec<ZoneName> = follower.roster.borrow().evacuated().cloned().collect();
     assert_eq!(evacuated, [zone]);
 }
@@ -159,9 +148,7 @@
     state.apply(Update::Config(Box::new(parts)));
 }
 
-// An entry starts while the links to the store are full. It gets the configuration and the endpoints, and
-// not yet the versions of weights. Taking requests then, it sends callers to endpoints with versions that
-// are barred on all other entries, and into zones that are out of service.
+// An entry that starts takes requests before it knows which versions and zones are barred.
 #[test]
 fn knows_all_needs_all_that_decides_where_requests_go() {
     let state = state();
@@ -175,10 +162,7 @@
     assert!(state.knows_all());
 }
 
-// A version is named while configurations fill the link from the store to a region. The reports of agents
-// elsewhere, which tell since when they know of it, wait for a second in the same queue. The region's
-// entries took that second for time before the naming, and sent requests to the older version past its
-// bound.
+// A report that waited on a full link makes a version look younger, and requests go to the older one too long.
 #[test]
 fn apply_report_dates_a_version_whose_report_was_long_under_way() {
     let state = state();
