Tests of the tree fix who is whose parent by a seed

The first reaches the store through a relay of the test; the root is chosen by the time of the store's answers, and beside load the relay made it the slower one. Two entries may take either shape. The second entry now starts with the first as its seed, so it never asks the store itself; what is asserted is unchanged.

--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -225,9 +225,11 @@
         self.start_entry(name, self.store.address(), &[])
     }
 
-    /// Starts an entry that reaches the store at `store` and may ask `seeds` first.
+    /// Starts an entry that reaches the store at `store` and may ask `seeds` first, and waits until it is ready.
     pub fn entry_seeded(&self, name: &str, store: SocketAddr, seeds: &[&Entry]) -> Entry {
-        self.start_entry(name, store, seeds)
+        let entry = self.start_entry(name, store, seeds);
+        until("the entry is ready", || entry.is_ready());
+        entry
     }
 
     fn start_entry(&self, name: &str, store: SocketAddr, seeds: &[&Entry]) -> Entry {
--- a/node/tests/direct/replication.rs
+++ b/node/tests/direct/replication.rs
@@ -15,8 +15,8 @@
 /// Longer than an entry may act on a configuration that the store does not confirm.
 const AWAY_FOR: Duration = Duration::from_secs(8);
 
-/// Two entries of one region with an agent that names them to each other. The first has the lower
-/// address, so it asks the store, and the second follows it.
+/// Two entries of one region with an agent that names them to each other. The first is the second's seed, so it
+/// asks the store, and the second follows it.
 struct Pair {
     site: Site,
     _desk: ServedEndpoint,
@@ -33,7 +33,8 @@
         let engine = site.endpoint("i-w", "writer", Some(1));
         let agent = site.agent(&format!("{name}-agent"), &engine);
         let parent = site.entry(&format!("{name}-parent"));
-        let follower = site.entry(&format!("{name}-follower"));
+        let at = site.store.address();
+        let follower = site.entry_seeded(&format!("{name}-follower"), at, &[&parent]);
         let pair = Pair { site, _desk: desk, _engine: engine, _agent: agent, parent, follower };
         until("the second entry follows", || pair.follows());
         pair
@@ -154,7 +155,7 @@
     let _agent = site.agent("away-agent", &engine);
     let door = site.store.door().expect("the store has another address");
     let parent = site.entry_at("away-parent", door.address());
-    let follower = site.entry("away-follower");
+    let follower = site.entry_seeded("away-follower", site.store.address(), &[&parent]);
     until("the second entry follows", || follower.dump()["follows"] == true);
     door.set_closed(true);
     let is_served = |key| parent.ask("/lookup/a", "a", key).is_ok_and(|a| a.status == 200);
@@ -173,7 +174,6 @@
     let door = site.store.door().expect("the store has another address");
     door.set_closed(true);
     let second = site.entry_seeded("seeded-second", door.address(), &[&seed]);
-    until("it is ready", || second.is_ready());
     assert!(second.ask("/lookup/a", "a", "key-1").is_ok_and(|answer| answer.status == 200));
     assert_eq!(second.dump()["depth"], 1);
 }
@@ -185,7 +185,6 @@
     let gone = site.entry("gone-first");
     gone.program.signal("KILL");
     let second = site.entry_seeded("gone-second", site.store.address(), &[&gone]);
-    until("it is ready", || second.is_ready());
     assert_eq!(second.dump()["follows"], false);
 }
 
