--- a/node/src/direct/agent.rs
+++ b/node/src/direct/agent.rs
@@ -65,7 +65,8 @@
     report: RefCell<Option<Report>>,
     is_ordering: Cell<bool>,
     subscribers: RefCell<Subscribers>,
-    told: Notify,
+    /// Signals that the setup or the newest version has changed.
+    updated: Notify,
     /// Signals that entries must hear of a change at once.
     report_now: Notify,
 }
@@ -103,7 +104,7 @@
         report: RefCell::default(),
         is_ordering: Cell::new(false),
         subscribers: RefCell::default(),
-        told: Notify::new(),
+        updated: Notify::new(),
         report_now: Notify::new(),
     });
     slog::info!(agent.log, "started"; "endpoint" => endpoint.to_string());
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -38,22 +38,22 @@
                 // An entry that is gone shows as an error on the next receive.
                 continue;
             };
-            let Ok(ask) = postcard::from_bytes::<ReportRequest>(&buf[..len]) else {
+            let Ok(req) = postcard::from_bytes::<ReportRequest>(&buf[..len]) else {
                 self.metrics.count("asks_unreadable");
                 continue;
             };
             let subscriber = Subscriber {
-                asked_us: ask.sent_us,
+                asked_us: req.sent_us,
                 at: self.clock.now(),
-                is_far: ask.is_far,
-                wants_reports: ask.wants_reports,
-                offer: ask.offer,
+                is_far: req.is_far,
+                wants_reports: req.wants_reports,
+                offer: req.offer,
             };
             self.subscribers.borrow_mut().renew(from, subscriber);
-            if let Some(told) = ask.setup {
-                self.take_setup(told);
+            if let Some(update) = req.setup {
+                self.apply_setup(update);
             }
-            for (model, version) in &ask.newest {
+            for (model, version) in &req.newest {
                 self.named(model, *version);
             }
         }
@@ -66,7 +66,7 @@
         let mut last: Option<LoadReport> = None;
         loop {
             let _ = timeout(REPORT_EVERY, self.report_now.notified()).await;
-            let setup = self.setup.borrow().as_ref().map(|told| told.setup.clone());
+            let setup = self.setup.borrow().as_ref().map(|update| update.setup.clone());
             let layers = setup.as_ref().map_or(0, |setup| setup.model.layers);
             let report = match self.staging.report(layers).await {
                 Ok(report) => report,
@@ -132,16 +132,16 @@
         let (relay, root) = (report.relay, report.root);
         let report = Some(report).filter(|_| setup != 0);
         let named = self.named_lately(now);
-        let mut told = ReportMessage { port, report, asked_us: 0, held_us: 0, setup, named };
+        let mut msg = ReportMessage { port, report, asked_us: 0, held_us: 0, setup, named };
         for (address, subscriber) in self.subscribers.borrow().receivers(is_for_all, now) {
             // Entries of other regions have a relay of their own, and hear of the root there.
-            if let Some(report) = &mut told.report {
+            if let Some(report) = &mut msg.report {
                 report.relay = relay.filter(|_| !subscriber.is_far);
                 report.root = root.filter(|_| !subscriber.is_far);
             }
-            told.asked_us = subscriber.asked_us;
-            told.held_us = now.since(subscriber.at).as_micros() as u64;
-            match postcard::to_stdvec(&told) {
+            msg.asked_us = subscriber.asked_us;
+            msg.held_us = now.since(subscriber.at).as_micros() as u64;
+            match postcard::to_stdvec(&msg) {
                 // A datagram may be lost anyway; the next report follows.
                 Ok(bytes) => drop(socket.try_send_to(&bytes, address)),
                 Err(e) => slog::error!(self.log, "report not encoded"; "error" => e.to_string()),
--- a/node/src/direct/agent/setup.rs
+++ b/node/src/direct/agent/setup.rs
@@ -34,7 +34,7 @@
 
 /// Time from the start after which an agent that no entry asks reads the setup in the store, drawn at
 /// random. Entries ask about a second after they start, later if the configuration is large.
-const UNTOLD_FOR: Range<Duration> = Duration::from_secs(3)..Duration::from_secs(6);
+const SETUP_PATIENCE: Range<Duration> = Duration::from_secs(3)..Duration::from_secs(6);
 
 /// How often peers are read again while chunks are missing. An entry of the zone is asked, and answers in a
 /// few bytes if nothing has changed.
@@ -59,9 +59,9 @@
         self.fetch_newest(&mut client).await;
         loop {
             let wait = if self.swarm.is_complete() { ALONE_EVERY } else { PEERS_EVERY };
-            let is_told = timeout(wait, self.told.notified()).await.is_ok();
+            let is_updated = timeout(wait, self.updated.notified()).await.is_ok();
             let is_alone = self.subscribers.borrow().len(self.clock.now()) == 0;
-            if is_told || !self.swarm.is_complete() {
+            if is_updated || !self.swarm.is_complete() {
                 self.fetch_peers(&mut client).await;
             }
             if is_alone || self.newest.get().is_none() {
@@ -72,11 +72,11 @@
 
     /// Waits until an entry has told the setup, or reads it in the store if none does.
     async fn until_set_up(&self, client: &mut StoreClient) {
-        let untold_for = rand::random_range(UNTOLD_FOR);
+        let patience = rand::random_range(SETUP_PATIENCE);
         while self.setup.borrow().is_none() {
-            let _ = timeout(LEARN_EVERY, self.told.notified()).await;
-            let is_untold = self.setup.borrow().is_none();
-            if is_untold && self.clock.now().passed(self.started, untold_for) {
+            let _ = timeout(LEARN_EVERY, self.updated.notified()).await;
+            let is_unset = self.setup.borrow().is_none();
+            if is_unset && self.clock.now().passed(self.started, patience) {
                 self.read_setup(client).await;
             }
         }
@@ -93,37 +93,37 @@
         let own = self.cfg.service.as_ref().and_then(|service| catalog.setup(service));
         let any = || catalog.services().find_map(|service| catalog.setup(&service.name));
         if let Some(setup) = own.or_else(any) {
-            self.take_setup(SetupUpdate { version: catalog.version(), setup });
+            self.apply_setup(SetupUpdate { version: catalog.version(), setup });
         }
     }
 
     /// Goes by a setup unless a newer one is known.
-    pub(super) fn take_setup(&self, told: SetupUpdate) {
+    pub(super) fn apply_setup(&self, update: SetupUpdate) {
         let known = self.setup.borrow().clone();
-        if known.as_ref().is_some_and(|known| known.version >= told.version) {
+        if known.as_ref().is_some_and(|known| known.version >= update.version) {
             return;
         }
         // Entries that have just started tell what is known already. Were that news, each agent would
         // read the peers anew for each of them.
-        let is_news = known.is_none_or(|known| known.setup != told.setup);
-        let origin = told.setup.origin.as_ref().map(|origin| origin.address);
-        let (model, version) = (told.setup.model.name.clone(), told.version);
-        *self.setup.borrow_mut() = Some(told);
+        let is_news = known.is_none_or(|known| known.setup != update.setup);
+        let origin = update.setup.origin.as_ref().map(|origin| origin.address);
+        let (model, version) = (update.setup.model.name.clone(), update.version);
+        *self.setup.borrow_mut() = Some(update);
         if is_news {
             slog::info!(self.log, "service known"; "model" => model.as_str(), "config" => version);
             self.swarm.set_origin(origin);
-            self.told.notify_one();
+            self.updated.notify_one();
         }
     }
 
     /// The model of the own service.
     pub(super) fn model(&self) -> Option<ModelShape> {
-        self.setup.borrow().as_ref().map(|told| told.setup.model.clone())
+        self.setup.borrow().as_ref().map(|update| update.setup.model.clone())
     }
 
     /// Whether all streams of the service can be continued elsewhere.
     pub(super) fn may_cut(&self) -> bool {
-        self.setup.borrow().as_ref().is_some_and(|told| told.setup.is_resumable)
+        self.setup.borrow().as_ref().is_some_and(|update| update.setup.is_resumable)
     }
 
     /// Chunks that first go to another region than the origin's cross one more border.
@@ -159,8 +159,10 @@
             let address = SocketAddr::new(ip, self.cfg.agent_port);
             match peers::ask(address, &hello, PEERS_WITHIN).await {
                 Ok(list) => return Some(list),
-                Err(e) => slog::info!(self.log, "peers not told"; "entry" => address.to_string(),
-                    "error" => e.as_str()),
+                Err(e) => {
+                    slog::info!(self.log, "peers not received"; "entry" => address.to_string(),
+                    "error" => e.as_str())
+                }
             }
         }
         None
@@ -230,6 +232,6 @@
         self.newest.set(Some((version, now)));
         self.versions.borrow_mut().name(version, now);
         self.swarm.want(model, version, self.held());
-        self.told.notify_one();
+        self.updated.notify_one();
     }
 }
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -122,28 +122,28 @@
             // An agent's host that is gone shows as an error on the next receive.
             continue;
         };
-        let Ok(told) = postcard::from_bytes::<ReportMessage>(&buf[..len]) else {
+        let Ok(msg) = postcard::from_bytes::<ReportMessage>(&buf[..len]) else {
             state.metrics.count("reports_unreadable");
             continue;
         };
-        let address = SocketAddr::new(from.ip(), told.port);
-        known.borrow_mut().insert(address, told.setup);
-        state.apply_report(&told, address, state.now());
+        let address = SocketAddr::new(from.ip(), msg.port);
+        known.borrow_mut().insert(address, msg.setup);
+        state.apply_report(&msg, address, state.now());
     }
 }
 
 impl State {
     /// Takes in what the agent beside the endpoint at `address` has sent.
-    pub fn apply_report(&self, told: &ReportMessage, address: SocketAddr, now: Time) {
-        let sent = Time::from_micros(told.asked_us.saturating_add(told.held_us)).min(now);
-        told.named.iter().for_each(|named| self.apply_named(named, sent, now));
-        let Some(report) = &told.report else {
+    pub fn apply_report(&self, msg: &ReportMessage, address: SocketAddr, now: Time) {
+        let sent = Time::from_micros(msg.asked_us.saturating_add(msg.held_us)).min(now);
+        msg.named.iter().for_each(|named| self.apply_named(named, sent, now));
+        let Some(report) = &msg.report else {
             return;
         };
         let draw = self.with_rng(|rng| rng.random::<f64>());
         let mut roster = self.roster.borrow_mut();
         roster.entries_counted(report.entries, report.has_heard_all, now);
-        let asked = Time::from_micros(told.asked_us);
+        let asked = Time::from_micros(msg.asked_us);
         if report.relay.is_some() {
             self.relay.set(report.relay);
         }
@@ -252,14 +252,14 @@
         let setup_of = || catalog.and_then(|catalog| catalog.setup(service));
         let setup = self.setups.entry(service.clone()).or_insert_with(setup_of);
         // Agents that do not report do not tell what they know; their own region's entries see to it.
-        let is_untold = |setup: &&ModelSetup| reach != Reach::Uncovered && setup.id() != known_id;
-        let untold = setup.as_ref().filter(is_untold);
-        let key = (service.clone(), reach, untold.is_some());
+        let is_unknown = |setup: &&ModelSetup| reach != Reach::Uncovered && setup.id() != known_id;
+        let missing = setup.as_ref().filter(is_unknown);
+        let key = (service.clone(), reach, missing.is_some());
         if let Some(bytes) = self.encoded.get(&key) {
             return Ok(bytes.clone());
         }
         let version = catalog.map_or(0, |catalog| catalog.version());
-        let setup = untold.map(|setup| SetupUpdate { version, setup: setup.clone() });
+        let setup = missing.map(|setup| SetupUpdate { version, setup: setup.clone() });
         let ask = ReportRequest {
             sent_us: self.sent_us,
             newest: self.newest.clone(),
