--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -99,7 +99,7 @@
     pub weights: Vec<(SmolStr, u64)>,
     /// When it started, in milliseconds of the Unix epoch.
     pub born: u64,
-    /// Entries that this agent has heard of lately.
+    /// Entries that have asked this agent or announced themselves lately.
     pub entries: u32,
     /// Those of them that are sent its reports, and so share the endpoint's free places.
     pub readers: u32,
--- a/core/src/direct/replication.rs
+++ b/core/src/direct/replication.rs
@@ -48,7 +48,7 @@
         /// Revision of its last entry: a higher one is of a later life.
         last: Revision,
     },
-    /// All changes of endpoints up to this revision of the store have been told.
+    /// All changes of endpoints up to this revision of the store have been sent.
     EndpointsSeen(Revision),
     /// All zones that are taken out of service.
     Evacuated {
--- a/core/tests/direct/subscribers.rs
+++ b/core/tests/direct/subscribers.rs
@@ -19,7 +19,7 @@
     Subscriber { asked_us: 0, at: now(ms), is_far: false, wants_reports: true, offer }
 }
 
-fn heard(subscribers: &mut Subscribers, n: u8, followers: Option<u32>, ms: u64) {
+fn renew(subscribers: &mut Subscribers, n: u8, followers: Option<u32>, ms: u64) {
     subscribers.renew(SocketAddr::new(ip(n), 7), subscriber(followers, 0, ms));
 }
 
@@ -28,20 +28,20 @@
 #[test]
 fn relay_changes_when_the_store_turns_it_away() {
     let mut subscribers = Subscribers::default();
-    heard(&mut subscribers, 1, Some(2), 0);
-    heard(&mut subscribers, 2, None, 0);
-    heard(&mut subscribers, 3, None, 0);
+    renew(&mut subscribers, 1, Some(2), 0);
+    renew(&mut subscribers, 2, None, 0);
+    renew(&mut subscribers, 3, None, 0);
     assert_eq!(subscribers.relay(now(10)), Some(ip(1)));
-    heard(&mut subscribers, 1, None, 1_500);
-    heard(&mut subscribers, 3, Some(0), 1_500);
-    heard(&mut subscribers, 2, Some(0), 1_500);
+    renew(&mut subscribers, 1, None, 1_500);
+    renew(&mut subscribers, 3, Some(0), 1_500);
+    renew(&mut subscribers, 2, Some(0), 1_500);
     assert_eq!(subscribers.relay(now(1_510)), Some(ip(2)));
 }
 
 #[test]
 fn relay_that_falls_silent_is_not_named() {
     let mut subscribers = Subscribers::default();
-    heard(&mut subscribers, 1, Some(2), 0);
+    renew(&mut subscribers, 1, Some(2), 0);
     assert_eq!(subscribers.relay(now(900)), Some(ip(1)));
     assert_eq!(subscribers.relay(now(1_100)), None);
 }
@@ -62,7 +62,7 @@
 #[test]
 fn receivers_spares_other_regions_now_and_then() {
     let mut subscribers = Subscribers::default();
-    heard(&mut subscribers, 1, None, 0);
+    renew(&mut subscribers, 1, None, 0);
     let far = Subscriber { is_far: true, ..subscriber(Some(3), 0, 0) };
     subscribers.renew(SocketAddr::new(ip(2), 7), far);
     assert_eq!(subscribers.receivers(false, now(100)).count(), 1);
@@ -75,7 +75,7 @@
 #[test]
 fn receivers_are_those_that_want_reports() {
     let mut subscribers = Subscribers::default();
-    heard(&mut subscribers, 1, None, 0);
+    renew(&mut subscribers, 1, None, 0);
     let announced = Subscriber { is_far: true, wants_reports: false, ..subscriber(None, 0, 0) };
     subscribers.renew(SocketAddr::new(ip(2), 7), announced);
     assert_eq!(subscribers.receivers(true, now(100)).count(), 1);
--- a/node/src/direct/agent.rs
+++ b/node/src/direct/agent.rs
@@ -60,7 +60,7 @@
     versions: RefCell<Versions>,
     /// This host's place among the hosts that load, and their number.
     rank: Cell<(u32, u32)>,
-    /// Id of the list of peers that an entry told last.
+    /// Id of the list of peers that an entry sent last.
     peer_list: Cell<u64>,
     report: RefCell<Option<Report>>,
     is_ordering: Cell<bool>,
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -13,10 +13,10 @@
 
 use super::Agent;
 use crate::direct::load_reports::FAR_EVERY;
-use crate::direct::load_reports::MAX_DATAGRAM_LEN;
 use crate::direct::load_reports::NamedVersion;
 use crate::direct::load_reports::ReportMessage;
 use crate::direct::load_reports::ReportRequest;
+use crate::direct::load_reports::receive;
 
 /// How often the endpoint is asked for its load, which is free on its own host.
 pub(super) const REPORT_EVERY: Duration = Duration::from_millis(100);
@@ -32,13 +32,8 @@
 impl Agent {
     /// Takes in what entries ask and tell.
     pub(super) async fn listen(self: Rc<Self>, socket: Rc<UdpSocket>) {
-        let mut buf = vec![0; MAX_DATAGRAM_LEN];
         loop {
-            let Ok((len, from)) = socket.recv_from(&mut buf).await else {
-                // An entry that is gone shows as an error on the next receive.
-                continue;
-            };
-            let Ok(req) = postcard::from_bytes::<ReportRequest>(&buf[..len]) else {
+            let Some((req, from)) = receive::<ReportRequest>(&socket).await else {
                 self.metrics.count("asks_unreadable");
                 continue;
             };
--- a/node/src/direct/agent/setup.rs
+++ b/node/src/direct/agent/setup.rs
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Waits until an entry has told the setup, or reads it in the store if none does.
+    /// Waits until an entry has sent the setup, or reads it in the store if none does.
     async fn until_set_up(&self, client: &mut StoreClient) {
         let patience = rand::random_range(SETUP_PATIENCE);
         while self.setup.borrow().is_none() {
@@ -103,7 +103,7 @@
         if known.as_ref().is_some_and(|known| known.version >= update.version) {
             return;
         }
-        // Entries that have just started tell what is known already. Were that news, each agent would
+        // Entries that have just started send what is known already. Were that a change, each agent would
         // read the peers anew for each of them.
         let is_news = known.is_none_or(|known| known.setup != update.setup);
         let origin = update.setup.origin.as_ref().map(|origin| origin.address);
@@ -219,7 +219,7 @@
         self.named(&model, version.unwrap_or(FIRST_VERSION));
     }
 
-    /// A version was named. Lower ones than known are old news.
+    /// A version was named. Lower ones than known are ignored.
     pub(super) fn named(&self, model: &SmolStr, version: u64) {
         if self.model().is_none_or(|own| own.name != *model) {
             return;
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -24,6 +24,7 @@
 use rand::RngExt;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -111,18 +112,25 @@
 /// Ids of the setups that agents go by, by the address of their endpoint.
 type KnownSetups = Rc<RefCell<HashMap<SocketAddr, u32>>>;
 
+/// The next datagram and its sender; `None` if it cannot be read.
+pub async fn receive<T: DeserializeOwned>(socket: &UdpSocket) -> Option<(T, SocketAddr)> {
+    let mut buf = [0; MAX_DATAGRAM_LEN];
+    loop {
+        // A host that is gone shows as an error on the next receive.
+        if let Ok((len, from)) = socket.recv_from(&mut buf).await {
+            let message = postcard::from_bytes(&buf[..len]).ok()?;
+            return Some((message, from));
+        }
+    }
+}
+
 /// Asks all agents and takes in their reports until the process ends.
 pub async fn follow(state: Rc<State>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     let known = KnownSetups::default();
     tokio::task::spawn_local(ask_all(state.clone(), socket.clone(), known.clone()));
-    let mut buf = vec![0; MAX_DATAGRAM_LEN];
     loop {
-        let Ok((len, from)) = socket.recv_from(&mut buf).await else {
-            // An agent's host that is gone shows as an error on the next receive.
-            continue;
-        };
-        let Ok(msg) = postcard::from_bytes::<ReportMessage>(&buf[..len]) else {
+        let Some((msg, from)) = receive::<ReportMessage>(&socket).await else {
             state.metrics.count("reports_unreadable");
             continue;
         };
@@ -193,7 +201,7 @@
     }
 }
 
-/// Agents of all regions name the root, so an entry that may be it is heard more often.
+/// Agents of all regions name the root, so an entry that may be it announces itself more often.
 fn announce_every(state: &State, round: u32) -> u32 {
     if state.is_direct() || round < STARTING_ROUNDS { FAR_EVERY } else { ANNOUNCE_EVERY }
 }
--- a/node/src/direct/publisher.rs
+++ b/node/src/direct/publisher.rs
@@ -133,9 +133,9 @@
     }
 }
 
-fn frame_of(told: &Message) -> io::Result<Frame> {
-    let is_config = matches!(told, Message::Update(Update::Config(_)));
-    Ok(Frame { bytes: peers::frame(told)?.into(), is_config })
+fn frame_of(message: &Message) -> io::Result<Frame> {
+    let is_config = matches!(message, Message::Update(Update::Config(_)));
+    Ok(Frame { bytes: peers::frame(message)?.into(), is_config })
 }
 
 impl State {
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -84,9 +84,9 @@
     pub is_stopping: Cell<bool>,
     /// When the read of each kind was sent that the store answered last.
     pub confirmed: RefCell<HashMap<Kind, Time>>,
-    /// The entry that the others of the region follow, as agents told last.
+    /// The entry that the others of the region follow, as agents named it last.
     pub relay: Cell<Option<IpAddr>>,
-    /// The entry that watches the store for all regions, as agents told last.
+    /// The entry that watches the store for all regions, as agents named it last.
     pub root: Cell<Option<IpAddr>>,
     /// The entry that this one follows, and the distance from the store that it has with it.
     pub parent: Cell<Option<(IpAddr, u8)>>,
--- a/node/src/direct/updates.rs
+++ b/node/src/direct/updates.rs
@@ -112,7 +112,7 @@
         }
     }
 
-    /// The parent told how old its knowledge is, in answer to what it was asked at `asked`.
+    /// The parent reported how old its knowledge is, in answer to what it was asked at `asked`.
     pub fn confirm(&self, asked: Time, ages: &Ages) {
         let seen = |age: Option<Duration>| age.and_then(|age| time_before(asked, age));
         if let Some(at) = seen(ages.config) {
--- a/node/tests/direct/replication.rs
+++ b/node/tests/direct/replication.rs
@@ -58,7 +58,7 @@
     let before = pair.site.store.calls();
     std::thread::sleep(Duration::from_secs(3));
     let a_second = (pair.site.store.calls() - before) as f64 / 3.0;
-    // The parent's four watches take 3.5 calls a second, the agent asks nothing.
+    // The parent's watches only; the agent asks nothing.
     assert!(a_second < 4.0, "{a_second} calls a second");
     assert!(pair.takes_key("key-2"));
     pair.site.configure(5, &["key-1"], true);
@@ -207,3 +207,19 @@
     until("the version is known", || pair.follower.dump()["weights"]["m"] == 2);
     assert!(is_served());
 }
+
+// Two entries without seeds never settle on which of them asks the store, or both follow each other.
+#[test]
+fn entries_without_seeds_settle_on_one_that_asks_the_store() {
+    let site = Site::start();
+    let _desk = site.endpoint("i-d", "desk", None);
+    let engine = site.endpoint("i-w", "writer", Some(1));
+    let _agent = site.agent("settle-agent", &engine);
+    let first = site.entry("settle-first");
+    let second = site.entry("settle-second");
+    let follows = |entry: &Entry| entry.dump()["follows"] == true;
+    until("one follows the other", || follows(&first) != follows(&second));
+    std::thread::sleep(Duration::from_secs(4));
+    assert_ne!(follows(&first), follows(&second));
+    assert!(first.is_ready() && second.is_ready());
+}
--- a/node/tests/direct/updates.rs
+++ b/node/tests/direct/updates.rs
@@ -168,7 +168,7 @@
     let state = state();
     state.apply(Update::Weights { model: "m".into(), version: 1, ago: None });
     let named = NamedVersion { model: "m".into(), version: 2, known_for_ms: 200 };
-    let told = ReportMessage {
+    let msg = ReportMessage {
         port: 9,
         report: None,
         asked_us: Time::from_millis(8_500).as_micros(),
@@ -177,7 +177,7 @@
         named: vec![named],
     };
     let address = SocketAddr::from(([127, 0, 0, 1], 9));
-    state.apply_report(&told, address, Time::from_millis(10_000));
+    state.apply_report(&msg, address, Time::from_millis(10_000));
     let named_at = state.versions.borrow()["m"].named_at(2);
     assert_eq!(named_at, Some(Time::from_millis(8_400)));
 }
