--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -495,4 +495,9 @@
             endpoint.refused(now);
         }
     }
+
+    /// The endpoint said that a request was meant for another process or for other weights.
+    pub fn misdirected(&mut self, key: EndpointKey, now: Time) {
+        self.refused(key, now);
+    }
 }
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -548,3 +548,57 @@
     let now_covered = roster.engines().filter(|(_, reach)| *reach == Reach::Far).count();
     assert_eq!(now_covered, covered.len());
 }
+
+/// The process that follows `n` at its address, under an id of its own.
+fn restarted(n: u8, zone: &str) -> Listed {
+    let weights = Vec::new();
+    Listed { id: format!("i-{n}-again").into(), born: 20, weights, ..listed(n, zone) }
+}
+
+// Guards against requests to engines that lost power: the list shows the old process for seconds.
+#[test]
+fn choose_avoids_a_process_that_another_has_followed() {
+    let mut roster = roster();
+    roster.put(Listed { born: 10, ..listed(1, "lagoa") }, now(0));
+    let later = LoadReport { born: 20, ..report(0) };
+    roster.reported(address(1), &later, now(0), NEAR, DRAW, now(10));
+    assert_eq!(choose(&mut roster, now(11)), Err(Unavailable::None));
+}
+
+// Guards against a restarted engine that serves again and gets nothing until the old entry lapses.
+#[test]
+fn choose_finds_the_process_that_followed_while_both_are_listed() {
+    let mut roster = roster();
+    roster.put(Listed { born: 10, ..listed(1, "lagoa") }, now(0));
+    roster.put(restarted(1, "lagoa"), now(5));
+    assert_eq!(choose(&mut roster, now(6)), Err(Unavailable::None));
+    let loaded = LoadReport { born: 20, ..report(0) };
+    roster.reported(address(1), &loaded, now(10), NEAR, DRAW, now(10));
+    assert_eq!(chosen(&mut roster, now(11)), "i-1-again");
+    // Late news of the old process change nothing.
+    roster.put(Listed { born: 10, ..listed(1, "lagoa") }, now(20));
+    assert_eq!(chosen(&mut roster, now(21)), "i-1-again");
+    roster.remove("i-1", Revision(1));
+    assert_eq!(chosen(&mut roster, now(31)), "i-1-again");
+}
+
+// Guards against entries of the list that come in the other order.
+#[test]
+fn put_does_not_prefer_an_old_process_that_is_listed_late() {
+    let mut roster = roster();
+    roster.put(Listed { weights: vec![("m".into(), 1)], ..restarted(1, "lagoa") }, now(0));
+    roster.put(Listed { born: 10, ..listed(1, "lagoa") }, now(5));
+    assert_eq!(chosen(&mut roster, now(6)), "i-1-again");
+}
+
+// Guards against repeated requests to an endpoint whose address another process has.
+#[test]
+fn misdirected_spares_an_endpoint_until_the_list_has_changed() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    roster.put(listed(2, "serra"), now(0));
+    let key = choose(&mut roster, now(1)).expect("an endpoint");
+    roster.misdirected(key, now(2));
+    assert_eq!(chosen(&mut roster, now(400)), "i-2");
+    assert_eq!(chosen(&mut roster, now(800)), "i-1");
+}
