An engine that has started again serves as soon as it holds its weights

The roster looks endpoints up by address now, tells all of them which process started there last, and sends nothing to one that a later process has followed; an endpoint that answers 421 is spared for 0.6 s.

--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -37,6 +37,10 @@
 /// How long an endpoint that refused as full is spared: about until its next report.
 const FULL_FOR: Duration = Duration::from_millis(120);
 
+/// How long an endpoint is spared that said a request was meant for another process: about half the
+/// interval at which endpoints renew their entry in the platform's list.
+const MISDIRECTED_FOR: Duration = Duration::from_millis(600);
+
 /// Time in which an engine reads a prompt of usual length beside the streams that it writes.
 ///
 /// Reports are 100 ms apart. Whenever an engine had just become free, all entries would see it as the
@@ -157,6 +161,8 @@
     affinity: u64,
     /// Whether this entry sends requests there and is sent its load reports.
     is_covered: bool,
+    /// Whether a later process listens at its address.
+    is_superseded: bool,
     cold_until: Time,
     load: Option<Load>,
     /// Requests of this entry that are there now.
@@ -173,6 +179,7 @@
         Endpoint {
             affinity,
             is_covered: true,
+            is_superseded: false,
             cold_until: now + listed.cold_for,
             listed,
             region,
@@ -237,9 +244,21 @@
         }
     }
 
-    /// Whether a report is of another process at the same address.
-    pub(super) fn is_other_life(&self, report: &LoadReport) -> bool {
-        report.born != 0 && self.listed.born != 0 && self.listed.born != report.born
+    /// Whether a process that started at `born` is another one than this.
+    pub(super) fn is_other_life(&self, born: u64) -> bool {
+        born != 0 && self.listed.born != 0 && self.listed.born != born
+    }
+
+    /// A process that started at `born` listens at its address. One that started later has taken its place.
+    ///
+    /// The platform's list shows a process that has crashed for seconds beside the one that follows it.
+    pub(super) fn seen_at_address(&mut self, born: u64) {
+        self.is_superseded |= self.is_other_life(born) && born > self.listed.born;
+    }
+
+    /// Whether a later process listens at its address.
+    pub(super) fn is_superseded(&self) -> bool {
+        self.is_superseded
     }
 
     /// Its agent reported. Of the free places this entry may take `part`, and one more with the
@@ -351,6 +370,11 @@
         self.full_until = now + FULL_FOR;
     }
 
+    /// It said that a request was meant for another process or for other weights.
+    pub(super) fn misdirected(&mut self, now: Time) {
+        self.full_until = now + MISDIRECTED_FOR;
+    }
+
     /// All that is known of it now.
     pub(super) fn dump(&self, now: Time) -> serde_json::Value {
         let load = self.load.as_ref();
@@ -359,6 +383,7 @@
             "service": self.listed.service,
             "zone": self.listed.zone,
             "draining": self.listed.is_draining,
+            "superseded": self.is_superseded,
             "weights": self.listed.weights,
             "own": self.own,
             "others": load.map(|load| load.others),
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -97,6 +97,8 @@
     endpoints: Arena<Endpoint>,
     by_id: HashMap<SmolStr, EndpointKey>,
     by_service: HashMap<ServiceName, Vec<EndpointKey>>,
+    /// Several while the list shows a process that has crashed beside the one that follows it.
+    by_address: HashMap<SocketAddr, Vec<EndpointKey>>,
     /// Revision of the store up to which all changes of endpoints are known.
     as_of: Revision,
     evacuated: HashSet<ZoneName>,
@@ -118,6 +120,7 @@
             endpoints: Arena::new(),
             by_id: HashMap::new(),
             by_service: HashMap::new(),
+            by_address: HashMap::new(),
             as_of: Revision::default(),
             evacuated: HashSet::new(),
             evacuated_as_of: Revision::default(),
@@ -197,14 +200,31 @@
         let region = self.regions.get(&listed.zone).cloned().unwrap_or_default();
         let id = listed.id.clone();
         let service = listed.service.clone();
+        let address = listed.address;
         let pair = format!("{} {}", self.host.as_str(), listed.address);
         let affinity = key_of(Digest::of(pair.as_bytes()));
         let key = self.endpoints.insert(Endpoint::new(listed, region, affinity, now));
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
+        self.by_address.entry(address).or_default().push(key);
+        self.note_lives(address);
         true
     }
 
+    /// Tells all endpoints at an address which process started there last.
+    fn note_lives(&mut self, address: SocketAddr) {
+        let keys = self.by_address.get(&address).map(Vec::as_slice).unwrap_or_default();
+        let born = |key: &EndpointKey| Some(self.endpoints.get(*key)?.listed().born);
+        let Some(latest) = keys.iter().filter_map(born).max() else {
+            return;
+        };
+        for key in keys {
+            if let Some(endpoint) = self.endpoints.get_mut(*key) {
+                endpoint.seen_at_address(latest);
+            }
+        }
+    }
+
     /// An endpoint is gone, whose entry was last changed at `last`. It stays if it has come back since.
     pub fn remove(&mut self, id: &str, last: Revision) {
         self.delete(id, last);
@@ -235,12 +255,23 @@
             return;
         };
         self.by_id.remove(id);
-        self.endpoints.remove(key);
+        if let Some(endpoint) = self.endpoints.remove(key) {
+            self.forget_address(endpoint.listed().address, key);
+        }
         for list in self.by_service.values_mut() {
             list.retain(|other| *other != key);
         }
     }
 
+    fn forget_address(&mut self, address: SocketAddr, key: EndpointKey) {
+        if let Some(keys) = self.by_address.get_mut(&address) {
+            keys.retain(|other| *other != key);
+            if keys.is_empty() {
+                self.by_address.remove(&address);
+            }
+        }
+    }
+
     /// The zones to whose endpoints nothing may be sent, with all changes up to `as_of`. False if that is
     /// older than what is known: it would send requests into a zone that was taken out since.
     pub fn set_evacuated(&mut self, zones: HashSet<ZoneName>, as_of: Revision) -> bool {
@@ -258,7 +289,7 @@
     }
 
     /// An agent reported on the endpoint at `address` in answer to what it was asked at `asked`, over
-    /// a way that took `round_trip` there and back. Reports of another life are ignored. `draw` from 0
+    /// a way that took `round_trip` there and back. A report of a later process shows that the listed one is gone. `draw` from 0
     /// to 1 decides whether this entry gets a place that is too few to share.
     pub fn reported(
         &mut self,
@@ -272,17 +303,17 @@
         // All entries see a place that has become free at the same moment. If each took it, an endpoint
         // that was just full would have a queue of as many requests as there are entries.
         let part = (OVERBOOKED / f64::from(report.readers.max(1))).min(1.0);
-        let found = self.endpoints.iter().find(|(_, one)| one.listed().address == address);
-        let Some(key) = found.map(|(key, _)| key) else {
-            return;
-        };
-        let Some(endpoint) = self.endpoints.get_mut(key) else {
-            return;
-        };
-        if !endpoint.is_other_life(report) {
-            let is_far = *endpoint.region() != self.region;
-            let way = Way { at: now, asked, round_trip, is_far };
-            endpoint.reported(report, way, part, draw);
+        let keys = self.by_address.get(&address).map(Vec::as_slice).unwrap_or_default();
+        for key in keys {
+            let Some(endpoint) = self.endpoints.get_mut(*key) else {
+                continue;
+            };
+            endpoint.seen_at_address(report.born);
+            if !endpoint.is_other_life(report.born) {
+                let is_far = *endpoint.region() != self.region;
+                let way = Way { at: now, asked, round_trip, is_far };
+                endpoint.reported(report, way, part, draw);
+            }
         }
     }
 
@@ -334,7 +365,7 @@
 
     /// Whether an endpoint listens at `address`.
     pub fn has_address(&self, address: SocketAddr) -> bool {
-        self.endpoints.iter().any(|(_, endpoint)| endpoint.listed().address == address)
+        self.by_address.contains_key(&address)
     }
 
     /// All endpoints as the list shows them, with the cold time that is left.
@@ -425,7 +456,11 @@
         });
         // A plain service takes any request, whatever model its caller names.
         let holds = holds || !endpoint.listed().is_engine;
-        endpoint.is_covered() && self.is_open(key) && need.regions.iter().all(in_region) && holds
+        endpoint.is_covered()
+            && !endpoint.is_superseded()
+            && self.is_open(key)
+            && need.regions.iter().all(in_region)
+            && holds
     }
 
     /// Whether an endpoint is warm, or it is this entry's turn to send it a request.
@@ -496,8 +531,11 @@
         }
     }
 
-    /// The endpoint said that a request was meant for another process or for other weights.
+    /// The endpoint said that a request was meant for another process or for other weights: what is known
+    /// of it is out of date.
     pub fn misdirected(&mut self, key: EndpointKey, now: Time) {
-        self.refused(key, now);
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.misdirected(now);
+        }
     }
 }
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -138,7 +138,7 @@
             Outcome::NotRun
         }
         Verdict::Misdirected => {
-            state.roster.borrow_mut().refused(endpoint, state.now());
+            state.roster.borrow_mut().misdirected(endpoint, state.now());
             state.metrics.count("endpoint_misdirected");
             Outcome::NotRun
         }
