Entries hand out chunks of weights to the hosts of their region

Cause: a host's link carries 7.6 Mbit/s, and in a swarm of hosts each copy crosses two of those. A version was whole after 3.8 to 4.1 s where 2.2 s are possible; after an origin that was away nobody might answer for as long. Entries have links of 40 to 200 Mbit/s and use a hundredth of a core.

For each chunk one entry of a region, by rendezvous hashing over those that ask the agents, hands it to the region's hosts; four entries of the origin's region pull the version, in one order, as fast as the origin sends. The agent names entry, puller and digest in its ask, so entries need no map of their own. The swarm goes on beside it, alone for a host that is new while a neighbour has all of the version, and takes over what caches fail to bring.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -4,9 +4,11 @@
 //! can bear, `choice` which of them a request goes to, [`lateness`] which requests yield to others,
 //! [`shares`] how much of a fleet-wide bound one entry may use, [`freshness`] whether what the
 //! entry knows is young enough to act on, [`events`] where a broken stream resumes, [`versions`]
-//! which weights may answer, and [`rollout`] when an endpoint loads a new version. [`replication`] is what
+//! which weights may answer, [`caches`] which entries hand out chunks of them, and [`rollout`] when an
+//! endpoint loads a new version. [`replication`] is what
 //! entries pass on to each other of the store, and [`subscribers`] are the entries that an agent hears of.
 
+pub mod caches;
 pub mod catalog;
 mod choice;
 pub mod endpoint;
--- a/core/src/direct/replication.rs
+++ b/core/src/direct/replication.rs
@@ -99,6 +99,25 @@
         /// Id of the list that it has; 0 if it has none.
         known: u64,
     },
+    /// An agent, or an entry of another region, asks for a chunk of weights.
+    Chunk(ChunkAsk),
+}
+
+/// Asks an entry for a chunk of weights.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ChunkAsk {
+    /// The model.
+    pub model: SmolStr,
+    /// Its version.
+    pub version: u64,
+    /// The chunk's place in the version.
+    pub index: u32,
+    /// SHA-256 of the chunk.
+    pub digest: Digest,
+    /// The entry that pulls it from the origin; `None` if the one that is asked is to do that.
+    pub puller: Option<IpAddr>,
+    /// Chunks that whoever pulls this one is to pull next, in this order: place and SHA-256.
+    pub next: Vec<(u32, Digest)>,
 }
 
 /// An endpoint of a service, and where it stands.
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -330,6 +330,11 @@
         self.entries = self.entry_count.highest().unwrap_or(entries).max(1);
     }
 
+    /// The number of entries that agents have counted, `None` before the first count.
+    pub fn entries_known(&self) -> Option<u32> {
+        self.entry_count.highest()
+    }
+
     /// The number of entries that share the bounds.
     pub fn entries(&self) -> u32 {
         self.entries
--- a/core/src/direct/subscribers.rs
+++ b/core/src/direct/subscribers.rs
@@ -21,6 +21,15 @@
 /// The same for the entry that asks the store for all regions; others than its own it asks half as often.
 const ROOT_VALID: Duration = Duration::from_millis(1_600);
 
+/// Time from the start of an agent after which it has heard all entries. Each announces itself at least
+/// every 1.6 s; a count of the first ones alone would let each take a much too large share of what all may
+/// send.
+const COUNT_AFTER: Duration = Duration::from_millis(1_800);
+
+/// The same from the first ask on, if no entry knows a count, so that all are starting: each announces
+/// itself to all agents as soon as it knows them.
+const COUNT_STARTING_AFTER: Duration = Duration::from_millis(700);
+
 /// Entries that one agent counts at most.
 const MAX_SUBSCRIBERS: usize = 1_024;
 
@@ -33,6 +42,12 @@
     pub at: Time,
     /// Whether it is in another region.
     pub is_far: bool,
+    /// Entries that it knows of, if agents have counted them for it.
+    pub entries: Option<u32>,
+    /// The oldest version of the agent's model that it sends requests to.
+    pub oldest_weights: u64,
+    /// Whether it is in the region of the origin of weights.
+    pub is_beside_origin: bool,
     /// Whether it is sent load reports; others only announce themselves.
     pub wants_reports: bool,
     /// What it offers to those that may follow it; `None` if it may not be followed.
@@ -43,11 +58,22 @@
 #[derive(Debug, Default)]
 pub struct Subscribers {
     by_address: HashMap<SocketAddr, Subscriber>,
+    first_ask_at: Option<Time>,
+}
+
+/// How many entries there are.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Count {
+    /// Entries known.
+    pub entries: u32,
+    /// Whether these are all.
+    pub is_of_all: bool,
 }
 
 impl Subscribers {
     /// An entry has asked. Beyond the most that one agent reports to, new ones are left out.
     pub fn renew(&mut self, from: SocketAddr, subscriber: Subscriber) {
+        self.first_ask_at.get_or_insert(subscriber.at);
         self.by_address.retain(|_, other| !subscriber.at.passed(other.at, ASKED_FOR));
         if self.by_address.len() < MAX_SUBSCRIBERS || self.by_address.contains_key(&from) {
             self.by_address.insert(from, subscriber);
@@ -59,6 +85,20 @@
         self.live(now).count()
     }
 
+    /// How many entries there are, as an agent that started at `started` knows it. One that has just
+    /// started goes by what entries say that others have counted.
+    pub fn count(&self, started: Time, now: Time) -> Count {
+        let heard = self.len(now) as u32;
+        if now.passed(started, COUNT_AFTER) {
+            return Count { entries: heard, is_of_all: true };
+        }
+        if let Some(told) = self.live(now).filter_map(|(_, one)| one.entries).max() {
+            return Count { entries: heard.max(told), is_of_all: true };
+        }
+        let is_of_all = self.first_ask_at.is_some_and(|at| now.passed(at, COUNT_STARTING_AFTER));
+        Count { entries: heard, is_of_all }
+    }
+
     /// Entries that are sent load reports.
     pub fn readers(&self, now: Time) -> usize {
         self.live(now).filter(|(_, subscriber)| subscriber.wants_reports).count()
@@ -85,6 +125,23 @@
         replication::elect_root(self.candidates(ROOT_VALID, now).map(|(candidate, _)| candidate))
     }
 
+    /// Whether most entries no longer send requests to an endpoint that holds `version`. One that has just
+    /// started may take a new version for an old one.
+    pub fn bar(&self, version: u64, now: Time) -> bool {
+        let lately = || self.live(now).filter(|(_, one)| !now.passed(one.at, RELAY_VALID));
+        let barring = lately().filter(|(_, one)| one.oldest_weights > version).count();
+        barring * 2 > lately().count()
+    }
+
+    /// Entries that hand out chunks of weights: those of this region, and those of the origin's.
+    pub fn caches(&self, now: Time) -> (Vec<IpAddr>, Vec<IpAddr>) {
+        let near = self.live(now).filter(|(_, one)| !one.is_far);
+        let near = near.filter(|(_, one)| !now.passed(one.at, RELAY_VALID));
+        let is_heard = |one: &Subscriber| one.is_far || !now.passed(one.at, RELAY_VALID);
+        let beside_origin = self.live(now).filter(|(_, one)| one.is_beside_origin && is_heard(one));
+        (near.map(|(at, _)| at.ip()).collect(), beside_origin.map(|(at, _)| at.ip()).collect())
+    }
+
     /// Entries of this region that may be followed.
     pub fn near_entries(&self, now: Time) -> Vec<IpAddr> {
         let all = self.candidates(RELAY_VALID, now);
--- a/core/src/swarm/ask.rs
+++ b/core/src/swarm/ask.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use rand::RngExt;
 
+use super::download::CACHE_FAILURES;
 use super::download::Download;
 use super::download::MAX_COPIES;
 use super::download::Part;
@@ -35,6 +36,16 @@
 /// Chunks under way from neighbours while this host still brings in chunks from the origin.
 const BESIDE_ORIGIN: u32 = 2;
 
+/// Chunks under way from caches at once: enough to keep the link busy while each waits for its next piece.
+const FROM_CACHES: usize = 5;
+
+/// Chunks under way from neighbours beside those from caches.
+const BESIDE_CACHES: u32 = 3;
+
+/// Missing chunks among which one is drawn to be asked of a cache. All hosts ask for the same ones at about
+/// the same time, in the order in which they come from the origin, but not all for the same one at once.
+const CACHE_WINDOW: usize = 8;
+
 /// Chunks awaited from owners in other zones at once, and pulled from the origin at once.
 const MAX_AWAITED: usize = 24;
 const MAX_FROM_ORIGIN: usize = 2;
@@ -208,6 +219,59 @@
         self.flights.iter().filter(|(_, flight)| matches(flight)).count()
     }
 
+    /// Asks caches for the next missing chunks.
+    pub(super) fn ask_caches<R: Rng>(
+        &mut self,
+        n: usize,
+        now: Time,
+        rng: &mut R,
+        requests: &mut Vec<Request>,
+    ) {
+        if !self.uses_caches(n, now) {
+            return;
+        }
+        let mut under_way = self.count_flights(|flight| flight.to == To::Cache);
+        while under_way < FROM_CACHES {
+            let candidates = self.downloads[n].wanted_of_caches(CACHE_WINDOW);
+            let free: Vec<usize> = candidates
+                .into_iter()
+                .filter(|index| self.downloads[n].parts[*index].flights == 0)
+                .collect();
+            if free.is_empty() {
+                return;
+            }
+            let index = free[rng.random_range(0..free.len())];
+            let timeout = PARK + self.chunk_timeout();
+            self.ask_chunk(n, index, To::Cache, true, timeout, now, requests);
+            under_way += 1;
+        }
+    }
+
+    /// Whether chunks of a version are asked of caches. A host that is new takes a version that its
+    /// neighbours have had for long from them: what caches lack would come from the origin once more.
+    fn uses_caches(&self, n: usize, now: Time) -> bool {
+        let download = &self.downloads[n];
+        if !self.has_caches || !download.has_manifest {
+            return false;
+        }
+        if !download.is_newcomer {
+            return true;
+        }
+        !download.is_whole_near()
+            && (self.have_told(n) || now.passed(download.opened_at, NEWS_TOLD_WITHIN))
+    }
+
+    /// Whether all neighbours that live have told what they have of a version.
+    fn have_told(&self, n: usize) -> bool {
+        let near = self.neighbours.iter().filter(|id| self.peers.is_heard(**id)).count();
+        near == self.neighbours.len() && self.downloads[n].maps.len() >= near
+    }
+
+    /// Whether a chunk comes from a cache and need not be brought in by this host.
+    fn is_cached(&self, part: &Part) -> bool {
+        self.has_caches && part.cache_failures < CACHE_FAILURES
+    }
+
     /// Asks owners in other zones, or the origin, for the chunks that this host brings in.
     pub(super) fn ask_owned(&mut self, n: usize, now: Time, requests: &mut Vec<Request>) {
         let mut from_origin = self.count_flights(|flight| flight.to == To::Origin);
@@ -219,7 +283,7 @@
             let part = &self.downloads[n].parts[*index as usize];
             let just_failed = part.owner_asked_at.is_some_and(|at| !now.passed(at, OWNED_RETRY));
             let copies = if part.is_overdue { MAX_COPIES } else { 1 };
-            if part.flights >= copies || just_failed {
+            if part.flights >= copies || just_failed || self.is_cached(part) {
                 continue;
             }
             let to = match self.source_now(n, *index as usize, now) {
@@ -266,11 +330,9 @@
                 Some(other.map_or(To::Origin, To::Peer))
             }
             Source::Origin => {
-                let near = self.neighbours.iter().filter(|id| self.peers.is_heard(**id)).count();
-                let told = download.maps.len() >= near && near == self.neighbours.len();
                 let within = if download.is_newcomer { OLD_TOLD_WITHIN } else { NEWS_TOLD_WITHIN };
                 let is_overdue = now.passed(download.opened_at, within);
-                (told || is_overdue).then_some(To::Origin)
+                (self.have_told(n) || is_overdue).then_some(To::Origin)
             }
         }
     }
@@ -310,7 +372,7 @@
         rng: &mut R,
         requests: &mut Vec<Request>,
     ) {
-        let limit = self.neighbour_limit();
+        let limit = self.neighbour_limit(now);
         let direct = |flight: &Flight| matches!(flight.what, What::Chunk { park: false, .. });
         let mut under_way =
             self.count_flights(|flight| direct(flight) && flight.to != To::Origin) as u32;
@@ -330,7 +392,10 @@
 
     /// Chunks from neighbours at once. What this host brings in from the origin exists nowhere else, so
     /// it goes first on the host's link: an origin that crashes then is more often done with.
-    fn neighbour_limit(&self) -> u32 {
+    fn neighbour_limit(&self, now: Time) -> u32 {
+        if (0..self.downloads.len()).any(|n| self.uses_caches(n, now)) {
+            return BESIDE_CACHES;
+        }
         let is_from_origin = |download: &Download| {
             let mut owned = download.owned.iter().map(|index| *index as usize);
             owned.any(|index| {
--- a/core/src/swarm/download.rs
+++ b/core/src/swarm/download.rs
@@ -19,6 +19,9 @@
 /// The same for an overdue chunk: two owners may be slow, and a neighbour may have it by now.
 const MAX_COPIES_OVERDUE: u8 = 3;
 
+/// Failures of caches after which a chunk is left to the swarm.
+pub(super) const CACHE_FAILURES: u8 = 3;
+
 /// Missing chunks on offer that are compared for one request.
 const CANDIDATES: usize = 64;
 
@@ -50,6 +53,8 @@
     /// How often it was asked for as a chunk that comes from the origin.
     pub(super) origin_tries: u32,
     pub(super) holders: u16,
+    /// How often a cache that was asked for it failed.
+    pub(super) cache_failures: u8,
     /// Whether the same bytes stand earlier in the version; that place alone is asked for.
     pub(super) is_repeat: bool,
     /// Whether it should be near by now and no neighbour sends it, so that others than its owner
@@ -70,6 +75,8 @@
     pub(super) maps: BTreeMap<PeerId, Bitmap>,
     /// Missing chunks whose source is not the neighbours, in an order common to all hosts.
     pub(super) owned: Vec<u32>,
+    /// All chunks in an order common to all hosts, in which caches are asked for them.
+    pub(super) cache_order: Vec<u32>,
     pub(super) watch: BTreeSet<PeerId>,
     pub(super) worked_out_at: Option<(u64, usize, usize)>,
     pub(super) progress_at: Time,
@@ -92,6 +99,7 @@
             missing: 0,
             maps: BTreeMap::new(),
             owned: Vec::new(),
+            cache_order: Vec::new(),
             watch: BTreeSet::new(),
             worked_out_at: None,
             progress_at: now,
@@ -133,6 +141,7 @@
                 owner_asked_at: None,
                 origin_tries: 0,
                 holders: 0,
+                cache_failures: 0,
                 is_repeat,
                 is_overdue: false,
             });
@@ -141,6 +150,8 @@
             }
         }
         self.missing = self.parts.len() - self.have.count();
+        self.cache_order = (0..self.parts.len() as u32).collect();
+        self.cache_order.sort_unstable_by_key(|index| self.parts[*index as usize].key);
         let maps: Vec<Bitmap> = self.maps.values().cloned().collect();
         for map in maps {
             self.count_holders(&map, 1);
@@ -229,6 +240,21 @@
         best.map(|(_, n, peer)| (n, peer))
     }
 
+    /// The first `most` missing chunks that are to be asked of caches. O(chunks).
+    pub(super) fn wanted_of_caches(&self, most: usize) -> Vec<usize> {
+        let order = self.cache_order.iter().map(|index| *index as usize);
+        let is_wanted = |index: &usize| {
+            let part = &self.parts[*index];
+            !self.have.get(*index) && !part.is_repeat && part.cache_failures < CACHE_FAILURES
+        };
+        order.filter(is_wanted).take(most).collect()
+    }
+
+    /// Whether any neighbour has all of it. O(neighbours).
+    pub(super) fn is_whole_near(&self) -> bool {
+        self.maps.values().any(|map| map.count() == self.parts.len())
+    }
+
     /// The share of chunks that are here or on offer near. O(chunks).
     pub(super) fn near_share(&self) -> f64 {
         let is_near = |n: &usize| self.have.get(*n) || self.parts[*n].holders > 0;
--- a/core/src/swarm/pull.rs
+++ b/core/src/swarm/pull.rs
@@ -58,6 +58,8 @@
     pub(super) origin_wait: Duration,
     origin_wait_longest: Duration,
     pub(super) beside_requests: bool,
+    /// Whether caches hand out chunks.
+    pub(super) has_caches: bool,
     /// Whether any version has been here as a whole.
     has_held: bool,
     pub(super) pace: Pace,
@@ -83,6 +85,7 @@
             origin_wait: ORIGIN_RETRY,
             origin_wait_longest: ORIGIN_RETRY_LONGEST,
             beside_requests: false,
+            has_caches: false,
             has_held: false,
             pace: Pace::default(),
             counts: Counts::default(),
@@ -174,6 +177,11 @@
         self.beside_requests = beside;
     }
 
+    /// Whether caches hand out chunks. What they bring is not taken from the origin or other zones.
+    pub fn set_caches(&mut self, has_caches: bool) {
+        self.has_caches = has_caches;
+    }
+
     /// What was asked so far.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -216,6 +224,7 @@
                 continue;
             }
             self.work_out(n, now);
+            self.ask_caches(n, now, rng, &mut requests);
             self.ask_owned(n, now, &mut requests);
             self.poll(n, now, &mut requests);
         }
@@ -243,6 +252,8 @@
         };
         if let To::Peer(id) = flight.to {
             self.judge_peer(id, &flight, &end, now);
+        } else if flight.to == To::Cache {
+            // Whoever carries the requests out keeps from a cache that failed.
         } else if end == End::PulledBefore {
             // The chunk's next try goes to a peer; other chunks need not wait.
         } else if !matches!(end, End::Stored | End::Manifest(_)) {
@@ -267,6 +278,9 @@
                 if let Some(index) = download.part_of(digest) {
                     let part = &mut download.parts[index];
                     part.flights = part.flights.saturating_sub(1);
+                    if flight.to == To::Cache && !matches!(end, End::Stored | End::NotYet) {
+                        part.cache_failures += 1;
+                    }
                 }
                 if end == End::Absent
                     && let To::Peer(id) = flight.to
@@ -305,7 +319,9 @@
                 }
                 return;
             }
-            End::Told | End::NotNow | End::PulledBefore => return self.peers.heard(id, now),
+            End::Told | End::NotNow | End::NotYet | End::PulledBefore => {
+                return self.peers.heard(id, now);
+            }
             End::Absent if !direct => return self.peers.heard(id, now),
             End::Absent | End::Corrupt => Fault::Dishonest,
             End::Busy => Fault::Busy,
--- a/core/src/swarm/request.rs
+++ b/core/src/swarm/request.rs
@@ -18,6 +18,8 @@
     Origin,
     /// A peer.
     Peer(PeerId),
+    /// The cache that hands out this chunk; the caller knows which one that is.
+    Cache,
 }
 
 /// What is asked.
@@ -70,6 +72,8 @@
     Told,
     /// The peer is busy.
     Busy,
+    /// The cache does not have it yet and waits for it.
+    NotYet,
     /// No answer in time.
     Silent,
     /// The peer cannot be reached.
--- a/core/src/swarm/topology.rs
+++ b/core/src/swarm/topology.rs
@@ -84,7 +84,7 @@
 }
 
 /// Spreads the bits of `x` (the finalizer of splitmix64).
-fn mix(mut x: u64) -> u64 {
+pub fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of the direct path, without network.
 
+mod caches;
 mod catalog;
 mod events;
 mod freshness;
--- a/core/tests/direct/subscribers.rs
+++ b/core/tests/direct/subscribers.rs
@@ -3,6 +3,7 @@
 
 use mastichaven_core::Time;
 use mastichaven_core::direct::replication::Offer;
+use mastichaven_core::direct::subscribers::Count;
 use mastichaven_core::direct::subscribers::Subscriber;
 use mastichaven_core::direct::subscribers::Subscribers;
 
@@ -14,9 +15,22 @@
     IpAddr::from([10, 1, 0, n])
 }
 
+fn address(n: u8) -> SocketAddr {
+    (ip(n), 9_000).into()
+}
+
 fn subscriber(followers: Option<u32>, depth: u8, ms: u64) -> Subscriber {
     let offer = followers.map(|followers| Offer { followers, depth, store_ms: 5 });
-    Subscriber { asked_us: 0, at: now(ms), is_far: false, wants_reports: true, offer }
+    Subscriber {
+        asked_us: 0,
+        at: now(ms),
+        is_far: false,
+        entries: None,
+        oldest_weights: 0,
+        is_beside_origin: false,
+        wants_reports: true,
+        offer,
+    }
 }
 
 fn renew(subscribers: &mut Subscribers, n: u8, followers: Option<u32>, ms: u64) {
@@ -82,3 +96,59 @@
     assert_eq!(subscribers.readers(now(100)), 1);
     assert_eq!(subscribers.len(now(100)), 2);
 }
+
+// Guards against a cold endpoint that gets many times what it bears: an agent that has just started has
+// heard a few of the entries only.
+#[test]
+fn count_of_a_new_agent_goes_by_what_entries_know() {
+    let mut subscribers = Subscribers::default();
+    let told = Subscriber { entries: Some(36), ..subscriber(None, 0, 5_000) };
+    subscribers.renew(address(1), told);
+    let expected = Count { entries: 36, is_of_all: true };
+    assert_eq!(subscribers.count(now(4_900), now(5_010)), expected);
+    // Once it has listened long enough it goes by what it has heard: entries may have gone.
+    subscribers.renew(address(1), Subscriber { at: now(6_800), ..told });
+    assert_eq!(subscribers.count(now(4_900), now(6_900)).entries, 1);
+}
+
+// Guards against seconds of refusals after a loss of all power, with every endpoint cold and no count.
+#[test]
+fn count_is_of_all_soon_after_all_have_started() {
+    let mut subscribers = Subscribers::default();
+    for n in 1..=20 {
+        subscribers.renew(address(n), subscriber(None, 0, 300));
+    }
+    assert!(!subscribers.count(now(0), now(500)).is_of_all);
+    assert_eq!(subscribers.count(now(0), now(1_100)), Count { entries: 20, is_of_all: true });
+}
+
+// Guards against a fleet that empties all at once for one entry that has just started and takes a version
+// that was named a moment ago for an old one.
+#[test]
+fn bar_needs_most_entries() {
+    let mut subscribers = Subscribers::default();
+    for n in 1..=3 {
+        subscribers.renew(address(n), Subscriber { oldest_weights: 1, ..subscriber(None, 0, 0) });
+    }
+    subscribers.renew(address(4), Subscriber { oldest_weights: 3, ..subscriber(None, 0, 0) });
+    assert!(!subscribers.bar(1, now(10)));
+    for n in 1..=2 {
+        subscribers.renew(address(n), Subscriber { oldest_weights: 3, ..subscriber(None, 0, 20) });
+    }
+    assert!(subscribers.bar(1, now(30)));
+    assert!(!subscribers.bar(3, now(30)));
+}
+
+#[test]
+fn caches_are_entries_of_the_region_and_those_beside_the_origin() {
+    let mut subscribers = Subscribers::default();
+    subscribers.renew(address(1), subscriber(None, 0, 0));
+    let far = Subscriber { is_far: true, ..subscriber(None, 0, 0) };
+    subscribers.renew(address(2), far);
+    subscribers.renew(address(3), Subscriber { is_beside_origin: true, ..far });
+    let (near, beside_origin) = subscribers.caches(now(100));
+    assert_eq!(near, [address(1).ip()]);
+    assert_eq!(beside_origin, [address(3).ip()]);
+    // One of the region that has not asked for a second is passed over.
+    assert!(subscribers.caches(now(1_500)).0.is_empty());
+}
--- a/core/tests/weights/swarm.rs
+++ b/core/tests/weights/swarm.rs
@@ -30,6 +30,15 @@
     Stalled,
 }
 
+/// How caches answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CacheManner {
+    Ready,
+    /// They wait for the origin.
+    Waiting,
+    Down,
+}
+
 struct Host {
     place: PeerPlace,
     swarm: Swarm,
@@ -43,6 +52,8 @@
     all: Vec<Host>,
     cut: BTreeSet<usize>,
     origin: BTreeMap<Digest, u32>,
+    caches: CacheManner,
+    from_caches: BTreeSet<Digest>,
     now: Time,
     rng: ChaCha8Rng,
 }
@@ -71,6 +82,8 @@
             manifest,
             cut: BTreeSet::new(),
             origin: BTreeMap::new(),
+            caches: CacheManner::Ready,
+            from_caches: BTreeSet::new(),
             now: Time::ZERO,
             rng: ChaCha8Rng::seed_from_u64(1),
         }
@@ -95,6 +108,7 @@
         }
         let end = match request.to {
             To::Origin => self.ask_origin(n, request),
+            To::Cache => self.ask_cache(request),
             To::Peer(id) => {
                 let host = self.all[n].swarm.place(id).host.clone();
                 let peer = self.all.iter().position(|h| h.place.host == host).unwrap();
@@ -133,6 +147,18 @@
         End::Stored
     }
 
+    fn ask_cache(&mut self, request: &Request) -> End {
+        let What::Chunk { digest, .. } = request.what else { unreachable!() };
+        match self.caches {
+            CacheManner::Ready => {
+                self.from_caches.insert(digest);
+                End::Stored
+            }
+            CacheManner::Waiting => End::NotYet,
+            CacheManner::Down => End::Unreachable,
+        }
+    }
+
     fn ask_peer(&mut self, n: usize, peer: usize, request: &Request) -> End {
         let manner = self.all[peer].manner;
         if manner == Manner::Silent || self.cut.contains(&n) != self.cut.contains(&peer) {
@@ -280,3 +306,57 @@
     }
     assert_eq!(host.swarm.troubled().count(), 1);
 }
+
+fn with_caches(manner: CacheManner) -> Hosts {
+    let mut hosts = Hosts::new(&ZONES);
+    hosts.caches = manner;
+    hosts.all.iter_mut().for_each(|host| host.swarm.set_caches(true));
+    hosts
+}
+
+#[test]
+fn step_takes_chunks_from_caches() {
+    let mut hosts = with_caches(CacheManner::Ready);
+    hosts.run(60);
+    assert!(hosts.all.iter().all(|host| host.swarm.missing() == 0));
+    assert!(hosts.origin.is_empty(), "{} chunks from the origin", hosts.origin.len());
+    assert!(!hosts.from_caches.is_empty());
+}
+
+// Guards against dozens of hosts at a narrow origin as soon as caches wait for it.
+#[test]
+fn step_leaves_the_origin_to_caches_that_wait_for_it() {
+    let mut hosts = with_caches(CacheManner::Waiting);
+    hosts.run(60);
+    assert!(hosts.origin.is_empty(), "{} chunks from the origin", hosts.origin.len());
+    hosts.caches = CacheManner::Ready;
+    hosts.run(60);
+    assert!(hosts.all.iter().all(|host| host.swarm.missing() == 0));
+}
+
+// Guards against a version that never comes because no cache brings it.
+#[test]
+fn step_falls_back_to_the_swarm_when_caches_fail() {
+    let mut hosts = with_caches(CacheManner::Down);
+    hosts.run(200);
+    assert!(hosts.all.iter().all(|host| host.swarm.missing() == 0));
+    assert!(hosts.from_caches.is_empty());
+}
+
+// Guards against a version that leaves the origin once more for each group of hosts that is added.
+#[test]
+fn step_of_a_new_host_takes_from_neighbours_what_they_have_whole() {
+    let mut hosts = Hosts::new(&ZONES);
+    hosts.run(100);
+    let place = hosts.all[0].place.clone();
+    let places: Vec<PeerPlace> = hosts.all.iter().map(|host| host.place.clone()).collect();
+    let mut swarm = Swarm::new(&place, Way::Swarm);
+    swarm.set_peers(&places, None);
+    swarm.set_caches(true);
+    swarm.want(&[hosts.manifest.digest()], hosts.now);
+    swarm.open(&hosts.manifest, |_| false, hosts.now);
+    hosts.all[0] = Host { place, swarm, chunks: BTreeSet::new(), manner: Manner::Honest };
+    hosts.run(60);
+    assert_eq!(hosts.all[0].swarm.missing(), 0);
+    assert!(hosts.from_caches.is_empty());
+}
--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -9,6 +9,7 @@
 
 pub mod agent;
 mod attempt;
+pub mod chunk_cache;
 pub mod entry;
 pub mod explain;
 pub mod forward;
@@ -17,6 +18,7 @@
 pub mod load_reports;
 pub mod log;
 pub mod metrics;
+pub mod origin;
 pub mod peers;
 pub mod pool;
 pub mod publisher;
--- a/node/src/direct/agent.rs
+++ b/node/src/direct/agent.rs
@@ -86,7 +86,9 @@
     let metrics = Rc::new(Metrics::default());
     let staging = Rc::new(Staging::new(endpoint));
     let place = PeerPlace { host: host_at(endpoint), zone: cfg.zone.clone(), region: cfg.region() };
-    let swarm = SwarmHost::new(&place, clock, log.root.clone(), metrics.clone(), staging.clone());
+    let root = log.root.clone();
+    let port = cfg.agent_port;
+    let swarm = SwarmHost::new(&place, clock, root, metrics.clone(), staging.clone(), port);
     let agent = Rc::new(Agent {
         cfg,
         clock,
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -24,11 +24,6 @@
 /// A report that says the same as the last one is sent only every so many times.
 const SAME_REPORT_EVERY: u32 = 2;
 
-/// Time from the start of an agent after which its count of entries is that of all. Each announces itself
-/// at least every 1.6 s; a count of the first ones alone would let each take a much too large share of what
-/// all may send.
-const COUNT_AFTER: Duration = Duration::from_millis(1_800);
-
 impl Agent {
     /// Takes in what entries ask and tell.
     pub(super) async fn listen(self: Rc<Self>, socket: Rc<UdpSocket>) {
@@ -37,10 +32,15 @@
                 self.metrics.count("asks_unreadable");
                 continue;
             };
+            let own = self.model().map(|model| model.name);
+            let oldest = req.weights.iter().find(|weights| own.as_ref() == Some(&weights.model));
             let subscriber = Subscriber {
                 asked_us: req.sent_us,
                 at: self.clock.now(),
                 is_far: req.is_far,
+                entries: req.entries,
+                oldest_weights: oldest.map_or(0, |weights| weights.oldest),
+                is_beside_origin: req.is_beside_origin,
                 wants_reports: req.wants_reports,
                 offer: req.offer,
             };
@@ -48,8 +48,8 @@
             if let Some(update) = req.setup {
                 self.apply_setup(update);
             }
-            for (model, version) in &req.newest {
-                self.named(model, *version);
+            for weights in &req.weights {
+                self.named(&weights.model, weights.newest);
             }
         }
     }
@@ -73,13 +73,16 @@
                 }
             };
             self.note_life(&report);
+            let (near, beside_origin) = self.subscribers.borrow().caches(self.clock.now());
+            self.swarm.set_caches(near, beside_origin);
             // Only a link that carries no live requests is free for weights.
             self.swarm.set_beside_requests(!report.load.weights.is_empty());
             let mut load = report.load.clone();
             load.accepts &= !self.is_ordering.get();
             let now = self.clock.now();
-            load.entries = self.subscribers.borrow().len(now) as u32;
-            load.has_heard_all = now.passed(self.started, COUNT_AFTER);
+            let count = self.subscribers.borrow().count(self.started, now);
+            load.entries = count.entries;
+            load.has_heard_all = count.is_of_all;
             load.readers = self.subscribers.borrow().readers(now) as u32;
             load.relay = self.subscribers.borrow().relay(now);
             load.root = self.subscribers.borrow().root(now);
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -55,10 +55,14 @@
 pub struct ReportRequest {
     /// Microseconds of the entry's clock when it asked.
     pub sent_us: u64,
-    /// Newest version of each model.
-    pub newest: Vec<(SmolStr, u64)>,
+    /// The versions of each model that count now.
+    pub weights: Vec<CurrentWeights>,
     /// Whether the entry is in another region than the agent.
     pub is_far: bool,
+    /// Whether the entry is in the region of the origin of weights.
+    pub is_beside_origin: bool,
+    /// Entries that it knows to share the bounds, if agents have counted them for it.
+    pub entries: Option<u32>,
     /// Whether it wants load reports; else it only announces itself.
     pub wants_reports: bool,
     /// What it offers to those that may follow it; `None` if it may not be followed.
@@ -67,6 +71,17 @@
     pub setup: Option<SetupUpdate>,
 }
 
+/// The versions of a model that count now.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CurrentWeights {
+    /// The model.
+    pub model: SmolStr,
+    /// The newest version.
+    pub newest: u64,
+    /// The oldest version to which the entry still sends requests.
+    pub oldest: u64,
+}
+
 /// What an agent has to know of its service, from one version of the configuration.
 ///
 /// Were agents to read the configuration for themselves, each new version of weights and each restart
@@ -186,7 +201,14 @@
 async fn ask_all(state: Rc<State>, socket: Rc<UdpSocket>, known: KnownSetups) {
     let mut round: u32 = 0;
     let mut is_urgent = false;
+    let mut knows_engines = false;
     loop {
+        if !knows_engines && !state.roster.borrow().is_empty() {
+            // Agents that start at the same time count the entries that announce themselves.
+            knows_engines = true;
+            is_urgent = false;
+            round = 0;
+        }
         ask_round(&state, &socket, &known, |reach| match reach {
             Reach::Near => true,
             Reach::Far => !is_urgent && round.is_multiple_of(FAR_EVERY),
@@ -231,7 +253,9 @@
 struct ReportRequests {
     sent_us: u64,
     offer: Option<Offer>,
-    newest: Vec<(SmolStr, u64)>,
+    is_beside_origin: bool,
+    entries: Option<u32>,
+    weights: Vec<CurrentWeights>,
     catalog: Option<Rc<Catalog>>,
     setups: HashMap<ServiceName, Option<ModelSetup>>,
     encoded: HashMap<(ServiceName, Reach, bool), Bytes>,
@@ -242,7 +266,9 @@
         ReportRequests {
             sent_us: state.now().as_micros(),
             offer: state.offer(),
-            newest: state.newest_versions(),
+            is_beside_origin: state.is_beside_origin(),
+            entries: state.roster.borrow().entries_known(),
+            weights: state.current_weights(),
             catalog: state.catalog.borrow().clone(),
             setups: HashMap::new(),
             encoded: HashMap::new(),
@@ -270,8 +296,10 @@
         let setup = missing.map(|setup| SetupUpdate { version, setup: setup.clone() });
         let ask = ReportRequest {
             sent_us: self.sent_us,
-            newest: self.newest.clone(),
+            weights: self.weights.clone(),
             is_far: reach != Reach::Near,
+            is_beside_origin: self.is_beside_origin,
+            entries: self.entries,
             wants_reports: reach != Reach::Uncovered,
             offer: self.offer,
             setup,
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -105,6 +105,8 @@
     Absent,
     /// It is sending enough already.
     Busy,
+    /// It will have what was asked for, but not in the time that an ask may wait.
+    NotYet,
 }
 
 async fn connect(address: SocketAddr) -> Result<TcpStream> {
@@ -151,27 +153,29 @@
 const NEXT: u8 = 1;
 const ARRIVED: u8 = 2;
 
-/// Takes a chunk from the agent at `address`, or what it says instead.
+/// Takes a chunk from the process at `address`, or what it says instead. It begins to answer within
+/// `reply_within`, and the chunk comes `within` that time after.
 pub async fn take_chunk(
     address: SocketAddr,
-    ask: &PeerAsk,
+    ask: &impl Serialize,
+    reply_within: Duration,
     within: Duration,
     intake: &Semaphore,
 ) -> Result<std::result::Result<Bytes, PeerTold>> {
     let mut stream = connect(address).await?;
-    let exchange = async {
+    let reply = async {
         link::prepare(&stream)?;
         write(&mut stream, ask).await?;
-        match read(&mut stream).await? {
-            PeerTold::ChunkFollows(len) if len <= MAX_MESSAGE_LEN => {
-                read_pieces(&mut stream, len as usize, intake).await.map(Ok)
-            }
-            other => Ok(Err(other)),
-        }
+        read(&mut stream).await
     };
-    match timeout(within, exchange).await {
-        Ok(Ok(taken)) => Ok(taken),
-        Ok(Err::<_, io::Error>(_)) | Err(_) => Err(PeerError::Silent),
+    let told = timeout(reply_within, reply).await.map_err(|_| PeerError::Silent)?;
+    let len = match told.map_err(|_: io::Error| PeerError::Silent)? {
+        PeerTold::ChunkFollows(len) if len <= MAX_MESSAGE_LEN => len as usize,
+        other => return Ok(Err(other)),
+    };
+    match timeout(within, read_pieces(&mut stream, len, intake)).await {
+        Ok(Ok(bytes)) => Ok(Ok(bytes)),
+        Ok(Err(_)) | Err(_) => Err(PeerError::Silent),
     }
 }
 
--- a/node/src/direct/publisher.rs
+++ b/node/src/direct/publisher.rs
@@ -1,4 +1,4 @@
-//! Serves the entries that follow this one, and agents that ask for the peers of their endpoint.
+//! Serves the entries that follow this one, and agents that ask for the peers of their endpoint or chunks.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -28,6 +28,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::chunk_cache;
 use super::link;
 use super::peers;
 use super::replication::ReplicationError;
@@ -166,7 +167,7 @@
     }
 }
 
-async fn serve_one(state: &State, mut stream: TcpStream) -> Result<()> {
+async fn serve_one(state: &Rc<State>, mut stream: TcpStream) -> Result<()> {
     link::prepare(&stream)?;
     let hello = timeout(HELLO_WITHIN, peers::read(&mut stream)).await;
     match hello.map_err(|_| ReplicationError::Silent)?? {
@@ -182,6 +183,7 @@
             }
             Ok(())
         }
+        Hello::Chunk(ask) => Ok(chunk_cache::serve(state, &mut stream, ask).await?),
     }
 }
 
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -27,6 +27,8 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
+use super::chunk_cache::ChunkCache;
+use super::load_reports::CurrentWeights;
 use super::metrics::Metrics;
 use super::pool::Pool;
 use super::publisher::Publisher;
@@ -104,6 +106,8 @@
     pub unfollowed: Notify,
     /// The entries that follow this one.
     pub publisher: Publisher,
+    /// Chunks of weights for the agents of the region.
+    pub chunks: ChunkCache,
     longest_waits: RefCell<HashMap<SmolStr, LongestWait>>,
     budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
     rng: RefCell<SmallRng>,
@@ -142,6 +146,7 @@
             store_time: Cell::new(STORE_TIME_UNKNOWN),
             unfollowed: Notify::new(),
             publisher: Publisher::default(),
+            chunks: ChunkCache::default(),
             longest_waits: RefCell::default(),
             budgets: RefCell::default(),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
@@ -182,6 +187,13 @@
         }
     }
 
+    /// Whether this entry is in the region of the origin of weights.
+    pub fn is_beside_origin(&self) -> bool {
+        let catalog = self.catalog.borrow();
+        let origin = catalog.as_ref().and_then(|catalog| catalog.origin());
+        origin.is_some_and(|origin| self.cfg.regions.get(&origin.zone) == Some(&self.cfg.region()))
+    }
+
     /// The oldest version of `model` that may still answer.
     pub fn oldest_weights(&self, model: &str, now: Time) -> u64 {
         let bound = Duration::from_millis(self.cfg.bounds.weights_ms).mul_f64(OLD_WEIGHTS_PART);
@@ -200,6 +212,16 @@
         versions.iter().map(|(model, versions)| (model.clone(), versions.newest())).collect()
     }
 
+    /// The versions of each model that count now.
+    pub fn current_weights(&self) -> Vec<CurrentWeights> {
+        let now = self.now();
+        let current = |(model, newest): (SmolStr, u64)| {
+            let oldest = self.oldest_weights(&model, now);
+            CurrentWeights { model, newest, oldest }
+        };
+        self.newest_versions().into_iter().map(current).collect()
+    }
+
     /// All that is believed now and how old it is, for operators.
     pub fn dump(&self, now: Time) -> Value {
         let weights: HashMap<SmolStr, u64> = self.newest_versions().into_iter().collect();
@@ -215,6 +237,7 @@
             "parent": self.parent.get().map(|(ip, _)| ip),
             "depth": self.depth(),
             "followers": self.publisher.len(),
+            "chunks": self.chunks.len(),
             "weights": weights,
             "endpoints": self.roster.borrow().dump(now),
         })
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -4,14 +4,18 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::StatusCode;
 use mastichaven_core::Manifest;
 use mastichaven_core::Time;
+use mastichaven_core::direct::caches::Caches;
+use mastichaven_core::direct::replication::ChunkAsk;
+use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::RegionName;
@@ -28,7 +32,8 @@
 use mastichaven_core::swarm::To;
 use mastichaven_core::swarm::Way;
 use mastichaven_core::swarm::What;
-use mastichaven_platform::origin;
+use mastichaven_core::swarm::topology::key_of;
+use mastichaven_platform::origin as origin_paths;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use smol_str::SmolStr;
@@ -40,10 +45,12 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use super::chunk_cache;
 use super::link;
-use super::link::Link;
 use super::link::LinkError;
 use super::metrics::Metrics;
+use super::origin;
+use super::origin::OriginError;
 use super::peers;
 use super::peers::PIECES_IN;
 use super::peers::PIECES_OUT;
@@ -59,13 +66,6 @@
 /// How often the swarm decides while chunks are missing and nothing else wakes it.
 const STEP: Duration = Duration::from_millis(40);
 
-/// Time for an origin's connection; its link is narrow and it takes few connections.
-const ORIGIN_CONNECT_WITHIN: Duration = Duration::from_secs(1);
-
-/// Time for a chunk or a manifest from the origin. A chunk takes 27 ms of its link alone; a stalled
-/// origin is better left after a second or two.
-const ORIGIN_WITHIN: Duration = Duration::from_millis(2_500);
-
 /// How long a chunk in hand waits for an endpoint that is starting.
 const ENDPOINT_STARTS_WITHIN: Duration = Duration::from_secs(3);
 
@@ -83,9 +83,6 @@
 /// known of peers lags by some 250 ms, in which a third of a version may come, so a third near is enough.
 const KEPT_SHARE: f64 = 0.35;
 
-/// Bytes of an origin's answer at most.
-const MAX_ANSWER_LEN: usize = 4 << 20;
-
 /// Questions of peers answered at once.
 const MAX_ASKS: usize = 64;
 
@@ -105,7 +102,7 @@
     pub digest: Digest,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Chunks {
     chunk_len: u32,
     digests: Vec<Digest>,
@@ -129,12 +126,14 @@
     target: Target,
     chunks: Option<Chunks>,
     waiting: BTreeMap<usize, Bytes>,
+    /// The entries that know which chunks to pull.
+    told: HashSet<IpAddr>,
     began: Time,
 }
 
 impl Pull {
     fn new(target: Target, now: Time) -> Pull {
-        Pull { target, chunks: None, waiting: BTreeMap::new(), began: now }
+        Pull { target, chunks: None, waiting: BTreeMap::new(), told: HashSet::new(), began: now }
     }
 
     fn is_complete(&self) -> bool {
@@ -151,6 +150,9 @@
     staging: Rc<Staging>,
     swarm: RefCell<Swarm>,
     addresses: RefCell<HashMap<HostName, SocketAddr>>,
+    /// The entries that hand out chunks, and the port at which they do.
+    caches: RefCell<Caches>,
+    cache_port: u16,
     origin: Cell<Option<SocketAddr>>,
     /// The version that is staged, then perhaps a newer one that waits in memory.
     pulls: RefCell<Vec<Pull>>,
@@ -169,6 +171,7 @@
         log: slog::Logger,
         metrics: Rc<Metrics>,
         staging: Rc<Staging>,
+        cache_port: u16,
     ) -> SwarmHost {
         let mut swarm = Swarm::new(me, Way::Swarm);
         swarm.set_origin_retry(ORIGIN_RETRY_LONGEST);
@@ -180,6 +183,8 @@
             staging,
             swarm: RefCell::new(swarm),
             addresses: RefCell::default(),
+            caches: RefCell::default(),
+            cache_port,
             origin: Cell::new(None),
             pulls: RefCell::default(),
             sending: Cell::new(0),
@@ -202,6 +207,18 @@
         *self.addresses.borrow_mut() = addresses.collect();
     }
 
+    /// Takes in the entries that hand out chunks: those of this region, and those of the origin's.
+    pub fn set_caches(&self, near: Vec<IpAddr>, beside_origin: Vec<IpAddr>) {
+        self.caches.borrow_mut().set(near, beside_origin);
+        self.follow_caches();
+    }
+
+    /// Tells the swarm whether any cache may be asked.
+    fn follow_caches(&self) {
+        let are_available = self.caches.borrow().are_available(self.clock.now());
+        self.swarm.borrow_mut().set_caches(are_available);
+    }
+
     /// Where weights come from.
     pub fn set_origin(&self, origin: Option<SocketAddr>) {
         self.origin.set(origin);
@@ -369,6 +386,10 @@
             }
             (To::Origin, What::Have) => End::Absent,
             (To::Peer(id), _) => self.ask_peer(id, &request).await,
+            (To::Cache, What::Chunk { digest, .. }) => {
+                self.chunk_from_cache(&request, digest).await
+            }
+            (To::Cache, What::Manifest | What::Have) => End::Absent,
         };
         self.swarm.borrow_mut().end(request.flight, end, self.clock.now());
         self.changed.notify_waiters();
@@ -378,29 +399,27 @@
         let Some(address) = self.origin.get() else {
             return Err(End::NotNow);
         };
-        let opened = Link::open(address, ORIGIN_CONNECT_WITHIN).await;
-        let mut link = opened.map_err(|_| End::Unreachable)?;
-        let req = link::request("GET", address, path, Bytes::new());
-        let answer = link.call(req, MAX_ANSWER_LEN, ORIGIN_WITHIN).await.map_err(|e| match e {
-            LinkError::NotSent => End::Unreachable,
-            LinkError::Broken | LinkError::TimedOut => End::Silent,
-        })?;
-        if answer.status() != StatusCode::OK {
-            slog::info!(self.log, "origin refused"; "path" => path,
-                "status" => answer.status().as_u16());
-            return Err(End::Absent);
+        match origin::fetch(address, path).await {
+            Ok(bytes) => {
+                self.metrics.add("origin_bytes", bytes.len() as u64);
+                Ok(bytes)
+            }
+            Err(OriginError::Unreachable) => Err(End::Unreachable),
+            Err(OriginError::Silent) => Err(End::Silent),
+            Err(OriginError::Refused(status)) => {
+                slog::info!(self.log, "origin refused"; "path" => path, "status" => status);
+                Err(End::Absent)
+            }
         }
-        self.metrics.add("origin_bytes", answer.body().len() as u64);
-        Ok(answer.into_body())
     }
 
     async fn manifest_from_origin(&self, request: &Request) -> End {
         let Some(target) = self.target_of(request.version) else {
             return End::NotNow;
         };
-        let path = origin::manifest_path(&target.model, target.version);
+        let path = origin_paths::manifest_path(&target.model, target.version);
         match self.ask_origin(&path).await {
-            Ok(body) => match origin::scan_manifest(&body, target.version) {
+            Ok(body) => match origin_paths::scan_manifest(&body, target.version) {
                 Some(found) => self.take_manifest(&target, found.chunk_len, found.digests).await,
                 None => End::Corrupt,
             },
@@ -438,7 +457,7 @@
         let Some((target, index)) = self.place_of(request.version, digest) else {
             return End::NotNow;
         };
-        let path = origin::chunk_path(&target.model, target.version, index);
+        let path = origin_paths::chunk_path(&target.model, target.version, index);
         match self.ask_origin(&path).await {
             Ok(bytes) => {
                 self.metrics.count("chunks_from_origin");
@@ -448,6 +467,64 @@
         }
     }
 
+    async fn chunk_from_cache(&self, request: &Request, digest: Digest) -> End {
+        let Some((target, index)) = self.place_of(request.version, digest) else {
+            return End::NotNow;
+        };
+        let Some(route) = self.caches.borrow().route(digest, self.clock.now()) else {
+            self.follow_caches();
+            return End::Unreachable;
+        };
+        let hello = Hello::Chunk(ChunkAsk {
+            model: target.model.clone(),
+            version: target.version,
+            index: index as u32,
+            digest,
+            puller: route.puller,
+            next: self.pulled_next(request.version, digest),
+        });
+        let address = SocketAddr::new(route.entry, self.cache_port);
+        let reply_within = chunk_cache::REPLY_WITHIN;
+        let (within, intake) = (request.timeout, &self.intake);
+        match peers::take_chunk(address, &hello, reply_within, within, intake).await {
+            Ok(Ok(bytes)) => {
+                self.metrics.count("chunks_from_entries");
+                self.take_chunk(&target, index, digest, bytes).await
+            }
+            Ok(Err(told)) => end_of(Ok(told)),
+            Err(e) => {
+                slog::info!(self.log, "chunk not received"; "entry" => address.to_string(),
+                    "version" => target.version, "error" => e.as_str());
+                self.caches.borrow_mut().failed(route.entry, self.clock.now());
+                self.follow_caches();
+                end_of(Err(e))
+            }
+        }
+    }
+
+    /// The other missing chunks that come through the same puller, for the first ask through it.
+    ///
+    /// The puller takes them as fast as the origin sends, however slow this host is: the origin may be gone
+    /// before all of the version was asked for.
+    fn pulled_next(&self, version: Digest, digest: Digest) -> Vec<(u32, Digest)> {
+        let puller = self.caches.borrow().puller(digest);
+        let Some(puller) =
+            puller.filter(|ip| self.with_pull(version, |pull| pull.told.insert(*ip)) == Some(true))
+        else {
+            return Vec::new();
+        };
+        let chunks = self.chunks_of(version).unwrap_or_default();
+        let caches = self.caches.borrow();
+        let is_next = |(index, other): &(usize, &Digest)| {
+            !chunks.have[*index] && **other != digest && caches.puller(**other) == Some(puller)
+        };
+        let next = chunks.digests.iter().enumerate().filter(is_next);
+        let mut next: Vec<(u32, Digest)> =
+            next.map(|(index, digest)| (index as u32, *digest)).collect();
+        next.sort_unstable_by_key(|(_, digest)| key_of(*digest));
+        next
+    }
+
     /// Where a chunk belongs.
     fn place_of(&self, version: Digest, digest: Digest) -> Option<(Target, usize)> {
         let index_of = |pull: &mut Pull| {
@@ -542,7 +619,8 @@
             return End::NotNow;
         };
         let ask = PeerAsk::Chunk { version: request.version, digest, park };
-        match peers::take_chunk(address, &ask, request.timeout, &self.intake).await {
+        let within = request.timeout;
+        match peers::take_chunk(address, &ask, within, within, &self.intake).await {
             Ok(Ok(bytes)) => {
                 self.metrics.count("chunks_from_peers");
                 self.take_chunk(&target, index, digest, bytes).await
@@ -645,6 +723,7 @@
 fn end_of(told: peers::Result<PeerTold>) -> End {
     match told {
         Ok(PeerTold::Busy) => End::Busy,
+        Ok(PeerTold::NotYet) => End::NotYet,
         Ok(PeerTold::Absent) => End::Absent,
         Ok(PeerTold::Have { .. } | PeerTold::Manifest { .. } | PeerTold::ChunkFollows(_)) => {
             End::Corrupt
--- a/node/src/weights/pull.rs
+++ b/node/src/weights/pull.rs
@@ -221,6 +221,8 @@
                 Some(address) => self.ask_peer(request, address),
                 None => self.swarm.end(request.flight, End::Unreachable, now),
             },
+            // This path has no caches.
+            To::Cache => self.swarm.end(request.flight, End::Unreachable, now),
         }
     }
 
