Hosts replace weights at once that entries no longer send requests to

A version that was named while the store was away is dated by entries to before the outage, by agents to when they heard of it, so hosts waited for turns while nobody sent them anything.

--- a/core/src/direct/rollout.rs
+++ b/core/src/direct/rollout.rs
@@ -31,6 +31,9 @@
     pub hosts: u32,
     /// The time after which requests must not begin on an older version.
     pub bound: Duration,
+    /// Whether entries no longer send requests to what the endpoint holds. They may know better since when
+    /// it is out of date, if the version was named while the store was away.
+    pub is_barred: bool,
 }
 
 /// Whether to load the staged version now.
@@ -38,7 +41,7 @@
     match situation.held {
         None => true,
         Some(held) if held >= situation.staged => false,
-        Some(_) => now >= turn(situation),
+        Some(_) => situation.is_barred || now >= turn(situation),
     }
 }
 
--- a/core/tests/direct/rollout.rs
+++ b/core/tests/direct/rollout.rs
@@ -8,6 +8,7 @@
 
 fn situation(rank: u32, hosts: u32) -> Situation {
     Situation {
+        is_barred: false,
         staged: 2,
         named_at: Time::ZERO,
         held: Some(1),
@@ -58,3 +59,12 @@
     let current = Situation { held: Some(2), ..situation(0, 24) };
     assert!(!may_load(&current, Time::from_millis(60_000)));
 }
+
+// Guards against seconds without any endpoint that may answer: a version was named while the store was away,
+// entries send nothing to the older one any more, and hosts wait for their turns.
+#[test]
+fn may_load_at_once_when_entries_bar_what_is_held() {
+    let waiting = situation(23, 24);
+    assert!(!may_load(&waiting, waiting.named_at));
+    assert!(may_load(&Situation { is_barred: true, ..waiting }, waiting.named_at));
+}
--- a/node/src/direct/agent/loading.rs
+++ b/node/src/direct/agent/loading.rs
@@ -52,7 +52,10 @@
         let outdated_since = versions.outdated_since(held.unwrap_or(0)).unwrap_or(named_at);
         let (rank, hosts) = self.rank.get();
         let bound = Duration::from_millis(self.cfg.bounds.weights_ms);
-        Situation { staged: target.version, named_at, held, outdated_since, rank, hosts, bound }
+        let now = self.clock.now();
+        let is_barred = held.is_some_and(|held| self.subscribers.borrow().bar(held, now));
+        let staged = target.version;
+        Situation { staged, named_at, held, outdated_since, rank, hosts, bound, is_barred }
     }
 
     async fn order(&self, target: &Target) {
