Callers of an entry that has just started come back after 0.8 to 1.8 s

It is sent callers only while most entries of its zone start; after 0.15 to 0.45 s they were refused again.

--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -40,6 +40,10 @@
 /// Drawn at random, here and below, so that callers do not all return together.
 const RETRY_SOON_S: Range<f64> = 0.15..0.45;
 
+/// The same of an entry that has just started. It is sent callers only while most entries of its zone start,
+/// and endpoints have to be found and may have to load.
+const RETRY_STARTING_S: Range<f64> = 0.8..1.8;
+
 /// The same while all endpoints are full. Whoever is refused then is late when it returns, and most return
 /// once. Most bursts last for a second or more: when asked to return as soon as above, nearly all came back
 /// into the same burst, and refusals outnumbered the requests.
@@ -98,7 +102,8 @@
         Ok(call) => forward_call(&state, Rc::new(call)).await,
         Err(barred) => {
             log_end(&state, &head, arrived, barred.status(), barred.as_str(), &Trail::default());
-            let seconds = state.with_rng(|rng| rng.random_range(RETRY_SOON_S));
+            let range = if barred == Barred::Starting { RETRY_STARTING_S } else { RETRY_SOON_S };
+            let seconds = state.with_rng(|rng| rng.random_range(range));
             refuse(barred.status(), barred.as_str(), seconds)
         }
     };
