A root that others follow steps down only for one that agents name steadily

Traced: an entry that asked the store went with whatever agent it had heard last. While roots change agents disagree for a moment; the root followed one that itself followed another, its followers were too far from the store, asked it themselves, and were named as roots in turn.

--- a/core/src/direct/replication.rs
+++ b/core/src/direct/replication.rs
@@ -267,6 +267,30 @@
     elect(direct.into_iter().filter(|one| step_of(one) == nearest))
 }
 
+/// The entry that agents name, and since when all of them have named that one.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Named {
+    last: Option<(IpAddr, Time)>,
+}
+
+impl Named {
+    /// The same once an agent has named `ip`.
+    pub fn note(self, ip: IpAddr, now: Time) -> Named {
+        let is_same = self.last.is_some_and(|(last, _)| last == ip);
+        if is_same { self } else { Named { last: Some((ip, now)) } }
+    }
+
+    /// The entry that was named last.
+    pub fn last(&self) -> Option<IpAddr> {
+        self.last.map(|(ip, _)| ip)
+    }
+
+    /// The entry that alone was named for at least `span`.
+    pub fn steady(&self, span: Duration, now: Time) -> Option<IpAddr> {
+        self.last.filter(|(_, since)| now.passed(*since, span)).map(|(ip, _)| ip)
+    }
+}
+
 /// The moment `span` before `at`; `None` if that is before the process started.
 ///
 /// A pong that answers what was asked at `at` and tells an age proves that the read behind it was sent
--- a/core/tests/direct/replication.rs
+++ b/core/tests/direct/replication.rs
@@ -4,6 +4,7 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::replication::Ages;
 use mastichaven_core::direct::replication::Candidate;
+use mastichaven_core::direct::replication::Named;
 use mastichaven_core::direct::replication::Offer;
 use mastichaven_core::direct::replication::PeerEndpoint;
 use mastichaven_core::direct::replication::PeerList;
@@ -99,3 +100,20 @@
     assert_eq!(PeerList::new(vec![peer(2), peer(1)], first.id).peers, None);
     assert!(PeerList::new(vec![peer(1)], first.id).peers.is_some());
 }
+
+// Guards against a root that steps down for every entry that one agent names while others still follow it.
+#[test]
+fn steady_needs_the_same_name_all_the_time() {
+    let (one, two) = (IpAddr::from([10, 0, 0, 1]), IpAddr::from([10, 0, 0, 2]));
+    let span = Duration::from_millis(2_000);
+    let named =
+        Named::default().note(one, Time::from_millis(0)).note(one, Time::from_millis(1_900));
+    assert_eq!(named.steady(span, Time::from_millis(1_950)), None);
+    assert_eq!(
+        named.note(one, Time::from_millis(2_050)).steady(span, Time::from_millis(2_100)),
+        Some(one)
+    );
+    let wavering = named.note(two, Time::from_millis(2_060)).note(one, Time::from_millis(2_070));
+    assert_eq!(wavering.last(), Some(one));
+    assert_eq!(wavering.steady(span, Time::from_millis(2_100)), None);
+}
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -167,11 +167,11 @@
         let mut roster = self.roster.borrow_mut();
         roster.entries_counted(report.entries, report.has_heard_all, now);
         let asked = Time::from_micros(msg.asked_us);
-        if report.relay.is_some() {
-            self.relay.set(report.relay);
+        if let Some(relay) = report.relay {
+            self.relay.set(self.relay.get().note(relay, now));
         }
-        if report.root.is_some() {
-            self.root.set(report.root);
+        if let Some(root) = report.root {
+            self.root.set(self.root.get().note(root, now));
         }
         let round_trip = now.since(sent);
         roster.reported(address, report, asked, round_trip, draw, now);
--- a/node/src/direct/replication.rs
+++ b/node/src/direct/replication.rs
@@ -16,6 +16,7 @@
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::MAX_PARENT_DEPTH;
 use mastichaven_core::direct::replication::Message;
+use mastichaven_core::direct::replication::Named;
 use mastichaven_core::direct::replication::Offer;
 use mastichaven_core::direct::replication::Update;
 use mastichaven_core::direct::replication::leaves_at;
@@ -72,6 +73,12 @@
 const COMPARE_EVERY: Duration = Duration::from_millis(500);
 const COMPARISONS: u32 = 4;
 
+/// Time for which agents have to name no other root before an entry that others follow steps down for it.
+///
+/// While roots change, agents disagree for a moment. If the one that is followed went with the last agent
+/// that it heard, its followers would be too far from the store, ask it themselves, and be named in turn.
+const ROOT_STEADY: Duration = Duration::from_millis(1_000);
+
 /// Result of following or serving.
 pub type Result<T> = std::result::Result<T, ReplicationError>;
 
@@ -155,8 +162,25 @@
     /// The entry that this one is to follow: its region's relay, or the root if it is the relay itself.
     fn named_parent(&self) -> Option<IpAddr> {
         let me = self.cfg.ip;
-        let relay = self.relay.get()?;
-        if relay != me { Some(relay) } else { self.root.get().filter(|root| *root != me) }
+        let relay = self.named(self.relay.get())?;
+        if relay != me {
+            Some(relay)
+        } else {
+            self.named(self.root.get()).filter(|root| *root != me)
+        }
+    }
+
+    /// The entry that agents name, if this one may go by that.
+    fn named(&self, named: Named) -> Option<IpAddr> {
+        if self.is_followed_root() {
+            return named.steady(ROOT_STEADY, self.now());
+        }
+        named.last()
+    }
+
+    /// Whether this entry asks the store and others follow it.
+    fn is_followed_root(&self) -> bool {
+        self.is_direct() && !self.publisher.is_empty()
     }
 
     /// Whether this entry asks the store if its parent is lost.
@@ -173,7 +197,8 @@
         let successors = self.successors.borrow();
         let successors = successors.iter().copied().filter(|_| has_lost);
         let last = self.parent.get().map(|(parent, _)| parent);
-        let all = [self.named_parent(), self.root.get(), last];
+        let last = last.filter(|_| !self.is_followed_root());
+        let all = [self.named_parent(), self.named(self.root.get()), last];
         let mut others = successors.chain(all.into_iter().flatten());
         others.find(|ip| *ip != self.cfg.ip && !tried.contains(ip))
     }
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -13,6 +13,7 @@
 use mastichaven_core::direct::catalog::Route;
 use mastichaven_core::direct::freshness::Freshness;
 use mastichaven_core::direct::lateness::LongestWait;
+use mastichaven_core::direct::replication::Named;
 use mastichaven_core::direct::roster::EndpointKey;
 use mastichaven_core::direct::roster::Roster;
 use mastichaven_core::direct::shares::RepeatBudget;
@@ -87,9 +88,9 @@
     /// When the read of each kind was sent that the store answered last.
     pub confirmed: RefCell<HashMap<Kind, Time>>,
     /// The entry that the others of the region follow, as agents named it last.
-    pub relay: Cell<Option<IpAddr>>,
+    pub relay: Cell<Named>,
     /// The entry that watches the store for all regions, as agents named it last.
-    pub root: Cell<Option<IpAddr>>,
+    pub root: Cell<Named>,
     /// The entry that this one follows, and the distance from the store that it has with it.
     pub parent: Cell<Option<(IpAddr, u8)>>,
     /// The entries that ask the store if the parent is lost.
@@ -136,8 +137,8 @@
             named: Notify::new(),
             is_stopping: Cell::new(false),
             confirmed: RefCell::default(),
-            relay: Cell::new(None),
-            root: Cell::new(None),
+            relay: Cell::default(),
+            root: Cell::default(),
             parent: Cell::new(None),
             successors: RefCell::default(),
             is_following: Cell::new(false),
@@ -231,8 +232,8 @@
             "config": self.config_version(),
             "config_age_ms": self.freshness.borrow().age(now).map(|age| age.as_millis() as u64),
             "entries": self.roster.borrow().entries(),
-            "relay": self.relay.get(),
-            "root": self.root.get(),
+            "relay": self.relay.get().last(),
+            "root": self.root.get().last(),
             "follows": self.is_following.get(),
             "parent": self.parent.get().map(|(ip, _)| ip),
             "depth": self.depth(),
