Retry-After follows from why a caller was refused and from when that ends

Agents tell how long their endpoint needs until it serves (chunks that are missing at the pace of those that came, and the last load); a caller that no endpoint may serve is asked to come back then, spread over the second in which the others follow. An entry without a lease tells apart whether another one of its region still has one. The decision is one function without I/O.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -5,7 +5,7 @@
 //! [`shares`] how much of a fleet-wide bound one entry may use, [`freshness`] whether what the
 //! entry knows is young enough to act on, [`events`] where a broken stream resumes, [`versions`]
 //! which weights may answer, [`caches`] which entries hand out chunks of them, and [`rollout`] when an
-//! endpoint loads a new version. [`replication`] is what
+//! endpoint loads a new version. [`retry_after`] says when a refused caller may come back. [`replication`] is what
 //! entries pass on to each other of the store, and [`subscribers`] are the entries that an agent hears of.
 
 pub mod caches;
@@ -17,6 +17,7 @@
 mod health;
 pub mod lateness;
 pub mod replication;
+pub mod retry_after;
 pub mod rollout;
 pub mod roster;
 pub mod shares;
--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -101,6 +101,8 @@
     pub accepts: bool,
     /// The version of each model of which it holds all layers.
     pub weights: Vec<(SmolStr, u64)>,
+    /// Time until it serves the newest version, if it does not serve yet and that is known.
+    pub ready_in: Option<Duration>,
     /// When it started, in milliseconds of the Unix epoch.
     pub born: u64,
     /// Entries that have asked this agent or announced themselves lately.
@@ -135,6 +137,7 @@
     places: u32,
     accepts: bool,
     readers: u32,
+    ready_at: Option<Time>,
     way: Way,
 }
 
@@ -271,6 +274,7 @@
             places: (f64::from(free) * part + draw).floor() as u32,
             accepts: report.accepts,
             readers: report.readers.max(1),
+            ready_at: report.ready_in.map(|ready_in| way.at + ready_in),
             way,
         });
         self.listed.weights.clone_from(&report.weights);
@@ -294,6 +298,12 @@
         is_in_reach && self.health.takes(self.own, now)
     }
 
+    /// Time until it serves, if it does not serve yet and its agent knows.
+    pub(super) fn ready_in(&self, now: Time) -> Option<Duration> {
+        let load = self.load.as_ref().filter(|load| load.is_heard(now))?;
+        Some(load.ready_at?.since(now))
+    }
+
     /// Whether it is warm, or it is this entry's turn to send it a request; `rate` is what a cold one
     /// bears a second from all `entries`.
     pub(super) fn may_warm(&mut self, rate: f64, entries: u32, draw: f64, now: Time) -> bool {
--- a/core/src/direct/rollout.rs
+++ b/core/src/direct/rollout.rs
@@ -36,6 +36,28 @@
     pub is_barred: bool,
 }
 
+/// How much of a version is here.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Progress {
+    /// Chunks of the version.
+    pub chunks: usize,
+    /// Chunks that are missing.
+    pub missing: usize,
+    /// Time since the first one could be asked for.
+    pub elapsed: Duration,
+}
+
+/// Part of a version's chunks from which on their pace says when the rest is here.
+const KNOWN_PACE: f64 = 0.125;
+
+/// Time until the endpoint serves a version that takes `load` to load once it is whole, if nothing holds it
+/// up. `None` while too little has come to tell.
+pub fn ready_in(progress: &Progress, load: Duration) -> Option<Duration> {
+    let here = progress.chunks.saturating_sub(progress.missing) as f64;
+    let is_known = progress.chunks > 0 && here >= progress.chunks as f64 * KNOWN_PACE;
+    is_known.then(|| load + progress.elapsed.mul_f64(progress.missing as f64 / here))
+}
+
 /// Whether to load the staged version now.
 pub fn may_load(situation: &Situation, now: Time) -> bool {
     match situation.held {
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -368,6 +368,12 @@
         Some(endpoint.listed().revision)
     }
 
+    /// Whether the endpoint at `address` is in this entry's region.
+    pub fn is_near(&self, address: SocketAddr) -> bool {
+        let key = self.by_address.get(&address).and_then(|keys| keys.first());
+        key.and_then(|key| self.endpoints.get(*key)).is_some_and(|one| *one.region() == self.region)
+    }
+
     /// Whether an endpoint listens at `address`.
     pub fn has_address(&self, address: SocketAddr) -> bool {
         self.by_address.contains_key(&address)
@@ -444,6 +450,14 @@
         found.ok_or(if is_any_fit { Unavailable::Full } else { Unavailable::None })
     }
 
+    /// Time until the first endpoint of a service serves that does not serve yet, as agents know it.
+    pub fn ready_in(&self, service: &ServiceName, now: Time) -> Option<Duration> {
+        let keys = self.by_service.get(service)?;
+        let open = keys.iter().filter(|key| self.is_open(**key));
+        let endpoints = open.filter_map(|key| self.endpoints.get(*key));
+        endpoints.filter(|one| one.is_covered()).filter_map(|one| one.ready_in(now)).min()
+    }
+
     /// Whether an endpoint is in another region.
     fn is_far(&self, key: EndpointKey) -> bool {
         self.endpoints.get(key).is_some_and(|endpoint| *endpoint.region() != self.region)
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod freshness;
 mod lateness;
 mod replication;
+mod retry_after;
 mod rollout;
 mod roster;
 mod shares;
--- /dev/null
+++ b/core/tests/direct/retry_after.rs
@@ -0,0 +1,50 @@
+use std::time::Duration;
+
+use mastichaven_core::direct::retry_after::Cause;
+use mastichaven_core::direct::retry_after::retry_after;
+
+const LEFT: Duration = Duration::from_secs(6);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Times for callers that are refused together.
+fn times(cause: Cause) -> Vec<Duration> {
+    (0..100).map(|n| retry_after(cause, LEFT, f64::from(n) / 100.0)).collect()
+}
+
+// Guards against callers that return while weights are still on their way, and are refused once more.
+#[test]
+fn retry_after_waits_for_the_first_endpoint_that_loads() {
+    let all = times(Cause::NoEndpoint { ready_in: Some(ms(1_400)) });
+    assert!(all.iter().all(|time| *time >= ms(1_400)), "{:?}", all.iter().min());
+    assert!(all.iter().all(|time| *time <= ms(2_400)), "{:?}", all.iter().max());
+}
+
+// Guards against a wave of all callers of a blackout at the moment at which the first endpoint is back.
+#[test]
+fn retry_after_spreads_callers() {
+    let causes = [
+        Cause::Starting,
+        Cause::NoLease { is_held_near: false },
+        Cause::Full,
+        Cause::NoEndpoint { ready_in: None },
+        Cause::NoEndpoint { ready_in: Some(ms(500)) },
+    ];
+    for cause in causes {
+        let mut all = times(cause);
+        all.sort();
+        all.dedup();
+        let span = all[all.len() - 1].saturating_sub(all[0]);
+        assert!(all.len() > 50 && span >= ms(400), "{cause:?}: {span:?}");
+    }
+}
+
+// Guards against a long wait for what the entry next door could answer at once.
+#[test]
+fn retry_after_is_short_where_another_entry_has_a_lease() {
+    let near = times(Cause::NoLease { is_held_near: true });
+    let nobody = times(Cause::NoLease { is_held_near: false });
+    assert!(near.iter().max() < nobody.iter().min());
+}
--- a/core/tests/direct/rollout.rs
+++ b/core/tests/direct/rollout.rs
@@ -1,8 +1,10 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
+use mastichaven_core::direct::rollout::Progress;
 use mastichaven_core::direct::rollout::Situation;
 use mastichaven_core::direct::rollout::may_load;
+use mastichaven_core::direct::rollout::ready_in;
 
 const BOUND: Duration = Duration::from_secs(8);
 
@@ -68,3 +70,14 @@
     assert!(!may_load(&waiting, waiting.named_at));
     assert!(may_load(&Situation { is_barred: true, ..waiting }, waiting.named_at));
 }
+
+// Guards against callers that are told a time from the first few chunks, which come before all links are busy.
+#[test]
+fn ready_in_follows_the_pace_of_chunks() {
+    let load = Duration::from_millis(400);
+    let elapsed = Duration::from_millis(600);
+    let progress = Progress { chunks: 64, missing: 48, elapsed };
+    assert_eq!(ready_in(&progress, load), Some(Duration::from_millis(2_200)));
+    assert_eq!(ready_in(&Progress { missing: 0, ..progress }, load), Some(load));
+    assert_eq!(ready_in(&Progress { missing: 62, ..progress }, load), None);
+}
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -75,6 +75,7 @@
         running,
         waiting: 0,
         accepts: true,
+        ready_in: None,
         weights: vec![("m".into(), 1)],
         born: 0,
         entries: 8,
@@ -602,3 +603,20 @@
     assert_eq!(chosen(&mut roster, now(400)), "i-2");
     assert_eq!(chosen(&mut roster, now(800)), "i-1");
 }
+
+#[test]
+fn ready_in_is_that_of_the_first_endpoint() {
+    let mut roster = roster();
+    let service = ServiceName::new("redator");
+    roster.put(Listed { weights: Vec::new(), ..listed(1, "lagoa") }, now(0));
+    roster.put(Listed { weights: Vec::new(), ..listed(2, "lagoa") }, now(0));
+    assert_eq!(roster.ready_in(&service, now(1)), None);
+    for (n, ms) in [(1, 900), (2, 600)] {
+        let ready_in = Some(Duration::from_millis(ms));
+        let loading = LoadReport { weights: Vec::new(), ready_in, ..report(0) };
+        roster.reported(address(n), &loading, now(10), NEAR, DRAW, now(10));
+    }
+    assert_eq!(roster.ready_in(&service, now(110)), Some(Duration::from_millis(500)));
+    // What an agent said a second ago no longer counts.
+    assert_eq!(roster.ready_in(&service, now(1_110)), None);
+}
--- a/node/src/direct/agent.rs
+++ b/node/src/direct/agent.rs
@@ -10,6 +10,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
@@ -41,6 +42,9 @@
 use super::swarm::SwarmHost;
 use crate::clock::BootClock;
 
+/// Time of a load before the first one.
+const LOAD_TIME_UNKNOWN: Duration = Duration::from_millis(500);
+
 /// Result of running an agent.
 pub type Result<T> = io::Result<T>;
 
@@ -64,6 +68,8 @@
     peer_list: Cell<u64>,
     report: RefCell<Option<Report>>,
     is_ordering: Cell<bool>,
+    /// Time that the endpoint took for its last load.
+    load_time: Cell<Duration>,
     subscribers: RefCell<Subscribers>,
     /// Signals that the setup or the newest version has changed.
     updated: Notify,
@@ -105,6 +111,7 @@
         peer_list: Cell::new(0),
         report: RefCell::default(),
         is_ordering: Cell::new(false),
+        load_time: Cell::new(LOAD_TIME_UNKNOWN),
         subscribers: RefCell::default(),
         updated: Notify::new(),
         report_now: Notify::new(),
--- a/node/src/direct/agent/loading.rs
+++ b/node/src/direct/agent/loading.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mastichaven_core::Time;
 use mastichaven_core::direct::rollout;
 use mastichaven_core::direct::rollout::Situation;
 use mastichaven_platform::engine::LoadMode;
@@ -58,6 +59,16 @@
         Situation { staged, named_at, held, outdated_since, rank, hosts, bound, is_barred }
     }
 
+    /// Time until the endpoint serves, unless it does or that is not known.
+    pub(super) fn ready_in(&self, now: Time) -> Option<Duration> {
+        let held = self.held();
+        let serves = held.is_some_and(|held| !self.subscribers.borrow().bar(held, now));
+        if serves {
+            return None;
+        }
+        rollout::ready_in(&self.swarm.progress()?, self.load_time.get())
+    }
+
     async fn order(&self, target: &Target) {
         self.is_ordering.set(true);
         self.report_now.notify_one();
@@ -116,8 +127,10 @@
             sleep(LOAD_POLL).await;
             let is_busy = self.report.borrow().as_ref().is_some_and(|report| report.is_busy);
             if self.held() == Some(version) {
-                let took = self.clock.now().since(began).as_millis() as u64;
-                slog::info!(self.log, "weights in use"; "version" => version, "took_ms" => took);
+                let took = self.clock.now().since(began);
+                self.load_time.set(took);
+                slog::info!(self.log, "weights in use"; "version" => version,
+                    "took_ms" => took.as_millis() as u64);
                 return;
             }
             let has_shown = self.clock.now().passed(began, REPORT_EVERY * 3);
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -84,6 +84,7 @@
             load.entries = count.entries;
             load.has_heard_all = count.is_of_all;
             load.readers = self.subscribers.borrow().readers(now) as u32;
+            load.ready_in = self.ready_in(now);
             load.relay = self.subscribers.borrow().relay(now);
             load.root = self.subscribers.borrow().root(now);
             *self.report.borrow_mut() = Some(report);
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -1,6 +1,5 @@
 //! Where callers come in: reads a request, decides whether it may pass, and answers it.
 
-use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,6 +17,7 @@
 use mastichaven_core::direct::catalog::Catalog;
 use mastichaven_core::direct::catalog::Customer;
 use mastichaven_core::direct::catalog::Route;
+use mastichaven_core::direct::retry_after::Cause;
 use mastichaven_platform::call;
 use mastichaven_platform::call::CallHead;
 use rand::RngExt;
@@ -36,24 +36,6 @@
 /// Every how many answers one is logged. Refusals and failures are logged each.
 const LOG_EVERY: u64 = 32;
 
-/// Seconds after which a caller is asked to come back whom another entry or endpoint may serve at once.
-/// Drawn at random, here and below, so that callers do not all return together.
-const RETRY_SOON_S: Range<f64> = 0.15..0.45;
-
-/// The same of an entry that has just started. It is sent callers only while most entries of its zone start,
-/// and endpoints have to be found and may have to load.
-const RETRY_STARTING_S: Range<f64> = 0.8..1.8;
-
-/// The same while all endpoints are full. Whoever is refused then is late when it returns, and most return
-/// once. Most bursts last for a second or more: when asked to return as soon as above, nearly all came back
-/// into the same burst, and refusals outnumbered the requests.
-const RETRY_FULL_S: Range<f64> = 1.0..1.9;
-
-/// Part of a caller's time after which it is asked to come back when no endpoint may serve it at all.
-/// That lasts seconds: weights are loaded, a zone is out, endpoints start again. Callers wait up to a
-/// third of their time, and most come back once, so an early return would be refused again.
-const RETRY_AFTER_PART: Range<f64> = 0.25..0.33;
-
 /// Why a request does not pass.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Barred {
@@ -80,6 +62,18 @@
         }
     }
 
+    fn cause(self, state: &State) -> Cause {
+        match self {
+            Barred::Starting => Cause::Starting,
+            Barred::Stale => Cause::NoLease { is_held_near: state.is_led_near.get() },
+            Barred::UnknownRoute
+            | Barred::UnknownKey
+            | Barred::BodyTooLong
+            | Barred::BodyTooSlow
+            | Barred::BodyBroken => Cause::Other,
+        }
+    }
+
     fn as_str(self) -> &'static str {
         match self {
             Barred::Stale => "configuration too old",
@@ -102,9 +96,8 @@
         Ok(call) => forward_call(&state, Rc::new(call)).await,
         Err(barred) => {
             log_end(&state, &head, arrived, barred.status(), barred.as_str(), &Trail::default());
-            let range = if barred == Barred::Starting { RETRY_STARTING_S } else { RETRY_SOON_S };
-            let seconds = state.with_rng(|rng| rng.random_range(range));
-            refuse(barred.status(), barred.as_str(), seconds)
+            let left = head.deadline.unwrap_or(USUAL_DEADLINE);
+            refuse(barred.status(), barred.as_str(), state.retry_after(barred.cause(&state), left))
         }
     };
     if state.is_stopping.get() {
@@ -192,30 +185,29 @@
         }
         Err(refusal) => {
             log_end(state, &call.head, call.arrived, refusal.status(), refusal.as_str(), &trail);
-            let seconds = retry_after(state, refusal, call.deadline.since(state.now()));
-            refuse(refusal.status(), refusal.as_str(), seconds)
+            let left = call.deadline.since(state.now());
+            let cause = cause_of(state, refusal, &call);
+            refuse(refusal.status(), refusal.as_str(), state.retry_after(cause, left))
         }
     }
 }
 
-/// Seconds after which a refused caller with `left` of its time is asked to come back.
-fn retry_after(state: &State, refusal: Refusal, left: Duration) -> f64 {
-    let soon = state.with_rng(|rng| rng.random_range(RETRY_SOON_S));
+fn cause_of(state: &State, refusal: Refusal, call: &Call) -> Cause {
     match refusal {
-        Refusal::Full => state.with_rng(|rng| rng.random_range(RETRY_FULL_S)),
+        Refusal::Full => Cause::Full,
         Refusal::NoEndpoint => {
-            let part = state.with_rng(|rng| rng.random_range(RETRY_AFTER_PART));
-            soon.max(left.as_secs_f64() * part)
+            let ready_in = state.roster.borrow().ready_in(&call.service, state.now());
+            Cause::NoEndpoint { ready_in }
         }
-        _ => soon,
+        Refusal::Declined | Refusal::NotStarted | Refusal::Lost | Refusal::TimedOut => Cause::Other,
     }
 }
 
 /// An answer of this entry's own. 503 always names a time to come back.
-fn refuse(status: StatusCode, reason: &'static str, retry_after_s: f64) -> Response<AnswerBody> {
+fn refuse(status: StatusCode, reason: &'static str, retry_after: Duration) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::whole(Bytes::from_static(reason.as_bytes())));
     *response.status_mut() = status;
-    let value = HeaderValue::from_str(&format!("{retry_after_s:.2}"));
+    let value = HeaderValue::from_str(&format!("{:.2}", retry_after.as_secs_f64()));
     if let Some(value) = value.ok().filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
         response.headers_mut().insert(header::RETRY_AFTER, value);
     }
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -14,12 +14,15 @@
 use mastichaven_core::direct::freshness::Freshness;
 use mastichaven_core::direct::lateness::LongestWait;
 use mastichaven_core::direct::replication::Named;
+use mastichaven_core::direct::retry_after::Cause;
+use mastichaven_core::direct::retry_after::retry_after;
 use mastichaven_core::direct::roster::EndpointKey;
 use mastichaven_core::direct::roster::Roster;
 use mastichaven_core::direct::shares::RepeatBudget;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_platform::objects::Kind;
+use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use serde_json::Value;
@@ -89,6 +92,8 @@
     pub confirmed: RefCell<HashMap<Kind, Time>>,
     /// The entry that the others of the region follow, as agents named it last.
     pub relay: Cell<Named>,
+    /// Whether agents of the region know another entry of it that may be followed.
+    pub is_led_near: Cell<bool>,
     /// The entry that watches the store for all regions, as agents named it last.
     pub root: Cell<Named>,
     /// The entry that this one follows, and the distance from the store that it has with it.
@@ -138,6 +143,7 @@
             is_stopping: Cell::new(false),
             confirmed: RefCell::default(),
             relay: Cell::default(),
+            is_led_near: Cell::new(false),
             root: Cell::default(),
             parent: Cell::new(None),
             successors: RefCell::default(),
@@ -244,6 +250,11 @@
         })
     }
 
+    /// The time after which a caller with `left` of its time is asked to come back.
+    pub fn retry_after(&self, cause: Cause, left: Duration) -> Duration {
+        retry_after(cause, left, self.with_rng(|rng| rng.random()))
+    }
+
     /// Whether a caller of `route` that waits for `left` more has come back too late to be in time.
     pub fn is_late(&self, route: &Route, left: Duration, now: Time) -> bool {
         let mut waits = self.longest_waits.borrow_mut();
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -16,6 +16,7 @@
 use mastichaven_core::direct::caches::Caches;
 use mastichaven_core::direct::replication::ChunkAsk;
 use mastichaven_core::direct::replication::Hello;
+use mastichaven_core::direct::rollout::Progress;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::RegionName;
@@ -267,6 +268,15 @@
         Some(staged.target.clone())
     }
 
+    /// How much of the newest version is here; `None` before its digests are.
+    pub fn progress(&self) -> Option<Progress> {
+        let pulls = self.pulls.borrow();
+        let pull = pulls.last()?;
+        let chunks = pull.chunks.as_ref()?;
+        let elapsed = self.clock.now().since(pull.began);
+        Some(Progress { chunks: chunks.have.len(), missing: chunks.missing(), elapsed })
+    }
+
     /// Whether a newer version waits in memory, and all of it is here.
     pub fn is_newer_complete(&self) -> bool {
         let pulls = self.pulls.borrow();
--- /dev/null
+++ b/node/tests/direct/chunk_cache.rs
@@ -0,0 +1,193 @@
+//! An entry that hands out chunks, against an origin that the test plays.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mastichaven_core::direct::catalog::CallerLimits;
+use mastichaven_core::direct::catalog::CatalogParts;
+use mastichaven_core::direct::catalog::Origin;
+use mastichaven_core::direct::catalog::Service;
+use mastichaven_core::direct::replication::ChunkAsk;
+use mastichaven_core::direct::replication::Hello;
+use mastichaven_core::direct::replication::Update;
+use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::ServiceName;
+use mastichaven_core::ids::ZoneName;
+use mastichaven_node::direct::peers;
+use mastichaven_node::direct::peers::PeerTold;
+use mastichaven_node::direct::publisher;
+use mastichaven_node::direct::staging::sha256;
+use mastichaven_node::direct::state::State;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::updates::state_with;
+
+const CHUNK_LEN: usize = 32 << 10;
+const WITHIN: Duration = Duration::from_secs(2);
+
+fn chunk(n: u32) -> Vec<u8> {
+    vec![n as u8; CHUNK_LEN]
+}
+
+/// How the origin answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Manner {
+    Honest,
+    /// The first answer has a wrong byte.
+    CorruptAtFirst,
+    /// It is away.
+    Away,
+}
+
+struct PlayedOrigin {
+    manner: Cell<Manner>,
+    asked: Cell<u32>,
+}
+
+async fn serve_origin(listener: TcpListener, origin: Rc<PlayedOrigin>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { return };
+        let origin = origin.clone();
+        // How the exchange ended shows at the entry.
+        spawn_local(async move { drop(answer(stream, &origin).await) });
+    }
+}
+
+async fn answer(mut stream: TcpStream, origin: &PlayedOrigin) -> std::io::Result<()> {
+    if origin.manner.get() == Manner::Away {
+        return Ok(());
+    }
+    let mut head = [0; 1_024];
+    let len = stream.read(&mut head).await?;
+    let head = String::from_utf8_lossy(&head[..len]).into_owned();
+    let n = head.split("sample_count=").nth(1).and_then(|rest| rest.split('&').next());
+    let mut body = chunk(n.and_then(|n| n.parse().ok()).unwrap_or(u32::MAX));
+    origin.asked.set(origin.asked.get() + 1);
+    if origin.manner.get() == Manner::CorruptAtFirst {
+        body[7] ^= 1;
+        origin.manner.set(Manner::Honest);
+    }
+    // The link is narrow: asks of many agents come while the chunk is on its way.
+    sleep(Duration::from_millis(30)).await;
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(&body).await
+}
+
+fn catalog(origin: SocketAddr) -> Update {
+    let origin = Origin { address: origin, zone: ZoneName::new("zone-a") };
+    let service = Service {
+        name: ServiceName::new("registry"),
+        cold_per_second: 0.0,
+        model: None,
+        origin: Some(origin),
+    };
+    let limits =
+        CallerLimits { head_len: 1, body_len: 1, head_timeout: WITHIN, idle_timeout: WITHIN };
+    Update::Config(Box::new(CatalogParts {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service],
+        customers: Vec::new(),
+        limits,
+    }))
+}
+
+fn ask(n: u32, next: Vec<(u32, Digest)>) -> Hello {
+    let digest = sha256(&chunk(n));
+    Hello::Chunk(ChunkAsk { model: "m".into(), version: 2, index: n, digest, puller: None, next })
+}
+
+async fn take(entry: SocketAddr, hello: &Hello) -> Result<Vec<u8>, PeerTold> {
+    let intake = Semaphore::new(8);
+    let taken = peers::take_chunk(entry, hello, WITHIN, WITHIN, &intake).await;
+    taken.expect("an answer").map(|bytes| bytes.to_vec())
+}
+
+/// Runs `test` against an entry, whose address it is given, and an origin of this manner.
+fn with_entry<F: Future<Output = ()>>(
+    manner: Manner,
+    test: impl FnOnce(SocketAddr, Rc<PlayedOrigin>, Rc<State>) -> F,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let played = Rc::new(PlayedOrigin { manner: Cell::new(manner), asked: Cell::new(0) });
+        let origin_listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+        let origin = origin_listener.local_addr().expect("bound");
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+        let entry = listener.local_addr().expect("bound");
+        let state = Rc::new(state_with(entry.port()));
+        state.apply(catalog(origin));
+        spawn_local(serve_origin(origin_listener, played.clone()));
+        spawn_local(publisher::serve(state.clone(), listener));
+        test(entry, played, state).await;
+    });
+}
+
+// Guards against a version that leaves the origin once for each host.
+#[test]
+fn chunk_is_pulled_once_however_many_ask() {
+    with_entry(Manner::Honest, |entry, origin, _| async move {
+        let asks: Vec<_> = (0..20)
+            .map(|_| spawn_local(async move { take(entry, &ask(3, Vec::new())).await }))
+            .collect();
+        for one in asks {
+            assert_eq!(one.await.expect("no panic"), Ok(chunk(3)));
+        }
+        assert_eq!(origin.asked.get(), 1);
+    });
+}
+
+// Guards against wrong bytes that one entry hands to all hosts of a region.
+#[test]
+fn chunk_that_does_not_match_is_pulled_again() {
+    with_entry(Manner::CorruptAtFirst, |entry, origin, _| async move {
+        assert_eq!(take(entry, &ask(5, Vec::new())).await, Ok(chunk(5)));
+        assert_eq!(origin.asked.get(), 2);
+    });
+}
+
+// Guards against chunks that nobody has pulled yet when the origin goes away.
+#[test]
+fn next_chunks_are_pulled_before_anybody_asks() {
+    with_entry(Manner::Honest, |entry, origin, state| async move {
+        let next = (1..8).map(|n| (n, sha256(&chunk(n)))).collect();
+        assert_eq!(take(entry, &ask(0, next)).await, Ok(chunk(0)));
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!((origin.asked.get(), state.chunks.len()), (8, 8));
+        origin.manner.set(Manner::Away);
+        assert_eq!(take(entry, &ask(6, Vec::new())).await, Ok(chunk(6)));
+    });
+}
+
+// Guards against hosts that take an entry for lost that waits for the origin.
+#[test]
+fn chunk_of_an_origin_that_is_away_is_answered_as_not_yet_here() {
+    with_entry(Manner::Away, |entry, origin, _| async move {
+        assert_eq!(take(entry, &ask(1, Vec::new())).await, Err(PeerTold::NotYet));
+        origin.manner.set(Manner::Honest);
+        assert_eq!(take(entry, &ask(1, Vec::new())).await, Ok(chunk(1)));
+    });
+}
+
+// Guards against a chunk that is held back by a puller that is lost.
+#[test]
+fn chunk_comes_from_the_origin_when_its_puller_is_lost() {
+    with_entry(Manner::Honest, |entry, _, _| async move {
+        let Hello::Chunk(ask) = ask(2, Vec::new()) else { unreachable!() };
+        let lost = Some([127, 0, 0, 99].into());
+        assert_eq!(
+            take(entry, &Hello::Chunk(ChunkAsk { puller: lost, ..ask })).await,
+            Ok(chunk(2))
+        );
+    });
+}
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -1,6 +1,7 @@
 //! The programs on the direct path as processes of their own, against stand-ins of the platform.
 
 mod agent;
+mod chunk_cache;
 mod entry;
 mod explain;
 mod fixture;
