Two requests may wait at a full endpoint in place of one

The test of the last place leaves one place free as before, whatever their number; its bound is unchanged.

--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -29,7 +29,7 @@
 /// Requests beyond its slots that an endpoint may hold. Under lasting overload every queue is full, so the
 /// last place decides when all requests start: with several places nearly all answers would be late.
 /// What has no place is refused at once.
-pub const QUEUE_PLACES: u32 = 1;
+pub const QUEUE_PLACES: u32 = 2;
 
 /// Part of an engine's slots that late requests leave to others, beside the places in the queue. Past the
 /// knee, where all engines are full, nothing late is sent; with part of the fleet free it still is.
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -343,7 +343,8 @@
             roster.set_entries(entries);
             roster.put(listed(1, "lagoa"), now(0));
             let draw = f64::from((n * 7 + entry * 25) % 200) / 200.0;
-            roster.reported(address(1), &report_to(entries, SLOTS), now(0), NEAR, draw, now(0));
+            let one_left = report_to(entries, SLOTS + QUEUE_PLACES - 1);
+            roster.reported(address(1), &one_left, now(0), NEAR, draw, now(0));
             while let Ok(key) = choose(&mut roster, now(1)) {
                 roster.sent(key, now(1));
                 sent += 1;
