--- a/core/src/direct/retry_after.rs
+++ b/core/src/direct/retry_after.rs
@@ -16,7 +16,7 @@
 
 /// The same of an entry that has just started. It is sent callers only while most entries of its zone start,
 /// and endpoints have to be found and may have to load.
-const STARTING_S: Range<f64> = 0.5..1.3;
+const STARTING_S: Range<f64> = 0.8..1.8;
 
 /// Seconds over which callers return from the moment at which the first endpoint serves again: the others
 /// follow it.
