Entries whose own engines are out of service send to more of other regions

An entry sends to eight engines of each other region; with its own closed it competed with entries that have all of theirs. It covers as many more as its region lacks.

--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -223,18 +223,25 @@
     }
 
     /// Works out which engines of other regions this entry sends requests to. O(n log n).
+    ///
+    /// As many more as its own region lacks: with its zone out of service an entry would else share a few
+    /// engines of other regions with entries that have all of theirs, and its callers be refused first.
     fn cover(&mut self) {
         let mut far: HashMap<RegionName, Vec<(u64, EndpointKey)>> = HashMap::new();
+        let mut closed = 0;
         for (key, one) in self.endpoints.iter().filter(|(_, one)| one.listed().is_engine) {
             if *one.region() != self.region {
                 far.entry(one.region().clone()).or_default().push((one.affinity(), key));
+            } else if !self.is_open(key) {
+                closed += 1;
             }
         }
+        let covered = COVERED_ELSEWHERE + usize::div_ceil(closed, far.len().max(1));
         for mut drawn in far.into_values() {
             drawn.sort_unstable_by_key(|(affinity, _)| *affinity);
             for (n, (_, key)) in drawn.into_iter().enumerate() {
                 if let Some(one) = self.endpoints.get_mut(key) {
-                    one.set_covered(n < COVERED_ELSEWHERE);
+                    one.set_covered(n < covered);
                 }
             }
         }
@@ -271,6 +278,7 @@
         }
         self.evacuated = zones;
         self.evacuated_as_of = as_of;
+        self.cover();
         true
     }
 
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -621,3 +621,25 @@
     // What an agent said a second ago no longer counts.
     assert_eq!(roster.ready_in(&service, now(1_110)), None);
 }
+
+/// Engines of other regions that an entry sends requests to, of 20 in each of two.
+fn covered(roster: &Roster) -> usize {
+    roster.engines().filter(|(_, reach)| *reach == Reach::Far).count()
+}
+
+// Guards against callers of a zone out of service who are refused while those of all others are served: its
+// entries knew a few engines of other regions, the entries there all of theirs.
+#[test]
+fn engines_of_other_regions_are_covered_in_place_of_closed_ones() {
+    let mut roster = roster();
+    for n in 0..20 {
+        roster.put(listed(1 + n, "lagoa"), now(0));
+        roster.put(listed(101 + n, "serra"), now(0));
+        roster.put(listed(201 + n, "litoral"), now(0));
+    }
+    assert_eq!(covered(&roster), 16);
+    roster.set_evacuated(HashSet::from([ZoneName::new("lagoa")]), Revision(2));
+    assert_eq!(covered(&roster), 36);
+    roster.set_evacuated(HashSet::new(), Revision(3));
+    assert_eq!(covered(&roster), 16);
+}
