--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -27,12 +27,11 @@
 const FAR_REPORT_VALID: Duration = Duration::from_millis(800);
 
 /// Requests beyond its slots that an endpoint may hold. Under lasting overload every queue is full, so the
-/// last place decides when all requests start: with several places nearly all answers would be late.
-/// What has no place is refused at once.
+/// last place decides when all requests start. What has no place is refused at once.
 pub const QUEUE_PLACES: u32 = 2;
 
-/// Part of an engine's slots that late requests leave to others, beside the places in the queue. Past the
-/// knee, where all engines are full, nothing late is sent; with part of the fleet free it still is.
+/// Part of an engine's slots that late requests leave to others, beside the places in the queue. While all
+/// engines are full nothing late is sent; with part of the fleet free it still is.
 const KEPT_FROM_LATE: f64 = 0.375;
 
 /// How long an endpoint that refused as full is spared: about until its next report.
@@ -44,13 +43,12 @@
 
 /// Time in which an engine reads a prompt of usual length beside the streams that it writes.
 ///
-/// Reports are 100 ms apart. Whenever an engine had just become free, all entries would see it as the
-/// least loaded one and flood it before the next report; while it reads that many prompts, all its
-/// streams pause. So what an entry sent lately counts, once for each entry, and an engine gets about one
-/// request in this time from all of them together.
+/// Between two reports all entries see an engine that has become free as the least loaded one and would
+/// flood it; while it reads their prompts, all its streams pause. So what an entry sent lately counts, once
+/// for each entry, and an engine gets about one request in this time from all of them together.
 const READ_TIME: Duration = Duration::from_millis(50);
 
-/// Usual time until a place of an endpoint frees: 1.1 s a request on 16 slots.
+/// Usual time until a place of an endpoint frees.
 const PLACE_FREES: Duration = Duration::from_millis(70);
 
 /// Round trip to an agent from which on its endpoint gets nothing: its link is so full that answers
--- a/core/src/direct/rollout.rs
+++ b/core/src/direct/rollout.rs
@@ -9,8 +9,8 @@
 use crate::time::Time;
 
 /// Parts of the bound at which the first and the last host load. Before the first, chunks are still on
-/// their way: 24 hosts with links of 7.6 Mbit/s had 2 MB after 3 to 3.5 s of 8. From its turn on a
-/// host begins nothing on the old version, so the last turn may come close to the bound.
+/// their way. From its turn on a host begins nothing on the old version, so the last turn may come close to
+/// the bound.
 const FIRST_PART: f64 = 0.36;
 const LAST_PART: f64 = 0.82;
 
--- a/core/src/direct/shares.rs
+++ b/core/src/direct/shares.rs
@@ -62,11 +62,9 @@
 ///
 /// An endpoint that has just started falls over under more than a few requests a second from all
 /// entries together. With more entries than requests a share is less than one, and if each rounded it
-/// up to one, 40 entries would send 40 where 26 are allowed. So shares are dealt in time: an entry's
+/// up to one, all together would send one for each entry. So shares are dealt in time: an entry's
 /// turn comes once in as many seconds as there are entries for each request a second. Entries need not
-/// agree whose turn it is, as each draws where in that span its own turns lie: at 14 a second any number
-/// of entries send 11 in a second on average, and more than 26 less than once in a hundred thousand
-/// seconds.
+/// agree whose turn it is, as each draws where in that span its own turns lie.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ColdTurns {
     /// The moment from which the next turn is counted, and its distance from there in periods.
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -32,15 +32,15 @@
 /// Bytes of an answer that is not a stream at most.
 pub(super) const MAX_ANSWER_LEN: usize = 4 << 20;
 
-/// Time for a connection to an endpoint. Round trips take up to 4 ms; a lost first packet comes again
-/// after a second, which is later than a second endpoint would answer.
+/// Time for a connection to an endpoint. A lost first packet comes again after a second, which is later than
+/// a second endpoint would answer.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 
 /// Time for the rest of a refusal or failure, whose head is here already.
 const REST_WITHIN: Duration = Duration::from_millis(400);
 
-/// Time to the first event after which another endpoint is tried: an endpoint that queues the request
-/// as placement allows starts within 0.5 s.
+/// Time to the first event after which another endpoint is tried. One that queues the request as placement
+/// allows starts well within it.
 pub(super) const FIRST_EVENT_WITHIN: Duration = Duration::from_millis(1_800);
 
 /// Objectives that an idempotent request waits for its first answer.
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -75,8 +75,8 @@
 /// What an agent has to know of its service, from one version of the configuration.
 ///
 /// Were agents to read the configuration for themselves, each new version of weights and each restart
-/// would bring all of them to the store at once: with 1,400 routes 88 agents fetched 35 MB over links
-/// between regions of 3 MB/s, and weights and watches waited behind that for 10 s.
+/// would bring all of them to the store at once, and weights and watches would wait behind as many copies of
+/// a large configuration on the links between regions.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SetupUpdate {
     /// The version of the configuration.
--- a/node/src/direct/origin.rs
+++ b/node/src/direct/origin.rs
@@ -13,8 +13,7 @@
 /// Time for a connection; the origin's link is narrow and it takes few of them.
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 
-/// Time for a chunk or a manifest. A chunk takes 27 ms of the origin's link alone; a stalled origin is
-/// better left after a second or two.
+/// Time for a chunk or a manifest. A stalled origin is better left after a second or two.
 const ANSWER_WITHIN: Duration = Duration::from_millis(2_500);
 
 /// Bytes of an answer at most.
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -134,9 +134,8 @@
     }
 }
 
-/// Bytes of a chunk under way to a host at once. Chunks share the host's link with live requests: on
-/// 7.6 Mbit/s a request waits behind a piece for 9 ms, behind a whole chunk for 34 ms, and on a link
-/// that is squeezed to a tenth for ten times as long.
+/// Bytes of a chunk under way to a host at once. Chunks share the host's narrow link with live requests, which
+/// would wait behind a whole chunk for long.
 pub const PIECE_LEN: usize = 8 << 10;
 
 /// Pieces under way out of a host at once. A piece waits on two links in turn, so with few pieces the
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -44,7 +44,7 @@
 const LEASE_PART: f64 = 0.88;
 
 /// Part of the bound on weights after which requests no longer go to an older version. A request
-/// begins to run when it leaves the endpoint's queue; under overload that took up to 1.3 s.
+/// begins to run when it leaves the endpoint's queue, which takes long under overload.
 const OLD_WEIGHTS_PART: f64 = 0.82;
 
 /// Routes whose callers' waits are remembered at most: some hundred KB.
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -30,8 +30,8 @@
 /// Result of passing on a part of a stream.
 pub type Result<T> = std::result::Result<T, LinkError>;
 
-/// Silence after which a stream is continued at another endpoint. Callers leave after 2.4 s; a busy
-/// endpoint pauses up to about 0.5 s between events.
+/// Silence after which a stream is continued at another endpoint: longer than a busy endpoint pauses between
+/// events, and in time before callers leave.
 const SILENT_STREAM: Duration = Duration::from_millis(1_200);
 
 /// Waits for the first event, then passes the stream on from a task of its own. Until then a failure
