--- a/core/src/direct/subscribers.rs
+++ b/core/src/direct/subscribers.rs
@@ -127,7 +127,7 @@
 
     /// Whether most entries no longer send requests to an endpoint that holds `version`. One that has just
     /// started may take a new version for an old one.
-    pub fn bar(&self, version: u64, now: Time) -> bool {
+    pub fn is_barred(&self, version: u64, now: Time) -> bool {
         let lately = || self.live(now).filter(|(_, one)| !now.passed(one.at, RELAY_VALID));
         let barring = lately().filter(|(_, one)| one.oldest_weights > version).count();
         barring * 2 > lately().count()
--- a/core/tests/direct/subscribers.rs
+++ b/core/tests/direct/subscribers.rs
@@ -125,18 +125,18 @@
 // Guards against a fleet that empties all at once for one entry that has just started and takes a version
 // that was named a moment ago for an old one.
 #[test]
-fn bar_needs_most_entries() {
+fn is_barred_needs_most_entries() {
     let mut subscribers = Subscribers::default();
     for n in 1..=3 {
         subscribers.renew(address(n), Subscriber { oldest_weights: 1, ..subscriber(None, 0, 0) });
     }
     subscribers.renew(address(4), Subscriber { oldest_weights: 3, ..subscriber(None, 0, 0) });
-    assert!(!subscribers.bar(1, now(10)));
+    assert!(!subscribers.is_barred(1, now(10)));
     for n in 1..=2 {
         subscribers.renew(address(n), Subscriber { oldest_weights: 3, ..subscriber(None, 0, 20) });
     }
-    assert!(subscribers.bar(1, now(30)));
-    assert!(!subscribers.bar(3, now(30)));
+    assert!(subscribers.is_barred(1, now(30)));
+    assert!(!subscribers.is_barred(3, now(30)));
 }
 
 #[test]
--- a/node/src/direct/agent/loading.rs
+++ b/node/src/direct/agent/loading.rs
@@ -54,7 +54,7 @@
         let (rank, hosts) = self.rank.get();
         let bound = Duration::from_millis(self.cfg.bounds.weights_ms);
         let now = self.clock.now();
-        let is_barred = held.is_some_and(|held| self.subscribers.borrow().bar(held, now));
+        let is_barred = held.is_some_and(|held| self.subscribers.borrow().is_barred(held, now));
         let staged = target.version;
         Situation { staged, named_at, held, outdated_since, rank, hosts, bound, is_barred }
     }
@@ -62,7 +62,7 @@
     /// Time until the endpoint serves, unless it does or that is not known.
     pub(super) fn ready_in(&self, now: Time) -> Option<Duration> {
         let held = self.held();
-        let serves = held.is_some_and(|held| !self.subscribers.borrow().bar(held, now));
+        let serves = held.is_some_and(|held| !self.subscribers.borrow().is_barred(held, now));
         if serves {
             return None;
         }
--- a/node/src/direct/chunk_cache.rs
+++ b/node/src/direct/chunk_cache.rs
@@ -2,6 +2,7 @@
 //!
 //! A chunk is named by its digest and kept until a newer version is asked for.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -52,6 +53,8 @@
     pub(super) out: Semaphore,
     pub(super) intake: Semaphore,
     pub(super) from_origin: Semaphore,
+    /// Whether the last call to the origin failed.
+    pub(super) is_origin_lost: Cell<bool>,
 }
 
 impl Default for ChunkCache {
@@ -62,6 +65,7 @@
             out: Semaphore::new(PIECES_OUT),
             intake: Semaphore::new(PIECES_IN),
             from_origin: Semaphore::new(FROM_ORIGIN),
+            is_origin_lost: Cell::new(false),
         }
     }
 }
--- a/node/src/direct/chunk_server.rs
+++ b/node/src/direct/chunk_server.rs
@@ -157,9 +157,16 @@
         Ok(bytes) => {
             state.metrics.count("chunks_from_origin");
             state.metrics.add("origin_bytes", bytes.len() as u64);
+            if state.chunks.is_origin_lost.replace(false) {
+                slog::info!(state.log, "origin regained"; "version" => ask.version);
+            }
+        }
+        Err(e) => {
+            state.metrics.count("origin_failures");
+            if !state.chunks.is_origin_lost.replace(true) {
+                slog::warn!(state.log, "origin lost"; "path" => path, "error" => e.as_str());
+            }
         }
-        Err(e) => slog::info!(state.log, "origin did not bring a chunk"; "path" => path,
-            "error" => e.as_str()),
     }
     fetched
 }
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -65,7 +65,7 @@
     fn cause(self, state: &State) -> Cause {
         match self {
             Barred::Starting => Cause::Starting,
-            Barred::Stale => Cause::NoLease { is_held_near: state.is_led_near.get() },
+            Barred::Stale => Cause::NoLease { is_held_near: state.has_fresh_neighbour.get() },
             Barred::UnknownRoute
             | Barred::UnknownKey
             | Barred::BodyTooLong
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -158,7 +158,7 @@
         roster.entries_counted(report.entries, report.has_heard_all, now);
         let asked = Time::from_micros(msg.asked_us);
         if roster.is_near(address) {
-            self.is_led_near.set(report.relay.is_some_and(|relay| relay != self.cfg.ip));
+            self.has_fresh_neighbour.set(report.relay.is_some_and(|relay| relay != self.cfg.ip));
         }
         if let Some(relay) = report.relay {
             self.relay.set(self.relay.get().note(relay, now));
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -93,7 +93,7 @@
     /// The entry that the others of the region follow, as agents named it last.
     pub relay: Cell<Named>,
     /// Whether agents of the region know another entry of it that may be followed.
-    pub is_led_near: Cell<bool>,
+    pub has_fresh_neighbour: Cell<bool>,
     /// The entry that watches the store for all regions, as agents named it last.
     pub root: Cell<Named>,
     /// The entry that this one follows, and the distance from the store that it has with it.
@@ -143,7 +143,7 @@
             is_stopping: Cell::new(false),
             confirmed: RefCell::default(),
             relay: Cell::default(),
-            is_led_near: Cell::new(false),
+            has_fresh_neighbour: Cell::new(false),
             root: Cell::default(),
             parent: Cell::new(None),
             successors: RefCell::default(),
