A version in use comes to new caches from hosts that hold it, not from the origin

A zone that loses power made the pullers take the version from the origin once more. A puller asks the agent of an endpoint first whose agent says that it has loaded the version; a version just named has none.

--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -300,6 +300,13 @@
         is_in_reach && self.health.takes(self.own, now)
     }
 
+    /// Whether its agent says, now, that it holds a version of a model.
+    pub(super) fn is_holder(&self, model: &str, version: u64, now: Time) -> bool {
+        let is_heard = self.load.as_ref().is_some_and(|load| load.is_heard(now));
+        let mut weights = self.listed.weights.iter();
+        is_heard && weights.any(|(name, held)| name == model && *held == version)
+    }
+
     /// Time until it serves, if it does not serve yet and its agent knows.
     pub(super) fn ready_in(&self, now: Time) -> Option<Duration> {
         let load = self.load.as_ref().filter(|load| load.is_heard(now))?;
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -193,6 +193,12 @@
         all.filter(|listed| listed.is_engine)
     }
 
+    /// Addresses of the endpoints that hold a version of a model, as their agents say now.
+    pub fn holders(&self, model: &str, version: u64, now: Time) -> Vec<SocketAddr> {
+        let holders = self.endpoints.iter().filter(|(_, one)| one.is_holder(model, version, now));
+        holders.map(|(_, one)| one.listed().address).collect()
+    }
+
     /// Revision of an endpoint's entry, if it is known.
     pub fn revision_of(&self, id: &str) -> Option<Revision> {
         let endpoint = self.endpoints.get(*self.by_id.get(id)?)?;
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -643,3 +643,15 @@
     roster.set_evacuated(HashSet::new(), Revision(3));
     assert_eq!(covered(&roster), 16);
 }
+
+// Guards against chunks that are asked of hosts of which only an old list says that they have them.
+#[test]
+fn holders_are_those_whose_agents_say_so() {
+    let mut roster = roster();
+    roster.put(listed(1, "lagoa"), now(0));
+    roster.put(listed(2, "lagoa"), now(0));
+    roster.reported(address(2), &report(0), now(0), NEAR, DRAW, now(0));
+    assert_eq!(roster.holders("m", 1, now(1)), [address(2)]);
+    assert!(roster.holders("m", 2, now(1)).is_empty());
+    assert!(roster.holders("m", 1, now(2_000)).is_empty());
+}
--- a/node/src/direct/chunk_server.rs
+++ b/node/src/direct/chunk_server.rs
@@ -12,6 +12,7 @@
 use mastichaven_core::direct::replication::ChunkAsk;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_platform::origin as origin_paths;
+use rand::seq::IndexedRandom;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -22,9 +23,11 @@
 use super::origin;
 use super::origin::OriginError;
 use super::peers;
+use super::peers::PeerAsk;
 use super::peers::PeerTold;
 use super::staging::sha256;
 use super::state::State;
+use super::swarm::version_digest;
 
 /// How long an ask waits for a chunk that is on its way.
 const WAIT: Duration = Duration::from_millis(500);
@@ -112,7 +115,10 @@
             // A puller that is lost must not hold the chunk back.
             Err(NotFetched::Failed) => fetch_from_origin(state, ask).await,
         },
-        None => fetch_from_origin(state, ask).await,
+        None => match fetch_from_holder(state, ask).await {
+            Some(bytes) => Ok(bytes),
+            None => fetch_from_origin(state, ask).await,
+        },
     };
     match fetched {
         Ok(bytes) if sha256(&bytes) == ask.digest => Ok(Content::Here(bytes)),
@@ -145,6 +151,21 @@
     }
 }
 
+/// Takes a chunk from a host whose endpoint has loaded the version: one that has been in use for long need
+/// not leave the origin once more for a zone that has lost power.
+async fn fetch_from_holder(state: &State, ask: &ChunkAsk) -> Option<Bytes> {
+    let holders = state.roster.borrow().holders(&ask.model, ask.version, state.now());
+    let holder = state.with_rng(|rng| holders.choose(rng).copied())?;
+    let address = SocketAddr::new(holder.ip(), state.cfg.agent_port);
+    let version = version_digest(&ask.model, ask.version);
+    let peer_ask = PeerAsk::Chunk { version, digest: ask.digest, park: false };
+    let intake = &state.chunks.intake;
+    let taken = peers::take_chunk(address, &peer_ask, REPLY_WITHIN, PULLER_WITHIN, intake).await;
+    let bytes = taken.ok()?.ok().filter(|bytes| sha256(bytes) == ask.digest)?;
+    state.metrics.count("chunks_from_peers");
+    Some(bytes)
+}
+
 async fn fetch_from_origin(state: &State, ask: &ChunkAsk) -> origin::Result<Bytes> {
     let address = state.catalog.borrow().as_ref().and_then(|c| Some(c.origin()?.address));
     let address = address.ok_or(OriginError::Unreachable)?;
--- a/node/tests/direct/chunk_cache.rs
+++ b/node/tests/direct/chunk_cache.rs
@@ -9,6 +9,8 @@
 use mastichaven_core::direct::catalog::CatalogParts;
 use mastichaven_core::direct::catalog::Origin;
 use mastichaven_core::direct::catalog::Service;
+use mastichaven_core::direct::endpoint::Listed;
+use mastichaven_core::direct::endpoint::LoadReport;
 use mastichaven_core::direct::replication::ChunkAsk;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::Update;
@@ -16,6 +18,7 @@
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
 use mastichaven_node::direct::peers;
+use mastichaven_node::direct::peers::PeerAsk;
 use mastichaven_node::direct::peers::PeerTold;
 use mastichaven_node::direct::publisher;
 use mastichaven_node::direct::staging::sha256;
@@ -30,6 +33,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::updates::listed;
 use super::updates::state_with;
 
 const CHUNKS: u32 = 16;
@@ -193,3 +197,46 @@
         );
     });
 }
+
+/// Plays the agent of an endpoint that has loaded the version.
+async fn serve_holder(listener: TcpListener) {
+    let turn = Semaphore::new(8);
+    loop {
+        let Ok((mut stream, _)) = listener.accept().await else { return };
+        let Ok(PeerAsk::Chunk { digest, .. }) = peers::read(&mut stream).await else { return };
+        let held = (0..CHUNKS).map(chunk).find(|held| sha256(held) == digest);
+        let _ = peers::send_pieces(&mut stream, &held.expect("a chunk"), &turn).await;
+    }
+}
+
+fn report() -> LoadReport {
+    LoadReport {
+        running: 0,
+        waiting: 0,
+        accepts: true,
+        weights: vec![("m".into(), 2)],
+        ready_in: None,
+        born: 1,
+        entries: 1,
+        readers: 1,
+        has_heard_all: true,
+        relay: None,
+        root: None,
+    }
+}
+
+// Guards against a version in use that leaves the origin once more for a zone that has lost power.
+#[test]
+fn chunk_of_a_version_in_use_comes_from_a_host_that_holds_it() {
+    with_entry(Manner::Honest, |entry, origin, state| async move {
+        let holder = SocketAddr::from(([127, 0, 0, 7], entry.port()));
+        spawn_local(serve_holder(TcpListener::bind(holder).await.expect("a free port")));
+        let engine = SocketAddr::new(holder.ip(), 9);
+        let now = state.now();
+        let listed = Listed { address: engine, is_engine: true, ..listed("i-1") };
+        state.apply(Update::EndpointPut(Box::new(listed)));
+        state.roster.borrow_mut().reported(engine, &report(), now, Duration::ZERO, 0.5, now);
+        assert_eq!(take(entry, &ask(4, Vec::new())).await, Ok(chunk(4)));
+        assert_eq!(origin.asked.get(), 0);
+    });
+}
--- a/node/tests/direct/updates.rs
+++ b/node/tests/direct/updates.rs
@@ -48,7 +48,7 @@
     State::new(cfg, slog::Logger::root(slog::Discard, slog::o!()), 1)
 }
 
-fn listed(id: &str) -> Listed {
+pub fn listed(id: &str) -> Listed {
     Listed {
         id: id.into(),
         revision: Revision(1),
