--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -75,8 +75,8 @@
 /// What an agent has to know of its service, from one version of the configuration.
 ///
 /// Were agents to read the configuration for themselves, each new version of weights and each restart
-/// would bring all of them to the store at once: with 1,400 routes 88 agents fetched 35 MB over links
-/// between regions of 3 MB/s, and weights and watches waited behind that for 10 s.
+/// would bring all of them to the store at once, and weights and watches would wait behind as many copies of
+/// a large configuration on the links between regions.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SetupUpdate {
     /// The version of the configuration.
@@ -158,7 +158,7 @@
         roster.entries_counted(report.entries, report.has_heard_all, now);
         let asked = Time::from_micros(msg.asked_us);
         if roster.is_near(address) {
-            self.is_led_near.set(report.relay.is_some_and(|relay| relay != self.cfg.ip));
+            self.has_fresh_neighbour.set(report.relay.is_some_and(|relay| relay != self.cfg.ip));
         }
         if let Some(relay) = report.relay {
             self.relay.set(self.relay.get().note(relay, now));
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -44,7 +44,7 @@
 const LEASE_PART: f64 = 0.88;
 
 /// Part of the bound on weights after which requests no longer go to an older version. A request
-/// begins to run when it leaves the endpoint's queue; under overload that took up to 1.3 s.
+/// begins to run when it leaves the endpoint's queue, which takes long under overload.
 const OLD_WEIGHTS_PART: f64 = 0.82;
 
 /// Routes whose callers' waits are remembered at most: some hundred KB.
@@ -93,7 +93,7 @@
     /// The entry that the others of the region follow, as agents named it last.
     pub relay: Cell<Named>,
     /// Whether agents of the region know another entry of it that may be followed.
-    pub is_led_near: Cell<bool>,
+    pub has_fresh_neighbour: Cell<bool>,
     /// The entry that watches the store for all regions, as agents named it last.
     pub root: Cell<Named>,
     /// The entry that this one follows, and the distance from the store that it has with it.
@@ -143,7 +143,7 @@
             is_stopping: Cell::new(false),
             confirmed: RefCell::default(),
             relay: Cell::default(),
-            is_led_near: Cell::new(false),
+            has_fresh_neighbour: Cell::new(false),
             root: Cell::default(),
             parent: Cell::new(None),
             successors: RefCell::default(),
