--- a/core/src/direct/replication.rs
+++ b/core/src/direct/replication.rs
@@ -100,12 +100,12 @@
         known: u64,
     },
     /// An agent, or an entry of another region, asks for a chunk of weights.
-    Chunk(ChunkAsk),
+    Chunk(ChunkRequest),
 }
 
 /// Asks an entry for a chunk of weights.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct ChunkAsk {
+pub struct ChunkRequest {
     /// The model.
     pub model: SmolStr,
     /// Its version.
--- a/core/src/swarm/ask.rs
+++ b/core/src/swarm/ask.rs
@@ -41,8 +41,8 @@
 
 /// Time for neighbours to tell that they have a chunk, before it is taken from the origin: of a version that has
 /// just been named, and where this host may have joined late.
-pub(super) const NEWS_TOLD_WITHIN: Duration = Duration::from_millis(100);
-const OLD_TOLD_WITHIN: Duration = Duration::from_secs(1);
+pub(super) const NEW_VERSION_POLLS_WITHIN: Duration = Duration::from_millis(100);
+const OLD_VERSION_POLLS_WITHIN: Duration = Duration::from_secs(1);
 
 /// How often an owner that others depend on is asked whether it lives.
 const WATCH: Duration = Duration::from_secs(1);
@@ -227,7 +227,11 @@
                 Some(other.map_or(To::Origin, To::Peer))
             }
             Source::Origin => {
-                let within = if download.is_newcomer { OLD_TOLD_WITHIN } else { NEWS_TOLD_WITHIN };
+                let within = if download.is_newcomer {
+                    OLD_VERSION_POLLS_WITHIN
+                } else {
+                    NEW_VERSION_POLLS_WITHIN
+                };
                 let is_overdue = now.passed(download.opened_at, within);
                 (self.have_told(n) || is_overdue).then_some(To::Origin)
             }
--- a/core/src/swarm/cached.rs
+++ b/core/src/swarm/cached.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 use rand::RngExt;
 
-use super::ask::NEWS_TOLD_WITHIN;
+use super::ask::NEW_VERSION_POLLS_WITHIN;
 use super::ask::PARK;
 use super::download::CACHE_FAILURES;
 use super::download::Part;
@@ -59,7 +59,7 @@
             return true;
         }
         !download.is_whole_near()
-            && (self.have_told(n) || now.passed(download.opened_at, NEWS_TOLD_WITHIN))
+            && (self.have_told(n) || now.passed(download.opened_at, NEW_VERSION_POLLS_WITHIN))
     }
 
     /// Whether all neighbours that live have told what they have of a version.
--- a/node/src/direct/chunk_cache.rs
+++ b/node/src/direct/chunk_cache.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use mastichaven_core::Time;
-use mastichaven_core::direct::replication::ChunkAsk;
+use mastichaven_core::direct::replication::ChunkRequest;
 use mastichaven_core::ids::Digest;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
@@ -86,10 +86,10 @@
         self.slots.borrow().get(&digest).map(|slot| slot.content.clone())
     }
 
-    /// Notes an ask; says whether the chunk is to be fetched for it. `None` if there is no room.
-    pub(super) fn note_ask(&self, ask: &ChunkAsk, now: Time) -> Option<bool> {
+    /// Notes a request; says whether the chunk is to be fetched for it. `None` if there is no room.
+    pub(super) fn note_request(&self, req: &ChunkRequest, now: Time) -> Option<bool> {
         let mut slots = self.slots.borrow_mut();
-        if let Some(slot) = slots.get_mut(&ask.digest) {
+        if let Some(slot) = slots.get_mut(&req.digest) {
             slot.asked_at = now;
             return Some(false);
         }
@@ -97,9 +97,9 @@
             return None;
         }
         // Older versions have had their time: hosts that still lack chunks of them ask each other.
-        slots.retain(|_, slot| slot.version >= ask.version || !is_idle(slot, now));
-        let slot = Slot { version: ask.version, asked_at: now, content: Content::Awaited };
-        slots.insert(ask.digest, slot);
+        slots.retain(|_, slot| slot.version >= req.version || !is_idle(slot, now));
+        let slot = Slot { version: req.version, asked_at: now, content: Content::Awaited };
+        slots.insert(req.digest, slot);
         Some(true)
     }
 
--- a/node/src/direct/chunk_server.rs
+++ b/node/src/direct/chunk_server.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use mastichaven_core::direct::replication::ChunkAsk;
+use mastichaven_core::direct::replication::ChunkRequest;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_platform::origin as origin_paths;
 use rand::seq::IndexedRandom;
@@ -23,16 +23,16 @@
 use super::origin;
 use super::origin::OriginError;
 use super::peers;
-use super::peers::PeerAsk;
-use super::peers::PeerTold;
+use super::peers::PeerReply;
+use super::peers::PeerRequest;
 use super::staging::sha256;
 use super::state::State;
 use super::swarm::version_digest;
 
-/// How long an ask waits for a chunk that is on its way.
+/// How long a request waits for a chunk that is on its way.
 const WAIT: Duration = Duration::from_millis(500);
 
-/// Time for the first answer to an ask, which may wait that long.
+/// Time for the first reply to a request, which may wait that long.
 pub const REPLY_WITHIN: Duration = Duration::from_millis(900);
 
 /// Time for a chunk from the entry that pulls it, once it has begun to come.
@@ -41,63 +41,63 @@
 /// Pause after a source that did not bring the chunk.
 const FETCH_RETRY: Duration = Duration::from_millis(100);
 
-/// Answers the ask for a chunk on `stream`.
+/// Answers the request for a chunk on `stream`.
 pub async fn serve(
     state: &Rc<State>,
     stream: &mut TcpStream,
-    ask: ChunkAsk,
+    req: ChunkRequest,
 ) -> std::io::Result<()> {
-    match find(state, &ask).await {
+    match find(state, &req).await {
         Ok(chunk) => {
             state.metrics.count("chunks_handed_out");
             peers::send_pieces(stream, &chunk, &state.chunks.out).await
         }
-        Err(told) => peers::write(stream, &told).await,
+        Err(reply) => peers::write(stream, &reply).await,
     }
 }
 
-async fn find(state: &Rc<State>, ask: &ChunkAsk) -> Result<Bytes, PeerTold> {
+async fn find(state: &Rc<State>, req: &ChunkRequest) -> Result<Bytes, PeerReply> {
     let until = Instant::now() + WAIT;
-    if !begin(state, ask) {
-        return Err(PeerTold::Busy);
+    if !begin(state, req) {
+        return Err(PeerReply::Busy);
     }
-    if ask.puller.is_none() {
-        for (index, digest) in &ask.next {
+    if req.puller.is_none() {
+        for (index, digest) in &req.next {
             let (index, digest) = (*index, *digest);
-            begin(state, &ChunkAsk { index, digest, next: Vec::new(), ..ask.clone() });
+            begin(state, &ChunkRequest { index, digest, next: Vec::new(), ..req.clone() });
         }
     }
     loop {
-        match state.chunks.content(ask.digest) {
+        match state.chunks.content(req.digest) {
             Some(Content::Here(bytes)) => return Ok(bytes),
-            Some(Content::Absent) => return Err(PeerTold::Absent),
+            Some(Content::Absent) => return Err(PeerReply::Absent),
             Some(Content::Awaited) | None => {}
         }
         if timeout_at(until, state.chunks.changed.notified()).await.is_err() {
-            return Err(PeerTold::NotYet);
+            return Err(PeerReply::NotYet);
         }
     }
 }
 
-/// Notes an ask and fetches the chunk unless it is here or on its way. False if there is no room for it.
-fn begin(state: &Rc<State>, ask: &ChunkAsk) -> bool {
-    let is_new = state.chunks.note_ask(ask, state.now());
+/// Notes a request and fetches the chunk unless it is here or on its way. False if there is no room for it.
+fn begin(state: &Rc<State>, req: &ChunkRequest) -> bool {
+    let is_new = state.chunks.note_request(req, state.now());
     if is_new == Some(true) {
-        spawn_local(fetch(state.clone(), ask.clone()));
+        spawn_local(fetch(state.clone(), req.clone()));
     }
     is_new.is_some()
 }
 
 /// Takes a chunk from its source, as long as somebody asks for it.
-async fn fetch(state: Rc<State>, ask: ChunkAsk) {
-    while state.chunks.is_wanted(ask.digest, state.now()) {
-        match fetch_once(&state, &ask).await {
-            Ok(content) => return state.chunks.set(ask.digest, content),
+async fn fetch(state: Rc<State>, req: ChunkRequest) {
+    while state.chunks.is_wanted(req.digest, state.now()) {
+        match fetch_once(&state, &req).await {
+            Ok(content) => return state.chunks.set(req.digest, content),
             Err(NotFetched::Later) => {}
             Err(NotFetched::Failed) => sleep(FETCH_RETRY).await,
         }
     }
-    state.chunks.forget(ask.digest);
+    state.chunks.forget(req.digest);
 }
 
 /// Why a chunk did not come.
@@ -107,21 +107,21 @@
     Failed,
 }
 
-async fn fetch_once(state: &State, ask: &ChunkAsk) -> Result<Content, NotFetched> {
-    let fetched = match ask.puller {
-        Some(puller) => match fetch_from_puller(state, puller, ask).await {
+async fn fetch_once(state: &State, req: &ChunkRequest) -> Result<Content, NotFetched> {
+    let fetched = match req.puller {
+        Some(puller) => match fetch_from_puller(state, puller, req).await {
             Ok(bytes) => Ok(bytes),
             Err(NotFetched::Later) => return Err(NotFetched::Later),
             // A puller that is lost must not hold the chunk back.
-            Err(NotFetched::Failed) => fetch_from_origin(state, ask).await,
+            Err(NotFetched::Failed) => fetch_from_origin(state, req).await,
         },
-        None => match fetch_from_holder(state, ask).await {
+        None => match fetch_from_holder(state, req).await {
             Some(bytes) => Ok(bytes),
-            None => fetch_from_origin(state, ask).await,
+            None => fetch_from_origin(state, req).await,
         },
     };
     match fetched {
-        Ok(bytes) if sha256(&bytes) == ask.digest => Ok(Content::Here(bytes)),
+        Ok(bytes) if sha256(&bytes) == req.digest => Ok(Content::Here(bytes)),
         Ok(_) => {
             state.metrics.count("chunks_corrupt");
             Err(NotFetched::Failed)
@@ -134,18 +134,18 @@
 async fn fetch_from_puller(
     state: &State,
     puller: IpAddr,
-    ask: &ChunkAsk,
+    req: &ChunkRequest,
 ) -> Result<Bytes, NotFetched> {
     let address = SocketAddr::new(puller, state.cfg.agent_port);
-    let hello = Hello::Chunk(ChunkAsk { puller: None, ..ask.clone() });
+    let hello = Hello::Chunk(ChunkRequest { puller: None, ..req.clone() });
     let intake = &state.chunks.intake;
     match peers::take_chunk(address, &hello, REPLY_WITHIN, PULLER_WITHIN, intake).await {
         Ok(Ok(bytes)) => Ok(bytes),
-        Ok(Err(PeerTold::NotYet)) => Err(NotFetched::Later),
+        Ok(Err(PeerReply::NotYet)) => Err(NotFetched::Later),
         Ok(Err(_)) => Err(NotFetched::Failed),
         Err(e) => {
             slog::info!(state.log, "chunk not received"; "entry" => address.to_string(),
-                "version" => ask.version, "error" => e.as_str());
+                "version" => req.version, "error" => e.as_str());
             Err(NotFetched::Failed)
         }
     }
@@ -153,33 +153,33 @@
 
 /// Takes a chunk from a host whose endpoint has loaded the version: one that has been in use for long need
 /// not leave the origin once more for a zone that has lost power.
-async fn fetch_from_holder(state: &State, ask: &ChunkAsk) -> Option<Bytes> {
-    let holders = state.roster.borrow().holders(&ask.model, ask.version, state.now());
+async fn fetch_from_holder(state: &State, req: &ChunkRequest) -> Option<Bytes> {
+    let holders = state.roster.borrow().holders(&req.model, req.version, state.now());
     let holder = state.with_rng(|rng| holders.choose(rng).copied())?;
     let address = SocketAddr::new(holder.ip(), state.cfg.agent_port);
-    let version = version_digest(&ask.model, ask.version);
-    let peer_ask = PeerAsk::Chunk { version, digest: ask.digest, park: false };
+    let version = version_digest(&req.model, req.version);
+    let request = PeerRequest::Chunk { version, digest: req.digest, park: false };
     let intake = &state.chunks.intake;
-    let taken = peers::take_chunk(address, &peer_ask, REPLY_WITHIN, PULLER_WITHIN, intake).await;
-    let bytes = taken.ok()?.ok().filter(|bytes| sha256(bytes) == ask.digest)?;
+    let taken = peers::take_chunk(address, &request, REPLY_WITHIN, PULLER_WITHIN, intake).await;
+    let bytes = taken.ok()?.ok().filter(|bytes| sha256(bytes) == req.digest)?;
     state.metrics.count("chunks_from_peers");
     Some(bytes)
 }
 
-async fn fetch_from_origin(state: &State, ask: &ChunkAsk) -> origin::Result<Bytes> {
+async fn fetch_from_origin(state: &State, req: &ChunkRequest) -> origin::Result<Bytes> {
     let address = state.catalog.borrow().as_ref().and_then(|c| Some(c.origin()?.address));
     let address = address.ok_or(OriginError::Unreachable)?;
     let Ok(_turn) = state.chunks.from_origin.acquire().await else {
         return Err(OriginError::Unreachable);
     };
-    let path = origin_paths::chunk_path(&ask.model, ask.version, ask.index as usize);
+    let path = origin_paths::chunk_path(&req.model, req.version, req.index as usize);
     let fetched = origin::fetch(address, &path).await;
     match &fetched {
         Ok(bytes) => {
             state.metrics.count("chunks_from_origin");
             state.metrics.add("origin_bytes", bytes.len() as u64);
             if state.chunks.is_origin_lost.replace(false) {
-                slog::info!(state.log, "origin regained"; "version" => ask.version);
+                slog::info!(state.log, "origin regained"; "version" => req.version);
             }
         }
         Err(e) => {
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -1,4 +1,4 @@
-//! What agents ask each other: which chunks of a version they have, its digests, its chunks.
+//! Requests among agents: which chunks of a version a peer has, its digests, its chunks.
 //!
 //! One question a connection, each way a length and a message. A host's link carries about a megabyte
 //! a second, so a connection costs little beside the chunk it carries.
@@ -60,7 +60,7 @@
 
 /// A question to a peer.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum PeerAsk {
+pub enum PeerRequest {
     /// What it has of a version.
     Have {
         /// The version.
@@ -84,7 +84,7 @@
 
 /// An answer of a peer.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum PeerTold {
+pub enum PeerReply {
     /// What it has, and the chunks that wait on its link.
     Have {
         /// One bit a chunk.
@@ -105,7 +105,7 @@
     Absent,
     /// It is sending enough already.
     Busy,
-    /// It will have what was asked for, but not in the time that an ask may wait.
+    /// It will have what was asked for, but not in the time that a request may wait.
     NotYet,
 }
 
@@ -119,17 +119,17 @@
 /// Asks the process at `address`.
 pub async fn ask<T: DeserializeOwned>(
     address: SocketAddr,
-    ask: &impl Serialize,
+    req: &impl Serialize,
     within: Duration,
 ) -> Result<T> {
     let mut stream = connect(address).await?;
     let exchange = async {
         link::prepare(&stream)?;
-        write(&mut stream, ask).await?;
+        write(&mut stream, req).await?;
         read(&mut stream).await
     };
     match timeout(within, exchange).await {
-        Ok(Ok(told)) => Ok(told),
+        Ok(Ok(reply)) => Ok(reply),
         Ok(Err(_)) | Err(_) => Err(PeerError::Silent),
     }
 }
@@ -152,24 +152,24 @@
 const NEXT: u8 = 1;
 const ARRIVED: u8 = 2;
 
-/// Takes a chunk from the process at `address`, or what it says instead. It begins to answer within
+/// Takes a chunk from the process at `address`, or what it replies instead. It begins to answer within
 /// `reply_within`, and the chunk comes `within` that time after.
 pub async fn take_chunk(
     address: SocketAddr,
-    ask: &impl Serialize,
+    req: &impl Serialize,
     reply_within: Duration,
     within: Duration,
     intake: &Semaphore,
-) -> Result<std::result::Result<Bytes, PeerTold>> {
+) -> Result<std::result::Result<Bytes, PeerReply>> {
     let mut stream = connect(address).await?;
-    let reply = async {
+    let exchange = async {
         link::prepare(&stream)?;
-        write(&mut stream, ask).await?;
+        write(&mut stream, req).await?;
         read(&mut stream).await
     };
-    let told = timeout(reply_within, reply).await.map_err(|_| PeerError::Silent)?;
-    let len = match told.map_err(|_: io::Error| PeerError::Silent)? {
-        PeerTold::ChunkFollows(len) if len <= MAX_MESSAGE_LEN => len as usize,
+    let reply = timeout(reply_within, exchange).await.map_err(|_| PeerError::Silent)?;
+    let len = match reply.map_err(|_: io::Error| PeerError::Silent)? {
+        PeerReply::ChunkFollows(len) if len <= MAX_MESSAGE_LEN => len as usize,
         other => return Ok(Err(other)),
     };
     match timeout(within, read_pieces(&mut stream, len, intake)).await {
@@ -185,7 +185,7 @@
         stream.write_u8(NEXT).await?;
         stream.read_exact(piece).await?;
         drop(turn);
-        // Told at once and not with the next ask, which may wait for a turn here: the peer keeps its
+        // Sent at once and not with the next request, which may wait for a turn here: the peer keeps its
         // own link for this piece until then, and two hosts that wait for each other would stand still.
         stream.write_u8(ARRIVED).await?;
     }
@@ -195,7 +195,7 @@
 /// Sends a chunk piece by piece, as the peer asks for them. A piece keeps its turn on the link until
 /// the peer tells that it has arrived.
 pub async fn send_pieces(stream: &mut TcpStream, chunk: &[u8], turn: &Semaphore) -> io::Result<()> {
-    write(stream, &PeerTold::ChunkFollows(chunk.len() as u32)).await?;
+    write(stream, &PeerReply::ChunkFollows(chunk.len() as u32)).await?;
     for piece in chunk.chunks(PIECE_LEN) {
         expect(stream, NEXT).await?;
         let _turn = turn.acquire().await.map_err(io::Error::other)?;
@@ -207,8 +207,8 @@
 }
 
 async fn expect(stream: &mut TcpStream, wanted: u8) -> io::Result<()> {
-    let told = stream.read_u8().await?;
-    if told == wanted { Ok(()) } else { Err(invalid()) }
+    let byte = stream.read_u8().await?;
+    if byte == wanted { Ok(()) } else { Err(invalid()) }
 }
 
 /// Reads a message.
--- a/node/src/direct/swarm/pulls.rs
+++ b/node/src/direct/swarm/pulls.rs
@@ -45,14 +45,20 @@
     pub(super) target: Target,
     pub(super) chunks: Option<Chunks>,
     pub(super) waiting: BTreeMap<usize, Bytes>,
-    /// The entries that know which chunks to pull.
-    pub(super) told: HashSet<IpAddr>,
+    /// The pullers that were told which chunks to pull.
+    pub(super) asked_pullers: HashSet<IpAddr>,
     pub(super) began: Time,
 }
 
 impl Pull {
     pub(super) fn new(target: Target, now: Time) -> Pull {
-        Pull { target, chunks: None, waiting: BTreeMap::new(), told: HashSet::new(), began: now }
+        Pull {
+            target,
+            chunks: None,
+            waiting: BTreeMap::new(),
+            asked_pullers: HashSet::new(),
+            began: now,
+        }
     }
 
     pub(super) fn is_complete(&self) -> bool {
--- a/node/src/direct/swarm/serving.rs
+++ b/node/src/direct/swarm/serving.rs
@@ -20,8 +20,8 @@
 use super::pulls::Pull;
 use crate::direct::link;
 use crate::direct::peers;
-use crate::direct::peers::PeerAsk;
-use crate::direct::peers::PeerTold;
+use crate::direct::peers::PeerReply;
+use crate::direct::peers::PeerRequest;
 
 /// Questions of peers answered at once.
 const MAX_ASKS: usize = 64;
@@ -50,19 +50,19 @@
 
     async fn serve_peer(&self, mut stream: TcpStream) -> std::io::Result<()> {
         link::prepare(&stream)?;
-        let ask: PeerAsk = peers::read(&mut stream).await?;
-        let told = match ask {
-            PeerAsk::Have { version } => self.tell_have(version),
-            PeerAsk::Manifest { version } => self.tell_manifest(version).await,
-            PeerAsk::Chunk { .. } if self.sending.get() >= BUSY_QUEUE => PeerTold::Busy,
-            PeerAsk::Chunk { version, digest, park } => {
+        let req: PeerRequest = peers::read(&mut stream).await?;
+        let reply = match req {
+            PeerRequest::Have { version } => self.tell_have(version),
+            PeerRequest::Manifest { version } => self.tell_manifest(version).await,
+            PeerRequest::Chunk { .. } if self.sending.get() >= BUSY_QUEUE => PeerReply::Busy,
+            PeerRequest::Chunk { version, digest, park } => {
                 match self.find_chunk(version, digest, park).await {
                     Some(chunk) => return self.send_chunk(&mut stream, &chunk).await,
-                    None => PeerTold::Absent,
+                    None => PeerReply::Absent,
                 }
             }
         };
-        peers::write(&mut stream, &told).await
+        peers::write(&mut stream, &reply).await
     }
 
     async fn send_chunk(&self, stream: &mut TcpStream, chunk: &Bytes) -> std::io::Result<()> {
@@ -72,30 +72,30 @@
         sent
     }
 
-    fn tell_have(&self, version: Digest) -> PeerTold {
+    fn tell_have(&self, version: Digest) -> PeerReply {
         let Some(chunks) = self.chunks_of(version) else {
-            return PeerTold::Have { map: Bitmap::default(), queue: 0 };
+            return PeerReply::Have { map: Bitmap::default(), queue: 0 };
         };
         let mut map = Bitmap::zeros(chunks.have.len());
         for (index, _) in chunks.have.iter().enumerate().filter(|(_, have)| **have) {
             map.set(index);
         }
-        PeerTold::Have { map, queue: self.sending.get() }
+        PeerReply::Have { map, queue: self.sending.get() }
     }
 
-    async fn tell_manifest(&self, version: Digest) -> PeerTold {
+    async fn tell_manifest(&self, version: Digest) -> PeerReply {
         let until = Instant::now() + PARK;
         loop {
             if let Some(Chunks { chunk_len, digests, .. }) = self.chunks_of(version) {
-                return PeerTold::Manifest { chunk_len, digests };
+                return PeerReply::Manifest { chunk_len, digests };
             }
             if tokio::time::timeout_at(until, self.changed.notified()).await.is_err() {
-                return PeerTold::Absent;
+                return PeerReply::Absent;
             }
         }
     }
 
-    /// A chunk that is staged here, or is within the time that an ask may wait.
+    /// A chunk that is staged here, or is within the time that a request may wait.
     async fn find_chunk(&self, version: Digest, digest: Digest, park: bool) -> Option<Bytes> {
         let until = Instant::now() + PARK;
         loop {
--- a/node/src/direct/swarm/sources.rs
+++ b/node/src/direct/swarm/sources.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use mastichaven_core::Manifest;
-use mastichaven_core::direct::replication::ChunkAsk;
+use mastichaven_core::direct::replication::ChunkRequest;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::manifest::Chunk;
@@ -27,9 +27,9 @@
 use crate::direct::origin;
 use crate::direct::origin::OriginError;
 use crate::direct::peers;
-use crate::direct::peers::PeerAsk;
 use crate::direct::peers::PeerError;
-use crate::direct::peers::PeerTold;
+use crate::direct::peers::PeerReply;
+use crate::direct::peers::PeerRequest;
 use crate::direct::staging;
 use crate::direct::staging::StagingError;
 use crate::direct::staging::sha256;
@@ -136,7 +136,7 @@
             self.follow_caches();
             return End::Unreachable;
         };
-        let hello = Hello::Chunk(ChunkAsk {
+        let hello = Hello::Chunk(ChunkRequest {
             model: target.model.clone(),
             version: target.version,
             index: index as u32,
@@ -152,7 +152,7 @@
                 self.metrics.count("chunks_from_entries");
                 self.take_chunk(&target, index, digest, bytes).await
             }
-            Ok(Err(told)) => end_of(Ok(told)),
+            Ok(Err(reply)) => end_of(Ok(reply)),
             Err(e) => {
                 slog::info!(self.log, "chunk not received"; "entry" => address.to_string(),
                     "version" => target.version, "error" => e.as_str());
@@ -163,15 +163,15 @@
         }
     }
 
-    /// The other missing chunks that come through the same puller, for the first ask through it.
+    /// The other missing chunks that come through the same puller, for the first request through it.
     ///
     /// The puller takes them as fast as the origin sends, however slow this host is: the origin may be gone
     /// before all of the version was asked for.
     fn pulled_next(&self, version: Digest, digest: Digest) -> Vec<(u32, Digest)> {
         let puller = self.caches.borrow().puller(digest);
-        let Some(puller) =
-            puller.filter(|ip| self.with_pull(version, |pull| pull.told.insert(*ip)) == Some(true))
-        else {
+        let Some(puller) = puller.filter(|ip| {
+            self.with_pull(version, |pull| pull.asked_pullers.insert(*ip)) == Some(true)
+        }) else {
             return Vec::new();
         };
         let chunks = self.chunks_of(version).unwrap_or_default();
@@ -251,26 +251,26 @@
             return End::Unreachable;
         };
         let version = request.version;
-        let ask = match request.what {
-            What::Have => PeerAsk::Have { version },
-            What::Manifest => PeerAsk::Manifest { version },
+        let req = match request.what {
+            What::Have => PeerRequest::Have { version },
+            What::Manifest => PeerRequest::Manifest { version },
             What::Chunk { digest, park, .. } => {
                 return self.chunk_from_peer(address, request, digest, park).await;
             }
         };
-        match (peers::ask(address, &ask, request.timeout).await, request.what) {
-            (Ok(PeerTold::Have { map, queue }), What::Have) => {
+        match (peers::ask(address, &req, request.timeout).await, request.what) {
+            (Ok(PeerReply::Have { map, queue }), What::Have) => {
                 let now = self.clock.now();
                 self.swarm.borrow_mut().heard(id, version, map, queue, now);
                 End::Told
             }
-            (Ok(PeerTold::Manifest { chunk_len, digests }), What::Manifest) => {
+            (Ok(PeerReply::Manifest { chunk_len, digests }), What::Manifest) => {
                 match self.target_of(request.version) {
                     Some(target) => self.take_manifest(&target, chunk_len, digests).await,
                     None => End::NotNow,
                 }
             }
-            (told, _) => end_of(told),
+            (reply, _) => end_of(reply),
         }
     }
 
@@ -284,26 +284,26 @@
         let Some((target, index)) = self.place_of(request.version, digest) else {
             return End::NotNow;
         };
-        let ask = PeerAsk::Chunk { version: request.version, digest, park };
+        let req = PeerRequest::Chunk { version: request.version, digest, park };
         let within = request.timeout;
-        match peers::take_chunk(address, &ask, within, within, &self.intake).await {
+        match peers::take_chunk(address, &req, within, within, &self.intake).await {
             Ok(Ok(bytes)) => {
                 self.metrics.count("chunks_from_peers");
                 self.take_chunk(&target, index, digest, bytes).await
             }
-            Ok(Err(told)) => end_of(Ok(told)),
+            Ok(Err(reply)) => end_of(Ok(reply)),
             Err(e) => end_of(Err(e)),
         }
     }
 }
 
-/// How an ask ended that brought nothing.
-fn end_of(told: peers::Result<PeerTold>) -> End {
-    match told {
-        Ok(PeerTold::Busy) => End::Busy,
-        Ok(PeerTold::NotYet) => End::NotYet,
-        Ok(PeerTold::Absent) => End::Absent,
-        Ok(PeerTold::Have { .. } | PeerTold::Manifest { .. } | PeerTold::ChunkFollows(_)) => {
+/// How a request ended that brought nothing.
+fn end_of(reply: peers::Result<PeerReply>) -> End {
+    match reply {
+        Ok(PeerReply::Busy) => End::Busy,
+        Ok(PeerReply::NotYet) => End::NotYet,
+        Ok(PeerReply::Absent) => End::Absent,
+        Ok(PeerReply::Have { .. } | PeerReply::Manifest { .. } | PeerReply::ChunkFollows(_)) => {
             End::Corrupt
         }
         Err(PeerError::Unreachable) => End::Unreachable,
--- a/node/tests/direct/chunk_cache.rs
+++ b/node/tests/direct/chunk_cache.rs
@@ -11,15 +11,15 @@
 use mastichaven_core::direct::catalog::Service;
 use mastichaven_core::direct::endpoint::Listed;
 use mastichaven_core::direct::endpoint::LoadReport;
-use mastichaven_core::direct::replication::ChunkAsk;
+use mastichaven_core::direct::replication::ChunkRequest;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::Update;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
 use mastichaven_node::direct::peers;
-use mastichaven_node::direct::peers::PeerAsk;
-use mastichaven_node::direct::peers::PeerTold;
+use mastichaven_node::direct::peers::PeerReply;
+use mastichaven_node::direct::peers::PeerRequest;
 use mastichaven_node::direct::publisher;
 use mastichaven_node::direct::staging::sha256;
 use mastichaven_node::direct::state::State;
@@ -110,10 +110,17 @@
 
 fn ask(n: u32, next: Vec<(u32, Digest)>) -> Hello {
     let digest = sha256(&chunk(n));
-    Hello::Chunk(ChunkAsk { model: "m".into(), version: 2, index: n, digest, puller: None, next })
+    Hello::Chunk(ChunkRequest {
+        model: "m".into(),
+        version: 2,
+        index: n,
+        digest,
+        puller: None,
+        next,
+    })
 }
 
-async fn take(entry: SocketAddr, hello: &Hello) -> Result<Vec<u8>, PeerTold> {
+async fn take(entry: SocketAddr, hello: &Hello) -> Result<Vec<u8>, PeerReply> {
     let intake = Semaphore::new(8);
     let taken = peers::take_chunk(entry, hello, WITHIN, WITHIN, &intake).await;
     taken.expect("an answer").map(|bytes| bytes.to_vec())
@@ -179,7 +186,7 @@
 #[test]
 fn chunk_of_an_origin_that_is_away_is_answered_as_not_yet_here() {
     with_entry(Manner::Away, |entry, origin, _| async move {
-        assert_eq!(take(entry, &ask(1, Vec::new())).await, Err(PeerTold::NotYet));
+        assert_eq!(take(entry, &ask(1, Vec::new())).await, Err(PeerReply::NotYet));
         origin.manner.set(Manner::Honest);
         assert_eq!(take(entry, &ask(1, Vec::new())).await, Ok(chunk(1)));
     });
@@ -192,7 +199,7 @@
         let Hello::Chunk(ask) = ask(2, Vec::new()) else { unreachable!() };
         let lost = Some([127, 0, 0, 99].into());
         assert_eq!(
-            take(entry, &Hello::Chunk(ChunkAsk { puller: lost, ..ask })).await,
+            take(entry, &Hello::Chunk(ChunkRequest { puller: lost, ..ask })).await,
             Ok(chunk(2))
         );
     });
@@ -203,7 +210,7 @@
     let turn = Semaphore::new(8);
     loop {
         let Ok((mut stream, _)) = listener.accept().await else { return };
-        let Ok(PeerAsk::Chunk { digest, .. }) = peers::read(&mut stream).await else { return };
+        let Ok(PeerRequest::Chunk { digest, .. }) = peers::read(&mut stream).await else { return };
         let held = (0..CHUNKS).map(chunk).find(|held| sha256(held) == digest);
         let _ = peers::send_pieces(&mut stream, &held.expect("a chunk"), &turn).await;
     }
