--- a/core/src/direct/rollout.rs
+++ b/core/src/direct/rollout.rs
@@ -51,7 +51,7 @@
 const KNOWN_PACE: f64 = 0.125;
 
 /// Time until the endpoint serves a version that takes `load` to load once it is whole, if nothing holds it
-/// up. `None` while too little has come to tell.
+/// up. `None` while too few chunks have come for an estimate.
 pub fn ready_in(progress: &Progress, load: Duration) -> Option<Duration> {
     let here = progress.chunks.saturating_sub(progress.missing) as f64;
     let is_known = progress.chunks > 0 && here >= progress.chunks as f64 * KNOWN_PACE;
--- a/core/src/direct/roster/listing.rs
+++ b/core/src/direct/roster/listing.rs
@@ -100,7 +100,7 @@
         true
     }
 
-    /// Tells all endpoints at an address which process started there last.
+    /// Notes for all endpoints at an address which process started there last.
     fn note_lives(&mut self, address: SocketAddr) {
         let keys = self.by_address.get(&address).map(Vec::as_slice).unwrap_or_default();
         let born = |key: &EndpointKey| Some(self.endpoints.get(*key)?.listed().born);
--- a/core/src/direct/subscribers.rs
+++ b/core/src/direct/subscribers.rs
@@ -21,7 +21,7 @@
 /// The same for the entry that asks the store for all regions; others than its own it asks half as often.
 const ROOT_VALID: Duration = Duration::from_millis(1_600);
 
-/// Time from the start of an agent after which it has heard all entries. Each announces itself at least
+/// Time from the start of an agent after which all entries have announced themselves to it, each at least
 /// every 1.6 s; a count of the first ones alone would let each take a much too large share of what all may
 /// send.
 const COUNT_AFTER: Duration = Duration::from_millis(1_800);
@@ -88,15 +88,15 @@
     /// How many entries there are, as an agent that started at `started` knows it. One that has just
     /// started goes by what entries say that others have counted.
     pub fn count(&self, started: Time, now: Time) -> Count {
-        let heard = self.len(now) as u32;
+        let live = self.len(now) as u32;
         if now.passed(started, COUNT_AFTER) {
-            return Count { entries: heard, is_of_all: true };
+            return Count { entries: live, is_of_all: true };
         }
-        if let Some(told) = self.live(now).filter_map(|(_, one)| one.entries).max() {
-            return Count { entries: heard.max(told), is_of_all: true };
+        if let Some(reported) = self.live(now).filter_map(|(_, one)| one.entries).max() {
+            return Count { entries: live.max(reported), is_of_all: true };
         }
         let is_of_all = self.first_ask_at.is_some_and(|at| now.passed(at, COUNT_STARTING_AFTER));
-        Count { entries: heard, is_of_all }
+        Count { entries: live, is_of_all }
     }
 
     /// Entries that are sent load reports.
--- a/core/src/swarm/ask.rs
+++ b/core/src/swarm/ask.rs
@@ -233,7 +233,7 @@
                     NEW_VERSION_POLLS_WITHIN
                 };
                 let is_overdue = now.passed(download.opened_at, within);
-                (self.have_told(n) || is_overdue).then_some(To::Origin)
+                (self.have_answered_polls(n) || is_overdue).then_some(To::Origin)
             }
         }
     }
--- a/core/src/swarm/cached.rs
+++ b/core/src/swarm/cached.rs
@@ -59,11 +59,12 @@
             return true;
         }
         !download.is_whole_near()
-            && (self.have_told(n) || now.passed(download.opened_at, NEW_VERSION_POLLS_WITHIN))
+            && (self.have_answered_polls(n)
+                || now.passed(download.opened_at, NEW_VERSION_POLLS_WITHIN))
     }
 
-    /// Whether all neighbours that live have told what they have of a version.
-    pub(super) fn have_told(&self, n: usize) -> bool {
+    /// Whether all live neighbours have answered a poll for a version.
+    pub(super) fn have_answered_polls(&self, n: usize) -> bool {
         let near = self.neighbours.iter().filter(|id| self.peers.is_heard(**id)).count();
         near == self.neighbours.len() && self.downloads[n].maps.len() >= near
     }
--- a/node/src/direct/replication.rs
+++ b/node/src/direct/replication.rs
@@ -75,8 +75,8 @@
 
 /// Time for which agents have to name no other root before an entry that others follow steps down for it.
 ///
-/// While roots change, agents disagree for a moment. If the one that is followed went with the last agent
-/// that it heard, its followers would be too far from the store, ask it themselves, and be named in turn.
+/// While roots change, agents disagree for a moment. If the one that is followed went with the last report,
+/// its followers would be too far from the store, ask it themselves, and be named in turn.
 const ROOT_STEADY: Duration = Duration::from_millis(1_000);
 
 /// Result of following or serving.
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -135,7 +135,7 @@
         self.follow_caches();
     }
 
-    /// Tells the swarm whether any cache may be asked.
+    /// Updates whether the swarm may ask caches.
     fn follow_caches(&self) {
         let are_available = self.caches.borrow().are_available(self.clock.now());
         self.swarm.borrow_mut().set_caches(are_available);
--- a/node/src/direct/swarm/pulls.rs
+++ b/node/src/direct/swarm/pulls.rs
@@ -45,7 +45,7 @@
     pub(super) target: Target,
     pub(super) chunks: Option<Chunks>,
     pub(super) waiting: BTreeMap<usize, Bytes>,
-    /// The pullers that were told which chunks to pull.
+    /// The pullers that have the list of chunks to pull.
     pub(super) asked_pullers: HashSet<IpAddr>,
     pub(super) began: Time,
 }
