--- a/node/src/direct/chunk_server.rs
+++ b/node/src/direct/chunk_server.rs
@@ -161,9 +161,23 @@
     let request = PeerRequest::Chunk { version, digest: req.digest, park: false };
     let intake = &state.chunks.intake;
     let taken = peers::take_chunk(address, &request, REPLY_WITHIN, PULLER_WITHIN, intake).await;
-    let bytes = taken.ok()?.ok().filter(|bytes| sha256(bytes) == req.digest)?;
-    state.metrics.count("chunks_from_peers");
-    Some(bytes)
+    match taken {
+        Ok(Ok(bytes)) if sha256(&bytes) == req.digest => {
+            state.metrics.count("chunks_from_peers");
+            Some(bytes)
+        }
+        // It holds another version by now, or is busy; the origin has the chunk.
+        Ok(Err(PeerReply::Absent | PeerReply::Busy | PeerReply::NotYet)) => None,
+        Ok(_) => {
+            state.metrics.count("chunks_corrupt");
+            None
+        }
+        Err(e) => {
+            slog::info!(state.log, "chunk not received"; "entry" => address.to_string(),
+                "version" => req.version, "error" => e.as_str());
+            None
+        }
+    }
 }
 
 async fn fetch_from_origin(state: &State, req: &ChunkRequest) -> origin::Result<Bytes> {
