Fixed ports in the tests of the programs

Reproduced in two of three runs of the direct tests beside three busy loops, on agent::new_endpoint_gets_weights_from_peers: the entry had ended with "127.83.0.15:33351: Address already in use". Cause: the fixture drew ports by binding and releasing sockets while other threads spawned programs; a child that has been forked but has not yet run its program still holds the listening socket. Each program has an IP number of its own, so its ports are fixed now, below the kernel's range, and nothing is drawn. A program's folder has a number, too (two tests used the name away), and the log of a program is printed when its test fails.

--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -2,7 +2,6 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -27,20 +26,35 @@
 
 const POLL: Duration = Duration::from_millis(20);
 
+// Each program has an IP number of its own, so its ports may be fixed. They lie below the ports that the
+// kernel hands out: a port that is drawn and released stays in use while another thread's child,
+// which inherited the socket, has not yet run its program.
+const AGENT_PORT: u16 = 20_000;
+const METRICS_PORT: u16 = 20_001;
+const CALLERS_PORT: u16 = 20_002;
+const READY_PORT: u16 = 20_003;
+
 /// Agents listen on one port, the same on all hosts, so each host has an IP number of its own.
 static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
 
-/// An unused IP number of the loopback network.
+const HOSTS_A_PROCESS: u16 = 1_000;
+
+static NEXT_FOLDER: AtomicU16 = AtomicU16::new(0);
+
+/// An unused IP number of the loopback network: two octets of the process, two of the host.
 fn new_ip() -> String {
     let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
-    let process = std::process::id() % 200 + 20;
-    format!("127.{process}.{}.{}", host / 200, host % 200 + 1)
+    assert!(host < HOSTS_A_PROCESS, "more hosts than numbers");
+    let process = std::process::id();
+    let third = process / 200 % 50 * 5 + u32::from(host / 200);
+    format!("127.{}.{third}.{}", process % 200 + 20, host % 200 + 1)
 }
 
-/// Free ports of `ip`, all different: a port that is drawn and let go may be drawn again.
-fn free_ports<const N: usize>(ip: &str) -> [u16; N] {
-    let listeners = [(); N].map(|()| TcpListener::bind((ip, 0)).expect("loopback has free ports"));
-    listeners.map(|listener| listener.local_addr().expect("bound").port())
+/// A temporary folder that no other program of this run uses, also one of the same name.
+fn new_folder(name: &str) -> PathBuf {
+    let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    std::env::temp_dir().join(format!("mastichaven-{process}-{number}-{name}"))
 }
 
 /// A program that is killed when the test ends.
@@ -51,8 +65,7 @@
 
 impl Program {
     fn start(binary: &str, name: &str, settings: &str) -> Program {
-        let folder =
-            std::env::temp_dir().join(format!("mastichaven-{}-{name}", std::process::id()));
+        let folder = new_folder(name);
         fs::create_dir_all(&folder).expect("a temporary folder");
         let file = folder.join("settings.toml");
         fs::write(&file, settings).expect("written");
@@ -89,6 +102,9 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if thread::panicking() {
+            eprintln!("log of {}:\n{}", self.folder.display(), self.log());
+        }
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
@@ -114,7 +130,6 @@
 pub struct Site {
     pub store: ServedStore,
     pub origin: ServedOrigin,
-    agent_port: u16,
 }
 
 impl Site {
@@ -129,8 +144,7 @@
     pub fn start_unconfigured() -> Site {
         let store = ServedStore::start("127.0.0.1:0").expect("the store starts");
         let origin = ServedOrigin::start("127.0.0.1:0").expect("the origin starts");
-        let [agent_port] = free_ports("127.0.0.1");
-        Site { store, origin, agent_port }
+        Site { store, origin }
     }
 
     /// Writes a version of the configuration.
@@ -150,33 +164,11 @@
     pub fn endpoint(&self, id: &str, service: &str, version: Option<u64>) -> ServedEndpoint {
         let ip = new_ip();
         let at = format!("{ip}:0");
-        // Bound at once: a port that is drawn and let go may be taken meanwhile.
-        let endpoint = loop {
-            let started = ServedEndpoint::start(&at, id, version).expect("the endpoint starts");
-            if started.address().port() != self.agent_port {
-                break started;
-            }
-        };
+        let endpoint = ServedEndpoint::start(&at, id, version).expect("the endpoint starts");
         self.list(id, service, &endpoint, "ready");
         endpoint
     }
 
-    /// A free port that leaves the one of agents alone.
-    fn port_beside_agent(&self, ip: &str) -> u16 {
-        let ports: [u16; 2] = free_ports(ip);
-        ports.into_iter().find(|port| *port != self.agent_port).expect("two different ports")
-    }
-
-    /// Free ports that leave the one of agents alone: entries listen there, too, for their followers.
-    fn ports_of_entry(&self, ip: &str) -> [u16; 3] {
-        loop {
-            let ports = free_ports(ip);
-            if !ports.contains(&self.agent_port) {
-                return ports;
-            }
-        }
-    }
-
     /// Lists an endpoint as ready or draining.
     pub fn list(&self, id: &str, service: &str, endpoint: &ServedEndpoint, state: &str) {
         self.store.put(site::ENDPOINTS, id, endpoint.entry(service, "zone-a", state));
@@ -189,22 +181,15 @@
         self.store.put(site::ENDPOINTS, id, entry);
     }
 
-    fn settings(
-        &self,
-        name: &str,
-        ip: &str,
-        metrics_port: u16,
-        store: SocketAddr,
-        own: &str,
-    ) -> String {
+    fn settings(&self, name: &str, ip: &str, store: SocketAddr, own: &str) -> String {
         format!(
             "host = \"{name}\"\nip = \"{ip}\"\nzone = \"zone-a\"\nstore = \"{}\"\n\
-             agent_port = {}\nmetrics_port = {}\n{own}\n\
+             agent_port = {AGENT_PORT}\nmetrics_port = {METRICS_PORT}\n{own}\n\
              [regions]\nzone-a = \"region-a\"\n\
              [bounds]\nkey_revocation_ms = 5000\nweights_ms = 3000\nstop_s = 8.0\n\
              repeat_ratio = 0.2\nrepeat_slack = 100.0\nrepeat_window_s = 10.0\n\
              [limits]\ndescriptors = 1000\nmemory_mb = 200\n",
-            store, self.agent_port, metrics_port,
+            store,
         )
     }
 
@@ -234,13 +219,12 @@
 
     fn start_entry(&self, name: &str, store: SocketAddr, seeds: &[&Entry]) -> Entry {
         let ip = new_ip();
-        let [callers, ready, metrics_port] = self.ports_of_entry(&ip);
         let at = |port| SocketAddr::new(ip.parse().expect("an IP"), port);
-        let (callers, ready) = (at(callers), at(ready));
+        let (callers, ready) = (at(CALLERS_PORT), at(READY_PORT));
         let seeds: Vec<String> = seeds.iter().map(|seed| seed.callers.to_string()).collect();
         let own = format!("callers = \"{callers}\"\nready = \"{ready}\"\nseeds = {seeds:?}");
         let binary = env!("CARGO_BIN_EXE_mastichaven-entry");
-        let settings = self.settings(name, &ip, metrics_port, store, &own);
+        let settings = self.settings(name, &ip, store, &own);
         let program = Program::start(binary, name, &settings);
         Entry { program, callers, ready }
     }
@@ -249,10 +233,9 @@
     pub fn agent(&self, name: &str, endpoint: &ServedEndpoint) -> Program {
         let ip = endpoint.address().ip().to_string();
         let own = format!("endpoint = \"{}\"\nservice = \"writer\"", endpoint.address());
-        let metrics_port = self.port_beside_agent(&ip);
         let binary = env!("CARGO_BIN_EXE_mastichaven-agent");
         let store = self.store.address();
-        Program::start(binary, name, &self.settings(name, &ip, metrics_port, store, &own))
+        Program::start(binary, name, &self.settings(name, &ip, store, &own))
     }
 }
 
