Followers of an entry that cannot date a version date it themselves

One that started then reads version 3 without knowing since when; where it became the root of its region, its followers took the version as long named and barred version 1 at once, though they had known until the outage that none was named. Change: an entry that has read the versions before, from the store or a parent, takes a version without a date as named now, as it already did where it knew an older version; agents that have known it longer correct that. An entry that has just started goes on taking it as long named. The test fails on the code before. A log line says the age and the source of a version, and a whole list logs only the endpoints that changed: the lines of 90 unchanged ones hid it.

--- a/node/src/direct/updates.rs
+++ b/node/src/direct/updates.rs
@@ -161,15 +161,22 @@
         slog::info!(self.log, "endpoints told"; "from" => self.source(), "as_of" => as_of.0,
             "known_as_of" => known_as_of.0, "listed" => all.len(),
             "lapsed" => format!("{lapsed:?}"));
-        let told = all.clone();
+        let changed = self.changed_among(&all);
         let Some(gone) = self.roster.borrow_mut().put_all(as_of, all, lapsed, self.now()) else {
             return;
         };
         gone.iter().for_each(|id| self.log_gone(id, as_of));
-        told.iter().for_each(|listed| self.log_listed(listed));
+        changed.iter().for_each(|listed| self.log_listed(listed));
         self.freed.notify_waiters();
     }
 
+    /// Endpoints of a list that this entry does not know, or knows as they were before.
+    fn changed_among(&self, all: &[Listed]) -> Vec<Listed> {
+        let roster = self.roster.borrow();
+        let is_changed = |listed: &&Listed| roster.revision_of(&listed.id) != Some(listed.revision);
+        all.iter().filter(is_changed).cloned().collect()
+    }
+
     fn log_listed(&self, listed: &Listed) {
         slog::info!(self.log, "endpoint listed"; "endpoint" => listed.id.as_str(),
             "from" => self.source(), "revision" => listed.revision.0,
@@ -205,6 +212,11 @@
             "from" => self.source(), "as_of" => as_of.0, "taken" => is_taken);
     }
 
+    /// Whether this entry has known all versions of weights before, be it from the store or a parent.
+    fn has_read_weights(&self) -> bool {
+        self.confirmed.borrow().contains_key(&Kind::Weights)
+    }
+
     /// `named_at` is `None` where nobody knows how long the version has been named.
     fn apply_weights(&self, model: &SmolStr, version: u64, named_at: Option<Time>) {
         let mut known = self.versions.borrow_mut();
@@ -217,14 +229,15 @@
                 false
             }
             (Some(versions), _) => versions.name(version, named_at.unwrap_or(self.now())),
-            (None, Some(at)) => {
-                // None was named when the store was read before, so any older one may answer.
+            // None was named when the store was read before, so any older one may answer. A parent that
+            // has just started does not know that.
+            (None, _) if named_at.is_some() || self.has_read_weights() => {
                 let mut versions = Versions::first(0);
-                versions.name(version, at);
+                versions.name(version, named_at.unwrap_or(self.now()));
                 known.insert(model.clone(), versions);
                 true
             }
-            (None, None) => {
+            (None, _) => {
                 known.insert(model.clone(), Versions::first(version));
                 true
             }
@@ -233,7 +246,9 @@
         if !is_news {
             return;
         }
-        slog::info!(self.log, "weights named"; "model" => model.as_str(), "version" => version);
+        let age = named_at.map_or(-1, |at| self.now().since(at).as_millis() as i64);
+        slog::info!(self.log, "weights named"; "model" => model.as_str(), "version" => version,
+            "age_ms" => age, "from" => self.source());
         self.named.notify_one();
     }
 }
--- a/node/tests/direct/updates.rs
+++ b/node/tests/direct/updates.rs
@@ -181,3 +181,22 @@
     let named_at = state.versions.borrow()["m"].named_at(2);
     assert_eq!(named_at, Some(Time::from_millis(8_400)));
 }
+
+// A parent that started during an outage of the store cannot date a version; its followers barred the older
+// weights at once and had nothing to answer from until the new ones were loaded.
+#[test]
+fn apply_dates_a_version_that_its_parent_cannot_date() {
+    let state = state();
+    let read_before = Ages { weights: Some(Duration::ZERO), ..Ages::default() };
+    state.confirm(state.now(), &read_before);
+    state.apply(Update::Weights { model: "m".into(), version: 3, ago: None });
+    assert_eq!(state.oldest_weights("m", state.now()), 0);
+}
+
+// An entry that has just started must not take a version for new that may have been named long ago.
+#[test]
+fn apply_takes_a_version_without_date_as_long_named_after_a_start() {
+    let state = state();
+    state.apply(Update::Weights { model: "m".into(), version: 3, ago: None });
+    assert_eq!(state.oldest_weights("m", state.now()), 3);
+}
