Step times of answered requests, and mastichaven-ctl profile

Entries time the steps of a request: until its body was read, waiting for an endpoint with room, making connections, attempts that brought nothing, and the attempt that was answered, until the first event of a stream. Each answered request that is logged has a line `request steps`; the metrics have a histogram for each step, with two finer buckets; `mastichaven-ctl profile LOG...` shows p50, p99 and mean of each step.

--- a/node/src/bin/mastichaven-ctl.rs
+++ b/node/src/bin/mastichaven-ctl.rs
@@ -98,6 +98,13 @@
         #[bpaf(positional("LOG"), some("name at least one log"))]
         logs: Vec<PathBuf>,
     },
+    /// Shows where the time of answered requests went, from logs of entries on the direct path
+    #[bpaf(command)]
+    Profile {
+        /// Logs of entries on the direct path
+        #[bpaf(positional("LOG"), some("name at least one log"))]
+        logs: Vec<PathBuf>,
+    },
     /// Prints the digest of a customer's key, read from standard input, for the configuration
     #[bpaf(command("key-digest"))]
     KeyDigest,
@@ -168,6 +175,20 @@
     Ok(())
 }
 
+fn profile_requests(files: &[PathBuf]) -> Result<(), Failure> {
+    let logs = read_logs(files)?;
+    let steps = explain::profile(logs.iter().flat_map(|log| log.lines()));
+    if steps.is_empty() {
+        return Err(Failure::failed("no answered request was logged"));
+    }
+    println!("{:>10} {:>10} {:>10} {:>10}", "step", "p50 us", "p99 us", "mean us");
+    for step in steps {
+        let name = step.step.trim_end_matches("_us");
+        println!("{name:>10} {:>10} {:>10} {:>10}", step.p50_us, step.p99_us, step.mean_us);
+    }
+    Ok(())
+}
+
 fn run(arguments: Arguments) -> Result<(), Failure> {
     match arguments {
         Arguments::Explain { id, logs } => explain_request(&id, &logs)?,
@@ -178,6 +199,7 @@
                 println!("{count:>8} {status} {reason}");
             }
         }
+        Arguments::Profile { logs } => profile_requests(&logs)?,
         Arguments::Check { folder } => {
             let texts = publish::read_folder(&folder).map_err(Failure::refused)?;
             publish::check(&texts).map_err(Failure::refused)?;
--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -31,6 +31,7 @@
 pub mod settings;
 pub mod staging;
 pub mod state;
+mod steps;
 pub mod store;
 mod stream;
 pub mod swarm;
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -87,7 +87,10 @@
         Some(link) => link,
         None => {
             state.metrics.count("connections");
-            match Link::open(listed.address, CONNECT_WITHIN).await {
+            let began = state.now();
+            let opened = Link::open(listed.address, CONNECT_WITHIN).await;
+            trail.steps.connect += state.now().since(began);
+            match opened {
                 Ok(link) => link,
                 Err(e) => {
                     note_failure(state, call, &listed, endpoint, e, "connect");
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -1,5 +1,7 @@
 //! One request of a caller on its way through an entry, and how it may be refused.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
@@ -13,6 +15,8 @@
 use mastichaven_platform::call::CallHead;
 use smol_str::SmolStr;
 
+use super::steps::StepTimes;
+
 /// One request of a caller.
 #[derive(Debug)]
 pub struct Call {
@@ -38,6 +42,8 @@
     pub is_late: bool,
     /// When its head was read.
     pub arrived: Time,
+    /// Time until its body was read.
+    pub read_for: Duration,
     /// When its answer has to be there.
     pub deadline: Time,
 }
@@ -93,6 +99,8 @@
     pub(super) tried: Vec<EndpointKey>,
     pub(super) arrivals: u32,
     pub(super) may_have_run: bool,
+    /// Where its time went.
+    pub steps: StepTimes,
     /// The last endpoint it was sent to.
     pub last: Option<SmolStr>,
 }
--- a/node/src/direct/explain.rs
+++ b/node/src/direct/explain.rs
@@ -1,5 +1,5 @@
-//! Reads logs of the direct path: the lines of one request in order and its cause in a sentence, or how
-//! often requests ended for each reason.
+//! Reads logs of the direct path: the lines of one request in order and its cause in a sentence, how
+//! often requests ended for each reason, or where the time of answered requests went.
 
 use std::collections::BTreeMap;
 
@@ -90,3 +90,36 @@
     }
     counts
 }
+
+/// Fields of a line `request steps`, in the order in which a request takes the steps.
+const STEPS: [&str; 5] = ["read_us", "place_us", "connect_us", "lost_us", "run_us"];
+
+/// How long one step of answered requests took, in microseconds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StepProfile {
+    /// The step's field in logs.
+    pub step: &'static str,
+    /// What half of the requests stay within.
+    pub p50_us: i64,
+    /// What 99 in 100 requests stay within.
+    pub p99_us: i64,
+    /// The mean.
+    pub mean_us: i64,
+}
+
+/// The steps of the answered requests that were logged; empty if none was.
+pub fn profile<'a>(logs: impl Iterator<Item = &'a str>) -> Vec<StepProfile> {
+    let lines: Vec<Value> =
+        logs.filter(|line| line.contains("request steps")).filter_map(object).collect();
+    if lines.is_empty() {
+        return Vec::new();
+    }
+    let profile_step = |step: &'static str| {
+        let mut spans: Vec<i64> = lines.iter().map(|line| number(line, step)).collect();
+        spans.sort_unstable();
+        let within = |percent: usize| spans[(spans.len() - 1) * percent / 100];
+        let mean_us = spans.iter().sum::<i64>() / spans.len() as i64;
+        StepProfile { step, p50_us: within(50), p99_us: within(99), mean_us }
+    };
+    STEPS.into_iter().map(profile_step).collect()
+}
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -1,9 +1,11 @@
 //! Sends one request to endpoints until one has answered it, within what may be repeated.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
+use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::Repeat;
 use mastichaven_platform::answer;
 use tokio::time::timeout;
@@ -32,21 +34,32 @@
     trail: &mut Trail,
 ) -> Result<Response<AnswerBody>> {
     let mut failed: Option<Response<Bytes>> = None;
+    trail.steps.read = call.read_for;
     loop {
-        let endpoint = match next_endpoint(state, &call, trail).await {
+        let began = state.now();
+        let next = next_endpoint(state, &call, trail).await;
+        trail.steps.place += state.now().since(began);
+        let endpoint = match next {
             Ok(endpoint) => endpoint,
             Err(refusal) => return failed.map_or(Err(refusal), |answer| Ok(pass_on(answer))),
         };
+        let attempted = Attempted::begin(state, trail);
         match attempt(state, &call, endpoint, trail, None).await {
             Outcome::Answering(run) if call.route.is_stream => {
                 match begin_stream(state, &call, *run, trail).await {
-                    Ok(response) => return Ok(response),
+                    Ok(response) => {
+                        trail.steps.run = attempted.spent(state, trail);
+                        return Ok(response);
+                    }
                     Err(_) if call.route.repeat == Repeat::Resumable => {}
                     Err(e) => return Err(lost(e)),
                 }
             }
             Outcome::Answering(run) => match read_whole(state, &call, *run).await {
-                Ok(response) => return Ok(response),
+                Ok(response) => {
+                    trail.steps.run = attempted.spent(state, trail);
+                    return Ok(response);
+                }
                 Err(_) if call.route.repeat == Repeat::Idempotent => {}
                 Err(e) => return Err(lost(e)),
             },
@@ -58,6 +71,25 @@
             Outcome::Lost(e) if call.route.repeat == Repeat::Once => return Err(lost(e)),
             Outcome::Lost(_) => {}
         }
+        trail.steps.lost += attempted.spent(state, trail);
+    }
+}
+
+/// The start of an attempt, to tell what it took beside its connection.
+#[derive(Clone, Copy, Debug)]
+struct Attempted {
+    at: Time,
+    connected: Duration,
+}
+
+impl Attempted {
+    fn begin(state: &State, trail: &Trail) -> Attempted {
+        Attempted { at: state.now(), connected: trail.steps.connect }
+    }
+
+    fn spent(self, state: &State, trail: &Trail) -> Duration {
+        let connecting = trail.steps.connect.saturating_sub(self.connected);
+        state.now().since(self.at).saturating_sub(connecting)
     }
 }
 
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -143,6 +143,7 @@
         cold_per_second,
         is_late,
         arrived,
+        read_for: state.now().since(arrived),
         deadline: arrived + allowed,
     })
 }
@@ -179,6 +180,9 @@
     match forward::serve(state, call.clone(), &mut trail).await {
         Ok(response) => {
             state.metrics.time("head", state.now().since(call.arrived));
+            for (name, span) in trail.steps.named() {
+                state.metrics.time(name, span);
+            }
             let status = response.status();
             log_end(state, &call.head, call.arrived, status, "answered", &trail);
             response
@@ -239,8 +243,11 @@
     let now = state.now();
     state.metrics.count(counter(status, reason));
     let is_sampled = state.with_rng(|rng| rng.random_range(0..LOG_EVERY)) == 0;
-    if status.is_success() && !is_sampled {
-        return;
+    if status.is_success() {
+        if !is_sampled {
+            return;
+        }
+        log_steps(state, head, trail);
     }
     let age = state.freshness.borrow().age(now).map_or(-1, |age| age.as_millis() as i64);
     let version = state.catalog.borrow().as_ref().map_or(0, |catalog| catalog.version());
@@ -252,3 +259,14 @@
         "endpoint" => trail.last.as_deref().unwrap_or_default(),
         "config" => version, "config_age_ms" => age);
 }
+
+/// Logs where the time of an answered request went.
+fn log_steps(state: &State, head: &CallHead, trail: &Trail) {
+    let us = |span: Duration| u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+    let steps = &trail.steps;
+    slog::info!(state.log, "request steps";
+        "id" => head.id.as_deref().unwrap_or_default(),
+        "read_us" => us(steps.read), "place_us" => us(steps.place),
+        "connect_us" => us(steps.connect), "lost_us" => us(steps.lost),
+        "run_us" => us(steps.run));
+}
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -182,17 +182,13 @@
             return;
         };
         let earliest = time_before(sent, known_for).unwrap_or_default();
-        let (newest, dated) = (versions.newest(), versions.named_at(named.version));
+        let newest = versions.newest();
         versions.known_since(named.version, earliest, latest);
-        let is_news = versions.newest() > newest;
-        let named_at = versions.named_at(named.version).filter(|at| is_news || Some(*at) != dated);
-        let Some(named_at) = named_at else {
-            return;
-        };
-        let text = if is_news { "weights named" } else { "weights dated" };
-        slog::info!(self.log, "{}", text; "model" => named.model.as_str(),
-            "version" => named.version, "from" => "agent",
-            "age_ms" => now.since(named_at).as_millis() as u64);
+        if versions.newest() > newest {
+            slog::info!(self.log, "weights named"; "model" => named.model.as_str(),
+                "version" => named.version, "from" => "agent",
+                "age_ms" => now.since(earliest).as_millis() as u64);
+        }
     }
 }
 
--- a/node/src/direct/metrics.rs
+++ b/node/src/direct/metrics.rs
@@ -7,7 +7,7 @@
 
 /// Upper bounds of the histograms' buckets, in milliseconds: finer round the objectives of 100 to
 /// 400 ms.
-const BUCKETS_MS: [u64; 10] = [10, 30, 100, 200, 300, 400, 700, 1_500, 3_000, 6_000];
+const BUCKETS_MS: [u64; 12] = [1, 3, 10, 30, 100, 200, 300, 400, 700, 1_500, 3_000, 6_000];
 
 #[derive(Clone, Debug, Default)]
 struct Histogram {
--- a/node/tests/direct/explain.rs
+++ b/node/tests/direct/explain.rs
@@ -2,6 +2,7 @@
 use std::path::PathBuf;
 
 use mastichaven_node::direct::explain::explain;
+use mastichaven_node::direct::explain::profile;
 use mastichaven_node::direct::explain::summarize;
 
 const LOG: &str = r#"
@@ -81,6 +82,27 @@
     found
 }
 
+#[test]
+fn profile_tells_each_step_of_answered_requests() {
+    let line = |run_us: u32| {
+        format!(
+            "{{\"msg\":\"request steps\",\"id\":\"a\",\"read_us\":40,\"place_us\":0,\
+             \"connect_us\":900,\"lost_us\":0,\"run_us\":{run_us}}}"
+        )
+    };
+    let lines: Vec<String> = (1..=200).map(|n| line(n * 1_000)).collect();
+    let steps = profile(lines.iter().map(String::as_str));
+    let connect = steps.iter().find(|one| one.step == "connect_us").unwrap();
+    assert_eq!((connect.p50_us, connect.p99_us, connect.mean_us), (900, 900, 900));
+    let run = steps.iter().find(|one| one.step == "run_us").unwrap();
+    assert_eq!((run.p50_us, run.p99_us, run.mean_us), (100_000, 198_000, 100_500));
+}
+
+#[test]
+fn profile_of_logs_without_answers_is_empty() {
+    assert!(profile(LOG.lines()).is_empty());
+}
+
 // An operator who meets a line that no page explains is left alone with it.
 #[test]
 fn docs_name_every_log_line() {
