Refusals tell cold endpoints from full ones

Cause: after a loss of power engines are idle but cold, and callers were told "all endpoints full"; an operator who follows a request finds a full fleet that has nothing to do, and callers come back before anything is warm. Change: a refusal says "all endpoints full or cold" where those with room are cold, is counted apart, and its Retry-After is the time until the first of them is warm, spread over a second.

--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -320,6 +320,11 @@
         !is_cold || self.cold_turns.may_send(rate, entries, draw, now)
     }
 
+    /// How long it stays cold, if it is.
+    pub(super) fn cold_for(&self, now: Time) -> Option<Duration> {
+        (self.cold_until > now).then(|| self.cold_until.since(now))
+    }
+
     /// Its load in requests; `None` while it is full. The other entries are taken to send there as often
     /// as this one.
     pub(super) fn load(&mut self, entries: u32, is_late: bool, now: Time) -> Option<f64> {
--- a/core/src/direct/retry_after.rs
+++ b/core/src/direct/retry_after.rs
@@ -39,6 +39,11 @@
     },
     /// All endpoints are full.
     Full,
+    /// The endpoints that have room have just started and bear no more yet.
+    Warming {
+        /// Time until the first of them bears what it can.
+        warm_in: Duration,
+    },
     /// No endpoint may serve it.
     NoEndpoint {
         /// Time until the first one does, if that is known.
@@ -56,6 +61,7 @@
     let seconds = match cause {
         Cause::Starting => drawn(&STARTING_S),
         Cause::Full => drawn(&FULL_S),
+        Cause::Warming { warm_in } => warm_in.as_secs_f64() + RETURN_OVER_S * draw,
         Cause::NoLease { is_held_near: true } | Cause::Other => soon,
         Cause::NoLease { is_held_near: false } | Cause::NoEndpoint { ready_in: None } => unknown(),
         Cause::NoEndpoint { ready_in: Some(ready_in) } => {
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -67,6 +67,8 @@
     None,
     /// All that could serve it are full.
     Full,
+    /// Those that have room are cold, and bear no more requests yet.
+    Warming,
 }
 
 /// Result of choosing an endpoint.
--- a/core/src/direct/roster/choosing.rs
+++ b/core/src/direct/roster/choosing.rs
@@ -34,6 +34,7 @@
         let mut healthy = Choice::default();
         let mut resting = Choice::default();
         let mut is_any_fit = false;
+        let mut is_any_cold = false;
         let mut is_any_healthy = false;
         for key in keys {
             if need.tried.contains(&key) || !self.fits(key, need) {
@@ -43,6 +44,7 @@
             let takes = self.endpoints.get(key).is_some_and(|endpoint| endpoint.takes(now));
             is_any_healthy |= takes;
             if !self.may_warm(key, need, rng, now) {
+                is_any_cold = true;
                 continue;
             }
             let Some(score) = self.score(key, need.is_late, now) else {
@@ -53,7 +55,11 @@
         }
         // An endpoint that loses answers is worse than none while others are merely full.
         let found = if is_any_healthy { healthy.best() } else { resting.best() };
-        found.ok_or(if is_any_fit { Unavailable::Full } else { Unavailable::None })
+        found.ok_or(match (is_any_fit, is_any_cold) {
+            (false, _) => Unavailable::None,
+            (true, false) => Unavailable::Full,
+            (true, true) => Unavailable::Warming,
+        })
     }
 
     /// Time until the first endpoint of a service serves that does not serve yet, as agents know it.
@@ -64,6 +70,15 @@
         endpoints.filter(|one| one.is_covered()).filter_map(|one| one.ready_in(now)).min()
     }
 
+    /// Time until the first cold endpoint of a service is warm; zero if none is cold.
+    pub fn warm_in(&self, service: &ServiceName, now: Time) -> Duration {
+        let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        let open = keys.iter().filter(|key| self.is_open(**key));
+        let endpoints = open.filter_map(|key| self.endpoints.get(*key));
+        let colds = endpoints.filter(|one| one.is_covered()).filter_map(|one| one.cold_for(now));
+        colds.min().unwrap_or_default()
+    }
+
     /// Whether an endpoint is in another region.
     fn is_far(&self, key: EndpointKey) -> bool {
         self.endpoints.get(key).is_some_and(|endpoint| *endpoint.region() != self.region)
--- a/core/tests/direct/retry_after.rs
+++ b/core/tests/direct/retry_after.rs
@@ -22,6 +22,13 @@
     assert!(all.iter().all(|time| *time <= ms(2_400)), "{:?}", all.iter().max());
 }
 
+// Guards against callers that return while every endpoint is still cold, and are refused once more.
+#[test]
+fn retry_after_waits_for_the_first_endpoint_that_is_warm() {
+    let all = times(Cause::Warming { warm_in: ms(1_700) });
+    assert!(all.iter().all(|time| (ms(1_700)..=ms(2_700)).contains(time)), "{all:?}");
+}
+
 // Guards against a wave of all callers of a blackout at the moment at which the first endpoint is back.
 #[test]
 fn retry_after_spreads_callers() {
@@ -29,6 +36,7 @@
         Cause::Starting,
         Cause::NoLease { is_held_near: false },
         Cause::Full,
+        Cause::Warming { warm_in: ms(1_200) },
         Cause::NoEndpoint { ready_in: None },
         Cause::NoEndpoint { ready_in: Some(ms(500)) },
     ];
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -410,6 +410,28 @@
     assert!(choose_for(&mut roster, true, now(3), &mut rng()).is_ok());
 }
 
+// Callers refused beside cold endpoints were told that all are full, and came back before any was warm.
+#[test]
+fn choose_tells_cold_endpoints_from_full_ones() {
+    let mut roster = roster();
+    roster.put(Listed { cold_for: Duration::from_secs(3), ..listed(1, "lagoa") }, now(0));
+    let mut rng = rng();
+    let refusals: Vec<Unavailable> =
+        (0..300).filter_map(|ms| choose_and_send(&mut roster, now(ms), &mut rng).err()).collect();
+    assert!(!refusals.is_empty());
+    assert!(refusals.iter().all(|refusal| *refusal == Unavailable::Warming));
+    let service = ServiceName::new("redator");
+    assert_eq!(roster.warm_in(&service, now(1_000)), Duration::from_secs(2));
+    assert_eq!(roster.warm_in(&service, now(3_000)), Duration::ZERO);
+}
+
+fn choose_and_send(roster: &mut Roster, at: Time, rng: &mut ChaCha8Rng) -> Result<(), Unavailable> {
+    let key = choose_with(roster, at, rng)?;
+    roster.sent(key, at);
+    roster.left(key);
+    Ok(())
+}
+
 // All agents were restarted and have heard only some of the entries. The few that they tell of would each
 // send a cold endpoint what is meant for all.
 #[test]
@@ -429,11 +451,7 @@
     let mut rng = rng();
     let mut sent = 0;
     for ms in from_ms..from_ms + 1_000 {
-        if let Ok(key) = choose_with(roster, now(ms), &mut rng) {
-            roster.sent(key, now(ms));
-            roster.left(key);
-            sent += 1;
-        }
+        sent += u32::from(choose_and_send(roster, now(ms), &mut rng).is_ok());
     }
     sent
 }
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -55,6 +55,8 @@
     NoEndpoint,
     /// It has not run and will not: all endpoints are full.
     Full,
+    /// It has not run and will not: those with room have just started and bear no more yet.
+    Warming,
     /// It has not run and will not: each endpoint that it was offered to refused it.
     Declined,
     /// It has not run and will not: its time was over before an endpoint took it.
@@ -71,6 +73,7 @@
         match self {
             Refusal::NoEndpoint => "no endpoint",
             Refusal::Full => "all endpoints full",
+            Refusal::Warming => "all endpoints full or cold",
             Refusal::Declined => "declined by endpoints",
             Refusal::NotStarted => "time over before an endpoint took it",
             Refusal::Lost => "answer lost",
@@ -81,9 +84,11 @@
     /// The status that callers are sent. 503 promises that the request has not run.
     pub fn status(self) -> StatusCode {
         match self {
-            Refusal::NoEndpoint | Refusal::Full | Refusal::Declined | Refusal::NotStarted => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Refusal::NoEndpoint
+            | Refusal::Full
+            | Refusal::Warming
+            | Refusal::Declined
+            | Refusal::NotStarted => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Lost => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/node/src/direct/explain.rs
+++ b/node/src/direct/explain.rs
@@ -70,6 +70,9 @@
     let why = match text(line, "reason") {
         "not all known yet" => format!("{host} had just started and did not know all it needs"),
         "configuration too old" => format!("{host} had no fresh configuration ({age} ms old)"),
+        "all endpoints full or cold" => {
+            "every endpoint that may serve it was full or had just started".to_owned()
+        }
         "all endpoints full" => "every endpoint that may serve it was full".to_owned(),
         "no endpoint" => "no endpoint that may serve it was known".to_owned(),
         "declined by endpoints" => "each endpoint that it was offered to refused it".to_owned(),
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -199,6 +199,10 @@
 fn cause_of(state: &State, refusal: Refusal, call: &Call) -> Cause {
     match refusal {
         Refusal::Full => Cause::Full,
+        Refusal::Warming => {
+            let warm_in = state.roster.borrow().warm_in(&call.service, state.now());
+            Cause::Warming { warm_in }
+        }
         Refusal::NoEndpoint => {
             let ready_in = state.roster.borrow().ready_in(&call.service, state.now());
             Cause::NoEndpoint { ready_in }
@@ -223,6 +227,7 @@
     match status.as_u16() {
         200..=299 => "answered",
         503 if reason == Refusal::Full.as_str() => "refused_full",
+        503 if reason == Refusal::Warming.as_str() => "refused_warming",
         503 if reason == Refusal::NoEndpoint.as_str() => "refused_no_endpoint",
         503 => "refused_other",
         502 => "failed_lost",
--- a/node/src/direct/placement.rs
+++ b/node/src/direct/placement.rs
@@ -63,7 +63,10 @@
             Err(Unavailable::Full) if now >= wait_until => {
                 return Err(give_up(trail, Refusal::Full));
             }
-            Err(Unavailable::Full) => {
+            Err(Unavailable::Warming) if now >= wait_until => {
+                return Err(give_up(trail, Refusal::Warming));
+            }
+            Err(Unavailable::Full | Unavailable::Warming) => {
                 let _ = timeout(wait_until.since(now), state.freed.notified()).await;
             }
         }
