Chunks of an older version are left once a newer one is asked for

Change: an entry leaves what it has not begun to fetch of an older version as soon as somebody asks it for a newer one; a host that goes on with the older version asks again. Versions of several models no longer push out each other's chunks.

--- a/node/src/direct/chunk_cache.rs
+++ b/node/src/direct/chunk_cache.rs
@@ -11,6 +11,7 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::replication::ChunkRequest;
 use mastichaven_core::ids::Digest;
+use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 
@@ -40,6 +41,7 @@
 
 #[derive(Clone, Debug)]
 struct Slot {
+    model: SmolStr,
     version: u64,
     asked_at: Time,
     content: Content,
@@ -49,6 +51,8 @@
 #[derive(Debug)]
 pub struct ChunkCache {
     slots: RefCell<HashMap<Digest, Slot>>,
+    /// The newest version of each model that was asked for, and when that was first.
+    newest: RefCell<HashMap<SmolStr, (u64, Time)>>,
     pub(super) changed: Notify,
     pub(super) out: Semaphore,
     pub(super) intake: Semaphore,
@@ -61,6 +65,7 @@
     fn default() -> ChunkCache {
         ChunkCache {
             slots: RefCell::default(),
+            newest: RefCell::default(),
             changed: Notify::new(),
             out: Semaphore::new(PIECES_OUT),
             intake: Semaphore::new(PIECES_IN),
@@ -88,6 +93,7 @@
 
     /// Notes a request; says whether the chunk is to be fetched for it. `None` if there is no room.
     pub(super) fn note_request(&self, req: &ChunkRequest, now: Time) -> Option<bool> {
+        self.note_version(req, now);
         let mut slots = self.slots.borrow_mut();
         if let Some(slot) = slots.get_mut(&req.digest) {
             slot.asked_at = now;
@@ -97,15 +103,38 @@
             return None;
         }
         // Older versions have had their time: hosts that still lack chunks of them ask each other.
-        slots.retain(|_, slot| slot.version >= req.version || !is_idle(slot, now));
-        let slot = Slot { version: req.version, asked_at: now, content: Content::Awaited };
+        let is_newer = |slot: &Slot| slot.model != req.model || slot.version >= req.version;
+        slots.retain(|_, slot| is_newer(slot) || !is_idle(slot, now));
+        let slot = Slot {
+            model: req.model.clone(),
+            version: req.version,
+            asked_at: now,
+            content: Content::Awaited,
+        };
         slots.insert(req.digest, slot);
         Some(true)
     }
 
+    fn note_version(&self, req: &ChunkRequest, now: Time) {
+        let mut newest = self.newest.borrow_mut();
+        let known = newest.get(&req.model).map_or(0, |(version, _)| *version);
+        if req.version > known {
+            newest.insert(req.model.clone(), (req.version, now));
+        }
+    }
+
+    /// Whether a chunk is to be fetched still. Once a newer version is asked for, a chunk of an older one is
+    /// fetched only if somebody asks again: the link of the origin bears one copy in the time that matters.
     pub(super) fn is_wanted(&self, digest: Digest, now: Time) -> bool {
         let slots = self.slots.borrow();
-        slots.get(&digest).is_some_and(|slot| !now.passed(slot.asked_at, WANTED_FOR))
+        let Some(slot) = slots.get(&digest) else {
+            return false;
+        };
+        let newest = self.newest.borrow();
+        let is_superseded = newest
+            .get(&slot.model)
+            .is_some_and(|(version, since)| *version > slot.version && *since >= slot.asked_at);
+        !is_superseded && !now.passed(slot.asked_at, WANTED_FOR)
     }
 
     pub(super) fn set(&self, digest: Digest, content: Content) {
--- a/node/src/direct/chunk_server.rs
+++ b/node/src/direct/chunk_server.rs
@@ -102,33 +102,32 @@
 
 /// Why a chunk did not come.
 enum NotFetched {
-    /// The puller waits for it.
+    /// The puller waits for it, or nobody asks for it any more.
     Later,
     Failed,
 }
 
 async fn fetch_once(state: &State, req: &ChunkRequest) -> Result<Content, NotFetched> {
-    let fetched = match req.puller {
-        Some(puller) => match fetch_from_puller(state, puller, req).await {
-            Ok(bytes) => Ok(bytes),
+    if let Some(puller) = req.puller {
+        match fetch_from_puller(state, puller, req).await {
+            Ok(bytes) => return check(state, req, bytes),
             Err(NotFetched::Later) => return Err(NotFetched::Later),
             // A puller that is lost must not hold the chunk back.
-            Err(NotFetched::Failed) => fetch_from_origin(state, req).await,
-        },
-        None => match fetch_from_holder(state, req).await {
-            Some(bytes) => Ok(bytes),
-            None => fetch_from_origin(state, req).await,
-        },
-    };
-    match fetched {
-        Ok(bytes) if sha256(&bytes) == req.digest => Ok(Content::Here(bytes)),
-        Ok(_) => {
-            state.metrics.count("chunks_corrupt");
-            Err(NotFetched::Failed)
+            Err(NotFetched::Failed) => {}
         }
-        Err(OriginError::Refused(_)) => Ok(Content::Absent),
-        Err(OriginError::Unreachable | OriginError::Silent) => Err(NotFetched::Failed),
+    } else if let Some(bytes) = fetch_from_holder(state, req).await {
+        return check(state, req, bytes);
+    }
+    fetch_from_origin(state, req).await
+}
+
+/// The chunk, if it matches its digest.
+fn check(state: &State, req: &ChunkRequest, bytes: Bytes) -> Result<Content, NotFetched> {
+    if sha256(&bytes) == req.digest {
+        return Ok(Content::Here(bytes));
     }
+    state.metrics.count("chunks_corrupt");
+    Err(NotFetched::Failed)
 }
 
 async fn fetch_from_puller(
@@ -180,28 +179,32 @@
     }
 }
 
-async fn fetch_from_origin(state: &State, req: &ChunkRequest) -> origin::Result<Bytes> {
+async fn fetch_from_origin(state: &State, req: &ChunkRequest) -> Result<Content, NotFetched> {
     let address = state.catalog.borrow().as_ref().and_then(|c| Some(c.origin()?.address));
-    let address = address.ok_or(OriginError::Unreachable)?;
-    let Ok(_turn) = state.chunks.from_origin.acquire().await else {
-        return Err(OriginError::Unreachable);
-    };
+    let address = address.ok_or(NotFetched::Failed)?;
+    let _turn = state.chunks.from_origin.acquire().await.map_err(|_| NotFetched::Failed)?;
+    if !state.chunks.is_wanted(req.digest, state.now()) {
+        return Err(NotFetched::Later);
+    }
     let path = origin_paths::chunk_path(&req.model, req.version, req.index as usize);
-    let fetched = origin::fetch(address, &path).await;
-    match &fetched {
+    match origin::fetch(address, &path).await {
         Ok(bytes) => {
             state.metrics.count("chunks_from_origin");
             state.metrics.add("origin_bytes", bytes.len() as u64);
             if state.chunks.is_origin_lost.replace(false) {
                 slog::info!(state.log, "origin regained"; "version" => req.version);
             }
+            check(state, req, bytes)
         }
         Err(e) => {
             state.metrics.count("origin_failures");
             if !state.chunks.is_origin_lost.replace(true) {
                 slog::warn!(state.log, "origin lost"; "path" => path, "error" => e.as_str());
             }
+            match e {
+                OriginError::Refused(_) => Ok(Content::Absent),
+                OriginError::Unreachable | OriginError::Silent => Err(NotFetched::Failed),
+            }
         }
     }
-    fetched
 }
--- a/node/tests/direct/chunk_cache.rs
+++ b/node/tests/direct/chunk_cache.rs
@@ -44,6 +44,11 @@
     vec![n as u8; CHUNK_LEN]
 }
 
+/// A chunk of version 3.
+fn newer_chunk(n: u32) -> Vec<u8> {
+    chunk(CHUNKS + n)
+}
+
 /// How the origin answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Manner {
@@ -76,7 +81,10 @@
     let len = stream.read(&mut head).await?;
     let head = String::from_utf8_lossy(&head[..len]).into_owned();
     let is_asked = |n: &u32| head.contains(&chunk_path("m", 2, *n as usize));
-    let mut body = chunk((0..CHUNKS).find(is_asked).expect("a chunk"));
+    let is_asked_newer = |n: &u32| head.contains(&chunk_path("m", 3, *n as usize));
+    let older = (0..CHUNKS).find(is_asked).map(chunk);
+    let newer = (0..CHUNKS).find(is_asked_newer).map(newer_chunk);
+    let mut body = older.or(newer).expect("a chunk");
     origin.asked.set(origin.asked.get() + 1);
     if origin.manner.get() == Manner::CorruptAtFirst {
         body[7] ^= 1;
@@ -120,6 +128,11 @@
     })
 }
 
+fn ask_newer(n: u32) -> Hello {
+    let Hello::Chunk(older) = ask(n, Vec::new()) else { unreachable!() };
+    Hello::Chunk(ChunkRequest { version: 3, digest: sha256(&newer_chunk(n)), ..older })
+}
+
 async fn take(entry: SocketAddr, hello: &Hello) -> Result<Vec<u8>, PeerReply> {
     let intake = Semaphore::new(8);
     let taken = peers::take_chunk(entry, hello, WITHIN, WITHIN, &intake).await;
@@ -182,6 +195,20 @@
     });
 }
 
+// Guards against a version that waits behind the rest of the one before it, which nobody wants any more.
+#[test]
+fn chunks_of_an_older_version_are_left_once_a_newer_one_is_asked_for() {
+    with_entry(Manner::Honest, |entry, origin, _| async move {
+        let next = (1..CHUNKS).map(|n| (n, sha256(&chunk(n)))).collect();
+        assert_eq!(take(entry, &ask(0, next)).await, Ok(chunk(0)));
+        assert_eq!(take(entry, &ask_newer(0)).await, Ok(newer_chunk(0)));
+        sleep(Duration::from_millis(600)).await;
+        assert!(origin.asked.get() <= 6, "{} of both versions", origin.asked.get());
+        // A host that goes on with the older version asks again.
+        assert_eq!(take(entry, &ask(15, Vec::new())).await, Ok(chunk(15)));
+    });
+}
+
 // Guards against hosts that take an entry for lost that waits for the origin.
 #[test]
 fn chunk_of_an_origin_that_is_away_is_answered_as_not_yet_here() {
