How old endpoints may be follows from the bound on leaving

Cause: entries watch the list of endpoints with a wait of 0.6 s and leave a parent whose list is 0.9 to 1.3 s old. These times were chosen where an endpoint that leaves must get nothing after 2 s; the sheets of the grown deployments say 3 s, that of the large one 4 s. Change: the settings have `bounds.leave_ms` (from the sheet), and the wait and the ages are parts of it; with 2 s they are what they were.

--- a/core/src/direct/replication.rs
+++ b/core/src/direct/replication.rs
@@ -176,51 +176,77 @@
 /// Followers of an entry that ask the store if it is lost.
 pub const SUCCESSORS: usize = 3;
 
-/// Ages up to which an entry is followed. That of the configuration is well inside the lease of 4.4 s. An
-/// endpoint that tells that it leaves must get nothing after 2 s; a follower of an entry that is cut off
-/// from the store leaves it in time. The others reach what their watches wait, and have some time for a
-/// store that is slow.
+/// Ages up to which an entry is followed. That of the configuration is well inside the lease of 4.4 s. The
+/// others reach what their watches wait, and have some time for a store that is slow.
 const CONFIG_AGE: Duration = Duration::from_millis(3_500);
-const ENDPOINTS_AGE: Duration = Duration::from_millis(1_300);
 const EVACUATIONS_AGE: Duration = Duration::from_millis(3_500);
 const WEIGHTS_AGE: Duration = Duration::from_millis(5_500);
 
-/// Ages of the endpoints up to which an entry follows, by its place in the tree.
+/// Age of the endpoints up to which an entry is followed, as a part of the time within which an endpoint that
+/// leaves must get nothing more: a follower of an entry that is cut off from the store leaves it in time.
+const ENDPOINTS_PART: f64 = 0.65;
+
+/// Ages of the endpoints up to which an entry follows, by its place in the tree, as parts of the same time.
 ///
 /// When the root loses the store, all entries would find their knowledge too old at the same moment and ask
 /// the store. So the root's successors leave it first, its other followers a little later, when a successor
 /// has what they need, and entries below them last.
-const SUCCESSOR_AGE: Duration = Duration::from_millis(900);
-const RELAY_AGE: Duration = Duration::from_millis(1_080);
-
-/// Age of the endpoints from which on an entry at `depth` leaves its parent.
-pub fn leaves_at(depth: u8, is_successor: bool) -> Duration {
-    match depth {
-        _ if is_successor => SUCCESSOR_AGE,
-        0 | 1 => RELAY_AGE,
-        _ => ENDPOINTS_AGE,
-    }
+const SUCCESSOR_PART: f64 = 0.45;
+const RELAY_PART: f64 = 0.54;
+
+/// Longest wait of a watch of the endpoints as a part of that time. What followers know stays young enough two
+/// levels further down the tree and right after a change, too.
+const WAIT_PART: f64 = 0.3;
+
+/// How old what is known of the endpoints may be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AgeLimits {
+    leave_within: Duration,
 }
 
-impl Ages {
+impl AgeLimits {
+    /// The limits where an endpoint that leaves must get nothing more after `leave_within`.
+    pub fn new(leave_within: Duration) -> AgeLimits {
+        AgeLimits { leave_within }
+    }
+
+    fn part(self, part: f64) -> Duration {
+        self.leave_within.mul_f64(part)
+    }
+
+    /// Longest wait of a watch of the endpoints.
+    pub fn endpoints_wait(self) -> Duration {
+        self.part(WAIT_PART)
+    }
+
+    /// Age of the endpoints from which on an entry at `depth` leaves its parent.
+    pub fn leaves_at(self, depth: u8, is_successor: bool) -> Duration {
+        match depth {
+            _ if is_successor => self.part(SUCCESSOR_PART),
+            0 | 1 => self.part(RELAY_PART),
+            _ => self.part(ENDPOINTS_PART),
+        }
+    }
+
     /// Whether the endpoints are young enough for an entry to begin to act on them.
-    pub fn has_young_endpoints(&self) -> bool {
-        self.endpoints.is_some_and(|age| age < ENDPOINTS_AGE)
+    pub fn has_young_endpoints(self, ages: &Ages) -> bool {
+        ages.endpoints.is_some_and(|age| age < self.part(ENDPOINTS_PART))
     }
 
     /// Whether another entry may begin to follow one that knows this much, `since` it said so: it need not
     /// leave again at once.
-    pub fn may_join(&self, since: Duration) -> bool {
-        self.are_young(since) && self.endpoints.is_some_and(|age| age + since < SUCCESSOR_AGE)
+    pub fn may_join(self, ages: &Ages, since: Duration) -> bool {
+        let is_new = |age: Duration| age + since < self.part(SUCCESSOR_PART);
+        self.are_young(ages, since) && ages.endpoints.is_some_and(is_new)
     }
 
     /// Whether an entry that knows this much may be followed, `since` it said so.
-    pub fn are_young(&self, since: Duration) -> bool {
+    pub fn are_young(self, ages: &Ages, since: Duration) -> bool {
         let is_young = |age: Option<Duration>, most| age.is_some_and(|age| age + since < most);
-        is_young(self.config, CONFIG_AGE)
-            && is_young(self.endpoints, ENDPOINTS_AGE)
-            && is_young(self.evacuations, EVACUATIONS_AGE)
-            && is_young(self.weights, WEIGHTS_AGE)
+        is_young(ages.config, CONFIG_AGE)
+            && is_young(ages.endpoints, self.part(ENDPOINTS_PART))
+            && is_young(ages.evacuations, EVACUATIONS_AGE)
+            && is_young(ages.weights, WEIGHTS_AGE)
     }
 }
 
--- a/core/tests/direct/replication.rs
+++ b/core/tests/direct/replication.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
+use mastichaven_core::direct::replication::AgeLimits;
 use mastichaven_core::direct::replication::Ages;
 use mastichaven_core::direct::replication::Candidate;
 use mastichaven_core::direct::replication::Named;
@@ -10,9 +11,12 @@
 use mastichaven_core::direct::replication::PeerList;
 use mastichaven_core::direct::replication::elect;
 use mastichaven_core::direct::replication::elect_root;
-use mastichaven_core::direct::replication::leaves_at;
 use mastichaven_core::direct::replication::time_before;
 
+fn limits() -> AgeLimits {
+    AgeLimits::new(Duration::from_secs(2))
+}
+
 fn ages(ms: u64) -> Ages {
     let age = Some(Duration::from_millis(ms));
     Ages { config: age, endpoints: age, evacuations: age, weights: age }
@@ -22,15 +26,15 @@
 // that has told that it leaves, unknown to them, is sent requests past its bound.
 #[test]
 fn are_young_counts_the_way() {
-    assert!(ages(700).are_young(Duration::from_millis(5)));
-    assert!(!ages(900).are_young(Duration::from_millis(500)));
-    assert!(!ages(1_300).are_young(Duration::ZERO));
+    assert!(limits().are_young(&ages(700), Duration::from_millis(5)));
+    assert!(!limits().are_young(&ages(900), Duration::from_millis(500)));
+    assert!(!limits().are_young(&ages(1_300), Duration::ZERO));
 }
 
 #[test]
 fn are_young_needs_all_kinds() {
-    assert!(!Ages { weights: None, ..ages(10) }.are_young(Duration::ZERO));
-    assert!(!Ages::default().are_young(Duration::ZERO));
+    assert!(!limits().are_young(&Ages { weights: None, ..ages(10) }, Duration::ZERO));
+    assert!(!limits().are_young(&Ages::default(), Duration::ZERO));
 }
 
 #[test]
@@ -87,9 +91,20 @@
 fn leaves_at_lets_the_successor_go_first() {
     let ping = Duration::from_millis(150);
     let list = Duration::from_millis(100);
-    assert!(leaves_at(1, true) + list < leaves_at(1, false));
-    assert!(leaves_at(1, false) + ping < leaves_at(2, false));
-    assert_eq!(leaves_at(2, true), leaves_at(1, true));
+    assert!(limits().leaves_at(1, true) + list < limits().leaves_at(1, false));
+    assert!(limits().leaves_at(1, false) + ping < limits().leaves_at(2, false));
+    assert_eq!(limits().leaves_at(2, true), limits().leaves_at(1, true));
+}
+
+// What a watch waits, a ping and the time of the store must not make a follower leave a parent that is sound.
+#[test]
+fn leaves_at_outlasts_the_wait_of_a_watch() {
+    for bound_ms in [2_000, 3_000, 4_000] {
+        let limits = AgeLimits::new(Duration::from_millis(bound_ms));
+        let ping = Duration::from_millis(150);
+        assert!(limits.endpoints_wait() + ping < limits.leaves_at(1, true), "{bound_ms}");
+        assert!(limits.leaves_at(2, false) < Duration::from_millis(bound_ms), "{bound_ms}");
+    }
 }
 
 #[test]
--- a/node/src/direct/replication.rs
+++ b/node/src/direct/replication.rs
@@ -19,7 +19,6 @@
 use mastichaven_core::direct::replication::Named;
 use mastichaven_core::direct::replication::Offer;
 use mastichaven_core::direct::replication::Update;
-use mastichaven_core::direct::replication::leaves_at;
 use mastichaven_platform::objects::Kind;
 use rand::RngExt;
 use tokio::io::AsyncWriteExt;
@@ -125,7 +124,8 @@
     /// An entry that the store turns away must not be named to the others. They would all ask the store
     /// for themselves until it is back, and it would follow nobody and refuse its callers.
     pub fn offer(&self) -> Option<Offer> {
-        let may_be_followed = self.is_sound() && self.ages().are_young(Duration::ZERO);
+        let may_be_followed =
+            self.is_sound() && self.age_limits().are_young(&self.ages(), Duration::ZERO);
         let followers = self.publisher.len() as u32;
         let store_ms = self.store_time.get().as_millis() as u16;
         may_be_followed.then(|| Offer { followers, depth: self.depth(), store_ms })
@@ -371,7 +371,7 @@
 async fn until_old(state: &State, is_proven: &Cell<bool>) {
     loop {
         sleep(AGE_EVERY).await;
-        let limit = leaves_at(state.depth(), state.is_successor());
+        let limit = state.age_limits().leaves_at(state.depth(), state.is_successor());
         let age = state.ages().endpoints;
         if is_proven.get() && age.is_none_or(|age| age >= limit) {
             return;
@@ -418,13 +418,14 @@
             Message::NotAvailable => return Err(ReplicationError::NotAvailable),
             Message::Pong { asked_us, ages, depth, successors } => {
                 asked = Time::from_micros(asked_us);
-                if !ages.are_young(state.now().since(asked)) {
+                if !state.age_limits().are_young(&ages, state.now().since(asked)) {
                     return Err(ReplicationError::Old);
                 }
                 if depth > MAX_PARENT_DEPTH {
                     return Err(ReplicationError::NotAvailable);
                 }
-                if !is_proven.get() && !ages.may_join(state.now().since(asked)) {
+                if !is_proven.get() && !state.age_limits().may_join(&ages, state.now().since(asked))
+                {
                     return Err(ReplicationError::Old);
                 }
                 state.parent.set(Some((parent, depth + 1)));
--- a/node/src/direct/settings.rs
+++ b/node/src/direct/settings.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use mastichaven_core::direct::replication::AgeLimits;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::RegionName;
 use mastichaven_core::ids::ServiceName;
@@ -64,6 +65,8 @@
     pub key_revocation_ms: u64,
     /// Milliseconds after which no request may begin on an older version of weights.
     pub weights_ms: u64,
+    /// Milliseconds after which an endpoint that leaves must get nothing more.
+    pub leave_ms: u64,
     /// Seconds from SIGTERM to SIGKILL.
     pub stop_s: f64,
     /// Further attempts a request, of all entries together.
@@ -75,6 +78,11 @@
 }
 
 impl Bounds {
+    /// How old what is known of the endpoints may be.
+    pub fn age_limits(&self) -> AgeLimits {
+        AgeLimits::new(Duration::from_millis(self.leave_ms))
+    }
+
     /// Time from SIGTERM to SIGKILL.
     pub fn stop(&self) -> Duration {
         Duration::from_secs_f64(self.stop_s)
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -14,6 +14,7 @@
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::freshness::Freshness;
 use mastichaven_core::direct::lateness::LongestWait;
+use mastichaven_core::direct::replication::AgeLimits;
 use mastichaven_core::direct::replication::Named;
 use mastichaven_core::direct::retry_after::Cause;
 use mastichaven_core::direct::retry_after::retry_after;
@@ -187,9 +188,14 @@
             && Kind::ALL.iter().all(|kind| confirmed.contains_key(kind))
     }
 
+    /// How old what is known of the endpoints may be.
+    pub fn age_limits(&self) -> AgeLimits {
+        self.cfg.bounds.age_limits()
+    }
+
     /// Endpoints were taken in, or confirmed as they are.
     pub fn note_list(&self) {
-        if self.ages().has_young_endpoints() {
+        if self.age_limits().has_young_endpoints(&self.ages()) {
             self.has_young_list.set(true);
         }
     }
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -30,18 +30,11 @@
 use super::store::StoreClient;
 use super::store::StoreError;
 
-/// How long a watch waits for a change. That of the configuration renews the lease on it from the moment
-/// it was sent, so a longer wait leaves less of the lease whenever the store goes away. That of endpoints
-/// keeps what followers know young enough, two levels further down the tree and right after a change, too.
-/// Only one entry of the fleet watches, so short waits cost few calls.
-fn wait_for(kind: Kind) -> Duration {
-    match kind {
-        Kind::Config => Duration::from_millis(900),
-        Kind::Endpoints => Duration::from_millis(600),
-        Kind::Evacuations => Duration::from_millis(2_400),
-        Kind::Weights => Duration::from_millis(4_000),
-    }
-}
+/// Longest waits of watches. That of the configuration renews the lease on it from the moment it was sent, so a
+/// longer wait leaves less of the lease whenever the store goes away.
+const CONFIG_WAIT: Duration = Duration::from_millis(900);
+const EVACUATIONS_WAIT: Duration = Duration::from_millis(2_400);
+const WEIGHTS_WAIT: Duration = Duration::from_millis(4_000);
 
 /// Pause after changes before the next watch, so that changes that come together cost one call.
 /// Endpoints report draining well before they stop, and agents tell of their load on their own.
@@ -154,7 +147,7 @@
     /// until it shows nothing new.
     async fn watch_from(&mut self, mut revision: Revision) {
         let mut probe = false;
-        let mut left = wait_for(self.kind);
+        let mut left = self.longest_wait();
         loop {
             if self.kind == Kind::Endpoints && self.state.are_models_new.take() {
                 return;
@@ -172,7 +165,7 @@
                     revision = revision.max(told.revision);
                     let count = told.changes.len();
                     self.answered(sent);
-                    left = wait_for(self.kind);
+                    left = self.longest_wait();
                     if count > 0 {
                         let took = self.state.now().since(sent);
                         left = left.saturating_sub(took).max(WAIT_SHORTEST);
@@ -206,6 +199,16 @@
         }
     }
 
+    /// How long a watch waits for a change.
+    fn longest_wait(&self) -> Duration {
+        match self.kind {
+            Kind::Config => CONFIG_WAIT,
+            Kind::Endpoints => self.state.age_limits().endpoints_wait(),
+            Kind::Evacuations => EVACUATIONS_WAIT,
+            Kind::Weights => WEIGHTS_WAIT,
+        }
+    }
+
     /// Whether the store did not answer this entry last.
     fn is_lost(&self) -> bool {
         self.state.lost_kinds.borrow().contains(&self.kind)
--- a/node/src/settings/check.rs
+++ b/node/src/settings/check.rs
@@ -25,6 +25,9 @@
 /// reads of the store than it allows.
 pub const REVOCATION_MS: RangeInclusive<u64> = 2_000..=600_000;
 
+/// Values of `leave_ms`: below them watches of the store would end before it can answer.
+pub const LEAVE_MS: RangeInclusive<u64> = 1_000..=60_000;
+
 /// A setting out of its range.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Problem {
@@ -107,6 +110,7 @@
             return bad_value("repeat_ratio", format!("{} is not 0 to 10", bounds.repeat_ratio));
         }
         range("key_revocation_ms", bounds.key_revocation_ms, REVOCATION_MS)
+            .or_else(|| range("leave_ms", bounds.leave_ms, LEAVE_MS))
     }
 }
 
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -186,7 +186,7 @@
             "host = \"{name}\"\nip = \"{ip}\"\nzone = \"zone-a\"\nstore = \"{}\"\n\
              agent_port = {AGENT_PORT}\nmetrics_port = {METRICS_PORT}\n{own}\n\
              [regions]\nzone-a = \"region-a\"\n\
-             [bounds]\nkey_revocation_ms = 5000\nweights_ms = 3000\nstop_s = 8.0\n\
+             [bounds]\nkey_revocation_ms = 5000\nweights_ms = 3000\nleave_ms = 2000\nstop_s = 8.0\n\
              repeat_ratio = 0.2\nrepeat_slack = 100.0\nrepeat_window_s = 10.0\n\
              [limits]\ndescriptors = 1000\nmemory_mb = 200\n",
             store,
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -10,5 +10,6 @@
 mod parents;
 mod peers;
 mod replication;
+mod settings;
 mod stops;
 mod updates;
--- a/node/tests/direct/updates.rs
+++ b/node/tests/direct/updates.rs
@@ -15,7 +15,7 @@
 use mastichaven_node::direct::settings::DirectSettings;
 use mastichaven_node::direct::state::State;
 
-const SETTINGS: &str = r#"
+pub const SETTINGS: &str = r#"
 host = "entry-1"
 ip = "127.0.0.1"
 zone = "zone-a"
@@ -27,6 +27,7 @@
 [bounds]
 key_revocation_ms = 5000
 weights_ms = 3000
+leave_ms = 2000
 stop_s = 8.0
 repeat_ratio = 0.2
 repeat_slack = 100.0
