--- a/node/src/direct/replication.rs
+++ b/node/src/direct/replication.rs
@@ -5,6 +5,9 @@
 //! arrived. When pongs stay away or tell of old knowledge, the follower tries the root, then asks the store
 //! itself. An entry that has just started asks the seeds of its settings first.
 
+mod parent;
+mod probes;
+
 use std::cell::Cell;
 use std::io;
 use std::net::IpAddr;
@@ -12,36 +15,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use mastichaven_core::Time;
-use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::MAX_PARENT_DEPTH;
-use mastichaven_core::direct::replication::Message;
 use mastichaven_core::direct::replication::Named;
 use mastichaven_core::direct::replication::Offer;
-use mastichaven_core::direct::replication::Update;
-use mastichaven_platform::objects::Kind;
 use rand::RngExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
-use super::link;
-use super::peers;
+use self::parent::try_follow;
+use self::probes::Probes;
 use super::state::State;
-use super::store::StoreClient;
-
-/// How often a follower pings. The bound for endpoints that leave, 2 s, has to hold the age at which a
-/// parent is left (1.3 s), a ping and a list from the store.
-const PING_EVERY: Duration = Duration::from_millis(150);
-
-/// Time without a message after which a parent is left: five pings.
-const SILENT_AFTER: Duration = Duration::from_millis(750);
-
-/// Time for a connection to a parent.
-const CONNECT_WITHIN: Duration = Duration::from_millis(400);
 
 /// Pause between tries to follow of an entry that asks the store, and of one that neither does nor follows;
 /// drawn from half to all of it.
@@ -53,25 +35,11 @@
 const SUCCEEDS_WITHIN: Duration = Duration::from_millis(250);
 const SUCCESSOR_EVERY: Duration = Duration::from_millis(60);
 
-/// First and longest pause between the probes with which an entry that follows nobody looks whether the store
-/// answers it. The longest one grows with the fleet, as one entry that finds the store is enough for all.
-const PROBE_FIRST: Duration = Duration::from_millis(100);
-const PROBE_LONGEST: Duration = Duration::from_millis(700);
-const ENTRIES_WITH_SHORT_PAUSE: u32 = 16;
-
 /// How long an entry that has started looks for a seed to follow before it asks the store, and the pause
 /// between its tries.
 const JOIN_WITHIN: Duration = Duration::from_millis(1_500);
 const JOIN_EVERY: Duration = Duration::from_millis(100);
 
-/// How often a follower looks whether what it knows is too old.
-const AGE_EVERY: Duration = Duration::from_millis(40);
-
-/// How often a follower looks whether agents name another parent, and for how many times in a row they
-/// have to name the same one.
-const COMPARE_EVERY: Duration = Duration::from_millis(500);
-const COMPARISONS: u32 = 4;
-
 /// Time for which agents have to name no other root before an entry that others follow steps down for it.
 ///
 /// While roots change, agents disagree for a moment. If the one that is followed went with the last report,
@@ -256,42 +224,6 @@
     }
 }
 
-/// Calls that show whether the store answers this entry.
-struct Probes {
-    client: StoreClient,
-    pause: Duration,
-    next: Time,
-}
-
-impl Probes {
-    fn new(state: &State) -> Probes {
-        Probes {
-            client: StoreClient::new(state.cfg.store, state.metrics.clone()),
-            pause: PROBE_FIRST,
-            next: Time::ZERO,
-        }
-    }
-
-    /// Whether a probe was due and the store has answered it.
-    async fn is_answered(&mut self, state: &State) -> bool {
-        if state.now() < self.next {
-            return false;
-        }
-        // Few objects, if any, so the answer is short.
-        let is_answered = self.client.list(Kind::Evacuations, false).await.is_ok();
-        let entries = state.roster.borrow().entries();
-        let longest = PROBE_LONGEST * entries.div_ceil(ENTRIES_WITH_SHORT_PAUSE);
-        let part = state.with_rng(|rng| rng.random_range(0.5..1.0));
-        self.next = state.now() + self.pause.mul_f64(part);
-        self.pause = (self.pause * 2).min(longest);
-        if !is_answered {
-            // What a list shows after this need not have been there for as long as it was not seen.
-            state.lost_kinds.borrow_mut().extend(Kind::ALL);
-        }
-        is_answered
-    }
-}
-
 /// Follows one of the seeds after the start, until it is lost or none can be followed in time. A seed itself
 /// asks the store at once.
 async fn join(state: &Rc<State>) {
@@ -341,115 +273,3 @@
         Err(e) => e,
     }
 }
-
-async fn try_follow(state: &Rc<State>, parent: IpAddr, is_proven: &Cell<bool>) -> Result<()> {
-    let asked = state.now();
-    let address = SocketAddr::new(parent, state.cfg.agent_port);
-    let connected = timeout(CONNECT_WITHIN, TcpStream::connect(address)).await;
-    let mut stream = connected.map_err(|_| ReplicationError::Silent)??;
-    link::prepare(&stream)?;
-    let hello = Hello::Follow { ip: state.cfg.ip, config: state.config_version() };
-    peers::write(&mut stream, &hello).await?;
-    let (mut read, write) = stream.into_split();
-    tokio::select! {
-        ended = send_pings(state, write) => ended,
-        ended = receive(state, &mut read, parent, asked, is_proven) => ended,
-        () = until_old(state, is_proven) => Err(ReplicationError::Old),
-        () = until_another_is_named(state, parent) => Ok(()),
-    }
-}
-
-async fn send_pings(state: &State, mut write: OwnedWriteHalf) -> Result<()> {
-    loop {
-        write.write_u64(state.now().as_micros()).await?;
-        sleep(PING_EVERY).await;
-    }
-}
-
-/// Waits until what a follower knows of the endpoints is too old to go on with its parent, which is proven to be
-/// fresh at first.
-async fn until_old(state: &State, is_proven: &Cell<bool>) {
-    loop {
-        sleep(AGE_EVERY).await;
-        let limit = state.age_limits().leaves_at(state.depth(), state.is_successor());
-        let age = state.ages().endpoints;
-        if is_proven.get() && age.is_none_or(|age| age >= limit) {
-            return;
-        }
-    }
-}
-
-/// Waits until agents have named another parent for a while.
-async fn until_another_is_named(state: &State, parent: IpAddr) {
-    let mut last = None;
-    let mut count = 0;
-    while count < COMPARISONS {
-        sleep(COMPARE_EVERY).await;
-        let named = state.named_parent().filter(|named| *named != parent);
-        count = if named.is_some() && named == last { count + 1 } else { 0 };
-        last = named;
-    }
-}
-
-/// Applies updates. Those before the first pong wait for it: only then are they known to be fresh.
-///
-/// What comes after the pong that answers what was asked at `asked` was sent after that moment.
-async fn receive(
-    state: &State,
-    read: &mut OwnedReadHalf,
-    parent: IpAddr,
-    mut asked: Time,
-    is_proven: &Cell<bool>,
-) -> Result<()> {
-    let mut early = Vec::new();
-    loop {
-        let message: Message = timeout(SILENT_AFTER, peers::read(read))
-            .await
-            .map_err(|_| ReplicationError::Silent)??;
-        match message {
-            Message::Update(update) => {
-                let update = aged(update, state.now().since(asked));
-                if is_proven.get() {
-                    state.apply(update);
-                } else {
-                    early.push(update);
-                }
-            }
-            Message::NotAvailable => return Err(ReplicationError::NotAvailable),
-            Message::Pong { asked_us, ages, depth, successors } => {
-                asked = Time::from_micros(asked_us);
-                if !state.age_limits().are_young(&ages, state.now().since(asked)) {
-                    return Err(ReplicationError::Old);
-                }
-                if depth > MAX_PARENT_DEPTH {
-                    return Err(ReplicationError::NotAvailable);
-                }
-                if !is_proven.get() && !state.age_limits().may_join(&ages, state.now().since(asked))
-                {
-                    return Err(ReplicationError::Old);
-                }
-                state.parent.set(Some((parent, depth + 1)));
-                *state.successors.borrow_mut() = successors;
-                if !is_proven.get() {
-                    state.begin_following(parent);
-                    early.drain(..).for_each(|update| state.apply(update));
-                }
-                state.confirm(asked, &ages);
-                is_proven.set(true);
-            }
-        }
-    }
-}
-
-/// An update that may have been under way for `span`.
-///
-/// Where a version of weights was dated to when a late update of it came, requests would go to the older
-/// one past its bound.
-fn aged(update: Update, span: Duration) -> Update {
-    match update {
-        Update::Weights { model, version, ago: Some(ago) } => {
-            Update::Weights { model, version, ago: Some(ago + span) }
-        }
-        other => other,
-    }
-}
--- a/node/src/settings/check.rs
+++ b/node/src/settings/check.rs
@@ -25,8 +25,9 @@
 /// reads of the store than it allows.
 pub const REVOCATION_MS: RangeInclusive<u64> = 2_000..=600_000;
 
-/// Values of `leave_ms`: below them watches of the store would end before it can answer.
-pub const LEAVE_MS: RangeInclusive<u64> = 1_000..=60_000;
+/// Milliseconds after which an endpoint that leaves must get nothing more. One that may only have lapsed from
+/// the list is kept for most of the shortest bound.
+pub const LEAVE_MS: RangeInclusive<u64> = 2_000..=60_000;
 
 /// A setting out of its range.
 #[derive(Clone, Debug, Eq, PartialEq)]
