--- a/node/src/direct/chunk_cache.rs
+++ b/node/src/direct/chunk_cache.rs
@@ -103,8 +103,8 @@
             return None;
         }
         // Older versions have had their time: hosts that still lack chunks of them ask each other.
-        let is_newer = |slot: &Slot| slot.model != req.model || slot.version >= req.version;
-        slots.retain(|_, slot| is_newer(slot) || !is_idle(slot, now));
+        let is_current = |slot: &Slot| slot.model != req.model || slot.version >= req.version;
+        slots.retain(|_, slot| is_current(slot) || !is_idle(slot, now));
         let slot = Slot {
             model: req.model.clone(),
             version: req.version,
