Field terms for names of peers, reports and processes

Names only: heard -> note_contact, note_map, merge_map, is_live, is_fresh; has_heard_all -> is_count_complete; lives -> processes; the log line "endpoints told" is "endpoint list received".

--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -112,7 +112,7 @@
     /// Those of them that are sent its reports, and so share the endpoint's free places.
     pub readers: u32,
     /// Whether the agent has listened long enough to have heard all entries.
-    pub has_heard_all: bool,
+    pub is_count_complete: bool,
     /// The entry that the others of the agent's region follow.
     pub relay: Option<IpAddr>,
     /// The entry that watches the store for all regions.
@@ -145,13 +145,13 @@
 
 impl Load {
     /// Whether the report still says something of the present load.
-    fn is_heard(&self, now: Time) -> bool {
+    fn is_fresh(&self, now: Time) -> bool {
         let valid = if self.way.is_far { FAR_REPORT_VALID } else { REPORT_VALID };
         !now.passed(self.way.at, valid)
     }
 
     /// Whether the agent has lately answered an ask.
-    fn hears(&self, now: Time) -> bool {
+    fn is_answering(&self, now: Time) -> bool {
         let valid = if self.way.is_far { FAR_ASK_VALID } else { ASK_VALID };
         !now.passed(self.way.asked, valid)
     }
@@ -228,7 +228,7 @@
     }
 
     /// Whether an entry of the list is of the same process.
-    pub(super) fn is_same_life(&self, listed: &Listed) -> bool {
+    pub(super) fn is_same_process(&self, listed: &Listed) -> bool {
         self.listed.born == listed.born
             && self.listed.address == listed.address
             && self.listed.service == listed.service
@@ -244,13 +244,13 @@
         self.listed = Listed { is_draining, ..listed };
         // The list lags: an endpoint that has lost power is still shown with its weights for a heartbeat,
         // and requests sent there come back refused.
-        if self.load.as_ref().is_some_and(|load| load.is_heard(now)) {
+        if self.load.as_ref().is_some_and(|load| load.is_fresh(now)) {
             self.listed.weights = weights;
         }
     }
 
     /// Whether a process that started at `born` is another one than this.
-    pub(super) fn is_other_life(&self, born: u64) -> bool {
+    pub(super) fn is_other_process(&self, born: u64) -> bool {
         born != 0 && self.listed.born != 0 && self.listed.born != born
     }
 
@@ -258,7 +258,7 @@
     ///
     /// The platform's list shows a process that has crashed for seconds beside the one that follows it.
     pub(super) fn seen_at_address(&mut self, born: u64) {
-        self.is_superseded |= self.is_other_life(born) && born > self.listed.born;
+        self.is_superseded |= self.is_other_process(born) && born > self.listed.born;
     }
 
     /// Whether a later process listens at its address.
@@ -295,21 +295,21 @@
     /// agent that reports if it ever did.
     pub(super) fn takes(&self, now: Time) -> bool {
         let is_in_reach = self.load.as_ref().is_none_or(|load| {
-            load.is_heard(now) && load.hears(now) && load.way.round_trip < SLOW_WAY
+            load.is_fresh(now) && load.is_answering(now) && load.way.round_trip < SLOW_WAY
         });
         is_in_reach && self.health.takes(self.own, now)
     }
 
     /// Whether its agent says, now, that it holds a version of a model.
     pub(super) fn is_holder(&self, model: &str, version: u64, now: Time) -> bool {
-        let is_heard = self.load.as_ref().is_some_and(|load| load.is_heard(now));
+        let is_fresh = self.load.as_ref().is_some_and(|load| load.is_fresh(now));
         let mut weights = self.listed.weights.iter();
-        is_heard && weights.any(|(name, held)| name == model && *held == version)
+        is_fresh && weights.any(|(name, held)| name == model && *held == version)
     }
 
     /// Time until it serves, if it does not serve yet and its agent knows.
     pub(super) fn ready_in(&self, now: Time) -> Option<Duration> {
-        let load = self.load.as_ref().filter(|load| load.is_heard(now))?;
+        let load = self.load.as_ref().filter(|load| load.is_fresh(now))?;
         Some(load.ready_at?.since(now))
     }
 
@@ -331,7 +331,7 @@
         if self.full_until > now {
             return None;
         }
-        let load = self.load.as_ref().filter(|load| load.is_heard(now));
+        let load = self.load.as_ref().filter(|load| load.is_fresh(now));
         let entries = load.map_or(entries, |load| load.readers);
         if load.is_some_and(|load| !load.accepts || load.places == 0) {
             return None;
--- a/core/src/direct/roster.rs
+++ b/core/src/direct/roster.rs
@@ -142,7 +142,7 @@
                 continue;
             };
             endpoint.seen_at_address(report.born);
-            if !endpoint.is_other_life(report.born) {
+            if !endpoint.is_other_process(report.born) {
                 let is_far = *endpoint.region() != self.region;
                 let way = Way { at: now, asked, round_trip, is_far };
                 endpoint.reported(report, way, part, draw);
@@ -155,9 +155,9 @@
         self.entries = entries.max(1);
     }
 
-    /// An agent has counted the entries that ask it, all of them if `has_heard_all`.
-    pub fn entries_counted(&mut self, entries: u32, has_heard_all: bool, now: Time) {
-        if has_heard_all {
+    /// An agent has counted the entries that ask it, all of them if `is_count_complete`.
+    pub fn entries_counted(&mut self, entries: u32, is_count_complete: bool, now: Time) {
+        if is_count_complete {
             self.entry_count.counted(entries, now);
         }
         self.entries = self.entry_count.highest().unwrap_or(entries).max(1);
--- a/core/src/direct/roster/listing.rs
+++ b/core/src/direct/roster/listing.rs
@@ -80,7 +80,7 @@
             if listed.revision < endpoint.listed().revision {
                 return false;
             }
-            if endpoint.is_same_life(&listed) {
+            if endpoint.is_same_process(&listed) {
                 endpoint.update(listed, now);
                 return true;
             }
@@ -96,12 +96,12 @@
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
         self.by_address.entry(address).or_default().push(key);
-        self.note_lives(address);
+        self.note_restart(address);
         true
     }
 
     /// Notes for all endpoints at an address which process started there last.
-    fn note_lives(&mut self, address: SocketAddr) {
+    fn note_restart(&mut self, address: SocketAddr) {
         let keys = self.by_address.get(&address).map(Vec::as_slice).unwrap_or_default();
         let born = |key: &EndpointKey| Some(self.endpoints.get(*key)?.listed().born);
         let Some(latest) = keys.iter().filter_map(born).max() else {
--- a/core/src/direct/subscribers.rs
+++ b/core/src/direct/subscribers.rs
@@ -137,8 +137,9 @@
     pub fn caches(&self, now: Time) -> (Vec<IpAddr>, Vec<IpAddr>) {
         let near = self.live(now).filter(|(_, one)| !one.is_far);
         let near = near.filter(|(_, one)| !now.passed(one.at, RELAY_VALID));
-        let is_heard = |one: &Subscriber| one.is_far || !now.passed(one.at, RELAY_VALID);
-        let beside_origin = self.live(now).filter(|(_, one)| one.is_beside_origin && is_heard(one));
+        let is_recent = |one: &Subscriber| one.is_far || !now.passed(one.at, RELAY_VALID);
+        let beside_origin =
+            self.live(now).filter(|(_, one)| one.is_beside_origin && is_recent(one));
         (near.map(|(at, _)| at.ip()).collect(), beside_origin.map(|(at, _)| at.ip()).collect())
     }
 
--- a/core/src/swarm/ask.rs
+++ b/core/src/swarm/ask.rs
@@ -336,7 +336,7 @@
         let due = |id: &PeerId, every: Duration| {
             let peer = self.peers.get(*id);
             let asked = peer.asked_at.is_some_and(|at| !now.passed(at, every));
-            peer.is_live() && !asked && now.passed(peer.heard_at, every)
+            peer.is_live() && !asked && now.passed(peer.last_contact, every)
         };
         let neighbours = if self.way == Way::Swarm { self.neighbours.as_slice() } else { &[] };
         let mut asked: Vec<PeerId> =
--- a/core/src/swarm/cached.rs
+++ b/core/src/swarm/cached.rs
@@ -65,7 +65,7 @@
 
     /// Whether all live neighbours have answered a poll for a version.
     pub(super) fn have_answered_polls(&self, n: usize) -> bool {
-        let near = self.neighbours.iter().filter(|id| self.peers.is_heard(**id)).count();
+        let near = self.neighbours.iter().filter(|id| self.peers.is_live(**id)).count();
         near == self.neighbours.len() && self.downloads[n].maps.len() >= near
     }
 
--- a/core/src/swarm/download.rs
+++ b/core/src/swarm/download.rs
@@ -183,7 +183,7 @@
     }
 
     /// A neighbour told what it has. Says whether it may be believed so far. O(chunks).
-    pub(super) fn heard(&mut self, peer: PeerId, map: Bitmap) -> bool {
+    pub(super) fn merge_map(&mut self, peer: PeerId, map: Bitmap) -> bool {
         if self.has_manifest && !map.fits(self.parts.len()) {
             return false;
         }
--- a/core/src/swarm/peers.rs
+++ b/core/src/swarm/peers.rs
@@ -50,7 +50,7 @@
     bad: u32,
     pub(crate) queue: u32,
     pub(crate) in_flight: u32,
-    pub(crate) heard_at: Time,
+    pub(crate) last_contact: Time,
     pub(crate) asked_at: Option<Time>,
 }
 
@@ -67,7 +67,7 @@
             bad: 0,
             queue: 0,
             in_flight: 0,
-            heard_at: Time::ZERO,
+            last_contact: Time::ZERO,
             asked_at: None,
         }
     }
@@ -133,8 +133,8 @@
     }
 
     /// Whether `id` ever answered.
-    pub fn is_heard(&self, id: PeerId) -> bool {
-        self.get(id).heard_at != Time::ZERO
+    pub fn is_live(&self, id: PeerId) -> bool {
+        self.get(id).last_contact != Time::ZERO
     }
 
     /// Whether `id` may own chunks: an owner that lives but sends damaged ones would hold them back
@@ -145,9 +145,9 @@
     }
 
     /// It answered: it is live, whatever was thought before.
-    pub fn heard(&mut self, id: PeerId, now: Time) {
+    pub fn note_contact(&mut self, id: PeerId, now: Time) {
         let peer = self.get_mut(id);
-        peer.heard_at = now;
+        peer.last_contact = now;
         peer.strikes = 0;
         peer.retry_wait = RETRY_FIRST;
         if peer.down_since.take().is_some() {
@@ -203,7 +203,7 @@
         let Some(first) = down.iter().min().copied() else {
             return;
         };
-        let heard = |id: &PeerId| self.get(*id).heard_at > first;
+        let heard = |id: &PeerId| self.get(*id).last_contact > first;
         if down.len() < ZONE_DOWN_HOSTS || hosts.iter().any(heard) || hosts.contains(&me) {
             return;
         }
--- a/core/src/swarm/pull.rs
+++ b/core/src/swarm/pull.rs
@@ -195,8 +195,8 @@
     }
 
     /// A peer told what it has of a version and how many chunks wait on its link.
-    pub fn heard(&mut self, id: PeerId, version: Digest, map: Bitmap, queue: u32, now: Time) {
-        self.peers.heard(id, now);
+    pub fn note_map(&mut self, id: PeerId, version: Digest, map: Bitmap, queue: u32, now: Time) {
+        self.peers.note_contact(id, now);
         self.peers.get_mut(id).queue = queue;
         if !self.neighbours.contains(&id) {
             return;
@@ -204,7 +204,7 @@
         let Some(download) = self.downloads.iter_mut().find(|d| d.version == version) else {
             return;
         };
-        if !download.heard(id, map) {
+        if !download.merge_map(id, map) {
             self.peers.failed(id, Fault::Dishonest, now);
         }
     }
@@ -311,7 +311,7 @@
         }
         let fault = match end {
             End::Stored | End::Manifest(_) => {
-                self.peers.heard(id, now);
+                self.peers.note_contact(id, now);
                 self.peers.sent_good(id);
                 if direct {
                     self.usual.note(now.since(flight.started));
@@ -319,9 +319,9 @@
                 return;
             }
             End::Told | End::NotNow | End::NotYet | End::PulledBefore => {
-                return self.peers.heard(id, now);
+                return self.peers.note_contact(id, now);
             }
-            End::Absent if !direct => return self.peers.heard(id, now),
+            End::Absent if !direct => return self.peers.note_contact(id, now),
             End::Absent | End::Corrupt => Fault::Dishonest,
             End::Busy => Fault::Busy,
             End::Silent => Fault::Silent,
--- a/core/tests/direct/roster.rs
+++ b/core/tests/direct/roster.rs
@@ -82,7 +82,7 @@
         born: 0,
         entries: 8,
         readers,
-        has_heard_all: true,
+        is_count_complete: true,
         relay: None,
         root: None,
     }
--- a/core/tests/weights/swarm.rs
+++ b/core/tests/weights/swarm.rs
@@ -174,7 +174,7 @@
                     }
                 }
                 let To::Peer(id) = request.to else { unreachable!() };
-                self.all[n].swarm.heard(id, request.version, map, 0, self.now);
+                self.all[n].swarm.note_map(id, request.version, map, 0, self.now);
                 End::Told
             }
             What::Chunk { digest, .. } => match manner {
@@ -302,7 +302,7 @@
     let To::Peer(id) = poll.to else { unreachable!() };
     let host = &mut hosts.all[0];
     for _ in 0..3 {
-        host.swarm.heard(id, poll.version, map.clone(), 0, hosts.now);
+        host.swarm.note_map(id, poll.version, map.clone(), 0, hosts.now);
     }
     assert_eq!(host.swarm.troubled().count(), 1);
 }
--- a/node/src/agent/pull.rs
+++ b/node/src/agent/pull.rs
@@ -54,7 +54,7 @@
     revision: u64,
     unchanged_since: Time,
     probed_at: Option<Time>,
-    heard_at: HashMap<HostName, Time>,
+    last_contact: HashMap<HostName, Time>,
 }
 
 /// Runs until the agent ends.
@@ -190,7 +190,7 @@
     if !now.passed(probes.unchanged_since, SILENT_FOR) {
         return None;
     }
-    let heard = |host: &HostName| probes.heard_at.get(host).copied();
+    let heard = |host: &HostName| probes.last_contact.get(host).copied();
     let is_dead =
         |host: &HostName| now.passed(heard(host).unwrap_or(probes.unchanged_since), SILENT_FOR);
     stand_in(plan, &place.host, in_my_zone, is_dead)
@@ -214,7 +214,7 @@
     for (host, mut call) in calls {
         let left = deadline.since(shared.clock.now());
         if matches!(call.next_timeout(left), Some(Ok(_))) {
-            probes.heard_at.insert(host.clone(), shared.clock.now());
+            probes.last_contact.insert(host.clone(), shared.clock.now());
         }
     }
 }
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -82,7 +82,7 @@
             let now = self.clock.now();
             let count = self.subscribers.borrow().count(self.started, now);
             load.entries = count.entries;
-            load.has_heard_all = count.is_of_all;
+            load.is_count_complete = count.is_of_all;
             load.readers = self.subscribers.borrow().readers(now) as u32;
             load.ready_in = self.ready_in(now);
             load.relay = self.subscribers.borrow().relay(now);
--- a/node/src/direct/agent/setup.rs
+++ b/node/src/direct/agent/setup.rs
@@ -105,11 +105,11 @@
         }
         // Entries that have just started send what is known already. Were that a change, each agent would
         // read the peers anew for each of them.
-        let is_news = known.is_none_or(|known| known.setup != update.setup);
+        let is_new = known.is_none_or(|known| known.setup != update.setup);
         let origin = update.setup.origin.as_ref().map(|origin| origin.address);
         let (model, version) = (update.setup.model.name.clone(), update.version);
         *self.setup.borrow_mut() = Some(update);
-        if is_news {
+        if is_new {
             slog::info!(self.log, "service known"; "model" => model.as_str(), "config" => version);
             self.swarm.set_origin(origin);
             self.updated.notify_one();
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -155,7 +155,7 @@
         };
         let draw = self.with_rng(|rng| rng.random::<f64>());
         let mut roster = self.roster.borrow_mut();
-        roster.entries_counted(report.entries, report.has_heard_all, now);
+        roster.entries_counted(report.entries, report.is_count_complete, now);
         let asked = Time::from_micros(msg.asked_us);
         if roster.is_near(address) {
             self.has_fresh_neighbour.set(report.relay.is_some_and(|relay| relay != self.cfg.ip));
--- a/node/src/direct/swarm/sources.rs
+++ b/node/src/direct/swarm/sources.rs
@@ -261,7 +261,7 @@
         match (peers::ask(address, &req, request.timeout).await, request.what) {
             (Ok(PeerReply::Have { map, queue }), What::Have) => {
                 let now = self.clock.now();
-                self.swarm.borrow_mut().heard(id, version, map, queue, now);
+                self.swarm.borrow_mut().note_map(id, version, map, queue, now);
                 End::Told
             }
             (Ok(PeerReply::Manifest { chunk_len, digests }), What::Manifest) => {
--- a/node/src/direct/updates.rs
+++ b/node/src/direct/updates.rs
@@ -158,7 +158,7 @@
 
     fn apply_endpoints(&self, as_of: Revision, all: Vec<Listed>, lapsed: &[SmolStr]) {
         let known_as_of = self.roster.borrow().as_of();
-        slog::info!(self.log, "endpoints told"; "from" => self.source(), "as_of" => as_of.0,
+        slog::info!(self.log, "endpoint list received"; "from" => self.source(), "as_of" => as_of.0,
             "known_as_of" => known_as_of.0, "listed" => all.len(),
             "lapsed" => format!("{lapsed:?}"));
         let changed = self.changed_among(&all);
@@ -220,7 +220,7 @@
     /// `named_at` is `None` where nobody knows how long the version has been named.
     fn apply_weights(&self, model: &SmolStr, version: u64, named_at: Option<Time>) {
         let mut known = self.versions.borrow_mut();
-        let is_news = match (known.get_mut(model), named_at) {
+        let is_new = match (known.get_mut(model), named_at) {
             (Some(versions), Some(at))
                 if self.is_following.get() && versions.newest() >= version =>
             {
@@ -243,7 +243,7 @@
             }
         };
         drop(known);
-        if !is_news {
+        if !is_new {
             return;
         }
         let age = named_at.map_or(-1, |at| self.now().since(at).as_millis() as i64);
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -159,7 +159,7 @@
                         let took = self.state.now().since(sent);
                         left = left.saturating_sub(took).max(WAIT_SHORTEST);
                     } else {
-                        self.heard_nothing(sent, wait);
+                        self.confirm_unchanged(sent, wait);
                         self.note_store_time(sent + wait);
                     }
                     self.take_changes(told.changes, revision);
@@ -219,7 +219,7 @@
 
     /// A watch of `wait` ended without a change, so the store looked for one until the end of it. That
     /// is how old the knowledge is; only the lease on keys goes by the moment of sending.
-    fn heard_nothing(&self, sent: Time, wait: Duration) {
+    fn confirm_unchanged(&self, sent: Time, wait: Duration) {
         if self.kind != Kind::Config {
             let seen = (sent + wait).min(self.state.now());
             self.state.confirmed.borrow_mut().insert(self.kind, seen);
--- a/node/src/weights/pull.rs
+++ b/node/src/weights/pull.rs
@@ -188,7 +188,7 @@
         self.last_error = error.or(self.last_error);
         self.count(request, &end);
         if let (To::Peer(id), Some(have)) = (request.to, told) {
-            self.swarm.heard(id, request.version, have.chunks, have.queue, now);
+            self.swarm.note_map(id, request.version, have.chunks, have.queue, now);
         }
         if let End::Manifest(manifest) = &end {
             self.open(manifest);
--- a/node/tests/direct/chunk_cache.rs
+++ b/node/tests/direct/chunk_cache.rs
@@ -253,7 +253,7 @@
         born: 1,
         entries: 1,
         readers: 1,
-        has_heard_all: true,
+        is_count_complete: true,
         relay: None,
         root: None,
     }
