A puller does not forget chunks that wait for their turn

Change: what waits for its turn is given up only for a newer version, and only if the older one had hardly begun to come (the share that hosts go by, too) when the newer one was first asked for. Two tests; each fails on the code before it.

--- a/node/src/direct/chunk_cache.rs
+++ b/node/src/direct/chunk_cache.rs
@@ -5,6 +5,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,8 @@
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 
+use super::swarm::KEPT_SHARE;
+
 /// How long a chunk that cannot be had is tried for after somebody has asked for it last.
 const WANTED_FOR: Duration = Duration::from_millis(1_500);
 
@@ -47,12 +50,28 @@
     content: Content,
 }
 
+/// The newest version of a model that was asked for.
+#[derive(Clone, Debug)]
+struct Newest {
+    version: u64,
+    /// When it was asked for first.
+    since: Time,
+    /// Older versions that had hardly begun to come then.
+    left: HashSet<u64>,
+}
+
+impl Newest {
+    /// Whether a chunk is of an older version that is left, and nobody has asked for it since.
+    fn leaves(&self, slot: &Slot) -> bool {
+        self.left.contains(&slot.version) && self.since >= slot.asked_at
+    }
+}
+
 /// The chunks of one entry.
 #[derive(Debug)]
 pub struct ChunkCache {
     slots: RefCell<HashMap<Digest, Slot>>,
-    /// The newest version of each model that was asked for, and when that was first.
-    newest: RefCell<HashMap<SmolStr, (u64, Time)>>,
+    newest: RefCell<HashMap<SmolStr, Newest>>,
     pub(super) changed: Notify,
     pub(super) out: Semaphore,
     pub(super) intake: Semaphore,
@@ -115,26 +134,36 @@
         Some(true)
     }
 
+    /// Notes that a version is asked for, and which older ones are left for it.
     fn note_version(&self, req: &ChunkRequest, now: Time) {
         let mut newest = self.newest.borrow_mut();
-        let known = newest.get(&req.model).map_or(0, |(version, _)| *version);
-        if req.version > known {
-            newest.insert(req.model.clone(), (req.version, now));
+        if newest.get(&req.model).is_some_and(|newest| newest.version >= req.version) {
+            return;
         }
+        let slots = self.slots.borrow();
+        let older = slots.values().filter(|slot| slot.model == req.model);
+        let left =
+            older.map(|slot| slot.version).filter(|one| share_here(&slots, req, *one) < KEPT_SHARE);
+        let left = left.collect();
+        newest.insert(req.model.clone(), Newest { version: req.version, since: now, left });
     }
 
-    /// Whether a chunk is to be fetched still. Once a newer version is asked for, a chunk of an older one is
-    /// fetched only if somebody asks again: the link of the origin bears one copy in the time that matters.
+    /// Whether to try once more for a chunk that could not be had.
     pub(super) fn is_wanted(&self, digest: Digest, now: Time) -> bool {
         let slots = self.slots.borrow();
-        let Some(slot) = slots.get(&digest) else {
-            return false;
-        };
+        let is_recent = |slot: &Slot| !now.passed(slot.asked_at, WANTED_FOR);
+        slots.get(&digest).is_some_and(is_recent) && !self.is_left(digest)
+    }
+
+    /// Whether a chunk is left for a newer version. Once that is asked for, a chunk of an older one that has
+    /// hardly begun to come is fetched only if somebody asks again: the link of the origin bears one copy in
+    /// the time that matters.
+    pub(super) fn is_left(&self, digest: Digest) -> bool {
+        let slots = self.slots.borrow();
         let newest = self.newest.borrow();
-        let is_superseded = newest
-            .get(&slot.model)
-            .is_some_and(|(version, since)| *version > slot.version && *since >= slot.asked_at);
-        !is_superseded && !now.passed(slot.asked_at, WANTED_FOR)
+        slots
+            .get(&digest)
+            .is_some_and(|slot| newest.get(&slot.model).is_some_and(|newest| newest.leaves(slot)))
     }
 
     pub(super) fn set(&self, digest: Digest, content: Content) {
@@ -153,3 +182,12 @@
 fn is_idle(slot: &Slot, now: Time) -> bool {
     !matches!(slot.content, Content::Awaited) && now.passed(slot.asked_at, WANTED_FOR)
 }
+
+/// Part of the chunks of `version`, among those asked for, that is here.
+fn share_here(slots: &HashMap<Digest, Slot>, req: &ChunkRequest, version: u64) -> f64 {
+    let is_same = |one: &&Slot| one.model == req.model && one.version == version;
+    let all = slots.values().filter(is_same).count();
+    let is_here = |one: &&Slot| matches!(one.content, Content::Here(_));
+    let here = slots.values().filter(is_same).filter(is_here).count();
+    here as f64 / all as f64
+}
--- a/node/src/direct/chunk_server.rs
+++ b/node/src/direct/chunk_server.rs
@@ -102,7 +102,7 @@
 
 /// Why a chunk did not come.
 enum NotFetched {
-    /// The puller waits for it, or nobody asks for it any more.
+    /// The puller waits for it, or it is left for a newer version.
     Later,
     Failed,
 }
@@ -183,7 +183,7 @@
     let address = state.catalog.borrow().as_ref().and_then(|c| Some(c.origin()?.address));
     let address = address.ok_or(NotFetched::Failed)?;
     let _turn = state.chunks.from_origin.acquire().await.map_err(|_| NotFetched::Failed)?;
-    if !state.chunks.is_wanted(req.digest, state.now()) {
+    if state.chunks.is_left(req.digest) {
         return Err(NotFetched::Later);
     }
     let path = origin_paths::chunk_path(&req.model, req.version, req.index as usize);
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -56,7 +56,7 @@
 /// is near comes from peers, also while the origin is down: then the newer version cannot come, and
 /// without the older one no endpoint may answer once the one before that has passed its bound. What is
 /// known of peers lags, and much of a version may come meanwhile, so a part of it is enough.
-const KEPT_SHARE: f64 = 0.35;
+pub(super) const KEPT_SHARE: f64 = 0.35;
 
 /// Names a version of a model among agents.
 pub fn version_digest(model: &str, version: u64) -> Digest {
--- a/node/tests/direct/chunk_cache.rs
+++ b/node/tests/direct/chunk_cache.rs
@@ -55,6 +55,8 @@
     Honest,
     /// The first answer has a wrong byte.
     CorruptAtFirst,
+    /// All chunks together take longer than a request is remembered.
+    Slow,
     /// It is away.
     Away,
 }
@@ -91,7 +93,8 @@
         origin.manner.set(Manner::Honest);
     }
     // The link is narrow: asks of many agents come while the chunk is on its way.
-    sleep(Duration::from_millis(30)).await;
+    let takes_ms = if origin.manner.get() == Manner::Slow { 300 } else { 30 };
+    sleep(Duration::from_millis(takes_ms)).await;
     let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
     stream.write_all(head.as_bytes()).await?;
     stream.write_all(&body).await
@@ -209,6 +212,34 @@
     });
 }
 
+// Guards against an older version that lacks a few chunks for good, as the origin goes away before the newer
+// one is here.
+#[test]
+fn chunks_of_an_older_version_that_is_near_are_pulled_to_the_end() {
+    with_entry(Manner::Honest, |entry, _, state| async move {
+        let next = (1..CHUNKS).map(|n| (n, sha256(&chunk(n)))).collect();
+        assert_eq!(take(entry, &ask(0, next)).await, Ok(chunk(0)));
+        while state.chunks.len() < CHUNKS as usize / 2 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(take(entry, &ask_newer(0)).await, Ok(newer_chunk(0)));
+        sleep(Duration::from_millis(600)).await;
+        assert_eq!(state.chunks.len(), CHUNKS as usize + 1);
+    });
+}
+
+// Guards against a version that lacks its last chunks when the origin goes away: the puller forgot them while
+// they waited for their turn.
+#[test]
+fn next_chunks_are_pulled_however_long_it_takes() {
+    with_entry(Manner::Slow, |entry, _, state| async move {
+        let next = (1..CHUNKS).map(|n| (n, sha256(&chunk(n)))).collect();
+        assert_eq!(take(entry, &ask(0, next)).await, Ok(chunk(0)));
+        sleep(Duration::from_millis(3_500)).await;
+        assert_eq!(state.chunks.len(), CHUNKS as usize);
+    });
+}
+
 // Guards against hosts that take an entry for lost that waits for the origin.
 #[test]
 fn chunk_of_an_origin_that_is_away_is_answered_as_not_yet_here() {
