--- a/core/src/swarm/request.rs
+++ b/core/src/swarm/request.rs
@@ -68,7 +68,7 @@
     Corrupt,
     /// The peer does not have it.
     Absent,
-    /// The peer is up and told what it has; see [`Swarm::heard`](super::Swarm::heard).
+    /// The peer is up and told what it has; see [`Swarm::note_map`](super::Swarm::note_map).
     Told,
     /// The peer is busy.
     Busy,
