--- a/core/src/swarm/peers.rs
+++ b/core/src/swarm/peers.rs
@@ -203,8 +203,8 @@
         let Some(first) = down.iter().min().copied() else {
             return;
         };
-        let heard = |id: &PeerId| self.get(*id).last_contact > first;
-        if down.len() < ZONE_DOWN_HOSTS || hosts.iter().any(heard) || hosts.contains(&me) {
+        let is_back = |id: &PeerId| self.get(*id).last_contact > first;
+        if down.len() < ZONE_DOWN_HOSTS || hosts.iter().any(is_back) || hosts.contains(&me) {
             return;
         }
         for id in hosts {
--- a/core/tests/direct/roster/choosing.rs
+++ b/core/tests/direct/roster/choosing.rs
@@ -242,7 +242,7 @@
 
 // Callers refused beside cold endpoints were told that all are full, and came back before any was warm.
 #[test]
-fn choose_tells_cold_endpoints_from_full_ones() {
+fn choose_distinguishes_cold_endpoints_from_full_ones() {
     let mut roster = roster();
     roster.put(Listed { cold_for: Duration::from_secs(3), ..listed(1, "lagoa") }, now(0));
     let mut rng = rng();
@@ -258,7 +258,7 @@
 // All agents were restarted and have heard only some of the entries. The few that they tell of would each
 // send a cold endpoint what is meant for all.
 #[test]
-fn entries_counted_leaves_bounds_until_agents_have_heard_all() {
+fn entries_counted_leaves_bounds_until_the_count_is_complete() {
     let mut roster = roster();
     roster.put(Listed { cold_for: Duration::from_secs(3), ..listed(1, "lagoa") }, now(0));
     roster.entries_counted(1, false, now(0));
--- a/node/src/direct/chunk_cache.rs
+++ b/node/src/direct/chunk_cache.rs
@@ -156,8 +156,8 @@
     }
 
     /// Whether a chunk is left for a newer version. Once that is asked for, a chunk of an older one that has
-    /// hardly begun to come is fetched only if somebody asks again: the link of the origin bears one copy in
-    /// the time that matters.
+    /// hardly begun to come is fetched only if somebody asks again: both versions would share the
+    /// link of the origin.
     pub(super) fn is_left(&self, digest: Digest) -> bool {
         let slots = self.slots.borrow();
         let newest = self.newest.borrow();
--- a/node/src/direct/replication/parent.rs
+++ b/node/src/direct/replication/parent.rs
@@ -1,4 +1,4 @@
-//! One parent: pings, what it tells, and when it is left.
+//! The connection to one parent: pings, updates, and when it is given up.
 
 use std::cell::Cell;
 use std::net::IpAddr;
--- a/node/tests/direct/explain.rs
+++ b/node/tests/direct/explain.rs
@@ -83,7 +83,7 @@
 }
 
 #[test]
-fn profile_tells_each_step_of_answered_requests() {
+fn profile_lists_each_step_of_answered_requests() {
     let line = |run_us: u32| {
         format!(
             "{{\"msg\":\"request steps\",\"id\":\"a\",\"read_us\":40,\"place_us\":0,\
