Agents log the endpoint's number of begun orders and changes of its weights

Nothing in the logs told whether a load order that had timed out took effect later. The report of the endpoint counts the orders it has begun; the agent logs each change of this count and of the version.

--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -102,13 +102,21 @@
         }
     }
 
-    /// Logs that the endpoint has started or is reachable again. A start of the endpoint loses its layers and,
-    /// after a power loss, the staged chunks.
+    /// Logs that the endpoint has started or is reachable again, or that its weights or its number of begun
+    /// orders have changed. A start of the endpoint loses its layers and, after a power loss, the staged chunks.
     fn log_endpoint_change(&self, report: &Report) {
-        let last_started_ms = self.report.borrow().as_ref().map(|report| report.load.started_ms);
-        if last_started_ms != Some(report.load.started_ms) {
+        let weights = report.load.weights.first().map_or(0, |(_, version)| *version);
+        let last = self.report.borrow();
+        let Some(last) =
+            last.as_ref().filter(|last| last.load.started_ms == report.load.started_ms)
+        else {
             slog::info!(self.log, "endpoint connected"; "born" => report.load.started_ms,
-                "weights" => report.load.weights.first().map_or(0, |(_, version)| *version));
+                "weights" => weights, "orders" => report.orders);
+            return;
+        };
+        if last.orders != report.orders || last.load.weights != report.load.weights {
+            slog::info!(self.log, "endpoint weights changed"; "weights" => weights,
+                "orders" => report.orders, "is_loading" => report.is_busy);
         }
     }
 
