Failing test: an order to load version 2 takes effect after version 3 is staged

The stand-in of the endpoint can delay an order; it answers 409 while an order is in progress and when `expect` differs, as the protocol says.

--- a/node/tests/direct/agent.rs
+++ b/node/tests/direct/agent.rs
@@ -125,6 +125,27 @@
     assert!(fleet.iter().all(|(endpoint, _)| endpoint.inconsistent_loads() == 0));
 }
 
+// An order to load version 2 times out and takes effect after version 3 is staged. The endpoint must not load
+// chunks of both versions.
+#[test]
+fn load_order_that_takes_effect_late_loads_one_version() {
+    const ORDER_DELAY: Duration = Duration::from_secs(3);
+    let site = Site::start();
+    let endpoint = site.start_endpoint("i-late", "writer", Some(1));
+    let agent = site.start_agent("late-order", &endpoint);
+    let _entry = site.start_entry("late-order");
+    until("manifest received", || agent.log().contains("manifest received"));
+    endpoint.delay_next_order(ORDER_DELAY);
+    announce_version(&site, 2);
+    until("the load of version 2 is ordered", || endpoint.delayed_orders() == 1);
+    let ordered_at = std::time::Instant::now();
+    announce_version(&site, 3);
+    until("the endpoint has loaded version 3", || endpoint.version() == Some(3));
+    thread::sleep((ORDER_DELAY + Duration::from_secs(1)).saturating_sub(ordered_at.elapsed()));
+    assert_eq!(endpoint.inconsistent_loads(), 0);
+    assert_eq!(endpoint.version(), Some(3));
+}
+
 // All agents are killed during a download and restarted. They find the staged chunks and resume the download.
 #[test]
 fn download_resumes_after_agent_crash() {
--- a/standins/src/direct/endpoint.rs
+++ b/standins/src/direct/endpoint.rs
@@ -83,6 +83,8 @@
     orders: u64,
     inconsistent_loads: u64,
     is_busy: bool,
+    order_delay: Option<Duration>,
+    delayed_orders: u64,
 }
 
 #[derive(Debug)]
@@ -162,6 +164,16 @@
         self.shared.lock().inconsistent_loads
     }
 
+    /// Delays the next load order: it takes effect, and is answered, only after `delay`.
+    pub fn delay_next_order(&self, delay: Duration) {
+        self.shared.lock().order_delay = Some(delay);
+    }
+
+    /// Number of load orders that were delayed, whether or not they have taken effect.
+    pub fn delayed_orders(&self) -> u64 {
+        self.shared.lock().delayed_orders
+    }
+
     /// Corrupts a staged chunk.
     pub fn corrupt_staged(&self, index: usize) {
         if let Some(chunk) = self.shared.lock().staged.get_mut(&index) {
@@ -208,7 +220,16 @@
     let Some(version) = order["version"].as_u64().filter(|_| order["op"] == "start") else {
         return req.respond(400, &[], "");
     };
+    let delay = shared.lock().order_delay.take();
+    if let Some(delay) = delay {
+        shared.lock().delayed_orders += 1;
+        thread::sleep(delay);
+    }
     let mut state = shared.lock();
+    if order["expect"].as_u64().is_some_and(|expected| expected != state.orders) || state.is_busy {
+        drop(state);
+        return req.respond(409, &[], "");
+    }
     if state.version == Some(version) {
         drop(state);
         return req.respond(200, &[], "");
