Load orders that may take effect late no longer load replaced chunks

Callers got complete answers computed from weights that are not those of the version that the endpoint named.

Cause: a call without a response counted as one without an effect. Each order now carries the number of orders that the endpoint has begun, so that of two copies one takes effect, and none after any other. While an order is without an outcome the staged chunks are not replaced; the same order is sent again. A load that such an order began serves nothing until the chunks are verified again; the same holds after a write of a chunk without a response, after a verification that took over 2 s, and for orders of an agent that was killed. A verification that the endpoint does not answer ends at the first chunk and no longer marks all chunks as corrupt.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -11,7 +11,8 @@
 //! [`freshness`] decides whether replicated state is recent enough to act on. [`replication`]
 //! defines the updates that entries exchange, and [`subscribers`] tracks the entries that contact
 //! an agent. [`versions`] tracks which weights may answer, [`caches`] which entries serve chunks of
-//! them, and [`rollout`] when an endpoint loads a new version.
+//! them, [`rollout`] when an endpoint loads a new version, and
+//! [`load_orders`] whether the weights that it has loaded are verified.
 
 pub mod caches;
 pub mod catalog;
@@ -21,6 +22,7 @@
 pub mod events;
 pub mod freshness;
 pub mod lateness;
+pub mod load_orders;
 pub mod replication;
 pub mod retry_after;
 pub mod rollout;
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod events;
 mod freshness;
 mod lateness;
+mod load_orders;
 mod replication;
 mod retry_after;
 mod rollout;
--- a/node/src/direct/agent.rs
+++ b/node/src/direct/agent.rs
@@ -21,6 +21,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use mastichaven_core::Time;
+use mastichaven_core::direct::load_orders::LoadOrders;
 use mastichaven_core::direct::subscribers::Subscribers;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::HostName;
@@ -70,6 +71,7 @@
     peer_list: Cell<u64>,
     /// The endpoint's last report; `None` while the endpoint cannot be reached.
     report: RefCell<Option<Report>>,
+    load_orders: RefCell<LoadOrders>,
     /// Whether the endpoint is draining or loading, so that entries must not route requests to it.
     is_load_in_progress: Cell<bool>,
     /// Duration of the endpoint's last load.
@@ -116,6 +118,7 @@
         rank: Cell::new((0, 1)),
         peer_list: Cell::new(0),
         report: RefCell::default(),
+        load_orders: RefCell::default(),
         is_load_in_progress: Cell::new(false),
         load_time: Cell::new(INITIAL_LOAD_TIME),
         subscribers: RefCell::default(),
@@ -157,6 +160,11 @@
         let weights = &report.as_ref()?.load.weights;
         weights.iter().find(|(model, _)| *model == name).map(|(_, version)| *version)
     }
+
+    /// [`Agent::held_version`] if it was loaded from verified chunks.
+    fn verified_version(&self) -> Option<u64> {
+        self.held_version().filter(|_| self.load_orders.borrow().may_serve())
+    }
 }
 
 async fn serve_status(agent: Rc<Agent>, listener: TcpListener) {
@@ -191,6 +199,7 @@
             "newest": newest.map(|(version, _)| version),
             "named_ago_ms": newest.map(|(_, at)| now.since(at).as_millis() as u64),
             "held": self.held_version(),
+            "held_is_verified": self.load_orders.borrow().may_serve(),
             "staged": self.swarm.is_complete(),
             "rank": self.rank.get().0,
             "entries": self.subscribers.borrow().len(now),
--- a/node/src/direct/agent/loading.rs
+++ b/node/src/direct/agent/loading.rs
@@ -4,13 +4,19 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
+use mastichaven_core::direct::load_orders::OrderOutcome;
+use mastichaven_core::direct::load_orders::OrderState;
 use mastichaven_core::direct::rollout;
 use mastichaven_core::direct::rollout::HostState;
 use mastichaven_platform::engine::LoadMode;
+use mastichaven_platform::engine::Report;
 use tokio::time::sleep;
 
 use super::Agent;
 use super::reports::REPORT_INTERVAL;
+use crate::direct::connection::ConnectionError;
+use crate::direct::endpoint_client::EndpointCallError;
+use crate::direct::endpoint_client::LoadResponse;
 use crate::direct::swarm::Target;
 
 /// Interval between checks of a load that is due or in progress.
@@ -23,6 +29,10 @@
 /// Delay before a failed load order is retried.
 const ORDER_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Age of the verification of the staged chunks from which they are verified again after the load was accepted,
+/// as they may become corrupt at any time.
+const MAX_VERIFICATION_AGE: Duration = Duration::from_secs(2);
+
 /// Maximum time to wait for the endpoint to report the ordered version.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -31,6 +41,14 @@
     pub(super) async fn schedule_loads(self: Rc<Self>) {
         loop {
             sleep(LOAD_POLL_INTERVAL).await;
+            if self.load_orders.borrow_mut().abandon_overdue(self.clock.now()) {
+                slog::warn!(self.log, "load order abandoned without a response");
+                self.update_staging_lock();
+            }
+            if self.load_orders.borrow().needs_verification() {
+                self.verify_loaded().await;
+                continue;
+            }
             let is_loaded =
                 |target: Target| self.held_version().is_some_and(|held| held >= target.version);
             if self.swarm.is_newer_complete()
@@ -50,7 +68,7 @@
     }
 
     fn host_state(&self, target: &Target) -> HostState {
-        let held = self.held_version();
+        let held = self.verified_version();
         let versions = self.versions.borrow();
         let announced_at = versions.announced_at(target.version).unwrap_or_default();
         let outdated_since = versions.outdated_since(held.unwrap_or(0)).unwrap_or(announced_at);
@@ -64,7 +82,7 @@
 
     /// Estimated time until the endpoint serves requests; `None` if it already does or there is no estimate.
     pub(super) fn ready_in(&self, now: Time) -> Option<Duration> {
-        let held = self.held_version();
+        let held = self.verified_version();
         let serves = held.is_some_and(|held| !self.subscribers.borrow().is_barred(held, now));
         if serves {
             return None;
@@ -104,26 +122,93 @@
 
     /// Verifies the staged chunks and orders the endpoint to load them. Returns whether the order was accepted.
     async fn verify_and_order_load(&self, target: &Target) -> bool {
+        let expected_orders = self.load_orders.borrow_mut().begin();
+        self.update_staging_lock();
+        let Some(expected_orders) = expected_orders else {
+            return false;
+        };
+        let verified_from = self.clock.now();
         if !self.swarm.verify_staged(target).await {
+            self.record_order_outcome(OrderOutcome::NotBegun, false);
             return false;
         }
         let may_interrupt_streams = self.may_interrupt_streams();
         let mode =
             if may_interrupt_streams { LoadMode::AbortRunning } else { LoadMode::DrainRunning };
-        match self.endpoint_client.order_load(&target.model, target.version, mode).await {
-            Ok(()) => {
-                slog::info!(self.log, "load ordered"; "version" => target.version,
-                    "rank" => self.rank.get().0);
+        let (model, version) = (&target.model, target.version);
+        let response = self.endpoint_client.order_load(model, version, mode, expected_orders).await;
+        let is_recent = !self.clock.now().passed(verified_from, MAX_VERIFICATION_AGE);
+        let is_confirmed = is_recent && !self.swarm.staging_writes().has_unconfirmed;
+        let outcome = match response {
+            Ok(LoadResponse::Begun) => OrderOutcome::Accepted,
+            Err(EndpointCallError::Link(e)) if e != ConnectionError::NotSent => {
+                OrderOutcome::Unknown
+            }
+            _ => OrderOutcome::NotBegun,
+        };
+        self.record_order_outcome(outcome, is_confirmed);
+        match response {
+            Ok(_) => {
+                slog::info!(self.log, "load ordered"; "version" => version,
+                    "rank" => self.rank.get().0, "expected_orders" => expected_orders);
                 true
             }
             Err(e) => {
-                slog::warn!(self.log, "load order failed"; "version" => target.version,
-                    "error" => e.as_str(), "detail" => format!("{e:?}"));
+                slog::warn!(self.log, "load order failed"; "version" => version,
+                    "expected_orders" => expected_orders, "error" => e.as_str(),
+                    "detail" => format!("{e:?}"));
                 false
             }
         }
     }
 
+    fn record_order_outcome(&self, outcome: OrderOutcome, is_confirmed: bool) {
+        let now = self.clock.now();
+        self.load_orders.borrow_mut().record_outcome(outcome, is_confirmed, now);
+        self.update_staging_lock();
+    }
+
+    fn update_staging_lock(&self) {
+        self.swarm.set_staging_locked(!self.load_orders.borrow().may_replace_staged());
+    }
+
+    /// Applies the endpoint's number of begun orders, and logs an order that is not accounted for.
+    pub(super) fn observe_orders(&self, report: &Report) {
+        let state = OrderState { started_ms: report.load.started_ms, orders: report.orders };
+        let has_staged = self.swarm.staging_writes().has_any;
+        let could_serve = self.load_orders.borrow().may_serve();
+        if self.load_orders.borrow_mut().observe(state, has_staged) {
+            self.swarm.reset_staging_writes();
+        }
+        self.update_staging_lock();
+        if could_serve && !self.load_orders.borrow().may_serve() {
+            slog::warn!(self.log, "unconfirmed load order took effect"; "orders" => report.orders);
+        }
+    }
+
+    /// Verifies the staged chunks once more after the endpoint accepted an order whose outcome was unknown, or
+    /// whose verification may have been out of date. They have not been replaced since.
+    async fn verify_loaded(&self) {
+        let Some(target) = self.swarm.loadable_version() else {
+            return self.record_verification(false);
+        };
+        match self.swarm.check_staged(&target).await {
+            Some(corrupt) => self.record_verification(corrupt == 0),
+            // The endpoint does not answer, so it serves no requests either.
+            None => sleep(ORDER_RETRY_DELAY).await,
+        }
+    }
+
+    fn record_verification(&self, is_valid: bool) {
+        self.load_orders.borrow_mut().record_verification(is_valid);
+        self.update_staging_lock();
+        self.report_now.notify_one();
+        if !is_valid {
+            slog::warn!(self.log, "loaded weights cannot be verified";
+                "weights" => self.held_version());
+        }
+    }
+
     /// Waits until the endpoint reports the version, or reports that it is not executing the order.
     async fn wait_until_loaded(&self, version: u64) {
         let started_at = self.clock.now();
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -74,12 +74,17 @@
                 }
             };
             self.log_endpoint_change(&report);
+            self.observe_orders(&report);
             let (regional, in_origin_region) = self.subscribers.borrow().caches(self.clock.now());
             self.swarm.set_caches(regional, in_origin_region);
             // An endpoint without weights serves no requests, so its link is free for chunks.
             self.swarm.set_link_shared(!report.load.weights.is_empty());
             let mut load = report.load.clone();
             load.is_accepting &= !self.is_load_in_progress.get();
+            if !self.load_orders.borrow().may_serve() {
+                load.is_accepting = false;
+                load.weights.clear();
+            }
             let now = self.clock.now();
             let count = self.subscribers.borrow().count(self.started_at, now);
             load.entries = count.entries;
--- a/node/src/direct/endpoint_client.rs
+++ b/node/src/direct/endpoint_client.rs
@@ -55,6 +55,15 @@
     }
 }
 
+/// Response of an endpoint to a load order that it did not reject.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LoadResponse {
+    /// The endpoint loads the chunks that are staged now.
+    Begun,
+    /// The version is loaded already.
+    InEffect,
+}
+
 /// The SHA-256 digest of `bytes`, which identifies a chunk.
 pub fn sha256(bytes: &[u8]) -> Digest {
     Digest(Sha256::digest(bytes).into())
@@ -135,15 +144,21 @@
         }
     }
 
-    /// Orders the endpoint to load the staged chunks of a version. An order without a response may have been
-    /// accepted; orders are idempotent, so it can be sent again.
-    pub async fn order_load(&self, model: &str, version: u64, mode: LoadMode) -> Result<()> {
-        let order = Bytes::from(engine::load_order(model, version, mode));
+    /// Orders the endpoint to load the staged chunks of a version, unless the number of orders that it has begun
+    /// differs from `expected_orders`. An order without a response may be accepted seconds later.
+    pub async fn order_load(
+        &self,
+        model: &str,
+        version: u64,
+        mode: LoadMode,
+        expected_orders: u64,
+    ) -> Result<LoadResponse> {
+        let order = Bytes::from(engine::load_order(model, version, mode, expected_orders));
         let response = self.call("POST", engine::ORDER_PATH, order).await?;
-        if response.status().is_success() {
-            Ok(())
-        } else {
-            Err(EndpointCallError::Refused(response.status().as_u16()))
+        match response.status() {
+            StatusCode::ACCEPTED => Ok(LoadResponse::Begun),
+            status if status.is_success() => Ok(LoadResponse::InEffect),
+            status => Err(EndpointCallError::Refused(status.as_u16())),
         }
     }
 }
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -35,6 +35,7 @@
 use self::pulls::Chunks;
 use self::pulls::Pull;
 pub use self::pulls::Target;
+use super::endpoint_client::EndpointCallError;
 use super::endpoint_client::EndpointClient;
 use super::metrics::Metrics;
 use super::peers::MAX_INCOMING_PIECES;
@@ -66,6 +67,15 @@
     Digest::of(format!("{model}@{version}").as_bytes())
 }
 
+/// Chunks that this agent has written to the current process of its endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StagingWrites {
+    /// Whether there was any.
+    pub has_any: bool,
+    /// Whether one of them had no response, so that the endpoint may still store it.
+    pub has_unconfirmed: bool,
+}
+
 /// The swarm state of one agent, the downloads in progress and the addresses of its sources.
 #[derive(Debug)]
 pub struct SwarmDriver {
@@ -81,6 +91,9 @@
     origin: Cell<Option<SocketAddr>>,
     /// The version that is being staged, followed by a newer one that is buffered in memory, if there is one.
     pulls: RefCell<Vec<Pull>>,
+    /// Whether the chunks of the staged version must not be replaced by those of another one.
+    is_staging_locked: Cell<bool>,
+    staging_writes: Cell<StagingWrites>,
     uploads: Cell<u32>,
     upload_slots: Semaphore,
     download_slots: Semaphore,
@@ -112,6 +125,8 @@
             cache_port,
             origin: Cell::new(None),
             pulls: RefCell::default(),
+            is_staging_locked: Cell::new(false),
+            staging_writes: Cell::default(),
             uploads: Cell::new(0),
             upload_slots: Semaphore::new(MAX_OUTGOING_PIECES),
             download_slots: Semaphore::new(MAX_INCOMING_PIECES),
@@ -151,9 +166,24 @@
         self.origin.set(origin);
     }
 
-    /// Sets the version to download. The download of the version that is being staged continues only if it is
-    /// newer than `held`, the version that the endpoint has loaded, and at least `MIN_FRACTION_TO_FINISH` of its
-    /// chunks are available from peers.
+    /// Sets whether the staged version must be kept, as the endpoint may still load it.
+    pub fn set_staging_locked(&self, is_locked: bool) {
+        self.is_staging_locked.set(is_locked);
+    }
+
+    /// Chunks that were written to the current process of the endpoint.
+    pub fn staging_writes(&self) -> StagingWrites {
+        self.staging_writes.get()
+    }
+
+    /// Resets [`SwarmDriver::staging_writes`] when the endpoint's process is a new one.
+    pub fn reset_staging_writes(&self) {
+        self.staging_writes.set(StagingWrites::default());
+    }
+
+    /// Sets the version to download. The version that is being staged is kept while staging is locked.
+    /// Otherwise its download continues only if it is newer than `held`, the version that the endpoint has
+    /// loaded, and at least `MIN_FRACTION_TO_FINISH` of its chunks are available from peers.
     pub fn set_wanted_version(&self, model: &SmolStr, version: u64, held: Option<u64>) {
         let digest = version_digest(model, version);
         let target = Target { model: model.clone(), version, digest };
@@ -164,7 +194,9 @@
         pulls.truncate(1);
         let is_superseded = |pull: &Pull| held.is_some_and(|held| held >= pull.target.version);
         let share = |pull: &Pull| self.swarm.borrow().available_share(pull.target.digest);
-        pulls.retain(|pull| !is_superseded(pull) && share(pull) >= MIN_FRACTION_TO_FINISH);
+        if !self.is_staging_locked.get() {
+            pulls.retain(|pull| !is_superseded(pull) && share(pull) >= MIN_FRACTION_TO_FINISH);
+        }
         pulls.push(Pull::new(target, self.clock.now()));
         drop(pulls);
         self.update_wanted_versions();
@@ -211,10 +243,11 @@
     }
 
     /// Drops the older of two versions, once it is loaded or abandoned, and stages the chunks of the newer one.
+    /// Has no effect while staging is locked.
     pub async fn drop_older_version(&self) {
         let digest = {
             let mut pulls = self.pulls.borrow_mut();
-            if pulls.len() < 2 {
+            if pulls.len() < 2 || self.is_staging_locked.get() {
                 return;
             }
             pulls.remove(0);
@@ -258,15 +291,12 @@
     /// Verifies all staged chunks of a version against their digests, as chunks may become corrupt after they
     /// are staged. Corrupt chunks are requested again. Returns whether all chunks are valid.
     pub async fn verify_staged(&self, target: &Target) -> bool {
-        let chunks = self.chunks_of(target.digest).filter(|_| self.is_staged(target.digest));
-        let Some(chunks) = chunks else {
+        let Some(chunks) = self.chunks_of(target.digest) else {
+            return false;
+        };
+        let Some(have) = self.valid_staged(target).await else {
             return false;
         };
-        let mut have = vec![false; chunks.digests.len()];
-        for (index, digest) in chunks.digests.iter().enumerate() {
-            have[index] =
-                self.endpoint_client.staged_chunk(&target.model, index, *digest).await.is_ok();
-        }
         let corrupt = have.iter().filter(|have| !**have).count();
         if corrupt == 0 {
             return true;
@@ -287,6 +317,32 @@
         false
     }
 
+    /// Number of staged chunks of a version that do not match their digests; `None` if the version is not
+    /// staged or the endpoint does not answer.
+    pub async fn check_staged(&self, target: &Target) -> Option<usize> {
+        let valid = self.valid_staged(target).await?;
+        Some(valid.iter().filter(|is_valid| !**is_valid).count())
+    }
+
+    /// Which staged chunks of a version match their digests; `None` if the version is not staged or the endpoint
+    /// does not answer.
+    async fn valid_staged(&self, target: &Target) -> Option<Vec<bool>> {
+        let chunks = self.chunks_of(target.digest).filter(|_| self.is_staged(target.digest))?;
+        let mut valid = vec![false; chunks.digests.len()];
+        for (index, digest) in chunks.digests.iter().enumerate() {
+            match self.endpoint_client.staged_chunk(&target.model, index, *digest).await {
+                Ok(_) => valid[index] = true,
+                Err(EndpointCallError::Link(e)) => {
+                    slog::info!(self.log, "reading staged chunks failed"; "index" => index,
+                        "error" => e.as_str());
+                    return None;
+                }
+                Err(_) => {}
+            }
+        }
+        Some(valid)
+    }
+
     fn apply_manifest(
         &self,
         target: &Target,
--- a/node/src/direct/swarm/sources.rs
+++ b/node/src/direct/swarm/sources.rs
@@ -19,6 +19,7 @@
 use mastichaven_platform::origin as origin_paths;
 
 use super::STEP_INTERVAL;
+use super::StagingWrites;
 use super::SwarmDriver;
 use super::pulls::Pull;
 use super::pulls::Target;
@@ -257,9 +258,13 @@
     ) -> endpoint_client::Result<()> {
         let started_at = self.clock.now();
         loop {
+            self.update_staging_writes(|writes| writes.has_any = true);
             let staged =
                 self.endpoint_client.stage_chunk(&target.model, index, bytes.clone()).await;
             let is_down = staged == Err(EndpointCallError::Link(ConnectionError::NotSent));
+            if matches!(staged, Err(EndpointCallError::Link(_))) && !is_down {
+                self.update_staging_writes(|writes| writes.has_unconfirmed = true);
+            }
             let is_wanted = self.is_staged(target.digest);
             if !is_down || !is_wanted || self.clock.now().passed(started_at, ENDPOINT_START_TIMEOUT)
             {
@@ -269,6 +274,12 @@
         }
     }
 
+    fn update_staging_writes(&self, update: impl FnOnce(&mut StagingWrites)) {
+        let mut writes = self.staging_writes.get();
+        update(&mut writes);
+        self.staging_writes.set(writes);
+    }
+
     async fn request_from_peer(&self, id: PeerId, request: &Request) -> RequestOutcome {
         let host = self.swarm.borrow().location(id).host.clone();
         let Some(address) = self.addresses.borrow().get(&host).copied() else {
