--- a/node/tests/direct/agent.rs
+++ b/node/tests/direct/agent.rs
@@ -146,6 +146,30 @@
     assert_eq!(endpoint.version(), Some(3));
 }
 
+// An agent is killed while its order to load version 2 is outstanding, and its successor stages version 3. The
+// endpoint must not load the staged chunks as version 2.
+#[test]
+fn load_order_of_killed_agent_does_not_load_other_version() {
+    const ORDER_DELAY: Duration = Duration::from_secs(5);
+    let site = Site::start();
+    let endpoint = site.start_endpoint("i-late", "writer", Some(1));
+    let mut agent = site.start_agent("late-killed", &endpoint);
+    let _entry = site.start_entry("late-killed");
+    until("manifest received", || agent.log().contains("manifest received"));
+    endpoint.delay_next_order(ORDER_DELAY);
+    announce_version(&site, 2);
+    until("the load of version 2 is ordered", || endpoint.delayed_orders() == 1);
+    let ordered_at = std::time::Instant::now();
+    agent.signal("KILL");
+    agent.wait();
+    announce_version(&site, 3);
+    let _agent = site.start_agent("late-successor", &endpoint);
+    until("the endpoint has loaded version 3", || endpoint.version() == Some(3));
+    thread::sleep((ORDER_DELAY + Duration::from_secs(1)).saturating_sub(ordered_at.elapsed()));
+    assert_eq!(endpoint.inconsistent_loads(), 0);
+    assert_eq!(endpoint.version(), Some(3));
+}
+
 // All agents are killed during a download and restarted. They find the staged chunks and resume the download.
 #[test]
 fn download_resumes_after_agent_crash() {
