Entries record the request limits that endpoints name, in log, dump and metrics

A limit in an endpoint's answers was not read, and nothing in the logs told that an endpoint had named one. platform/ decodes it; an entry logs each change and shows the limit in its dump. Nothing keeps to it yet.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -4,7 +4,7 @@
 //! [`catalog`] maps requests to services and [`endpoint_table`] holds the endpoints of each
 //! service, with the state of one of them in [`endpoint`]. A request goes to the best of a random
 //! sample of them (`sampling`), past those that `ejection` takes out of rotation; [`lateness`]
-//! detects requests that give way to others. [`shares`] divides fleet-wide limits among entries,
+//! detects requests that give way to others. [`shares`] divides fleet-wide limits among entries, [`request_limit`] holds those of single endpoints,
 //! and [`retry_after`] computes when a refused caller may return. [`events`] resumes broken
 //! streams.
 //!
@@ -24,6 +24,7 @@
 pub mod lateness;
 pub mod load_orders;
 pub mod replication;
+pub mod request_limit;
 pub mod retry_after;
 pub mod rollout;
 mod sampling;
--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -10,6 +10,8 @@
 use smol_str::SmolStr;
 
 use super::ejection::Ejection;
+use super::request_limit::LimitStatement;
+use super::request_limit::RequestLimit;
 use super::shares::ColdStartPacer;
 use super::shares::RecentSends;
 use crate::arena::Key;
@@ -180,6 +182,7 @@
     /// Requests of this entry that the endpoint has not finished.
     in_flight: u32,
     pacer: ColdStartPacer,
+    request_limit: RequestLimit,
     recent_sends: RecentSends,
     ejection: Ejection,
     backoff_until: Time,
@@ -203,6 +206,7 @@
             load: None,
             in_flight: 0,
             pacer: ColdStartPacer::default(),
+            request_limit: RequestLimit::default(),
             recent_sends: RecentSends::default(),
             ejection: Ejection::default(),
             backoff_until: Time::ZERO,
@@ -422,6 +426,11 @@
         self.backoff_until = now + MISDIRECTED_BACKOFF;
     }
 
+    /// Applies a statement on the endpoint's request limit. Returns whether the limit has changed.
+    pub(super) fn apply_limit(&mut self, statement: LimitStatement) -> bool {
+        self.request_limit.apply(statement)
+    }
+
     /// The present state as JSON, for the dump of an entry.
     pub(super) fn dump(&self, now: Time) -> serde_json::Value {
         let load = self.load.as_ref();
@@ -435,6 +444,7 @@
             "own": self.in_flight,
             "others": load.map(|load| load.other_requests),
             "report_age_ms": load.map(|load| now.since(load.timing.received_at).as_millis() as u64),
+            "requests_per_second": self.request_limit.per_second(),
             "rests": self.ejection.is_ejected(now),
         })
     }
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -19,6 +19,7 @@
 use super::endpoint::EndpointRecord;
 use super::endpoint::LoadReport;
 use super::endpoint::ReportTiming;
+use super::request_limit::LimitStatement;
 use super::shares::EntryCount;
 use crate::arena::Arena;
 use crate::ids::HostName;
@@ -305,6 +306,12 @@
         }
     }
 
+    /// Applies what an answer of the endpoint says about its request limit. Returns whether the limit
+    /// has changed.
+    pub fn apply_limit(&mut self, key: EndpointKey, statement: LimitStatement) -> bool {
+        self.endpoints.get_mut(key).is_some_and(|endpoint| endpoint.apply_limit(statement))
+    }
+
     /// Records an answer that a request was meant for another process or for other weights. The
     /// endpoint backs off, since its record is out of date.
     pub fn record_misdirected(&mut self, key: EndpointKey, now: Time) {
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -13,6 +13,7 @@
 use mastichaven_core::direct::catalog::RetryPolicy;
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::endpoint::EndpointRecord;
+use mastichaven_core::direct::request_limit::LimitStatement;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_platform::answer;
 use mastichaven_platform::answer::AnswerKind;
@@ -134,7 +135,13 @@
         }
     };
     let id = call.head.id.as_deref();
-    match answer::classify(response.status(), response.headers(), id) {
+    let kind = answer::classify(response.status(), response.headers(), id);
+    if matches!(kind, AnswerKind::Success | AnswerKind::NotRun | AnswerKind::Failed) {
+        let limit = answer::request_limit(response.headers());
+        let statement = LimitStatement::of_answer(limit, now, state.now());
+        record_limit(state, &record, endpoint, statement);
+    }
+    match kind {
         AnswerKind::Success => AttemptOutcome::Responding(Box::new(AttemptResponse {
             record,
             connection,
@@ -173,6 +180,25 @@
     }
 }
 
+/// Records what an answer of an endpoint says about its request limit.
+fn record_limit(
+    state: &State,
+    record: &EndpointRecord,
+    endpoint: EndpointKey,
+    statement: LimitStatement,
+) {
+    if state.endpoints.borrow_mut().apply_limit(endpoint, statement) {
+        state.metrics.count("endpoint_limit_changes");
+        log_limit_change(state, &record.id, statement.per_second, "answer");
+    }
+}
+
+/// Logs that an endpoint has named a request limit or has ended it.
+pub(super) fn log_limit_change(state: &State, id: &str, per_second: Option<f64>, from: &str) {
+    slog::info!(state.log, "endpoint request limit changed";
+        "endpoint" => id, "per_second" => per_second, "from" => from);
+}
+
 fn build_endpoint_request(
     state: &State,
     call: &Call,
