--- /dev/null
+++ b/node/tests/direct/limits.rs
@@ -0,0 +1,101 @@
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mastichaven_standins::direct::endpoint::FakeEndpoint;
+use mastichaven_standins::direct::endpoint::Run;
+
+use super::fixture::Entry;
+use super::fixture::Site;
+use super::fixture::until;
+
+/// Requests per second that a limited endpoint takes.
+const LIMIT: f64 = 1.0;
+
+/// Window over which an endpoint must not get more than one and a half times its limit and
+/// [`LIMIT_SLACK`].
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_SLACK: f64 = 5.0;
+
+/// Time after an entry has received a limit from which its requests count.
+const LEARNING_TIME: Duration = Duration::from_millis(500);
+
+/// Sends requests to `path` through all entries in turn for `duration`. Returns the number of
+/// answers with success, and the shortest delay after which a refused caller may return.
+fn send_for(entries: &[&Entry], path: &str, duration: Duration) -> (usize, Option<f64>) {
+    let started_at = Instant::now();
+    let mut answered = 0;
+    let mut shortest: Option<f64> = None;
+    for n in 0.. {
+        if started_at.elapsed() >= duration {
+            break;
+        }
+        let entry = entries[n % entries.len()];
+        let response = entry.send_request(path, &format!("{path}{n}"), "key-1").unwrap();
+        match response.status {
+            200 => answered += 1,
+            503 => {
+                let delay = response.retry_after.expect("refusals name a delay");
+                shortest = Some(shortest.map_or(delay, |shortest: f64| shortest.min(delay)));
+            }
+            status => panic!("status {status}: {}", response.body),
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    (answered, shortest)
+}
+
+/// Highest number of runs within [`LIMIT_WINDOW`] that arrived after `from`.
+fn peak_runs(runs: &[Run], from: Instant) -> usize {
+    let counted: Vec<Instant> =
+        runs.iter().map(|run| run.arrived_at).filter(|at| *at >= from).collect();
+    let in_window = |start: &Instant| {
+        counted.iter().filter(|at| **at >= *start && **at < *start + LIMIT_WINDOW).count()
+    };
+    counted.iter().map(in_window).max().unwrap_or(0)
+}
+
+fn allowed_runs() -> usize {
+    (LIMIT * LIMIT_WINDOW.as_secs_f64() * 1.5 + LIMIT_SLACK) as usize
+}
+
+/// Names the limit, lets each entry receive it, and returns when requests to `endpoint` count.
+fn name_limit(endpoint: &FakeEndpoint, entries: &[&Entry], path: &str) -> Instant {
+    endpoint.set_request_limit(Some(LIMIT));
+    for (n, entry) in entries.iter().enumerate() {
+        let count = endpoint.runs().len();
+        let mut sent = 0;
+        until("the entry has received an answer with the limit", || {
+            sent += 1;
+            let _ = entry.send_request(path, &format!("first{n}-{sent}"), "key-1");
+            endpoint.runs().len() > count || sent > 100
+        });
+    }
+    thread::sleep(LEARNING_TIME);
+    Instant::now()
+}
+
+// An endpoint in need names the number of requests that it takes from all entries. It must not get more, and
+// callers must be answered by the other endpoint.
+#[test]
+fn requests_over_limit_go_to_another_endpoint() {
+    let site = Site::start();
+    let limited = site.start_endpoint("i-limited", "writer", Some(1));
+    let other = site.start_endpoint("i-other", "writer", Some(1));
+    let _agents = [site.start_agent("limit-a", &limited), site.start_agent("limit-b", &other)];
+    let entries = [site.start_entry("limit-1"), site.start_entry("limit-2")];
+    let entries: Vec<&Entry> = entries.iter().collect();
+    until("both entries receive reports of both agents", || {
+        entries.iter().all(|entry| {
+            let dump = entry.dump();
+            let all = dump["endpoints"].as_array().cloned().unwrap_or_default();
+            all.iter().filter(|endpoint| endpoint["report_age_ms"].is_u64()).count() == 2
+        })
+    });
+    let from = name_limit(&limited, &entries, "/stream/a");
+    let (answered, shortest) = send_for(&entries, "/stream/a", LIMIT_WINDOW * 2);
+    assert_eq!(shortest, None);
+    assert!(answered > 20, "{answered}");
+    let peak = peak_runs(&limited.runs(), from);
+    assert!(peak <= allowed_runs(), "{peak} requests in {LIMIT_WINDOW:?}");
+}
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -8,6 +8,7 @@
 mod entry;
 mod explain;
 mod fixture;
+mod limits;
 mod parents;
 mod peers;
 mod replication;
--- a/standins/src/direct/endpoint.rs
+++ b/standins/src/direct/endpoint.rs
@@ -9,6 +9,7 @@
 use std::sync::MutexGuard;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::Method;
@@ -69,6 +70,8 @@
     pub deadline_ms: Option<u64>,
     /// Event after which the stream resumes.
     pub resumed_after: Option<u64>,
+    /// When the request arrived.
+    pub arrived_at: Instant,
     /// Whether the caller disconnected before the end of the answer.
     pub is_abandoned: bool,
 }
@@ -83,6 +86,7 @@
     orders: u64,
     inconsistent_loads: u64,
     is_busy: bool,
+    request_limit: Option<f64>,
     order_delay: Option<Duration>,
     delayed_orders: u64,
 }
@@ -164,6 +168,12 @@
         self.shared.lock().inconsistent_loads
     }
 
+    /// Sets the requests per second that the endpoint says in its answers to take from all entries
+    /// together. It does not enforce the limit.
+    pub fn set_request_limit(&self, per_second: Option<f64>) {
+        self.shared.lock().request_limit = per_second;
+    }
+
     /// Delays the next load order: it takes effect, and is answered, only after `delay`.
     pub fn delay_next_order(&self, delay: Duration) {
         self.shared.lock().order_delay = Some(delay);
@@ -278,7 +288,9 @@
     }
     let id = req.header("x-mastichaven-attempt-id").unwrap_or_default().to_owned();
     if fault == EndpointFault::Full || id.is_empty() {
-        let headers = [("x-mastichaven-attempt-id", id.as_str()), NOT_RUN_HEADER];
+        let limit = limit_header(shared);
+        let mut headers = vec![("x-mastichaven-attempt-id", id.as_str()), NOT_RUN_HEADER];
+        headers.extend(limit.as_deref().map(|limit| (LIMIT_HEADER, limit)));
         return req.respond(503, &headers, "");
     }
     let resumed_after = req.header("last-event-id").and_then(|id| id.parse().ok());
@@ -292,6 +304,7 @@
             customer: req.header("x-mastichaven-tenant").map(str::to_owned),
             deadline_ms: req.header("x-mastichaven-deadline-ms").and_then(|ms| ms.parse().ok()),
             resumed_after,
+            arrived_at: Instant::now(),
             is_abandoned: false,
         });
         state.runs.len() - 1
@@ -302,6 +315,13 @@
     state.runs[run_index].is_abandoned = is_abandoned;
 }
 
+/// Name of the header with the requests per second that the endpoint takes.
+const LIMIT_HEADER: &str = "server-limit";
+
+fn limit_header(shared: &Shared) -> Option<String> {
+    shared.lock().request_limit.map(|limit| limit.to_string())
+}
+
 const NOT_RUN_HEADER: (&str, &str) = ("x-mastichaven-not-executed", "1");
 
 /// Answers a run. Returns whether the caller disconnected before the end of the answer.
@@ -314,7 +334,10 @@
 ) -> bool {
     let stamp = format!("stamp-of-{}", shared.id);
     let echoed = if fault == EndpointFault::WrongId { "another" } else { id };
-    let headers = [("x-mastichaven-attempt-id", echoed), ("x-mastichaven-response-stamp", &stamp)];
+    let limit = limit_header(shared);
+    let mut headers =
+        vec![("x-mastichaven-attempt-id", echoed), ("x-mastichaven-response-stamp", &stamp)];
+    headers.extend(limit.as_deref().map(|limit| (LIMIT_HEADER, limit)));
     match fault {
         EndpointFault::LostAnswer => return false,
         EndpointFault::Failing => {
