Entries together keep to the request limits that endpoints name

Endpoints that had named a limit of 1 and 2 requests a second got 24 and 26 in 4 s, as many as before they named it, and callers waited up to 3.3 s for them (docs/incidents/ignored-request-limit.md). No entry read the limit.

Each entry takes its turns at a limited endpoint, by the pacer that spreads requests to cold endpoints: with n entries and a rate r, one in n / 0.8 r seconds from a random offset. n is the number of entries that the endpoint's agent sends reports to; without a recent complete report it is the last complete count of all entries, and 400 before the first one, so that entries that are cut off or have just started do not take more. Requests without a turn go to other endpoints. If all that remain are limited, they wait if a turn comes within an eighth of the latency objective and are refused at once otherwise, with the time of the turn as Retry-After. Entries relay limits through the endpoint's agent, in a notice after the existing datagrams that earlier releases ignore. An answer without a limit ends it if its request was sent after the limit was named.

--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -10,10 +10,9 @@
 use smol_str::SmolStr;
 
 use super::ejection::Ejection;
-use super::request_limit::LimitStatement;
 use super::request_limit::RequestLimit;
-use super::shares::ColdStartPacer;
 use super::shares::RecentSends;
+use super::shares::TurnPacer;
 use crate::arena::Key;
 use crate::ids::RegionName;
 use crate::ids::Revision;
@@ -147,6 +146,7 @@
     credits: u32,
     is_accepting: bool,
     readers: u32,
+    is_count_complete: bool,
     ready_at: Option<Time>,
     timing: ReportTiming,
 }
@@ -181,7 +181,7 @@
     load: Option<Load>,
     /// Requests of this entry that the endpoint has not finished.
     in_flight: u32,
-    pacer: ColdStartPacer,
+    pacer: TurnPacer,
     request_limit: RequestLimit,
     recent_sends: RecentSends,
     ejection: Ejection,
@@ -205,7 +205,7 @@
             region,
             load: None,
             in_flight: 0,
-            pacer: ColdStartPacer::default(),
+            pacer: TurnPacer::default(),
             request_limit: RequestLimit::default(),
             recent_sends: RecentSends::default(),
             ejection: Ejection::default(),
@@ -295,6 +295,7 @@
             credits: (f64::from(free) * share + draw).floor() as u32,
             is_accepting: report.is_accepting,
             readers: report.readers.max(1),
+            is_count_complete: report.is_count_complete,
             ready_at: report.ready_in.map(|ready_in| timing.received_at + ready_in),
             timing,
         });
@@ -392,8 +393,9 @@
             self.pacer.record_sent(now);
         } else {
             // The next cold period draws its turns anew.
-            self.pacer = ColdStartPacer::default();
+            self.pacer = TurnPacer::default();
         }
+        self.request_limit.record_sent(now);
         self.recent_sends.record_sent(now);
     }
 
@@ -426,9 +428,20 @@
         self.backoff_until = now + MISDIRECTED_BACKOFF;
     }
 
-    /// Applies a statement on the endpoint's request limit. Returns whether the limit has changed.
-    pub(super) fn apply_limit(&mut self, statement: LimitStatement) -> bool {
-        self.request_limit.apply(statement)
+    pub(super) fn request_limit(&self) -> &RequestLimit {
+        &self.request_limit
+    }
+
+    pub(super) fn request_limit_mut(&mut self) -> &mut RequestLimit {
+        &mut self.request_limit
+    }
+
+    /// Time until the endpoint's request limit lets this entry send to it. Without a complete count
+    /// of the entries that send to it, `entries` share the limit.
+    pub(super) fn time_to_turn(&mut self, entries: u32, draw: f64, now: Time) -> Duration {
+        let load = self.load.as_ref().filter(|load| load.is_fresh(now) && load.is_count_complete);
+        let entries = load.map_or(entries, |load| load.readers);
+        self.request_limit.time_to_turn(entries, draw, now)
     }
 
     /// The present state as JSON, for the dump of an entry.
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -72,6 +72,11 @@
     Full,
     /// Those with free places are cold, and their request rate is used up.
     Warming,
+    /// This entry's share of the request limits that they have named is used up.
+    Limited {
+        /// Time until the first of them may be sent a request.
+        opens_in: Duration,
+    },
 }
 
 /// Result of choosing an endpoint.
@@ -309,7 +314,35 @@
     /// Applies what an answer of the endpoint says about its request limit. Returns whether the limit
     /// has changed.
     pub fn apply_limit(&mut self, key: EndpointKey, statement: LimitStatement) -> bool {
-        self.endpoints.get_mut(key).is_some_and(|endpoint| endpoint.apply_limit(statement))
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.is_some_and(|endpoint| endpoint.request_limit_mut().apply_own(statement))
+    }
+
+    /// Applies what the agent of the endpoint at `address` relays about its request limit, of the
+    /// process that started at `started_ms`. Returns the id of the endpoint if its limit has changed.
+    pub fn apply_relayed_limit(
+        &mut self,
+        address: SocketAddr,
+        started_ms: u64,
+        statement: LimitStatement,
+    ) -> Option<SmolStr> {
+        let keys = self.by_address.get(&address)?;
+        let key = *keys.iter().find(|key| {
+            let endpoint = self.endpoints.get(**key);
+            endpoint.is_some_and(|endpoint| !endpoint.is_other_process(started_ms))
+        })?;
+        let endpoint = self.endpoints.get_mut(key)?;
+        let has_changed = endpoint.request_limit_mut().apply_relayed(statement);
+        has_changed.then(|| endpoint.record().id.clone())
+    }
+
+    /// Addresses of the endpoints whose request limit the other entries have to learn, each with its
+    /// start time and this entry's statement.
+    pub fn limits_to_relay(&self) -> impl Iterator<Item = (SocketAddr, u64, LimitStatement)> + '_ {
+        self.endpoints.iter().filter_map(|(_, endpoint)| {
+            let record = endpoint.record();
+            Some((record.address, record.started_ms, endpoint.request_limit().to_relay()?))
+        })
     }
 
     /// Records an answer that a request was meant for another process or for other weights. The
--- a/core/src/direct/endpoint_table/selection.rs
+++ b/core/src/direct/endpoint_table/selection.rs
@@ -37,6 +37,8 @@
         let mut ejected = CandidateSample::default();
         let mut has_match = false;
         let mut has_cold = false;
+        let mut has_full = false;
+        let mut limit_opens_in: Option<Duration> = None;
         let mut has_available = false;
         for key in keys {
             if requirements.tried.contains(&key) || !self.satisfies(key, requirements) {
@@ -50,7 +52,14 @@
                 has_cold = true;
                 continue;
             }
+            let time_to_turn = self.time_to_turn(key, rng, now);
+            if !time_to_turn.is_zero() {
+                limit_opens_in =
+                    Some(limit_opens_in.map_or(time_to_turn, |first| first.min(time_to_turn)));
+                continue;
+            }
             let Some(score) = self.score(key, requirements.is_late, now) else {
+                has_full = true;
                 continue;
             };
             let sample = if is_available { &mut available } else { &mut ejected };
@@ -59,10 +68,11 @@
         // While other endpoints are merely full, refusing is better than an endpoint that loses
         // answers.
         let chosen = if has_available { available.best() } else { ejected.best() };
-        chosen.ok_or(match (has_match, has_cold) {
-            (false, _) => Unavailable::NoEndpoint,
-            (true, false) => Unavailable::Full,
-            (true, true) => Unavailable::Warming,
+        chosen.ok_or(match (has_match, has_cold, limit_opens_in) {
+            (false, _, _) => Unavailable::NoEndpoint,
+            (true, true, _) => Unavailable::Warming,
+            (true, false, Some(opens_in)) if !has_full => Unavailable::Limited { opens_in },
+            (true, false, _) => Unavailable::Full,
         })
     }
 
@@ -128,6 +138,14 @@
         })
     }
 
+    /// Time until an endpoint's request limit lets this entry send to it.
+    fn time_to_turn<R: Rng>(&mut self, key: EndpointKey, rng: &mut R, now: Time) -> Duration {
+        let entries = self.entry_count.for_limits();
+        let endpoint = self.endpoints.get_mut(key);
+        let limited = endpoint.filter(|endpoint| endpoint.request_limit().per_second().is_some());
+        limited.map_or(Duration::ZERO, |endpoint| endpoint.time_to_turn(entries, rng.random(), now))
+    }
+
     /// Load of an endpoint in requests, plus a penalty for distance; `None` while it is full.
     fn score(&mut self, key: EndpointKey, is_late: bool, now: Time) -> Option<f64> {
         let distance_penalty = self.distance_penalty(key)?;
--- a/core/src/direct/request_limit.rs
+++ b/core/src/direct/request_limit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::shares::TurnPacer;
 use crate::time::Time;
 
 /// What an answer of an endpoint says about its limit.
@@ -29,25 +30,79 @@
     }
 }
 
-/// The request limit of one endpoint as an entry knows it.
+/// Rate assumed for an endpoint that takes no requests at all, in requests per second. An endpoint
+/// that is never asked could not say that its limit has ended.
+const MIN_RATE: f64 = 0.05;
+
+/// Rate from which a limit never binds, in requests per second.
+const MAX_RATE: f64 = 1e6;
+
+/// The request limit of one endpoint, and the turns of this entry while there is one.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RequestLimit {
-    latest: Option<LimitStatement>,
+    /// From this entry's latest answer of the endpoint.
+    own: Option<LimitStatement>,
+    /// From the endpoint's agent, which relays the statements of all entries.
+    relayed: Option<LimitStatement>,
+    pacer: TurnPacer,
 }
 
 impl RequestLimit {
-    /// Applies a statement unless a later one is known. Returns whether the limit has changed.
-    pub fn apply(&mut self, statement: LimitStatement) -> bool {
-        if self.latest.is_some_and(|latest| latest.at >= statement.at) {
-            return false;
-        }
+    /// Applies the statement of an answer unless a later one is known. Returns whether the limit has
+    /// changed.
+    pub fn apply_own(&mut self, statement: LimitStatement) -> bool {
+        self.apply(statement, |limit| &mut limit.own)
+    }
+
+    /// Applies a statement that the endpoint's agent relays. Returns whether the limit has changed.
+    pub fn apply_relayed(&mut self, statement: LimitStatement) -> bool {
+        self.apply(statement, |limit| &mut limit.relayed)
+    }
+
+    fn apply(
+        &mut self,
+        statement: LimitStatement,
+        source: impl Fn(&mut RequestLimit) -> &mut Option<LimitStatement>,
+    ) -> bool {
         let last = self.per_second();
-        self.latest = Some(statement);
-        self.per_second() != last
+        let known = source(self);
+        if known.is_none_or(|known| known.at < statement.at) {
+            *known = Some(statement);
+        }
+        let limit = self.per_second();
+        if last.is_none() {
+            // A new limit draws its turns anew.
+            self.pacer = TurnPacer::default();
+        }
+        limit != last
     }
 
     /// Requests per second that the endpoint takes from all entries; `None` without a limit.
     pub fn per_second(&self) -> Option<f64> {
-        self.latest?.per_second
+        let latest = self.own.into_iter().chain(self.relayed).max_by_key(|known| known.at);
+        latest?.per_second
+    }
+
+    /// The statement to be relayed to the other entries; `None` while none of them needs it. What the
+    /// agent relays is not sent back, since each transfer would make it appear later.
+    pub fn to_relay(&self) -> Option<LimitStatement> {
+        self.own.filter(|own| own.per_second.is_some() || self.relayed.is_some())
+    }
+
+    /// Time until this entry, one of `entries` that share the limit, may send a request; zero if it
+    /// may send now. `draw` from 0 to 1 sets the offset of its first turn.
+    pub fn time_to_turn(&mut self, entries: u32, draw: f64, now: Time) -> Duration {
+        let rate = self.per_second().map(|limit| limit.max(MIN_RATE));
+        match rate.filter(|rate| *rate < MAX_RATE) {
+            Some(rate) => self.pacer.time_to_turn(rate, entries, draw, now),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Records that a request is sent, which uses the turn.
+    pub fn record_sent(&mut self, now: Time) {
+        if self.per_second().is_some() {
+            self.pacer.record_sent(now);
+        }
     }
 }
--- a/core/src/direct/retry_after.rs
+++ b/core/src/direct/retry_after.rs
@@ -46,6 +46,11 @@
         /// Time until the first of them is warm.
         warm_in: Duration,
     },
+    /// This entry's share of the request limits of all endpoints is used up.
+    Limited {
+        /// Time until its next turn at one of them.
+        opens_in: Duration,
+    },
     /// No endpoint may serve the request.
     NoEndpoint {
         /// Time until the first one may; `None` if unknown.
@@ -64,7 +69,9 @@
     let seconds = match cause {
         RefusalCause::Starting => sample(&STARTING_DELAY_S),
         RefusalCause::Full => sample(&FULL_DELAY_S),
-        RefusalCause::Warming { warm_in } => warm_in.as_secs_f64() + RETURN_SPREAD_S * draw,
+        RefusalCause::Warming { warm_in: wait } | RefusalCause::Limited { opens_in: wait } => {
+            wait.as_secs_f64() + RETURN_SPREAD_S * draw
+        }
         RefusalCause::NoLease { is_held_in_region: true } | RefusalCause::Other => short,
         RefusalCause::NoLease { is_held_in_region: false }
         | RefusalCause::NoEndpoint { ready_in: None } => unknown(),
--- a/core/src/direct/shares.rs
+++ b/core/src/direct/shares.rs
@@ -56,45 +56,60 @@
     }
 }
 
-/// Fraction of a cold endpoint's rate that the turns of all entries add up to. The limit itself is
-/// at least one and a half times the rate; the rest covers entries that are not counted yet.
-const COLD_RATE_SHARE: f64 = 0.8;
+/// Fraction of an endpoint's rate that the turns of all entries add up to. The rate may be exceeded
+/// by half at least; the rest covers entries that are not counted yet.
+const RATE_SHARE: f64 = 0.8;
 
 /// Time for which a turn stays usable if turns are more than [`MAX_KEPT_TURN_PERIOD`] apart. All
-/// entries would use saved turns at once, as soon as the last warm endpoint is gone.
+/// entries would use saved turns at once, as soon as the last unlimited endpoint is gone.
 const TURN_TTL: Duration = Duration::from_millis(200);
 /// Longest period at which one turn may be saved. Such short periods mean few entries, and one saved turn of each
 /// stays within the limit.
 const MAX_KEPT_TURN_PERIOD: Duration = Duration::from_secs(1);
 
-/// Paces the requests of this entry to a cold endpoint.
+/// Paces the requests of this entry to an endpoint that takes a limited rate.
 ///
-/// An endpoint that has just started crashes under more than a few requests per second from all
-/// entries together. With more entries than requests a share is less than one, and if every entry
-/// rounded it up, together they would send one request each. Shares are therefore spread over time:
-/// with `n` entries and a rate `r`, an entry's turn comes once in `n / r` seconds. Entries need not
-/// agree on an order, since each draws the offset of its own turns at random.
+/// A cold endpoint crashes under more than a few requests per second from all entries together, and
+/// one in need names the rate that it takes. With more entries than requests a share is less than
+/// one, and if every entry rounded it up, together they would send one request each. Shares are
+/// therefore spread over time: with `n` entries and a rate `r`, an entry's turn comes once in
+/// `n / r` seconds. Entries need not agree on an order, since each draws the offset of its own turns
+/// at random.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ColdStartPacer {
+pub struct TurnPacer {
     /// Reference time of the next turn, and its distance from there in periods.
     next_turn: Option<(Time, f64)>,
 }
 
-impl ColdStartPacer {
+impl TurnPacer {
     /// Whether a request may be sent now to an endpoint that can handle `per_second` requests from
     /// all `entries`. `draw` from 0 to 1 sets the offset of the first turn.
     pub fn may_send(&mut self, per_second: f64, entries: u32, draw: f64, now: Time) -> bool {
-        let period =
-            Duration::from_secs_f64(f64::from(entries.max(1)) / (per_second * COLD_RATE_SHARE));
+        self.time_to_turn(per_second, entries, draw, now).is_zero()
+    }
+
+    /// Time until a request may be sent; zero if it may be sent now. The arguments are those of
+    /// [`TurnPacer::may_send`].
+    pub fn time_to_turn(
+        &mut self,
+        per_second: f64,
+        entries: u32,
+        draw: f64,
+        now: Time,
+    ) -> Duration {
+        let period = Duration::from_secs_f64(f64::from(entries.max(1)) / (per_second * RATE_SHARE));
         let (from, distance) = *self.next_turn.get_or_insert((now, draw));
         let opens_at = from + period.mul_f64(distance);
         if now < opens_at {
-            return false;
+            return opens_at.since(now);
         }
         let skipped = now.since(opens_at).div_duration_f64(period).floor();
         let opens_at = opens_at + period.mul_f64(skipped);
         self.next_turn = Some((opens_at, 0.0));
-        period <= MAX_KEPT_TURN_PERIOD || !now.passed(opens_at, TURN_TTL)
+        if period <= MAX_KEPT_TURN_PERIOD || !now.passed(opens_at, TURN_TTL) {
+            return Duration::ZERO;
+        }
+        (opens_at + period).since(now)
     }
 
     /// Records a sent request, which uses the turn.
--- a/core/tests/direct/endpoint_table/selection.rs
+++ b/core/tests/direct/endpoint_table/selection.rs
@@ -10,6 +10,7 @@
 use mastichaven_core::direct::endpoint::MAX_QUEUED_REQUESTS;
 use mastichaven_core::direct::endpoint_table::EndpointTable;
 use mastichaven_core::direct::endpoint_table::Unavailable;
+use mastichaven_core::direct::request_limit::LimitStatement;
 use mastichaven_core::ids::Revision;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
@@ -321,3 +322,64 @@
     // A report that is a second old no longer counts.
     assert_eq!(table.ready_in(&service, now(1_110)), None);
 }
+
+/// A table with the endpoints 1 and 2, where 1 takes one request per second from `readers` entries.
+fn table_with_limit(readers: u32) -> (EndpointTable, EndpointKey) {
+    let mut table = table();
+    table.upsert(record(1, "lagoa"), now(0));
+    let limited = choose(&mut table, now(0)).unwrap();
+    table.upsert(record(2, "lagoa"), now(0));
+    for n in [1, 2] {
+        let report = report_shared_by(readers, 0);
+        table.apply_report(address(n), &report, now(0), ROUND_TRIP, DRAW, now(0));
+    }
+    let statement = LimitStatement { per_second: Some(1.0), at: now(0) };
+    assert!(table.apply_limit(limited, statement));
+    (table, limited)
+}
+
+// An endpoint that has named a limit is the least loaded one, as it gets few requests.
+#[test]
+fn choose_skips_endpoint_whose_limit_is_used_up() {
+    let (mut table, limited) = table_with_limit(8);
+    let mut rng = rng();
+    let mut sent_to_limited = 0;
+    for ms in 1..300 {
+        table.apply_report(address(2), &report(0), now(ms), ROUND_TRIP, DRAW, now(ms));
+        let chosen = choose_with(&mut table, now(ms), &mut rng).unwrap();
+        table.record_sent(chosen, now(ms));
+        table.record_finished(chosen);
+        sent_to_limited += u32::from(chosen == limited);
+    }
+    assert!(sent_to_limited <= 1, "{sent_to_limited} requests in 0.3 s");
+}
+
+// A request that no endpoint takes within its limit must be refused with the time of the next turn, rather than wait.
+#[test]
+fn choose_returns_time_of_turn_if_all_are_limited() {
+    let (mut table, limited) = table_with_limit(8);
+    table.remove("i-2", Revision(1));
+    let mut rng = rng();
+    let Err(Unavailable::Limited { opens_in }) = choose_with(&mut table, now(1), &mut rng) else {
+        panic!("the endpoint is chosen although its limit is used up");
+    };
+    let turn = now(1) + opens_in;
+    assert!(opens_in <= Duration::from_secs(10), "{opens_in:?}");
+    let report = report_shared_by(8, 0);
+    table.apply_report(address(1), &report, turn, ROUND_TRIP, DRAW, turn);
+    assert_eq!(choose_with(&mut table, turn, &mut rng), Ok(limited));
+    table.record_sent(limited, turn);
+    assert!(matches!(choose_with(&mut table, turn, &mut rng), Err(Unavailable::Limited { .. })));
+}
+
+// The limit of an endpoint ended with its process. Its successor at the address has named none.
+#[test]
+fn relayed_limit_of_other_process_is_ignored() {
+    let mut table = table();
+    table.upsert(EndpointRecord { started_ms: 20, ..record(1, "lagoa") }, now(0));
+    let statement = LimitStatement { per_second: Some(1.0), at: now(5) };
+    assert_eq!(table.apply_relayed_limit(address(1), 10, statement), None);
+    assert_eq!(table.apply_relayed_limit(address(1), 20, statement), Some("i-1".into()));
+    assert_eq!(table.apply_relayed_limit(address(1), 20, statement), None);
+    assert_eq!(table.limits_to_relay().count(), 0);
+}
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -8,6 +8,7 @@
 mod lateness;
 mod load_orders;
 mod replication;
+mod request_limit;
 mod retry_after;
 mod rollout;
 mod shares;
--- a/core/tests/direct/retry_after.rs
+++ b/core/tests/direct/retry_after.rs
@@ -29,6 +29,13 @@
     assert!(all.iter().all(|delay| (ms(1_700)..=ms(2_700)).contains(delay)), "{all:?}");
 }
 
+// Callers that return before the entry's next turn are refused again.
+#[test]
+fn retry_after_waits_for_turn_at_limited_endpoint() {
+    let all = delays(RefusalCause::Limited { opens_in: ms(1_700) });
+    assert!(all.iter().all(|delay| (ms(1_700)..=ms(2_700)).contains(delay)), "{all:?}");
+}
+
 // All callers of an outage would return at once when the first endpoint is back.
 #[test]
 fn retry_after_spreads_callers() {
@@ -37,6 +44,7 @@
         RefusalCause::NoLease { is_held_in_region: false },
         RefusalCause::Full,
         RefusalCause::Warming { warm_in: ms(1_200) },
+        RefusalCause::Limited { opens_in: ms(1_200) },
         RefusalCause::NoEndpoint { ready_in: None },
         RefusalCause::NoEndpoint { ready_in: Some(ms(500)) },
     ];
--- a/core/tests/direct/shares.rs
+++ b/core/tests/direct/shares.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
-use mastichaven_core::direct::shares::ColdStartPacer;
 use mastichaven_core::direct::shares::EntryCount;
 use mastichaven_core::direct::shares::SharedRetryBudget;
+use mastichaven_core::direct::shares::TurnPacer;
 use proptest::prop_assert;
 use proptest::proptest;
 use rand::RngExt;
@@ -65,7 +65,7 @@
     wants: impl Fn(u64) -> bool,
 ) -> Vec<u64> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut pacers = vec![ColdStartPacer::default(); entries as usize];
+    let mut pacers = vec![TurnPacer::default(); entries as usize];
     let mut sent = Vec::new();
     for ms in (0..20_000).filter(|ms| wants(*ms)) {
         let now = Time::from_millis(ms);
--- a/node/src/direct/agent.rs
+++ b/node/src/direct/agent.rs
@@ -22,6 +22,7 @@
 use hyper_util::rt::TokioIo;
 use mastichaven_core::Time;
 use mastichaven_core::direct::load_orders::LoadOrders;
+use mastichaven_core::direct::request_limit::LimitStatement;
 use mastichaven_core::direct::subscribers::Subscribers;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::HostName;
@@ -72,6 +73,8 @@
     /// The endpoint's last report; `None` while the endpoint cannot be reached.
     report: RefCell<Option<Report>>,
     load_orders: RefCell<LoadOrders>,
+    /// The latest statement of the endpoint on its request limit that an entry has relayed.
+    request_limit: Cell<Option<LimitStatement>>,
     /// Whether the endpoint is draining or loading, so that entries must not route requests to it.
     is_load_in_progress: Cell<bool>,
     /// Duration of the endpoint's last load.
@@ -119,6 +122,7 @@
         peer_list: Cell::new(0),
         report: RefCell::default(),
         load_orders: RefCell::default(),
+        request_limit: Cell::new(None),
         is_load_in_progress: Cell::new(false),
         load_time: Cell::new(INITIAL_LOAD_TIME),
         subscribers: RefCell::default(),
--- a/node/src/direct/agent/loading.rs
+++ b/node/src/direct/agent/loading.rs
@@ -172,13 +172,15 @@
         self.swarm.set_staging_locked(!self.load_orders.borrow().may_replace_staged());
     }
 
-    /// Applies the endpoint's number of begun orders, and logs an order that is not accounted for.
+    /// Applies the endpoint's number of begun orders, and logs an order that is not accounted for. Resets what
+    /// is known of the endpoint's previous process.
     pub(super) fn observe_orders(&self, report: &Report) {
         let state = OrderState { started_ms: report.load.started_ms, orders: report.orders };
         let has_staged = self.swarm.staging_writes().has_any;
         let could_serve = self.load_orders.borrow().may_serve();
         if self.load_orders.borrow_mut().observe(state, has_staged) {
             self.swarm.reset_staging_writes();
+            self.request_limit.set(None);
         }
         self.update_staging_lock();
         if could_serve && !self.load_orders.borrow().may_serve() {
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -13,9 +13,12 @@
 
 use super::Agent;
 use crate::direct::load_reports::AnnouncedVersion;
+use crate::direct::load_reports::Datagram;
 use crate::direct::load_reports::FAR_ROUND_INTERVAL;
+use crate::direct::load_reports::LimitNotice;
 use crate::direct::load_reports::ReportMessage;
 use crate::direct::load_reports::ReportRequest;
+use crate::direct::load_reports::append_notice;
 use crate::direct::load_reports::receive;
 
 /// Interval between requests for the endpoint's load, which use no network link as they stay on the host.
@@ -28,7 +31,8 @@
     /// Receives requests of entries and applies the state they contain; runs until the process exits.
     pub(super) async fn receive_requests(self: Rc<Self>, socket: Rc<UdpSocket>) {
         loop {
-            let Some((req, from)) = receive::<ReportRequest>(&socket).await else {
+            let Some(Datagram { msg: req, limit, from }) = receive::<ReportRequest>(&socket).await
+            else {
                 self.metrics.count("asks_unreadable");
                 continue;
             };
@@ -46,6 +50,9 @@
                 offer: req.offer,
             };
             self.subscribers.borrow_mut().renew(from, subscriber);
+            if let Some(limit) = limit {
+                self.record_limit(limit);
+            }
             if let Some(update) = req.setup {
                 self.apply_setup(update);
             }
@@ -60,6 +67,7 @@
         let mut unchanged = 0;
         let mut round = 0;
         let mut last: Option<LoadReport> = None;
+        let mut last_limit = None;
         loop {
             let _ = timeout(REPORT_INTERVAL, self.report_now.notified()).await;
             let setup = self.setup.borrow().as_ref().map(|update| update.setup.clone());
@@ -95,8 +103,9 @@
             load.root = self.subscribers.borrow().root(now);
             *self.report.borrow_mut() = Some(report);
             unchanged = if last.as_ref() == Some(&load) { unchanged + 1 } else { 0 };
-            let has_availability_changed =
-                last.as_ref().is_none_or(|last| !has_same_availability(last, &load));
+            let limit = self.request_limit.get().and_then(|statement| statement.per_second);
+            let has_availability_changed = limit != last_limit
+                || last.as_ref().is_none_or(|last| !has_same_availability(last, &load));
             round += 1;
             if unchanged % UNCHANGED_REPORT_PERIOD == 0 || has_availability_changed {
                 let setup_id = setup.as_ref().map_or(0, ModelSetup::fingerprint);
@@ -104,9 +113,36 @@
                 self.send_report(&socket, load.clone(), setup_id, to_all_regions);
             }
             last = Some(load);
+            last_limit = limit;
         }
     }
 
+    /// Records what an entry has learned of the endpoint's request limit, so that all entries receive it.
+    fn record_limit(&self, limit: LimitNotice) {
+        let started_ms = self.started_ms();
+        let is_other_process =
+            started_ms != 0 && limit.started_ms != 0 && started_ms != limit.started_ms;
+        let Some(statement) = limit.statement(self.clock.now()).filter(|_| !is_other_process)
+        else {
+            return;
+        };
+        let last = self.request_limit.get();
+        if last.is_some_and(|last| last.at >= statement.at) {
+            return;
+        }
+        self.request_limit.set(Some(statement));
+        if last.and_then(|last| last.per_second) != statement.per_second {
+            slog::info!(self.log, "endpoint request limit changed";
+                "per_second" => statement.per_second, "from" => "entry");
+            self.report_now.notify_one();
+        }
+    }
+
+    /// Start time of the endpoint's process, in milliseconds of the Unix epoch; 0 if unknown.
+    fn started_ms(&self) -> u64 {
+        self.report.borrow().as_ref().map_or(0, |report| report.load.started_ms)
+    }
+
     /// Logs that the endpoint has started or is reachable again, or that its weights or its number of begun
     /// orders have changed. A start of the endpoint loses its layers and, after a power loss, the staged chunks.
     fn log_endpoint_change(&self, report: &Report) {
@@ -151,6 +187,8 @@
         let now = self.clock.now();
         let port = self.endpoint_client.address().port();
         let (relay, root) = (report.relay, report.root);
+        let limit = self.request_limit.get();
+        let limit = limit.map(|limit| LimitNotice::new(report.started_ms, limit, now));
         let report = Some(report).filter(|_| setup != 0);
         let announced = self.recent_announcements(now);
         let mut msg =
@@ -163,7 +201,7 @@
             }
             msg.request_sent_us = subscriber.request_sent_us;
             msg.held_us = now.since(subscriber.received_at).as_micros() as u64;
-            match postcard::to_stdvec(&msg) {
+            match postcard::to_stdvec(&msg).and_then(|bytes| append_notice(bytes, limit)) {
                 // Datagrams may be lost; the next report replaces this one.
                 Ok(bytes) => drop(socket.try_send_to(&bytes, address)),
                 Err(e) => {
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -188,17 +188,11 @@
     statement: LimitStatement,
 ) {
     if state.endpoints.borrow_mut().apply_limit(endpoint, statement) {
-        state.metrics.count("endpoint_limit_changes");
-        log_limit_change(state, &record.id, statement.per_second, "answer");
+        state.record_limit_change(&record.id, statement.per_second, "answer");
+        state.requests_due.notify_one();
     }
 }
 
-/// Logs that an endpoint has named a request limit or has ended it.
-pub(super) fn log_limit_change(state: &State, id: &str, per_second: Option<f64>, from: &str) {
-    slog::info!(state.log, "endpoint request limit changed";
-        "endpoint" => id, "per_second" => per_second, "from" => from);
-}
-
 fn build_endpoint_request(
     state: &State,
     call: &Call,
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -58,6 +58,12 @@
     /// The endpoints with free places are cold, and their request rate is used up. The request has
     /// not run.
     Warming,
+    /// This entry's share of the request limits of the endpoints is used up for `opens_in`. The
+    /// request has not run.
+    Limited {
+        /// Time until this entry may send a request to one of them.
+        opens_in: Duration,
+    },
     /// Each endpoint tried refused the request or could not be reached. It has not run.
     Declined,
     /// The deadline passed before the request was sent to an endpoint. It has not run.
@@ -75,6 +81,7 @@
             CallError::NoEndpoint => "no endpoint",
             CallError::Full => "all endpoints full",
             CallError::Warming => "all endpoints full or cold",
+            CallError::Limited { .. } => "all endpoints at their request limit",
             CallError::Declined => "declined by endpoints",
             CallError::Expired => "time over before an endpoint took it",
             CallError::Lost => "answer lost",
@@ -88,6 +95,7 @@
             CallError::NoEndpoint
             | CallError::Full
             | CallError::Warming
+            | CallError::Limited { .. }
             | CallError::Declined
             | CallError::Expired => StatusCode::SERVICE_UNAVAILABLE,
             CallError::Lost => StatusCode::BAD_GATEWAY,
--- a/node/src/direct/explain.rs
+++ b/node/src/direct/explain.rs
@@ -79,6 +79,11 @@
         "all endpoints full or cold" => {
             "every endpoint that may serve it was full or had just started".to_owned()
         }
+        "all endpoints at their request limit" => {
+            "every endpoint that may serve it has named a limit on its requests, and this entry's \
+             share of it was used up"
+                .to_owned()
+        }
         "all endpoints full" => "every endpoint that may serve it was full".to_owned(),
         "no endpoint" => "no known endpoint may serve it".to_owned(),
         "declined by endpoints" => "each endpoint that it was sent to refused it".to_owned(),
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -228,6 +228,7 @@
             let warm_in = state.endpoints.borrow().warm_in(&call.service, state.now());
             RefusalCause::Warming { warm_in }
         }
+        CallError::Limited { opens_in } => RefusalCause::Limited { opens_in },
         CallError::NoEndpoint => {
             let ready_in = state.endpoints.borrow().ready_in(&call.service, state.now());
             RefusalCause::NoEndpoint { ready_in }
@@ -259,6 +260,9 @@
         200..=299 => "answered",
         503 if reason == CallError::Full.as_str() => "refused_full",
         503 if reason == CallError::Warming.as_str() => "refused_warming",
+        503 if reason == CallError::Limited { opens_in: Duration::ZERO }.as_str() => {
+            "refused_limited"
+        }
         503 if reason == CallError::NoEndpoint.as_str() => "refused_no_endpoint",
         503 => "refused_other",
         502 => "failed_lost",
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -22,6 +22,7 @@
 use mastichaven_core::direct::endpoint_table::Reach;
 use mastichaven_core::direct::replication::Offer;
 use mastichaven_core::direct::replication::time_before;
+use mastichaven_core::direct::request_limit::LimitStatement;
 use mastichaven_core::direct::versions::CurrentWeights;
 use mastichaven_core::ids::ServiceName;
 use rand::RngExt;
@@ -75,6 +76,32 @@
     pub setup: Option<SetupUpdate>,
 }
 
+/// What the sender knows of the request limit of the agent's endpoint. It follows the message itself
+/// and is absent in messages of earlier releases, which ignore it.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LimitNotice {
+    /// Start time of the endpoint's process, in milliseconds of the Unix epoch; 0 if unknown.
+    pub started_ms: u64,
+    /// Requests per second that the endpoint takes from all entries; `None` if it has ended a limit.
+    pub per_second: Option<f64>,
+    /// Time since the endpoint said so, in milliseconds.
+    pub age_ms: u32,
+}
+
+impl LimitNotice {
+    /// The notice of a statement of the process that started at `started_ms`.
+    pub fn new(started_ms: u64, statement: LimitStatement, now: Time) -> LimitNotice {
+        let age_ms = u32::try_from(statement.age(now).as_millis()).unwrap_or(u32::MAX);
+        LimitNotice { started_ms, per_second: statement.per_second, age_ms }
+    }
+
+    /// The statement, as seen by the receiver; `None` if it is older than the receiver's clock.
+    pub fn statement(&self, now: Time) -> Option<LimitStatement> {
+        let at = time_before(now, Duration::from_millis(u64::from(self.age_ms)))?;
+        Some(LimitStatement { per_second: self.per_second, at })
+    }
+}
+
 /// Setup of an agent's service, taken from one version of the configuration.
 ///
 /// If agents read the configuration themselves, all of them would query the store after each new
@@ -121,31 +148,59 @@
 /// Ids of the agents' setups by the address of their endpoint.
 type SetupIds = Rc<RefCell<HashMap<SocketAddr, u32>>>;
 
-/// Receives the next datagram and its sender; `None` if it cannot be decoded.
-pub async fn receive<T: DeserializeOwned>(socket: &UdpSocket) -> Option<(T, SocketAddr)> {
+/// A received datagram.
+#[derive(Clone, Debug)]
+pub struct Datagram<T> {
+    /// The message.
+    pub msg: T,
+    /// The notice that follows the message, if there is one.
+    pub limit: Option<LimitNotice>,
+    /// Address of the sender.
+    pub from: SocketAddr,
+}
+
+/// Receives the next datagram; `None` if it cannot be decoded.
+pub async fn receive<T: DeserializeOwned>(socket: &UdpSocket) -> Option<Datagram<T>> {
     let mut buf = [0; MAX_DATAGRAM_LEN];
     loop {
         // An unreachable host is reported as an error of the next receive.
         if let Ok((len, from)) = socket.recv_from(&mut buf).await {
-            let message = postcard::from_bytes(&buf[..len]).ok()?;
-            return Some((message, from));
+            let (msg, limit) = decode(&buf[..len])?;
+            return Some(Datagram { msg, limit, from });
         }
     }
 }
 
+/// Decodes a message and the notice that may follow it; `None` if it is not such a message.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<(T, Option<LimitNotice>)> {
+    let (msg, rest) = postcard::take_from_bytes(bytes).ok()?;
+    Some((msg, postcard::from_bytes(rest).ok()))
+}
+
+/// Appends a notice to an encoded message.
+pub fn append_notice(mut bytes: Vec<u8>, limit: Option<LimitNotice>) -> postcard::Result<Vec<u8>> {
+    if let Some(limit) = limit {
+        bytes.extend(postcard::to_stdvec(&limit)?);
+    }
+    Ok(bytes)
+}
+
 /// Sends report requests and applies the reports until the process ends.
 pub async fn run(state: Rc<State>, socket: UdpSocket) {
     let socket = Rc::new(socket);
     let setup_ids = SetupIds::default();
     tokio::task::spawn_local(send_requests(state.clone(), socket.clone(), setup_ids.clone()));
     loop {
-        let Some((msg, from)) = receive::<ReportMessage>(&socket).await else {
+        let Some(Datagram { msg, limit, from }) = receive::<ReportMessage>(&socket).await else {
             state.metrics.count("reports_unreadable");
             continue;
         };
         let address = SocketAddr::new(from.ip(), msg.port);
         setup_ids.borrow_mut().insert(address, msg.setup);
         state.apply_report(&msg, address, state.now());
+        if let Some(limit) = limit {
+            state.apply_limit_notice(limit, address, state.now());
+        }
     }
 }
 
@@ -176,6 +231,24 @@
         self.capacity_freed.notify_one();
     }
 
+    /// Applies what the agent of the endpoint at `address` relays about its request limit.
+    pub fn apply_limit_notice(&self, limit: LimitNotice, address: SocketAddr, now: Time) {
+        let Some(statement) = limit.statement(now) else {
+            return;
+        };
+        let mut endpoints = self.endpoints.borrow_mut();
+        if let Some(id) = endpoints.apply_relayed_limit(address, limit.started_ms, statement) {
+            self.record_limit_change(&id, statement.per_second, "agent");
+        }
+    }
+
+    /// Logs and counts that an endpoint has named, changed or ended a request limit.
+    pub fn record_limit_change(&self, id: &str, per_second: Option<f64>, from: &str) {
+        self.metrics.count("endpoint_limit_changes");
+        slog::info!(self.log, "endpoint request limit changed";
+            "endpoint" => id, "per_second" => per_second, "from" => from);
+    }
+
     /// Applies an agent's record of when it first saw a version. The agent sent it no earlier than
     /// `sent`.
     fn apply_announcement(&self, announced: &AnnouncedVersion, sent: Time, now: Time) {
@@ -219,8 +292,9 @@
         if !is_urgent {
             round = round.wrapping_add(1);
         }
-        // A new version is sent immediately; a new endpoint waits for the next interval.
-        is_urgent = timeout(REQUEST_INTERVAL, state.version_announced.notified()).await.is_ok();
+        // A new version or request limit is sent immediately; a new endpoint waits for the next
+        // interval.
+        is_urgent = timeout(REQUEST_INTERVAL, state.requests_due.notified()).await.is_ok();
         sleep(Duration::from_millis(20)).await;
     }
 }
@@ -244,10 +318,17 @@
 ) {
     let mut requests = ReportRequests::new(state);
     let endpoints = state.endpoints.borrow();
+    let limits: HashMap<SocketAddr, LimitNotice> = endpoints
+        .limits_to_relay()
+        .map(|(address, started_ms, statement)| {
+            (address, LimitNotice::new(started_ms, statement, state.now()))
+        })
+        .collect();
     setup_ids.borrow_mut().retain(|address, _| endpoints.has_address(*address));
     for (listed, reach) in endpoints.engines().filter(|(_, reach)| due(*reach)) {
         let setup_id = setup_ids.borrow().get(&listed.address).copied().unwrap_or(0);
-        match requests.bytes(&listed.service, reach, setup_id) {
+        let limit = limits.get(&listed.address).copied();
+        match requests.bytes(&listed.service, reach, setup_id, limit) {
             Ok(bytes) => {
                 let address = SocketAddr::new(listed.address.ip(), state.cfg.agent_port);
                 // A datagram may be lost anyway; the next request makes up for it.
@@ -287,12 +368,27 @@
         }
     }
 
-    /// The encoded request for an agent of `service` whose setup has the id `setup_id`.
+    /// The encoded request for an agent of `service` whose setup has the id `setup_id`, followed by
+    /// `limit`.
     fn bytes(
         &mut self,
         service: &ServiceName,
         reach: Reach,
         setup_id: u32,
+        limit: Option<LimitNotice>,
+    ) -> postcard::Result<Bytes> {
+        let bytes = self.request_bytes(service, reach, setup_id)?;
+        if limit.is_none() {
+            return Ok(bytes);
+        }
+        append_notice(bytes.to_vec(), limit).map(Bytes::from)
+    }
+
+    fn request_bytes(
+        &mut self,
+        service: &ServiceName,
+        reach: Reach,
+        setup_id: u32,
     ) -> postcard::Result<Bytes> {
         let catalog = self.catalog.as_ref();
         let setup_of = || catalog.and_then(|catalog| catalog.model_setup(service));
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -71,6 +71,13 @@
             Err(Unavailable::Warming) if now >= wait_until => {
                 return Err(final_error(history, CallError::Warming));
             }
+            // No endpoint with a free place takes a request before then.
+            Err(Unavailable::Limited { opens_in }) if now + opens_in > wait_until => {
+                return Err(final_error(history, CallError::Limited { opens_in }));
+            }
+            Err(Unavailable::Limited { opens_in }) => {
+                let _ = timeout(opens_in, state.capacity_freed.notified()).await;
+            }
             Err(Unavailable::Full | Unavailable::Warming) => {
                 let _ = timeout(wait_until.since(now), state.capacity_freed.notified()).await;
             }
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -89,8 +89,8 @@
     pub pool: ConnectionPool,
     /// Notified when an endpoint may accept another request.
     pub capacity_freed: Notify,
-    /// Notified when a new version is announced.
-    pub version_announced: Notify,
+    /// Notified when agents must learn of a new version or request limit at once.
+    pub requests_due: Notify,
     /// Whether the process is shutting down.
     pub is_stopping: Cell<bool>,
     /// Time of the latest confirmed read of each kind: when it was sent or, for a watch that ended
@@ -147,7 +147,7 @@
             versions: RefCell::default(),
             pool: ConnectionPool::default(),
             capacity_freed: Notify::new(),
-            version_announced: Notify::new(),
+            requests_due: Notify::new(),
             is_stopping: Cell::new(false),
             confirmed_at: RefCell::default(),
             relay: Cell::default(),
--- a/node/src/direct/updates.rs
+++ b/node/src/direct/updates.rs
@@ -259,6 +259,6 @@
         let age = announced_at.map_or(-1, |at| self.now().since(at).as_millis() as i64);
         slog::info!(self.log, "weights announced"; "model" => model.as_str(), "version" => version,
             "age_ms" => age, "from" => self.source());
-        self.version_announced.notify_one();
+        self.requests_due.notify_one();
     }
 }
--- a/node/tests/direct/explain.rs
+++ b/node/tests/direct/explain.rs
@@ -32,6 +32,15 @@
     assert!(explain("zz", LOG.lines()).is_none());
 }
 
+// A refusal for a limit that endpoints have named must not be taken for a lack of capacity.
+#[test]
+fn explain_names_request_limit() {
+    let line = r#"{"msg":"request ended","ts_ms":30,"host":"edge-1","offers":0,"took_ms":1,"reason":"all endpoints at their request limit","status":503,"id":"d4"}"#;
+    let cause = explain("d4", line.lines()).unwrap().cause;
+    assert!(cause.contains("has named a limit on its requests"), "{cause}");
+    assert!(cause.contains("It has not run."), "{cause}");
+}
+
 // Logs of earlier releases have another text for an interrupted stream.
 #[test]
 fn explain_reads_both_texts_of_interrupted_stream() {
--- a/node/tests/direct/limits.rs
+++ b/node/tests/direct/limits.rs
@@ -2,6 +2,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mastichaven_node::direct::load_reports::LimitNotice;
+use mastichaven_node::direct::load_reports::ReportMessage;
+use mastichaven_node::direct::load_reports::append_notice;
+use mastichaven_node::direct::load_reports::decode;
 use mastichaven_standins::direct::endpoint::FakeEndpoint;
 use mastichaven_standins::direct::endpoint::Run;
 
@@ -99,3 +103,73 @@
     let peak = peak_runs(&limited.runs(), from);
     assert!(peak <= allowed_runs(), "{peak} requests in {LIMIT_WINDOW:?}");
 }
+
+// The only endpoint has named a limit. Callers beyond it must be refused at once and told when to return.
+#[test]
+fn requests_over_limit_are_refused_at_once() {
+    let site = Site::start();
+    let limited = site.start_endpoint("i-limited", "desk", None);
+    let entry = site.start_entry("limit-alone");
+    until("the endpoint is known", || {
+        entry.dump()["endpoints"].as_array().map(Vec::len) == Some(1)
+    });
+    name_limit(&limited, &[&entry], "/lookup/a");
+    let started_at = Instant::now();
+    let mut refused = 0;
+    for n in 0..20 {
+        let response = entry.send_request("/lookup/a", &format!("r{n}"), "key-1").unwrap();
+        if response.status == 503 {
+            refused += 1;
+            assert_eq!(response.body, "all endpoints at their request limit");
+            assert!(response.retry_after.is_some_and(|delay| delay > 0.1), "{response:?}");
+        }
+    }
+    assert!(refused >= 18, "{refused}");
+    assert!(started_at.elapsed() < Duration::from_secs(2), "{:?}", started_at.elapsed());
+}
+
+fn known_limit(entry: &Entry) -> Option<f64> {
+    entry.dump()["endpoints"][0]["requests_per_second"].as_f64()
+}
+
+// An entry that starts, or that gets no answers of the endpoint, must learn of a limit from the agent.
+#[test]
+fn limit_reaches_entries_without_answers() {
+    let site = Site::start();
+    let endpoint = site.start_endpoint("i-limited", "writer", Some(1));
+    let agent = site.start_agent("limit-relay", &endpoint);
+    let entry = site.start_entry("limit-first");
+    let other = site.start_entry("limit-other");
+    until("the agent reports to both entries", || {
+        [&entry, &other].iter().all(|entry| entry.dump()["endpoints"][0]["report_age_ms"].is_u64())
+    });
+    name_limit(&endpoint, &[&entry], "/stream/a");
+    until("the other entry knows the limit", || known_limit(&other) == Some(LIMIT));
+    let new = site.start_entry("limit-new");
+    until("an entry that starts knows the limit", || known_limit(&new) == Some(LIMIT));
+    endpoint.set_request_limit(None);
+    until("the limit has ended", || {
+        let _ = entry.send_request("/stream/a", "after", "key-1");
+        [&entry, &other, &new].iter().all(|entry| known_limit(entry).is_none())
+    });
+    assert!(agent.log().contains("endpoint request limit changed"));
+}
+
+// During an upgrade, agents and entries of both releases exchange reports.
+#[test]
+fn messages_without_limit_are_decoded() {
+    let msg = ReportMessage {
+        port: 80,
+        report: None,
+        request_sent_us: 5,
+        held_us: 6,
+        setup: 7,
+        announced: Vec::new(),
+    };
+    let bytes = postcard::to_stdvec(&msg).unwrap();
+    assert_eq!(decode::<ReportMessage>(&bytes), Some((msg.clone(), None)));
+    let limit = LimitNotice { started_ms: 9, per_second: Some(2.2), age_ms: 40 };
+    let extended = append_notice(bytes, Some(limit)).unwrap();
+    assert_eq!(decode::<ReportMessage>(&extended), Some((msg.clone(), Some(limit))));
+    assert_eq!(postcard::from_bytes::<ReportMessage>(&extended), Ok(msg));
+}
