Writes in flight and corrupt chunks in doubt count against a load

Of the same class as the late load order: a write of a chunk that is still in flight when an order is sent may take effect after the verification, and a chunk that was staged again while an order was in doubt hides what the order loaded. The first load is verified again, the second one serves nothing until another version is loaded. The states that decide it are in core, with three tests.

--- a/core/src/direct/load_orders.rs
+++ b/core/src/direct/load_orders.rs
@@ -22,6 +22,38 @@
     pub orders: u64,
 }
 
+/// Chunks that an agent has written to the current process of its endpoint.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StagingWrites {
+    has_any: bool,
+    in_flight: u32,
+    has_unconfirmed: bool,
+}
+
+impl StagingWrites {
+    /// Records that a write is sent.
+    pub fn begin(&mut self) {
+        self.has_any = true;
+        self.in_flight += 1;
+    }
+
+    /// Records the end of a write; without a response the endpoint may still store the chunk.
+    pub fn finish(&mut self, has_response: bool) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.has_unconfirmed |= !has_response;
+    }
+
+    /// Whether there was any write.
+    pub fn has_any(&self) -> bool {
+        self.has_any
+    }
+
+    /// Whether the endpoint may still store a chunk that was written before.
+    pub fn may_change_staged(&self) -> bool {
+        self.in_flight > 0 || self.has_unconfirmed
+    }
+}
+
 /// Result of an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderOutcome {
@@ -33,6 +65,17 @@
     Unknown,
 }
 
+/// Result of verifying the staged chunks of a version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verification {
+    /// All chunks match their digests.
+    Valid,
+    /// Some chunks do not match and have to be staged again.
+    Corrupt,
+    /// The version is not staged, or the endpoint did not answer.
+    Unavailable,
+}
+
 /// Whether the loaded weights come from verified chunks.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 enum Provenance {
@@ -53,6 +96,8 @@
     is_in_flight: bool,
     /// When it was first sent without a response; `None` if it never was.
     in_doubt_since: Option<Time>,
+    /// Whether the staged chunks were found corrupt since then, and are staged again.
+    is_staging_corrupt: bool,
 }
 
 /// The orders of an agent to its endpoint.
@@ -87,11 +132,24 @@
     /// is valid; `None` while the endpoint's state is unknown.
     pub fn begin(&mut self) -> Option<u64> {
         let expected = self.state?.orders;
-        let in_doubt_since = self.outstanding.and_then(|order| order.in_doubt_since);
-        self.outstanding = Some(OutstandingOrder { expected, is_in_flight: true, in_doubt_since });
+        let doubtful = self.outstanding.filter(|order| order.in_doubt_since.is_some());
+        self.outstanding = Some(OutstandingOrder {
+            expected,
+            is_in_flight: true,
+            in_doubt_since: doubtful.and_then(|order| order.in_doubt_since),
+            is_staging_corrupt: doubtful.is_some_and(|order| order.is_staging_corrupt),
+        });
         Some(expected)
     }
 
+    /// Records that the staged chunks were found corrupt, so that they are staged again. If an order in doubt
+    /// takes effect, a verification after it cannot tell what was loaded.
+    pub fn record_corrupt_staging(&mut self) {
+        if let Some(order) = &mut self.outstanding {
+            order.is_staging_corrupt |= order.in_doubt_since.is_some();
+        }
+    }
+
     /// Records the result of the started order. `is_confirmed` tells whether the verification of the staged
     /// chunks also holds for the moment at which the endpoint accepted the order.
     pub fn record_outcome(&mut self, outcome: OrderOutcome, is_confirmed: bool, now: Time) {
@@ -113,8 +171,8 @@
         self.account_for_orders();
     }
 
-    /// Stops waiting for an order that has been without a response for [`MAX_DOUBT`]. If it takes effect after
-    /// all, the loaded weights are not taken as verified. Returns whether there was one.
+    /// Stops waiting for an order that has been without a response for 20 s. If it takes effect after all,
+    /// the loaded weights are not taken as verified. Returns whether there was one.
     pub fn abandon_overdue(&mut self, now: Time) -> bool {
         let is_overdue = self.outstanding.is_some_and(|order| {
             !order.is_in_flight && order.in_doubt_since.is_some_and(|at| now.passed(at, MAX_DOUBT))
@@ -135,10 +193,11 @@
         }
         let own = self.outstanding.take().filter(|order| order.expected + 1 == state.orders);
         self.accounted = state.orders;
-        if own.is_some() {
-            self.provenance = Provenance::Unconfirmed;
-        } else if self.has_staged {
-            self.provenance = Provenance::Unknown;
+        match own {
+            Some(order) if order.is_staging_corrupt => self.provenance = Provenance::Unknown,
+            Some(_) => self.provenance = Provenance::Unconfirmed,
+            None if self.has_staged => self.provenance = Provenance::Unknown,
+            None => {}
         }
     }
 
--- a/core/tests/direct/load_orders.rs
+++ b/core/tests/direct/load_orders.rs
@@ -2,6 +2,7 @@
 use mastichaven_core::direct::load_orders::LoadOrders;
 use mastichaven_core::direct::load_orders::OrderOutcome;
 use mastichaven_core::direct::load_orders::OrderState;
+use mastichaven_core::direct::load_orders::StagingWrites;
 
 const START: Time = Time::ZERO;
 
@@ -97,6 +98,31 @@
     assert!(orders.may_serve());
 }
 
+// A staged chunk became corrupt while an order was in doubt, and was staged again. The verification after the load
+// finds all chunks valid, though the corrupt one may have been loaded.
+#[test]
+fn load_after_corrupt_staging_in_doubt_does_not_serve() {
+    let mut orders = orders_in_doubt();
+    orders.begin();
+    orders.record_corrupt_staging();
+    orders.record_outcome(OrderOutcome::NotBegun, false, START);
+    orders.observe(state(1, 4), true);
+    assert!(!orders.may_serve() && !orders.needs_verification());
+}
+
+// The same, but the order is repeated with the chunk that was staged again, and accepted.
+#[test]
+fn repeated_order_after_corrupt_staging_serves() {
+    let mut orders = orders_in_doubt();
+    orders.begin();
+    orders.record_corrupt_staging();
+    orders.record_outcome(OrderOutcome::NotBegun, false, START);
+    orders.begin();
+    orders.record_outcome(OrderOutcome::Accepted, true, START);
+    orders.observe(state(1, 4), true);
+    assert!(orders.may_serve());
+}
+
 // A write of a chunk had no response and may have taken effect between the verification and the load.
 #[test]
 fn unconfirmed_verification_is_repeated_after_load() {
@@ -146,3 +172,20 @@
     orders.observe(state(1, 4), true);
     assert!(!orders.may_serve() && !orders.needs_verification());
 }
+
+// A chunk of an older version is still being written, or its write had no response, when the next version has been
+// verified.
+#[test]
+fn write_without_response_may_change_staged() {
+    let mut writes = StagingWrites::default();
+    assert!(!writes.has_any() && !writes.may_change_staged());
+    writes.begin();
+    assert!(writes.has_any() && writes.may_change_staged());
+    writes.finish(true);
+    assert!(writes.has_any() && !writes.may_change_staged());
+    writes.begin();
+    writes.finish(false);
+    writes.begin();
+    writes.finish(true);
+    assert!(writes.may_change_staged());
+}
--- a/node/src/direct/agent/loading.rs
+++ b/node/src/direct/agent/loading.rs
@@ -6,6 +6,7 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::load_orders::OrderOutcome;
 use mastichaven_core::direct::load_orders::OrderState;
+use mastichaven_core::direct::load_orders::Verification;
 use mastichaven_core::direct::rollout;
 use mastichaven_core::direct::rollout::HostState;
 use mastichaven_platform::engine::LoadMode;
@@ -128,7 +129,11 @@
             return false;
         };
         let verified_from = self.clock.now();
-        if !self.swarm.verify_staged(target).await {
+        let verification = self.swarm.verify_staged(target).await;
+        if verification == Verification::Corrupt {
+            self.load_orders.borrow_mut().record_corrupt_staging();
+        }
+        if verification != Verification::Valid {
             self.record_order_outcome(OrderOutcome::NotBegun, false);
             return false;
         }
@@ -138,7 +143,7 @@
         let (model, version) = (&target.model, target.version);
         let response = self.endpoint_client.order_load(model, version, mode, expected_orders).await;
         let is_recent = !self.clock.now().passed(verified_from, MAX_VERIFICATION_AGE);
-        let is_confirmed = is_recent && !self.swarm.staging_writes().has_unconfirmed;
+        let is_confirmed = is_recent && !self.swarm.staging_writes().may_change_staged();
         let outcome = match response {
             Ok(LoadResponse::Begun) => OrderOutcome::Accepted,
             Err(EndpointCallError::Link(e)) if e != ConnectionError::NotSent => {
@@ -176,7 +181,7 @@
     /// is known of the endpoint's previous process.
     pub(super) fn observe_orders(&self, report: &Report) {
         let state = OrderState { started_ms: report.load.started_ms, orders: report.orders };
-        let has_staged = self.swarm.staging_writes().has_any;
+        let has_staged = self.swarm.staging_writes().has_any();
         let could_serve = self.load_orders.borrow().may_serve();
         if self.load_orders.borrow_mut().observe(state, has_staged) {
             self.swarm.reset_staging_writes();
@@ -195,9 +200,10 @@
             return self.record_verification(false);
         };
         match self.swarm.check_staged(&target).await {
-            Some(corrupt) => self.record_verification(corrupt == 0),
+            Verification::Valid => self.record_verification(true),
+            Verification::Corrupt => self.record_verification(false),
             // The endpoint does not answer, so it serves no requests either.
-            None => sleep(ORDER_RETRY_DELAY).await,
+            Verification::Unavailable => sleep(ORDER_RETRY_DELAY).await,
         }
     }
 
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -15,6 +15,8 @@
 use bytes::Bytes;
 use mastichaven_core::Manifest;
 use mastichaven_core::direct::caches::Caches;
+use mastichaven_core::direct::load_orders::StagingWrites;
+use mastichaven_core::direct::load_orders::Verification;
 use mastichaven_core::direct::rollout::DownloadProgress;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::HostName;
@@ -67,15 +69,6 @@
     Digest::of(format!("{model}@{version}").as_bytes())
 }
 
-/// Chunks that this agent has written to the current process of its endpoint.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct StagingWrites {
-    /// Whether there was any.
-    pub has_any: bool,
-    /// Whether one of them had no response, so that the endpoint may still store it.
-    pub has_unconfirmed: bool,
-}
-
 /// The swarm state of one agent, the downloads in progress and the addresses of its sources.
 #[derive(Debug)]
 pub struct SwarmDriver {
@@ -289,17 +282,17 @@
     }
 
     /// Verifies all staged chunks of a version against their digests, as chunks may become corrupt after they
-    /// are staged. Corrupt chunks are requested again. Returns whether all chunks are valid.
-    pub async fn verify_staged(&self, target: &Target) -> bool {
+    /// are staged. Corrupt chunks are requested again.
+    pub async fn verify_staged(&self, target: &Target) -> Verification {
         let Some(chunks) = self.chunks_of(target.digest) else {
-            return false;
+            return Verification::Unavailable;
         };
         let Some(have) = self.valid_staged(target).await else {
-            return false;
+            return Verification::Unavailable;
         };
         let corrupt = have.iter().filter(|have| !**have).count();
         if corrupt == 0 {
-            return true;
+            return Verification::Valid;
         }
         slog::warn!(self.log, "staged chunks are corrupt"; "version" => target.version, "bad" => corrupt);
         self.metrics.add("chunks_rotten", corrupt as u64);
@@ -314,14 +307,16 @@
             self.update_wanted_versions();
             self.apply_manifest(target, chunks.chunk_len, chunks.digests, have);
         }
-        false
+        Verification::Corrupt
     }
 
-    /// Number of staged chunks of a version that do not match their digests; `None` if the version is not
-    /// staged or the endpoint does not answer.
-    pub async fn check_staged(&self, target: &Target) -> Option<usize> {
-        let valid = self.valid_staged(target).await?;
-        Some(valid.iter().filter(|is_valid| !**is_valid).count())
+    /// Verifies all staged chunks of a version without requesting corrupt ones again.
+    pub async fn check_staged(&self, target: &Target) -> Verification {
+        match self.valid_staged(target).await {
+            None => Verification::Unavailable,
+            Some(valid) if valid.iter().all(|is_valid| *is_valid) => Verification::Valid,
+            Some(_) => Verification::Corrupt,
+        }
     }
 
     /// Which staged chunks of a version match their digests; `None` if the version is not staged or the endpoint
--- a/node/src/direct/swarm/sources.rs
+++ b/node/src/direct/swarm/sources.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use mastichaven_core::Manifest;
+use mastichaven_core::direct::load_orders::StagingWrites;
 use mastichaven_core::direct::replication::ChunkRequest;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::ids::Digest;
@@ -19,7 +20,6 @@
 use mastichaven_platform::origin as origin_paths;
 
 use super::STEP_INTERVAL;
-use super::StagingWrites;
 use super::SwarmDriver;
 use super::pulls::Pull;
 use super::pulls::Target;
@@ -258,13 +258,12 @@
     ) -> endpoint_client::Result<()> {
         let started_at = self.clock.now();
         loop {
-            self.update_staging_writes(|writes| writes.has_any = true);
+            self.update_staging_writes(StagingWrites::begin);
             let staged =
                 self.endpoint_client.stage_chunk(&target.model, index, bytes.clone()).await;
             let is_down = staged == Err(EndpointCallError::Link(ConnectionError::NotSent));
-            if matches!(staged, Err(EndpointCallError::Link(_))) && !is_down {
-                self.update_staging_writes(|writes| writes.has_unconfirmed = true);
-            }
+            let has_response = is_down || !matches!(staged, Err(EndpointCallError::Link(_)));
+            self.update_staging_writes(|writes| writes.finish(has_response));
             let is_wanted = self.is_staged(target.digest);
             if !is_down || !is_wanted || self.clock.now().passed(started_at, ENDPOINT_START_TIMEOUT)
             {
