--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -4,15 +4,15 @@
 //! [`catalog`] maps requests to services and [`endpoint_table`] holds the endpoints of each
 //! service, with the state of one of them in [`endpoint`]. A request goes to the best of a random
 //! sample of them (`sampling`), past those that `ejection` takes out of rotation; [`lateness`]
-//! detects requests that give way to others. [`shares`] divides fleet-wide limits among entries, [`request_limit`] holds those of single endpoints,
-//! and [`retry_after`] computes when a refused caller may return. [`events`] resumes broken
-//! streams.
+//! detects requests that give way to others. [`shares`] divides fleet-wide limits among entries,
+//! [`request_limit`] keeps to those that single endpoints name, and [`retry_after`] computes when a
+//! refused caller may return. [`events`] resumes broken streams.
 //!
 //! [`freshness`] decides whether replicated state is recent enough to act on. [`replication`]
 //! defines the updates that entries exchange, and [`subscribers`] tracks the entries that contact
 //! an agent. [`versions`] tracks which weights may answer, [`caches`] which entries serve chunks of
-//! them, [`rollout`] when an endpoint loads a new version, and
-//! [`load_orders`] whether the weights that it has loaded are verified.
+//! them, [`rollout`] when an endpoint loads a new version, and [`load_orders`] whether the weights
+//! that it has loaded are verified.
 
 pub mod caches;
 pub mod catalog;
--- a/node/src/direct/agent/loading.rs
+++ b/node/src/direct/agent/loading.rs
@@ -16,6 +16,7 @@
 use super::Agent;
 use super::reports::REPORT_INTERVAL;
 use crate::direct::connection::ConnectionError;
+use crate::direct::endpoint_client;
 use crate::direct::endpoint_client::EndpointCallError;
 use crate::direct::endpoint_client::LoadResponse;
 use crate::direct::swarm::Target;
@@ -144,14 +145,7 @@
         let response = self.endpoint_client.order_load(model, version, mode, expected_orders).await;
         let is_recent = !self.clock.now().passed(verified_from, MAX_VERIFICATION_AGE);
         let is_confirmed = is_recent && !self.swarm.staging_writes().may_change_staged();
-        let outcome = match response {
-            Ok(LoadResponse::Begun) => OrderOutcome::Accepted,
-            Err(EndpointCallError::Link(e)) if e != ConnectionError::NotSent => {
-                OrderOutcome::Unknown
-            }
-            _ => OrderOutcome::NotBegun,
-        };
-        self.record_order_outcome(outcome, is_confirmed);
+        self.record_order_outcome(order_outcome(response), is_confirmed);
         match response {
             Ok(_) => {
                 slog::info!(self.log, "load ordered"; "version" => version,
@@ -238,3 +232,13 @@
         }
     }
 }
+
+fn order_outcome(response: endpoint_client::Result<LoadResponse>) -> OrderOutcome {
+    match response {
+        Ok(LoadResponse::Begun) => OrderOutcome::Accepted,
+        Err(EndpointCallError::Link(ConnectionError::Broken | ConnectionError::TimedOut)) => {
+            OrderOutcome::Unknown
+        }
+        Ok(LoadResponse::InEffect) | Err(_) => OrderOutcome::NotBegun,
+    }
+}
