--- a/node/tests/direct/limits.rs
+++ b/node/tests/direct/limits.rs
@@ -10,6 +10,7 @@
 use mastichaven_standins::direct::endpoint::Run;
 
 use super::fixture::Entry;
+use super::fixture::Program;
 use super::fixture::Site;
 use super::fixture::until;
 
@@ -24,6 +25,9 @@
 /// Time after an entry has received a limit from which its requests count.
 const LEARNING_TIME: Duration = Duration::from_millis(500);
 
+/// Time after which an agent's count of the entries is complete.
+const COUNT_SETTLE_TIME: Duration = Duration::from_secs(2);
+
 /// Sends requests to `path` through all entries in turn for `duration`. Returns the number of
 /// answers with success, and the shortest delay after which a refused caller may return.
 fn send_for(entries: &[&Entry], path: &str, duration: Duration) -> (usize, Option<f64>) {
@@ -83,25 +87,87 @@
 // callers must be answered by the other endpoint.
 #[test]
 fn requests_over_limit_go_to_another_endpoint() {
-    let site = Site::start();
-    let limited = site.start_endpoint("i-limited", "writer", Some(1));
-    let other = site.start_endpoint("i-other", "writer", Some(1));
-    let _agents = [site.start_agent("limit-a", &limited), site.start_agent("limit-b", &other)];
-    let entries = [site.start_entry("limit-1"), site.start_entry("limit-2")];
-    let entries: Vec<&Entry> = entries.iter().collect();
-    until("both entries receive reports of both agents", || {
-        entries.iter().all(|entry| {
-            let dump = entry.dump();
-            let all = dump["endpoints"].as_array().cloned().unwrap_or_default();
-            all.iter().filter(|endpoint| endpoint["report_age_ms"].is_u64()).count() == 2
-        })
-    });
-    let from = name_limit(&limited, &entries, "/stream/a");
-    let (answered, shortest) = send_for(&entries, "/stream/a", LIMIT_WINDOW * 2);
+    let site = LimitedSite::start("limit");
+    let from = name_limit(&site.limited, &site.entries(), "/stream/a");
+    let (answered, shortest) = send_for(&site.entries(), "/stream/a", LIMIT_WINDOW * 2);
     assert_eq!(shortest, None);
     assert!(answered > 20, "{answered}");
-    let peak = peak_runs(&limited.runs(), from);
-    assert!(peak <= allowed_runs(), "{peak} requests in {LIMIT_WINDOW:?}");
+    site.assert_limit_held(from);
+}
+
+/// A site with a limited endpoint and another one, their agents, and two entries that hear both.
+struct LimitedSite {
+    site: Site,
+    limited: FakeEndpoint,
+    _other: FakeEndpoint,
+    agents: Vec<Program>,
+    entries: Vec<Entry>,
+}
+
+impl LimitedSite {
+    fn start(test: &str) -> LimitedSite {
+        let site = Site::start();
+        let limited = site.start_endpoint("i-limited", "writer", Some(1));
+        let other = site.start_endpoint("i-other", "writer", Some(1));
+        let agents = vec![
+            site.start_agent(&format!("{test}-agent-a"), &limited),
+            site.start_agent(&format!("{test}-agent-b"), &other),
+        ];
+        let entries: Vec<Entry> =
+            (0..2).map(|n| site.start_entry(&format!("{test}-entry-{n}"))).collect();
+        let started = LimitedSite { site, limited, _other: other, agents, entries };
+        until("both entries receive reports of both agents", || {
+            started.entries.iter().all(|entry| hears_agents(entry, 2))
+        });
+        started
+    }
+
+    fn entries(&self) -> Vec<&Entry> {
+        self.entries.iter().collect()
+    }
+
+    /// Asserts that the limited endpoint has not got more requests since `from` than its limit allows.
+    fn assert_limit_held(&self, from: Instant) {
+        let peak = peak_runs(&self.limited.runs(), from);
+        assert!(peak <= allowed_runs(), "{peak} requests in {LIMIT_WINDOW:?}");
+    }
+}
+
+fn hears_agents(entry: &Entry, agents: usize) -> bool {
+    let dump = entry.dump();
+    let all = dump["endpoints"].as_array().cloned().unwrap_or_default();
+    all.iter().filter(|endpoint| endpoint["report_age_ms"].is_u64()).count() == agents
+}
+
+// Entries are cut off from each other and from the agents. Each must keep to its share of before.
+#[test]
+fn limit_holds_while_entries_hear_nobody() {
+    let mut site = LimitedSite::start("limit-cut");
+    until("the entries have a complete count", || {
+        site.entries.iter().all(|entry| entry.dump()["entries"] == 2)
+    });
+    thread::sleep(COUNT_SETTLE_TIME);
+    for agent in &mut site.agents {
+        agent.signal("KILL");
+        agent.wait();
+    }
+    let from = name_limit(&site.limited, &site.entries(), "/stream/a");
+    send_for(&site.entries(), "/stream/a", LIMIT_WINDOW * 2);
+    site.assert_limit_held(from);
+}
+
+// An entry restarts and knows neither the limit nor the number of entries at first.
+#[test]
+fn limit_holds_through_restart_of_an_entry() {
+    let mut site = LimitedSite::start("limit-restart");
+    let from = name_limit(&site.limited, &site.entries(), "/stream/a");
+    send_for(&site.entries(), "/stream/a", LIMIT_WINDOW / 2);
+    let mut stopped = site.entries.pop().expect("two entries");
+    stopped.program.signal("KILL");
+    stopped.program.wait();
+    site.entries.push(site.site.start_entry("limit-restart-again"));
+    send_for(&site.entries(), "/stream/a", LIMIT_WINDOW * 2);
+    site.assert_limit_held(from);
 }
 
 // The only endpoint has named a limit. Callers beyond it must be refused at once and told when to return.
