Agents tell how many entries share a request limit

An entry took the number of entries from the readers in the load report. An agent that has just started counts only those that it has heard, while its report counts as complete because entries tell it the size of the fleet: for up to 0.6 s the first readers would each have taken a much too large share. Read from the code, not seen in a run. The agent's notice of the limit now carries the count, which is that of all entries during the first 1.8 s of the agent.

--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -146,7 +146,6 @@
     credits: u32,
     is_accepting: bool,
     readers: u32,
-    is_count_complete: bool,
     ready_at: Option<Time>,
     timing: ReportTiming,
 }
@@ -295,7 +294,6 @@
             credits: (f64::from(free) * share + draw).floor() as u32,
             is_accepting: report.is_accepting,
             readers: report.readers.max(1),
-            is_count_complete: report.is_count_complete,
             ready_at: report.ready_in.map(|ready_in| timing.received_at + ready_in),
             timing,
         });
@@ -436,14 +434,6 @@
         &mut self.request_limit
     }
 
-    /// Time until the endpoint's request limit lets this entry send to it. Without a complete count
-    /// of the entries that send to it, `entries` share the limit.
-    pub(super) fn time_to_turn(&mut self, entries: u32, draw: f64, now: Time) -> Duration {
-        let load = self.load.as_ref().filter(|load| load.is_fresh(now) && load.is_count_complete);
-        let entries = load.map_or(entries, |load| load.readers);
-        self.request_limit.time_to_turn(entries, draw, now)
-    }
-
     /// The present state as JSON, for the dump of an entry.
     pub(super) fn dump(&self, now: Time) -> serde_json::Value {
         let load = self.load.as_ref();
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -319,12 +319,15 @@
     }
 
     /// Applies what the agent of the endpoint at `address` relays about its request limit, of the
-    /// process that started at `started_ms`. Returns the id of the endpoint if its limit has changed.
+    /// process that started at `started_ms`, and its count of the entries that share it. Returns the
+    /// id of the endpoint if its limit has changed.
     pub fn apply_relayed_limit(
         &mut self,
         address: SocketAddr,
         started_ms: u64,
         statement: LimitStatement,
+        sharers: Option<u32>,
+        now: Time,
     ) -> Option<SmolStr> {
         let keys = self.by_address.get(&address)?;
         let key = *keys.iter().find(|key| {
@@ -332,7 +335,11 @@
             endpoint.is_some_and(|endpoint| !endpoint.is_other_process(started_ms))
         })?;
         let endpoint = self.endpoints.get_mut(key)?;
-        let has_changed = endpoint.request_limit_mut().apply_relayed(statement);
+        let limit = endpoint.request_limit_mut();
+        if let Some(sharers) = sharers {
+            limit.record_sharers(sharers, now);
+        }
+        let has_changed = limit.apply_relayed(statement);
         has_changed.then(|| endpoint.record().id.clone())
     }
 
--- a/core/src/direct/endpoint_table/selection.rs
+++ b/core/src/direct/endpoint_table/selection.rs
@@ -143,7 +143,9 @@
         let entries = self.entry_count.for_limits();
         let endpoint = self.endpoints.get_mut(key);
         let limited = endpoint.filter(|endpoint| endpoint.request_limit().per_second().is_some());
-        limited.map_or(Duration::ZERO, |endpoint| endpoint.time_to_turn(entries, rng.random(), now))
+        limited.map_or(Duration::ZERO, |endpoint| {
+            endpoint.request_limit_mut().time_to_turn(entries, rng.random(), now)
+        })
     }
 
     /// Load of an endpoint in requests, plus a penalty for distance; `None` while it is full.
--- a/core/src/direct/request_limit.rs
+++ b/core/src/direct/request_limit.rs
@@ -34,6 +34,9 @@
 /// that is never asked could not say that its limit has ended.
 const MIN_RATE: f64 = 0.05;
 
+/// Age up to which an agent's count of the entries that share a limit is used.
+const SHARERS_TTL: Duration = Duration::from_secs(1);
+
 /// Rate from which a limit never binds, in requests per second.
 const MAX_RATE: f64 = 1e6;
 
@@ -44,6 +47,8 @@
     own: Option<LimitStatement>,
     /// From the endpoint's agent, which relays the statements of all entries.
     relayed: Option<LimitStatement>,
+    /// Entries that share the limit, as counted by the agent, and when the count arrived.
+    sharers: Option<(u32, Time)>,
     pacer: TurnPacer,
 }
 
@@ -89,10 +94,17 @@
         self.own.filter(|own| own.per_second.is_some() || self.relayed.is_some())
     }
 
-    /// Time until this entry, one of `entries` that share the limit, may send a request; zero if it
-    /// may send now. `draw` from 0 to 1 sets the offset of its first turn.
+    /// Records how many entries share the limit according to the endpoint's agent.
+    pub fn record_sharers(&mut self, entries: u32, now: Time) {
+        self.sharers = Some((entries, now));
+    }
+
+    /// Time until this entry may send a request; zero if it may send now. Without a recent count of
+    /// the agent, `entries` share the limit. `draw` from 0 to 1 sets the offset of the first turn.
     pub fn time_to_turn(&mut self, entries: u32, draw: f64, now: Time) -> Duration {
         let rate = self.per_second().map(|limit| limit.max(MIN_RATE));
+        let counted = self.sharers.filter(|(_, at)| !now.passed(*at, SHARERS_TTL));
+        let entries = counted.map_or(entries, |(sharers, _)| sharers);
         match rate.filter(|rate| *rate < MAX_RATE) {
             Some(rate) => self.pacer.time_to_turn(rate, entries, draw, now),
             None => Duration::ZERO,
--- a/core/src/direct/subscribers.rs
+++ b/core/src/direct/subscribers.rs
@@ -107,6 +107,16 @@
         self.live(now).filter(|(_, subscriber)| subscriber.wants_reports).count()
     }
 
+    /// Number of entries that share a limit of the endpoint: those that receive load reports. An agent that has
+    /// just started has not heard all of them and returns the count of all entries; `None` if it has none.
+    pub fn sharers(&self, started: Time, now: Time) -> Option<u32> {
+        if now.passed(started, COUNT_SETTLE_DELAY) {
+            return Some(self.readers(now) as u32);
+        }
+        let count = self.count(started, now);
+        count.is_complete.then_some(count.entries)
+    }
+
     /// Recipients of the current report. Entries of other regions are included only if `to_all_regions`.
     pub fn receivers(
         &self,
--- a/core/tests/direct/endpoint_table/selection.rs
+++ b/core/tests/direct/endpoint_table/selection.rs
@@ -334,7 +334,8 @@
         table.apply_report(address(n), &report, now(0), ROUND_TRIP, DRAW, now(0));
     }
     let statement = LimitStatement { per_second: Some(1.0), at: now(0) };
-    assert!(table.apply_limit(limited, statement));
+    let changed = table.apply_relayed_limit(address(1), 0, statement, Some(readers), now(0));
+    assert_eq!(changed, Some("i-1".into()));
     (table, limited)
 }
 
@@ -367,6 +368,8 @@
     assert!(opens_in <= Duration::from_secs(10), "{opens_in:?}");
     let report = report_shared_by(8, 0);
     table.apply_report(address(1), &report, turn, ROUND_TRIP, DRAW, turn);
+    let statement = LimitStatement { per_second: Some(1.0), at: now(0) };
+    table.apply_relayed_limit(address(1), 0, statement, Some(8), turn);
     assert_eq!(choose_with(&mut table, turn, &mut rng), Ok(limited));
     table.record_sent(limited, turn);
     assert!(matches!(choose_with(&mut table, turn, &mut rng), Err(Unavailable::Limited { .. })));
@@ -378,8 +381,11 @@
     let mut table = table();
     table.upsert(EndpointRecord { started_ms: 20, ..record(1, "lagoa") }, now(0));
     let statement = LimitStatement { per_second: Some(1.0), at: now(5) };
-    assert_eq!(table.apply_relayed_limit(address(1), 10, statement), None);
-    assert_eq!(table.apply_relayed_limit(address(1), 20, statement), Some("i-1".into()));
-    assert_eq!(table.apply_relayed_limit(address(1), 20, statement), None);
+    assert_eq!(table.apply_relayed_limit(address(1), 10, statement, None, now(6)), None);
+    assert_eq!(
+        table.apply_relayed_limit(address(1), 20, statement, None, now(6)),
+        Some("i-1".into())
+    );
+    assert_eq!(table.apply_relayed_limit(address(1), 20, statement, None, now(6)), None);
     assert_eq!(table.limits_to_relay().count(), 0);
 }
--- a/core/tests/direct/request_limit.rs
+++ b/core/tests/direct/request_limit.rs
@@ -108,6 +108,18 @@
     assert!(limit.time_to_turn(8, 0.9, now(40)).is_zero());
 }
 
+// The endpoint's agent counts the entries that send to it. Its count is used while it is recent.
+#[test]
+fn time_to_turn_prefers_recent_count_of_agent() {
+    let mut limit = RequestLimit::default();
+    limit.apply_own(statement(Some(1.0), 0));
+    limit.record_sharers(2, now(0));
+    assert_eq!(limit.time_to_turn(8, 0.8, now(0)), Duration::from_secs(2));
+    limit.record_sharers(2, now(500));
+    assert_eq!(limit.time_to_turn(8, 0.8, now(1_000)), Duration::from_secs(1));
+    assert_eq!(limit.time_to_turn(8, 0.8, now(1_600)), Duration::from_millis(6_400));
+}
+
 // Answers overtake each other: one to a request that was sent before the limit was named arrives
 // after it and must not end it.
 #[test]
--- a/core/tests/direct/subscribers.rs
+++ b/core/tests/direct/subscribers.rs
@@ -126,6 +126,28 @@
     );
 }
 
+// An agent restarts and hears one of eight entries first. If that one took the whole limit, and the others as they
+// are heard, the endpoint would get many times its limit for half a second.
+#[test]
+fn sharers_of_new_agent_include_entries_not_heard_yet() {
+    let mut subscribers = Subscribers::default();
+    let counted = Subscriber { entries: Some(8), ..subscriber(None, 0, 1_100) };
+    subscribers.renew(address(1), counted);
+    assert_eq!(subscribers.readers(now(1_200)), 1);
+    assert_eq!(subscribers.sharers(now(1_000), now(1_200)), Some(8));
+    let uncounted = Subscriber { wants_reports: false, ..subscriber(None, 0, 2_900) };
+    subscribers.renew(address(2), uncounted);
+    subscribers.renew(address(1), Subscriber { received_at: now(2_900), ..counted });
+    assert_eq!(subscribers.sharers(now(1_000), now(2_900)), Some(1));
+}
+
+#[test]
+fn sharers_are_unknown_without_a_count() {
+    let mut subscribers = Subscribers::default();
+    renew(&mut subscribers, 1, None, 1_100);
+    assert_eq!(subscribers.sharers(now(1_000), now(1_200)), None);
+}
+
 // Guards against a fleet that drains all endpoints at once because a single entry has just started and treats
 // the bound of a newly announced version as expired.
 #[test]
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -188,7 +188,8 @@
         let port = self.endpoint_client.address().port();
         let (relay, root) = (report.relay, report.root);
         let limit = self.request_limit.get();
-        let limit = limit.map(|limit| LimitNotice::new(report.started_ms, limit, now));
+        let sharers = self.subscribers.borrow().sharers(self.started_at, now);
+        let limit = limit.map(|limit| LimitNotice::new(report.started_ms, limit, sharers, now));
         let report = Some(report).filter(|_| setup != 0);
         let announced = self.recent_announcements(now);
         let mut msg =
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -86,13 +86,21 @@
     pub per_second: Option<f64>,
     /// Time since the endpoint said so, in milliseconds.
     pub age_ms: u32,
+    /// Entries that share the limit, as counted by the agent; `None` if it has no complete count, and
+    /// in notices of entries.
+    pub sharers: Option<u32>,
 }
 
 impl LimitNotice {
     /// The notice of a statement of the process that started at `started_ms`.
-    pub fn new(started_ms: u64, statement: LimitStatement, now: Time) -> LimitNotice {
+    pub fn new(
+        started_ms: u64,
+        statement: LimitStatement,
+        sharers: Option<u32>,
+        now: Time,
+    ) -> LimitNotice {
         let age_ms = u32::try_from(statement.age(now).as_millis()).unwrap_or(u32::MAX);
-        LimitNotice { started_ms, per_second: statement.per_second, age_ms }
+        LimitNotice { started_ms, per_second: statement.per_second, age_ms, sharers }
     }
 
     /// The statement, as seen by the receiver; `None` if it is older than the receiver's clock.
@@ -237,7 +245,9 @@
             return;
         };
         let mut endpoints = self.endpoints.borrow_mut();
-        if let Some(id) = endpoints.apply_relayed_limit(address, limit.started_ms, statement) {
+        let (started_ms, sharers) = (limit.started_ms, limit.sharers);
+        let changed = endpoints.apply_relayed_limit(address, started_ms, statement, sharers, now);
+        if let Some(id) = changed {
             self.record_limit_change(&id, statement.per_second, "agent");
         }
     }
@@ -321,7 +331,7 @@
     let limits: HashMap<SocketAddr, LimitNotice> = endpoints
         .limits_to_relay()
         .map(|(address, started_ms, statement)| {
-            (address, LimitNotice::new(started_ms, statement, state.now()))
+            (address, LimitNotice::new(started_ms, statement, None, state.now()))
         })
         .collect();
     setup_ids.borrow_mut().retain(|address, _| endpoints.has_address(*address));
--- a/node/tests/direct/limits.rs
+++ b/node/tests/direct/limits.rs
@@ -234,7 +234,7 @@
     };
     let bytes = postcard::to_stdvec(&msg).unwrap();
     assert_eq!(decode::<ReportMessage>(&bytes), Some((msg.clone(), None)));
-    let limit = LimitNotice { started_ms: 9, per_second: Some(2.2), age_ms: 40 };
+    let limit = LimitNotice { started_ms: 9, per_second: Some(2.2), age_ms: 40, sharers: Some(8) };
     let extended = append_notice(bytes, Some(limit)).unwrap();
     assert_eq!(decode::<ReportMessage>(&extended), Some((msg.clone(), Some(limit))));
     assert_eq!(postcard::from_bytes::<ReportMessage>(&extended), Ok(msg));
