Agents deal the turns at endpoints with a request limit

The endpoint's agent now divides its clock into slots that add up to 0.8 of the limit, gives them to its readers in rotation and tells each its place in the notice of the limit. Entries that have not heard it for a second take turns at random offsets as before, which add up to half of the limit; where each entry has a request a second or more the offsets do not matter and the share stays 0.8.

--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -20,6 +20,7 @@
 use super::endpoint::LoadReport;
 use super::endpoint::ReportTiming;
 use super::request_limit::LimitStatement;
+use super::request_limit::Schedule;
 use super::shares::EntryCount;
 use crate::arena::Arena;
 use crate::ids::HostName;
@@ -319,14 +320,14 @@
     }
 
     /// Applies what the agent of the endpoint at `address` relays about its request limit, of the
-    /// process that started at `started_ms`, and its count of the entries that share it. Returns the
-    /// id of the endpoint if its limit has changed.
+    /// process that started at `started_ms`, and this entry's place in its schedule. Returns the id of
+    /// the endpoint if its limit has changed.
     pub fn apply_relayed_limit(
         &mut self,
         address: SocketAddr,
         started_ms: u64,
         statement: LimitStatement,
-        sharers: Option<u32>,
+        schedule: Option<Schedule>,
         now: Time,
     ) -> Option<SmolStr> {
         let keys = self.by_address.get(&address)?;
@@ -336,8 +337,8 @@
         })?;
         let endpoint = self.endpoints.get_mut(key)?;
         let limit = endpoint.request_limit_mut();
-        if let Some(sharers) = sharers {
-            limit.record_sharers(sharers, now);
+        if let Some(schedule) = schedule {
+            limit.record_schedule(schedule, now);
         }
         let has_changed = limit.apply_relayed(statement);
         has_changed.then(|| endpoint.record().id.clone())
--- a/core/src/direct/request_limit.rs
+++ b/core/src/direct/request_limit.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::shares::RATE_SHARE;
 use super::shares::TurnPacer;
 use crate::time::Time;
 
@@ -34,12 +38,65 @@
 /// that is never asked could not say that its limit has ended.
 const MIN_RATE: f64 = 0.05;
 
-/// Age up to which an agent's count of the entries that share a limit is used.
-const SHARERS_TTL: Duration = Duration::from_secs(1);
-
 /// Rate from which a limit never binds, in requests per second.
 const MAX_RATE: f64 = 1e6;
 
+/// Fraction of a limit that the slots of an agent's schedule add up to.
+const SLOT_SHARE: f64 = 0.8;
+
+/// Fraction of a limit that turns at random offsets add up to. Those of many entries may cluster.
+const RANDOM_SHARE: f64 = 0.5;
+
+/// Requests per second and entry from which an entry takes turns at a random offset although it has a
+/// schedule: with at least one turn a second, clusters stay small against the limit.
+const MIN_EVEN_RATE: f64 = 1.0;
+
+/// Minimum time for which a slot may be used.
+const MIN_SLOT_TTL: Duration = Duration::from_millis(200);
+
+/// Age up to which an agent's schedule is used. Agents send it several times a second.
+const SCHEDULE_TTL: Duration = Duration::from_secs(1);
+
+/// The place of one entry in the schedule in which an endpoint's agent lets entries take turns.
+///
+/// The agent's clock is divided into slots of equal length, which go to the entries in rotation.
+/// Offsets that entries draw by themselves would cluster now and then.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Schedule {
+    /// Number of entries that share the limit.
+    pub entries: u32,
+    /// Position of this entry among them, starting at 0.
+    pub position: u32,
+    /// The agent's clock in milliseconds.
+    pub clock_ms: u64,
+}
+
+impl Schedule {
+    /// Time until this entry's next unused slot of `slot_len`, and the number of that slot. The time
+    /// is zero while the slot may be used. `elapsed` is the age of the schedule.
+    fn next_slot(
+        &self,
+        slot_len: Duration,
+        elapsed: Duration,
+        last_used: Option<u64>,
+    ) -> (Duration, u64) {
+        let entries = u64::from(self.entries.max(1));
+        let clock = Duration::from_millis(self.clock_ms) + elapsed;
+        let current = clock.div_duration_f64(slot_len) as u64;
+        let position = u64::from(self.position) % entries;
+        let since_own = (current % entries + entries - position) % entries;
+        let start_of = |slot: u64| slot_len.mul_f64(slot as f64);
+        if let Some(own) = current.checked_sub(since_own) {
+            let is_open = clock.saturating_sub(start_of(own)) < slot_len.max(MIN_SLOT_TTL);
+            if is_open && last_used != Some(own) {
+                return (Duration::ZERO, own);
+            }
+        }
+        let next = current + entries - since_own;
+        (start_of(next).saturating_sub(clock), next)
+    }
+}
+
 /// The request limit of one endpoint, and the turns of this entry while there is one.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RequestLimit {
@@ -47,8 +104,11 @@
     own: Option<LimitStatement>,
     /// From the endpoint's agent, which relays the statements of all entries.
     relayed: Option<LimitStatement>,
-    /// Entries that share the limit, as counted by the agent, and when the count arrived.
-    sharers: Option<(u32, Time)>,
+    /// The agent's schedule, and when it arrived.
+    schedule: Option<(Schedule, Time)>,
+    /// The last slot of the schedule in which a request was sent.
+    last_used_slot: Option<u64>,
+    /// Turns without a schedule.
     pacer: TurnPacer,
 }
 
@@ -94,27 +154,52 @@
         self.own.filter(|own| own.per_second.is_some() || self.relayed.is_some())
     }
 
-    /// Records how many entries share the limit according to the endpoint's agent.
-    pub fn record_sharers(&mut self, entries: u32, now: Time) {
-        self.sharers = Some((entries, now));
+    /// Records this entry's place in the schedule of the endpoint's agent.
+    pub fn record_schedule(&mut self, schedule: Schedule, now: Time) {
+        self.schedule = Some((schedule, now));
     }
 
-    /// Time until this entry may send a request; zero if it may send now. Without a recent count of
-    /// the agent, `entries` share the limit. `draw` from 0 to 1 sets the offset of the first turn.
-    pub fn time_to_turn(&mut self, entries: u32, draw: f64, now: Time) -> Duration {
+    /// Rate that is kept to; `None` if no limit binds.
+    fn rate(&self) -> Option<f64> {
         let rate = self.per_second().map(|limit| limit.max(MIN_RATE));
-        let counted = self.sharers.filter(|(_, at)| !now.passed(*at, SHARERS_TTL));
-        let entries = counted.map_or(entries, |(sharers, _)| sharers);
-        match rate.filter(|rate| *rate < MAX_RATE) {
-            Some(rate) => self.pacer.time_to_turn(rate, entries, draw, now),
-            None => Duration::ZERO,
+        rate.filter(|rate| *rate < MAX_RATE)
+    }
+
+    /// The next slot of a recent schedule; `None` if turns come at a random offset instead.
+    fn next_slot(&self, rate: f64, now: Time) -> Option<(Duration, u64)> {
+        let (schedule, received_at) =
+            self.schedule.filter(|(_, received_at)| !now.passed(*received_at, SCHEDULE_TTL))?;
+        let slot_rate = rate * SLOT_SHARE;
+        let is_even = slot_rate >= f64::from(schedule.entries) * MIN_EVEN_RATE;
+        let slot_len = Duration::from_secs_f64(1.0 / slot_rate);
+        let elapsed = now.since(received_at);
+        (!is_even).then(|| schedule.next_slot(slot_len, elapsed, self.last_used_slot))
+    }
+
+    /// Time until this entry may send a request; zero if it may send now. Without a recent schedule,
+    /// `entries` share the limit, and `draw` from 0 to 1 sets the offset of this entry's first turn.
+    pub fn time_to_turn(&mut self, entries: u32, draw: f64, now: Time) -> Duration {
+        let Some(rate) = self.rate() else {
+            return Duration::ZERO;
+        };
+        if let Some((time_to_slot, _)) = self.next_slot(rate, now) {
+            return time_to_slot;
         }
+        let schedule = self.schedule.filter(|(_, at)| !now.passed(*at, SCHEDULE_TTL));
+        let entries = schedule.map_or(entries, |(schedule, _)| schedule.entries);
+        let is_even = rate * SLOT_SHARE >= f64::from(entries) * MIN_EVEN_RATE;
+        let share = if is_even { SLOT_SHARE } else { RANDOM_SHARE };
+        self.pacer.time_to_turn(rate * share / RATE_SHARE, entries, draw, now)
     }
 
     /// Records that a request is sent, which uses the turn.
     pub fn record_sent(&mut self, now: Time) {
-        if self.per_second().is_some() {
-            self.pacer.record_sent(now);
+        let Some(rate) = self.rate() else {
+            return;
+        };
+        match self.next_slot(rate, now) {
+            Some((_, slot)) => self.last_used_slot = Some(slot),
+            None => self.pacer.record_sent(now),
         }
     }
 }
--- a/core/src/direct/shares.rs
+++ b/core/src/direct/shares.rs
@@ -58,7 +58,7 @@
 
 /// Fraction of an endpoint's rate that the turns of all entries add up to. The rate may be exceeded
 /// by half at least; the rest covers entries that are not counted yet.
-const RATE_SHARE: f64 = 0.8;
+pub(super) const RATE_SHARE: f64 = 0.8;
 
 /// Time for which a turn stays usable if turns are more than [`MAX_KEPT_TURN_PERIOD`] apart. All
 /// entries would use saved turns at once, as soon as the last unlimited endpoint is gone.
--- a/core/src/direct/subscribers.rs
+++ b/core/src/direct/subscribers.rs
@@ -9,6 +9,7 @@
 use super::replication;
 use super::replication::Candidate;
 use super::replication::Offer;
+use super::request_limit::Schedule;
 use crate::time::Time;
 
 /// Time for which a subscription is valid after a request. Entries renew it every 300 ms, in other regions half
@@ -107,14 +108,19 @@
         self.live(now).filter(|(_, subscriber)| subscriber.wants_reports).count()
     }
 
-    /// Number of entries that share a limit of the endpoint: those that receive load reports. An agent that has
-    /// just started has not heard all of them and returns the count of all entries; `None` if it has none.
-    pub fn sharers(&self, started: Time, now: Time) -> Option<u32> {
-        if now.passed(started, COUNT_SETTLE_DELAY) {
-            return Some(self.readers(now) as u32);
-        }
-        let count = self.count(started, now);
-        count.is_complete.then_some(count.entries)
+    /// Schedule for a request limit of the endpoint, as sent to the entry at `receiver`. The entries that receive
+    /// load reports share the limit. An agent that has just started has not heard all of them and schedules all
+    /// entries of the fleet; `None` if it does not know their number either.
+    pub fn schedule(&self, receiver: SocketAddr, started: Time, now: Time) -> Option<Schedule> {
+        let readers = || self.live(now).filter(|(_, subscriber)| subscriber.wants_reports);
+        let entries = if now.passed(started, COUNT_SETTLE_DELAY) {
+            readers().count() as u32
+        } else {
+            let count = self.count(started, now);
+            count.is_complete.then_some(count.entries)?
+        };
+        let position = readers().filter(|(address, _)| *address < receiver).count() as u32;
+        Some(Schedule { entries, position, clock_ms: now.since(started).as_millis() as u64 })
     }
 
     /// Recipients of the current report. Entries of other regions are included only if `to_all_regions`.
--- a/core/tests/direct/endpoint_table/selection.rs
+++ b/core/tests/direct/endpoint_table/selection.rs
@@ -11,6 +11,7 @@
 use mastichaven_core::direct::endpoint_table::EndpointTable;
 use mastichaven_core::direct::endpoint_table::Unavailable;
 use mastichaven_core::direct::request_limit::LimitStatement;
+use mastichaven_core::direct::request_limit::Schedule;
 use mastichaven_core::ids::Revision;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::ZoneName;
@@ -334,7 +335,8 @@
         table.apply_report(address(n), &report, now(0), ROUND_TRIP, DRAW, now(0));
     }
     let statement = LimitStatement { per_second: Some(1.0), at: now(0) };
-    let changed = table.apply_relayed_limit(address(1), 0, statement, Some(readers), now(0));
+    let schedule = Schedule { entries: readers, position: readers - 1, clock_ms: 0 };
+    let changed = table.apply_relayed_limit(address(1), 0, statement, Some(schedule), now(0));
     assert_eq!(changed, Some("i-1".into()));
     (table, limited)
 }
@@ -369,7 +371,9 @@
     let report = report_shared_by(8, 0);
     table.apply_report(address(1), &report, turn, ROUND_TRIP, DRAW, turn);
     let statement = LimitStatement { per_second: Some(1.0), at: now(0) };
-    table.apply_relayed_limit(address(1), 0, statement, Some(8), turn);
+    let clock_ms = turn.since(now(0)).as_millis() as u64;
+    let schedule = Schedule { entries: 8, position: 7, clock_ms };
+    table.apply_relayed_limit(address(1), 0, statement, Some(schedule), turn);
     assert_eq!(choose_with(&mut table, turn, &mut rng), Ok(limited));
     table.record_sent(limited, turn);
     assert!(matches!(choose_with(&mut table, turn, &mut rng), Err(Unavailable::Limited { .. })));
--- a/core/tests/direct/subscribers.rs
+++ b/core/tests/direct/subscribers.rs
@@ -3,6 +3,7 @@
 
 use mastichaven_core::Time;
 use mastichaven_core::direct::replication::Offer;
+use mastichaven_core::direct::request_limit::Schedule;
 use mastichaven_core::direct::subscribers::ObservedEntryCount;
 use mastichaven_core::direct::subscribers::Subscriber;
 use mastichaven_core::direct::subscribers::Subscribers;
@@ -129,23 +130,41 @@
 // An agent restarts and hears one of eight entries first. If that one took the whole limit, and the others as they
 // are heard, the endpoint would get many times its limit for half a second.
 #[test]
-fn sharers_of_new_agent_include_entries_not_heard_yet() {
+fn schedule_of_new_agent_includes_entries_not_heard_yet() {
     let mut subscribers = Subscribers::default();
     let counted = Subscriber { entries: Some(8), ..subscriber(None, 0, 1_100) };
     subscribers.renew(address(1), counted);
     assert_eq!(subscribers.readers(now(1_200)), 1);
-    assert_eq!(subscribers.sharers(now(1_000), now(1_200)), Some(8));
+    let schedule = |subscribers: &Subscribers, ms: u64| {
+        subscribers.schedule(address(1), now(1_000), now(ms)).unwrap()
+    };
+    let expected = Schedule { entries: 8, position: 0, clock_ms: 200 };
+    assert_eq!(schedule(&subscribers, 1_200), expected);
     let uncounted = Subscriber { wants_reports: false, ..subscriber(None, 0, 2_900) };
     subscribers.renew(address(2), uncounted);
     subscribers.renew(address(1), Subscriber { received_at: now(2_900), ..counted });
-    assert_eq!(subscribers.sharers(now(1_000), now(2_900)), Some(1));
+    let expected = Schedule { entries: 1, position: 0, clock_ms: 1_900 };
+    assert_eq!(schedule(&subscribers, 2_900), expected);
 }
 
 #[test]
-fn sharers_are_unknown_without_a_count() {
+fn schedule_needs_a_count_of_entries() {
     let mut subscribers = Subscribers::default();
-    renew(&mut subscribers, 1, None, 1_100);
-    assert_eq!(subscribers.sharers(now(1_000), now(1_200)), None);
+    subscribers.renew(address(1), subscriber(None, 0, 1_100));
+    assert_eq!(subscribers.schedule(address(1), now(1_000), now(1_200)), None);
+}
+
+#[test]
+fn schedule_gives_each_reader_its_own_position() {
+    let mut subscribers = Subscribers::default();
+    for n in [3, 1, 2] {
+        subscribers.renew(address(n), subscriber(None, 0, 4_900));
+    }
+    subscribers
+        .renew(address(4), Subscriber { wants_reports: false, ..subscriber(None, 0, 4_900) });
+    let place = |n: u8| subscribers.schedule(address(n), now(0), now(5_000)).unwrap();
+    assert_eq!([1, 2, 3].map(|n| place(n).position), [0, 1, 2]);
+    assert!([1, 2, 3].iter().all(|n| place(*n).entries == 3));
 }
 
 // Guards against a fleet that drains all endpoints at once because a single entry has just started and treats
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -186,15 +186,14 @@
     ) {
         let now = self.clock.now();
         let port = self.endpoint_client.address().port();
-        let (relay, root) = (report.relay, report.root);
+        let (relay, root, started_ms) = (report.relay, report.root, report.started_ms);
         let limit = self.request_limit.get();
-        let sharers = self.subscribers.borrow().sharers(self.started_at, now);
-        let limit = limit.map(|limit| LimitNotice::new(report.started_ms, limit, sharers, now));
         let report = Some(report).filter(|_| setup != 0);
         let announced = self.recent_announcements(now);
         let mut msg =
             ReportMessage { port, report, request_sent_us: 0, held_us: 0, setup, announced };
-        for (address, subscriber) in self.subscribers.borrow().receivers(to_all_regions, now) {
+        let subscribers = self.subscribers.borrow();
+        for (address, subscriber) in subscribers.receivers(to_all_regions, now) {
             // Entries of other regions have their own relay and receive the root from agents there.
             if let Some(report) = &mut msg.report {
                 report.relay = relay.filter(|_| !subscriber.is_far);
@@ -202,7 +201,11 @@
             }
             msg.request_sent_us = subscriber.request_sent_us;
             msg.held_us = now.since(subscriber.received_at).as_micros() as u64;
-            match postcard::to_stdvec(&msg).and_then(|bytes| append_notice(bytes, limit)) {
+            let notice = limit.map(|limit| {
+                let schedule = subscribers.schedule(address, self.started_at, now);
+                LimitNotice::new(started_ms, limit, schedule, now)
+            });
+            match postcard::to_stdvec(&msg).and_then(|bytes| append_notice(bytes, notice)) {
                 // Datagrams may be lost; the next report replaces this one.
                 Ok(bytes) => drop(socket.try_send_to(&bytes, address)),
                 Err(e) => {
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -23,6 +23,7 @@
 use mastichaven_core::direct::replication::Offer;
 use mastichaven_core::direct::replication::time_before;
 use mastichaven_core::direct::request_limit::LimitStatement;
+use mastichaven_core::direct::request_limit::Schedule;
 use mastichaven_core::direct::versions::CurrentWeights;
 use mastichaven_core::ids::ServiceName;
 use rand::RngExt;
@@ -86,9 +87,9 @@
     pub per_second: Option<f64>,
     /// Time since the endpoint said so, in milliseconds.
     pub age_ms: u32,
-    /// Entries that share the limit, as counted by the agent; `None` if it has no complete count, and
-    /// in notices of entries.
-    pub sharers: Option<u32>,
+    /// The receiver's place in the agent's schedule; `None` if the agent does not know the number of
+    /// entries, and in notices of entries.
+    pub schedule: Option<Schedule>,
 }
 
 impl LimitNotice {
@@ -96,11 +97,11 @@
     pub fn new(
         started_ms: u64,
         statement: LimitStatement,
-        sharers: Option<u32>,
+        schedule: Option<Schedule>,
         now: Time,
     ) -> LimitNotice {
         let age_ms = u32::try_from(statement.age(now).as_millis()).unwrap_or(u32::MAX);
-        LimitNotice { started_ms, per_second: statement.per_second, age_ms, sharers }
+        LimitNotice { started_ms, per_second: statement.per_second, age_ms, schedule }
     }
 
     /// The statement, as seen by the receiver; `None` if it is older than the receiver's clock.
@@ -245,8 +246,8 @@
             return;
         };
         let mut endpoints = self.endpoints.borrow_mut();
-        let (started_ms, sharers) = (limit.started_ms, limit.sharers);
-        let changed = endpoints.apply_relayed_limit(address, started_ms, statement, sharers, now);
+        let (started_ms, schedule) = (limit.started_ms, limit.schedule);
+        let changed = endpoints.apply_relayed_limit(address, started_ms, statement, schedule, now);
         if let Some(id) = changed {
             self.record_limit_change(&id, statement.per_second, "agent");
         }
--- a/node/tests/direct/limits.rs
+++ b/node/tests/direct/limits.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mastichaven_core::direct::request_limit::Schedule;
 use mastichaven_node::direct::load_reports::LimitNotice;
 use mastichaven_node::direct::load_reports::ReportMessage;
 use mastichaven_node::direct::load_reports::append_notice;
@@ -234,7 +235,8 @@
     };
     let bytes = postcard::to_stdvec(&msg).unwrap();
     assert_eq!(decode::<ReportMessage>(&bytes), Some((msg.clone(), None)));
-    let limit = LimitNotice { started_ms: 9, per_second: Some(2.2), age_ms: 40, sharers: Some(8) };
+    let schedule = Some(Schedule { entries: 8, position: 3, clock_ms: 1_200 });
+    let limit = LimitNotice { started_ms: 9, per_second: Some(2.2), age_ms: 40, schedule };
     let extended = append_notice(bytes, Some(limit)).unwrap();
     assert_eq!(decode::<ReportMessage>(&extended), Some((msg.clone(), Some(limit))));
     assert_eq!(postcard::from_bytes::<ReportMessage>(&extended), Ok(msg));
