Failing test: turns of hundreds of entries at a cold endpoint cluster

Found while looking for the cause of the exceeded request limits elsewhere: entries draw the offsets of their turns at cold endpoints independently.

--- a/core/tests/direct/shares.rs
+++ b/core/tests/direct/shares.rs
@@ -147,3 +147,13 @@
     count.record_count(3, now(2_100));
     assert_eq!(count.for_limits(), 3);
 }
+
+// Entries draw the offsets of their turns independently, so that those of hundreds of entries cluster now and then.
+#[test]
+fn may_send_holds_limit_for_clustered_turns() {
+    let always = simulate_sends(381, 14.0, 54, |_| true);
+    let in_bursts = simulate_sends(381, 14.0, 42, |ms| ms % 5_000 >= 4_000);
+    for most in [max_per_second(&always), max_per_second(&in_bursts)] {
+        assert!(most <= MAX_COLD_PER_SECOND, "{most} requests in one second from 381 entries");
+    }
+}
