Entries log which request was running when an endpoint crashed

A broken connection was logged alike whether the endpoint had ended, had reset this connection or had cut its response short, and nothing in the log was the same in two attempts of one request. An entry now probes the address of an endpoint whose connection broke: if its host refuses the connection, no process listens, and the line names the fingerprint of each request that was in progress. Requests that break off together share a probe. No decision depends on it yet.

--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -230,6 +230,10 @@
         self.affinity
     }
 
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
     pub(super) fn is_in_subset(&self) -> bool {
         self.is_in_subset
     }
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -275,6 +275,11 @@
         self.by_id.is_empty()
     }
 
+    /// Number of requests of this entry that an endpoint has not finished.
+    pub fn in_flight(&self, key: EndpointKey) -> u32 {
+        self.endpoints.get(key).map_or(0, Endpoint::in_flight)
+    }
+
     /// Records that a request is sent to the endpoint.
     pub fn record_sent(&mut self, key: EndpointKey, now: Time) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -8,6 +8,7 @@
 //! never refused.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -25,6 +26,43 @@
 /// How long a request stays a suspect after its last crash.
 const SUSPICION_TTL: Duration = Duration::from_secs(600);
 
+/// Length of the digest in a [`Fingerprint`], in bytes.
+const FINGERPRINT_LEN: usize = 16;
+
+/// Purpose of the keys of fingerprints, which keeps them apart from other digests.
+const FINGERPRINT_CONTEXT: &str = "mastichaven request fingerprint";
+
+/// Identifies a request across the attempts of its caller.
+///
+/// The digest is keyed with the customer, so that nobody can make a request that is taken for one of another customer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Fingerprint {
+    customer: u32,
+    request: [u8; FINGERPRINT_LEN],
+}
+
+impl Fingerprint {
+    /// The fingerprint of a request that consists of `parts`, sent by `customer`; anonymous callers share the
+    /// empty name.
+    pub fn new(customer: &str, parts: &[&[u8]]) -> Fingerprint {
+        let key = blake3::derive_key(FINGERPRINT_CONTEXT, customer.as_bytes());
+        let mut hasher = blake3::Hasher::new_keyed(&key);
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes()).update(part);
+        }
+        let mut request = [0; FINGERPRINT_LEN];
+        request.copy_from_slice(&hasher.finalize().as_bytes()[..FINGERPRINT_LEN]);
+        let [a, b, c, d, ..] = key;
+        Fingerprint { customer: u32::from_le_bytes([a, b, c, d]), request }
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.request.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
 /// Report of a crash, sent between entries.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Crash {
--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -14,6 +14,7 @@
 pub mod chunk_cache;
 mod chunk_server;
 pub mod connection;
+pub mod crashes;
 pub mod endpoint_client;
 pub mod entry;
 pub mod explain;
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -26,6 +26,7 @@
 use super::connection;
 use super::connection::ConnectionError;
 use super::connection::HttpConnection;
+use super::crashes::record_lost_attempt;
 use super::pool;
 use super::state::InFlightGuard;
 use super::state::State;
@@ -130,7 +131,7 @@
         }
         Err(e) => {
             history.may_have_run = true;
-            record_failed_attempt(state, call, &record, endpoint, e, "head");
+            record_lost_attempt(state, call, &record, endpoint, e, "head").await;
             return AttemptOutcome::Lost(e);
         }
     };
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request while an entry handles it, and the errors it may end with.
 
+use std::cell::OnceCell;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use mastichaven_core::direct::catalog::Route;
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::ids::ServiceName;
+use mastichaven_core::quarantine::Fingerprint;
 use mastichaven_platform::call::CallHead;
 use smol_str::SmolStr;
 
@@ -46,6 +48,22 @@
     pub read_time: Duration,
     /// When the caller stops waiting, at the latest after the timeout of the route.
     pub deadline: Time,
+    /// [`Call::fingerprint`] once it has been computed.
+    pub cached_fingerprint: OnceCell<Fingerprint>,
+}
+
+impl Call {
+    /// Fingerprint of the request, which is the same in each attempt of its caller.
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.cached_fingerprint.get_or_init(|| {
+            let customer = self.customer.as_ref().map_or("", |customer| customer.name.as_str());
+            let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+            let host = self.head.host.as_bytes();
+            let parts =
+                [host, self.method.as_str().as_bytes(), path.as_bytes(), self.body.as_ref()];
+            Fingerprint::new(customer, &parts)
+        })
+    }
 }
 
 /// Why no endpoint answered a request.
--- /dev/null
+++ b/node/src/direct/crashes.rs
@@ -0,0 +1,91 @@
+//! Detects that the process of an endpoint has ended while it had requests in progress.
+//!
+//! A broken connection alone does not show that: endpoints also reset single connections and cut responses short.
+//! If the host then refuses a new connection, no process listens any more. A host without power, or behind a
+//! cut link, refuses nothing.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mastichaven_core::Time;
+use mastichaven_core::direct::endpoint::EndpointKey;
+use mastichaven_core::direct::endpoint::EndpointRecord;
+use smol_str::SmolStr;
+use tokio::net::TcpStream;
+use tokio::sync::OnceCell;
+use tokio::time::timeout;
+
+use super::attempt::record_failed_attempt;
+use super::call::Call;
+use super::connection::ConnectionError;
+use super::state::State;
+
+/// Timeout of a probe. A host that is reachable refuses a connection within a round trip.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Time for which the result of a probe is used for other requests whose connection breaks.
+const PROBE_TTL: Duration = Duration::from_millis(100);
+
+#[derive(Debug)]
+struct Probe {
+    started_at: Time,
+    has_ended: Rc<OnceCell<bool>>,
+}
+
+/// Recent probes by the id of the endpoint. Requests that were in progress together share one.
+#[derive(Debug, Default)]
+pub struct Probes {
+    by_endpoint: RefCell<HashMap<SmolStr, Probe>>,
+}
+
+impl Probes {
+    /// The probe of an endpoint: a recent one, or a new one that has no result yet.
+    fn of(&self, record: &EndpointRecord, now: Time) -> Rc<OnceCell<bool>> {
+        let mut probes = self.by_endpoint.borrow_mut();
+        probes.retain(|_, probe| !now.passed(probe.started_at, PROBE_TTL));
+        let probe = probes
+            .entry(record.id.clone())
+            .or_insert_with(|| Probe { started_at: now, has_ended: Rc::default() });
+        probe.has_ended.clone()
+    }
+
+    /// Whether the process of an endpoint has ended.
+    async fn has_ended(&self, record: &EndpointRecord, now: Time) -> bool {
+        let has_ended = self.of(record, now);
+        *has_ended.get_or_init(|| refuses_connections(record.address)).await
+    }
+}
+
+/// Whether the host of `address` is reachable and no process listens there.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+/// Records an attempt whose response was lost, as [`record_failed_attempt`] does, and finds out whether its
+/// endpoint has crashed.
+pub(super) async fn record_lost_attempt(
+    state: &State,
+    call: &Call,
+    record: &EndpointRecord,
+    endpoint: EndpointKey,
+    e: ConnectionError,
+    at: &'static str,
+) {
+    // An endpoint that leaves ends by itself.
+    let may_have_crashed =
+        e == ConnectionError::Broken && state.endpoints.borrow().is_routable(endpoint);
+    let beside = state.endpoints.borrow().in_flight(endpoint).saturating_sub(1);
+    record_failed_attempt(state, call, record, endpoint, e, at);
+    if may_have_crashed && state.probes.has_ended(record, state.now()).await {
+        state.metrics.count("requests_crashed");
+        slog::warn!(state.log, "endpoint crashed while running a request";
+            "id" => call.head.id.as_deref().unwrap_or_default(),
+            "request" => call.fingerprint().to_string(),
+            "endpoint" => record.id.as_str(), "beside" => beside);
+    }
+}
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -14,7 +14,6 @@
 use super::attempt::AttemptOutcome;
 use super::attempt::AttemptResponse;
 use super::attempt::MAX_RESPONSE_LEN;
-use super::attempt::record_failed_attempt;
 use super::attempt::send_to_endpoint;
 use super::call::Call;
 use super::call::CallError;
@@ -22,6 +21,7 @@
 use super::call::Result;
 use super::connection;
 use super::connection::ConnectionError;
+use super::crashes::record_lost_attempt;
 use super::pool;
 use super::response_body::ResponseBody;
 use super::selection::next_endpoint;
@@ -127,7 +127,7 @@
     let body = match body.unwrap_or(Err(ConnectionError::TimedOut)) {
         Ok(body) => body,
         Err(e) => {
-            record_failed_attempt(state, call, &record, place.endpoint, e, "body");
+            record_lost_attempt(state, call, &record, place.endpoint, e, "body").await;
             return Err(e);
         }
     };
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -1,6 +1,7 @@
 //! Handles requests of callers: validates and authenticates them, reads their bodies and forwards
 //! them.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -162,6 +163,7 @@
         received_at,
         read_time: state.now().since(received_at),
         deadline: received_at + time_limit,
+        cached_fingerprint: OnceCell::new(),
     })
 }
 
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -34,6 +34,7 @@
 use tokio::sync::Notify;
 
 use super::chunk_cache::ChunkCache;
+use super::crashes::Probes;
 use super::followers::Publisher;
 use super::metrics::Metrics;
 use super::pool::ConnectionPool;
@@ -87,6 +88,8 @@
     pub versions: RefCell<HashMap<SmolStr, Versions>>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
+    /// Recent probes of endpoints whose connections broke.
+    pub probes: Probes,
     /// Notified when an endpoint may accept another request.
     pub capacity_freed: Notify,
     /// Notified when agents must learn of a new version or request limit at once.
@@ -146,6 +149,7 @@
             freshness: RefCell::new(Freshness::new(lease)),
             versions: RefCell::default(),
             pool: ConnectionPool::default(),
+            probes: Probes::default(),
             capacity_freed: Notify::new(),
             requests_due: Notify::new(),
             is_stopping: Cell::new(false),
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -15,11 +15,11 @@
 use super::attempt::AttemptOutcome;
 use super::attempt::AttemptResponse;
 use super::attempt::FIRST_EVENT_TIMEOUT;
-use super::attempt::record_failed_attempt;
 use super::attempt::send_to_endpoint;
 use super::call::Call;
 use super::call::CallHistory;
 use super::connection::ConnectionError;
+use super::crashes::record_lost_attempt;
 use super::pool;
 use super::response_body::ResponseAborted;
 use super::response_body::ResponseBody;
@@ -56,14 +56,15 @@
         Ok(first) => first,
         Err(e) => {
             history.may_have_run = true;
-            record_failed_attempt(
+            record_lost_attempt(
                 state,
                 call,
                 &response.record,
                 response.place.endpoint,
                 e,
                 "first event",
-            );
+            )
+            .await;
             return Err(e);
         }
     };
@@ -132,14 +133,15 @@
                 return;
             }
             StreamEnd::Broken(e) => {
-                record_failed_attempt(
+                record_lost_attempt(
                     &state,
                     &call,
                     &response.record,
                     response.place.endpoint,
                     e,
                     "stream",
-                );
+                )
+                .await;
             }
         }
         drop(response);
