Failing test: a request that crashes endpoints is sent on to others

Callers of a service lose its endpoints for seconds, again and again, to a single request that its caller repeats. Stand-in endpoints can crash on a request now: they refuse connections, close those that are open, and start again.

--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -284,9 +284,21 @@
         path: &str,
         id: &str,
         key: &str,
+    ) -> Result<Response, ConnectionError> {
+        self.send_body(path, id, key, "the body")
+    }
+
+    /// Sends a request with `key` and `body`; fails if there is no complete response.
+    pub fn send_body(
+        &self,
+        path: &str,
+        id: &str,
+        key: &str,
+        body: &str,
     ) -> Result<Response, ConnectionError> {
         let method = if path.starts_with("/lookup/") { "GET" } else { "POST" };
-        let mut req = connection::build_request(method, self.callers, path, "the body".into());
+        let body = body.to_owned().into();
+        let mut req = connection::build_request(method, self.callers, path, body);
         for (name, value) in site::caller_headers(id, key) {
             req.headers_mut().insert(name, value.parse().expect("a valid value"));
         }
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod chunk_cache;
 mod connection;
+mod crashes;
 mod entry;
 mod explain;
 mod fixture;
--- a/standins/src/direct/endpoint.rs
+++ b/standins/src/direct/endpoint.rs
@@ -7,6 +7,9 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -89,18 +92,29 @@
     request_limit: Option<f64>,
     order_delay: Option<Duration>,
     delayed_orders: u64,
+    crash_marker: Option<Vec<u8>>,
+    crashed_at: Option<Instant>,
 }
 
 #[derive(Debug)]
 struct Shared {
     id: String,
     state: Mutex<State>,
+    stop_flag: OnceLock<Arc<AtomicBool>>,
 }
 
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of this lock panics")
     }
+
+    /// Ends the endpoint as when its process crashes: it refuses connections and closes those that are open.
+    fn crash(&self) {
+        self.lock().crashed_at.get_or_insert_with(Instant::now);
+        if let Some(stop_flag) = self.stop_flag.get() {
+            stop_flag.store(true, Ordering::Release);
+        }
+    }
 }
 
 /// A running fake endpoint; dropping it stops it.
@@ -115,9 +129,12 @@
     /// is given.
     pub fn start(address: &str, id: &str, version: Option<u64>) -> io::Result<FakeEndpoint> {
         let state = State { version, staged: staged_chunks(version), ..State::default() };
-        let shared = Arc::new(Shared { id: id.to_owned(), state: Mutex::new(state) });
+        let shared =
+            Shared { id: id.to_owned(), state: Mutex::new(state), stop_flag: OnceLock::new() };
+        let shared = Arc::new(shared);
         let handler_state = shared.clone();
         let server = serve::start(address, move |req| answer(&handler_state, req))?;
+        shared.stop_flag.get_or_init(|| server.stop_flag());
         Ok(FakeEndpoint { shared, server })
     }
 
@@ -184,6 +201,21 @@
         self.shared.lock().delayed_orders
     }
 
+    /// Makes the endpoint crash when it begins to run a request whose body contains `marker`.
+    pub fn crash_on(&self, marker: &str) {
+        self.shared.lock().crash_marker = Some(marker.as_bytes().to_vec());
+    }
+
+    /// Ends the endpoint as when its process crashes.
+    pub fn crash(&self) {
+        self.shared.crash();
+    }
+
+    /// When the endpoint crashed.
+    pub fn crashed_at(&self) -> Option<Instant> {
+        self.shared.lock().crashed_at
+    }
+
     /// Corrupts a staged chunk.
     pub fn corrupt_staged(&self, index: usize) {
         if let Some(chunk) = self.shared.lock().staged.get_mut(&index) {
@@ -309,12 +341,32 @@
         });
         state.runs.len() - 1
     };
-    let is_abandoned = answer_run(shared, req, &id, fault, resumed_after);
+    let is_crashing = contains_crash_marker(shared, &req.body);
+    let is_abandoned = if is_crashing {
+        thread::sleep(EVENT_INTERVAL);
+        shared.crash();
+        wait_for_disconnect(&req);
+        true
+    } else {
+        answer_run(shared, req, &id, fault, resumed_after)
+    };
     let mut state = shared.lock();
     state.running -= 1;
     state.runs[run_index].is_abandoned = is_abandoned;
 }
 
+fn contains_crash_marker(shared: &Shared, body: &[u8]) -> bool {
+    let state = shared.lock();
+    let marker = state.crash_marker.as_deref();
+    marker.is_some_and(|marker| body.windows(marker.len()).any(|window| window == marker))
+}
+
+fn wait_for_disconnect(req: &Req) {
+    while !req.is_disconnected() {
+        thread::sleep(EVENT_INTERVAL);
+    }
+}
+
 /// Name of the header with the requests per second that the endpoint takes.
 const LIMIT_HEADER: &str = "server-limit";
 
@@ -345,9 +397,7 @@
             return false;
         }
         EndpointFault::Unresponsive => {
-            while !req.is_disconnected() {
-                thread::sleep(EVENT_INTERVAL);
-            }
+            wait_for_disconnect(&req);
             return true;
         }
         _ => {}
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -51,6 +51,14 @@
     accept_thread: Option<thread::JoinHandle<()>>,
 }
 
+impl Server {
+    /// Flag that stops the server within [`POLL_INTERVAL`]: it first refuses connections, then closes those that
+    /// are open, as when its process ends.
+    pub(crate) fn stop_flag(&self) -> Arc<AtomicBool> {
+        self.is_stopped.clone()
+    }
+}
+
 impl Drop for Server {
     fn drop(&mut self) {
         self.is_stopped.store(true, Ordering::Release);
