Requests that crash endpoints are quarantined on the direct path

Cause: each attempt was bounded by max_attempts, but nothing on the direct path connected the attempts of one request, and entries told each other nothing.

Evidence of a crash is a broken connection together with a refused new one. Entries tell it to collectors, the agents of four engines in each region that all entries choose alike, and these tell all entries of their regions which requests are refused. core/src/quarantine.rs decides for both paths: a crash is attributed to the request that was in progress at clearly more crashes than any other one there, and three such crashes quarantine it; a request that completes is cleared. Attempts in progress are given up. Refused callers get 503 at once, with code 114, outcome not-run and the end of the quarantine.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -8,6 +8,9 @@
 //! [`request_limit`] keeps to those that single endpoints name, and [`retry_after`] computes when a
 //! refused caller may return. [`events`] resumes broken streams.
 //!
+//! Entries and agents tell each other what one of them has seen in [`notices`], such as requests
+//! that crash endpoints, which [`crate::quarantine`] recognizes.
+//!
 //! [`freshness`] decides whether replicated state is recent enough to act on. [`replication`]
 //! defines the updates that entries exchange, and [`subscribers`] tracks the entries that contact
 //! an agent. [`versions`] tracks which weights may answer, [`caches`] which entries serve chunks of
@@ -23,6 +26,7 @@
 pub mod freshness;
 pub mod lateness;
 pub mod load_orders;
+pub mod notices;
 pub mod replication;
 pub mod request_limit;
 pub mod retry_after;
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -7,6 +7,7 @@
 mod selection;
 mod updates;
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -23,11 +24,13 @@
 use super::request_limit::Schedule;
 use super::shares::EntryCount;
 use crate::arena::Arena;
+use crate::ids::Digest;
 use crate::ids::HostName;
 use crate::ids::RegionName;
 use crate::ids::Revision;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
+use crate::swarm::topology::key_of;
 use crate::time::Time;
 
 /// Factor by which the credits of all entries together exceed the free places in a report. Entries
@@ -35,6 +38,10 @@
 /// lower factor, requests would go to other regions while places stay free.
 const CREDIT_OVERCOMMIT: f64 = 3.0;
 
+/// Number of agents in each region that collect notices, so that some of them are reached while
+/// hosts or a zone are lost.
+const COLLECTORS_PER_REGION: usize = 4;
+
 /// How an engine relates to an entry.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Reach {
@@ -204,6 +211,22 @@
         })
     }
 
+    /// Addresses of the engines whose agents are the collectors of notices: the same few of each
+    /// region at all entries that know the same endpoints. O(n log n).
+    pub fn collectors(&self) -> HashSet<SocketAddr> {
+        let mut by_region: HashMap<&RegionName, BTreeMap<u64, SocketAddr>> = HashMap::new();
+        for (_, endpoint) in self.endpoints.iter() {
+            if endpoint.record().is_engine {
+                let address = endpoint.record().address;
+                let key = key_of(Digest::of(address.to_string().as_bytes()));
+                by_region.entry(endpoint.region()).or_default().insert(key, address);
+            }
+        }
+        let of_region =
+            |engines: BTreeMap<u64, SocketAddr>| engines.into_values().take(COLLECTORS_PER_REGION);
+        by_region.into_values().flat_map(of_region).collect()
+    }
+
     /// Records of the engines of a service.
     pub fn engines_of(&self, service: &ServiceName) -> impl Iterator<Item = &EndpointRecord> + '_ {
         let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
--- a/core/src/direct/retry_after.rs
+++ b/core/src/direct/retry_after.rs
@@ -51,6 +51,11 @@
         /// Time until its next turn at one of them.
         opens_in: Duration,
     },
+    /// The request crashes endpoints.
+    Quarantined {
+        /// Time until it may be sent to them again.
+        ends_in: Duration,
+    },
     /// No endpoint may serve the request.
     NoEndpoint {
         /// Time until the first one may; `None` if unknown.
@@ -72,6 +77,7 @@
         RefusalCause::Warming { warm_in: wait } | RefusalCause::Limited { opens_in: wait } => {
             wait.as_secs_f64() + RETURN_SPREAD_S * draw
         }
+        RefusalCause::Quarantined { ends_in } => ends_in.as_secs_f64(),
         RefusalCause::NoLease { is_held_in_region: true } | RefusalCause::Other => short,
         RefusalCause::NoLease { is_held_in_region: false }
         | RefusalCause::NoEndpoint { ready_in: None } => unknown(),
--- a/node/src/direct/agent.rs
+++ b/node/src/direct/agent.rs
@@ -22,6 +22,7 @@
 use hyper_util::rt::TokioIo;
 use mastichaven_core::Time;
 use mastichaven_core::direct::load_orders::LoadOrders;
+use mastichaven_core::direct::notices::Collector;
 use mastichaven_core::direct::request_limit::LimitStatement;
 use mastichaven_core::direct::subscribers::Subscribers;
 use mastichaven_core::direct::versions::Versions;
@@ -75,6 +76,8 @@
     load_orders: RefCell<LoadOrders>,
     /// The latest statement of the endpoint on its request limit that an entry has relayed.
     request_limit: Cell<Option<LimitStatement>>,
+    /// Notices of the entries.
+    collector: RefCell<Collector>,
     /// Whether the endpoint is draining or loading, so that entries must not route requests to it.
     is_load_in_progress: Cell<bool>,
     /// Duration of the endpoint's last load.
@@ -123,6 +126,7 @@
         report: RefCell::default(),
         load_orders: RefCell::default(),
         request_limit: Cell::new(None),
+        collector: RefCell::default(),
         is_load_in_progress: Cell::new(false),
         load_time: Cell::new(INITIAL_LOAD_TIME),
         subscribers: RefCell::default(),
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -18,7 +18,7 @@
 use crate::direct::load_reports::LimitNotice;
 use crate::direct::load_reports::ReportMessage;
 use crate::direct::load_reports::ReportRequest;
-use crate::direct::load_reports::append_notice;
+use crate::direct::load_reports::append_attachments;
 use crate::direct::load_reports::receive;
 
 /// Interval between requests for the endpoint's load, which use no network link as they stay on the host.
@@ -31,7 +31,8 @@
     /// Receives requests of entries and applies the state they contain; runs until the process exits.
     pub(super) async fn receive_requests(self: Rc<Self>, socket: Rc<UdpSocket>) {
         loop {
-            let Some(Datagram { msg: req, limit, from }) = receive::<ReportRequest>(&socket).await
+            let Some(Datagram { msg: req, attachments, from }) =
+                receive::<ReportRequest>(&socket).await
             else {
                 self.metrics.count("asks_unreadable");
                 continue;
@@ -50,9 +51,13 @@
                 offer: req.offer,
             };
             self.subscribers.borrow_mut().renew(from, subscriber);
-            if let Some(limit) = limit {
+            if let Some(limit) = attachments.limit {
                 self.record_limit(limit);
             }
+            let now = self.clock.now();
+            for notice in attachments.notices {
+                self.collector.borrow_mut().apply(notice, now);
+            }
             if let Some(update) = req.setup {
                 self.apply_setup(update);
             }
@@ -78,6 +83,10 @@
                     if self.report.borrow_mut().take().is_some() {
                         slog::warn!(self.log, "endpoint report failed"; "error" => e.as_str());
                     }
+                    // Other endpoints may crash meanwhile, so notices are sent all the same.
+                    self.collector.borrow_mut().judge(self.clock.now());
+                    let setup_id = setup.as_ref().map_or(0, ModelSetup::fingerprint);
+                    self.send_report(&socket, None, setup_id, true);
                     continue;
                 }
             };
@@ -104,13 +113,14 @@
             *self.report.borrow_mut() = Some(report);
             unchanged = if last.as_ref() == Some(&load) { unchanged + 1 } else { 0 };
             let limit = self.request_limit.get().and_then(|statement| statement.per_second);
-            let has_availability_changed = limit != last_limit
+            let has_availability_changed = self.collector.borrow_mut().judge(now)
+                || limit != last_limit
                 || last.as_ref().is_none_or(|last| !has_same_availability(last, &load));
             round += 1;
             if unchanged % UNCHANGED_REPORT_PERIOD == 0 || has_availability_changed {
                 let setup_id = setup.as_ref().map_or(0, ModelSetup::fingerprint);
                 let to_all_regions = has_availability_changed || round % FAR_ROUND_INTERVAL == 0;
-                self.send_report(&socket, load.clone(), setup_id, to_all_regions);
+                self.send_report(&socket, Some(load.clone()), setup_id, to_all_regions);
             }
             last = Some(load);
             last_limit = limit;
@@ -180,15 +190,21 @@
     fn send_report(
         &self,
         socket: &UdpSocket,
-        report: LoadReport,
+        report: Option<LoadReport>,
         setup: u32,
         to_all_regions: bool,
     ) {
         let now = self.clock.now();
         let port = self.endpoint_client.address().port();
-        let (relay, root, started_ms) = (report.relay, report.root, report.started_ms);
-        let limit = self.request_limit.get();
-        let report = Some(report).filter(|_| setup != 0);
+        let notices = self.collector.borrow_mut().next_report(now);
+        if report.is_none() && notices.is_empty() {
+            return;
+        }
+        let relay = report.as_ref().and_then(|report| report.relay);
+        let root = report.as_ref().and_then(|report| report.root);
+        let started_ms = report.as_ref().map_or(0, |report| report.started_ms);
+        let limit = self.request_limit.get().filter(|_| report.is_some());
+        let report = report.filter(|_| setup != 0);
         let announced = self.recent_announcements(now);
         let mut msg =
             ReportMessage { port, report, request_sent_us: 0, held_us: 0, setup, announced };
@@ -205,9 +221,11 @@
                 let schedule = subscribers.schedule(address, self.started_at, now);
                 LimitNotice::new(started_ms, limit, schedule, now)
             });
-            match postcard::to_stdvec(&msg).and_then(|bytes| append_notice(bytes, notice)) {
+            let encoded = postcard::to_stdvec(&msg)
+                .and_then(|bytes| append_attachments(bytes, notice, notices.iter()));
+            match encoded {
                 // Datagrams may be lost; the next report replaces this one.
-                Ok(bytes) => drop(socket.try_send_to(&bytes, address)),
+                Ok((bytes, _)) => drop(socket.try_send_to(&bytes, address)),
                 Err(e) => {
                     slog::error!(self.log, "report encoding failed"; "error" => e.to_string())
                 }
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -122,8 +122,16 @@
         RetryPolicy::Resumable => FIRST_EVENT_TIMEOUT,
         RetryPolicy::AtMostOnce => remaining,
     };
-    let sent = timeout(remaining.min(response_timeout), connection.send(req)).await;
-    let response = match sent.unwrap_or(Err(ConnectionError::TimedOut)) {
+    let sending = timeout(remaining.min(response_timeout), connection.send(req));
+    let sent = tokio::select! {
+        sent = sending => sent.unwrap_or(Err(ConnectionError::TimedOut)),
+        // The endpoint may not have begun to run it.
+        () = state.until_quarantined(call) => {
+            history.may_have_run = true;
+            return AttemptOutcome::Lost(ConnectionError::Broken);
+        }
+    };
+    let response = match sent {
         Ok(response) => response,
         Err(ConnectionError::NotSent) => {
             history.sent_count -= 1;
@@ -164,6 +172,7 @@
             history.may_have_run = true;
             state.metrics.count("endpoint_failures");
             state.endpoints.borrow_mut().record_failure(endpoint, false, state.now());
+            state.record_completion(call);
             read_error_response(state, &record, connection, response).await
         }
         AnswerKind::Foreign => {
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -82,6 +82,12 @@
         /// Time until this entry may send a request to one of them.
         opens_in: Duration,
     },
+    /// Endpoints have crashed while running the request, so it is refused for `ends_in`. This attempt of the
+    /// caller has not run.
+    Quarantined {
+        /// Time until it may be sent to endpoints again.
+        ends_in: Duration,
+    },
     /// Each endpoint tried refused the request or could not be reached. It has not run.
     Declined,
     /// The deadline passed before the request was sent to an endpoint. It has not run.
@@ -100,6 +106,7 @@
             CallError::Full => "all endpoints full",
             CallError::Warming => "all endpoints full or cold",
             CallError::Limited { .. } => "all endpoints at their request limit",
+            CallError::Quarantined { .. } => "request crashes endpoints",
             CallError::Declined => "declined by endpoints",
             CallError::Expired => "time over before an endpoint took it",
             CallError::Lost => "answer lost",
@@ -114,6 +121,7 @@
             | CallError::Full
             | CallError::Warming
             | CallError::Limited { .. }
+            | CallError::Quarantined { .. }
             | CallError::Declined
             | CallError::Expired => StatusCode::SERVICE_UNAVAILABLE,
             CallError::Lost => StatusCode::BAD_GATEWAY,
--- a/node/src/direct/crashes.rs
+++ b/node/src/direct/crashes.rs
@@ -1,4 +1,5 @@
-//! Detects that the process of an endpoint has ended while it had requests in progress.
+//! Detects that the process of an endpoint has ended while it had requests in progress, and refuses
+//! the requests that cause it.
 //!
 //! A broken connection alone does not show that: endpoints also reset single connections and cut responses short.
 //! If the host then refuses a new connection, no process listens any more. A host without power, or behind a
@@ -14,6 +15,13 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::endpoint::EndpointRecord;
+use mastichaven_core::direct::notices::Notice;
+use mastichaven_core::direct::replication::time_before;
+use mastichaven_core::quarantine;
+use mastichaven_core::quarantine::Beside;
+use mastichaven_core::quarantine::CrashEvidence;
+use mastichaven_core::quarantine::Fingerprint;
+use mastichaven_core::quarantine::ProcessKey;
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
@@ -87,5 +95,95 @@
             "id" => call.head.id.as_deref().unwrap_or_default(),
             "request" => call.fingerprint().to_string(),
             "endpoint" => record.id.as_str(), "beside" => beside);
+        state.record_crash(record, call.fingerprint());
+    }
+}
+
+impl State {
+    /// Time until `call` may be sent to endpoints again; `None` if it may be sent now. The fingerprint of a request
+    /// is computed only while there are suspects.
+    pub(super) fn quarantine_remaining(&self, call: &Call) -> Option<Duration> {
+        let quarantine = self.quarantine.borrow();
+        if quarantine.is_empty() {
+            return None;
+        }
+        quarantine.remaining(call.fingerprint(), quarantine::DEFAULT_DURATION, self.now())
+    }
+
+    /// Waits until `call` is quarantined.
+    pub(super) async fn until_quarantined(&self, call: &Call) {
+        loop {
+            let changed = self.request_quarantined.notified();
+            if self.quarantine_remaining(call).is_some() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Records that an endpoint crashed while running a request, here and at the collectors.
+    fn record_crash(&self, record: &EndpointRecord, request: Fingerprint) {
+        let process = ProcessKey::new(&record.id, record.started_ms);
+        let requests = vec![request];
+        self.change_quarantine(request, "own", |state, now| {
+            let crash = CrashEvidence {
+                process: Some(process),
+                requests: requests.clone(),
+                beside: Beside::Unknown,
+            };
+            state.quarantine.borrow_mut().record_crash(crash, now);
+        });
+        self.tell_collectors(Notice::Crash { process, requests });
+    }
+
+    /// Records that an endpoint has run a request to its end, which clears it of all suspicion.
+    pub(super) fn record_completion(&self, call: &Call) {
+        if self.quarantine.borrow().is_empty() {
+            return;
+        }
+        let request = call.fingerprint();
+        if self.quarantine.borrow_mut().clear(request) {
+            self.tell_collectors(Notice::Completed { request });
+        }
+    }
+
+    /// Applies a notice of a collector.
+    pub fn apply_notice(&self, notice: &Notice, now: Time) {
+        match notice {
+            Notice::Quarantined { request, age_ms } => {
+                let age = Duration::from_millis(u64::from(*age_ms));
+                let last_crash = time_before(now, age).unwrap_or_default();
+                self.change_quarantine(*request, "agent", |state, _| {
+                    state.quarantine.borrow_mut().impose(*request, last_crash);
+                });
+            }
+            Notice::Completed { request } => {
+                self.quarantine.borrow_mut().clear(*request);
+            }
+            Notice::Crash { .. } => {}
+        }
+    }
+
+    /// Applies `change`, and logs if it quarantines `request`. `from` tells who found out.
+    fn change_quarantine(&self, request: Fingerprint, from: &str, change: impl Fn(&State, Time)) {
+        let now = self.now();
+        let remaining = || {
+            let quarantine = self.quarantine.borrow();
+            quarantine.remaining(request, quarantine::DEFAULT_DURATION, now)
+        };
+        let was_refused = remaining().is_some();
+        change(self, now);
+        if let Some(ends_in) = remaining().filter(|_| !was_refused) {
+            self.metrics.count("requests_quarantined");
+            slog::warn!(self.log, "request quarantined";
+                "request" => request.to_string(), "from" => from,
+                "ends_in_ms" => ends_in.as_millis() as u64);
+            self.request_quarantined.notify_waiters();
+        }
+    }
+
+    fn tell_collectors(&self, notice: Notice) {
+        self.notices.borrow_mut().push(notice);
+        self.notices_due.notify_one();
     }
 }
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -132,6 +132,7 @@
         }
     };
     state.endpoints.borrow_mut().record_success(place.endpoint);
+    state.record_completion(call);
     drop(place);
     if connection.ready().await {
         state.pool.put(record.address, &record.id, connection, keep_alive, state.now());
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -16,6 +16,7 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use mastichaven_core::Time;
+use mastichaven_core::code::Code;
 use mastichaven_core::direct::catalog::Catalog;
 use mastichaven_core::direct::catalog::Customer;
 use mastichaven_core::direct::catalog::Route;
@@ -31,6 +32,8 @@
 use super::forward;
 use super::response_body::ResponseBody;
 use super::state::State;
+use crate::entry::response::CODE_HEADER;
+use crate::entry::response::OUTCOME_HEADER;
 
 /// Deadline of requests that give none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
@@ -218,7 +221,12 @@
             log_request_end(state, &call.head, call.received_at, e.status(), e.as_str(), &history);
             let remaining = call.deadline.since(state.now());
             let cause = refusal_cause_of(state, e, &call);
-            error_response(e.status(), e.as_str(), state.retry_after(cause, remaining))
+            let retry_after = state.retry_after(cause, remaining);
+            let mut response = error_response(e.status(), e.as_str(), retry_after);
+            if matches!(e, CallError::Quarantined { .. }) {
+                add_code(&mut response, Code::Quarantined);
+            }
+            response
         }
     }
 }
@@ -231,6 +239,7 @@
             RefusalCause::Warming { warm_in }
         }
         CallError::Limited { opens_in } => RefusalCause::Limited { opens_in },
+        CallError::Quarantined { ends_in } => RefusalCause::Quarantined { ends_in },
         CallError::NoEndpoint => {
             let ready_in = state.endpoints.borrow().ready_in(&call.service, state.now());
             RefusalCause::NoEndpoint { ready_in }
@@ -256,6 +265,13 @@
     response
 }
 
+/// Adds the headers that tell a caller the code and whether the request has run.
+fn add_code(response: &mut Response<ResponseBody>, code: Code) {
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(code.outcome().as_str()));
+    headers.insert(CODE_HEADER, HeaderValue::from(code.number()));
+}
+
 /// Name of the counter for responses with this status and reason.
 fn response_counter(status: StatusCode, reason: &str) -> &'static str {
     match status.as_u16() {
@@ -265,6 +281,9 @@
         503 if reason == CallError::Limited { opens_in: Duration::ZERO }.as_str() => {
             "refused_limited"
         }
+        503 if reason == CallError::Quarantined { ends_in: Duration::ZERO }.as_str() => {
+            "refused_quarantined"
+        }
         503 if reason == CallError::NoEndpoint.as_str() => "refused_no_endpoint",
         503 => "refused_other",
         502 => "failed_lost",
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -20,6 +20,7 @@
 use mastichaven_core::direct::catalog::ModelSetup;
 use mastichaven_core::direct::endpoint::LoadReport;
 use mastichaven_core::direct::endpoint_table::Reach;
+use mastichaven_core::direct::notices::Notice;
 use mastichaven_core::direct::replication::Offer;
 use mastichaven_core::direct::replication::time_before;
 use mastichaven_core::direct::request_limit::LimitStatement;
@@ -52,6 +53,10 @@
 /// agents that start at the same time soon know the number of entries.
 const STARTUP_ROUNDS: u32 = 8;
 
+/// Delay before the first notices are sent, and interval until they are sent again.
+const NOTICE_DELAY: Duration = Duration::from_millis(20);
+const NOTICE_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Maximum length of a datagram in bytes.
 pub const MAX_DATAGRAM_LEN: usize = 1_200;
 
@@ -93,6 +98,11 @@
 }
 
 impl LimitNotice {
+    /// Holds the place of a notice in a datagram that has only others. No receiver applies it, as it is older than
+    /// any clock.
+    const ABSENT: LimitNotice =
+        LimitNotice { started_ms: 0, per_second: None, age_ms: u32::MAX, schedule: None };
+
     /// The notice of a statement of the process that started at `started_ms`.
     pub fn new(
         started_ms: u64,
@@ -162,8 +172,8 @@
 pub struct Datagram<T> {
     /// The message.
     pub msg: T,
-    /// The notice that follows the message, if there is one.
-    pub limit: Option<LimitNotice>,
+    /// What follows the message.
+    pub attachments: Attachments,
     /// Address of the sender.
     pub from: SocketAddr,
 }
@@ -174,24 +184,56 @@
     loop {
         // An unreachable host is reported as an error of the next receive.
         if let Ok((len, from)) = socket.recv_from(&mut buf).await {
-            let (msg, limit) = decode(&buf[..len])?;
-            return Some(Datagram { msg, limit, from });
+            let (msg, attachments) = decode(&buf[..len])?;
+            return Some(Datagram { msg, attachments, from });
         }
     }
 }
 
-/// Decodes a message and the notice that may follow it; `None` if it is not such a message.
-pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<(T, Option<LimitNotice>)> {
+/// What follows the message in a datagram. Earlier releases ignore it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Attachments {
+    /// What the sender knows of the endpoint's request limit.
+    pub limit: Option<LimitNotice>,
+    /// Notices of any kind.
+    pub notices: Vec<Notice>,
+}
+
+/// Decodes a message and what follows it; `None` if it is not such a message.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<(T, Attachments)> {
     let (msg, rest) = postcard::take_from_bytes(bytes).ok()?;
-    Some((msg, postcard::from_bytes(rest).ok()))
+    let mut attachments = Attachments::default();
+    if let Ok((limit, mut rest)) = postcard::take_from_bytes(rest) {
+        attachments.limit = Some(limit).filter(|limit| *limit != LimitNotice::ABSENT);
+        // A later release may add notices that are unknown here.
+        while let Ok((notice, after)) = postcard::take_from_bytes(rest) {
+            attachments.notices.push(notice);
+            rest = after;
+        }
+    }
+    Some((msg, attachments))
 }
 
-/// Appends a notice to an encoded message.
-pub fn append_notice(mut bytes: Vec<u8>, limit: Option<LimitNotice>) -> postcard::Result<Vec<u8>> {
-    if let Some(limit) = limit {
-        bytes.extend(postcard::to_stdvec(&limit)?);
+/// Appends a limit and as many of the notices as fit to an encoded message. Returns it with the number of notices.
+pub fn append_attachments<'a>(
+    mut bytes: Vec<u8>,
+    limit: Option<LimitNotice>,
+    notices: impl Iterator<Item = &'a Notice>,
+) -> postcard::Result<(Vec<u8>, usize)> {
+    let mut notices = notices.peekable();
+    if limit.is_some() || notices.peek().is_some() {
+        bytes.extend(postcard::to_stdvec(&limit.unwrap_or(LimitNotice::ABSENT))?);
     }
-    Ok(bytes)
+    let mut count = 0;
+    for notice in notices {
+        let encoded = postcard::to_stdvec(notice)?;
+        if bytes.len() + encoded.len() > MAX_DATAGRAM_LEN {
+            break;
+        }
+        bytes.extend(encoded);
+        count += 1;
+    }
+    Ok((bytes, count))
 }
 
 /// Sends report requests and applies the reports until the process ends.
@@ -199,17 +241,22 @@
     let socket = Rc::new(socket);
     let setup_ids = SetupIds::default();
     tokio::task::spawn_local(send_requests(state.clone(), socket.clone(), setup_ids.clone()));
+    tokio::task::spawn_local(send_notices(state.clone(), socket.clone(), setup_ids.clone()));
     loop {
-        let Some(Datagram { msg, limit, from }) = receive::<ReportMessage>(&socket).await else {
+        let Some(Datagram { msg, attachments, from }) = receive::<ReportMessage>(&socket).await
+        else {
             state.metrics.count("reports_unreadable");
             continue;
         };
         let address = SocketAddr::new(from.ip(), msg.port);
         setup_ids.borrow_mut().insert(address, msg.setup);
         state.apply_report(&msg, address, state.now());
-        if let Some(limit) = limit {
+        if let Some(limit) = attachments.limit {
             state.apply_limit_notice(limit, address, state.now());
         }
+        for notice in attachments.notices {
+            state.apply_notice(&notice, state.now());
+        }
     }
 }
 
@@ -303,7 +350,7 @@
         if !is_urgent {
             round = round.wrapping_add(1);
         }
-        // A new version or request limit is sent immediately; a new endpoint waits for the next
+        // A new version, request limit is sent immediately; a new endpoint waits for the next
         // interval.
         is_urgent = timeout(REQUEST_INTERVAL, state.requests_due.notified()).await.is_ok();
         sleep(Duration::from_millis(20)).await;
@@ -353,6 +400,51 @@
     }
 }
 
+/// Sends notices to the collectors as soon as there are some, each several times.
+async fn send_notices(state: Rc<State>, socket: Rc<UdpSocket>, setup_ids: SetupIds) {
+    loop {
+        state.notices_due.notified().await;
+        // Requests that broke off together are reported together.
+        sleep(NOTICE_DELAY).await;
+        while !state.notices.borrow().is_empty() {
+            match send_notice_batch(&state, &socket, &setup_ids) {
+                Ok(count) => state.notices.borrow_mut().record_sent(count),
+                Err(e) => {
+                    slog::error!(state.log, "cannot encode notices"; "error" => e.to_string());
+                }
+            }
+            sleep(NOTICE_INTERVAL).await;
+        }
+    }
+}
+
+/// Sends as many notices to each collector as fit in a datagram. Returns the number that all of them
+/// were sent, or 0 if there is no collector.
+fn send_notice_batch(
+    state: &State,
+    socket: &UdpSocket,
+    setup_ids: &SetupIds,
+) -> postcard::Result<usize> {
+    let mut requests = ReportRequests::new(state);
+    let endpoints = state.endpoints.borrow();
+    let collectors = endpoints.collectors();
+    let queue = state.notices.borrow();
+    let mut sent: Option<usize> = None;
+    for (listed, reach) in endpoints.engines() {
+        if !collectors.contains(&listed.address) {
+            continue;
+        }
+        let setup_id = setup_ids.borrow().get(&listed.address).copied().unwrap_or(0);
+        let request = requests.bytes(&listed.service, reach, setup_id, None)?;
+        let (bytes, count) = append_attachments(request.to_vec(), None, queue.next_batch())?;
+        let address = SocketAddr::new(listed.address.ip(), state.cfg.agent_port);
+        // A datagram may be lost anyway; the notice is sent again.
+        let _ = socket.try_send_to(&bytes, address);
+        sent = Some(sent.map_or(count, |sent| sent.min(count)));
+    }
+    Ok(sent.unwrap_or(0))
+}
+
 /// The requests of one round. Each distinct request is encoded once.
 struct ReportRequests {
     sent_us: u64,
@@ -392,7 +484,8 @@
         if limit.is_none() {
             return Ok(bytes);
         }
-        append_notice(bytes.to_vec(), limit).map(Bytes::from)
+        let (bytes, _) = append_attachments(bytes.to_vec(), limit, std::iter::empty())?;
+        Ok(bytes.into())
     }
 
     fn request_bytes(
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -60,6 +60,13 @@
     let wait_until = call.received_at + call.route.objective.mul_f64(MAX_WAIT_OBJECTIVES);
     let endpoint = loop {
         let now = state.now();
+        if let Some(ends_in) = state.quarantine_remaining(call) {
+            return Err(if history.may_have_run {
+                CallError::Lost
+            } else {
+                CallError::Quarantined { ends_in }
+            });
+        }
         match choose_endpoint(state, call, history, now) {
             Ok(endpoint) => break endpoint,
             Err(Unavailable::NoEndpoint) => {
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -15,6 +15,7 @@
 use mastichaven_core::direct::endpoint_table::EndpointTable;
 use mastichaven_core::direct::freshness::Freshness;
 use mastichaven_core::direct::lateness::LongestDeadline;
+use mastichaven_core::direct::notices::NoticeQueue;
 use mastichaven_core::direct::replication::AgeLimits;
 use mastichaven_core::direct::replication::Nomination;
 use mastichaven_core::direct::retry_after::RefusalCause;
@@ -23,6 +24,7 @@
 use mastichaven_core::direct::versions::CurrentWeights;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::ServiceName;
+use mastichaven_core::quarantine::Quarantine;
 use mastichaven_platform::objects::Kind;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -90,6 +92,14 @@
     pub pool: ConnectionPool,
     /// Recent probes of endpoints whose connections broke.
     pub probes: Probes,
+    /// Requests that may be the cause of crashes of endpoints.
+    pub quarantine: RefCell<Quarantine>,
+    /// Notified when a request is quarantined.
+    pub request_quarantined: Notify,
+    /// Notices to the collectors that wait to be sent.
+    pub notices: RefCell<NoticeQueue>,
+    /// Notified when a notice is added to `notices`.
+    pub notices_due: Notify,
     /// Notified when an endpoint may accept another request.
     pub capacity_freed: Notify,
     /// Notified when agents must learn of a new version or request limit at once.
@@ -150,6 +160,10 @@
             versions: RefCell::default(),
             pool: ConnectionPool::default(),
             probes: Probes::default(),
+            quarantine: RefCell::default(),
+            request_quarantined: Notify::new(),
+            notices: RefCell::default(),
+            notices_due: Notify::new(),
             capacity_freed: Notify::new(),
             requests_due: Notify::new(),
             is_stopping: Cell::new(false),
@@ -266,6 +280,7 @@
             "followers": self.publisher.len(),
             "chunks": self.chunks.len(),
             "weights": weights,
+            "suspects": self.quarantine.borrow().len(),
             "endpoints": self.endpoints.borrow().dump(now),
         })
     }
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -51,8 +51,15 @@
         RetryPolicy::Idempotent | RetryPolicy::AtMostOnce => call.deadline.since(state.now()),
     };
     let time_limit = first_event_timeout.min(call.deadline.since(state.now()));
-    let first = timeout(time_limit, read_events(&mut response, &mut splitter)).await;
-    let first = match first.unwrap_or(Err(ConnectionError::TimedOut)) {
+    let first = timeout(time_limit, read_events(&mut response, &mut splitter));
+    let first = tokio::select! {
+        first = first => first.unwrap_or(Err(ConnectionError::TimedOut)),
+        () = state.until_quarantined(call) => {
+            history.may_have_run = true;
+            return Err(ConnectionError::Broken);
+        }
+    };
+    let first = match first {
         Ok(first) => first,
         Err(e) => {
             history.may_have_run = true;
@@ -127,7 +134,10 @@
     loop {
         let end = relay_events(&state, &call, &mut response, &mut splitter, &tx).await;
         match end {
-            StreamEnd::Complete => return finish_response(&state, response).await,
+            StreamEnd::Complete => {
+                state.record_completion(&call);
+                return finish_response(&state, response).await;
+            }
             StreamEnd::CallerDisconnected => {
                 state.metrics.count("callers_left");
                 return;
--- a/node/tests/direct/crashes.rs
+++ b/node/tests/direct/crashes.rs
@@ -1,7 +1,12 @@
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use mastichaven_node::direct::connection::ConnectionError;
+use mastichaven_standins::direct::endpoint::EndpointFault;
 use mastichaven_standins::direct::endpoint::FakeEndpoint;
 use mastichaven_standins::direct::endpoint::Run;
 use mastichaven_standins::direct::site::ENDPOINTS;
@@ -10,11 +15,15 @@
 use super::fixture::Program;
 use super::fixture::Response;
 use super::fixture::Site;
+use super::fixture::send_to;
 use super::fixture::until;
 
 /// Part of a body that crashes the endpoint that runs it.
 const CRASH_MARKER: &str = "crash";
 
+/// Body of the response to a request that is refused as it crashes endpoints.
+const REFUSAL: &str = "request crashes endpoints";
+
 /// Number of crashes after which a request is known to be their cause.
 const KNOWN_CRASHES: usize = 3;
 
@@ -69,6 +78,9 @@
     }
 }
 
+/// When a request was sent, and its response.
+type Sent = (Instant, Result<Response, ConnectionError>);
+
 /// A site whose endpoints crash on some requests, with two entries, and agents where it runs a model.
 struct CrashSite {
     site: Site,
@@ -121,10 +133,14 @@
         if self.version.is_some() { "/stream/a" } else { "/lookup/a" }
     }
 
-    /// Sends a request through the entry `n`.
-    fn send(&self, n: usize, id: &str, body: &str) -> Response {
+    /// Sends a request through the entry `n`; fails if its stream is interrupted.
+    fn try_send(&self, n: usize, id: &str, body: &str) -> Result<Response, ConnectionError> {
         let entry = &self.entries[n % self.entries.len()];
-        entry.send_body(self.path(), id, "key-1", body).expect("a response")
+        entry.send_body(self.path(), id, "key-1", body)
+    }
+
+    fn send(&self, n: usize, id: &str, body: &str) -> Response {
+        self.try_send(n, id, body).expect("a response")
     }
 
     /// Times of all crashes, earliest first.
@@ -143,7 +159,7 @@
 
     /// For `duration`, sends copies of a request that crashes endpoints through all entries in turn, and another
     /// request after each of them. Returns the responses to both, with the times at which they were sent.
-    fn send_copies(&mut self, duration: Duration) -> [Vec<(Instant, Response)>; 2] {
+    fn send_copies(&mut self, duration: Duration) -> [Vec<Sent>; 2] {
         let started_at = Instant::now();
         let (mut copies, mut others) = (Vec::new(), Vec::new());
         for n in 0.. {
@@ -151,14 +167,24 @@
                 break;
             }
             self.restart_crashed();
-            copies.push((Instant::now(), self.send(n, &format!("c{n}"), CRASH_MARKER)));
-            others.push((Instant::now(), self.send(n, &format!("o{n}"), &format!("other {n}"))));
+            copies.push((Instant::now(), self.try_send(n, &format!("c{n}"), CRASH_MARKER)));
+            others
+                .push((Instant::now(), self.try_send(n, &format!("o{n}"), &format!("other {n}"))));
             thread::sleep(Duration::from_millis(30));
         }
         [copies, others]
     }
 }
 
+/// Asserts that a response tells that the request is refused as it crashes endpoints.
+fn assert_refused(response: &Response) {
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!(response.body, REFUSAL);
+    assert_eq!(response.code.as_deref(), Some("114"));
+    assert_eq!(response.outcome.as_deref(), Some("not-run"));
+    assert!(response.retry_after.is_some_and(|delay| delay > 500.0), "{response:?}");
+}
+
 // A caller repeats a request that crashes each endpoint that runs it. All entries must refuse it soon after the
 // third crash, and other callers must be answered again.
 #[test]
@@ -172,9 +198,100 @@
     let refused = copies.iter().filter(|(sent_at, _)| *sent_at > known_by);
     assert!(refused.clone().count() > 10);
     for (_, response) in refused {
-        assert_eq!(response.status, 503, "{response:?}");
+        assert_refused(response.as_ref().expect("a response"));
     }
     for (sent_at, response) in others {
-        assert!(sent_at < known_by || response.status == 200, "{response:?}");
+        let is_answered = response.as_ref().is_ok_and(|response| response.status == 200);
+        assert!(sent_at < known_by || is_answered, "{response:?}");
+    }
+}
+
+// Callers send requests beside one that crashes endpoints, some of them the same one all the time. They lose their
+// endpoints with it and must not be refused for that.
+#[test]
+fn requests_beside_crashes_are_not_refused() {
+    let mut site = CrashSite::start("beside", "writer");
+    let entries: Vec<SocketAddr> = site.entries.iter().map(|entry| entry.callers).collect();
+    let is_over = AtomicBool::new(false);
+    let refused = thread::scope(|scope| {
+        let callers: Vec<_> = (0..6)
+            .map(|caller| {
+                let (entries, is_over) = (&entries, &is_over);
+                scope.spawn(move || {
+                    let mut refused = 0;
+                    for n in 0.. {
+                        if is_over.load(Ordering::Acquire) {
+                            break;
+                        }
+                        let body = if caller % 2 == 0 { "same".to_owned() } else { n.to_string() };
+                        let id = format!("b{caller}-{n}");
+                        let entry = entries[n % entries.len()];
+                        let response = send_to(entry, "/stream/a", &id, "key-1", &body);
+                        refused += usize::from(response.is_ok_and(|r| r.body == REFUSAL));
+                    }
+                    refused
+                })
+            })
+            .collect();
+        site.send_copies(CONTACT_TIME);
+        is_over.store(true, Ordering::Release);
+        callers.into_iter().map(|caller| caller.join().expect("no panic")).sum::<usize>()
+    });
+    assert!(site.crashes().len() >= KNOWN_CRASHES);
+    assert_eq!(refused, 0);
+    assert_refused(&site.send(0, "last", CRASH_MARKER));
+}
+
+// Endpoints close connections without a response, again and again, but their processes live.
+#[test]
+fn request_that_loses_responses_is_not_refused() {
+    let site = CrashSite::start("reset", "desk");
+    let set_fault = |fault| site.endpoints.iter().for_each(|slot| slot.endpoint.set_fault(fault));
+    set_fault(EndpointFault::LostAnswer);
+    for n in 0..10 {
+        assert_eq!(site.send(n, &format!("r{n}"), "the body").status, 502);
+    }
+    set_fault(EndpointFault::None);
+    until("the request is answered again", || site.send(0, "after", "the body").status == 200);
+    let logs: String = site.entries.iter().map(|entry| entry.program.log()).collect();
+    assert!(!logs.contains("endpoint crashed"), "{logs}");
+}
+
+// An entry that starts after the crashes has seen none of them.
+#[test]
+fn quarantine_reaches_entry_that_starts_later() {
+    let mut site = CrashSite::start("late", "writer");
+    site.send_copies(CONTACT_TIME);
+    let crashes = site.crashes().len();
+    assert!(crashes >= KNOWN_CRASHES);
+    site.entries = vec![site.site.start_entry("late-entry-new")];
+    until("the entry knows the quarantine", || {
+        site.restart_crashed();
+        site.entries[0].program.log().contains("request quarantined")
+    });
+    for n in 0..5 {
+        assert_refused(&site.send(0, &format!("new{n}"), CRASH_MARKER));
+    }
+    assert_eq!(site.crashes().len(), crashes);
+}
+
+// The hosts of a plain service have no agents. Its crashes are told through agents of another service.
+#[test]
+fn crashes_of_plain_service_are_shared() {
+    let mut site = CrashSite::start("plain", "desk");
+    let engine = site.site.start_endpoint("i-engine", "writer", Some(1));
+    let _agent = site.site.start_agent("plain-agent", &engine);
+    until("the entries hear the agent", || {
+        site.entries.iter().all(|entry| {
+            let dump = entry.dump();
+            let all = dump["endpoints"].as_array().cloned().unwrap_or_default();
+            all.iter().any(|endpoint| endpoint["report_age_ms"].is_u64())
+        })
+    });
+    site.send_copies(CONTACT_TIME);
+    for n in 0..2 {
+        assert_refused(&site.send(n, &format!("last{n}"), CRASH_MARKER));
     }
+    let hears_agent = |entry: &Entry| entry.program.log().contains(r#""from":"agent""#);
+    assert!(site.entries.iter().any(hears_agent));
 }
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -262,6 +262,8 @@
     pub body: String,
     pub retry_after: Option<f64>,
     pub stamp: Option<String>,
+    pub code: Option<String>,
+    pub outcome: Option<String>,
 }
 
 impl Entry {
@@ -296,23 +298,36 @@
         key: &str,
         body: &str,
     ) -> Result<Response, ConnectionError> {
-        let method = if path.starts_with("/lookup/") { "GET" } else { "POST" };
-        let body = body.to_owned().into();
-        let mut req = connection::build_request(method, self.callers, path, body);
-        for (name, value) in site::caller_headers(id, key) {
-            req.headers_mut().insert(name, value.parse().expect("a valid value"));
-        }
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let response = runtime.expect("runtime can be created").block_on(async {
-            let mut connection = HttpConnection::open(self.callers, WAIT_TIMEOUT).await?;
-            connection.call(req, 1 << 20, WAIT_TIMEOUT).await
-        })?;
-        let header = |name| response.headers().get(name).and_then(|v| v.to_str().ok());
-        Ok(Response {
-            status: response.status().as_u16(),
-            retry_after: header("retry-after").and_then(|value| value.parse().ok()),
-            stamp: header(site::STAMP).map(str::to_owned),
-            body: String::from_utf8_lossy(response.body()).into_owned(),
-        })
+        send_to(self.callers, path, id, key, body)
+    }
+}
+
+/// Sends a request to the entry at `callers`; fails if there is no complete response.
+pub fn send_to(
+    callers: SocketAddr,
+    path: &str,
+    id: &str,
+    key: &str,
+    body: &str,
+) -> Result<Response, ConnectionError> {
+    let method = if path.starts_with("/lookup/") { "GET" } else { "POST" };
+    let body = body.to_owned().into();
+    let mut req = connection::build_request(method, callers, path, body);
+    for (name, value) in site::caller_headers(id, key) {
+        req.headers_mut().insert(name, value.parse().expect("a valid value"));
     }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let response = runtime.expect("runtime can be created").block_on(async {
+        let mut connection = HttpConnection::open(callers, WAIT_TIMEOUT).await?;
+        connection.call(req, 1 << 20, WAIT_TIMEOUT).await
+    })?;
+    let header = |name| response.headers().get(name).and_then(|v| v.to_str().ok());
+    Ok(Response {
+        status: response.status().as_u16(),
+        retry_after: header("retry-after").and_then(|value| value.parse().ok()),
+        stamp: header(site::STAMP).map(str::to_owned),
+        code: header("mastichaven-code").map(str::to_owned),
+        outcome: header("mastichaven-outcome").map(str::to_owned),
+        body: String::from_utf8_lossy(response.body()).into_owned(),
+    })
 }
--- a/node/tests/direct/limits.rs
+++ b/node/tests/direct/limits.rs
@@ -3,9 +3,10 @@
 use std::time::Instant;
 
 use mastichaven_core::direct::request_limit::Schedule;
+use mastichaven_node::direct::load_reports::Attachments;
 use mastichaven_node::direct::load_reports::LimitNotice;
 use mastichaven_node::direct::load_reports::ReportMessage;
-use mastichaven_node::direct::load_reports::append_notice;
+use mastichaven_node::direct::load_reports::append_attachments;
 use mastichaven_node::direct::load_reports::decode;
 use mastichaven_standins::direct::endpoint::FakeEndpoint;
 use mastichaven_standins::direct::endpoint::Run;
@@ -234,10 +235,11 @@
         announced: Vec::new(),
     };
     let bytes = postcard::to_stdvec(&msg).unwrap();
-    assert_eq!(decode::<ReportMessage>(&bytes), Some((msg.clone(), None)));
+    assert_eq!(decode::<ReportMessage>(&bytes), Some((msg.clone(), Attachments::default())));
     let schedule = Some(Schedule { entries: 8, position: 3, clock_ms: 1_200 });
     let limit = LimitNotice { started_ms: 9, per_second: Some(2.2), age_ms: 40, schedule };
-    let extended = append_notice(bytes, Some(limit)).unwrap();
-    assert_eq!(decode::<ReportMessage>(&extended), Some((msg.clone(), Some(limit))));
+    let (extended, _) = append_attachments(bytes, Some(limit), std::iter::empty()).unwrap();
+    let attachments = Attachments { limit: Some(limit), notices: Vec::new() };
+    assert_eq!(decode::<ReportMessage>(&extended), Some((msg.clone(), attachments)));
     assert_eq!(postcard::from_bytes::<ReportMessage>(&extended), Ok(msg));
 }
