Collectors repeat quarantines that are no news once a second, and at once for a new entry

Every report of a collector carried each quarantine for 600 s. Eight of those that are older than 2 s are enough in a second, in turn; while an entry has subscribed within the last second, all of them are in the reports.

--- a/core/src/direct/notices.rs
+++ b/core/src/direct/notices.rs
@@ -31,8 +31,9 @@
 /// Time for which a notice is news, so that it is in every report. Older ones that still hold are repeated in turn.
 const NEWS_TTL: Duration = Duration::from_secs(2);
 
-/// Number of older notices by which the turn advances with each report.
-const REPEATED_PER_REPORT: usize = 8;
+/// Interval at which some of the older notices that still hold are repeated, and their number.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+const MAX_REPEATED: usize = 8;
 
 /// Maximum number of completed requests that are reported.
 const MAX_COMPLETED: usize = 64;
@@ -131,6 +132,7 @@
     quarantine: Quarantine,
     completed: VecDeque<(Fingerprint, Time)>,
     turn: usize,
+    repeated_at: Option<Time>,
 }
 
 impl Collector {
@@ -161,8 +163,9 @@
         self.quarantine.quarantined(quarantine::DEFAULT_DURATION, now)
     }
 
-    /// The notices for the next report: news, then some of those that still hold, in turn.
-    pub fn next_report(&mut self, now: Time) -> Vec<Notice> {
+    /// The notices for the next report: news and, at intervals, some of those that still hold, in turn. With
+    /// `has_new_reader`, all that hold.
+    pub fn next_report(&mut self, has_new_reader: bool, now: Time) -> Vec<Notice> {
         self.completed.retain(|(_, at)| !now.passed(*at, NEWS_TTL));
         let completed = self.completed.iter().map(|(request, _)| *request);
         let completed = completed.map(|request| Notice::Completed { request });
@@ -174,12 +177,20 @@
         if !older.is_empty() {
             older.rotate_left(self.turn % older.len());
         }
-        let quarantined = all.iter().map(|(age, request)| Notice::Quarantined {
-            request: *request,
-            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        let is_due = self.repeated_at.is_none_or(|at| now.passed(at, REPEAT_INTERVAL));
+        let repeated = match (has_new_reader, is_due) {
+            (true, _) => older.len(),
+            (false, true) => older.len().min(MAX_REPEATED),
+            (false, false) => 0,
+        };
+        if is_due {
+            self.repeated_at = Some(now);
+            self.turn = self.turn.wrapping_add(MAX_REPEATED);
+        }
+        let quarantined = all.iter().take(news + repeated).map(|(age, request)| {
+            let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+            Notice::Quarantined { request: *request, age_ms }
         });
-        let notices = completed.chain(quarantined).collect();
-        self.turn = self.turn.wrapping_add(REPEATED_PER_REPORT);
-        notices
+        completed.chain(quarantined).collect()
     }
 }
--- a/core/src/direct/subscribers.rs
+++ b/core/src/direct/subscribers.rs
@@ -61,6 +61,7 @@
 pub struct Subscribers {
     by_address: HashMap<SocketAddr, Subscriber>,
     first_request_at: Option<Time>,
+    last_new_at: Option<Time>,
 }
 
 /// Number of entries in the fleet, as seen by one agent.
@@ -79,7 +80,10 @@
         self.by_address
             .retain(|_, other| !subscriber.received_at.passed(other.received_at, SUBSCRIPTION_TTL));
         if self.by_address.len() < MAX_SUBSCRIBERS || self.by_address.contains_key(&from) {
-            self.by_address.insert(from, subscriber);
+            let last = self.by_address.insert(from, subscriber);
+            if last.is_none() {
+                self.last_new_at = Some(subscriber.received_at);
+            }
         }
     }
 
@@ -103,6 +107,11 @@
         ObservedEntryCount { entries: live, is_complete }
     }
 
+    /// Whether an entry has subscribed within `window`.
+    pub fn has_new(&self, window: Duration, now: Time) -> bool {
+        self.last_new_at.is_some_and(|at| !now.passed(at, window))
+    }
+
     /// Number of entries that receive load reports.
     pub fn readers(&self, now: Time) -> usize {
         self.live(now).filter(|(_, subscriber)| subscriber.wants_reports).count()
--- a/core/tests/direct/notices.rs
+++ b/core/tests/direct/notices.rs
@@ -134,7 +134,7 @@
         if ms % REPORT_MS == 0 {
             let next_report = |collector: &mut Collector| {
                 collector.judge(now);
-                collector.next_report(now)
+                collector.next_report(false, now)
             };
             let reports: Vec<Vec<Notice>> = collectors.iter_mut().map(next_report).collect();
             for entry in &mut entries {
@@ -196,15 +196,20 @@
     }
     let now = Time::ZERO + Duration::from_secs(60);
     assert!(collector.judge(now));
-    let mut first = Vec::new();
-    for _ in 0..requests.len() {
-        first.push(quarantined(&collector.next_report(now))[0]);
+    let mut heard: Vec<Fingerprint> = Vec::new();
+    for second in 0..20 {
+        let report = collector.next_report(false, now + Duration::from_secs(second));
+        assert!(report.len() <= 8, "{}", report.len());
+        heard.extend(quarantined(&report));
     }
-    first.sort_unstable();
-    first.dedup();
-    assert!(first.len() >= 10, "the reports begin with different ones: {}", first.len());
+    heard.sort_unstable();
+    heard.dedup();
+    assert_eq!(heard.len(), requests.len());
+    assert!(collector.next_report(false, now + Duration::from_millis(19_100)).is_empty());
+    let to_new_reader = collector.next_report(true, now + Duration::from_millis(19_200));
+    assert_eq!(to_new_reader.len(), requests.len());
     let later = Time::ZERO + quarantine::DEFAULT_DURATION;
-    assert!(collector.next_report(later).is_empty());
+    assert!(collector.next_report(true, later).is_empty());
 }
 
 #[test]
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -24,6 +24,9 @@
 /// Interval between requests for the endpoint's load, which use no network link as they stay on the host.
 pub(super) const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time for which reports to all entries repeat what a new one does not know.
+const NEW_READER_TIME: Duration = Duration::from_secs(1);
+
 /// An unchanged report is sent only in every n-th interval.
 const UNCHANGED_REPORT_PERIOD: u32 = 2;
 
@@ -196,7 +199,8 @@
     ) {
         let now = self.clock.now();
         let port = self.endpoint_client.address().port();
-        let notices = self.collector.borrow_mut().next_report(now);
+        let has_new_reader = self.subscribers.borrow().has_new(NEW_READER_TIME, now);
+        let notices = self.collector.borrow_mut().next_report(has_new_reader, now);
         if report.is_none() && notices.is_empty() {
             return;
         }
