--- a/node/src/direct/explain.rs
+++ b/node/src/direct/explain.rs
@@ -28,15 +28,26 @@
     line.get(field).and_then(Value::as_i64).unwrap_or_default()
 }
 
-/// Explains the request `id` from the lines of one or more logs; `None` if no line has that id.
-pub fn explain<'a>(id: &str, logs: impl Iterator<Item = &'a str>) -> Option<Explanation> {
-    let mut found: Vec<(i64, &str, Value)> = logs
-        .filter(|line| line.contains(id))
-        .filter_map(|line| Some((line, parse_line(line)?)))
-        .filter(|(_, object)| str_field(object, "id") == id)
+/// A log line with its time and content.
+type LogLine<'a> = (i64, &'a str, Value);
+
+/// The lines whose `field` is `value`, oldest first.
+fn lines_with<'a>(lines: &[&'a str], field: &str, value: &str) -> Vec<LogLine<'a>> {
+    let mut found: Vec<LogLine<'a>> = lines
+        .iter()
+        .filter(|line| line.contains(value))
+        .filter_map(|line| Some((*line, parse_line(line)?)))
+        .filter(|(_, object)| str_field(object, field) == value)
         .map(|(line, object)| (int_field(&object, "ts_ms"), line, object))
         .collect();
     found.sort_by_key(|(at, _, _)| *at);
+    found
+}
+
+/// Explains the request `id` from the lines of one or more logs; `None` if no line has that id.
+pub fn explain<'a>(id: &str, logs: impl Iterator<Item = &'a str>) -> Option<Explanation> {
+    let logs: Vec<&str> = logs.collect();
+    let found = lines_with(&logs, "id", id);
     let (_, _, last) = found.last()?;
     let failed: Vec<&Value> = found
         .iter()
@@ -57,10 +68,29 @@
         cause
             .push_str(&format!(" The attempt at endpoint {endpoint} failed at \"{at}\": {error}."));
     }
+    let fingerprint = found.iter().map(|(_, _, line)| str_field(line, "request"));
+    if let Some(fingerprint) = fingerprint.into_iter().find(|request| !request.is_empty()) {
+        cause.push_str(&describe_crashes(&lines_with(&logs, "request", fingerprint)));
+    }
     let lines = found.iter().map(|(_, line, _)| (*line).to_owned()).collect();
     Some(Explanation { lines, cause })
 }
 
+/// Names the endpoints that crashed while running a request, from all lines with its fingerprint.
+fn describe_crashes(lines: &[LogLine<'_>]) -> String {
+    let mut crashes: Vec<String> = Vec::new();
+    for (_, _, line) in lines {
+        if str_field(line, "msg") == "endpoint crashed while running a request" {
+            let (endpoint, id) = (str_field(line, "endpoint"), str_field(line, "id"));
+            crashes.push(format!("{endpoint} (attempt {id})"));
+        }
+    }
+    if crashes.is_empty() {
+        return String::new();
+    }
+    format!(" Endpoints that crashed while running this request: {}.", crashes.join(", "))
+}
+
 fn describe_end(line: &Value) -> String {
     let status = int_field(line, "status");
     let host = str_field(line, "host");
@@ -86,6 +116,9 @@
         }
         "all endpoints full" => "every endpoint that may serve it was full".to_owned(),
         "no endpoint" => "no known endpoint may serve it".to_owned(),
+        "request crashes endpoints" => {
+            "earlier attempts of the same request crashed the endpoints that ran them".to_owned()
+        }
         "declined by endpoints" => "each endpoint that it was sent to refused it".to_owned(),
         "answer lost" => "an endpoint accepted it and the response was lost".to_owned(),
         "timed out" => "no response arrived in time".to_owned(),
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -218,6 +218,12 @@
             response
         }
         Err(e) => {
+            if let CallError::Quarantined { ends_in } = e {
+                slog::info!(state.log, "request refused because it crashes endpoints";
+                    "id" => call.head.id.as_deref().unwrap_or_default(),
+                    "request" => call.fingerprint().to_string(),
+                    "ends_in_ms" => ends_in.as_millis() as u64);
+            }
             log_request_end(state, &call.head, call.received_at, e.status(), e.as_str(), &history);
             let remaining = call.deadline.since(state.now());
             let cause = refusal_cause_of(state, e, &call);
--- a/node/tests/direct/explain.rs
+++ b/node/tests/direct/explain.rs
@@ -41,6 +41,25 @@
     assert!(cause.contains("It has not run."), "{cause}");
 }
 
+// A caller is refused for crashes that other entries saw, in attempts with other ids.
+#[test]
+fn explain_names_crashes_of_quarantined_request() {
+    let logs = r#"
+{"msg":"endpoint crashed while running a request","ts_ms":10,"host":"edge-1","endpoint":"i-1","beside":3,"request":"f0","id":"e1"}
+{"msg":"endpoint crashed while running a request","ts_ms":11,"host":"edge-1","endpoint":"i-1","beside":3,"request":"aa","id":"e9"}
+{"msg":"endpoint crashed while running a request","ts_ms":20,"host":"edge-2","endpoint":"i-2","beside":0,"request":"f0","id":"e2"}
+{"msg":"request refused because it crashes endpoints","ts_ms":30,"host":"edge-3","ends_in_ms":599000,"request":"f0","id":"e3"}
+{"msg":"request ended","ts_ms":30,"host":"edge-3","offers":0,"took_ms":1,"reason":"request crashes endpoints","status":503,"id":"e3"}
+"#;
+    let cause = explain("e3", logs.lines()).unwrap().cause;
+    assert_eq!(
+        cause,
+        "Answered 503 by edge-3 after 1 ms: earlier attempts of the same request crashed the \
+         endpoints that ran them. It has not run. Endpoints that crashed while running this \
+         request: i-1 (attempt e1), i-2 (attempt e2)."
+    );
+}
+
 // Logs of earlier releases have another text for an interrupted stream.
 #[test]
 fn explain_reads_both_texts_of_interrupted_stream() {
