--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -340,6 +340,18 @@
         }
     }
 
+    /// Records that an endpoint has said that it is about to stop. Returns whether that is new.
+    pub fn record_leaving(&mut self, key: EndpointKey, _now: Time) -> bool {
+        self.endpoints.get_mut(key).is_some_and(Endpoint::record_leaving)
+    }
+
+    /// Records that an endpoint wants nothing from this entry for `pause`. Returns whether it had
+    /// not asked for a pause that still lasts.
+    pub fn record_pause(&mut self, key: EndpointKey, pause: Duration, now: Time) -> bool {
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.is_some_and(|endpoint| endpoint.record_pause(pause, now))
+    }
+
     /// Applies what an answer of the endpoint says about its request limit. Returns whether the limit
     /// has changed.
     pub fn apply_limit(&mut self, key: EndpointKey, statement: LimitStatement) -> bool {
--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -33,6 +33,7 @@
 mod selection;
 pub mod settings;
 pub mod state;
+mod statements;
 mod steps;
 pub mod store;
 mod stream;
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -13,7 +13,6 @@
 use mastichaven_core::direct::catalog::RetryPolicy;
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::endpoint::EndpointRecord;
-use mastichaven_core::direct::request_limit::LimitStatement;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_platform::answer;
 use mastichaven_platform::answer::AnswerKind;
@@ -145,11 +144,8 @@
     };
     let id = call.head.id.as_deref();
     let kind = answer::classify(response.status(), response.headers(), id);
-    if matches!(kind, AnswerKind::Success | AnswerKind::NotRun | AnswerKind::Failed) {
-        let limit = answer::request_limit(response.headers());
-        let statement = LimitStatement::of_answer(limit, now, state.now());
-        record_limit(state, &record, endpoint, statement);
-    }
+    let head = (response.status(), response.headers());
+    state.apply_statements(&record, endpoint, kind, head, now);
     match kind {
         AnswerKind::Success => AttemptOutcome::Responding(Box::new(AttemptResponse {
             record,
@@ -190,19 +186,6 @@
     }
 }
 
-/// Records what an answer of an endpoint says about its request limit.
-fn record_limit(
-    state: &State,
-    record: &EndpointRecord,
-    endpoint: EndpointKey,
-    statement: LimitStatement,
-) {
-    if state.endpoints.borrow_mut().apply_limit(endpoint, statement) {
-        state.record_limit_change(&record.id, statement.per_second, "answer");
-        state.requests_due.notify_one();
-    }
-}
-
 fn build_endpoint_request(
     state: &State,
     call: &Call,
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -134,6 +134,7 @@
     pub publisher: Publisher,
     /// Cached chunks of weights for the agents of the region.
     pub chunks: ChunkCache,
+    pub(super) unknown_headers: RefCell<HashSet<SmolStr>>,
     longest_deadlines: RefCell<HashMap<SmolStr, LongestDeadline>>,
     retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     rng: RefCell<SmallRng>,
@@ -180,6 +181,7 @@
             detached: Notify::new(),
             publisher: Publisher::default(),
             chunks: ChunkCache::default(),
+            unknown_headers: RefCell::default(),
             longest_deadlines: RefCell::default(),
             retry_budgets: RefCell::default(),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
--- /dev/null
+++ b/node/src/direct/statements.rs
@@ -0,0 +1,72 @@
+//! Applies what endpoints say about themselves in the heads of their answers.
+
+use http::HeaderMap;
+use http::StatusCode;
+use mastichaven_core::Time;
+use mastichaven_core::direct::endpoint::EndpointKey;
+use mastichaven_core::direct::endpoint::EndpointRecord;
+use mastichaven_core::direct::request_limit::LimitStatement;
+use mastichaven_platform::answer;
+use mastichaven_platform::answer::AnswerKind;
+use smol_str::SmolStr;
+
+use super::state::State;
+
+/// Maximum number of unknown headers whose names are remembered, so that each is logged once.
+const MAX_UNKNOWN_HEADERS: usize = 64;
+
+impl State {
+    /// Applies what an answer to a request sent at `sent_at` says about its endpoint. An answer of another process
+    /// says nothing about it.
+    pub(super) fn apply_statements(
+        &self,
+        record: &EndpointRecord,
+        endpoint: EndpointKey,
+        kind: AnswerKind,
+        (status, headers): (StatusCode, &HeaderMap),
+        sent_at: Time,
+    ) {
+        self.log_unknown_headers(headers);
+        let statements = answer::endpoint_statements(status, headers);
+        let is_own = match kind {
+            AnswerKind::Success | AnswerKind::NotRun | AnswerKind::Failed => true,
+            AnswerKind::Misdirected => answer::is_from_endpoint(headers, &record.id),
+            AnswerKind::Foreign => false,
+        };
+        if !is_own {
+            return;
+        }
+        let now = self.now();
+        if statements.is_leaving && self.endpoints.borrow_mut().record_leaving(endpoint, now) {
+            self.metrics.count("endpoints_leaving");
+            slog::info!(self.log, "endpoint says that it leaves";
+                "endpoint" => record.id.as_str(), "from" => "answer");
+        }
+        if kind == AnswerKind::Misdirected {
+            return;
+        }
+        let limit = LimitStatement::of_answer(statements.request_limit, sent_at, now);
+        if self.endpoints.borrow_mut().apply_limit(endpoint, limit) {
+            self.record_limit_change(&record.id, limit.per_second, "answer");
+            self.requests_due.notify_one();
+        }
+        if let Some(pause) = statements.pause {
+            self.metrics.count("endpoint_pauses");
+            if self.endpoints.borrow_mut().record_pause(endpoint, pause, now) {
+                slog::info!(self.log, "endpoint asks for a pause";
+                    "endpoint" => record.id.as_str(), "pause_ms" => pause.as_millis() as u64);
+            }
+        }
+    }
+
+    /// Logs each header with an unknown statement once.
+    fn log_unknown_headers(&self, headers: &HeaderMap) {
+        for name in answer::unknown_statements(headers) {
+            self.metrics.count("endpoint_headers_unknown");
+            let mut known = self.unknown_headers.borrow_mut();
+            if known.len() < MAX_UNKNOWN_HEADERS && known.insert(SmolStr::new(name.as_str())) {
+                slog::warn!(self.log, "endpoint sends an unknown header"; "name" => name.as_str());
+            }
+        }
+    }
+}
