Failing test: an endpoint that says that it leaves gets requests

Requests that reach an endpoint after it left the fleet are cut off when it ends, and a booking that is cut off may have run. Stand-in endpoints can say that they leave in all their answers, and tell when they started. The test fails: all of 20 requests reach the endpoint after it has said so.

--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -15,4 +15,5 @@
 mod replication;
 mod settings;
 mod shutdown;
+mod statements;
 mod updates;
--- /dev/null
+++ b/node/tests/direct/statements.rs
@@ -0,0 +1,55 @@
+use std::thread;
+use std::time::Duration;
+
+use mastichaven_standins::direct::endpoint::FakeEndpoint;
+use mastichaven_standins::direct::store::StoreFault;
+
+use super::fixture::Entry;
+use super::fixture::Site;
+use super::fixture::until;
+
+/// Starts two endpoints of the service `desk`, and an entry that knows both.
+fn start_pair(name: &str) -> (Site, [FakeEndpoint; 2], Entry) {
+    let site = Site::start();
+    let endpoints =
+        [site.start_endpoint("i-1", "desk", None), site.start_endpoint("i-2", "desk", None)];
+    let entry = site.start_entry(name);
+    until("both are known", || entry.dump()["endpoints"].as_array().map(Vec::len) == Some(2));
+    (site, endpoints, entry)
+}
+
+/// Sends lookups through `entry` until `endpoint` has answered one.
+fn send_until_answered(entry: &Entry, endpoint: &FakeEndpoint) {
+    let count = endpoint.runs().len();
+    let mut sent = 0;
+    until("the endpoint answers", || {
+        sent += 1;
+        let _ = entry.send_request("/lookup/a", &format!("first{sent}"), "key-1");
+        endpoint.runs().len() > count
+    });
+}
+
+/// Sends lookups through `entry`, and asserts that all are answered and none reaches `endpoint`.
+fn assert_avoids(entry: &Entry, endpoint: &FakeEndpoint) {
+    let count = endpoint.runs().len();
+    for n in 0..20 {
+        let response = entry.send_request("/lookup/a", &format!("l{n}"), "key-1").unwrap();
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+    assert_eq!(endpoint.runs().len(), count, "requests reached the endpoint");
+}
+
+// The store is away while an endpoint leaves and says so in its answers, and lists it as ready afterwards.
+#[test]
+fn endpoint_that_says_it_leaves_gets_no_requests() {
+    let (site, [leaving, _other], entry) = start_pair("leaving");
+    site.store.set_fault(StoreFault::Silent);
+    leaving.set_leaving(true);
+    send_until_answered(&entry, &leaving);
+    assert_avoids(&entry, &leaving);
+    site.store.set_fault(StoreFault::None);
+    site.list_endpoint("i-1", "desk", &leaving, "ready");
+    until("the entry is ready", || entry.is_ready());
+    thread::sleep(Duration::from_secs(1));
+    assert_avoids(&entry, &leaving);
+}
--- a/standins/src/direct/endpoint.rs
+++ b/standins/src/direct/endpoint.rs
@@ -13,6 +13,8 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
 use hyper::Method;
@@ -94,11 +96,14 @@
     delayed_orders: u64,
     crash_marker: Option<Vec<u8>>,
     crashed_at: Option<Instant>,
+    is_leaving: bool,
 }
 
 #[derive(Debug)]
 struct Shared {
     id: String,
+    /// Start time in milliseconds of the Unix epoch.
+    started_ms: u64,
     state: Mutex<State>,
     stop_flag: OnceLock<Arc<AtomicBool>>,
 }
@@ -129,8 +134,12 @@
     /// is given.
     pub fn start(address: &str, id: &str, version: Option<u64>) -> io::Result<FakeEndpoint> {
         let state = State { version, staged: staged_chunks(version), ..State::default() };
-        let shared =
-            Shared { id: id.to_owned(), state: Mutex::new(state), stop_flag: OnceLock::new() };
+        let shared = Shared {
+            id: id.to_owned(),
+            started_ms: unix_ms(),
+            state: Mutex::new(state),
+            stop_flag: OnceLock::new(),
+        };
         let shared = Arc::new(shared);
         let handler_state = shared.clone();
         let server = serve::start(address, move |req| answer(&handler_state, req))?;
@@ -149,7 +158,7 @@
         let mut record = json!({
             "service": service, "address": self.address().to_string(), "zone": zone,
             "version": "v1", "slots": 4, "state": state, "cold_remaining_ms": 0,
-            "stage": "colocated", "sequence": 0, "models": []
+            "stage": "colocated", "sequence": 0, "models": [], "born": self.shared.started_ms
         });
         if let Some(version) = version {
             record["models"] = json!([{"name": "m", "version": version, "adapters": []}]);
@@ -191,6 +200,11 @@
         self.shared.lock().request_limit = per_second;
     }
 
+    /// Sets whether the endpoint says in all its answers that it leaves.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.shared.lock().is_leaving = is_leaving;
+    }
+
     /// Delays the next load order: it takes effect, and is answered, only after `delay`.
     pub fn delay_next_order(&self, delay: Duration) {
         self.shared.lock().order_delay = Some(delay);
@@ -224,6 +238,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_millis() as u64
+}
+
 fn staged_chunks(version: Option<u64>) -> HashMap<usize, Vec<u8>> {
     let Some(version) = version else {
         return HashMap::new();
@@ -247,14 +266,18 @@
     let state = shared.lock();
     let mut body = json!({
         "stage": "colocated", "models": [], "busy": state.is_busy, "sequence": state.orders,
-        "waiting": 0, "running": state.running, "kv_used": 0, "kv_total": 1000, "handles": 0
+        "waiting": 0, "running": state.running, "kv_used": 0, "kv_total": 1000, "handles": 0,
+        "born": shared.started_ms
     });
     if let Some(version) = state.version {
         body["models"] = json!([{"name": "m", "version": version, "adapters": []}]);
         body["layers"] = json!({"from": 0, "to": LAYERS, "version": version});
     }
     drop(state);
-    req.respond_json(&body);
+    let statements = statement_headers(shared);
+    let mut headers = borrowed(&statements);
+    headers.push(("content-type", "application/json"));
+    req.respond(200, &headers, body.to_string());
 }
 
 fn order(shared: &Arc<Shared>, req: Req) {
@@ -316,13 +339,16 @@
     let fault = shared.lock().fault;
     let expected = req.header("x-mastichaven-expect-instance");
     if fault == EndpointFault::Misdirected || expected.is_some_and(|id| id != shared.id) {
-        return req.respond(421, &[("x-mastichaven-instance-id", &shared.id)], "");
+        let statements = statement_headers(shared);
+        let mut headers = borrowed(&statements);
+        headers.push(("x-mastichaven-instance-id", &shared.id));
+        return req.respond(421, &headers, "");
     }
     let id = req.header("x-mastichaven-attempt-id").unwrap_or_default().to_owned();
     if fault == EndpointFault::Full || id.is_empty() {
-        let limit = limit_header(shared);
-        let mut headers = vec![("x-mastichaven-attempt-id", id.as_str()), NOT_RUN_HEADER];
-        headers.extend(limit.as_deref().map(|limit| (LIMIT_HEADER, limit)));
+        let statements = statement_headers(shared);
+        let mut headers = borrowed(&statements);
+        headers.extend([("x-mastichaven-attempt-id", id.as_str()), NOT_RUN_HEADER]);
         return req.respond(503, &headers, "");
     }
     let resumed_after = req.header("last-event-id").and_then(|id| id.parse().ok());
@@ -367,11 +393,16 @@
     }
 }
 
-/// Name of the header with the requests per second that the endpoint takes.
-const LIMIT_HEADER: &str = "server-limit";
+/// Headers by which the endpoint says something about itself.
+fn statement_headers(shared: &Shared) -> Vec<(&'static str, String)> {
+    let state = shared.lock();
+    let limit = state.request_limit.map(|limit| ("server-limit", limit.to_string()));
+    let leaving = state.is_leaving.then(|| ("server-leaving", "1".to_owned()));
+    limit.into_iter().chain(leaving).collect()
+}
 
-fn limit_header(shared: &Shared) -> Option<String> {
-    shared.lock().request_limit.map(|limit| limit.to_string())
+fn borrowed<'a>(headers: &'a [(&'static str, String)]) -> Vec<(&'a str, &'a str)> {
+    headers.iter().map(|(name, value)| (*name, value.as_str())).collect()
 }
 
 const NOT_RUN_HEADER: (&str, &str) = ("x-mastichaven-not-executed", "1");
@@ -386,10 +417,10 @@
 ) -> bool {
     let stamp = format!("stamp-of-{}", shared.id);
     let echoed = if fault == EndpointFault::WrongId { "another" } else { id };
-    let limit = limit_header(shared);
-    let mut headers =
-        vec![("x-mastichaven-attempt-id", echoed), ("x-mastichaven-response-stamp", &stamp)];
-    headers.extend(limit.as_deref().map(|limit| (LIMIT_HEADER, limit)));
+    let statements = statement_headers(shared);
+    let mut headers = borrowed(&statements);
+    headers
+        .extend([("x-mastichaven-attempt-id", echoed), ("x-mastichaven-response-stamp", &stamp)]);
     match fault {
         EndpointFault::LostAnswer => return false,
         EndpointFault::Failing => {
