Failing test: an endpoint that asks for a pause gets requests

Callers wait for attempts at endpoints that want nothing, and are refused when the retries that these cost are over the budget. Stand-in endpoints can turn requests away with any Retry-After.

--- a/node/tests/direct/statements.rs
+++ b/node/tests/direct/statements.rs
@@ -1,5 +1,6 @@
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use mastichaven_standins::direct::endpoint::FakeEndpoint;
 use mastichaven_standins::direct::store::StoreFault;
@@ -8,6 +9,11 @@
 use super::fixture::Site;
 use super::fixture::until;
 
+/// Time after an endpoint has asked for a pause within which requests may still be on their way to it, and the
+/// number of later ones that may reach it.
+const PAUSE_GRACE: Duration = Duration::from_millis(500);
+const ALLOWED_REQUESTS: usize = 2;
+
 /// Starts two endpoints of the service `desk`, and an entry that knows both.
 fn start_pair(name: &str) -> (Site, [FakeEndpoint; 2], Entry) {
     let site = Site::start();
@@ -53,3 +59,31 @@
     thread::sleep(Duration::from_secs(1));
     assert_avoids(&entry, &leaving);
 }
+
+/// Number of requests that reached `endpoint` while it paused for `pause` after it had first turned one away.
+fn requests_during_pause(endpoint: &FakeEndpoint, pause: Duration) -> usize {
+    let refused_at = endpoint.refused_at();
+    let first = *refused_at.first().expect("the endpoint has turned a request away");
+    let counted = first + PAUSE_GRACE..first + pause;
+    refused_at.iter().filter(|at| counted.contains(*at)).count()
+}
+
+// An endpoint turns requests away and wants nothing for two seconds. Callers must be answered by the other one.
+#[test]
+fn endpoint_that_asks_for_pause_gets_no_requests() {
+    let (_site, [pausing, other], entry) = start_pair("pause");
+    pausing.set_pause(Some("2"));
+    let started_at = Instant::now();
+    let mut refused = 0;
+    while started_at.elapsed() < Duration::from_secs(3) {
+        let response = entry.send_request("/lookup/a", "l", "key-1").unwrap();
+        refused += usize::from(response.status != 200);
+        thread::sleep(Duration::from_millis(20));
+    }
+    let count = requests_during_pause(&pausing, Duration::from_secs(2));
+    assert!(count <= ALLOWED_REQUESTS, "{count} requests, {refused} callers refused");
+    assert_eq!(refused, 0);
+    pausing.set_pause(None);
+    other.set_pause(Some("2"));
+    send_until_answered(&entry, &pausing);
+}
--- a/standins/src/direct/endpoint.rs
+++ b/standins/src/direct/endpoint.rs
@@ -97,6 +97,8 @@
     crash_marker: Option<Vec<u8>>,
     crashed_at: Option<Instant>,
     is_leaving: bool,
+    pause: Option<String>,
+    refused_at: Vec<Instant>,
 }
 
 #[derive(Debug)]
@@ -205,6 +207,16 @@
         self.shared.lock().is_leaving = is_leaving;
     }
 
+    /// Sets the value of `Retry-After` with which the endpoint turns all requests away; `None` if it accepts them.
+    pub fn set_pause(&self, pause: Option<&str>) {
+        self.shared.lock().pause = pause.map(str::to_owned);
+    }
+
+    /// Times at which the endpoint has turned requests away.
+    pub fn refused_at(&self) -> Vec<Instant> {
+        self.shared.lock().refused_at.clone()
+    }
+
     /// Delays the next load order: it takes effect, and is answered, only after `delay`.
     pub fn delay_next_order(&self, delay: Duration) {
         self.shared.lock().order_delay = Some(delay);
@@ -345,10 +357,13 @@
         return req.respond(421, &headers, "");
     }
     let id = req.header("x-mastichaven-attempt-id").unwrap_or_default().to_owned();
-    if fault == EndpointFault::Full || id.is_empty() {
+    let pause = shared.lock().pause.clone();
+    if fault == EndpointFault::Full || id.is_empty() || pause.is_some() {
+        shared.lock().refused_at.push(Instant::now());
         let statements = statement_headers(shared);
         let mut headers = borrowed(&statements);
         headers.extend([("x-mastichaven-attempt-id", id.as_str()), NOT_RUN_HEADER]);
+        headers.extend(pause.as_deref().map(|pause| ("retry-after", pause)));
         return req.respond(503, &headers, "");
     }
     let resumed_after = req.header("last-event-id").and_then(|id| id.parse().ok());
