An endpoint that says in an answer that it leaves gets no new requests

With the store away, requests reached an endpoint 12 s after it had told the sending entries that it leaves, and after the store was back the list still showed it as ready.

What a process has said of itself now holds until it ends: it is bound to address and start time, remembered when the store removes and lists the endpoint again, and not applied to the next process there.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -5,7 +5,8 @@
 //! service, with the state of one of them in [`endpoint`]. A request goes to the best of a random
 //! sample of them (`sampling`), past those that `ejection` takes out of rotation; [`lateness`]
 //! detects requests that give way to others. [`shares`] divides fleet-wide limits among entries,
-//! [`request_limit`] keeps to those that single endpoints name, and [`retry_after`] computes when a
+//! [`request_limit`] keeps to those that single endpoints name, [`leaving`] remembers which
+//! endpoints are about to stop, and [`retry_after`] computes when a
 //! refused caller may return. [`events`] resumes broken streams.
 //!
 //! Entries and agents tell each other what one of them has seen in [`notices`], such as requests
@@ -25,6 +26,7 @@
 pub mod events;
 pub mod freshness;
 pub mod lateness;
+pub mod leaving;
 pub mod load_orders;
 pub mod notices;
 pub mod replication;
--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -185,8 +185,6 @@
     recent_sends: RecentSends,
     ejection: Ejection,
     backoff_until: Time,
-    /// Whether the endpoint has said in an answer that it is about to stop.
-    is_leaving: bool,
     /// End of the pause that the endpoint has asked for.
     paused_until: Time,
 }
@@ -213,7 +211,6 @@
             recent_sends: RecentSends::default(),
             ejection: Ejection::default(),
             backoff_until: Time::ZERO,
-            is_leaving: false,
             paused_until: Time::ZERO,
         }
     }
@@ -436,9 +433,9 @@
         self.backoff_until = now + MISDIRECTED_BACKOFF;
     }
 
-    /// Records that the endpoint has said that it is about to stop. Returns whether that is new.
+    /// Records that the endpoint is about to stop. Returns whether that is new.
     pub(super) fn record_leaving(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_leaving, true)
+        !std::mem::replace(&mut self.record.is_draining, true)
     }
 
     /// Records that the endpoint wants nothing from this entry for `pause`. Of several pauses the
@@ -470,7 +467,6 @@
             "own": self.in_flight,
             "others": load.map(|load| load.other_requests),
             "report_age_ms": load.map(|load| now.since(load.timing.received_at).as_millis() as u64),
-            "leaving": self.is_leaving,
             "paused_ms": self.paused_until.since(now).as_millis() as u64,
             "requests_per_second": self.request_limit.per_second(),
             "rests": self.ejection.is_ejected(now),
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -20,6 +20,8 @@
 use super::endpoint::EndpointRecord;
 use super::endpoint::LoadReport;
 use super::endpoint::ReportTiming;
+use super::leaving::EndpointProcess;
+use super::leaving::LeavingProcesses;
 use super::request_limit::LimitStatement;
 use super::request_limit::Schedule;
 use super::shares::EntryCount;
@@ -103,6 +105,8 @@
     /// An address has several endpoints while the list shows a crashed process beside its
     /// successor.
     by_address: HashMap<SocketAddr, Vec<EndpointKey>>,
+    /// Processes that have said that they are about to stop, listed or not.
+    leaving: LeavingProcesses,
     /// Store revision up to which all changes of endpoints are applied.
     as_of: Revision,
     evacuated: HashSet<ZoneName>,
@@ -129,6 +133,7 @@
             by_id: HashMap::new(),
             by_service: HashMap::new(),
             by_address: HashMap::new(),
+            leaving: LeavingProcesses::default(),
             as_of: Revision::default(),
             evacuated: HashSet::new(),
             evacuated_as_of: Revision::default(),
@@ -340,9 +345,36 @@
         }
     }
 
-    /// Records that an endpoint has said that it is about to stop. Returns whether that is new.
-    pub fn record_leaving(&mut self, key: EndpointKey, _now: Time) -> bool {
-        self.endpoints.get_mut(key).is_some_and(Endpoint::record_leaving)
+    /// Records that an endpoint has said in an answer that it is about to stop. Returns whether that
+    /// is new.
+    pub fn record_leaving(&mut self, key: EndpointKey, now: Time) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return false;
+        };
+        let is_new = endpoint.record_leaving();
+        self.leaving.record(EndpointProcess::of(endpoint.record()), now);
+        is_new
+    }
+
+    /// Records that others know that a process is about to stop. Returns the id of its endpoint if
+    /// that is new.
+    pub fn record_leaving_process(
+        &mut self,
+        process: EndpointProcess,
+        now: Time,
+    ) -> Option<SmolStr> {
+        self.leaving.record(process, now);
+        let keys = self.by_address.get(&process.address).map(Vec::as_slice).unwrap_or_default();
+        for key in keys {
+            let endpoint = self.endpoints.get_mut(*key);
+            if let Some(endpoint) =
+                endpoint.filter(|endpoint| EndpointProcess::of(endpoint.record()) == process)
+                && endpoint.record_leaving()
+            {
+                return Some(endpoint.record().id.clone());
+            }
+        }
+        None
     }
 
     /// Records that an endpoint wants nothing from this entry for `pause`. Returns whether it had
--- a/core/src/direct/endpoint_table/updates.rs
+++ b/core/src/direct/endpoint_table/updates.rs
@@ -10,6 +10,7 @@
 use crate::direct::endpoint::Endpoint;
 use crate::direct::endpoint::EndpointKey;
 use crate::direct::endpoint::EndpointRecord;
+use crate::direct::leaving::EndpointProcess;
 use crate::ids::Digest;
 use crate::ids::RegionName;
 use crate::ids::Revision;
@@ -96,7 +97,12 @@
         let address = record.address;
         let pair = format!("{} {}", self.host.as_str(), record.address);
         let affinity = key_of(Digest::of(pair.as_bytes()));
-        let key = self.endpoints.insert(Endpoint::new(record, region, affinity, now));
+        let is_leaving = self.leaving.contains(EndpointProcess::of(&record), now);
+        let mut endpoint = Endpoint::new(record, region, affinity, now);
+        if is_leaving {
+            endpoint.record_leaving();
+        }
+        let key = self.endpoints.insert(endpoint);
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
         self.by_address.entry(address).or_default().push(key);
--- a/core/src/direct/notices.rs
+++ b/core/src/direct/notices.rs
@@ -11,6 +11,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::leaving::EndpointProcess;
+use super::leaving::LeavingProcesses;
 use crate::quarantine;
 use crate::quarantine::Beside;
 use crate::quarantine::CrashEvidence;
@@ -35,6 +37,10 @@
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 const MAX_REPEATED: usize = 8;
 
+/// Time for which it is repeated that an endpoint leaves. Within it the endpoint has ended, or the store tells it to
+/// entries that start.
+const LEAVING_TTL: Duration = Duration::from_secs(60);
+
 /// Maximum number of completed requests that are reported.
 const MAX_COMPLETED: usize = 64;
 
@@ -60,6 +66,8 @@
         /// The request.
         request: Fingerprint,
     },
+    /// An endpoint has said that it is about to stop.
+    Leaving(EndpointProcess),
 }
 
 #[derive(Clone, Debug)]
@@ -131,6 +139,8 @@
 pub struct Collector {
     quarantine: Quarantine,
     completed: VecDeque<(Fingerprint, Time)>,
+    leaving: LeavingProcesses,
+    has_new_leaving: bool,
     turn: usize,
     repeated_at: Option<Time>,
 }
@@ -150,13 +160,23 @@
                     self.completed.truncate(MAX_COMPLETED);
                 }
             }
+            Notice::Leaving(process) => {
+                self.has_new_leaving |= !self.leaving.contains(process, now);
+                self.leaving.record(process, now);
+            }
             Notice::Quarantined { .. } => {}
         }
     }
 
+    /// Whether a process has said that it is about to stop.
+    pub fn is_leaving(&self, process: EndpointProcess, now: Time) -> bool {
+        self.leaving.contains(process, now)
+    }
+
     /// Evaluates the notices of the entries. Returns whether the entries must hear of the outcome at once.
     pub fn judge(&mut self, now: Time) -> bool {
-        self.quarantine.judge(now)
+        let has_new_leaving = std::mem::take(&mut self.has_new_leaving);
+        self.quarantine.judge(now) || has_new_leaving
     }
 
     fn quarantined(&self, now: Time) -> impl Iterator<Item = (Fingerprint, Duration)> + '_ {
@@ -169,9 +189,14 @@
         self.completed.retain(|(_, at)| !now.passed(*at, NEWS_TTL));
         let completed = self.completed.iter().map(|(request, _)| *request);
         let completed = completed.map(|request| Notice::Completed { request });
-        let mut all: Vec<(Duration, Fingerprint)> =
-            self.quarantined(now).map(|(request, age)| (age, request)).collect();
-        all.sort_unstable();
+        let quarantined = self.quarantined(now).map(|(request, age)| {
+            let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+            (age, Notice::Quarantined { request, age_ms })
+        });
+        let leaving = self.leaving.recent(LEAVING_TTL, now);
+        let leaving = leaving.map(|(process, age)| (age, Notice::Leaving(process)));
+        let mut all: Vec<(Duration, Notice)> = quarantined.chain(leaving).collect();
+        all.sort_unstable_by_key(|(age, _)| *age);
         let news = all.partition_point(|(age, _)| *age < NEWS_TTL);
         let older = &mut all[news..];
         if !older.is_empty() {
@@ -187,10 +212,7 @@
             self.repeated_at = Some(now);
             self.turn = self.turn.wrapping_add(MAX_REPEATED);
         }
-        let quarantined = all.iter().take(news + repeated).map(|(age, request)| {
-            let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-            Notice::Quarantined { request: *request, age_ms }
-        });
-        completed.chain(quarantined).collect()
+        let others = all.into_iter().take(news + repeated).map(|(_, notice)| notice);
+        completed.chain(others).collect()
     }
 }
--- a/core/tests/direct/endpoint_table.rs
+++ b/core/tests/direct/endpoint_table.rs
@@ -1,6 +1,7 @@
 //! Tests of the endpoint table.
 
 mod ejection;
+mod leaving;
 mod selection;
 mod subset;
 mod updates;
--- a/core/tests/direct/notices.rs
+++ b/core/tests/direct/notices.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
+use mastichaven_core::direct::leaving::EndpointProcess;
 use mastichaven_core::direct::notices::Collector;
 use mastichaven_core::direct::notices::Notice;
 use mastichaven_core::direct::notices::NoticeQueue;
@@ -67,7 +68,7 @@
         match notice {
             Notice::Quarantined { request, .. } => self.quarantine.impose(*request, Time::ZERO),
             Notice::Completed { request } => drop(self.quarantine.clear(*request)),
-            Notice::Crash { .. } => {}
+            Notice::Crash { .. } | Notice::Leaving(_) => {}
         }
     }
 }
@@ -226,3 +227,20 @@
     assert!(!queue.has_unsent());
     assert!(!queue.is_empty(), "it is sent again");
 }
+
+// An endpoint leaves while the store is away, and an entry starts.
+#[test]
+fn next_report_repeats_leaving_endpoints() {
+    let process = EndpointProcess { address: "10.0.0.1:80".parse().unwrap(), started_ms: 5 };
+    let mut collector = Collector::default();
+    collector.apply(Notice::Leaving(process), Time::ZERO);
+    assert!(collector.judge(Time::ZERO), "the entries must hear of it at once");
+    collector.apply(Notice::Leaving(process), Time::ZERO);
+    assert!(!collector.judge(Time::ZERO));
+    let report_after = |collector: &mut Collector, seconds: u64| {
+        collector.next_report(false, Time::ZERO + Duration::from_secs(seconds))
+    };
+    assert_eq!(report_after(&mut collector, 1), [Notice::Leaving(process)]);
+    assert_eq!(report_after(&mut collector, 30), [Notice::Leaving(process)]);
+    assert!(report_after(&mut collector, 60).is_empty());
+}
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -6,6 +6,8 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::ModelSetup;
 use mastichaven_core::direct::endpoint::LoadReport;
+use mastichaven_core::direct::leaving::EndpointProcess;
+use mastichaven_core::direct::notices::Notice;
 use mastichaven_core::direct::subscribers::Subscriber;
 use mastichaven_platform::engine::Report;
 use tokio::net::UdpSocket;
@@ -80,8 +82,8 @@
             let _ = timeout(REPORT_INTERVAL, self.report_now.notified()).await;
             let setup = self.setup.borrow().as_ref().map(|update| update.setup.clone());
             let layers = setup.as_ref().map_or(0, |setup| setup.model.layers);
-            let report = match self.endpoint_client.fetch_report(layers).await {
-                Ok(report) => report,
+            let (report, is_leaving) = match self.endpoint_client.fetch_report(layers).await {
+                Ok(fetched) => fetched,
                 Err(e) => {
                     if self.report.borrow_mut().take().is_some() {
                         slog::warn!(self.log, "endpoint report failed"; "error" => e.as_str());
@@ -94,6 +96,9 @@
                 }
             };
             self.log_endpoint_change(&report);
+            if is_leaving {
+                self.record_leaving(report.load.started_ms);
+            }
             self.observe_orders(&report);
             let (regional, in_origin_region) = self.subscribers.borrow().caches(self.clock.now());
             self.swarm.set_caches(regional, in_origin_region);
@@ -151,6 +156,17 @@
         }
     }
 
+    /// Records that the endpoint says that it leaves, so that all entries receive it.
+    fn record_leaving(&self, started_ms: u64) {
+        let process = EndpointProcess { address: self.endpoint_client.address(), started_ms };
+        let now = self.clock.now();
+        let mut collector = self.collector.borrow_mut();
+        if process.is_identified() && !collector.is_leaving(process, now) {
+            slog::info!(self.log, "endpoint says that it leaves"; "from" => "answer");
+            collector.apply(Notice::Leaving(process), now);
+        }
+    }
+
     /// Start time of the endpoint's process, in milliseconds of the Unix epoch; 0 if unknown.
     fn started_ms(&self) -> u64 {
         self.report.borrow().as_ref().map_or(0, |report| report.load.started_ms)
--- a/node/src/direct/crashes.rs
+++ b/node/src/direct/crashes.rs
@@ -160,6 +160,7 @@
             Notice::Completed { request } => {
                 self.quarantine.borrow_mut().clear(*request);
             }
+            Notice::Leaving(process) => self.apply_leaving(*process, now),
             Notice::Crash { .. } => {}
         }
     }
@@ -182,7 +183,8 @@
         }
     }
 
-    fn tell_collectors(&self, notice: Notice) {
+    /// Sends a notice to the collectors.
+    pub(super) fn tell_collectors(&self, notice: Notice) {
         self.notices.borrow_mut().push(notice);
         self.notices_due.notify_one();
     }
--- a/node/src/direct/endpoint_client.rs
+++ b/node/src/direct/endpoint_client.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use http::StatusCode;
 use mastichaven_core::ids::Digest;
+use mastichaven_platform::answer;
 use mastichaven_platform::engine;
 use mastichaven_platform::engine::LoadMode;
 use mastichaven_platform::engine::Report;
@@ -69,6 +70,14 @@
     Digest(Sha256::digest(bytes).into())
 }
 
+fn body_of(response: Response<Bytes>) -> Result<Bytes> {
+    match response.status() {
+        StatusCode::OK => Ok(response.into_body()),
+        StatusCode::NOT_FOUND => Err(EndpointCallError::Absent),
+        status => Err(EndpointCallError::Refused(status.as_u16())),
+    }
+}
+
 /// HTTP client of the endpoint on this agent's host, with a small pool of idle connections.
 #[derive(Debug)]
 pub struct EndpointClient {
@@ -105,18 +114,18 @@
     }
 
     async fn get(&self, path: &str) -> Result<Bytes> {
-        let response = self.call("GET", path, Bytes::new()).await?;
-        match response.status() {
-            StatusCode::OK => Ok(response.into_body()),
-            StatusCode::NOT_FOUND => Err(EndpointCallError::Absent),
-            status => Err(EndpointCallError::Refused(status.as_u16())),
-        }
+        body_of(self.call("GET", path, Bytes::new()).await?)
     }
 
-    /// Fetches the endpoint's report; `layers` is the number of layers of a complete model.
-    pub async fn fetch_report(&self, layers: u32) -> Result<Report> {
-        let body = self.get(engine::REPORT_PATH).await?;
-        engine::parse_report(&body, layers).ok_or(EndpointCallError::Malformed)
+    /// Fetches the endpoint's report, and whether the endpoint says that it leaves; `layers` is the number of layers
+    /// of a complete model.
+    pub async fn fetch_report(&self, layers: u32) -> Result<(Report, bool)> {
+        let response = self.call("GET", engine::REPORT_PATH, Bytes::new()).await?;
+        let status = response.status();
+        let is_leaving = answer::endpoint_statements(status, response.headers()).is_leaving;
+        let body = body_of(response)?;
+        let report = engine::parse_report(&body, layers).ok_or(EndpointCallError::Malformed)?;
+        Ok((report, is_leaving))
     }
 
     /// Indices of the staged chunks; empty if nothing is staged for the model.
--- a/node/src/direct/statements.rs
+++ b/node/src/direct/statements.rs
@@ -5,6 +5,8 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::endpoint::EndpointRecord;
+use mastichaven_core::direct::leaving::EndpointProcess;
+use mastichaven_core::direct::notices::Notice;
 use mastichaven_core::direct::request_limit::LimitStatement;
 use mastichaven_platform::answer;
 use mastichaven_platform::answer::AnswerKind;
@@ -38,9 +40,11 @@
         }
         let now = self.now();
         if statements.is_leaving && self.endpoints.borrow_mut().record_leaving(endpoint, now) {
-            self.metrics.count("endpoints_leaving");
-            slog::info!(self.log, "endpoint says that it leaves";
-                "endpoint" => record.id.as_str(), "from" => "answer");
+            self.log_leaving(&record.id, "answer");
+            let process = EndpointProcess::of(record);
+            if process.is_identified() {
+                self.tell_collectors(Notice::Leaving(process));
+            }
         }
         if kind == AnswerKind::Misdirected {
             return;
@@ -59,6 +63,19 @@
         }
     }
 
+    /// Applies the notice that an endpoint is about to stop.
+    pub(super) fn apply_leaving(&self, process: EndpointProcess, now: Time) {
+        let left = self.endpoints.borrow_mut().record_leaving_process(process, now);
+        if let Some(id) = left {
+            self.log_leaving(&id, "agent");
+        }
+    }
+
+    fn log_leaving(&self, id: &str, from: &str) {
+        self.metrics.count("endpoints_leaving");
+        slog::info!(self.log, "endpoint says that it leaves"; "endpoint" => id, "from" => from);
+    }
+
     /// Logs each header with an unknown statement once.
     fn log_unknown_headers(&self, headers: &HeaderMap) {
         for name in answer::unknown_statements(headers) {
--- a/node/tests/direct/statements.rs
+++ b/node/tests/direct/statements.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mastichaven_standins::direct::endpoint::EndpointFault;
 use mastichaven_standins::direct::endpoint::FakeEndpoint;
 use mastichaven_standins::direct::store::StoreFault;
 
@@ -60,6 +61,95 @@
     assert_avoids(&entry, &leaving);
 }
 
+// The next process at the address of an endpoint that has left is another one, even under the same id.
+#[test]
+fn endpoint_that_starts_after_another_has_left_gets_requests() {
+    let (site, [leaving, other], entry) = start_pair("left");
+    leaving.set_leaving(true);
+    send_until_answered(&entry, &leaving);
+    let address = leaving.address().to_string();
+    drop(leaving);
+    let next = FakeEndpoint::start(&address, "i-1", None).expect("starts again");
+    site.list_endpoint("i-1", "desk", &next, "ready");
+    other.set_fault(EndpointFault::Full);
+    send_until_answered(&entry, &next);
+}
+
+fn is_draining(entry: &Entry, id: &str) -> bool {
+    let dump = entry.dump();
+    let all = dump["endpoints"].as_array().cloned().unwrap_or_default();
+    all.iter().any(|endpoint| endpoint["id"] == id && endpoint["draining"] == true)
+}
+
+// A plain service has no agent. Entries that get no answer of its endpoint must still hear that it leaves, with the
+// store away.
+#[test]
+fn leaving_reaches_entries_without_answers() {
+    let (site, [leaving, _other], entry) = start_pair("leaving-relay");
+    let engine = site.start_endpoint("i-engine", "writer", Some(1));
+    let _agent = site.start_agent("leaving-agent", &engine);
+    let second = site.start_entry("leaving-relay-2");
+    until("both entries hear the agent", || {
+        [&entry, &second].iter().all(|entry| {
+            let dump = entry.dump();
+            let all = dump["endpoints"].as_array().cloned().unwrap_or_default();
+            all.iter().any(|endpoint| endpoint["report_age_ms"].is_u64())
+        })
+    });
+    site.store.set_fault(StoreFault::Silent);
+    leaving.set_leaving(true);
+    send_until_answered(&entry, &leaving);
+    until("the other entry knows it", || is_draining(&second, "i-1"));
+    assert_avoids(&second, &leaving);
+}
+
+// An engine that gets no requests says to its agent that it leaves.
+#[test]
+fn leaving_engine_is_known_from_its_agent() {
+    let site = Site::start();
+    let engine = site.start_endpoint("i-engine", "writer", Some(1));
+    let agent = site.start_agent("leaving-engine", &engine);
+    let entry = site.start_entry("leaving-engine-entry");
+    until("the entry hears the agent", || entry.dump()["endpoints"][0]["report_age_ms"].is_u64());
+    engine.set_leaving(true);
+    until("the entry knows that it leaves", || is_draining(&entry, "i-engine"));
+    let response = entry.send_request("/stream/a", "s", "key-1").unwrap();
+    assert_eq!((response.status, response.body.as_str()), (503, "no endpoint"));
+    until("the agent has logged it", || agent.log().contains("endpoint says that it leaves"));
+    assert!(engine.runs().is_empty());
+}
+
+// A stream that has begun goes on, and no other request follows it.
+#[test]
+fn stream_of_leaving_endpoint_is_completed() {
+    let site = Site::start();
+    let engine = site.start_endpoint("i-engine", "writer", Some(1));
+    let entry = site.start_entry("leaving-stream");
+    until("the engine is known", || entry.dump()["endpoints"].as_array().map(Vec::len) == Some(1));
+    engine.set_leaving(true);
+    let response = entry.send_request("/stream/a", "s1", "key-1").unwrap();
+    assert_eq!(response.status, 200);
+    assert!(response.body.ends_with("data: 5\n\n"), "{}", response.body);
+    assert_eq!(entry.send_request("/stream/a", "s2", "key-1").unwrap().status, 503);
+    assert_eq!(engine.runs().len(), 1);
+}
+
+// Refusals and errors say that an endpoint leaves as well as answers with success do.
+#[test]
+fn endpoint_that_fails_says_that_it_leaves() {
+    for fault in [EndpointFault::Full, EndpointFault::Failing] {
+        let (_site, [leaving, _other], entry) = start_pair(&format!("leaving-{fault:?}"));
+        leaving.set_fault(fault);
+        leaving.set_leaving(true);
+        until("the entry knows that it leaves", || {
+            let _ = entry.send_request("/lookup/a", "l", "key-1");
+            is_draining(&entry, "i-1")
+        });
+        leaving.set_fault(EndpointFault::None);
+        assert_avoids(&entry, &leaving);
+    }
+}
+
 /// Number of requests that reached `endpoint` while it paused for `pause` after it had first turned one away.
 fn requests_during_pause(endpoint: &FakeEndpoint, pause: Duration) -> usize {
     let refused_at = endpoint.refused_at();
