An endpoint that asks for a pause gets no requests until its end

An entry now keeps to the pause that it was asked for, also for requests that wait in it, are retried or resumed; the returns of entries are spread over a quarter of the pause. If all endpoints pause, callers are refused at once with the time until the first one serves. A pause speaks to one entry and is not told to others.

--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -40,6 +40,11 @@
 /// Backoff after an endpoint refused a request as full: about the time until its next report.
 const FULL_BACKOFF: Duration = Duration::from_millis(120);
 
+/// Time over which the returns of entries are spread after a pause that an endpoint has asked for, as a fraction of
+/// the pause, and at most.
+const PAUSE_SPREAD_SHARE: f64 = 0.25;
+const MAX_PAUSE_SPREAD: Duration = Duration::from_secs(1);
+
 /// Backoff after an endpoint answered that a request was meant for another process: about half the
 /// interval at which endpoints renew their record in the platform's list.
 const MISDIRECTED_BACKOFF: Duration = Duration::from_millis(600);
@@ -440,12 +445,21 @@
 
     /// Records that the endpoint wants nothing from this entry for `pause`. Of several pauses the
     /// one that ends last holds. Returns whether there was none.
-    pub(super) fn record_pause(&mut self, pause: Duration, now: Time) -> bool {
+    ///
+    /// An endpoint in need asks all entries at about the same time; `draw` from 0 to 1 spreads their
+    /// return.
+    pub(super) fn record_pause(&mut self, pause: Duration, draw: f64, now: Time) -> bool {
         let is_new = self.paused_until <= now;
-        self.paused_until = self.paused_until.max(now + pause);
+        let spread = (pause.mul_f64(PAUSE_SPREAD_SHARE)).min(MAX_PAUSE_SPREAD);
+        self.paused_until = self.paused_until.max(now + pause + spread.mul_f64(draw));
         is_new
     }
 
+    /// Time until the pause ends that the endpoint has asked for; `None` without one.
+    pub(super) fn pause_remaining(&self, now: Time) -> Option<Duration> {
+        (self.paused_until > now).then(|| self.paused_until.since(now))
+    }
+
     pub(super) fn request_limit(&self) -> &RequestLimit {
         &self.request_limit
     }
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -87,6 +87,11 @@
         /// Time until the first of them may be sent a request.
         opens_in: Duration,
     },
+    /// They have asked this entry for a pause.
+    Paused {
+        /// Time until the first of them may be sent a request.
+        ends_in: Duration,
+    },
 }
 
 /// Result of choosing an endpoint.
@@ -288,6 +293,13 @@
         record.is_some_and(|record| !record.is_draining && !self.evacuated.contains(&record.zone))
     }
 
+    /// Whether a request may be sent to an endpoint now: it is routable and has not asked for a pause.
+    pub fn accepts_requests(&self, key: EndpointKey, now: Time) -> bool {
+        let endpoint = self.endpoints.get(key);
+        self.is_routable(key)
+            && endpoint.is_some_and(|endpoint| endpoint.pause_remaining(now).is_none())
+    }
+
     /// State of all endpoints as JSON, for the dump of an entry.
     pub fn dump(&self, now: Time) -> Vec<serde_json::Value> {
         self.endpoints.iter().map(|(_, endpoint)| endpoint.dump(now)).collect()
@@ -377,11 +389,18 @@
         None
     }
 
-    /// Records that an endpoint wants nothing from this entry for `pause`. Returns whether it had
-    /// not asked for a pause that still lasts.
-    pub fn record_pause(&mut self, key: EndpointKey, pause: Duration, now: Time) -> bool {
+    /// Records that an endpoint wants nothing from this entry for `pause`. `draw` from 0 to 1 decides
+    /// when this entry returns after it. Returns whether the endpoint had not asked for a pause that
+    /// still lasts.
+    pub fn record_pause(
+        &mut self,
+        key: EndpointKey,
+        pause: Duration,
+        draw: f64,
+        now: Time,
+    ) -> bool {
         let endpoint = self.endpoints.get_mut(key);
-        endpoint.is_some_and(|endpoint| endpoint.record_pause(pause, now))
+        endpoint.is_some_and(|endpoint| endpoint.record_pause(pause, draw, now))
     }
 
     /// Applies what an answer of the endpoint says about its request limit. Returns whether the limit
--- a/core/src/direct/endpoint_table/selection.rs
+++ b/core/src/direct/endpoint_table/selection.rs
@@ -39,12 +39,18 @@
         let mut has_cold = false;
         let mut has_full = false;
         let mut limit_opens_in: Option<Duration> = None;
+        let mut pause_ends_in: Option<Duration> = None;
         let mut has_available = false;
         for key in keys {
             if requirements.tried.contains(&key) || !self.satisfies(key, requirements) {
                 continue;
             }
             has_match = true;
+            let pause = self.endpoints.get(key).and_then(|endpoint| endpoint.pause_remaining(now));
+            if let Some(pause) = pause {
+                pause_ends_in = Some(pause_ends_in.map_or(pause, |first| first.min(pause)));
+                continue;
+            }
             let is_available =
                 self.endpoints.get(key).is_some_and(|endpoint| endpoint.is_available(now));
             has_available |= is_available;
@@ -68,11 +74,15 @@
         // While other endpoints are merely full, refusing is better than an endpoint that loses
         // answers.
         let chosen = if has_available { available.best() } else { ejected.best() };
-        chosen.ok_or(match (has_match, has_cold, limit_opens_in) {
-            (false, _, _) => Unavailable::NoEndpoint,
-            (true, true, _) => Unavailable::Warming,
-            (true, false, Some(opens_in)) if !has_full => Unavailable::Limited { opens_in },
-            (true, false, _) => Unavailable::Full,
+        chosen.ok_or(match (limit_opens_in, pause_ends_in) {
+            _ if !has_match => Unavailable::NoEndpoint,
+            _ if has_cold => Unavailable::Warming,
+            _ if has_full => Unavailable::Full,
+            (Some(opens_in), pause) if pause.is_none_or(|ends_in| opens_in <= ends_in) => {
+                Unavailable::Limited { opens_in }
+            }
+            (_, Some(ends_in)) => Unavailable::Paused { ends_in },
+            _ => Unavailable::Full,
         })
     }
 
@@ -88,6 +98,17 @@
             .min()
     }
 
+    /// Time until the first pause ends if all endpoints of a service have asked for one.
+    pub fn pause_ends_in(&self, service: &ServiceName, now: Time) -> Option<Duration> {
+        let keys = self.by_service.get(service)?;
+        let routable = keys.iter().filter(|key| self.is_routable(**key));
+        let endpoints = routable.filter_map(|key| self.endpoints.get(*key));
+        let endpoints = endpoints.filter(|endpoint| endpoint.is_in_subset());
+        let remaining: Option<Vec<Duration>> =
+            endpoints.map(|endpoint| endpoint.pause_remaining(now)).collect();
+        remaining?.into_iter().min()
+    }
+
     /// Time until the first cold endpoint of a service is warm; zero if none is cold.
     pub fn warm_in(&self, service: &ServiceName, now: Time) -> Duration {
         let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
--- a/core/src/direct/retry_after.rs
+++ b/core/src/direct/retry_after.rs
@@ -51,6 +51,11 @@
         /// Time until its next turn at one of them.
         opens_in: Duration,
     },
+    /// All endpoints have asked this entry for a pause.
+    Paused {
+        /// Time until the first of them may be sent a request.
+        ends_in: Duration,
+    },
     /// The request crashes endpoints.
     Quarantined {
         /// Time until it may be sent to them again.
@@ -74,9 +79,9 @@
     let seconds = match cause {
         RefusalCause::Starting => sample(&STARTING_DELAY_S),
         RefusalCause::Full => sample(&FULL_DELAY_S),
-        RefusalCause::Warming { warm_in: wait } | RefusalCause::Limited { opens_in: wait } => {
-            wait.as_secs_f64() + RETURN_SPREAD_S * draw
-        }
+        RefusalCause::Warming { warm_in: wait }
+        | RefusalCause::Limited { opens_in: wait }
+        | RefusalCause::Paused { ends_in: wait } => wait.as_secs_f64() + RETURN_SPREAD_S * draw,
         RefusalCause::Quarantined { ends_in } => ends_in.as_secs_f64(),
         RefusalCause::NoLease { is_held_in_region: true } | RefusalCause::Other => short,
         RefusalCause::NoLease { is_held_in_region: false }
--- a/core/tests/direct/retry_after.rs
+++ b/core/tests/direct/retry_after.rs
@@ -36,6 +36,21 @@
     assert!(all.iter().all(|delay| (ms(1_700)..=ms(2_700)).contains(delay)), "{all:?}");
 }
 
+// Callers that return before an endpoint's pause has ended are refused again, and all at once when it ends.
+#[test]
+fn retry_after_waits_for_end_of_pause() {
+    let all = delays(RefusalCause::Paused { ends_in: ms(1_700) });
+    assert!(all.iter().all(|delay| (ms(1_700)..=ms(2_700)).contains(delay)), "{all:?}");
+    assert!(all.iter().max() > all.iter().min());
+}
+
+// A caller that returns before the end of a quarantine is refused again.
+#[test]
+fn retry_after_names_end_of_quarantine() {
+    let all = delays(RefusalCause::Quarantined { ends_in: ms(600_000) });
+    assert!(all.iter().all(|delay| *delay == ms(600_000)), "{all:?}");
+}
+
 // All callers of an outage would return at once when the first endpoint is back.
 #[test]
 fn retry_after_spreads_callers() {
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -103,7 +103,7 @@
         }
     };
     // The endpoint table may have changed while the connection was opened.
-    if !state.endpoints.borrow().is_routable(endpoint) {
+    if !state.endpoints.borrow().accepts_requests(endpoint, state.now()) {
         return AttemptOutcome::NotRun;
     }
     if !is_pooled && !connection.ready().await {
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -82,6 +82,11 @@
         /// Time until this entry may send a request to one of them.
         opens_in: Duration,
     },
+    /// The endpoints have asked this entry for a pause that lasts for `ends_in`. The request has not run.
+    Paused {
+        /// Time until this entry may send a request to one of them.
+        ends_in: Duration,
+    },
     /// Endpoints have crashed while running the request, so it is refused for `ends_in`. This attempt of the
     /// caller has not run.
     Quarantined {
@@ -106,6 +111,7 @@
             CallError::Full => "all endpoints full",
             CallError::Warming => "all endpoints full or cold",
             CallError::Limited { .. } => "all endpoints at their request limit",
+            CallError::Paused { .. } => "all endpoints pausing",
             CallError::Quarantined { .. } => "request crashes endpoints",
             CallError::Declined => "declined by endpoints",
             CallError::Expired => "time over before an endpoint took it",
@@ -121,6 +127,7 @@
             | CallError::Full
             | CallError::Warming
             | CallError::Limited { .. }
+            | CallError::Paused { .. }
             | CallError::Quarantined { .. }
             | CallError::Declined
             | CallError::Expired => StatusCode::SERVICE_UNAVAILABLE,
--- a/node/src/direct/explain.rs
+++ b/node/src/direct/explain.rs
@@ -116,6 +116,9 @@
         }
         "all endpoints full" => "every endpoint that may serve it was full".to_owned(),
         "no endpoint" => "no known endpoint may serve it".to_owned(),
+        "all endpoints pausing" => {
+            "every endpoint that may serve it had asked this entry for a pause".to_owned()
+        }
         "request crashes endpoints" => {
             "earlier attempts of the same request crashed the endpoints that ran them".to_owned()
         }
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -245,14 +245,17 @@
             RefusalCause::Warming { warm_in }
         }
         CallError::Limited { opens_in } => RefusalCause::Limited { opens_in },
+        CallError::Paused { ends_in } => RefusalCause::Paused { ends_in },
         CallError::Quarantined { ends_in } => RefusalCause::Quarantined { ends_in },
         CallError::NoEndpoint => {
             let ready_in = state.endpoints.borrow().ready_in(&call.service, state.now());
             RefusalCause::NoEndpoint { ready_in }
         }
-        CallError::Declined | CallError::Expired | CallError::Lost | CallError::TimedOut => {
-            RefusalCause::Other
+        CallError::Declined => {
+            let ends_in = state.endpoints.borrow().pause_ends_in(&call.service, state.now());
+            ends_in.map_or(RefusalCause::Other, |ends_in| RefusalCause::Paused { ends_in })
         }
+        CallError::Expired | CallError::Lost | CallError::TimedOut => RefusalCause::Other,
     }
 }
 
@@ -287,6 +290,7 @@
         503 if reason == CallError::Limited { opens_in: Duration::ZERO }.as_str() => {
             "refused_limited"
         }
+        503 if reason == CallError::Paused { ends_in: Duration::ZERO }.as_str() => "refused_paused",
         503 if reason == CallError::Quarantined { ends_in: Duration::ZERO }.as_str() => {
             "refused_quarantined"
         }
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -82,8 +82,14 @@
             Err(Unavailable::Limited { opens_in }) if now + opens_in > wait_until => {
                 return Err(final_error(history, CallError::Limited { opens_in }));
             }
-            Err(Unavailable::Limited { opens_in }) => {
-                let _ = timeout(opens_in, state.capacity_freed.notified()).await;
+            Err(Unavailable::Paused { ends_in }) if now + ends_in > wait_until => {
+                return Err(final_error(history, CallError::Paused { ends_in }));
+            }
+            Err(
+                Unavailable::Limited { opens_in: duration }
+                | Unavailable::Paused { ends_in: duration },
+            ) => {
+                let _ = timeout(duration, state.capacity_freed.notified()).await;
             }
             Err(Unavailable::Full | Unavailable::Warming) => {
                 let _ = timeout(wait_until.since(now), state.capacity_freed.notified()).await;
--- a/node/src/direct/statements.rs
+++ b/node/src/direct/statements.rs
@@ -10,6 +10,7 @@
 use mastichaven_core::direct::request_limit::LimitStatement;
 use mastichaven_platform::answer;
 use mastichaven_platform::answer::AnswerKind;
+use rand::RngExt;
 use smol_str::SmolStr;
 
 use super::state::State;
@@ -56,7 +57,8 @@
         }
         if let Some(pause) = statements.pause {
             self.metrics.count("endpoint_pauses");
-            if self.endpoints.borrow_mut().record_pause(endpoint, pause, now) {
+            let draw = self.with_rng(|rng| rng.random());
+            if self.endpoints.borrow_mut().record_pause(endpoint, pause, draw, now) {
                 slog::info!(self.log, "endpoint asks for a pause";
                     "endpoint" => record.id.as_str(), "pause_ms" => pause.as_millis() as u64);
             }
--- a/node/tests/direct/statements.rs
+++ b/node/tests/direct/statements.rs
@@ -177,3 +177,44 @@
     other.set_pause(Some("2"));
     send_until_answered(&entry, &pausing);
 }
+
+// The only endpoint pauses. Callers must be refused at once and told when it serves again; other entries, which it has
+// not asked, send to it.
+#[test]
+fn callers_are_refused_while_all_endpoints_pause() {
+    let site = Site::start();
+    let endpoint = site.start_endpoint("i-1", "desk", None);
+    let entries = ["pause-1", "pause-2"].map(|name| site.start_entry(name));
+    until("both entries know it", || {
+        entries.iter().all(|entry| entry.dump()["endpoints"].as_array().map(Vec::len) == Some(1))
+    });
+    endpoint.set_pause(Some("3.5"));
+    for n in 0..10 {
+        let sent_at = Instant::now();
+        let response = entries[0].send_request("/lookup/a", &format!("p{n}"), "key-1").unwrap();
+        assert_eq!(response.status, 503, "{response:?}");
+        assert!(response.retry_after.is_some_and(|delay| delay > 2.5), "{response:?}");
+        assert!(n == 0 || response.body == "all endpoints pausing", "{response:?}");
+        assert!(sent_at.elapsed() < Duration::from_secs(1));
+    }
+    assert_eq!(endpoint.refused_at().len(), 1);
+    endpoint.set_pause(None);
+    assert_eq!(entries[1].send_request("/lookup/a", "other", "key-1").unwrap().status, 200);
+}
+
+// A pause that cannot be understood must not put the endpoint out of use.
+#[test]
+fn pause_that_cannot_be_parsed_is_ignored() {
+    let site = Site::start();
+    let endpoint = site.start_endpoint("i-1", "desk", None);
+    let entry = site.start_entry("pause-garbage");
+    until("the entry knows it", || entry.dump()["endpoints"].as_array().map(Vec::len) == Some(1));
+    for pause in ["soon", "-5", "Thu, 01 Jan 2099 00:00:00 GMT GMT"] {
+        endpoint.set_pause(Some(pause));
+        assert_eq!(entry.send_request("/lookup/a", "l", "key-1").unwrap().status, 503);
+        endpoint.set_pause(None);
+        until("the endpoint answers", || {
+            entry.send_request("/lookup/a", "l", "key-1").unwrap().status == 200
+        });
+    }
+}
