--- a/node/tests/direct/crashes.rs
+++ b/node/tests/direct/crashes.rs
@@ -10,6 +10,7 @@
 use mastichaven_standins::direct::endpoint::FakeEndpoint;
 use mastichaven_standins::direct::endpoint::Run;
 use mastichaven_standins::direct::site::ENDPOINTS;
+use mastichaven_standins::direct::store::StoreFault;
 
 use super::fixture::Entry;
 use super::fixture::Program;
@@ -157,6 +158,15 @@
         runs.filter(|run| run.body == body.as_bytes() && run.arrived_at > from).count()
     }
 
+    /// When the crash number `count` began that a request with `body` caused.
+    fn first_crash_of(&self, body: &str, count: usize) -> Instant {
+        let runs = self.endpoints.iter().flat_map(Restarting::runs);
+        let mut runs: Vec<Instant> =
+            runs.filter(|run| run.body == body.as_bytes()).map(|run| run.arrived_at).collect();
+        runs.sort_unstable();
+        runs[count - 1]
+    }
+
     /// For `duration`, sends copies of a request that crashes endpoints through all entries in turn, and another
     /// request after each of them. Returns the responses to both, with the times at which they were sent.
     fn send_copies(&mut self, duration: Duration) -> [Vec<Sent>; 2] {
@@ -295,3 +305,69 @@
     let hears_agent = |entry: &Entry| entry.program.log().contains(r#""from":"agent""#);
     assert!(site.entries.iter().any(hears_agent));
 }
+
+/// Interval at which a quarter of the endpoints crash whatever they run, and number of these crashes.
+const RANDOM_CRASH_INTERVAL: Duration = Duration::from_millis(1_000);
+const RANDOM_CRASHES: usize = 6;
+
+// The store is silent, endpoints crash for another reason, an entry is killed and started, and callers repeat at once
+// what has failed. The request that crashes endpoints is refused all the same, and no other one.
+#[test]
+fn quarantine_holds_through_restarts_and_other_crashes() {
+    let mut site = CrashSite::start("all", "writer");
+    let entries: Vec<SocketAddr> = site.entries.iter().map(|entry| entry.callers).collect();
+    let is_over = AtomicBool::new(false);
+    let refused = thread::scope(|scope| {
+        let callers: Vec<_> = (0..4)
+            .map(|caller| {
+                let (entries, is_over) = (&entries, &is_over);
+                scope.spawn(move || {
+                    let mut refused = 0;
+                    for n in 0.. {
+                        if is_over.load(Ordering::Acquire) {
+                            break;
+                        }
+                        for attempt in 0..4 {
+                            let entry = entries[(n + attempt) % entries.len()];
+                            let (id, body) = (format!("b{caller}-{n}-{attempt}"), n.to_string());
+                            match send_to(entry, "/stream/a", &id, "key-1", &body) {
+                                Ok(response) if response.status == 200 => break,
+                                Ok(response) => refused += usize::from(response.body == REFUSAL),
+                                Err(_) => {}
+                            }
+                        }
+                    }
+                    refused
+                })
+            })
+            .collect();
+        for n in 0..RANDOM_CRASHES {
+            site.send_copies(RANDOM_CRASH_INTERVAL);
+            site.endpoints[n % 4].endpoint.crash();
+            match n {
+                1 => site.site.store.set_fault(StoreFault::Silent),
+                3 => site.site.store.set_fault(StoreFault::None),
+                4 => {
+                    let mut killed = site.entries.remove(0);
+                    killed.program.signal("KILL");
+                    killed.program.wait();
+                    site.entries.push(site.site.start_entry("all-entry-again"));
+                }
+                _ => {}
+            }
+        }
+        is_over.store(true, Ordering::Release);
+        callers.into_iter().map(|caller| caller.join().expect("no panic")).sum::<usize>()
+    });
+    assert_eq!(refused, 0);
+    until("the entry that was restarted knows the quarantine", || {
+        site.restart_crashed();
+        site.entries[1].program.log().contains("request quarantined")
+    });
+    let first_run = site.first_crash_of(CRASH_MARKER, KNOWN_CRASHES);
+    let late = site.attempts(CRASH_MARKER, first_run + CONTACT_TIME);
+    assert!(late <= ALLOWED_ATTEMPTS, "{late} attempts");
+    for n in 0..2 {
+        assert_refused(&site.send(n, &format!("last{n}"), CRASH_MARKER));
+    }
+}
