Entries and agents renew that an endpoint leaves as long as it says so

The time of the first statement was kept, so that after 600 s of an outage of the store an endpoint that still leaves would have been taken for one that serves. A notice of a process without a start time is not applied.

--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -375,6 +375,9 @@
         process: EndpointProcess,
         now: Time,
     ) -> Option<SmolStr> {
+        if !process.is_identified() {
+            return None;
+        }
         self.leaving.record(process, now);
         let keys = self.by_address.get(&process.address).map(Vec::as_slice).unwrap_or_default();
         for key in keys {
--- a/core/src/direct/leaving.rs
+++ b/core/src/direct/leaving.rs
@@ -13,7 +13,7 @@
 use super::endpoint::EndpointRecord;
 use crate::time::Time;
 
-/// Time for which a process is remembered. Endpoints end within seconds after they have said that they leave.
+/// Time for which a process is remembered after it last said so. Endpoints end within seconds.
 const MEMORY_TTL: Duration = Duration::from_secs(600);
 
 /// Maximum number of processes that are remembered; the oldest is forgotten.
@@ -62,7 +62,7 @@
                 self.said_at.remove(&oldest);
             }
         }
-        self.said_at.entry(process).or_insert(now);
+        self.said_at.insert(process, now);
     }
 
     /// Whether a process has said that it is about to stop.
--- a/core/src/direct/notices.rs
+++ b/core/src/direct/notices.rs
@@ -111,11 +111,6 @@
         self.queue.is_empty()
     }
 
-    /// Whether a notice waits that was never sent.
-    pub fn has_unsent(&self) -> bool {
-        self.queue.iter().any(|queued| queued.sends_left == SENDS)
-    }
-
     /// The notices to be sent next, those that were sent least often first.
     pub fn next_batch(&self) -> impl Iterator<Item = &Notice> {
         let mut batch: Vec<&Queued> = self.queue.iter().collect();
--- a/core/tests/direct/endpoint_table/leaving.rs
+++ b/core/tests/direct/endpoint_table/leaving.rs
@@ -4,6 +4,7 @@
 use mastichaven_core::direct::endpoint_table::EndpointTable;
 use mastichaven_core::direct::endpoint_table::Unavailable;
 use mastichaven_core::direct::leaving::EndpointProcess;
+use mastichaven_core::direct::leaving::LeavingProcesses;
 use mastichaven_core::ids::Revision;
 
 use super::address;
@@ -83,4 +84,18 @@
     table.remove("i-1", Revision(3));
     table.upsert(started(4, 0), now(3));
     assert_eq!(chosen_id(&mut table, now(4)), "i-1");
+    let process = EndpointProcess { address: address(1), started_ms: 0 };
+    assert_eq!(table.record_leaving_process(process, now(5)), None);
+    assert_eq!(chosen_id(&mut table, now(6)), "i-1");
+}
+
+// The store is away for longer than a process is remembered, and the process goes on to say that it leaves.
+#[test]
+fn record_leaving_is_renewed() {
+    let process = EndpointProcess { address: address(1), started_ms: STARTED_MS };
+    let mut leaving = LeavingProcesses::default();
+    leaving.record(process, now(0));
+    leaving.record(process, now(599_000));
+    assert!(leaving.contains(process, now(1_198_000)));
+    assert!(!leaving.contains(process, now(1_199_000)));
 }
--- a/core/tests/direct/notices.rs
+++ b/core/tests/direct/notices.rs
@@ -223,9 +223,12 @@
     }
     let combined = Notice::Crash { process, requests: requests.to_vec() };
     assert_eq!(queue.next_batch().collect::<Vec<_>>(), vec![&combined]);
+    for _ in 0..2 {
+        queue.record_sent(1);
+        assert!(!queue.is_empty(), "it is sent again");
+    }
     queue.record_sent(1);
-    assert!(!queue.has_unsent());
-    assert!(!queue.is_empty(), "it is sent again");
+    assert!(queue.is_empty());
 }
 
 // An endpoint leaves while the store is away, and an entry starts.
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -121,7 +121,8 @@
             *self.report.borrow_mut() = Some(report);
             unchanged = if last.as_ref() == Some(&load) { unchanged + 1 } else { 0 };
             let limit = self.request_limit.get().and_then(|statement| statement.per_second);
-            let has_availability_changed = self.collector.borrow_mut().judge(now)
+            let has_new_notices = self.collector.borrow_mut().judge(now);
+            let has_availability_changed = has_new_notices
                 || limit != last_limit
                 || last.as_ref().is_none_or(|last| !has_same_availability(last, &load));
             round += 1;
@@ -163,8 +164,8 @@
         let mut collector = self.collector.borrow_mut();
         if process.is_identified() && !collector.is_leaving(process, now) {
             slog::info!(self.log, "endpoint says that it leaves"; "from" => "answer");
-            collector.apply(Notice::Leaving(process), now);
         }
+        collector.apply(Notice::Leaving(process), now);
     }
 
     /// Start time of the endpoint's process, in milliseconds of the Unix epoch; 0 if unknown.
