--- a/core/src/direct/leaving.rs
+++ b/core/src/direct/leaving.rs
@@ -34,7 +34,7 @@
         EndpointProcess { address: record.address, started_ms: record.started_ms }
     }
 
-    /// Whether the process can be told from another one at its address.
+    /// Whether the process can be distinguished from another one at its address.
     pub fn is_identified(&self) -> bool {
         self.started_ms != 0
     }
--- a/core/src/direct/notices.rs
+++ b/core/src/direct/notices.rs
@@ -14,7 +14,7 @@
 use super::leaving::EndpointProcess;
 use super::leaving::LeavingProcesses;
 use crate::quarantine;
-use crate::quarantine::Beside;
+use crate::quarantine::Concurrent;
 use crate::quarantine::CrashEvidence;
 use crate::quarantine::Fingerprint;
 use crate::quarantine::ProcessKey;
@@ -37,14 +37,14 @@
 const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 const MAX_REPEATED: usize = 8;
 
-/// Time for which it is repeated that an endpoint leaves. Within it the endpoint has ended, or the store tells it to
-/// entries that start.
+/// Time for which it is repeated that an endpoint leaves. Within it the endpoint has ended, or entries that start learn it
+/// from the store.
 const LEAVING_TTL: Duration = Duration::from_secs(60);
 
 /// Maximum number of completed requests that are reported.
 const MAX_COMPLETED: usize = 64;
 
-/// Something that an entry or an agent tells others.
+/// A message about an endpoint or a request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Notice {
     /// Sent by entries: an endpoint crashed while it had requests of the sender in progress.
@@ -145,8 +145,8 @@
     pub fn apply(&mut self, notice: Notice, now: Time) {
         match notice {
             Notice::Crash { process, requests } => {
-                let beside = Beside::Reported;
-                let crash = CrashEvidence { process: Some(process), requests, beside };
+                let concurrent = Concurrent::Reported;
+                let crash = CrashEvidence { process: Some(process), requests, concurrent };
                 self.quarantine.record_crash(crash, now);
             }
             Notice::Completed { request } => {
@@ -169,9 +169,9 @@
     }
 
     /// Evaluates the notices of the entries. Returns whether the entries must hear of the outcome at once.
-    pub fn judge(&mut self, now: Time) -> bool {
+    pub fn evaluate(&mut self, now: Time) -> bool {
         let has_new_leaving = std::mem::take(&mut self.has_new_leaving);
-        self.quarantine.judge(now) || has_new_leaving
+        self.quarantine.evaluate(now) || has_new_leaving
     }
 
     fn quarantined(&self, now: Time) -> impl Iterator<Item = (Fingerprint, Duration)> + '_ {
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -2,16 +2,16 @@
 //! callers.
 //!
 //! Every request in progress when an endpoint crashes becomes a suspect, and one that completes is
-//! cleared, so only the cause of the crashes stays one. How it is told from requests that ran at
-//! the same time depends on what is known of these:
+//! cleared, so only the cause of the crashes remains one. How it is distinguished from requests
+//! that ran concurrently depends on what is known of these:
 //!
 //! - Where an agent is the only way to its endpoint, suspects run exclusively. A request that
 //!   crashes an endpoint again, now exclusively, is quarantined.
-//! - Where entries send requests to endpoints directly, they tell a collector which ones were in
-//!   progress. A crash is attributed to the request that was in progress at clearly more crashes
-//!   than any other one there, and three such crashes quarantine it.
+//! - Where entries send requests to endpoints directly, they report to a collector which ones
+//!   were in progress. A crash is attributed to the request that was in progress at clearly more
+//!   crashes than any other one there, and three such crashes quarantine it.
 //!
-//! So a chain of crashes ends soon, and requests that only ran at the same time are not refused.
+//! So a chain of crashes ends soon, and requests that only ran concurrently are not refused.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -35,10 +35,10 @@
 const ATTRIBUTED_QUARANTINE_CRASHES: usize = 3;
 
 /// Number by which the crashes of their cause exceed those of any other request, so that a lost
-/// report of the cause does not shift them to a request that ran beside it.
+/// report of the cause does not shift them to a request that ran concurrently.
 const ATTRIBUTION_MARGIN: usize = 2;
 
-/// Number of crashes that quarantine a request whatever ran beside it, in case two causes always
+/// Number of crashes that quarantine a request whatever ran concurrently, in case two causes always
 /// run together.
 const MAX_CRASHES: usize = 6;
 
@@ -53,7 +53,7 @@
 /// Maximum number of requests remembered of one crash.
 const MAX_REQUESTS_OF_CRASH: usize = 64;
 
-/// Time in which all processes tell of a crash. Until then the request with the most crashes may
+/// Time in which all processes report a crash. Until then the request with the most crashes may
 /// still be missing.
 const REPORTING_TIME: Duration = Duration::from_millis(150);
 
@@ -92,7 +92,7 @@
 }
 
 impl From<Digest> for Fingerprint {
-    /// The fingerprint of a request whose customer is not told.
+    /// The fingerprint of a request whose customer is unknown.
     fn from(digest: Digest) -> Fingerprint {
         let mut request = [0; FINGERPRINT_LEN];
         request.copy_from_slice(&digest.0[..FINGERPRINT_LEN]);
@@ -130,29 +130,29 @@
 /// What one process knows of the crash of an endpoint.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CrashEvidence {
-    /// The process that ended; `None` if it is not told, so that each report is taken for another crash.
+    /// The process that ended; `None` if it is unknown, so that each report counts as another crash.
     pub process: Option<ProcessKey>,
     /// Requests that were in progress.
     pub requests: Vec<Fingerprint>,
     /// What is known of other requests in progress.
-    pub beside: Beside,
+    pub concurrent: Concurrent,
 }
 
-/// Requests that were in progress at a crash beside those of the evidence.
+/// Requests that were in progress at a crash in addition to those of the evidence.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Beside {
+pub enum Concurrent {
     /// Their number is known.
     Count(u32),
-    /// Each process that had some tells of them here.
+    /// Each process that had some reports them here.
     Reported,
-    /// Other processes may have had some and do not tell.
+    /// Other processes may have had some and do not report them here.
     Unknown,
 }
 
 impl From<Crash> for CrashEvidence {
     fn from(crash: Crash) -> CrashEvidence {
         let requests = vec![crash.request.into()];
-        CrashEvidence { process: None, requests, beside: Beside::Count(crash.concurrent) }
+        CrashEvidence { process: None, requests, concurrent: Concurrent::Count(crash.concurrent) }
     }
 }
 
@@ -195,7 +195,7 @@
 #[derive(Clone, Debug)]
 struct CrashRecord {
     requests: Vec<Fingerprint>,
-    beside: Beside,
+    concurrent: Concurrent,
     reported_at: Time,
 }
 
@@ -206,8 +206,8 @@
     by_customer: HashMap<u32, usize>,
     /// The crashes of the suspects.
     by_process: HashMap<ProcessKey, CrashRecord>,
-    /// Crashes that are not judged yet.
-    unjudged: Vec<ProcessKey>,
+    /// Crashes that are not evaluated yet.
+    pending: Vec<ProcessKey>,
     unnamed_crashes: u64,
 }
 
@@ -263,7 +263,7 @@
         culprits.map(move |(request, suspect)| (*request, now.since(suspect.last_crash)))
     }
 
-    /// Records what is known of a crash. What several processes tell of one crash is combined.
+    /// Records what is known of a crash. The reports of several processes on one crash are combined.
     /// O(requests of the crash), or O(suspects) when full.
     pub fn record_crash(&mut self, crash: impl Into<CrashEvidence>, now: Time) {
         let crash = crash.into();
@@ -271,28 +271,28 @@
         for request in &crash.requests {
             self.record_request(process, *request, &crash, now);
         }
-        if crash.beside == Beside::Reported {
-            if !self.unjudged.contains(&process) {
-                self.unjudged.push(process);
+        if crash.concurrent == Concurrent::Reported {
+            if !self.pending.contains(&process) {
+                self.pending.push(process);
             }
         } else {
-            self.judge_crash(process);
+            self.evaluate_crash(process);
         }
     }
 
-    /// Quarantines the causes of crashes of which all processes have told. Returns whether there are
+    /// Quarantines the causes of crashes that all processes have had time to report. Returns whether there are
     /// new ones.
-    pub fn judge(&mut self, now: Time) -> bool {
+    pub fn evaluate(&mut self, now: Time) -> bool {
         let by_process = &self.by_process;
         let is_complete = |process: &mut ProcessKey| {
             let record = by_process.get(process);
             record.is_none_or(|record| now.passed(record.reported_at, REPORTING_TIME))
         };
-        let complete: Vec<ProcessKey> = self.unjudged.extract_if(.., is_complete).collect();
-        complete.into_iter().fold(false, |has_new, process| self.judge_crash(process) | has_new)
+        let complete: Vec<ProcessKey> = self.pending.extract_if(.., is_complete).collect();
+        complete.into_iter().fold(false, |has_new, process| self.evaluate_crash(process) | has_new)
     }
 
-    fn judge_crash(&mut self, process: ProcessKey) -> bool {
+    fn evaluate_crash(&mut self, process: ProcessKey) -> bool {
         let Some(record) = self.by_process.get(&process) else {
             return false;
         };
@@ -338,7 +338,7 @@
         if known.contains(&request) || known.len() >= MAX_REQUESTS_OF_CRASH {
             return;
         }
-        let is_exclusive = crash.beside == Beside::Count(0) && crash.requests.len() == 1;
+        let is_exclusive = crash.concurrent == Concurrent::Count(0) && crash.requests.len() == 1;
         if self.by_request.get(&request).is_some_and(|suspect| suspect.has_expired(now)) {
             self.remove(request);
         }
@@ -347,10 +347,10 @@
         suspect.exclusive_crashes += u32::from(is_exclusive);
         if suspect.crashes.len() < MAX_RECORDED_CRASHES {
             suspect.crashes.push(process);
-            let beside = crash.beside;
+            let concurrent = crash.concurrent;
             let record = self.by_process.entry(process).or_insert_with(|| CrashRecord {
                 requests: Vec::new(),
-                beside,
+                concurrent,
                 reported_at: now,
             });
             record.requests.push(request);
@@ -366,7 +366,7 @@
         let records = || suspect.crashes.iter().filter_map(|process| self.by_process.get(process));
         let attributed = records().filter(|record| self.is_attributed(record, request, count));
         // Where the number of other requests is known, only exclusive crashes are evidence.
-        let is_counted = records().any(|record| matches!(record.beside, Beside::Count(_)));
+        let is_counted = records().any(|record| matches!(record.concurrent, Concurrent::Count(_)));
         suspect.exclusive_crashes > 0 && count >= EXCLUSIVE_QUARANTINE_CRASHES
             || attributed.count() >= ATTRIBUTED_QUARANTINE_CRASHES
             || count >= MAX_CRASHES && !is_counted
@@ -376,7 +376,7 @@
     /// progress are known, and the others have clearly fewer.
     fn is_attributed(&self, record: &CrashRecord, request: Fingerprint, count: usize) -> bool {
         let mut others = record.requests.iter().filter(|other| **other != request);
-        record.beside == Beside::Reported
+        record.concurrent == Concurrent::Reported
             && others.all(|other| self.crashes_of(*other) + ATTRIBUTION_MARGIN <= count)
     }
 
--- a/core/tests/direct/notices.rs
+++ b/core/tests/direct/notices.rs
@@ -6,7 +6,7 @@
 use mastichaven_core::direct::notices::Notice;
 use mastichaven_core::direct::notices::NoticeQueue;
 use mastichaven_core::quarantine;
-use mastichaven_core::quarantine::Beside;
+use mastichaven_core::quarantine::Concurrent;
 use mastichaven_core::quarantine::CrashEvidence;
 use mastichaven_core::quarantine::Fingerprint;
 use mastichaven_core::quarantine::ProcessKey;
@@ -59,7 +59,8 @@
 
     fn record_crash(&mut self, process: ProcessKey, request: Fingerprint, now: Time) {
         let requests = vec![request];
-        let crash = CrashEvidence { process: Some(process), requests, beside: Beside::Unknown };
+        let crash =
+            CrashEvidence { process: Some(process), requests, concurrent: Concurrent::Unknown };
         self.quarantine.record_crash(crash, now);
         self.notices.push(Notice::Crash { process, requests: vec![request] });
     }
@@ -134,7 +135,7 @@
         }
         if ms % REPORT_MS == 0 {
             let next_report = |collector: &mut Collector| {
-                collector.judge(now);
+                collector.evaluate(now);
                 collector.next_report(false, now)
             };
             let reports: Vec<Vec<Notice>> = collectors.iter_mut().map(next_report).collect();
@@ -196,7 +197,7 @@
         }
     }
     let now = Time::ZERO + Duration::from_secs(60);
-    assert!(collector.judge(now));
+    assert!(collector.evaluate(now));
     let mut heard: Vec<Fingerprint> = Vec::new();
     for second in 0..20 {
         let report = collector.next_report(false, now + Duration::from_secs(second));
@@ -237,9 +238,9 @@
     let process = EndpointProcess { address: "10.0.0.1:80".parse().unwrap(), started_ms: 5 };
     let mut collector = Collector::default();
     collector.apply(Notice::Leaving(process), Time::ZERO);
-    assert!(collector.judge(Time::ZERO), "the entries must hear of it at once");
+    assert!(collector.evaluate(Time::ZERO), "the entries must hear of it at once");
     collector.apply(Notice::Leaving(process), Time::ZERO);
-    assert!(!collector.judge(Time::ZERO));
+    assert!(!collector.evaluate(Time::ZERO));
     let report_after = |collector: &mut Collector, seconds: u64| {
         collector.next_report(false, Time::ZERO + Duration::from_secs(seconds))
     };
--- a/core/tests/requests/quarantine.rs
+++ b/core/tests/requests/quarantine.rs
@@ -2,7 +2,7 @@
 
 use mastichaven_core::Time;
 use mastichaven_core::ids::Digest;
-use mastichaven_core::quarantine::Beside;
+use mastichaven_core::quarantine::Concurrent;
 use mastichaven_core::quarantine::Crash;
 use mastichaven_core::quarantine::CrashEvidence;
 use mastichaven_core::quarantine::Fingerprint;
@@ -12,7 +12,7 @@
 
 const SPAN: Duration = Duration::from_secs(60);
 
-/// Time in which all processes tell of a crash.
+/// Time in which all processes report a crash.
 const REPORTING_TIME: Duration = Duration::from_millis(150);
 
 // A request crashes each engine that runs it and is retried repeatedly. At its first crash another
@@ -55,17 +55,17 @@
 /// A crash of the endpoint `process` while `requests` of one entry were in progress.
 fn crash(process: &str, requests: &[Fingerprint]) -> CrashEvidence {
     let process = Some(ProcessKey::new(process, 0));
-    CrashEvidence { process, requests: requests.to_vec(), beside: Beside::Reported }
+    CrashEvidence { process, requests: requests.to_vec(), concurrent: Concurrent::Reported }
 }
 
-/// Whether a request is refused once all processes have told of the crashes.
+/// Whether a request is refused once all processes have reported the crashes.
 fn is_refused(quarantine: &mut Quarantine, request: Fingerprint) -> bool {
     let now = Time::ZERO + REPORTING_TIME;
-    quarantine.judge(now);
+    quarantine.evaluate(now);
     quarantine.policy(request, SPAN, now) == RunPolicy::Refused
 }
 
-// Requests that ran beside the cause of a crash are sent again, and one of them meets the cause again.
+// Requests that ran concurrently with the cause of a crash are sent again, and one of them meets the cause again.
 #[test]
 fn policy_attributes_crashes_to_request_with_most_of_them() {
     let [culprit, unlucky, other] =
@@ -90,7 +90,7 @@
     for _ in 0..3 {
         quarantine.record_crash(crash("a", &[culprit]), Time::ZERO);
     }
-    assert!(!is_refused(&mut quarantine, culprit), "one crash, told three times");
+    assert!(!is_refused(&mut quarantine, culprit), "one crash, reported three times");
     quarantine.record_crash(crash("b", &[other]), Time::ZERO);
     quarantine.record_crash(crash("b", &[culprit]), Time::ZERO);
     quarantine.record_crash(crash("c", &[culprit]), Time::ZERO);
@@ -159,15 +159,15 @@
     assert_ne!(base, Fingerprint::new("crews", &[b"/ab", b"ody"]));
 }
 
-// The entry of a request that only ran beside the cause of three crashes tells of the third one first.
+// The entry of a request that only ran concurrently with the cause of three crashes reports the third one first.
 #[test]
-fn judge_waits_until_all_have_told_of_a_crash() {
+fn evaluate_waits_until_all_have_reported_a_crash() {
     let [culprit, unlucky] = ["culprit", "unlucky"].map(|body| fingerprint("crews", body));
     let mut quarantine = Quarantine::default();
     quarantine.record_crash(crash("a", &[culprit, unlucky]), Time::ZERO);
     quarantine.record_crash(crash("b", &[culprit, unlucky]), Time::ZERO);
     quarantine.record_crash(crash("c", &[unlucky]), Time::ZERO);
-    assert!(!quarantine.judge(Time::ZERO + REPORTING_TIME / 2));
+    assert!(!quarantine.evaluate(Time::ZERO + REPORTING_TIME / 2));
     quarantine.record_crash(crash("c", &[culprit]), Time::ZERO + REPORTING_TIME / 2);
     assert!(!is_refused(&mut quarantine, unlucky));
     quarantine.record_crash(crash("d", &[culprit]), Time::ZERO);
@@ -183,8 +183,8 @@
     let mut quarantine = Quarantine::default();
     for process in 0..6 {
         assert!(!is_refused(&mut quarantine, request));
-        let beside = Beside::Unknown;
-        let evidence = CrashEvidence { beside, ..crash(&process.to_string(), &[request]) };
+        let concurrent = Concurrent::Unknown;
+        let evidence = CrashEvidence { concurrent, ..crash(&process.to_string(), &[request]) };
         quarantine.record_crash(evidence, Time::ZERO);
     }
     assert!(is_refused(&mut quarantine, request));
@@ -192,7 +192,7 @@
 
 // A report of the cause is lost, beside a request that was in progress at the same three crashes.
 #[test]
-fn judge_without_some_reports_of_the_cause() {
+fn evaluate_without_some_reports_of_the_cause() {
     let [culprit, unlucky] = ["culprit", "unlucky"].map(|body| fingerprint("crews", body));
     let mut quarantine = Quarantine::default();
     quarantine.record_crash(crash("a", &[culprit, unlucky]), Time::ZERO);
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -89,7 +89,7 @@
                         slog::warn!(self.log, "endpoint report failed"; "error" => e.as_str());
                     }
                     // Other endpoints may crash meanwhile, so notices are sent all the same.
-                    self.collector.borrow_mut().judge(self.clock.now());
+                    self.collector.borrow_mut().evaluate(self.clock.now());
                     let setup_id = setup.as_ref().map_or(0, ModelSetup::fingerprint);
                     self.send_report(&socket, None, setup_id, true);
                     continue;
@@ -121,7 +121,7 @@
             *self.report.borrow_mut() = Some(report);
             unchanged = if last.as_ref() == Some(&load) { unchanged + 1 } else { 0 };
             let limit = self.request_limit.get().and_then(|statement| statement.per_second);
-            let has_new_notices = self.collector.borrow_mut().judge(now);
+            let has_new_notices = self.collector.borrow_mut().evaluate(now);
             let has_availability_changed = has_new_notices
                 || limit != last_limit
                 || last.as_ref().is_none_or(|last| !has_same_availability(last, &load));
--- a/node/src/direct/crashes.rs
+++ b/node/src/direct/crashes.rs
@@ -18,7 +18,7 @@
 use mastichaven_core::direct::notices::Notice;
 use mastichaven_core::direct::replication::time_before;
 use mastichaven_core::quarantine;
-use mastichaven_core::quarantine::Beside;
+use mastichaven_core::quarantine::Concurrent;
 use mastichaven_core::quarantine::CrashEvidence;
 use mastichaven_core::quarantine::Fingerprint;
 use mastichaven_core::quarantine::ProcessKey;
@@ -129,11 +129,11 @@
             let crash = CrashEvidence {
                 process: Some(process),
                 requests: requests.clone(),
-                beside: Beside::Unknown,
+                concurrent: Concurrent::Unknown,
             };
             state.quarantine.borrow_mut().record_crash(crash, now);
         });
-        self.tell_collectors(Notice::Crash { process, requests });
+        self.notify_collectors(Notice::Crash { process, requests });
     }
 
     /// Records that an endpoint has run a request to its end, which clears it of all suspicion.
@@ -143,7 +143,7 @@
         }
         let request = call.fingerprint();
         if self.quarantine.borrow_mut().clear(request) {
-            self.tell_collectors(Notice::Completed { request });
+            self.notify_collectors(Notice::Completed { request });
         }
     }
 
@@ -165,7 +165,7 @@
         }
     }
 
-    /// Applies `change`, and logs if it quarantines `request`. `from` tells who found out.
+    /// Applies `change`, and logs if it quarantines `request`. `from` names the source.
     fn change_quarantine(&self, request: Fingerprint, from: &str, change: impl Fn(&State, Time)) {
         let now = self.now();
         let remaining = || {
@@ -184,7 +184,7 @@
     }
 
     /// Sends a notice to the collectors.
-    pub(super) fn tell_collectors(&self, notice: Notice) {
+    pub(super) fn notify_collectors(&self, notice: Notice) {
         self.notices.borrow_mut().push(notice);
         self.notices_due.notify_one();
     }
--- a/node/src/direct/statements.rs
+++ b/node/src/direct/statements.rs
@@ -44,7 +44,7 @@
             self.log_leaving(&record.id, "answer");
             let process = EndpointProcess::of(record);
             if process.is_identified() {
-                self.tell_collectors(Notice::Leaving(process));
+                self.notify_collectors(Notice::Leaving(process));
             }
         }
         if kind == AnswerKind::Misdirected {
