--- a/node/tests/direct/crashes.rs
+++ b/node/tests/direct/crashes.rs
@@ -216,37 +216,49 @@
     }
 }
 
-// Callers send requests beside one that crashes endpoints, some of them the same one all the time. They lose their
-// endpoints with it and must not be refused for that.
+/// Sends requests through `entries` from `caller_count` threads while `run` runs, each up to `attempts` times until it
+/// is answered. Half of the callers send the same request all the time. Returns the number of responses by which one
+/// was refused since it crashes endpoints.
+fn count_refused_while(
+    entries: &[SocketAddr],
+    caller_count: usize,
+    attempts: usize,
+    run: impl FnOnce(),
+) -> usize {
+    let is_over = AtomicBool::new(false);
+    let call = |caller: usize| {
+        let mut refused = 0;
+        for n in (0..).take_while(|_| !is_over.load(Ordering::Acquire)) {
+            let body = if caller.is_multiple_of(2) { "same".to_owned() } else { n.to_string() };
+            for attempt in 0..attempts {
+                let entry = entries[(n + attempt) % entries.len()];
+                let id = format!("b{caller}-{n}-{attempt}");
+                match send_to(entry, "/stream/a", &id, "key-1", &body) {
+                    Ok(response) if response.status == 200 => break,
+                    Ok(response) => refused += usize::from(response.body == REFUSAL),
+                    Err(_) => {}
+                }
+            }
+        }
+        refused
+    };
+    thread::scope(|scope| {
+        let call = &call;
+        let callers: Vec<_> =
+            (0..caller_count).map(|caller| scope.spawn(move || call(caller))).collect();
+        run();
+        is_over.store(true, Ordering::Release);
+        callers.into_iter().map(|caller| caller.join().expect("no panic")).sum()
+    })
+}
+
+// Callers send requests concurrently with one that crashes endpoints, some of them the same one all the time. They lose
+// their endpoints with it and must not be refused for that.
 #[test]
 fn requests_beside_crashes_are_not_refused() {
     let mut site = CrashSite::start("beside", "writer");
     let entries: Vec<SocketAddr> = site.entries.iter().map(|entry| entry.callers).collect();
-    let is_over = AtomicBool::new(false);
-    let refused = thread::scope(|scope| {
-        let callers: Vec<_> = (0..6)
-            .map(|caller| {
-                let (entries, is_over) = (&entries, &is_over);
-                scope.spawn(move || {
-                    let mut refused = 0;
-                    for n in 0.. {
-                        if is_over.load(Ordering::Acquire) {
-                            break;
-                        }
-                        let body = if caller % 2 == 0 { "same".to_owned() } else { n.to_string() };
-                        let id = format!("b{caller}-{n}");
-                        let entry = entries[n % entries.len()];
-                        let response = send_to(entry, "/stream/a", &id, "key-1", &body);
-                        refused += usize::from(response.is_ok_and(|r| r.body == REFUSAL));
-                    }
-                    refused
-                })
-            })
-            .collect();
-        site.send_copies(CONTACT_TIME);
-        is_over.store(true, Ordering::Release);
-        callers.into_iter().map(|caller| caller.join().expect("no panic")).sum::<usize>()
-    });
+    let refused = count_refused_while(&entries, 6, 1, || drop(site.send_copies(CONTACT_TIME)));
     assert!(site.crashes().len() >= KNOWN_CRASHES);
     assert_eq!(refused, 0);
     assert_refused(&site.send(0, "last", CRASH_MARKER));
@@ -316,31 +328,7 @@
 fn quarantine_holds_through_restarts_and_other_crashes() {
     let mut site = CrashSite::start("all", "writer");
     let entries: Vec<SocketAddr> = site.entries.iter().map(|entry| entry.callers).collect();
-    let is_over = AtomicBool::new(false);
-    let refused = thread::scope(|scope| {
-        let callers: Vec<_> = (0..4)
-            .map(|caller| {
-                let (entries, is_over) = (&entries, &is_over);
-                scope.spawn(move || {
-                    let mut refused = 0;
-                    for n in 0.. {
-                        if is_over.load(Ordering::Acquire) {
-                            break;
-                        }
-                        for attempt in 0..4 {
-                            let entry = entries[(n + attempt) % entries.len()];
-                            let (id, body) = (format!("b{caller}-{n}-{attempt}"), n.to_string());
-                            match send_to(entry, "/stream/a", &id, "key-1", &body) {
-                                Ok(response) if response.status == 200 => break,
-                                Ok(response) => refused += usize::from(response.body == REFUSAL),
-                                Err(_) => {}
-                            }
-                        }
-                    }
-                    refused
-                })
-            })
-            .collect();
+    let refused = count_refused_while(&entries, 4, 4, || {
         for n in 0..RANDOM_CRASHES {
             site.send_copies(RANDOM_CRASH_INTERVAL);
             site.endpoints[n % 4].endpoint.crash();
@@ -356,8 +344,6 @@
                 _ => {}
             }
         }
-        is_over.store(true, Ordering::Release);
-        callers.into_iter().map(|caller| caller.join().expect("no panic")).sum::<usize>()
     });
     assert_eq!(refused, 0);
     until("the entry that was restarted knows the quarantine", || {
--- a/node/tests/direct/limits.rs
+++ b/node/tests/direct/limits.rs
@@ -2,9 +2,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mastichaven_core::Time;
+use mastichaven_core::direct::notices::Notice;
 use mastichaven_core::direct::request_limit::Schedule;
+use mastichaven_core::quarantine::Fingerprint;
 use mastichaven_node::direct::load_reports::Attachments;
 use mastichaven_node::direct::load_reports::LimitNotice;
+use mastichaven_node::direct::load_reports::MAX_DATAGRAM_LEN;
 use mastichaven_node::direct::load_reports::ReportMessage;
 use mastichaven_node::direct::load_reports::append_attachments;
 use mastichaven_node::direct::load_reports::decode;
@@ -243,3 +247,27 @@
     assert_eq!(decode::<ReportMessage>(&extended), Some((msg.clone(), attachments)));
     assert_eq!(postcard::from_bytes::<ReportMessage>(&extended), Ok(msg));
 }
+
+// Entries and agents of an earlier release read the limit that follows a message, and nothing after it.
+#[test]
+fn notices_without_limit_are_ignored_by_earlier_releases() {
+    let msg = ReportMessage {
+        port: 80,
+        report: None,
+        request_sent_us: 5,
+        held_us: 6,
+        setup: 7,
+        announced: Vec::new(),
+    };
+    let request = Fingerprint::new("crews", &[b"body"]);
+    let notices = vec![Notice::Quarantined { request, age_ms: 40 }; 100];
+    let bytes = postcard::to_stdvec(&msg).unwrap();
+    let (extended, count) = append_attachments(bytes, None, notices.iter()).unwrap();
+    assert!(extended.len() <= MAX_DATAGRAM_LEN && count > 40, "{count}");
+    let attachments = Attachments { limit: None, notices: notices[..count].to_vec() };
+    assert_eq!(decode::<ReportMessage>(&extended), Some((msg.clone(), attachments)));
+    let (_, rest) = postcard::take_from_bytes::<ReportMessage>(&extended).unwrap();
+    let limit: LimitNotice = postcard::from_bytes(rest).unwrap();
+    let a_month = Time::ZERO + Duration::from_secs(30 * 24 * 3_600);
+    assert_eq!(limit.statement(a_month), None);
+}
