Entries log callers that disconnect before their response

Nothing showed in which step a caller left, nor how long its request had been at the endpoint, nor whether the endpoint's host still reported then. The line and the counter tell; failed attempts tell the age of the last report, too.

--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -330,6 +330,11 @@
         is_reachable && self.ejection.is_available(self.in_flight, now)
     }
 
+    /// Time since the latest load report; `None` if there is none.
+    pub(super) fn report_age(&self, now: Time) -> Option<Duration> {
+        self.load.as_ref().map(|load| now.since(load.timing.received_at))
+    }
+
     /// Whether a fresh report says that the endpoint holds `version` of `model`.
     pub(super) fn holds_version(&self, model: &str, version: u64, now: Time) -> bool {
         let is_fresh = self.load.as_ref().is_some_and(|load| load.is_fresh(now));
@@ -480,7 +485,7 @@
             "weights": self.record.weights,
             "own": self.in_flight,
             "others": load.map(|load| load.other_requests),
-            "report_age_ms": load.map(|load| now.since(load.timing.received_at).as_millis() as u64),
+            "report_age_ms": self.report_age(now).map(|age| age.as_millis() as u64),
             "paused_ms": self.paused_until.since(now).as_millis() as u64,
             "requests_per_second": self.request_limit.per_second(),
             "rests": self.ejection.is_ejected(now),
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -320,6 +320,11 @@
         self.endpoints.get(key).map_or(0, Endpoint::in_flight)
     }
 
+    /// Time since the latest load report on an endpoint; `None` if there is none.
+    pub fn report_age(&self, key: EndpointKey, now: Time) -> Option<Duration> {
+        self.endpoints.get(key)?.report_age(now)
+    }
+
     /// Records that a request is sent to the endpoint.
     pub fn record_sent(&mut self, key: EndpointKey, now: Time) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -82,6 +82,7 @@
         return AttemptOutcome::NotRun;
     };
     history.tried.push(endpoint);
+    history.sent_at = None;
     history.last_endpoint = Some(record.id.clone());
     let place = InFlightGuard::acquire(state, endpoint);
     let pooled = state.pool.take(record.address, &record.id, state.now());
@@ -113,6 +114,7 @@
     let remaining = call.deadline.since(now);
     let req = build_endpoint_request(state, call, &record, remaining, resume_after, now);
     history.sent_count += 1;
+    history.sent_at = Some(now);
     if history.sent_count == 1 {
         state.with_retry_budget(&call.service, |budget| budget.record_first_attempt(now));
     }
@@ -231,6 +233,7 @@
     slog::info!(state.log, "attempt failed";
         "id" => call.head.id.as_deref().unwrap_or_default(),
         "endpoint" => record.id.as_str(), "at" => at, "error" => e.as_str(),
+        "report_age_ms" => state.report_age_ms(endpoint),
         "left_ms" => call.deadline.since(state.now()).as_millis() as u64);
 }
 
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -146,6 +146,8 @@
     pub(super) tried: Vec<EndpointKey>,
     pub(super) sent_count: u32,
     pub(super) may_have_run: bool,
+    /// When the request was sent to the endpoint tried last; `None` until it is.
+    pub(super) sent_at: Option<Time>,
     /// Time spent in each step.
     pub steps: StepTimes,
     /// Id of the endpoint tried last.
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -205,16 +205,40 @@
     }
 }
 
+/// A call without a response yet. If it is dropped before it has ended, the caller has disconnected.
+struct PendingCall {
+    state: Rc<State>,
+    call: Rc<Call>,
+    history: CallHistory,
+    has_ended: bool,
+}
+
+impl Drop for PendingCall {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            log_caller_disconnect(&self.state, &self.call, &self.history);
+        }
+    }
+}
+
 async fn forward_call(state: &Rc<State>, call: Rc<Call>) -> Response<ResponseBody> {
-    let mut history = CallHistory::default();
-    match forward::serve(state, call.clone(), &mut history).await {
+    let mut pending = PendingCall {
+        state: state.clone(),
+        call: call.clone(),
+        history: CallHistory::default(),
+        has_ended: false,
+    };
+    let served = forward::serve(state, call.clone(), &mut pending.history).await;
+    pending.has_ended = true;
+    let history = &pending.history;
+    match served {
         Ok(response) => {
             state.metrics.time("head", state.now().since(call.received_at));
             for (name, duration) in history.steps.with_metric_names() {
                 state.metrics.time(name, duration);
             }
             let status = response.status();
-            log_request_end(state, &call.head, call.received_at, status, "answered", &history);
+            log_request_end(state, &call.head, call.received_at, status, "answered", history);
             response
         }
         Err(e) => {
@@ -224,7 +248,7 @@
                     "request" => call.fingerprint().to_string(),
                     "ends_in_ms" => ends_in.as_millis() as u64);
             }
-            log_request_end(state, &call.head, call.received_at, e.status(), e.as_str(), &history);
+            log_request_end(state, &call.head, call.received_at, e.status(), e.as_str(), history);
             let remaining = call.deadline.since(state.now());
             let cause = refusal_cause_of(state, e, &call);
             let retry_after = state.retry_after(cause, remaining);
@@ -331,6 +355,20 @@
         "config" => version, "config_age_ms" => age);
 }
 
+/// Logs that a caller has disconnected before it got a response.
+fn log_caller_disconnect(state: &State, call: &Call, history: &CallHistory) {
+    let now = state.now();
+    state.metrics.count("callers_left_waiting");
+    let sent_ms = history.sent_at.map_or(-1, |sent_at| now.since(sent_at).as_millis() as i64);
+    let report_age_ms = history.tried.last().map_or(-1, |endpoint| state.report_age_ms(*endpoint));
+    slog::info!(state.log, "caller disconnected before the response";
+        "id" => call.head.id.as_deref().unwrap_or_default(),
+        "took_ms" => now.since(call.received_at).as_millis() as u64,
+        "offers" => history.tried_count(),
+        "endpoint" => history.last_endpoint.as_deref().unwrap_or_default(),
+        "sent_ms" => sent_ms, "report_age_ms" => report_age_ms);
+}
+
 /// Logs the time that a successful request spent in each step.
 fn log_request_steps(state: &State, head: &CallHead, history: &CallHistory) {
     let micros = |duration: Duration| u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -287,6 +287,12 @@
         })
     }
 
+    /// Age of the latest load report on an endpoint in milliseconds, for log lines; -1 if there is none.
+    pub(super) fn report_age_ms(&self, endpoint: EndpointKey) -> i64 {
+        let age = self.endpoints.borrow().report_age(endpoint, self.now());
+        age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+    }
+
     /// Delay after which a refused caller with `left` of its deadline is asked to retry.
     pub fn retry_after(&self, cause: RefusalCause, left: Duration) -> Duration {
         retry_after(cause, left, self.with_rng(|rng| rng.random()))
