A caller that disconnects while its stream is being resumed cancels the resumption

An endpoint that had taken over an interrupted stream worked for up to 1.8 s for a caller that had left, and requests went on to further endpoints after their callers had left. Cause: relay_stream looked at the caller only while it waited for events; the probe for a crash, the choice of an endpoint and the attempt there did not. The caller now cancels the whole of it, in whatever step.

disconnect_during_resumption_cancels_request failed before (the run was not abandoned within 500 ms) and passes.

--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -115,47 +115,47 @@
 
 type BodySender = mpsc::Sender<std::result::Result<Bytes, ResponseAborted>>;
 
-/// How the stream from one endpoint ended.
-enum StreamEnd {
-    Complete,
-    CallerDisconnected,
-    Broken(ConnectionError),
-}
-
-/// Relays events until the stream ends, and resumes it at another endpoint when it is interrupted.
+/// Relays a stream until it ends or its caller disconnects.
 async fn relay_stream(
     state: Rc<State>,
     call: Rc<Call>,
+    response: AttemptResponse,
+    splitter: EventSplitter,
+    history: CallHistory,
+    tx: BodySender,
+) {
+    tokio::select! {
+        () = relay_and_resume(&state, &call, response, splitter, history, &tx) => {}
+        () = tx.closed() => {
+            state.metrics.count("callers_left");
+            slog::info!(state.log, "caller disconnected during the stream";
+                "id" => call.head.id.as_deref().unwrap_or_default());
+        }
+    }
+}
+
+/// Relays events until the stream ends, and resumes it at another endpoint when it is interrupted.
+async fn relay_and_resume(
+    state: &Rc<State>,
+    call: &Call,
     mut response: AttemptResponse,
     mut splitter: EventSplitter,
     mut history: CallHistory,
-    tx: BodySender,
+    tx: &BodySender,
 ) {
     loop {
-        let end = relay_events(&state, &call, &mut response, &mut splitter, &tx).await;
-        match end {
-            StreamEnd::Complete => {
-                state.record_completion(&call);
-                return finish_response(&state, response).await;
+        match relay_events(state, call, &mut response, &mut splitter, tx).await {
+            Ok(()) => {
+                state.record_completion(call);
+                return finish_response(state, response).await;
             }
-            StreamEnd::CallerDisconnected => {
-                state.metrics.count("callers_left");
-                return;
-            }
-            StreamEnd::Broken(e) => {
-                record_lost_attempt(
-                    &state,
-                    &call,
-                    &response.record,
-                    response.place.endpoint,
-                    e,
-                    "stream",
-                )
-                .await;
+            Err(e) => {
+                let endpoint = response.place.endpoint;
+                record_lost_attempt(state, call, &response.record, endpoint, e, "stream").await;
             }
         }
         drop(response);
-        match resume_stream(&state, &call, &mut splitter, &mut history).await {
+        match resume_stream(state, call, &mut splitter, &mut history).await {
             Some(next) => response = next,
             None => {
                 slog::warn!(state.log, "stream interrupted";
@@ -170,13 +170,14 @@
     }
 }
 
+/// Relays events until the stream from one endpoint ends.
 async fn relay_events(
     state: &State,
     call: &Call,
     response: &mut AttemptResponse,
     splitter: &mut EventSplitter,
     tx: &BodySender,
-) -> StreamEnd {
+) -> Result<()> {
     loop {
         let remaining = call.deadline.since(state.now());
         let idle_timeout = if call.route.retry_policy == RetryPolicy::Resumable {
@@ -184,18 +185,11 @@
         } else {
             remaining
         };
-        let events = tokio::select! {
-            events = timeout(idle_timeout.min(remaining), read_events(response, splitter)) => events,
-            () = tx.closed() => return StreamEnd::CallerDisconnected,
-        };
-        match events.unwrap_or(Err(ConnectionError::TimedOut)) {
-            Ok(Some(events)) => {
-                if tx.send(Ok(events)).await.is_err() {
-                    return StreamEnd::CallerDisconnected;
-                }
-            }
-            Ok(None) => return StreamEnd::Complete,
-            Err(e) => return StreamEnd::Broken(e),
+        let events = timeout(idle_timeout.min(remaining), read_events(response, splitter)).await;
+        match events.unwrap_or(Err(ConnectionError::TimedOut))? {
+            // A failed send means that the caller has disconnected, which cancels this task.
+            Some(events) => drop(tx.send(Ok(events)).await),
+            None => return Ok(()),
         }
     }
 }
--- /dev/null
+++ b/node/tests/direct/disconnects.rs
@@ -0,0 +1,60 @@
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+use mastichaven_standins::direct::endpoint::EndpointFault;
+use mastichaven_standins::direct::endpoint::FakeEndpoint;
+use mastichaven_standins::direct::endpoint::Run;
+use mastichaven_standins::direct::site;
+
+use super::fixture::Entry;
+use super::fixture::Site;
+use super::fixture::is_within;
+use super::fixture::until;
+
+/// Time within which an endpoint must be free of a request after its caller has disconnected.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Requests until one of them takes the intended way through the endpoints.
+const MAX_TRIES: usize = 30;
+
+/// Sends a request as a caller that is still connected.
+fn send(entry: &Entry, path: &str, id: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(entry.callers).unwrap();
+    let head = site::caller_head(path, id, "key-1", 0);
+    stream.write_all(head.as_bytes()).unwrap();
+    stream
+}
+
+fn run_of(endpoint: &FakeEndpoint, id: &str) -> Option<Run> {
+    endpoint.runs().into_iter().find(|run| run.id == id)
+}
+
+// A stream breaks off and is resumed at an endpoint that does not answer. Its caller disconnects meanwhile, which
+// must cancel the resumption.
+#[test]
+fn disconnect_during_resumption_cancels_request() {
+    let site = Site::start();
+    let first = site.start_endpoint("i-1", "writer", Some(1));
+    let second = site.start_endpoint("i-2", "writer", Some(1));
+    let entry = site.start_entry("left-resuming");
+    until("both are known", || entry.dump()["endpoints"].as_array().map(Vec::len) == Some(2));
+    first.set_fault(EndpointFault::CutAfter(3));
+    second.set_fault(EndpointFault::Unresponsive);
+    let resumed = (0..MAX_TRIES).find_map(|n| {
+        let id = format!("s{n}");
+        let stream = send(&entry, "/stream/a", &id);
+        until("it runs at the second", || run_of(&second, &id).is_some());
+        let is_resumed = run_of(&second, &id)?.resumed_after.is_some();
+        is_resumed.then_some((id, stream))
+    });
+    let (id, stream) = resumed.expect("a stream is resumed");
+    let left_at = Instant::now();
+    drop(stream);
+    assert!(
+        is_within(CANCEL_TIMEOUT, || run_of(&second, &id).is_some_and(|run| run.is_abandoned)),
+        "still running {:?} after the caller left",
+        left_at.elapsed()
+    );
+}
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod chunk_cache;
 mod connection;
 mod crashes;
+mod disconnects;
 mod entry;
 mod explain;
 mod fixture;
