Requests that are cancelled reset their connection

The entry closed the connection within 5 ms of the caller, but with an orderly close, behind which the request stays in the buffers of both hosts, and which a peer cannot tell from a half-close. A reset discards what has not arrived and cancels the rest. The same holds for calls of agents to their endpoints, and for those between hosts, that time out.

--- a/node/src/direct/connection.rs
+++ b/node/src/direct/connection.rs
@@ -21,6 +21,7 @@
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -77,12 +78,21 @@
 pub struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    /// Makes `task` reset the connection; `None` once it has been told.
+    reset_tx: Option<oneshot::Sender<()>>,
 }
 
 impl Drop for HttpConnection {
-    /// Closes the connection immediately, even with a request in flight.
+    /// Closes the connection immediately, with a reset if a request is in flight.
+    ///
+    /// To the peer, an orderly close may be a half-close by a client that still waits for the response. A reset
+    /// cancels the request, and discards what has not reached the peer yet.
     fn drop(&mut self) {
-        self.task.abort();
+        match self.reset_tx.take() {
+            // The receiver is gone if the connection has ended by itself.
+            Some(reset_tx) if !self.sender.is_ready() => drop(reset_tx.send(())),
+            _ => self.task.abort(),
+        }
     }
 }
 
@@ -94,15 +104,25 @@
             set_socket_options(&stream).map_err(|_| ConnectionError::NotSent)?;
             let mut builder = http1::Builder::new();
             builder.max_buf_size(MAX_BUF_LEN);
-            let (sender, connection) = builder
+            let (sender, mut connection) = builder
                 .handshake(TokioIo::new(stream))
                 .await
                 .map_err(|_| ConnectionError::NotSent)?;
+            let (reset_tx, reset_rx) = oneshot::channel();
             let task = tokio::spawn(async move {
-                // Errors of the connection are reported by the requests on it.
-                let _ = connection.await;
+                tokio::select! {
+                    // A request that has not been written yet must not be written any more.
+                    biased;
+                    Ok(()) = reset_rx => {
+                        let stream = connection.into_parts().io.into_inner();
+                        // Without this option, the connection is closed in order.
+                        let _ = stream.set_zero_linger();
+                    }
+                    // Errors of the connection are reported by the requests on it.
+                    _ = &mut connection => {}
+                }
             });
-            Ok(HttpConnection { sender, task })
+            Ok(HttpConnection { sender, task, reset_tx: Some(reset_tx) })
         };
         timeout(time_limit, connect).await.unwrap_or(Err(ConnectionError::NotSent))
     }
