Streams without a first event are answered before their callers give up

Cause: the entry knew the deadline of a request only, not when callers abandon a stream, which the platform's pages state; it had no answer for them, so they left while the attempt was under way, and no close reaches a host that stands still.

Entries now answer 0.15 s before the caller gives up, 504 where the request may have run, and cancel the attempt then. A caller that has its answer may try again at once, and endpoints that do run are free earlier.

stream_without_first_event_is_answered_before_its_caller_gives_up failed before (answered after 3.0 s, callers leave after 2.4 s) and passes. An entry of an earlier release cannot decode the configuration that this one replicates; it loses its parent and reads the store (read from the code, mixed releases were not run).

--- a/core/src/direct/catalog.rs
+++ b/core/src/direct/catalog.rs
@@ -46,6 +46,9 @@
     pub retry_policy: RetryPolicy,
     /// Whether the response is an event stream.
     pub is_stream: bool,
+    /// Time without an event, also before the first one, after which callers abandon a stream; `None` for
+    /// other responses.
+    pub event_patience: Option<Duration>,
     /// Maximum time that a caller waits.
     pub timeout: Duration,
     /// Latency objective set by the operator.
--- a/core/tests/direct/catalog.rs
+++ b/core/tests/direct/catalog.rs
@@ -18,6 +18,7 @@
         prefix: prefix.into(),
         retry_policy,
         is_stream: false,
+        event_patience: None,
         timeout: Duration::from_secs(4),
         objective: Duration::from_millis(300),
         rank: 1,
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -48,6 +48,9 @@
     pub read_time: Duration,
     /// When the caller stops waiting, at the latest after the timeout of the route.
     pub deadline: Time,
+    /// When the response must have begun, as the caller abandons it before the deadline otherwise; `None` if the
+    /// deadline comes first.
+    pub respond_by: Option<Time>,
     /// [`Call::fingerprint`] once it has been computed.
     pub cached_fingerprint: OnceCell<Fingerprint>,
 }
@@ -146,7 +149,8 @@
     pub(super) tried: Vec<EndpointKey>,
     pub(super) sent_count: u32,
     pub(super) may_have_run: bool,
-    /// When the request was sent to the endpoint tried last; `None` until it is.
+    /// When the request was sent to the endpoint tried last; `None` until then, and after proof that it has not run
+    /// there.
     pub(super) sent_at: Option<Time>,
     /// Time spent in each step.
     pub steps: StepTimes,
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -28,9 +28,26 @@
 use super::state::State;
 use super::stream::start_stream;
 
+/// Forwards `call` as [`serve`] does, and cancels its attempt when the caller is about to abandon it.
+pub async fn serve_in_time(
+    state: &Rc<State>,
+    call: Rc<Call>,
+    history: &mut CallHistory,
+) -> Result<Response<ResponseBody>> {
+    let Some(respond_by) = call.respond_by else {
+        return serve(state, call, history).await;
+    };
+    let remaining = respond_by.since(state.now());
+    let served = timeout(remaining, serve(state, call, history)).await;
+    served.unwrap_or_else(|_| {
+        let may_have_run = history.may_have_run || history.sent_at.is_some();
+        Err(if may_have_run { CallError::TimedOut } else { CallError::Expired })
+    })
+}
+
 /// Forwards `call` until an endpoint answers or no further attempt is allowed. If an endpoint has
 /// answered with an error status by then, that response is returned in place of a [`CallError`].
-pub async fn serve(
+async fn serve(
     state: &Rc<State>,
     call: Rc<Call>,
     history: &mut CallHistory,
@@ -75,7 +92,7 @@
                 return Ok(relay_response(response));
             }
             AttemptOutcome::Failed(response) => failed_response = Some(response),
-            AttemptOutcome::NotRun => {}
+            AttemptOutcome::NotRun => history.sent_at = None,
             AttemptOutcome::Lost(e) if call.route.retry_policy == RetryPolicy::AtMostOnce => {
                 return Err(call_error(e));
             }
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -38,6 +38,10 @@
 /// Deadline of requests that give none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
 
+/// Time before a caller abandons a stream at which it is answered that no event has come: the way of the answer, over
+/// a busy host. Without an answer the caller would not know whether its request may have run.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
+
 /// One in this many successful responses is logged, at random. Every refusal and failure is logged.
 const SUCCESSES_PER_LOG_LINE: u64 = 32;
 
@@ -151,6 +155,8 @@
     let (parts, body) = req.into_parts();
     let body = read_body(body, limits.max_body_len, limits.head_timeout).await?;
     let time_limit = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
+    let patience = route.event_patience.map(|patience| patience.saturating_sub(RESPONSE_MARGIN));
+    let respond_within = patience.filter(|patience| *patience < time_limit);
     let is_late = state.is_late(&route, time_limit, received_at);
     Ok(Call {
         head: head.clone(),
@@ -166,6 +172,7 @@
         received_at,
         read_time: state.now().since(received_at),
         deadline: received_at + time_limit,
+        respond_by: respond_within.map(|limit| received_at + limit),
         cached_fingerprint: OnceCell::new(),
     })
 }
@@ -228,7 +235,7 @@
         history: CallHistory::default(),
         has_ended: false,
     };
-    let served = forward::serve(state, call.clone(), &mut pending.history).await;
+    let served = forward::serve_in_time(state, call.clone(), &mut pending.history).await;
     pending.has_ended = true;
     let history = &pending.history;
     match served {
--- a/node/tests/direct/disconnects.rs
+++ b/node/tests/direct/disconnects.rs
@@ -58,3 +58,21 @@
         left_at.elapsed()
     );
 }
+
+// Guards against a caller of a stream that waits in vain until it gives up without an answer, after which its request
+// runs at endpoints that only then notice.
+#[test]
+fn stream_without_first_event_is_answered_before_its_caller_gives_up() {
+    let site = Site::start();
+    let endpoints = ["i-1", "i-2"].map(|id| site.start_endpoint(id, "writer", Some(1)));
+    let entry = site.start_entry("no-event");
+    until("both are known", || entry.dump()["endpoints"].as_array().map(Vec::len) == Some(2));
+    endpoints.iter().for_each(|endpoint| endpoint.set_fault(EndpointFault::Unresponsive));
+    let sent_at = Instant::now();
+    let response = entry.send_request("/stream/a", "a", "key-1").unwrap();
+    assert!(sent_at.elapsed() < site::STREAM_PATIENCE, "{:?}", sent_at.elapsed());
+    assert_eq!(response.status, 504, "{response:?}");
+    let is_cancelled =
+        |endpoint: &FakeEndpoint| run_of(endpoint, "a").is_some_and(|run| run.is_abandoned);
+    assert!(is_within(CANCEL_TIMEOUT, || endpoints.iter().all(is_cancelled)));
+}
--- a/standins/src/direct/site.rs
+++ b/standins/src/direct/site.rs
@@ -1,6 +1,7 @@
 //! A small test deployment: its configuration, and the requests of its callers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde_json::Value;
 use serde_json::json;
@@ -13,6 +14,9 @@
 /// Name of the header with the stamp by which an endpoint signs its answers.
 pub const STAMP: &str = "x-mastichaven-response-stamp";
 
+/// Time without an event after which callers give a stream up: eight of the pauses that its route allows.
+pub const STREAM_PATIENCE: Duration = Duration::from_millis(2_400);
+
 /// Kind of endpoint records in the store.
 pub const ENDPOINTS: &str = "servers";
 
