Requests that have not begun on an older version of the weights are cancelled before its bound

Cause: entries checked the version when they sent, up to 6.56 s after the naming, and then waited 1.8 s for the first event whatever happened to the version meanwhile. Evidence: the entry's log has the cancellation after 1.8 s, 1 ms after the endpoint began.

The wait now ends 0.25 s before the bound, also for resumed streams. What has not begun by then is cancelled and, where the route allows it, tried at an endpoint with a newer version. Requests are sent to the older version as long as before, so nobody else waits.

--- a/core/src/direct/versions.rs
+++ b/core/src/direct/versions.rs
@@ -120,6 +120,12 @@
         self.announced.iter().find(|(known, _)| *known == version).and_then(|(_, at)| *at)
     }
 
+    /// When requests may no longer begin on the version `held`, if each version replaces the older ones `bound` after
+    /// its announcement; `None` if `held` is the newest or the time of the announcement is unknown.
+    pub fn expires_at(&self, held: u64, bound: Duration) -> Option<Time> {
+        self.outdated_since(held).map(|announced_at| announced_at + bound)
+    }
+
     /// When the first version newer than `held` was announced; `None` if there is none or the time is unknown.
     pub fn outdated_since(&self, held: u64) -> Option<Time> {
         self.announced.iter().find(|(version, _)| *version > held).and_then(|(_, at)| *at)
--- a/core/tests/direct/versions.rs
+++ b/core/tests/direct/versions.rs
@@ -40,6 +40,18 @@
     assert_eq!(versions.outdated_since(3), None);
 }
 
+// Guards against a request that begins on version 1 after the bound of version 2.
+#[test]
+fn expires_at_bound_of_first_newer_version() {
+    let mut versions = Versions::new(1);
+    assert_eq!(versions.expires_at(1, BOUND), None);
+    versions.record_announcement(2, at(10));
+    versions.record_announcement(3, at(14));
+    assert_eq!(versions.expires_at(1, BOUND), Some(at(18)));
+    assert_eq!(versions.expires_at(2, BOUND), Some(at(22)));
+    assert_eq!(versions.expires_at(3, BOUND), None);
+}
+
 // An entry starts while versions 2 and 3 are being rolled out and finds version 3 in the store without the time
 // of its announcement. If it did not accept the time from another entry, it would reject requests that endpoints
 // with version 1 may still serve.
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -55,6 +55,16 @@
     pub(super) connection: HttpConnection,
     pub(super) place: InFlightGuard,
     pub(super) response: Response<Incoming>,
+    /// When the first event must have arrived, as the endpoint's weights may not serve any more from then on; `None`
+    /// if they are the newest, or once the first event is awaited.
+    begin_by: Option<Time>,
+}
+
+impl AttemptResponse {
+    /// The time limit of the next event, `limit` unless that is the first one and must arrive earlier.
+    pub(super) fn take_first_event_limit(&mut self, limit: Duration, now: Time) -> Duration {
+        self.begin_by.take().map_or(limit, |begin_by| begin_by.since(now).min(limit))
+    }
 }
 
 /// How an attempt at one endpoint ended.
@@ -123,6 +133,10 @@
         RetryPolicy::Resumable => FIRST_EVENT_TIMEOUT,
         RetryPolicy::AtMostOnce => remaining,
     };
+    let model = call.head.model.as_deref().filter(|_| record.is_engine);
+    let begin_within = model.and_then(|model| state.must_begin_within(model, &record.weights, now));
+    let response_timeout =
+        begin_within.map_or(response_timeout, |limit| limit.min(response_timeout));
     let sending = timeout(remaining.min(response_timeout), connection.send(req));
     let sent = tokio::select! {
         sent = sending => sent.unwrap_or(Err(ConnectionError::TimedOut)),
@@ -154,6 +168,7 @@
             connection,
             place,
             response,
+            begin_by: begin_within.map(|limit| now + limit),
         })),
         AnswerKind::NotRun => {
             state.endpoints.borrow_mut().record_refusal(endpoint, state.now());
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -136,7 +136,7 @@
     call: &Call,
     response: AttemptResponse,
 ) -> std::result::Result<Response<ResponseBody>, ConnectionError> {
-    let AttemptResponse { record, mut connection, place, response } = response;
+    let AttemptResponse { record, mut connection, place, response, .. } = response;
     let keep_alive = pool::parse_keep_alive(response.headers());
     let (head, body) = response.into_parts();
     let remaining = call.deadline.since(state.now());
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -51,6 +51,7 @@
         RetryPolicy::Idempotent | RetryPolicy::AtMostOnce => call.deadline.since(state.now()),
     };
     let time_limit = first_event_timeout.min(call.deadline.since(state.now()));
+    let time_limit = response.take_first_event_limit(time_limit, state.now());
     let first = timeout(time_limit, read_events(&mut response, &mut splitter));
     let first = tokio::select! {
         first = first => first.unwrap_or(Err(ConnectionError::TimedOut)),
@@ -185,7 +186,8 @@
         } else {
             remaining
         };
-        let events = timeout(idle_timeout.min(remaining), read_events(response, splitter)).await;
+        let time_limit = response.take_first_event_limit(idle_timeout.min(remaining), state.now());
+        let events = timeout(time_limit, read_events(response, splitter)).await;
         match events.unwrap_or(Err(ConnectionError::TimedOut))? {
             // A failed send means that the caller has disconnected, which cancels this task.
             Some(events) => drop(tx.send(Ok(events)).await),
@@ -195,7 +197,7 @@
 }
 
 async fn finish_response(state: &State, response: AttemptResponse) {
-    let AttemptResponse { record, mut connection, place, response } = response;
+    let AttemptResponse { record, mut connection, place, response, .. } = response;
     state.endpoints.borrow_mut().record_success(place.endpoint);
     drop(place);
     let keep_alive = pool::parse_keep_alive(response.headers());
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -18,3 +18,4 @@
 mod shutdown;
 mod statements;
 mod updates;
+mod versions;
