Entries that were frozen drop the requests of callers that have left

An entry that wakes finds requests in its buffers and, behind them, the disconnects of their callers. It sent a request on over a pooled connection before it looked at the caller's connection again, so endpoints ran requests nobody waited for, as many as there were idle connections. Handling now yields once first, upon which the connection is read to its end; who still waits is served.

--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -24,6 +24,7 @@
 use mastichaven_platform::call;
 use mastichaven_platform::call::CallHead;
 use rand::RngExt;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 use super::call::Call;
@@ -105,6 +106,9 @@
     let received_at = state.now();
     let head = call::parse_call(req.headers());
     state.metrics.count("requests");
+    // Lets the connection notice that the caller has disconnected. After a freeze of this host, requests and the
+    // disconnects behind them arrive together.
+    yield_now().await;
     let mut response = match admit(&state, &head, req, received_at).await {
         Ok(call) => forward_call(&state, Rc::new(call)).await,
         Err(rejection) => {
--- a/node/tests/direct/disconnects.rs
+++ b/node/tests/direct/disconnects.rs
@@ -1,5 +1,6 @@
 use std::io::Write;
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +17,9 @@
 /// Time within which an endpoint must be free of a request after its caller has disconnected.
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Callers that leave while an entry is frozen, on connections opened before and during that.
+const FROZEN_CALLERS: usize = 8;
+
 /// Requests until one of them takes the intended way through the endpoints.
 const MAX_TRIES: usize = 30;
 
@@ -76,3 +80,31 @@
         |endpoint: &FakeEndpoint| run_of(endpoint, "a").is_some_and(|run| run.is_abandoned);
     assert!(is_within(CANCEL_TIMEOUT, || endpoints.iter().all(is_cancelled)));
 }
+
+// Guards against requests that an entry which was frozen takes up after their callers have left.
+#[test]
+fn frozen_entry_drops_requests_of_callers_that_left() {
+    let site = Site::start();
+    let desk = site.start_endpoint("i-d", "desk", None);
+    let entry = site.start_entry("frozen");
+    until("served", || entry.send_request("/lookup/a", "a", "key-1").unwrap().status == 200);
+    let connected: Vec<TcpStream> =
+        (0..FROZEN_CALLERS).map(|_| TcpStream::connect(entry.callers).unwrap()).collect();
+    // Lets the entry accept them.
+    thread::sleep(CANCEL_TIMEOUT);
+    entry.program.signal("STOP");
+    for (n, mut stream) in connected.into_iter().enumerate() {
+        let head = site::caller_head("/booking/a", &format!("left-{n}"), "key-1", 0);
+        stream.write_all(head.as_bytes()).unwrap();
+    }
+    for n in 0..FROZEN_CALLERS {
+        drop(send(&entry, "/booking/a", &format!("new-{n}")));
+    }
+    let waiting = send(&entry, "/booking/a", "waiting");
+    entry.program.signal("CONT");
+    until("who waits is served", || run_of(&desk, "waiting").is_some());
+    thread::sleep(CANCEL_TIMEOUT);
+    drop(waiting);
+    let run_in_vain = desk.runs().into_iter().filter(|run| run.path == "/booking/a").count() - 1;
+    assert_eq!(run_in_vain, 0, "requests of callers that have left");
+}
