Turns at cold endpoints that come at random offsets add up to less, so that clusters stay within the limit

28 and 27 requests reached a cold endpoint within a second in a simulation of 381 entries, 26 allowed: endpoints crash under that. The rate of such turns is now the highest one whose clusters stay within what a cold endpoint bears; fleets in which each entry has a turn a second, and so takes them evenly, are as before.

--- a/core/src/direct/shares.rs
+++ b/core/src/direct/shares.rs
@@ -60,6 +60,14 @@
 /// by half at least; the rest covers entries that are not counted yet.
 pub(super) const RATE_SHARE: f64 = 0.8;
 
+/// Requests that a cold endpoint bears in one second, as a multiple of its rate and a number beyond that.
+const COLD_OVERSHOOT: f64 = 1.5;
+const COLD_SLACK: f64 = 5.0;
+
+/// Standard deviations by which the number of turns at random offsets in one second stays below what a cold endpoint
+/// bears.
+const CLUSTER_DEVIATIONS: f64 = 5.0;
+
 /// Time for which a turn stays usable if turns are more than [`MAX_KEPT_TURN_PERIOD`] apart. All
 /// entries would use saved turns at once, as soon as the last unlimited endpoint is gone.
 const TURN_TTL: Duration = Duration::from_millis(200);
@@ -82,10 +90,14 @@
 }
 
 impl TurnPacer {
-    /// Whether a request may be sent now to an endpoint that can handle `per_second` requests from
-    /// all `entries`. `draw` from 0 to 1 sets the offset of the first turn.
+    /// Whether a request may be sent now to a cold endpoint that can handle `per_second` requests
+    /// from all `entries`. `draw` from 0 to 1 sets the offset of the first turn.
     pub fn may_send(&mut self, per_second: f64, entries: u32, draw: f64, now: Time) -> bool {
-        self.time_to_turn(per_second, entries, draw, now).is_zero()
+        // With at least one turn a second each, entries take turns evenly, whatever their offsets.
+        let is_even = per_second * RATE_SHARE >= f64::from(entries);
+        let rate =
+            if is_even { per_second } else { max_clustered_rate(per_second).min(per_second) };
+        self.time_to_turn(rate, entries, draw, now).is_zero()
     }
 
     /// Time until a request may be sent; zero if it may be sent now. The arguments are those of
@@ -119,6 +131,19 @@
     }
 }
 
+/// The rate of which entries may take turns at random offsets so that clusters of them stay within what a cold endpoint
+/// with `per_second` bears in one second.
+///
+/// When all entries turn to the endpoint at once, they also use the turns of the last [`TURN_TTL`]. The number of turns
+/// in that time and one second is about Poisson distributed, so its variance equals its mean `m`. This solves
+/// `m + CLUSTER_DEVIATIONS * sqrt(m) = limit` for `m`.
+fn max_clustered_rate(per_second: f64) -> f64 {
+    let limit = per_second * COLD_OVERSHOOT + COLD_SLACK;
+    let root = (CLUSTER_DEVIATIONS.powi(2) + 4.0 * limit).sqrt() - CLUSTER_DEVIATIONS;
+    let turns = (root / 2.0).powi(2);
+    turns / (1.0 + TURN_TTL.as_secs_f64()) / RATE_SHARE
+}
+
 /// Number of entries assumed before any agent has counted them: as many as the largest fleet has.
 const ASSUMED_ENTRIES: u32 = 400;
 
