--- a/node/tests/direct/connection.rs
+++ b/node/tests/direct/connection.rs
@@ -61,7 +61,7 @@
     let address = listener.local_addr().expect("bound");
     let server = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a caller");
-        stream.read(&mut [0; 1_024]).expect("a request");
+        let _ = stream.read(&mut [0; 1_024]).expect("a request");
         if answers {
             write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").expect("written");
         }
