--- a/core/src/direct/shares.rs
+++ b/core/src/direct/shares.rs
@@ -131,8 +131,8 @@
     }
 }
 
-/// The rate of which entries may take turns at random offsets so that clusters of them stay within what a cold endpoint
-/// with `per_second` bears in one second.
+/// The highest rate at which turns at random offsets may come to a cold endpoint that can handle `per_second`, so that
+/// clusters of them stay within what it bears in one second.
 ///
 /// When all entries turn to the endpoint at once, they also use the turns of the last [`TURN_TTL`]. The number of turns
 /// in that time and one second is about Poisson distributed, so its variance equals its mean `m`. This solves
@@ -141,6 +141,7 @@
     let limit = per_second * COLD_OVERSHOOT + COLD_SLACK;
     let root = (CLUSTER_DEVIATIONS.powi(2) + 4.0 * limit).sqrt() - CLUSTER_DEVIATIONS;
     let turns = (root / 2.0).powi(2);
+    // `time_to_turn` uses only this share of the rate.
     turns / (1.0 + TURN_TTL.as_secs_f64()) / RATE_SHARE
 }
 
--- a/node/src/direct/connection.rs
+++ b/node/src/direct/connection.rs
@@ -78,7 +78,7 @@
 pub struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
-    /// Makes `task` reset the connection; `None` once it has been told.
+    /// Makes `task` reset the connection; `None` once it is used.
     reset_tx: Option<oneshot::Sender<()>>,
 }
 
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -159,8 +159,10 @@
     let (parts, body) = req.into_parts();
     let body = read_body(body, limits.max_body_len, limits.head_timeout).await?;
     let time_limit = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
-    let patience = route.event_patience.map(|patience| patience.saturating_sub(RESPONSE_MARGIN));
-    let respond_within = patience.filter(|patience| *patience < time_limit);
+    let respond_within = route
+        .event_patience
+        .map(|patience| patience.saturating_sub(RESPONSE_MARGIN))
+        .filter(|respond_within| *respond_within < time_limit);
     let is_late = state.is_late(&route, time_limit, received_at);
     Ok(Call {
         head: head.clone(),
