--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -28,7 +28,7 @@
 use super::state::State;
 use super::stream::start_stream;
 
-/// Forwards `call` as [`serve`] does, and cancels its attempt when the caller is about to abandon it.
+/// Forwards `call` to endpoints, and cancels its attempt when the caller is about to abandon it.
 pub async fn serve_in_time(
     state: &Rc<State>,
     call: Rc<Call>,
