Log why an interrupted stream was not resumed

Neither the line of an interrupted stream nor that of a lost answer told why no other endpoint took it, how long the endpoint had been silent, or how it was lost. Both now name the reason (`no_retry`); `stream interrupted` also has the endpoint, the error and the time without an event. No change of logic.

--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -156,6 +156,8 @@
     pub steps: StepTimes,
     /// Id of the endpoint tried last.
     pub last_endpoint: Option<SmolStr>,
+    /// Why no further endpoint was tried; empty while there was no reason.
+    pub(super) no_retry: &'static str,
 }
 
 impl CallHistory {
@@ -163,4 +165,21 @@
     pub fn tried_count(&self) -> usize {
         self.tried.len()
     }
+
+    /// Records why no further endpoint is tried. Returns the error that the request ends with, `error_if_untried` if
+    /// it was sent to none.
+    pub(super) fn stop_retrying(
+        &mut self,
+        reason: &'static str,
+        error_if_untried: CallError,
+    ) -> CallError {
+        self.no_retry = reason;
+        if self.may_have_run {
+            CallError::Lost
+        } else if self.tried_count() > 0 {
+            CallError::Declined
+        } else {
+            error_if_untried
+        }
+    }
 }
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -365,7 +365,7 @@
         "took_ms" => now.since(received_at).as_millis() as u64,
         "offers" => history.tried_count(),
         "endpoint" => history.last_endpoint.as_deref().unwrap_or_default(),
-        "config" => version, "config_age_ms" => age);
+        "no_retry" => history.no_retry, "config" => version, "config_age_ms" => age);
 }
 
 /// Logs that a caller has disconnected before it got a response.
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -27,63 +27,46 @@
 /// occupy a place.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(60);
 
-/// The error of a request for which no further endpoint is tried; `error_if_untried` if it was sent
-/// to none.
-fn final_error(history: &CallHistory, error_if_untried: CallError) -> CallError {
-    if history.may_have_run {
-        CallError::Lost
-    } else if history.tried_count() > 0 {
-        CallError::Declined
-    } else {
-        error_if_untried
-    }
-}
-
 /// Chooses the endpoint for the next attempt. Waits up to [`MAX_WAIT_OBJECTIVES`] for a free place,
 /// and charges retries to the retry budget of the service.
 pub(super) async fn next_endpoint(
     state: &Rc<State>,
     call: &Call,
-    history: &CallHistory,
+    history: &mut CallHistory,
 ) -> Result<EndpointKey> {
     let now = state.now();
     if now >= call.deadline {
-        return Err(final_error(history, CallError::Expired));
+        return Err(history.stop_retrying("deadline passed", CallError::Expired));
     }
-    if history.tried_count() > 0 {
-        let has_attempts_left = history.sent_count < call.route.max_attempts;
-        let has_time_left = call.deadline.since(now) >= MIN_RETRY_TIME;
-        if !has_attempts_left || !has_time_left || history.tried_count() >= MAX_ENDPOINTS_TRIED {
-            return Err(final_error(history, CallError::Declined));
-        }
+    if let Some(reason) = retry_obstacle(call, history, now) {
+        return Err(history.stop_retrying(reason, CallError::Declined));
     }
     let wait_until = call.received_at + call.route.objective.mul_f64(MAX_WAIT_OBJECTIVES);
     let endpoint = loop {
         let now = state.now();
         if let Some(ends_in) = state.quarantine_remaining(call) {
-            return Err(if history.may_have_run {
-                CallError::Lost
-            } else {
-                CallError::Quarantined { ends_in }
-            });
+            let e = CallError::Quarantined { ends_in };
+            let has_run = history.may_have_run;
+            let stopped = history.stop_retrying(e.as_str(), e);
+            return Err(if has_run { stopped } else { e });
         }
         match choose_endpoint(state, call, history, now) {
             Ok(endpoint) => break endpoint,
             Err(Unavailable::NoEndpoint) => {
-                return Err(final_error(history, CallError::NoEndpoint));
+                return Err(stop(history, CallError::NoEndpoint));
             }
             Err(Unavailable::Full) if now >= wait_until => {
-                return Err(final_error(history, CallError::Full));
+                return Err(stop(history, CallError::Full));
             }
             Err(Unavailable::Warming) if now >= wait_until => {
-                return Err(final_error(history, CallError::Warming));
+                return Err(stop(history, CallError::Warming));
             }
             // No endpoint with a free place takes a request before then.
             Err(Unavailable::Limited { opens_in }) if now + opens_in > wait_until => {
-                return Err(final_error(history, CallError::Limited { opens_in }));
+                return Err(stop(history, CallError::Limited { opens_in }));
             }
             Err(Unavailable::Paused { ends_in }) if now + ends_in > wait_until => {
-                return Err(final_error(history, CallError::Paused { ends_in }));
+                return Err(stop(history, CallError::Paused { ends_in }));
             }
             Err(
                 Unavailable::Limited { opens_in: duration }
@@ -101,13 +84,32 @@
         let entries = state.endpoints.borrow().entries();
         if !state.with_retry_budget(&call.service, |budget| budget.try_spend(entries, now)) {
             state.metrics.count("retries_over_budget");
-            return Err(final_error(history, CallError::Declined));
+            return Err(history.stop_retrying("retry budget used up", CallError::Declined));
         }
         state.metrics.count("retries");
     }
     Ok(endpoint)
 }
 
+/// Why a request that was sent to an endpoint may not be sent to another one; `None` if it may.
+fn retry_obstacle(call: &Call, history: &CallHistory, now: Time) -> Option<&'static str> {
+    if history.tried_count() == 0 {
+        None
+    } else if history.sent_count >= call.route.max_attempts {
+        Some("no attempts left")
+    } else if call.deadline.since(now) < MIN_RETRY_TIME {
+        Some("no time left")
+    } else if history.tried_count() >= MAX_ENDPOINTS_TRIED {
+        Some("too many endpoints tried")
+    } else {
+        None
+    }
+}
+
+fn stop(history: &mut CallHistory, e: CallError) -> CallError {
+    history.stop_retrying(e.as_str(), e)
+}
+
 fn choose_endpoint(
     state: &Rc<State>,
     call: &Call,
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
+use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::RetryPolicy;
 use mastichaven_core::direct::events::EventSplitter;
 use mastichaven_platform::answer;
@@ -144,8 +145,12 @@
     mut history: CallHistory,
     tx: &BodySender,
 ) {
+    let mut last_event_at = state.now();
     loop {
-        match relay_events(state, call, &mut response, &mut splitter, tx).await {
+        let relayed =
+            relay_events(state, call, &mut response, &mut splitter, &mut last_event_at, tx).await;
+        let silence = state.now().since(last_event_at);
+        let error = match relayed {
             Ok(()) => {
                 state.record_completion(call);
                 return finish_response(state, response).await;
@@ -153,8 +158,9 @@
             Err(e) => {
                 let endpoint = response.place.endpoint;
                 record_lost_attempt(state, call, &response.record, endpoint, e, "stream").await;
+                e
             }
-        }
+        };
         drop(response);
         match resume_stream(state, call, &mut splitter, &mut history).await {
             Some(next) => response = next,
@@ -162,6 +168,9 @@
                 slog::warn!(state.log, "stream interrupted";
                     "id" => call.head.id.as_deref().unwrap_or_default(),
                     "route" => call.route.name.as_str(), "offers" => history.tried_count(),
+                    "endpoint" => history.last_endpoint.as_deref().unwrap_or_default(),
+                    "error" => error.as_str(), "silent_ms" => silence.as_millis() as u64,
+                    "no_retry" => history.no_retry,
                     "left_ms" => call.deadline.since(state.now()).as_millis() as u64);
                 state.metrics.count("streams_broken_off");
                 let _ = tx.send(Err(ResponseAborted)).await;
@@ -177,6 +186,7 @@
     call: &Call,
     response: &mut AttemptResponse,
     splitter: &mut EventSplitter,
+    last_event_at: &mut Time,
     tx: &BodySender,
 ) -> Result<()> {
     loop {
@@ -190,7 +200,10 @@
         let events = timeout(time_limit, read_events(response, splitter)).await;
         match events.unwrap_or(Err(ConnectionError::TimedOut))? {
             // A failed send means that the caller has disconnected, which cancels this task.
-            Some(events) => drop(tx.send(Ok(events)).await),
+            Some(events) => {
+                *last_event_at = state.now();
+                drop(tx.send(Ok(events)).await);
+            }
             None => return Ok(()),
         }
     }
@@ -216,10 +229,14 @@
     history: &mut CallHistory,
 ) -> Option<AttemptResponse> {
     if call.route.retry_policy != RetryPolicy::Resumable {
+        history.no_retry = "route not resumable";
         return None;
     }
     splitter.drop_partial();
-    let last_id = splitter.last_id()?.clone();
+    let Some(last_id) = splitter.last_id().cloned() else {
+        history.no_retry = "events without ids";
+        return None;
+    };
     loop {
         let endpoint = next_endpoint(state, call, history).await.ok()?;
         if let AttemptOutcome::Responding(response) =
