--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod explain;
 mod fixture;
+mod interrupted_streams;
 mod limits;
 mod parents;
 mod peers;
--- a/standins/src/direct/endpoint.rs
+++ b/standins/src/direct/endpoint.rs
@@ -58,6 +58,13 @@
     Misdirected,
     /// Requests are accepted and never answered.
     Unresponsive,
+    /// Streams pause once before the event with index `event`, and then go on.
+    Pause {
+        /// Index of the event; the head of the answer is sent before.
+        event: u64,
+        /// Length of the pause.
+        pause: Duration,
+    },
 }
 
 /// A request that the endpoint ran.
@@ -457,6 +464,11 @@
     let body = req.stream(200, &headers);
     for event in resumed_after.map_or(0, |after| after + 1)..EVENTS_PER_STREAM {
         thread::sleep(EVENT_INTERVAL);
+        if let EndpointFault::Pause { event: paused, pause } = fault
+            && paused == event
+        {
+            thread::sleep(pause);
+        }
         if matches!(fault, EndpointFault::CutAfter(events) if event >= events) {
             body.send(Bytes::from(format!("id: {event}\nda")));
             return false;
