Retries of lost responses wait for a free place until their callers give up

Callers saw streams that ended seconds before their deadline, or 502, whenever all other endpoints were full at the moment at which theirs broke off.

Cause: the wait of every attempt was bounded by an eighth of the latency objective from the receipt of the request, which the retry of a lost response has always passed. Class: a limit in time that is meant for one stage counts from the start of an earlier one. The bound is right for a request that nobody has run, whose caller gains from an early refusal, and wrong for one that may have run.

A lost response now sets until when the next attempt may wait: the moment before the caller gives up; for a stream with events, when its caller would abandon it after the last one. Nothing else changes in the order of requests.

interrupted_stream_waits_for_free_place and stream_lost_before_first_event_waits_for_free_place failed on (cut 20 ms after the loss with 2.9 s left, 502) and pass. A body lost while it was read counted as not run in the last status, 503; it now counts as lost.

--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -142,7 +142,7 @@
         sent = sending => sent.unwrap_or(Err(ConnectionError::TimedOut)),
         // The endpoint may not have begun to run it.
         () = state.until_quarantined(call) => {
-            history.may_have_run = true;
+            history.record_lost_response(call);
             return AttemptOutcome::Lost(ConnectionError::Broken);
         }
     };
@@ -153,7 +153,7 @@
             return AttemptOutcome::NotRun;
         }
         Err(e) => {
-            history.may_have_run = true;
+            history.record_lost_response(call);
             record_lost_attempt(state, call, &record, endpoint, e, "head").await;
             return AttemptOutcome::Lost(e);
         }
@@ -189,7 +189,7 @@
             read_error_response(state, &record, connection, response).await
         }
         AnswerKind::Foreign => {
-            history.may_have_run = true;
+            history.record_lost_response(call);
             record_failed_attempt(
                 state,
                 call,
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -67,6 +67,12 @@
             Fingerprint::new(customer, &parts)
         })
     }
+
+    /// When the caller abandons its stream if no event follows the one of `last_event_at`.
+    pub(super) fn abandoned_at(&self, last_event_at: Time) -> Time {
+        let abandoned_at = self.route.event_patience.map(|patience| last_event_at + patience);
+        abandoned_at.map_or(self.deadline, |abandoned_at| abandoned_at.min(self.deadline))
+    }
 }
 
 /// Why no endpoint answered a request.
@@ -158,6 +164,8 @@
     pub last_endpoint: Option<SmolStr>,
     /// Why no further endpoint was tried; empty while there was no reason.
     pub(super) no_retry: &'static str,
+    /// Until when the next attempt may wait for a free place; `None` unless a response has been lost.
+    pub(super) retry_until: Option<Time>,
 }
 
 impl CallHistory {
@@ -166,6 +174,13 @@
         self.tried.len()
     }
 
+    /// Records that the request may have run and its response is lost. The next attempt may wait for a free place
+    /// until the caller gives up.
+    pub(super) fn record_lost_response(&mut self, call: &Call) {
+        self.may_have_run = true;
+        self.retry_until = Some(call.respond_by.unwrap_or(call.deadline));
+    }
+
     /// Records why no further endpoint is tried. Returns the error that the request ends with, `error_if_untried` if
     /// it was sent to none.
     pub(super) fn stop_retrying(
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -82,7 +82,9 @@
                         history.steps.run = timer.elapsed_without_connect(state, history);
                         return Ok(response);
                     }
-                    Err(_) if call.route.retry_policy == RetryPolicy::Idempotent => {}
+                    Err(_) if call.route.retry_policy == RetryPolicy::Idempotent => {
+                        history.record_lost_response(&call);
+                    }
                     Err(e) => return Err(call_error(e)),
                 }
             }
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -23,12 +23,16 @@
 /// more from an early refusal, after which it retries at another entry, than from a longer wait.
 const MAX_WAIT_OBJECTIVES: f64 = 0.125;
 
+/// Interval at which a waiting request looks for a place even if none was reported as freed: endpoints also become
+/// available as time passes.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time before the deadline from which on no retry is started, as it could hardly finish and would
 /// occupy a place.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(60);
 
-/// Chooses the endpoint for the next attempt. Waits up to [`MAX_WAIT_OBJECTIVES`] for a free place,
-/// and charges retries to the retry budget of the service.
+/// Chooses the endpoint for the next attempt. Waits for a free place up to [`MAX_WAIT_OBJECTIVES`], or until
+/// [`CallHistory::retry_until`] if a response has been lost, and charges retries to the retry budget of the service.
 pub(super) async fn next_endpoint(
     state: &Rc<State>,
     call: &Call,
@@ -38,12 +42,15 @@
     if now >= call.deadline {
         return Err(history.stop_retrying("deadline passed", CallError::Expired));
     }
-    if let Some(reason) = retry_obstacle(call, history, now) {
-        return Err(history.stop_retrying(reason, CallError::Declined));
-    }
-    let wait_until = call.received_at + call.route.objective.mul_f64(MAX_WAIT_OBJECTIVES);
+    let wait_until = match history.retry_until {
+        Some(retry_until) => retry_until.min(call.deadline),
+        None => call.received_at + call.route.objective.mul_f64(MAX_WAIT_OBJECTIVES),
+    };
     let endpoint = loop {
         let now = state.now();
+        if let Some(reason) = retry_obstacle(call, history, now) {
+            return Err(history.stop_retrying(reason, CallError::Declined));
+        }
         if let Some(ends_in) = state.quarantine_remaining(call) {
             let e = CallError::Quarantined { ends_in };
             let has_run = history.may_have_run;
@@ -75,7 +82,8 @@
                 let _ = timeout(duration, state.capacity_freed.notified()).await;
             }
             Err(Unavailable::Full | Unavailable::Warming) => {
-                let _ = timeout(wait_until.since(now), state.capacity_freed.notified()).await;
+                let wait = wait_until.since(now).min(RECHECK_INTERVAL);
+                let _ = timeout(wait, state.capacity_freed.notified()).await;
             }
         }
     };
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -57,14 +57,14 @@
     let first = tokio::select! {
         first = first => first.unwrap_or(Err(ConnectionError::TimedOut)),
         () = state.until_quarantined(call) => {
-            history.may_have_run = true;
+            history.record_lost_response(call);
             return Err(ConnectionError::Broken);
         }
     };
     let first = match first {
         Ok(first) => first,
         Err(e) => {
-            history.may_have_run = true;
+            history.record_lost_response(call);
             record_lost_attempt(
                 state,
                 call,
@@ -162,6 +162,7 @@
             }
         };
         drop(response);
+        history.retry_until = Some(call.abandoned_at(last_event_at));
         match resume_stream(state, call, &mut splitter, &mut history).await {
             Some(next) => response = next,
             None => {
