A silent endpoint is kept until another one has taken over

Cause: an entry cancelled the attempt at a silent endpoint before it looked for another one. If none took the request, or the one that did refused it or did not answer, the caller had lost the endpoint that might have gone on. Class: what is held is given up before its replacement is there.

Now a stream is kept open while another endpoint is looked for, and until that one has sent its first events; whichever is first goes on. Without another endpoint, the silent one has until the caller leaves or the deadline passes. Before the first event, the attempt ends only once another endpoint could take the request; lookups likewise. The limit that keeps requests from beginning on outdated weights still ends attempts by itself.

--- a/core/src/direct/events.rs
+++ b/core/src/direct/events.rs
@@ -18,7 +18,7 @@
 pub struct EventTooLong;
 
 /// Buffers bytes until they form complete events.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
     last_id: Option<SmolStr>,
--- a/core/src/direct/shares.rs
+++ b/core/src/direct/shares.rs
@@ -41,14 +41,19 @@
         self.first_attempts.push_back(now);
     }
 
-    /// Takes one retry from the budget and returns true if this entry's share among `entries` has
-    /// one left.
-    pub fn try_spend(&mut self, entries: u32, now: Time) -> bool {
+    /// Whether this entry's share among `entries` has a retry left.
+    pub fn has_left(&mut self, entries: u32, now: Time) -> bool {
         drop_expired(&mut self.first_attempts, now, self.window);
         drop_expired(&mut self.retries, now, self.window);
         let slack = self.slack / f64::from(entries.max(1));
         let allowed = (self.ratio * self.first_attempts.len() as f64 + slack) * USED_SHARE;
-        let is_allowed = ((self.retries.len() + 1) as f64) <= allowed;
+        ((self.retries.len() + 1) as f64) <= allowed
+    }
+
+    /// Takes one retry from the budget and returns true if this entry's share among `entries` has
+    /// one left.
+    pub fn try_spend(&mut self, entries: u32, now: Time) -> bool {
+        let is_allowed = self.has_left(entries, now);
         if is_allowed {
             self.retries.push_back(now);
         }
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -27,6 +27,7 @@
 use super::connection::HttpConnection;
 use super::crashes::record_lost_attempt;
 use super::pool;
+use super::selection::until_replaceable;
 use super::state::InFlightGuard;
 use super::state::State;
 
@@ -40,13 +41,13 @@
 /// Timeout of reading the body of a refusal or an error response after its head.
 const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time without a first event after which another endpoint is tried. Endpoints whose queues are as
+/// Time without a first event after which another endpoint is looked for. Endpoints whose queues are as
 /// short as selection allows send the first event well within it.
 pub(super) const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_800);
 
-/// Timeout of the response head for idempotent requests, as a multiple of the route's latency
-/// objective.
-const RESPONSE_TIMEOUT_OBJECTIVES: f64 = 2.5;
+/// Time without a response head after which another endpoint is looked for, for idempotent requests, as a multiple of
+/// the route's latency objective.
+const RESPONSE_PATIENCE_OBJECTIVES: f64 = 2.5;
 
 /// A successful response whose body has yet to be read.
 #[derive(Debug)]
@@ -128,18 +129,23 @@
     if history.sent_count == 1 {
         state.with_retry_budget(&call.service, |budget| budget.record_first_attempt(now));
     }
-    let response_timeout = match call.route.retry_policy {
-        RetryPolicy::Idempotent => call.route.objective.mul_f64(RESPONSE_TIMEOUT_OBJECTIVES),
+    let patience = match call.route.retry_policy {
+        RetryPolicy::Idempotent => call.route.objective.mul_f64(RESPONSE_PATIENCE_OBJECTIVES),
         RetryPolicy::Resumable => FIRST_EVENT_TIMEOUT,
         RetryPolicy::AtMostOnce => remaining,
     };
     let model = call.head.model.as_deref().filter(|_| record.is_engine);
     let begin_within = model.and_then(|model| state.must_begin_within(model, &record.weights, now));
-    let response_timeout =
-        begin_within.map_or(response_timeout, |limit| limit.min(response_timeout));
-    let sending = timeout(remaining.min(response_timeout), connection.send(req));
+    let time_limit = begin_within.map_or(remaining, |limit| limit.min(remaining));
     let sent = tokio::select! {
-        sent = sending => sent.unwrap_or(Err(ConnectionError::TimedOut)),
+        sent = timeout(time_limit, connection.send(req)) => {
+            sent.unwrap_or(Err(ConnectionError::TimedOut))
+        }
+        () = until_replaceable(state, call, history, patience),
+            if call.route.retry_policy != RetryPolicy::AtMostOnce =>
+        {
+            Err(ConnectionError::TimedOut)
+        }
         // The endpoint may not have begun to run it.
         () = state.until_quarantined(call) => {
             history.record_lost_response(call);
@@ -244,6 +250,18 @@
     at: &'static str,
 ) {
     state.endpoints.borrow_mut().record_failure(endpoint, true, state.now());
+    log_failed_attempt(state, call, record, endpoint, e, at);
+}
+
+/// Counts and logs an attempt without a valid response.
+pub(super) fn log_failed_attempt(
+    state: &State,
+    call: &Call,
+    record: &EndpointRecord,
+    endpoint: EndpointKey,
+    e: ConnectionError,
+    at: &'static str,
+) {
     state.metrics.count("endpoint_losses");
     slog::info!(state.log, "attempt failed";
         "id" => call.head.id.as_deref().unwrap_or_default(),
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -178,7 +178,8 @@
     /// until the caller gives up.
     pub(super) fn record_lost_response(&mut self, call: &Call) {
         self.may_have_run = true;
-        self.retry_until = Some(call.respond_by.unwrap_or(call.deadline));
+        let gives_up_at = call.respond_by.unwrap_or(call.deadline);
+        self.retry_until = self.retry_until.max(Some(gives_up_at));
     }
 
     /// Records why no further endpoint is tried. Returns the error that the request ends with, `error_if_untried` if
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -7,6 +7,7 @@
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::endpoint_table::Requirements;
 use mastichaven_core::direct::endpoint_table::Unavailable;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::call::Call;
@@ -99,6 +100,31 @@
     Ok(endpoint)
 }
 
+/// Waits until an attempt has been silent for `patience` and another endpoint can take its request, or forever. An
+/// endpoint that is given up before may be the only one that would have answered.
+pub(super) async fn until_replaceable(
+    state: &Rc<State>,
+    call: &Call,
+    history: &CallHistory,
+    patience: Duration,
+) {
+    sleep(patience).await;
+    let is_replaceable = |now| {
+        retry_obstacle(call, history, now).is_none()
+            && state.quarantine_remaining(call).is_none()
+            && has_retry_budget(state, call, now)
+            && choose_endpoint(state, call, history, now).is_ok()
+    };
+    while !is_replaceable(state.now()) {
+        sleep(RECHECK_INTERVAL).await;
+    }
+}
+
+fn has_retry_budget(state: &State, call: &Call, now: Time) -> bool {
+    let entries = state.endpoints.borrow().entries();
+    state.with_retry_budget(&call.service, |budget| budget.has_left(entries, now))
+}
+
 /// Why a request that was sent to an endpoint may not be sent to another one; `None` if it may.
 fn retry_obstacle(call: &Call, history: &CallHistory, now: Time) -> Option<&'static str> {
     if history.tried_count() == 0 {
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -1,5 +1,7 @@
-//! Relays event streams to callers and resumes interrupted ones at another endpoint.
+//! Relays event streams to callers, and resumes them at another endpoint when theirs is lost or silent.
 
+use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +18,7 @@
 use super::attempt::AttemptOutcome;
 use super::attempt::AttemptResponse;
 use super::attempt::FIRST_EVENT_TIMEOUT;
+use super::attempt::log_failed_attempt;
 use super::attempt::send_to_endpoint;
 use super::call::Call;
 use super::call::CallHistory;
@@ -26,93 +29,102 @@
 use super::response_body::ResponseBody;
 use super::response_body::STREAM_CHANNEL_CAPACITY;
 use super::selection::next_endpoint;
+use super::selection::until_replaceable;
 use super::state::State;
 
 /// Result of reading from a stream.
 pub type Result<T> = std::result::Result<T, ConnectionError>;
 
-/// Time without an event after which a stream is resumed at another endpoint. It is longer than the
-/// pauses between events of a busy endpoint, and short enough that callers have not yet given up.
+/// Time without an event after which another endpoint is looked for. It is longer than the pauses between
+/// events of a busy endpoint, and short enough that callers have not yet given up.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// A stream from one endpoint.
+struct EndpointStream {
+    response: AttemptResponse,
+    splitter: EventSplitter,
+}
+
+impl EndpointStream {
+    /// Reads the next complete events; `None` at the end of the stream. Cancelling it loses nothing.
+    async fn read_events(&mut self) -> Result<Option<Bytes>> {
+        loop {
+            let Some(frame) = self.response.response.body_mut().frame().await else {
+                // A stream that ends inside an event is truncated.
+                let is_whole = self.splitter.is_at_boundary();
+                return if is_whole { Ok(None) } else { Err(ConnectionError::Broken) };
+            };
+            let frame = frame.map_err(|_| ConnectionError::Broken)?;
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            let events = self.splitter.push(&bytes).map_err(|_| ConnectionError::Broken)?;
+            if events.is_some() {
+                return Ok(events);
+            }
+        }
+    }
+}
+
 /// Waits for the first event and spawns a task that relays the stream. Before the first event a
 /// failure can still be retried at another endpoint, as the caller has received nothing.
 pub(super) async fn start_stream(
     state: &Rc<State>,
     call: &Rc<Call>,
-    mut response: AttemptResponse,
+    response: AttemptResponse,
     history: &mut CallHistory,
 ) -> Result<Response<ResponseBody>> {
     let mut head = Response::new(());
     *head.status_mut() = response.response.status();
     *head.headers_mut() = answer::caller_headers(response.response.headers().clone());
-    let mut splitter = EventSplitter::default();
-    let first_event_timeout = match call.route.retry_policy {
-        RetryPolicy::Resumable => FIRST_EVENT_TIMEOUT,
-        RetryPolicy::Idempotent | RetryPolicy::AtMostOnce => call.deadline.since(state.now()),
-    };
-    let time_limit = first_event_timeout.min(call.deadline.since(state.now()));
-    let time_limit = response.take_first_event_limit(time_limit, state.now());
-    let first = timeout(time_limit, read_events(&mut response, &mut splitter));
-    let first = tokio::select! {
-        first = first => first.unwrap_or(Err(ConnectionError::TimedOut)),
-        () = state.until_quarantined(call) => {
-            history.record_lost_response(call);
-            return Err(ConnectionError::Broken);
-        }
-    };
-    let first = match first {
-        Ok(first) => first,
-        Err(e) => {
-            history.record_lost_response(call);
-            record_lost_attempt(
-                state,
-                call,
-                &response.record,
-                response.place.endpoint,
-                e,
-                "first event",
-            )
-            .await;
-            return Err(e);
-        }
-    };
+    let mut stream = EndpointStream { response, splitter: EventSplitter::default() };
+    let first = read_first_events(state, call, &mut stream, history).await?;
     state.metrics.time("first_event", state.now().since(call.received_at));
     let (tx, rx) = mpsc::channel(STREAM_CHANNEL_CAPACITY);
     let Some(first) = first else {
         return Ok(head.map(|()| ResponseBody::full(Bytes::new())));
     };
     let _ = tx.try_send(Ok(first));
-    let history = history.clone();
     tokio::task::spawn_local(relay_stream(
         state.clone(),
         call.clone(),
-        response,
-        splitter,
-        history,
+        stream,
+        history.clone(),
         tx,
     ));
     Ok(head.map(|()| ResponseBody::Streamed(rx)))
 }
 
-/// Reads the next complete events; `None` at the end of the stream.
-async fn read_events(
-    response: &mut AttemptResponse,
-    splitter: &mut EventSplitter,
+/// Reads the first events of an attempt; `None` if the stream ends without one. A silent endpoint is given up once
+/// another one can take the request.
+async fn read_first_events(
+    state: &Rc<State>,
+    call: &Call,
+    stream: &mut EndpointStream,
+    history: &mut CallHistory,
 ) -> Result<Option<Bytes>> {
-    loop {
-        let Some(frame) = response.response.body_mut().frame().await else {
-            // A stream that ends inside an event is truncated.
-            return if splitter.is_at_boundary() { Ok(None) } else { Err(ConnectionError::Broken) };
-        };
-        let frame = frame.map_err(|_| ConnectionError::Broken)?;
-        let Ok(bytes) = frame.into_data() else {
-            continue;
-        };
-        if let Some(events) = splitter.push(&bytes).map_err(|_| ConnectionError::Broken)? {
-            return Ok(Some(events));
+    let is_resumable = call.route.retry_policy == RetryPolicy::Resumable;
+    let now = state.now();
+    let time_limit = stream.response.take_first_event_limit(call.deadline.since(now), now);
+    let first = tokio::select! {
+        first = timeout(time_limit, stream.read_events()) => {
+            first.unwrap_or(Err(ConnectionError::TimedOut))
+        }
+        () = until_replaceable(state, call, history, FIRST_EVENT_TIMEOUT), if is_resumable => {
+            Err(ConnectionError::TimedOut)
         }
+        () = state.until_quarantined(call) => {
+            history.record_lost_response(call);
+            return Err(ConnectionError::Broken);
+        }
+    };
+    if let Err(e) = first {
+        history.record_lost_response(call);
+        let endpoint = stream.response.place.endpoint;
+        let record = &stream.response.record;
+        record_lost_attempt(state, call, record, endpoint, e, "first event").await;
     }
+    first
 }
 
 type BodySender = mpsc::Sender<std::result::Result<Bytes, ResponseAborted>>;
@@ -121,91 +133,181 @@
 async fn relay_stream(
     state: Rc<State>,
     call: Rc<Call>,
-    response: AttemptResponse,
-    splitter: EventSplitter,
+    stream: EndpointStream,
     history: CallHistory,
     tx: BodySender,
 ) {
+    let last_event_at = Cell::new(state.now());
+    let relay = Relay { state: &state, call: &call, last_event_at: &last_event_at, history };
     tokio::select! {
-        () = relay_and_resume(&state, &call, response, splitter, history, &tx) => {}
+        () = relay.run(stream, &tx) => {}
         () = tx.closed() => {
             state.metrics.count("callers_left");
             slog::info!(state.log, "caller disconnected during the stream";
-                "id" => call.head.id.as_deref().unwrap_or_default());
+                "id" => call.head.id.as_deref().unwrap_or_default(),
+                "silent_ms" => state.now().since(last_event_at.get()).as_millis() as u64);
         }
     }
 }
 
-/// Relays events until the stream ends, and resumes it at another endpoint when it is interrupted.
-async fn relay_and_resume(
-    state: &Rc<State>,
-    call: &Call,
-    mut response: AttemptResponse,
-    mut splitter: EventSplitter,
-    mut history: CallHistory,
-    tx: &BodySender,
-) {
-    let mut last_event_at = state.now();
-    loop {
-        let relayed =
-            relay_events(state, call, &mut response, &mut splitter, &mut last_event_at, tx).await;
-        let silence = state.now().since(last_event_at);
-        let error = match relayed {
-            Ok(()) => {
-                state.record_completion(call);
-                return finish_response(state, response).await;
-            }
-            Err(e) => {
-                let endpoint = response.place.endpoint;
-                record_lost_attempt(state, call, &response.record, endpoint, e, "stream").await;
-                e
+/// A stream that is being relayed to its caller.
+struct Relay<'a> {
+    state: &'a Rc<State>,
+    call: &'a Call,
+    /// When the last event was relayed.
+    last_event_at: &'a Cell<Time>,
+    history: CallHistory,
+}
+
+impl Relay<'_> {
+    /// Relays events until the stream ends or cannot be continued.
+    async fn run(mut self, mut stream: EndpointStream, tx: &BodySender) {
+        loop {
+            match self.next_events(stream).await {
+                Ok((next, Some(events))) => {
+                    self.last_event_at.set(self.state.now());
+                    stream = next;
+                    // A failed send means that the caller has disconnected, which cancels this task.
+                    let _ = tx.send(Ok(events)).await;
+                }
+                Ok((next, None)) => {
+                    self.state.record_completion(self.call);
+                    return finish_response(self.state, next.response).await;
+                }
+                Err(e) => {
+                    self.log_interruption(e);
+                    let _ = tx.send(Err(ResponseAborted)).await;
+                    return;
+                }
             }
+        }
+    }
+
+    fn log_interruption(&self, e: ConnectionError) {
+        let now = self.state.now();
+        slog::warn!(self.state.log, "stream interrupted";
+            "id" => self.call.head.id.as_deref().unwrap_or_default(),
+            "route" => self.call.route.name.as_str(), "offers" => self.history.tried_count(),
+            "endpoint" => self.history.last_endpoint.as_deref().unwrap_or_default(),
+            "error" => e.as_str(),
+            "silent_ms" => now.since(self.last_event_at.get()).as_millis() as u64,
+            "no_retry" => self.history.no_retry,
+            "left_ms" => self.call.deadline.since(now).as_millis() as u64);
+        self.state.metrics.count("streams_broken_off");
+    }
+
+    /// Reads the next events, `None` at the end of the stream, from `stream` or from the one that replaces it.
+    async fn next_events(
+        &mut self,
+        mut stream: EndpointStream,
+    ) -> Result<(EndpointStream, Option<Bytes>)> {
+        let remaining = self.call.deadline.since(self.state.now());
+        let idle_timeout = match self.call.route.retry_policy {
+            RetryPolicy::Resumable => STREAM_IDLE_TIMEOUT.min(remaining),
+            RetryPolicy::Idempotent | RetryPolicy::AtMostOnce => remaining,
         };
+        match timeout(idle_timeout, stream.read_events()).await {
+            Ok(Ok(events)) => Ok((stream, events)),
+            Ok(Err(e)) => self.replace_lost(stream, e).await,
+            Err(_) if idle_timeout < remaining => self.replace_silent(stream).await,
+            Err(_) => self.replace_lost(stream, ConnectionError::TimedOut).await,
+        }
+    }
+
+    /// Resumes a stream whose endpoint was lost.
+    async fn replace_lost(
+        &mut self,
+        stream: EndpointStream,
+        e: ConnectionError,
+    ) -> Result<(EndpointStream, Option<Bytes>)> {
+        let EndpointStream { response, splitter } = stream;
+        let endpoint = response.place.endpoint;
+        record_lost_attempt(self.state, self.call, &response.record, endpoint, e, "stream").await;
         drop(response);
-        history.retry_until = Some(call.abandoned_at(last_event_at));
-        match resume_stream(state, call, &mut splitter, &mut history).await {
-            Some(next) => response = next,
-            None => {
-                slog::warn!(state.log, "stream interrupted";
-                    "id" => call.head.id.as_deref().unwrap_or_default(),
-                    "route" => call.route.name.as_str(), "offers" => history.tried_count(),
-                    "endpoint" => history.last_endpoint.as_deref().unwrap_or_default(),
-                    "error" => error.as_str(), "silent_ms" => silence.as_millis() as u64,
-                    "no_retry" => history.no_retry,
-                    "left_ms" => call.deadline.since(state.now()).as_millis() as u64);
-                state.metrics.count("streams_broken_off");
-                let _ = tx.send(Err(ResponseAborted)).await;
-                return;
+        self.resume(splitter).await.ok_or(e)
+    }
+
+    /// Looks for another endpoint while that of `stream` is silent, and keeps the stream until the other one has sent
+    /// events. If there is none, the endpoint has until the caller gives up.
+    async fn replace_silent(
+        &mut self,
+        mut stream: EndpointStream,
+    ) -> Result<(EndpointStream, Option<Bytes>)> {
+        let state = self.state;
+        let call = self.call;
+        let endpoint = stream.response.place.endpoint;
+        state.metrics.count("streams_silent");
+        state.endpoints.borrow_mut().record_failure(endpoint, true, state.now());
+        let record = stream.response.record.clone();
+        let splitter = stream.splitter.clone();
+        let mut resumption = pin!(self.resume(splitter));
+        let resumed = tokio::select! {
+            biased;
+            read = stream.read_events() => match read {
+                Ok(events) => {
+                    state.metrics.count("streams_continued");
+                    return Ok((stream, events));
+                }
+                Err(e) => {
+                    let recorded = record_lost_attempt(state, call, &record, endpoint, e, "stream");
+                    return tokio::join!(recorded, resumption).1.ok_or(e);
+                }
+            },
+            resumed = &mut resumption => resumed,
+        };
+        if let Some(resumed) = resumed {
+            let e = ConnectionError::TimedOut;
+            log_failed_attempt(state, call, &record, endpoint, e, "stream");
+            return Ok(resumed);
+        }
+        let remaining = call.deadline.since(state.now());
+        match timeout(remaining, stream.read_events()).await {
+            Ok(Ok(events)) => {
+                state.metrics.count("streams_continued");
+                Ok((stream, events))
+            }
+            Ok(Err(e)) => {
+                record_lost_attempt(state, call, &record, endpoint, e, "stream").await;
+                Err(e)
+            }
+            Err(_) => {
+                let e = ConnectionError::TimedOut;
+                log_failed_attempt(state, call, &record, endpoint, e, "stream");
+                Err(e)
             }
         }
     }
-}
 
-/// Relays events until the stream from one endpoint ends.
-async fn relay_events(
-    state: &State,
-    call: &Call,
-    response: &mut AttemptResponse,
-    splitter: &mut EventSplitter,
-    last_event_at: &mut Time,
-    tx: &BodySender,
-) -> Result<()> {
-    loop {
-        let remaining = call.deadline.since(state.now());
-        let idle_timeout = if call.route.retry_policy == RetryPolicy::Resumable {
-            STREAM_IDLE_TIMEOUT
-        } else {
-            remaining
+    /// Resumes the stream at another endpoint, after the last event relayed, and reads its next events; `None` if the
+    /// route doesn't allow it, no event had an id, or no endpoint takes it before the caller gives up.
+    async fn resume(
+        &mut self,
+        mut splitter: EventSplitter,
+    ) -> Option<(EndpointStream, Option<Bytes>)> {
+        let (state, call, history) = (self.state, self.call, &mut self.history);
+        if call.route.retry_policy != RetryPolicy::Resumable {
+            history.no_retry = "route not resumable";
+            return None;
+        }
+        splitter.drop_partial();
+        let Some(last_id) = splitter.last_id().cloned() else {
+            history.no_retry = "events without ids";
+            return None;
         };
-        let time_limit = response.take_first_event_limit(idle_timeout.min(remaining), state.now());
-        let events = timeout(time_limit, read_events(response, splitter)).await;
-        match events.unwrap_or(Err(ConnectionError::TimedOut))? {
-            // A failed send means that the caller has disconnected, which cancels this task.
-            Some(events) => {
-                *last_event_at = state.now();
-                drop(tx.send(Ok(events)).await);
+        history.no_retry = "";
+        history.retry_until = Some(call.abandoned_at(self.last_event_at.get()));
+        loop {
+            let endpoint = next_endpoint(state, call, history).await.ok()?;
+            let outcome =
+                send_to_endpoint(state, call, endpoint, history, Some(last_id.as_str())).await;
+            let AttemptOutcome::Responding(response) = outcome else {
+                continue;
+            };
+            let mut stream = EndpointStream { response: *response, splitter: splitter.clone() };
+            if let Ok(events) = read_first_events(state, call, &mut stream, history).await {
+                state.metrics.count("streams_resumed");
+                return Some((stream, events));
             }
-            None => return Ok(()),
         }
     }
 }
@@ -220,31 +322,3 @@
         state.pool.put(record.address, &record.id, connection, keep_alive, state.now());
     }
 }
-
-/// Resumes an interrupted stream at another endpoint, after the last event relayed; `None` if the
-/// route doesn't allow it, no event had an id, or no endpoint accepts it.
-async fn resume_stream(
-    state: &Rc<State>,
-    call: &Call,
-    splitter: &mut EventSplitter,
-    history: &mut CallHistory,
-) -> Option<AttemptResponse> {
-    if call.route.retry_policy != RetryPolicy::Resumable {
-        history.no_retry = "route not resumable";
-        return None;
-    }
-    splitter.drop_partial();
-    let Some(last_id) = splitter.last_id().cloned() else {
-        history.no_retry = "events without ids";
-        return None;
-    };
-    loop {
-        let endpoint = next_endpoint(state, call, history).await.ok()?;
-        if let AttemptOutcome::Responding(response) =
-            send_to_endpoint(state, call, endpoint, history, Some(last_id.as_str())).await
-        {
-            state.metrics.count("streams_resumed");
-            return Some(*response);
-        }
-    }
-}
