Log attempts that endpoints refuse

A refusal uses one of a request's attempts, often the last one, and left no line: streams that were not resumed for want of attempts could not be told apart from streams that were cut twice. No change of logic.

--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use mastichaven_core::Time;
@@ -179,12 +180,14 @@
         AnswerKind::NotRun => {
             state.endpoints.borrow_mut().record_refusal(endpoint, state.now());
             state.metrics.count("endpoint_refusals");
+            log_refused_attempt(state, call, &record, endpoint, "not run", response.status());
             recycle_connection(state, &record, connection, response).await;
             AttemptOutcome::NotRun
         }
         AnswerKind::Misdirected => {
             state.endpoints.borrow_mut().record_misdirected(endpoint, state.now());
             state.metrics.count("endpoint_misdirected");
+            log_refused_attempt(state, call, &record, endpoint, "misdirected", response.status());
             AttemptOutcome::NotRun
         }
         AnswerKind::Failed => {
@@ -270,6 +273,22 @@
         "left_ms" => call.deadline.since(state.now()).as_millis() as u64);
 }
 
+/// Logs an attempt that the endpoint refused, with the load that this entry took it to have.
+fn log_refused_attempt(
+    state: &State,
+    call: &Call,
+    record: &EndpointRecord,
+    endpoint: EndpointKey,
+    reason: &'static str,
+    status: StatusCode,
+) {
+    slog::info!(state.log, "attempt refused";
+        "id" => call.head.id.as_deref().unwrap_or_default(),
+        "endpoint" => record.id.as_str(), "reason" => reason, "status" => status.as_u16(),
+        "own" => state.endpoints.borrow().in_flight(endpoint),
+        "report_age_ms" => state.report_age_ms(endpoint));
+}
+
 /// Reads the rest of a response that is discarded, and returns its connection to the pool.
 async fn recycle_connection(
     state: &State,
