Interrupted streams come before new requests in the retry budget

Callers saw streams cut with seconds left for a third reason once retries waited for places: the retry budget of the service was used up, mostly by retries of requests that had no event yet.

Cause: one budget, first come first served, for requests that have cost nothing and for answers of which callers hold a part. Class: work that is half paid for competes on equal terms with work that has not begun.

Streams without an event may use 0.6 of the budget; interrupted ones all of it. They are also sent with the highest urgency, so that engines take them first from their queues.

interrupted_stream_resumes_after_many_retries_of_others failed before ("retry budget used up" with 2.9 s left) and passes.

--- a/core/src/direct/shares.rs
+++ b/core/src/direct/shares.rs
@@ -41,19 +41,19 @@
         self.first_attempts.push_back(now);
     }
 
-    /// Whether this entry's share among `entries` has a retry left.
-    pub fn has_left(&mut self, entries: u32, now: Time) -> bool {
+    /// Whether this entry's share among `entries` has a retry left for a request that may use `usable` of it, from 0
+    /// to 1.
+    pub fn has_left(&mut self, usable: f64, entries: u32, now: Time) -> bool {
         drop_expired(&mut self.first_attempts, now, self.window);
         drop_expired(&mut self.retries, now, self.window);
         let slack = self.slack / f64::from(entries.max(1));
-        let allowed = (self.ratio * self.first_attempts.len() as f64 + slack) * USED_SHARE;
+        let allowed = (self.ratio * self.first_attempts.len() as f64 + slack) * USED_SHARE * usable;
         ((self.retries.len() + 1) as f64) <= allowed
     }
 
-    /// Takes one retry from the budget and returns true if this entry's share among `entries` has
-    /// one left.
-    pub fn try_spend(&mut self, entries: u32, now: Time) -> bool {
-        let is_allowed = self.has_left(entries, now);
+    /// Takes one retry from the budget and returns true if [`SharedRetryBudget::has_left`] one.
+    pub fn try_spend(&mut self, usable: f64, entries: u32, now: Time) -> bool {
+        let is_allowed = self.has_left(usable, entries, now);
         if is_allowed {
             self.retries.push_back(now);
         }
--- a/core/tests/direct/shares.rs
+++ b/core/tests/direct/shares.rs
@@ -32,7 +32,7 @@
             let now = Time::from_millis(*at);
             budgets[*entry].record_first_attempt(now);
             for _ in 0..3 {
-                if budgets[*entry].try_spend(entries, now) {
+                if budgets[*entry].try_spend(1.0, entries, now) {
                     retry_times.push(*at);
                 }
             }
@@ -48,6 +48,16 @@
     }
 }
 
+// Guards against interrupted streams that are lost because retries of new requests have used up the budget.
+#[test]
+fn try_spend_leaves_rest_to_requests_that_may_use_all() {
+    let mut budget = SharedRetryBudget::new(RATIO, SLACK, WINDOW);
+    let now = Time::from_millis(1);
+    let mut spend = |usable| (0..1_000).filter(|_| budget.try_spend(usable, 1, now)).count();
+    let (half, rest) = (spend(0.5), spend(1.0));
+    assert!(half > 0 && rest.abs_diff(half) <= 1, "{half} and {rest}");
+}
+
 // A cold endpoint that gets its full rate from each of eight entries crashes.
 #[test]
 fn may_send_divides_cold_rate_among_entries() {
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -42,6 +42,9 @@
 /// Timeout of reading the body of a refusal or an error response after its head.
 const ERROR_BODY_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Urgency of resumed streams, whose callers have received a part already.
+const RESUMPTION_URGENCY: u8 = 0;
+
 /// Time without a first event after which another endpoint is looked for. Endpoints whose queues are as
 /// short as selection allows send the first event well within it.
 pub(super) const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_800);
@@ -226,13 +229,14 @@
         let newest = state.versions.borrow().get(model).map(Versions::newest)?;
         (state.oldest_allowed_version(model, now) == newest).then_some(newest)
     });
+    let urgency = resume_after.is_some().then_some(RESUMPTION_URGENCY);
     let resume_after = resume_after.or(call.head.resumes_after.as_deref());
     let addition = AddedHeaders {
         deadline: Some(remaining),
         endpoint: &record.id,
         customer: call.customer.as_ref().map(|customer| &customer.name),
         version,
-        urgency: None,
+        urgency,
         resume_after,
     };
     let mut req = Request::new(Full::new(call.body.clone()));
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -164,6 +164,8 @@
     pub last_endpoint: Option<SmolStr>,
     /// Why no further endpoint was tried; empty while there was no reason.
     pub(super) no_retry: &'static str,
+    /// Whether the caller has received a part of the answer, and the next attempt is to bring the rest.
+    pub(super) is_resumption: bool,
     /// Until when the next attempt may wait for a free place; `None` unless a response has been lost.
     pub(super) retry_until: Option<Time>,
 }
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
+use mastichaven_core::direct::catalog::RetryPolicy;
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::endpoint_table::Requirements;
 use mastichaven_core::direct::endpoint_table::Unavailable;
@@ -24,6 +25,10 @@
 /// more from an early refusal, after which it retries at another entry, than from a longer wait.
 const MAX_WAIT_OBJECTIVES: f64 = 0.125;
 
+/// Share of the retry budget that streams without an event may use, so that the rest is left to those whose callers
+/// have received a part.
+const FIRST_EVENT_BUDGET_SHARE: f64 = 0.6;
+
 /// Interval at which a waiting request looks for a place even if none was reported as freed: endpoints also become
 /// available as time passes.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -91,7 +96,9 @@
     let now = state.now();
     if history.sent_count > 0 {
         let entries = state.endpoints.borrow().entries();
-        if !state.with_retry_budget(&call.service, |budget| budget.try_spend(entries, now)) {
+        let usable = usable_budget(call, history);
+        if !state.with_retry_budget(&call.service, |budget| budget.try_spend(usable, entries, now))
+        {
             state.metrics.count("retries_over_budget");
             return Err(history.stop_retrying("retry budget used up", CallError::Declined));
         }
@@ -112,7 +119,7 @@
     let is_replaceable = |now| {
         retry_obstacle(call, history, now).is_none()
             && state.quarantine_remaining(call).is_none()
-            && has_retry_budget(state, call, now)
+            && has_retry_budget(state, call, history, now)
             && choose_endpoint(state, call, history, now).is_ok()
     };
     while !is_replaceable(state.now()) {
@@ -120,9 +127,10 @@
     }
 }
 
-fn has_retry_budget(state: &State, call: &Call, now: Time) -> bool {
+fn has_retry_budget(state: &State, call: &Call, history: &CallHistory, now: Time) -> bool {
     let entries = state.endpoints.borrow().entries();
-    state.with_retry_budget(&call.service, |budget| budget.has_left(entries, now))
+    let usable = usable_budget(call, history);
+    state.with_retry_budget(&call.service, |budget| budget.has_left(usable, entries, now))
 }
 
 /// Why a request that was sent to an endpoint may not be sent to another one; `None` if it may.
@@ -164,3 +172,9 @@
     let mut endpoints = state.endpoints.borrow_mut();
     state.with_rng(|rng| endpoints.choose(&requirements, now, rng))
 }
+
+/// Share of the retry budget that the request may use.
+fn usable_budget(call: &Call, history: &CallHistory) -> f64 {
+    let may_be_resumed = call.route.retry_policy == RetryPolicy::Resumable;
+    if may_be_resumed && !history.is_resumption { FIRST_EVENT_BUDGET_SHARE } else { 1.0 }
+}
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -295,6 +295,7 @@
             return None;
         };
         history.no_retry = "";
+        history.is_resumption = true;
         history.retry_until = Some(call.abandoned_at(self.last_event_at.get()));
         loop {
             let endpoint = next_endpoint(state, call, history).await.ok()?;
--- a/node/tests/direct/interrupted_streams.rs
+++ b/node/tests/direct/interrupted_streams.rs
@@ -28,6 +28,9 @@
 /// Requests until one of them begins at the intended endpoint.
 const MAX_TRIES: usize = 30;
 
+/// Requests that lose their responses, more than the retry budget covers.
+const LOST_REQUESTS: usize = 20;
+
 /// Interval of configurations beside a stream.
 const CONFIG_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -148,3 +151,23 @@
     assert_whole(response);
     assert_eq!(resumed_after, None);
 }
+
+// Guards against streams that are ended because retries of requests without an event have used up the retry budget.
+#[test]
+fn interrupted_stream_resumes_after_many_retries_of_others() {
+    let (_site, [first, other], entry) = start_writers("budget", ["i-1", "i-2"]);
+    for endpoint in [&first, &other] {
+        endpoint.set_fault(EndpointFault::LostAnswer);
+    }
+    for n in 0..LOST_REQUESTS {
+        assert_eq!(entry.send_request("/stream/a", &format!("l{n}"), "key-1").unwrap().status, 502);
+    }
+    first.set_fault(EndpointFault::CutAfter(EVENT));
+    other.set_fault(EndpointFault::None);
+    let is_resumed = (0..MAX_TRIES).any(|n| {
+        let id = format!("s{n}");
+        assert_whole(entry.send_request("/stream/a", &id, "key-1").expect("a whole response"));
+        other.runs().iter().any(|run| run.id == id && run.resumed_after.is_some())
+    });
+    assert!(is_resumed);
+}
