--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -59,9 +59,8 @@
         }
         if let Some(ends_in) = state.quarantine_remaining(call) {
             let e = CallError::Quarantined { ends_in };
-            let has_run = history.may_have_run;
-            let stopped = history.stop_retrying(e.as_str(), e);
-            return Err(if has_run { stopped } else { e });
+            let stopped = stop(history, e);
+            return Err(if stopped == CallError::Lost { stopped } else { e });
         }
         match choose_endpoint(state, call, history, now) {
             Ok(endpoint) => break endpoint,
@@ -148,6 +147,7 @@
     }
 }
 
+/// The error of a request for which no endpoint can be chosen because of `e`.
 fn stop(history: &mut CallHistory, e: CallError) -> CallError {
     history.stop_retrying(e.as_str(), e)
 }
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -240,20 +240,23 @@
         state.endpoints.borrow_mut().record_failure(endpoint, true, state.now());
         let record = stream.response.record.clone();
         let splitter = stream.splitter.clone();
-        let mut resumption = pin!(self.resume(splitter));
-        let resumed = tokio::select! {
-            biased;
-            read = stream.read_events() => match read {
-                Ok(events) => {
-                    state.metrics.count("streams_continued");
-                    return Ok((stream, events));
-                }
-                Err(e) => {
-                    let recorded = record_lost_attempt(state, call, &record, endpoint, e, "stream");
-                    return tokio::join!(recorded, resumption).1.ok_or(e);
-                }
-            },
-            resumed = &mut resumption => resumed,
+        let resumed = {
+            let mut resumption = pin!(self.resume(splitter));
+            tokio::select! {
+                biased;
+                read = stream.read_events() => match read {
+                    Ok(events) => {
+                        state.metrics.count("streams_continued");
+                        return Ok((stream, events));
+                    }
+                    Err(e) => {
+                        let recorded =
+                            record_lost_attempt(state, call, &record, endpoint, e, "stream");
+                        return tokio::join!(recorded, resumption).1.ok_or(e);
+                    }
+                },
+                resumed = &mut resumption => resumed,
+            }
         };
         if let Some(resumed) = resumed {
             let e = ConnectionError::TimedOut;
@@ -266,10 +269,7 @@
                 state.metrics.count("streams_continued");
                 Ok((stream, events))
             }
-            Ok(Err(e)) => {
-                record_lost_attempt(state, call, &record, endpoint, e, "stream").await;
-                Err(e)
-            }
+            Ok(Err(e)) => self.replace_lost(stream, e).await,
             Err(_) => {
                 let e = ConnectionError::TimedOut;
                 log_failed_attempt(state, call, &record, endpoint, e, "stream");
--- a/node/tests/direct/interrupted_streams.rs
+++ b/node/tests/direct/interrupted_streams.rs
@@ -126,12 +126,15 @@
 // Guards against callers that wait for an endpoint that never goes on, though another one is free.
 #[test]
 fn silent_stream_resumes_at_free_endpoint() {
-    let (_site, [writer, _other], entry) = start_writers("replaced", ["i-1", "i-2"]);
+    let (_site, [writer, other], entry) = start_writers("replaced", ["i-1", "i-2"]);
     writer.set_fault(EndpointFault::Pause { event: EVENT, pause: site::STREAM_PATIENCE });
-    for n in 0..4 {
-        assert_whole(entry.send_request("/stream/a", &format!("s{n}"), "key-1").unwrap());
-    }
-    assert!(writer.runs().iter().any(|run| run.is_abandoned));
+    let is_resumed = (0..MAX_TRIES).any(|n| {
+        let id = format!("s{n}");
+        assert_whole(entry.send_request("/stream/a", &id, "key-1").unwrap());
+        other.runs().iter().any(|run| run.id == id && run.resumed_after.is_some())
+    });
+    assert!(is_resumed);
+    until("the silent endpoint is left", || writer.runs().iter().any(|run| run.is_abandoned));
 }
 
 // Guards against requests that are failed because their endpoint is slow to begin and no other one may take them.
