Log the parts of a prompt and the running time of a request whose endpoint crashed

Two requests that crash endpoints had nothing in common in the log, and nothing told crashes at the same moment from those that follow each other. No change of behaviour.

--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -26,6 +26,7 @@
 use super::connection;
 use super::connection::ConnectionError;
 use super::connection::HttpConnection;
+use super::crashes::LostAttempt;
 use super::crashes::record_lost_attempt;
 use super::pool;
 use super::selection::until_replaceable;
@@ -59,6 +60,8 @@
     pub(super) record: EndpointRecord,
     pub(super) connection: HttpConnection,
     pub(super) place: InFlightGuard,
+    /// When the request was sent.
+    pub(super) sent_at: Time,
     pub(super) response: Response<Incoming>,
     /// When the first event must have arrived, as the endpoint's weights may not serve any more from then on; `None`
     /// if they are the newest, or once the first event is awaited.
@@ -66,6 +69,11 @@
 }
 
 impl AttemptResponse {
+    /// This attempt, once its response is lost.
+    pub(super) fn as_lost(&self) -> LostAttempt<'_> {
+        LostAttempt { record: &self.record, endpoint: self.place.endpoint, sent_at: self.sent_at }
+    }
+
     /// The time limit of the next event, `limit` unless that is the first one and must arrive earlier.
     pub(super) fn take_first_event_limit(&mut self, limit: Duration, now: Time) -> Duration {
         self.begin_by.take().map_or(limit, |begin_by| begin_by.since(now).min(limit))
@@ -164,7 +172,8 @@
         }
         Err(e) => {
             history.record_lost_response(call);
-            record_lost_attempt(state, call, &record, endpoint, e, "head").await;
+            let attempt = LostAttempt { record: &record, endpoint, sent_at: now };
+            record_lost_attempt(state, call, attempt, e, "head").await;
             return AttemptOutcome::Lost(e);
         }
     };
@@ -177,6 +186,7 @@
             record,
             connection,
             place,
+            sent_at: now,
             response,
             begin_by: begin_within.map(|limit| now + limit),
         })),
--- a/node/src/direct/crashes.rs
+++ b/node/src/direct/crashes.rs
@@ -22,6 +22,7 @@
 use mastichaven_core::quarantine::CrashEvidence;
 use mastichaven_core::quarantine::Fingerprint;
 use mastichaven_core::quarantine::ProcessKey;
+use mastichaven_platform::call;
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
 use tokio::sync::OnceCell;
@@ -74,19 +75,29 @@
     matches!(connected, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
 }
 
+/// An attempt whose response was lost.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LostAttempt<'a> {
+    pub(super) record: &'a EndpointRecord,
+    pub(super) endpoint: EndpointKey,
+    /// When the request was sent to the endpoint.
+    pub(super) sent_at: Time,
+}
+
 /// Records an attempt whose response was lost, as [`record_failed_attempt`] does, and finds out whether its
 /// endpoint has crashed.
 pub(super) async fn record_lost_attempt(
     state: &State,
     call: &Call,
-    record: &EndpointRecord,
-    endpoint: EndpointKey,
+    attempt: LostAttempt<'_>,
     e: ConnectionError,
     at: &'static str,
 ) {
+    let LostAttempt { record, endpoint, sent_at } = attempt;
     // An endpoint that leaves ends by itself.
     let may_have_crashed =
         e == ConnectionError::Broken && state.endpoints.borrow().is_routable(endpoint);
+    let ran = state.now().since(sent_at);
     let beside = state.endpoints.borrow().in_flight(endpoint).saturating_sub(1);
     record_failed_attempt(state, call, record, endpoint, e, at);
     if may_have_crashed && state.probes.has_ended(record, state.now()).await {
@@ -94,7 +105,9 @@
         slog::warn!(state.log, "endpoint crashed while running a request";
             "id" => call.head.id.as_deref().unwrap_or_default(),
             "request" => call.fingerprint().to_string(),
-            "endpoint" => record.id.as_str(), "beside" => beside);
+            "parts" => call::prompt_parts(&call.headers).collect::<Vec<_>>().join(","),
+            "endpoint" => record.id.as_str(), "beside" => beside,
+            "ran_ms" => ran.as_millis() as u64);
         state.record_crash(record, call.fingerprint());
     }
 }
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -21,6 +21,7 @@
 use super::call::Result;
 use super::connection;
 use super::connection::ConnectionError;
+use super::crashes::LostAttempt;
 use super::crashes::record_lost_attempt;
 use super::pool;
 use super::response_body::ResponseBody;
@@ -138,7 +139,7 @@
     call: &Call,
     response: AttemptResponse,
 ) -> std::result::Result<Response<ResponseBody>, ConnectionError> {
-    let AttemptResponse { record, mut connection, place, response, .. } = response;
+    let AttemptResponse { record, mut connection, place, sent_at, response, .. } = response;
     let keep_alive = pool::parse_keep_alive(response.headers());
     let (head, body) = response.into_parts();
     let remaining = call.deadline.since(state.now());
@@ -146,7 +147,8 @@
     let body = match body.unwrap_or(Err(ConnectionError::TimedOut)) {
         Ok(body) => body,
         Err(e) => {
-            record_lost_attempt(state, call, &record, place.endpoint, e, "body").await;
+            let attempt = LostAttempt { record: &record, endpoint: place.endpoint, sent_at };
+            record_lost_attempt(state, call, attempt, e, "body").await;
             return Err(e);
         }
     };
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -23,6 +23,7 @@
 use super::call::Call;
 use super::call::CallHistory;
 use super::connection::ConnectionError;
+use super::crashes::LostAttempt;
 use super::crashes::record_lost_attempt;
 use super::pool;
 use super::response_body::ResponseAborted;
@@ -120,9 +121,7 @@
     };
     if let Err(e) = first {
         history.record_lost_response(call);
-        let endpoint = stream.response.place.endpoint;
-        let record = &stream.response.record;
-        record_lost_attempt(state, call, record, endpoint, e, "first event").await;
+        record_lost_attempt(state, call, stream.response.as_lost(), e, "first event").await;
     }
     first
 }
@@ -221,8 +220,7 @@
         e: ConnectionError,
     ) -> Result<(EndpointStream, Option<Bytes>)> {
         let EndpointStream { response, splitter } = stream;
-        let endpoint = response.place.endpoint;
-        record_lost_attempt(self.state, self.call, &response.record, endpoint, e, "stream").await;
+        record_lost_attempt(self.state, self.call, response.as_lost(), e, "stream").await;
         drop(response);
         self.resume(splitter).await.ok_or(e)
     }
@@ -239,6 +237,7 @@
         state.metrics.count("streams_silent");
         state.endpoints.borrow_mut().record_failure(endpoint, true, state.now());
         let record = stream.response.record.clone();
+        let sent_at = stream.response.sent_at;
         let splitter = stream.splitter.clone();
         let resumed = {
             let mut resumption = pin!(self.resume(splitter));
@@ -250,8 +249,8 @@
                         return Ok((stream, events));
                     }
                     Err(e) => {
-                        let recorded =
-                            record_lost_attempt(state, call, &record, endpoint, e, "stream");
+                        let attempt = LostAttempt { record: &record, endpoint, sent_at };
+                        let recorded = record_lost_attempt(state, call, attempt, e, "stream");
                         return tokio::join!(recorded, resumption).1.ok_or(e);
                     }
                 },
