Failing tests: a part of a prompt that crashes endpoints, and completions that hide later ones

repeated_completion_does_not_hide_later_ones: how quarantine_holds_through_restarts_and_other_crashes can have refused a sound request. Its log shows three crashes of the refused request within 1.9 s; reports repeat for 2 s that a request has completed, entries apply this to later crashes too, and then do not tell its next completion.

--- a/core/tests/direct/notices.rs
+++ b/core/tests/direct/notices.rs
@@ -248,3 +248,30 @@
     assert_eq!(report_after(&mut collector, 30), [Notice::Leaving(process)]);
     assert!(report_after(&mut collector, 60).is_empty());
 }
+
+// Callers send a request all the time, and endpoints that run it crash now and then for another reason. Reports repeat
+// for a while that it has completed, also after the next crash.
+#[test]
+fn repeated_completion_does_not_hide_later_ones() {
+    let request = Fingerprint::new("crews", &[b"lookup"]);
+    let mut entry = SimulatedEntry::default();
+    let mut collector = Collector::default();
+    for crash in 0..8 {
+        let crashed_at = Time::ZERO + Duration::from_millis(600 * crash);
+        entry.record_crash(ProcessKey::new("i-1", crash), request, crashed_at);
+        let sent: Vec<Notice> = entry.notices.next_batch().cloned().collect();
+        (0..3).for_each(|_| entry.notices.record_sent(sent.len()));
+        sent.into_iter().for_each(|notice| collector.apply(notice, crashed_at));
+        let reported_at = crashed_at + Duration::from_millis(100);
+        collector.evaluate(reported_at);
+        let report = collector.next_report(false, reported_at);
+        report.iter().for_each(|notice| entry.apply(notice));
+        let completed_at = crashed_at + Duration::from_millis(120);
+        if entry.quarantine.clear(request) {
+            collector.apply(Notice::Completed { request }, completed_at);
+        }
+        let later = crashed_at + Duration::from_millis(400);
+        collector.evaluate(later);
+        assert_eq!(quarantined(&collector.next_report(false, later)), [], "crash {crash}");
+    }
+}
--- a/node/tests/direct/crashes.rs
+++ b/node/tests/direct/crashes.rs
@@ -17,6 +17,7 @@
 use super::fixture::Response;
 use super::fixture::Site;
 use super::fixture::send_to;
+use super::fixture::send_with_parts;
 use super::fixture::until;
 
 /// Part of a body that crashes the endpoint that runs it.
@@ -25,6 +26,15 @@
 /// Body of the response to a request that is refused as it crashes endpoints.
 const REFUSAL: &str = "request crashes endpoints";
 
+/// Part of a prompt that crashes each endpoint that begins to write an answer on it.
+const CRASH_PART: &str = "d00d";
+
+/// Part that most prompts begin with.
+const FIRST_PART: &str = "f1";
+
+/// Number of crashes after which a part is known to be their cause.
+const KNOWN_PART_CRASHES: usize = 5;
+
 /// Number of crashes after which a request is known to be their cause.
 const KNOWN_CRASHES: usize = 3;
 
@@ -43,6 +53,7 @@
     id: String,
     past_runs: Vec<Run>,
     crashes: Vec<Instant>,
+    is_close_delimited: bool,
 }
 
 impl Restarting {
@@ -50,7 +61,14 @@
         let id = format!("i-{n}");
         let endpoint = site.start_endpoint(&id, service, version);
         endpoint.crash_on(CRASH_MARKER);
-        Restarting { endpoint, id, past_runs: Vec::new(), crashes: Vec::new() }
+        endpoint.crash_on_part(CRASH_PART);
+        Restarting {
+            endpoint,
+            id,
+            past_runs: Vec::new(),
+            crashes: Vec::new(),
+            is_close_delimited: false,
+        }
     }
 
     fn restart_if_crashed(&mut self, site: &Site, service: &str, version: Option<u64>) {
@@ -67,6 +85,8 @@
         self.id = format!("{}+", self.id);
         self.endpoint = FakeEndpoint::start(&address, &self.id, version).expect("starts again");
         self.endpoint.crash_on(CRASH_MARKER);
+        self.endpoint.crash_on_part(CRASH_PART);
+        self.endpoint.set_close_delimited(self.is_close_delimited);
         site.list_endpoint(&self.id, service, &self.endpoint, "ready");
     }
 
@@ -186,6 +206,79 @@
     }
 }
 
+/// Responses to requests that share a part which crashes endpoints, and to others.
+struct PartResponses {
+    crashing: Vec<Sent>,
+    others: Vec<Sent>,
+}
+
+impl CrashSite {
+    fn set_close_delimited(&mut self) {
+        for slot in &mut self.endpoints {
+            slot.is_close_delimited = true;
+            slot.endpoint.set_close_delimited(true);
+        }
+    }
+
+    /// For `duration`, sends requests whose prompts share one part that crashes endpoints, no two alike, through
+    /// all entries in turn. Other callers send requests with the same key and first part meanwhile.
+    fn send_parts(&mut self, duration: Duration) -> PartResponses {
+        let entries: Vec<SocketAddr> = self.entries.iter().map(|entry| entry.callers).collect();
+        let send = |n: usize, id: &str, parts: &str| {
+            let entry = entries[n % entries.len()];
+            send_with_parts(entry, "/stream/a", id, "key-1", parts, &format!("body of {id}"))
+        };
+        let is_over = AtomicBool::new(false);
+        let call = |caller: usize| {
+            let mut responses = Vec::new();
+            for n in (0..).take_while(|_| !is_over.load(Ordering::Acquire)) {
+                let id = format!("o{caller}-{n}");
+                let parts = format!("{FIRST_PART}:800,{:x}:40,{caller}a{n:x}:9", n % 5);
+                responses.push((Instant::now(), send(caller + n, &id, &parts)));
+                thread::sleep(Duration::from_millis(20));
+            }
+            responses
+        };
+        let started_at = Instant::now();
+        let mut crashing = Vec::new();
+        thread::scope(|scope| {
+            let call = &call;
+            let callers: Vec<_> = (0..3).map(|caller| scope.spawn(move || call(caller))).collect();
+            for n in (0..).take_while(|_| started_at.elapsed() < duration) {
+                self.restart_crashed();
+                let id = format!("p{n}");
+                let parts = format!("{FIRST_PART}:800,{CRASH_PART}:40,b{n:x}:9");
+                crashing.push((Instant::now(), send(n, &id, &parts)));
+                thread::sleep(Duration::from_millis(60));
+            }
+            is_over.store(true, Ordering::Release);
+            let others = callers.into_iter().flat_map(|caller| caller.join().expect("no panic"));
+            PartResponses { crashing, others: others.collect() }
+        })
+    }
+
+    /// Sends requests with the crashing part and others for twice the contact time after the last crash that may
+    /// happen, and asserts that the former are refused from then on and the latter answered.
+    fn assert_part_is_refused(&mut self) {
+        let PartResponses { crashing, others } = self.send_parts(CONTACT_TIME * 2);
+        let crashes = self.crashes();
+        let known_by = crashes[KNOWN_PART_CRASHES - 1] + CONTACT_TIME;
+        let runs = self.endpoints.iter().flat_map(Restarting::runs);
+        let late = runs.filter(|run| run.id.starts_with('p') && run.arrived_at > known_by);
+        let late = late.count();
+        assert!(late <= ALLOWED_ATTEMPTS, "{late} attempts, {} crashes", crashes.len());
+        let refused = crashing.iter().filter(|(sent_at, _)| *sent_at > known_by);
+        assert!(refused.clone().count() > 10);
+        for (_, response) in refused {
+            assert_refused(response.as_ref().expect("a response"));
+        }
+        for (sent_at, response) in others {
+            let is_answered = response.as_ref().is_ok_and(|response| response.status == 200);
+            assert!(sent_at < known_by || is_answered, "{response:?}");
+        }
+    }
+}
+
 /// Asserts that a response tells that the request is refused as it crashes endpoints.
 fn assert_refused(response: &Response) {
     assert_eq!(response.status, 503, "{response:?}");
@@ -318,6 +411,21 @@
     assert!(site.entries.iter().any(hears_agent));
 }
 
+// Requests that crash endpoints are never alike and share only one part of their prompts. They must be refused soon after
+// the fifth crash, and requests with the same key and first part answered.
+#[test]
+fn part_that_crashes_endpoints_is_refused() {
+    CrashSite::start("part", "writer").assert_part_is_refused();
+}
+
+// Answers end with their connections, so that a crash after a whole event looks like the end of an answer.
+#[test]
+fn part_that_crashes_endpoints_is_refused_close_delimited() {
+    let mut site = CrashSite::start("unframed", "writer");
+    site.set_close_delimited();
+    site.assert_part_is_refused();
+}
+
 /// Interval at which a quarter of the endpoints crash whatever they run, and number of these crashes.
 const RANDOM_CRASH_INTERVAL: Duration = Duration::from_millis(1_000);
 const RANDOM_CRASHES: usize = 6;
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -309,6 +309,18 @@
     id: &str,
     key: &str,
     body: &str,
+) -> Result<Response, ConnectionError> {
+    send_with_parts(callers, path, id, key, "", body)
+}
+
+/// Sends a request whose prompt has `parts` to the entry at `callers`; fails if there is no complete response.
+pub fn send_with_parts(
+    callers: SocketAddr,
+    path: &str,
+    id: &str,
+    key: &str,
+    parts: &str,
+    body: &str,
 ) -> Result<Response, ConnectionError> {
     let method = if path.starts_with("/lookup/") { "GET" } else { "POST" };
     let body = body.to_owned().into();
@@ -316,6 +328,9 @@
     for (name, value) in site::caller_headers(id, key) {
         req.headers_mut().insert(name, value.parse().expect("a valid value"));
     }
+    if !parts.is_empty() {
+        req.headers_mut().insert(site::PROMPT_PARTS, parts.parse().expect("a valid value"));
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let response = runtime.expect("runtime can be created").block_on(async {
         let mut connection = HttpConnection::open(callers, WAIT_TIMEOUT).await?;
--- a/standins/src/direct/endpoint.rs
+++ b/standins/src/direct/endpoint.rs
@@ -23,6 +23,7 @@
 
 use super::origin;
 use crate::serve;
+use crate::serve::Framing;
 use crate::serve::Req;
 use crate::serve::Server;
 
@@ -102,6 +103,8 @@
     order_delay: Option<Duration>,
     delayed_orders: u64,
     crash_marker: Option<Vec<u8>>,
+    crash_part: Option<String>,
+    framing: Framing,
     crashed_at: Option<Instant>,
     is_leaving: bool,
     pause: Option<String>,
@@ -239,6 +242,17 @@
         self.shared.lock().crash_marker = Some(marker.as_bytes().to_vec());
     }
 
+    /// Makes the endpoint crash after the first event of its answer to a request whose prompt has the part `id`.
+    pub fn crash_on_part(&self, id: &str) {
+        self.shared.lock().crash_part = Some(id.to_owned());
+    }
+
+    /// Sets whether answers have neither a length nor chunks and end with their connection.
+    pub fn set_close_delimited(&self, is_close_delimited: bool) {
+        let framing = if is_close_delimited { Framing::CloseDelimited } else { Framing::Chunked };
+        self.shared.lock().framing = framing;
+    }
+
     /// Ends the endpoint as when its process crashes.
     pub fn crash(&self) {
         self.shared.crash();
@@ -389,8 +403,10 @@
         });
         state.runs.len() - 1
     };
-    let is_crashing = contains_crash_marker(shared, &req.body);
-    let is_abandoned = if is_crashing {
+    let is_abandoned = if has_crash_part(shared, &req) {
+        crash_after_first_event(shared, req, &id);
+        true
+    } else if contains_crash_marker(shared, &req.body) {
         thread::sleep(EVENT_INTERVAL);
         shared.crash();
         wait_for_disconnect(&req);
@@ -409,6 +425,29 @@
     marker.is_some_and(|marker| body.windows(marker.len()).any(|window| window == marker))
 }
 
+fn has_crash_part(shared: &Shared, req: &Req) -> bool {
+    let parts = req.header("x-mastichaven-prompt-prefix").unwrap_or_default();
+    let state = shared.lock();
+    let crash_part = state.crash_part.as_deref();
+    crash_part.is_some_and(|id| parts.split(',').any(|part| part.split(':').next() == Some(id)))
+}
+
+/// Begins an answer and crashes.
+fn crash_after_first_event(shared: &Shared, req: Req, id: &str) {
+    let stamp = format!("stamp-of-{}", shared.id);
+    let headers = [("x-mastichaven-attempt-id", id), ("x-mastichaven-response-stamp", &stamp)];
+    thread::sleep(EVENT_INTERVAL);
+    let framing = shared.lock().framing;
+    let body = req.stream_framed(200, &headers, framing);
+    body.send(Bytes::from("id: 0\ndata: 0\n\n"));
+    thread::sleep(EVENT_INTERVAL);
+    shared.crash();
+    // The connection ends with the process.
+    while !body.is_disconnected() {
+        thread::sleep(EVENT_INTERVAL);
+    }
+}
+
 fn wait_for_disconnect(req: &Req) {
     while !req.is_disconnected() {
         thread::sleep(EVENT_INTERVAL);
@@ -457,11 +496,21 @@
     }
     if !req.path.starts_with("/stream/") {
         thread::sleep(EVENT_INTERVAL);
-        let body = format!("answer to {id} by {}", shared.id);
-        req.respond(200, &headers, body);
+        let answer = format!("answer to {id} by {}", shared.id);
+        let framing = shared.lock().framing;
+        if framing == Framing::Chunked {
+            req.respond(200, &headers, answer);
+            return false;
+        }
+        let body = req.stream_framed(200, &headers, framing);
+        body.send(answer);
+        if !matches!(fault, EndpointFault::CutAfter(_)) {
+            body.finish();
+        }
         return false;
     }
-    let body = req.stream(200, &headers);
+    let framing = shared.lock().framing;
+    let body = req.stream_framed(200, &headers, framing);
     for event in resumed_after.map_or(0, |after| after + 1)..EVENTS_PER_STREAM {
         thread::sleep(EVENT_INTERVAL);
         if let EndpointFault::Pause { event: paused, pause } = fault
--- a/standins/src/direct/site.rs
+++ b/standins/src/direct/site.rs
@@ -14,6 +14,9 @@
 /// Name of the header with the stamp by which an endpoint signs its answers.
 pub const STAMP: &str = "x-mastichaven-response-stamp";
 
+/// Name of the header that lists the parts of a request's prompt.
+pub const PROMPT_PARTS: &str = "x-mastichaven-prompt-prefix";
+
 /// Time without an event after which callers give a stream up: eight of the pauses that its route allows.
 pub const STREAM_PATIENCE: Duration = Duration::from_millis(2_400);
 
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -22,6 +22,7 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -114,13 +115,38 @@
 
     /// Sends status and headers; the returned writer sends the body.
     pub(crate) fn stream(self, status: u16, headers: &[(&str, &str)]) -> BodyWriter {
+        self.stream_framed(status, headers, Framing::Chunked)
+    }
+
+    /// Sends status and headers, with `framing` for the body that the returned writer sends.
+    pub(crate) fn stream_framed(
+        self,
+        status: u16,
+        headers: &[(&str, &str)],
+        framing: Framing,
+    ) -> BodyWriter {
         let (tx, rx) = flume::bounded(MAX_QUEUED_FRAMES);
         let body = BodyExt::boxed(StreamBody::new(rx.into_stream()));
-        let _ = self.response_tx.send(build_response(status, headers, body));
+        let mut response = build_response(status, headers, body);
+        if framing == Framing::CloseDelimited {
+            // hyper sends the body without chunks only in this version.
+            *response.version_mut() = Version::HTTP_10;
+        }
+        let _ = self.response_tx.send(response);
         BodyWriter { tx, is_complete: false }
     }
 }
 
+/// How the end of a streamed body is marked.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum Framing {
+    /// By a last chunk.
+    #[default]
+    Chunked,
+    /// By the end of the connection.
+    CloseDelimited,
+}
+
 /// Writer of a streamed body; dropping it before [`BodyWriter::finish`] breaks the connection.
 pub(crate) struct BodyWriter {
     tx: flume::Sender<io::Result<Frame<Bytes>>>,
