A crash during an answer that ends with its connection is not taken for its end

Callers got a stream without its last events, as complete, if its endpoint crashed between two events of an answer with neither length nor chunks; the answer also cleared its request of suspicion. Two causes: the end of the connection was taken for the end of the answer without asking whether the process had ended with it, and a probe that had found the process alive was used for connections that ended up to 100 ms later. Now such an answer is whole only if its endpoint still accepts connections, a stream also only with one event, and a probe that found the process alive serves only for connections that ended before it.

The class was looked for at other places that read answers: the store, the origin and agents take only whole JSON or chunks with a digest.

--- a/core/src/direct/events.rs
+++ b/core/src/direct/events.rs
@@ -22,6 +22,7 @@
 pub struct EventSplitter {
     buf: BytesMut,
     last_id: Option<SmolStr>,
+    has_events: bool,
 }
 
 impl EventSplitter {
@@ -35,6 +36,7 @@
             return if self.buf.len() > MAX_EVENT_LEN { Err(EventTooLong) } else { Ok(None) };
         };
         let events = self.buf.split_to(from + end).freeze();
+        self.has_events = true;
         if let Some(id) = scan_last_id(&events) {
             self.last_id = Some(id);
         }
@@ -46,6 +48,11 @@
         self.last_id.as_ref()
     }
 
+    /// Whether there was a complete event.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Whether no incomplete event is buffered.
     pub fn is_at_boundary(&self) -> bool {
         self.buf.is_empty()
--- a/node/src/direct/connection.rs
+++ b/node/src/direct/connection.rs
@@ -12,6 +12,8 @@
 use bytes::BytesMut;
 use http::Request;
 use http::Response;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -198,6 +200,12 @@
     collected.map(|body| body.to_bytes()).map_err(|_| ConnectionError::Broken)
 }
 
+/// Whether the end of the connection marks the end of a response, as it has neither a length nor chunks.
+pub fn is_close_delimited<T>(response: &Response<T>) -> bool {
+    let headers = response.headers();
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Builds a request to `path` at `address`; bodies of POST and PUT are declared as JSON.
 pub fn build_request(
     method: &str,
--- a/node/src/direct/crashes.rs
+++ b/node/src/direct/crashes.rs
@@ -28,18 +28,20 @@
 use tokio::sync::OnceCell;
 use tokio::time::timeout;
 
+use super::attempt::AttemptResponse;
 use super::attempt::record_failed_attempt;
 use super::call::Call;
+use super::connection;
 use super::connection::ConnectionError;
 use super::state::State;
 
 /// Timeout of a probe. A host that is reachable refuses a connection within a round trip.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Time for which the result of a probe is used for other requests whose connection breaks.
+/// Time for which it is known that a process has ended, so that other requests whose connection breaks need no probe.
 const PROBE_TTL: Duration = Duration::from_millis(100);
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Probe {
     started_at: Time,
     has_ended: Rc<OnceCell<bool>>,
@@ -52,20 +54,30 @@
 }
 
 impl Probes {
-    /// The probe of an endpoint: a recent one, or a new one that has no result yet.
-    fn of(&self, record: &EndpointRecord, now: Time) -> Rc<OnceCell<bool>> {
+    /// The probe of an endpoint for a connection that ended at `now`: a new one, or a recent one unless it found the
+    /// process alive before.
+    fn of(&self, record: &EndpointRecord, now: Time) -> Probe {
         let mut probes = self.by_endpoint.borrow_mut();
         probes.retain(|_, probe| !now.passed(probe.started_at, PROBE_TTL));
-        let probe = probes
-            .entry(record.id.clone())
-            .or_insert_with(|| Probe { started_at: now, has_ended: Rc::default() });
-        probe.has_ended.clone()
+        let is_outdated = |probe: &Probe| {
+            probe.started_at < now && probe.has_ended.get().is_some_and(|has_ended| !has_ended)
+        };
+        if probes.get(&record.id).is_some_and(is_outdated) {
+            probes.remove(&record.id);
+        }
+        let new = || Probe { started_at: now, has_ended: Rc::default() };
+        probes.entry(record.id.clone()).or_insert_with(new).clone()
     }
 
-    /// Whether the process of an endpoint has ended.
-    async fn has_ended(&self, record: &EndpointRecord, now: Time) -> bool {
-        let has_ended = self.of(record, now);
-        *has_ended.get_or_init(|| refuses_connections(record.address)).await
+    /// Whether the process of an endpoint, a connection to which ended at `now`, has ended.
+    pub(super) async fn has_ended(&self, record: &EndpointRecord, now: Time) -> bool {
+        let run = |probe: Probe| async move {
+            *probe.has_ended.get_or_init(|| refuses_connections(record.address)).await
+        };
+        let probe = self.of(record, now);
+        let is_earlier = probe.started_at < now;
+        // One that was in progress may have reached the process just before it ended.
+        run(probe).await || is_earlier && run(self.of(record, now)).await
     }
 }
 
@@ -75,6 +87,16 @@
     matches!(connected, Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused)
 }
 
+impl AttemptResponse {
+    /// Whether the end of the connection, though in order, may have cut the response short: nothing else marks its
+    /// end, and the endpoint's process has ended with it.
+    pub(super) async fn is_cut(&self) -> bool {
+        let state = self.place.state();
+        connection::is_close_delimited(&self.response)
+            && state.probes.has_ended(&self.record, state.now()).await
+    }
+}
+
 /// An attempt whose response was lost.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LostAttempt<'a> {
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -141,10 +141,16 @@
 ) -> std::result::Result<Response<ResponseBody>, ConnectionError> {
     let AttemptResponse { record, mut connection, place, sent_at, response, .. } = response;
     let keep_alive = pool::parse_keep_alive(response.headers());
+    let is_close_delimited = connection::is_close_delimited(&response);
     let (head, body) = response.into_parts();
     let remaining = call.deadline.since(state.now());
-    let body = timeout(remaining, connection::collect_body(body, MAX_RESPONSE_LEN)).await;
-    let body = match body.unwrap_or(Err(ConnectionError::TimedOut)) {
+    let collected = timeout(remaining, connection::collect_body(body, MAX_RESPONSE_LEN)).await;
+    let mut body = collected.unwrap_or(Err(ConnectionError::TimedOut));
+    // The process may have ended in the middle of the body.
+    if is_close_delimited && body.is_ok() && state.probes.has_ended(&record, state.now()).await {
+        body = Err(ConnectionError::Broken);
+    }
+    let body = match body {
         Ok(body) => body,
         Err(e) => {
             let attempt = LostAttempt { record: &record, endpoint: place.endpoint, sent_at };
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -351,6 +351,11 @@
 }
 
 impl InFlightGuard {
+    /// The state of the entry that sent the request.
+    pub(super) fn state(&self) -> &Rc<State> {
+        &self.state
+    }
+
     /// Counts a new request to `endpoint`.
     pub fn acquire(state: &Rc<State>, endpoint: EndpointKey) -> InFlightGuard {
         state.endpoints.borrow_mut().record_sent(endpoint, state.now());
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -22,6 +22,7 @@
 use super::attempt::send_to_endpoint;
 use super::call::Call;
 use super::call::CallHistory;
+use super::connection;
 use super::connection::ConnectionError;
 use super::crashes::LostAttempt;
 use super::crashes::record_lost_attempt;
@@ -47,12 +48,18 @@
 }
 
 impl EndpointStream {
+    /// Whether the stream may be whole: it does not end inside an event, nor before the first one if nothing but the
+    /// end of its connection marks its end.
+    fn is_at_end(&self) -> bool {
+        let is_close_delimited = connection::is_close_delimited(&self.response.response);
+        self.splitter.is_at_boundary() && (self.splitter.has_events() || !is_close_delimited)
+    }
+
     /// Reads the next complete events; `None` at the end of the stream. Cancelling it loses nothing.
     async fn read_events(&mut self) -> Result<Option<Bytes>> {
         loop {
             let Some(frame) = self.response.response.body_mut().frame().await else {
-                // A stream that ends inside an event is truncated.
-                let is_whole = self.splitter.is_at_boundary();
+                let is_whole = self.is_at_end() && !self.response.is_cut().await;
                 return if is_whole { Ok(None) } else { Err(ConnectionError::Broken) };
             };
             let frame = frame.map_err(|_| ConnectionError::Broken)?;
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -44,7 +44,7 @@
 
 /// Allocates an unused loopback address. Its octets are derived from the process id and the number
 /// of the host.
-fn allocate_ip() -> String {
+pub fn allocate_ip() -> String {
     let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
     assert!(host < MAX_HOSTS, "too many hosts in one test process");
     let process = std::process::id();
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -15,6 +15,7 @@
 mod parents;
 mod peers;
 mod replication;
+mod response_framing;
 mod settings;
 mod shutdown;
 mod statements;
--- a/standins/src/direct/endpoint.rs
+++ b/standins/src/direct/endpoint.rs
@@ -520,6 +520,8 @@
         }
         if matches!(fault, EndpointFault::CutAfter(events) if event >= events) {
             body.send(Bytes::from(format!("id: {event}\nda")));
+            // Otherwise the connection may end before the bytes are written.
+            thread::sleep(EVENT_INTERVAL);
             return false;
         }
         if !body.send(Bytes::from(format!("id: {event}\ndata: {event}\n\n"))) {
