Limit the bytes that an endpoint may send before the head of its answer

An endpoint that sends interim answers without end was read until its caller's patience ended: 134 MB for one request in endless_bytes_are_cut_off_interim. hyper limits one head to 64 KiB, but takes any number of interim ones before it. Now a connection fails after 512 KiB without a head. Endless bytes that are no answer, in a head and in a body were cut off before; the same tests hold that for lookups and streams.

--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -21,6 +21,7 @@
 mod followers;
 pub mod forward;
 pub mod gateway;
+mod head_limit;
 pub mod load_reports;
 pub mod log;
 pub mod metrics;
--- a/node/src/direct/connection.rs
+++ b/node/src/direct/connection.rs
@@ -27,6 +27,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use super::head_limit::HeadLimit;
+use super::head_limit::HeadLimitedStream;
+
 /// Time after which a connection to an unresponsive peer is broken: one second to the first
 /// keepalive probe, then two probes at intervals of one second.
 pub const UNRESPONSIVE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -79,6 +82,7 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     sender: http1::SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     task: JoinHandle<()>,
     /// Makes `task` reset the connection; `None` once it is used.
     reset_tx: Option<oneshot::Sender<()>>,
@@ -106,6 +110,10 @@
             set_socket_options(&stream).map_err(|_| ConnectionError::NotSent)?;
             let mut builder = http1::Builder::new();
             builder.max_buf_size(MAX_BUF_LEN);
+            let head_limit = HeadLimit::default();
+            // A response without a request is an error in any case.
+            head_limit.end();
+            let stream = HeadLimitedStream::new(stream, head_limit.clone());
             let (sender, mut connection) = builder
                 .handshake(TokioIo::new(stream))
                 .await
@@ -116,7 +124,7 @@
                     // A request that has not been written yet must not be written any more.
                     biased;
                     Ok(()) = reset_rx => {
-                        let stream = connection.into_parts().io.into_inner();
+                        let stream = connection.into_parts().io.into_inner().into_inner();
                         // Without this option, the connection is closed in order.
                         let _ = stream.set_zero_linger();
                     }
@@ -124,7 +132,7 @@
                     _ = &mut connection => {}
                 }
             });
-            Ok(HttpConnection { sender, task, reset_tx: Some(reset_tx) })
+            Ok(HttpConnection { sender, head_limit, task, reset_tx: Some(reset_tx) })
         };
         timeout(time_limit, connect).await.unwrap_or(Err(ConnectionError::NotSent))
     }
@@ -141,14 +149,17 @@
 
     /// Sends a request and waits for the head of the response.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
-        self.sender.try_send_request(req).await.map_err(|mut e| {
+        self.head_limit.begin();
+        let response = self.sender.try_send_request(req).await.map_err(|mut e| {
             // The request is returned only if no part of it was written.
             if e.take_message().is_some() {
                 ConnectionError::NotSent
             } else {
                 ConnectionError::Broken
             }
-        })
+        })?;
+        self.head_limit.end();
+        Ok(response)
     }
 
     /// Sends a request and reads the complete response within `time_limit`; its body may have up to
