Quarantine requests by the traits that they share, with evidence for and against

Cause: the quarantine knew whole requests only, and each of these crashed just the endpoints of its own attempts (162 of 185 fingerprints stand at one crash). Class: what is recognized is narrower than what causes the harm.

Now a request has traits: its fingerprint and each part of its prompt. One quarantine, one evidence and one kind of notice serve all of them; another kind of trait needs a constructor of Fingerprint. A crash is attributed to the trait with clearly the most of them, and - crashes count one after the other only, so that many endpoints that end at once are one event; - a trait that a fifth of the requests have is in progress at any crash, which alone is no evidence against it; - traits that were always together are refused together only, until a complete answer tells them apart; - agents tell all entries which traits to watch, so that each completion counts.

The same commit removes the cause of the failure of quarantine_holds_through_restarts_and_other_crashes: reports repeated for 2 s that a request had completed, entries applied this to later crashes as well and then did not tell its next completion, and after three crashes it was refused. Notices tell how old they are, and clear earlier crashes only. An error status clears nothing any more.

--- a/core/src/time.rs
+++ b/core/src/time.rs
@@ -47,6 +47,12 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// The instant `span` before this one, but not before [`Time::ZERO`].
+    pub fn saturating_sub(self, span: Duration) -> Time {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_sub(micros))
+    }
+
     /// Whether at least `span` has elapsed since `earlier`.
     pub fn passed(self, earlier: Time, span: Duration) -> bool {
         self.since(earlier) >= span
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -207,7 +207,6 @@
             history.may_have_run = true;
             state.metrics.count("endpoint_failures");
             state.endpoints.borrow_mut().record_failure(endpoint, false, state.now());
-            state.record_completion(call);
             read_error_response(state, &record, connection, response).await
         }
         AnswerKind::Foreign => {
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -12,13 +12,18 @@
 use mastichaven_core::direct::catalog::Customer;
 use mastichaven_core::direct::catalog::Route;
 use mastichaven_core::direct::endpoint::EndpointKey;
+use mastichaven_core::direct::notices::MAX_TRAITS;
+use mastichaven_core::fingerprint::Fingerprint;
 use mastichaven_core::ids::ServiceName;
-use mastichaven_core::quarantine::Fingerprint;
+use mastichaven_platform::call;
 use mastichaven_platform::call::CallHead;
 use smol_str::SmolStr;
 
 use super::steps::StepTimes;
 
+/// Maximum number of parts of a prompt that are told apart. The request and its parts fit into one notice.
+const MAX_PARTS: usize = MAX_TRAITS - 2;
+
 /// A request of a caller, admitted and read completely.
 #[derive(Debug)]
 pub struct Call {
@@ -51,23 +56,45 @@
     /// When the response must have begun, as the caller abandons it before the deadline otherwise; `None` if the
     /// deadline comes first.
     pub respond_by: Option<Time>,
-    /// [`Call::fingerprint`] once it has been computed.
-    pub cached_fingerprint: OnceCell<Fingerprint>,
+    /// [`Call::traits`] once they have been computed.
+    pub cached_traits: OnceCell<Vec<Fingerprint>>,
 }
 
 impl Call {
     /// Fingerprint of the request, which is the same in each attempt of its caller.
     pub fn fingerprint(&self) -> Fingerprint {
-        *self.cached_fingerprint.get_or_init(|| {
+        self.traits()[0]
+    }
+
+    /// What the request has in common with others that may crash endpoints: its fingerprint, then the parts of its
+    /// prompt.
+    pub fn traits(&self) -> &[Fingerprint] {
+        self.cached_traits.get_or_init(|| {
             let customer = self.customer.as_ref().map_or("", |customer| customer.name.as_str());
             let path = self.uri.path_and_query().map_or("", |path| path.as_str());
             let host = self.head.host.as_bytes();
             let parts =
                 [host, self.method.as_str().as_bytes(), path.as_bytes(), self.body.as_ref()];
-            Fingerprint::new(customer, &parts)
+            let request = Fingerprint::new(customer, &parts);
+            let model = self.head.model.as_deref().unwrap_or_default();
+            let ids = || call::prompt_parts(&self.headers);
+            let mut traits = vec![request];
+            if ids().nth(MAX_PARTS).is_some() {
+                traits.push(Fingerprint::of_many_parts(customer));
+            } else {
+                traits.extend(ids().map(|id| Fingerprint::of_prompt_part(model, id)));
+            }
+            traits
         })
     }
 
+    /// Ids of the parts of the prompt that are among `traits`.
+    pub(super) fn parts_among(&self, traits: &[Fingerprint]) -> Vec<&str> {
+        let model = self.head.model.as_deref().unwrap_or_default();
+        let ids = call::prompt_parts(&self.headers);
+        ids.filter(|id| traits.contains(&Fingerprint::of_prompt_part(model, id))).collect()
+    }
+
     /// When the caller abandons its stream if no event follows the one of `last_event_at`.
     pub(super) fn abandoned_at(&self, last_event_at: Time) -> Time {
         let abandoned_at = self.route.event_patience.map(|patience| last_event_at + patience);
--- a/node/src/direct/crashes.rs
+++ b/node/src/direct/crashes.rs
@@ -13,15 +13,18 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
+use mastichaven_core::crash_evidence::Cause;
+use mastichaven_core::crash_evidence::Concurrent;
+use mastichaven_core::crash_evidence::RequestEvidence;
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::endpoint::EndpointRecord;
 use mastichaven_core::direct::notices::Notice;
-use mastichaven_core::direct::replication::time_before;
+use mastichaven_core::direct::notices::time_ago;
+use mastichaven_core::fingerprint::Fingerprint;
+use mastichaven_core::fingerprint::ProcessKey;
 use mastichaven_core::quarantine;
-use mastichaven_core::quarantine::Concurrent;
-use mastichaven_core::quarantine::CrashEvidence;
-use mastichaven_core::quarantine::Fingerprint;
-use mastichaven_core::quarantine::ProcessKey;
+use mastichaven_core::quarantine::CrashReport;
+use mastichaven_core::quarantine::Quarantine;
 use mastichaven_platform::call;
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
@@ -130,19 +133,19 @@
             "parts" => call::prompt_parts(&call.headers).collect::<Vec<_>>().join(","),
             "endpoint" => record.id.as_str(), "beside" => beside,
             "ran_ms" => ran.as_millis() as u64);
-        state.record_crash(record, call.fingerprint());
+        state.record_crash(record, call, ran);
     }
 }
 
 impl State {
-    /// Time until `call` may be sent to endpoints again; `None` if it may be sent now. The fingerprint of a request
-    /// is computed only while there are suspects.
+    /// Time until `call` may be sent to endpoints again; `None` if it may be sent now. The fingerprints of a request
+    /// are computed only while there are suspects.
     pub(super) fn quarantine_remaining(&self, call: &Call) -> Option<Duration> {
         let quarantine = self.quarantine.borrow();
         if quarantine.is_empty() {
             return None;
         }
-        quarantine.remaining(call.fingerprint(), quarantine::DEFAULT_DURATION, self.now())
+        quarantine.remaining(call.traits(), quarantine::DEFAULT_DURATION, self.now())
     }
 
     /// Waits until `call` is quarantined.
@@ -157,70 +160,104 @@
     }
 
     /// Records that an endpoint crashed while running a request, here and at the collectors.
-    fn record_crash(&self, record: &EndpointRecord, request: Fingerprint) {
+    fn record_crash(&self, record: &EndpointRecord, call: &Call, ran: Duration) {
         let process = ProcessKey::new(&record.id, record.started_ms);
-        let requests = vec![request];
-        self.change_quarantine(request, "own", |state, now| {
-            let crash = CrashEvidence {
-                process: Some(process),
-                requests: requests.clone(),
-                concurrent: Concurrent::Unknown,
-            };
-            state.quarantine.borrow_mut().record_crash(crash, now);
+        let ran_ms = u32::try_from(ran.as_millis()).unwrap_or(u32::MAX);
+        let requests = vec![RequestEvidence { traits: call.traits().to_vec(), ran_ms }];
+        let crash = CrashReport {
+            process: Some(process),
+            requests: requests.clone(),
+            concurrent: Concurrent::Unknown,
+            age: Duration::ZERO,
+        };
+        let now = self.now();
+        self.change_quarantine(call.traits(), "own", |quarantine| {
+            quarantine.record_crash(crash, now);
         });
-        self.notify_collectors(Notice::Crash { process, requests });
+        self.notify_collectors(Notice::Crash { process, requests, age_ms: 0 });
     }
 
-    /// Records that an endpoint has run a request to its end, which clears it of all suspicion.
+    /// Records that an endpoint has run a request to its end, which clears its traits of all suspicion.
     pub(super) fn record_completion(&self, call: &Call) {
         if self.quarantine.borrow().is_empty() {
             return;
         }
-        let request = call.fingerprint();
-        if self.quarantine.borrow_mut().clear(request) {
-            self.notify_collectors(Notice::Completed { request });
+        let traits = self.quarantine.borrow_mut().clear(call.traits(), self.now());
+        if !traits.is_empty() {
+            self.notify_collectors(Notice::Completed { traits, age_ms: 0 });
         }
     }
 
     /// Applies a notice of a collector.
     pub fn apply_notice(&self, notice: &Notice, now: Time) {
         match notice {
-            Notice::Quarantined { request, age_ms } => {
-                let age = Duration::from_millis(u64::from(*age_ms));
-                let last_crash = time_before(now, age).unwrap_or_default();
-                self.change_quarantine(*request, "agent", |state, _| {
-                    state.quarantine.borrow_mut().impose(*request, last_crash);
+            Notice::Quarantined { traits, crashes, age_ms } => {
+                let last_crash = time_ago(now, *age_ms);
+                let rule = Cause { traits: traits.clone(), last_crash, crashes: *crashes };
+                self.change_quarantine(traits, "agent", |quarantine| {
+                    quarantine.impose(rule);
                 });
             }
-            Notice::Completed { request } => {
-                self.quarantine.borrow_mut().clear(*request);
+            Notice::Completed { traits, age_ms } => {
+                self.quarantine.borrow_mut().clear(traits, time_ago(now, *age_ms));
+            }
+            Notice::Suspected { traits } => {
+                let mut quarantine = self.quarantine.borrow_mut();
+                traits.iter().for_each(|one| quarantine.watch(*one, now));
             }
             Notice::Leaving(process) => self.apply_leaving(*process, now),
-            Notice::Crash { .. } => {}
+            Notice::Crash { .. }
+            | Notice::OldCrash { .. }
+            | Notice::OldQuarantined { .. }
+            | Notice::OldCompleted { .. } => {}
         }
     }
 
-    /// Applies `change`, and logs if it quarantines `request`. `from` names the source.
-    fn change_quarantine(&self, request: Fingerprint, from: &str, change: impl Fn(&State, Time)) {
+    /// Applies `change`, and logs the rule by which requests with `traits` are refused because of it. `from` names the
+    /// source.
+    fn change_quarantine(
+        &self,
+        traits: &[Fingerprint],
+        from: &str,
+        change: impl FnOnce(&mut Quarantine),
+    ) {
         let now = self.now();
-        let remaining = || {
-            let quarantine = self.quarantine.borrow();
-            quarantine.remaining(request, quarantine::DEFAULT_DURATION, now)
-        };
-        let was_refused = remaining().is_some();
-        change(self, now);
-        if let Some(ends_in) = remaining().filter(|_| !was_refused) {
+        let duration = quarantine::DEFAULT_DURATION;
+        let mut quarantine = self.quarantine.borrow_mut();
+        let was_refused = quarantine.rule_for(traits, duration, now).is_some();
+        change(&mut quarantine);
+        if let Some(rule) = quarantine.rule_for(traits, duration, now).filter(|_| !was_refused) {
             self.metrics.count("requests_quarantined");
+            let ends_in = (rule.last_crash + duration).since(now);
             slog::warn!(self.log, "request quarantined";
-                "request" => request.to_string(), "from" => from,
+                "traits" => join(&rule.traits), "crashes" => rule.crashes, "from" => from,
                 "ends_in_ms" => ends_in.as_millis() as u64);
             self.request_quarantined.notify_waiters();
         }
     }
 
+    /// Logs that a request is refused, with the rule that applies to it.
+    pub(super) fn log_quarantined(&self, call: &Call, ends_in: Duration) {
+        let quarantine = self.quarantine.borrow();
+        let traits = call.traits();
+        let rule = quarantine.rule_for(traits, quarantine::DEFAULT_DURATION, self.now());
+        let refused = rule.map(|rule| rule.traits.as_slice()).unwrap_or_default();
+        slog::info!(self.log, "request refused because it crashes endpoints";
+            "id" => call.head.id.as_deref().unwrap_or_default(),
+            "request" => call.fingerprint().to_string(), "traits" => join(refused),
+            "parts" => call.parts_among(refused).join(","),
+            "crashes" => rule.map_or(0, |rule| rule.crashes),
+            "ends_in_ms" => ends_in.as_millis() as u64);
+    }
+
     /// Sends a notice to the collectors.
     pub(super) fn notify_collectors(&self, notice: Notice) {
-        self.notices.borrow_mut().push(notice);
+        self.notices.borrow_mut().push(notice, self.now());
         self.notices_due.notify_one();
     }
 }
+
+/// Fingerprints for a log line.
+fn join(traits: &[Fingerprint]) -> String {
+    traits.iter().map(Fingerprint::to_string).collect::<Vec<String>>().join(",")
+}
--- a/node/src/direct/explain.rs
+++ b/node/src/direct/explain.rs
@@ -68,6 +68,15 @@
         cause
             .push_str(&format!(" The attempt at endpoint {endpoint} failed at \"{at}\": {error}."));
     }
+    let refused_parts = found
+        .iter()
+        .filter(|(_, _, line)| {
+            str_field(line, "msg") == "request refused because it crashes endpoints"
+        })
+        .flat_map(|(_, _, line)| str_field(line, "parts").split(','));
+    for part in refused_parts.filter(|part| !part.is_empty()) {
+        cause.push_str(&describe_crashes_with_part(&logs, part));
+    }
     let fingerprint = found.iter().map(|(_, _, line)| str_field(line, "request"));
     if let Some(fingerprint) = fingerprint.into_iter().find(|request| !request.is_empty()) {
         cause.push_str(&describe_crashes(&lines_with(&logs, "request", fingerprint)));
@@ -76,6 +85,22 @@
     Some(Explanation { lines, cause })
 }
 
+/// Names the endpoints that crashed while running requests whose prompts have a part.
+fn describe_crashes_with_part(logs: &[&str], part: &str) -> String {
+    let mut crashes: Vec<String> = Vec::new();
+    for line in logs.iter().filter(|line| line.contains(part)).filter_map(|line| parse_line(line)) {
+        let has_part = str_field(&line, "parts").split(',').any(|other| other == part);
+        if has_part && str_field(&line, "msg") == "endpoint crashed while running a request" {
+            let (endpoint, id) = (str_field(&line, "endpoint"), str_field(&line, "id"));
+            crashes.push(format!("{endpoint} (attempt {id})"));
+        }
+    }
+    let crashes = crashes.join(", ");
+    format!(
+        " Endpoints that crashed while running requests with the prompt part {part}: {crashes}."
+    )
+}
+
 /// Names the endpoints that crashed while running a request, from all lines with its fingerprint.
 fn describe_crashes(lines: &[LogLine<'_>]) -> String {
     let mut crashes: Vec<String> = Vec::new();
@@ -120,7 +145,9 @@
             "every endpoint that may serve it had asked this entry for a pause".to_owned()
         }
         "request crashes endpoints" => {
-            "earlier attempts of the same request crashed the endpoints that ran them".to_owned()
+            "earlier attempts of the same request, or of requests with the same prompt part, crashed \
+             the endpoints that ran them"
+                .to_owned()
         }
         "declined by endpoints" => "each endpoint that it was sent to refused it".to_owned(),
         "answer lost" => "an endpoint accepted it and the response was lost".to_owned(),
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -179,7 +179,7 @@
         read_time: state.now().since(received_at),
         deadline: received_at + time_limit,
         respond_by: respond_within.map(|limit| received_at + limit),
-        cached_fingerprint: OnceCell::new(),
+        cached_traits: OnceCell::new(),
     })
 }
 
@@ -256,10 +256,7 @@
         }
         Err(e) => {
             if let CallError::Quarantined { ends_in } = e {
-                slog::info!(state.log, "request refused because it crashes endpoints";
-                    "id" => call.head.id.as_deref().unwrap_or_default(),
-                    "request" => call.fingerprint().to_string(),
-                    "ends_in_ms" => ends_in.as_millis() as u64);
+                state.log_quarantined(&call, ends_in);
             }
             log_request_end(state, &call.head, call.received_at, e.status(), e.as_str(), history);
             let remaining = call.deadline.since(state.now());
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -428,7 +428,7 @@
     let mut requests = ReportRequests::new(state);
     let endpoints = state.endpoints.borrow();
     let collectors = endpoints.collectors();
-    let queue = state.notices.borrow();
+    let notices = state.notices.borrow().next_batch(state.now());
     let mut sent: Option<usize> = None;
     for (listed, reach) in endpoints.engines() {
         if !collectors.contains(&listed.address) {
@@ -436,7 +436,7 @@
         }
         let setup_id = setup_ids.borrow().get(&listed.address).copied().unwrap_or(0);
         let request = requests.bytes(&listed.service, reach, setup_id, None)?;
-        let (bytes, count) = append_attachments(request.to_vec(), None, queue.next_batch())?;
+        let (bytes, count) = append_attachments(request.to_vec(), None, notices.iter())?;
         let address = SocketAddr::new(listed.address.ip(), state.cfg.agent_port);
         // A datagram may be lost anyway; the notice is sent again.
         let _ = socket.try_send_to(&bytes, address);
--- a/node/src/entry/dispatch.rs
+++ b/node/src/entry/dispatch.rs
@@ -224,7 +224,8 @@
                 FrameContent::End => {
                     self.permit.set_result(AttemptResult::Answered);
                     if self.exclusive {
-                        self.permit.shared().quarantine.clear(self.request_digest);
+                        let shared = self.permit.shared();
+                        shared.quarantine.clear(shared, self.request_digest);
                     }
                     return Ok(None);
                 }
