--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod replication;
 mod response_framing;
+mod restored_store;
 mod settings;
 mod shutdown;
 mod statements;
--- a/standins/src/direct/store.rs
+++ b/standins/src/direct/store.rs
@@ -25,6 +25,9 @@
 /// Bytes of an answer sent over a limited link at once; concurrent answers take turns.
 const LINK_FRAGMENT_LEN: usize = 16 << 10;
 
+/// Header by which all answers tell the era.
+const ERA_HEADER: &str = "store-era";
+
 /// A fault of the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum StoreFault {
@@ -37,12 +40,24 @@
     Silent,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// What is lost and found again when the store comes back from a copy.
+#[derive(Clone, Debug, Default)]
+struct History {
     revision: u64,
     objects: BTreeMap<(String, String), (u64, Value)>,
     changes: Vec<(u64, String, Value, bool)>,
     compacted_revision: u64,
+}
+
+/// A copy of the store's content.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(History);
+
+#[derive(Debug, Default)]
+struct State {
+    history: History,
+    /// Number of the times that the store has come back from a copy, told in all answers.
+    era: u64,
     page_len: usize,
     fault: StoreFault,
     calls: u64,
@@ -94,7 +109,8 @@
     /// Starts an empty store on `address`.
     pub fn start(address: &str) -> io::Result<FakeStore> {
         let shared = Arc::new(Shared::default());
-        shared.lock().revision = 1;
+        shared.lock().history.revision = 1;
+        shared.lock().era = 1;
         shared.lock().page_len = 500;
         let handler_state = shared.clone();
         let server = serve::start(address, move |req| answer(&handler_state, req))?;
@@ -112,7 +128,7 @@
         let (handler_state, rejecting) = (self.shared.clone(), is_rejecting.clone());
         let server = serve::start("127.0.0.1:0", move |req| {
             if rejecting.load(Ordering::Acquire) {
-                return req.respond(429, &[], "");
+                return respond(&handler_state, req, 429);
             }
             answer(&handler_state, req);
         })?;
@@ -122,14 +138,15 @@
     /// Creates or replaces an object and wakes watches.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
         let mut state = self.shared.lock();
-        state.revision += 1;
-        let revision = state.revision;
+        let history = &mut state.history;
+        history.revision += 1;
+        let revision = history.revision;
         let object = json!({
             "metadata": {"name": name, "revision": revision, "finalizers": [], "deleting": false},
             "spec": spec, "status": null
         });
-        state.objects.insert((kind.to_owned(), name.to_owned()), (revision, object.clone()));
-        state.changes.push((revision, kind.to_owned(), object, false));
+        history.objects.insert((kind.to_owned(), name.to_owned()), (revision, object.clone()));
+        history.changes.push((revision, kind.to_owned(), object, false));
         drop(state);
         self.shared.changed.notify_all();
     }
@@ -137,10 +154,11 @@
     /// Deletes an object and wakes watches.
     pub fn delete(&self, kind: &str, name: &str) {
         let mut state = self.shared.lock();
-        state.revision += 1;
-        let revision = state.revision;
-        if let Some((_, object)) = state.objects.remove(&(kind.to_owned(), name.to_owned())) {
-            state.changes.push((revision, kind.to_owned(), object, true));
+        let history = &mut state.history;
+        history.revision += 1;
+        let revision = history.revision;
+        if let Some((_, object)) = history.objects.remove(&(kind.to_owned(), name.to_owned())) {
+            history.changes.push((revision, kind.to_owned(), object, true));
         }
         drop(state);
         self.shared.changed.notify_all();
@@ -166,13 +184,33 @@
     /// again.
     pub fn compact(&self) {
         let mut state = self.shared.lock();
-        state.revision += 1;
-        state.compacted_revision = state.revision;
-        state.changes.clear();
+        let history = &mut state.history;
+        history.revision += 1;
+        history.compacted_revision = history.revision;
+        history.changes.clear();
+        drop(state);
+        self.shared.changed.notify_all();
+    }
+
+    /// A copy of the present content.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.lock().history.clone())
+    }
+
+    /// Goes back to a copy: what was written since is lost, revisions are given out again, and the era rises.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.shared.lock();
+        state.history = copy.0.clone();
+        state.era += 1;
         drop(state);
         self.shared.changed.notify_all();
     }
 
+    /// The present revision.
+    pub fn revision(&self) -> u64 {
+        self.shared.lock().history.revision
+    }
+
     /// Number of requests received so far, those through proxies included unless
     /// rejected.
     pub fn calls(&self) -> u64 {
@@ -182,7 +220,7 @@
 
 fn answer(shared: &Shared, req: Req) {
     let Some(kind) = req.path.strip_prefix("/objects/").map(str::to_owned) else {
-        return req.respond(404, &[], "");
+        return respond(shared, req, 404);
     };
     let fault = {
         let mut state = shared.lock();
@@ -191,7 +229,7 @@
     };
     match fault {
         StoreFault::None => {}
-        StoreFault::Busy => return req.respond(503, &[], ""),
+        StoreFault::Busy => return respond(shared, req, 503),
         StoreFault::Silent => return hold_unanswered(shared, &req),
     }
     let number = |name| req.query(name).and_then(|text| text.parse::<u64>().ok());
@@ -204,6 +242,11 @@
     }
 }
 
+fn respond(shared: &Shared, req: Req, status: u16) {
+    let era = shared.lock().era.to_string();
+    req.respond(status, &[(ERA_HEADER, &era)], "");
+}
+
 fn hold_unanswered(shared: &Shared, req: &Req) {
     let mut state = shared.lock();
     while state.fault == StoreFault::Silent && !req.is_disconnected() {
@@ -215,22 +258,27 @@
 fn list(shared: &Shared, req: Req, kind: &str) {
     let state = shared.lock();
     let after = req.query("after_rev").unwrap_or_default();
-    let of_kind = state.objects.iter().filter(|((k, name), _)| k == kind && name.as_str() > after);
+    let history = &state.history;
+    let of_kind =
+        history.objects.iter().filter(|((k, name), _)| k == kind && name.as_str() > after);
     let items: Vec<Value> = of_kind.map(|(_, (_, object))| object.clone()).collect();
     let truncated = items.len() > state.page_len;
     let page = &items[..items.len().min(state.page_len)];
-    let body = json!({"items": page, "truncated": truncated, "as_of": state.revision});
+    let body = json!({"items": page, "truncated": truncated, "as_of": history.revision});
+    let era = state.era;
     drop(state);
-    send_json(shared, req, &body);
+    send_json(shared, req, era, &body);
 }
 
 /// Answers with `body` as JSON, over the limited link if one is set.
-fn send_json(shared: &Shared, req: Req, body: &Value) {
+fn send_json(shared: &Shared, req: Req, era: u64, body: &Value) {
+    let era = era.to_string();
+    let headers = [("content-type", "application/json"), (ERA_HEADER, era.as_str())];
     let Some(rate) = shared.lock().bytes_per_second else {
-        return req.respond_json(body);
+        return req.respond(200, &headers, body.to_string());
     };
     let bytes = body.to_string().into_bytes();
-    let response_body = req.stream(200, &[("content-type", "application/json")]);
+    let response_body = req.stream(200, &headers);
     for fragment in bytes.chunks(LINK_FRAGMENT_LEN) {
         let link_guard = shared.link.lock().expect("no holder of this lock panics");
         std::thread::sleep(Duration::from_secs_f64(fragment.len() as f64 / rate));
@@ -245,19 +293,26 @@
 fn watch(shared: &Shared, req: Req, kind: &str, revision: u64, wait: Duration) {
     let end = Instant::now() + wait;
     let mut state = shared.lock();
+    let era = state.era;
     loop {
-        if revision < state.compacted_revision {
-            return req.respond(410, &[], "");
+        if state.era != era {
+            // A watch that was waiting is cut off.
+            return;
+        }
+        if revision < state.history.compacted_revision || revision > state.history.revision {
+            drop(state);
+            return respond(shared, req, 410);
         }
-        let newer = state.changes.iter().filter(|(at, k, _, _)| *at > revision && k == kind);
+        let newer =
+            state.history.changes.iter().filter(|(at, k, _, _)| *at > revision && k == kind);
         let events: Vec<Value> = newer
             .map(|(_, _, object, deleted)| json!({"deleted": deleted, "object": object}))
             .collect();
         let left = end.saturating_duration_since(Instant::now());
         if !events.is_empty() || left.is_zero() || req.is_disconnected() {
-            let body = json!({"events": events, "as_of": state.revision});
+            let body = json!({"events": events, "as_of": state.history.revision});
             drop(state);
-            return send_json(shared, req, &body);
+            return send_json(shared, req, era, &body);
         }
         let wait = left.min(Duration::from_millis(50));
         state = shared.changed.wait_timeout(state, wait).expect("no holder panics").0;
