--- a/core/tests/direct/endpoint_table/updates.rs
+++ b/core/tests/direct/endpoint_table/updates.rs
@@ -195,3 +195,33 @@
     assert!(StorePosition::new(2, 30) > StorePosition::new(2, 29));
     assert!(StorePosition::new(1, 1) > StorePosition::new(0, u64::MAX));
 }
+
+// The store comes back from a copy that shows an endpoint which was removed since. It is used again once it has written
+// its record anew, or if it is still listed after the time in which the records of ended endpoints expire.
+#[test]
+fn replace_all_of_later_era_ignores_removed_endpoint() {
+    let mut table = table();
+    let known = EndpointRecord { started_ms: 7, ..record(1, "lagoa") };
+    table.replace_all(StorePosition::new(1, 5), vec![known.clone()], &[], now(0));
+    table.remove("i-1", StorePosition::new(1, 9), now(100));
+    let listed = EndpointRecord { revision: StorePosition::new(2, 3), ..known };
+    let as_of = StorePosition::new(2, 4);
+    table.replace_all(as_of, vec![listed.clone()], &[], now(200));
+    assert!(table.is_empty());
+    assert!(!table.take_relist_due(now(300)));
+    let anew = EndpointRecord { revision: StorePosition::new(2, 6), ..listed.clone() };
+    assert!(table.upsert(anew, now(400)));
+    table.remove("i-1", StorePosition::new(2, 7), now(500));
+    assert!(table.take_relist_due(now(20_000)));
+    table.replace_all(StorePosition::new(2, 8), vec![listed], &[], now(20_000));
+    assert_eq!(table.len(), 1);
+}
+
+// An entry that is cut off from the store sends its list of the earlier era.
+#[test]
+fn replace_all_rejects_list_of_earlier_era() {
+    let mut table = table();
+    table.replace_all(StorePosition::new(2, 3), vec![record(1, "lagoa")], &[], now(0));
+    assert_eq!(table.replace_all(StorePosition::new(1, 50), vec![], &[], now(100)), None);
+    assert_eq!(table.len(), 1);
+}
--- a/core/tests/requests/quarantine.rs
+++ b/core/tests/requests/quarantine.rs
@@ -350,3 +350,22 @@
     assert_ne!(Fingerprint::of_prompt_part("m", "a"), Fingerprint::of_prompt_part("n", "a"));
     assert_ne!(Fingerprint::of_prompt_part("m", "a"), Fingerprint::of_prompt_part("m", "b"));
 }
+
+// After the quarantine requests may run again. One more crash refuses them again.
+#[test]
+fn policy_after_the_end_of_a_quarantine() {
+    let mut quarantine = Quarantine::default();
+    let request = request_with(0, &["first"]);
+    let mut now = Time::ZERO;
+    for n in 0..3 {
+        now = now + INTERVAL;
+        quarantine.record_crash(crash_of(&n.to_string(), std::slice::from_ref(&request)), now);
+        quarantine.evaluate(now + REPORTING_TIME);
+    }
+    let later = now + SPAN;
+    assert!(refuses(&quarantine, &request, now));
+    assert!(!refuses(&quarantine, &request, later));
+    quarantine.record_crash(crash_of("again", std::slice::from_ref(&request)), later);
+    quarantine.evaluate(later + REPORTING_TIME);
+    assert!(refuses(&quarantine, &request, later + REPORTING_TIME));
+}
