--- a/core/tests/direct/notices.rs
+++ b/core/tests/direct/notices.rs
@@ -463,3 +463,15 @@
         }
     }
 }
+
+// The first part of all prompts, or another popular one, is refused beside the part that crashes endpoints.
+#[test]
+fn popular_part_is_not_refused_on_seed_5008() {
+    assert_eq!(simulate_parts(8, 20.0, 5_008).refused_sound, 0);
+}
+
+// Copies of a request that crashes endpoints reach more of them later than all entries must know.
+#[test]
+fn copies_are_refused_in_time_on_seed_5014() {
+    assert!(simulate(45, 2.0, 5_014).late_attempts <= ALLOWED_ATTEMPTS);
+}
