Log the version of the weights that an attempt rests on, and answers from outdated ones

The record of the incident could not tell its hypotheses apart: no line of an entry named the version that it expected at an endpoint, the age of its successor or the version that answered.

Change: `attempt failed` and `attempt refused` have `weights`, `attempt failed` has `outdated_ms`; a request whose first event came from a version after its bound is logged (`request began on outdated weights`) and counted. No decision changes.

--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -10,6 +10,7 @@
 
 pub mod agent;
 mod attempt;
+mod begin_limits;
 pub mod call;
 pub mod chunk_cache;
 mod chunk_server;
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -279,10 +279,12 @@
     at: &'static str,
 ) {
     state.metrics.count("endpoint_losses");
+    let basis = state.weights_basis(call, record, state.now());
     slog::info!(state.log, "attempt failed";
         "id" => call.head.id.as_deref().unwrap_or_default(),
         "endpoint" => record.id.as_str(), "at" => at, "error" => e.as_str(),
         "report_age_ms" => state.report_age_ms(endpoint),
+        "weights" => basis.version, "outdated_ms" => basis.outdated_ms(),
         "left_ms" => call.deadline.since(state.now()).as_millis() as u64);
 }
 
@@ -299,7 +301,8 @@
         "id" => call.head.id.as_deref().unwrap_or_default(),
         "endpoint" => record.id.as_str(), "reason" => reason, "status" => status.as_u16(),
         "own" => state.endpoints.borrow().in_flight(endpoint),
-        "report_age_ms" => state.report_age_ms(endpoint));
+        "report_age_ms" => state.report_age_ms(endpoint),
+        "weights" => state.weights_basis(call, record, state.now()).version);
 }
 
 /// Reads the rest of a response that is discarded, and returns its connection to the pool.
--- /dev/null
+++ b/node/src/direct/begin_limits.rs
@@ -0,0 +1,83 @@
+//! The version of the weights that an attempt rests on, and answers from versions that may not answer any more.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use mastichaven_core::Time;
+use mastichaven_core::direct::endpoint::EndpointRecord;
+use mastichaven_platform::answer;
+
+use super::attempt::AttemptResponse;
+use super::call::Call;
+use super::state::State;
+
+/// What an entry knows of the weights of an endpoint and of the version that replaces them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct WeightsBasis {
+    /// The version that the endpoint is taken to hold; 0 if there is none.
+    pub(super) version: u64,
+    /// Time since the next version was announced; `None` if there is none.
+    pub(super) outdated_for: Option<Duration>,
+}
+
+impl WeightsBasis {
+    /// [`WeightsBasis::outdated_for`] in milliseconds, for log lines; -1 if there is no newer version.
+    pub(super) fn outdated_ms(&self) -> i64 {
+        self.outdated_for.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
+    }
+}
+
+impl State {
+    /// What is known of the weights on which the endpoint of `record` would answer `call`.
+    pub(super) fn weights_basis(
+        &self,
+        call: &Call,
+        record: &EndpointRecord,
+        now: Time,
+    ) -> WeightsBasis {
+        let held = call.head.model.as_deref().and_then(|model| {
+            let held = record.weights.iter().find(|(name, _)| name == model);
+            held.map(|(model, version)| (model, *version))
+        });
+        held.map_or_else(WeightsBasis::default, |(model, version)| WeightsBasis {
+            version,
+            outdated_for: self.outdated_for(model, version, now),
+        })
+    }
+
+    fn outdated_for(&self, model: &str, version: u64, now: Time) -> Option<Duration> {
+        let versions = self.versions.borrow();
+        let outdated_since = versions.get(model)?.outdated_since(version)?;
+        Some(now.since(outdated_since))
+    }
+
+    /// Logs a request that has begun on a version which may not have served it any more. `events` are the first of
+    /// its answer if that is a stream.
+    pub(super) fn check_answering_version(
+        &self,
+        call: &Call,
+        response: &AttemptResponse,
+        events: Option<&Bytes>,
+    ) {
+        let now = self.now();
+        let in_events = events.and_then(|events| answer::weights_of_first_event(events));
+        let answering = in_events.or_else(|| answer::weights_of_head(response.response.headers()));
+        let (Some(version), Some(model)) = (answering, call.head.model.as_deref()) else {
+            return;
+        };
+        let bound = Duration::from_millis(self.cfg.bounds.weights_ms);
+        let outdated_for = self.outdated_for(model, version, now);
+        let Some(late) = outdated_for.and_then(|age| age.checked_sub(bound)) else {
+            return;
+        };
+        let basis = self.weights_basis(call, &response.record, now);
+        self.metrics.count("begun_on_outdated_weights");
+        slog::warn!(self.log, "request began on outdated weights";
+            "id" => call.head.id.as_deref().unwrap_or_default(),
+            "endpoint" => response.record.id.as_str(), "weights" => version,
+            "expected" => basis.version, "outdated_ms" => basis.outdated_ms(),
+            "late_ms" => late.as_millis() as u64,
+            "sent_ms" => now.since(response.sent_at).as_millis() as u64,
+            "report_age_ms" => self.report_age_ms(response.place.endpoint));
+    }
+}
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -139,6 +139,7 @@
     call: &Call,
     response: AttemptResponse,
 ) -> std::result::Result<Response<ResponseBody>, ConnectionError> {
+    state.check_answering_version(call, &response, None);
     let AttemptResponse { record, mut connection, place, sent_at, response, .. } = response;
     let keep_alive = pool::parse_keep_alive(response.headers());
     let is_close_delimited = connection::is_close_delimited(&response);
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -126,9 +126,12 @@
             return Err(ConnectionError::Broken);
         }
     };
-    if let Err(e) = first {
-        history.record_lost_response(call);
-        record_lost_attempt(state, call, stream.response.as_lost(), e, "first event").await;
+    match &first {
+        Ok(events) => state.check_answering_version(call, &stream.response, events.as_ref()),
+        Err(e) => {
+            history.record_lost_response(call);
+            record_lost_attempt(state, call, stream.response.as_lost(), *e, "first event").await;
+        }
     }
     first
 }
