Failing tests: requests that begin on older weights after their bound

The stand-in endpoint has a queue, tells when it began a request and with which version, refuses requests that expect another version, and stops at the deadline that it was told, as the platform says that all endpoints do. The stand-in store can hold its answers back.

--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -26,6 +26,9 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Bound on the use of older weights, unless a test sets another.
+const WEIGHTS_BOUND: Duration = Duration::from_millis(3_000);
+
 // Each program has its own IP address, so its ports can be fixed. They are below the ephemeral
 // range: an ephemeral port that a test has bound and released stays in use while a child forked by
 // another thread has inherited the socket and not yet called exec.
@@ -132,6 +135,8 @@
 pub struct Site {
     pub store: FakeStore,
     pub origin: FakeOrigin,
+    /// Time after the announcement of a version within which requests may begin on an older one.
+    pub weights_bound: Duration,
 }
 
 impl Site {
@@ -146,7 +151,7 @@
     pub fn start_unconfigured() -> Site {
         let store = FakeStore::start("127.0.0.1:0").expect("the store starts");
         let origin = FakeOrigin::start("127.0.0.1:0").expect("the origin starts");
-        Site { store, origin }
+        Site { store, origin, weights_bound: WEIGHTS_BOUND }
     }
 
     /// Writes a version of the configuration.
@@ -194,10 +199,11 @@
             "host = \"{name}\"\nip = \"{ip}\"\nzone = \"zone-a\"\nstore = \"{}\"\n\
              agent_port = {AGENT_PORT}\nmetrics_port = {METRICS_PORT}\n{role_settings}\n\
              [regions]\nzone-a = \"region-a\"\n\
-             [bounds]\nkey_revocation_ms = 5000\nweights_ms = 3000\nleave_ms = 2000\nstop_s = 8.0\n\
+             [bounds]\nkey_revocation_ms = 5000\nweights_ms = {}\nleave_ms = 2000\nstop_s = 8.0\n\
              repeat_ratio = 0.2\nrepeat_slack = 100.0\nrepeat_window_s = 10.0\n\
              [limits]\ndescriptors = 1000\nmemory_mb = 200\n",
             store,
+            self.weights_bound.as_millis(),
         )
     }
 
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -21,4 +21,5 @@
 mod shutdown;
 mod statements;
 mod updates;
+mod version_history;
 mod versions;
--- /dev/null
+++ b/node/tests/direct/version_history.rs
@@ -0,0 +1,47 @@
+//! Judges from the records of the store and the endpoints whether requests began on outdated weights.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use mastichaven_standins::direct::endpoint::FakeEndpoint;
+use serde_json::json;
+
+use super::fixture::Site;
+
+/// The versions of a model that operators have announced, each with the time of the store's acknowledgement.
+#[derive(Debug, Default)]
+pub struct VersionHistory {
+    announced: Vec<(u64, Instant)>,
+}
+
+impl VersionHistory {
+    /// Announces `version` in the store of `site`.
+    pub fn announce(&mut self, site: &Site, version: u64) {
+        site.store.put("versions", "m", json!({"model": "m", "version": version}));
+        self.announced.push((version, Instant::now()));
+    }
+
+    /// Time since the last announcement.
+    pub fn age(&self) -> Duration {
+        self.announced.last().map(|(_, at)| at.elapsed()).unwrap_or_default()
+    }
+
+    /// The requests that began at `endpoints` on older weights, later than `bound` after a newer version had been
+    /// acknowledged, each with how late it was.
+    pub fn late_begins<'a>(
+        &self,
+        bound: Duration,
+        endpoints: impl IntoIterator<Item = &'a FakeEndpoint>,
+    ) -> Vec<(String, Duration)> {
+        let runs = endpoints.into_iter().flat_map(FakeEndpoint::runs);
+        let late = runs.filter_map(|run| {
+            let begin = run.begun?;
+            let version = begin.version?;
+            let newer = self.announced.iter().filter(|(newer, _)| *newer > version);
+            let expired_at = newer.map(|(_, at)| *at + bound).min()?;
+            let late = begin.at.checked_duration_since(expired_at)?;
+            Some((run.id, late))
+        });
+        late.collect()
+    }
+}
--- a/node/tests/direct/versions.rs
+++ b/node/tests/direct/versions.rs
@@ -3,10 +3,14 @@
 use std::time::Instant;
 
 use mastichaven_standins::direct::endpoint::EndpointFault;
+use mastichaven_standins::direct::endpoint::FakeEndpoint;
+use mastichaven_standins::direct::endpoint::Queue;
 use serde_json::json;
 
+use super::fixture::Entry;
 use super::fixture::Site;
 use super::fixture::until;
+use super::version_history::VersionHistory;
 
 /// Time after the announcement of a version within which requests may begin on an older one.
 const WEIGHTS_BOUND: Duration = Duration::from_secs(3);
@@ -43,3 +47,114 @@
     assert_eq!(response.status, 200, "{response:?}");
     assert_eq!(response.stamp.as_deref(), Some("stamp-of-i-2"));
 }
+
+/// Time before the bound in which requests are sent, and time for which they wait in the queue of an endpoint.
+const LAST_REQUESTS: Duration = Duration::from_millis(1_100);
+const QUEUE_WAIT: Duration = Duration::from_millis(1_300);
+
+/// Time after the first request at which its entry is stopped.
+const STOP_DELAY: Duration = Duration::from_millis(600);
+
+/// An entry before an endpoint with version 1, whose successor has been announced.
+struct OutdatedSite {
+    site: Site,
+    endpoint: FakeEndpoint,
+    entry: Entry,
+    history: VersionHistory,
+}
+
+impl OutdatedSite {
+    /// Waits until the entry serves, and announces version 2.
+    fn start(name: &str, site: Site) -> OutdatedSite {
+        let endpoint = site.start_endpoint("i-1", "writer", Some(1));
+        let entry = site.start_entry(name);
+        until("served", || {
+            entry.send_request("/stream/a", "a", "key-1").is_ok_and(|a| a.status == 200)
+        });
+        let mut history = VersionHistory::default();
+        history.announce(&site, 2);
+        OutdatedSite { site, endpoint, entry, history }
+    }
+
+    /// Sends requests in the time before the bound, calls `f` meanwhile, and checks that none of them begins after it.
+    /// Returns whether the endpoint received any.
+    fn check_begins(&self, f: impl FnOnce()) -> bool {
+        thread::sleep((WEIGHTS_BOUND - LAST_REQUESTS).saturating_sub(self.history.age()));
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                for m in 0.. {
+                    if self.history.age() >= WEIGHTS_BOUND {
+                        break;
+                    }
+                    // Some are refused, as no endpoint may serve them any more.
+                    let id = format!("b{m}");
+                    scope.spawn(move || self.entry.send_request("/stream/a", &id, "key-1"));
+                    thread::sleep(Duration::from_millis(50));
+                }
+            });
+            f();
+        });
+        // An endpoint may begin what its callers have given up.
+        thread::sleep(QUEUE_WAIT);
+        let late = self.history.late_begins(WEIGHTS_BOUND, [&self.endpoint]);
+        assert!(late.is_empty(), "{late:?}");
+        self.endpoint.runs().iter().any(|run| run.id.starts_with('b'))
+    }
+}
+
+// Guards against requests that begin on an older version after its bound at an endpoint that runs what it has in its
+// queue also when the caller has disconnected.
+#[test]
+fn request_does_not_begin_after_version_bound_at_endpoint_that_ignores_disconnects() {
+    let site = OutdatedSite::start("kept", Site::start());
+    site.endpoint.set_queue(Queue { wait: QUEUE_WAIT, keeps_abandoned: true, ..Queue::default() });
+    assert!(site.check_begins(|| {}));
+}
+
+// Guards against requests that begin on an older version after its bound because their entry gets no processor time
+// when it should cancel them.
+#[test]
+fn request_does_not_begin_after_version_bound_while_entry_is_stopped() {
+    let site = OutdatedSite::start("stopped", Site::start());
+    site.endpoint.set_queue(Queue { wait: QUEUE_WAIT, ..Queue::default() });
+    let was_received = site.check_begins(|| {
+        thread::sleep(STOP_DELAY);
+        site.entry.program.signal("STOP");
+        thread::sleep(LAST_REQUESTS);
+        site.entry.program.signal("CONT");
+    });
+    assert!(was_received);
+}
+
+// Guards against requests that begin on an older version after its bound because the entry heard of the newer one
+// long after the store had acknowledged it.
+#[test]
+fn request_does_not_begin_after_version_bound_when_store_tells_it_late() {
+    let site = Site::start();
+    site.store.set_latency(Duration::from_millis(600));
+    let site = OutdatedSite::start("late", site);
+    site.endpoint.set_queue(Queue { wait: QUEUE_WAIT, ..Queue::default() });
+    // All of them may be refused.
+    site.check_begins(|| {});
+}
+
+// Guards against requests without a limit in time at an endpoint that holds an older version than it reports.
+#[test]
+fn request_expects_newest_version_at_endpoint_that_reports_it() {
+    let site = OutdatedSite::start("unreported", Site::start());
+    let newer = site.site.start_endpoint("i-2", "writer", Some(2));
+    let _agent = site.site.start_agent("unreported-agent", &newer);
+    let is_answered_by_newer = |id: &str| {
+        let response = site.entry.send_request("/stream/a", id, "key-1");
+        response.is_ok_and(|response| response.stamp.as_deref() == Some("stamp-of-i-2"))
+    };
+    until("the newer version serves", || is_answered_by_newer("c"));
+    site.endpoint.set_fault(EndpointFault::Full);
+    newer.load_unreported(1);
+    for m in 0..20 {
+        let _ = site.entry.send_request("/stream/a", &format!("d{m}"), "key-1");
+    }
+    let began_on_older =
+        newer.runs().iter().any(|run| run.begun.is_some_and(|begin| begin.version == Some(1)));
+    assert!(!began_on_older);
+}
--- a/standins/src/direct/endpoint.rs
+++ b/standins/src/direct/endpoint.rs
@@ -39,6 +39,9 @@
 /// Time from the acceptance of a load order to its completion.
 const LOAD_DELAY: Duration = Duration::from_millis(60);
 
+/// Interval at which a waiting request looks whether it may begin.
+const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
 /// How an endpoint handles the requests it receives.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum EndpointFault {
@@ -68,7 +71,27 @@
     },
 }
 
-/// A request that the endpoint ran.
+/// The begin of a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Begin {
+    /// When the first token was made.
+    pub at: Instant,
+    /// Version of the weights that made it; `None` for a plain service.
+    pub version: Option<u64>,
+}
+
+/// How long requests wait in the queue of an endpoint, and which leave it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Queue {
+    /// Time from the arrival of a request until it begins.
+    pub wait: Duration,
+    /// Whether requests stay in the queue, and run, after their callers have disconnected.
+    pub keeps_abandoned: bool,
+    /// Factor by which the time between two events is longer than usual, minus 1.
+    pub slowdown: u32,
+}
+
+/// A request that the endpoint received and did not refuse at once.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Run {
     /// Attempt id of the request.
@@ -85,6 +108,8 @@
     pub resumed_after: Option<u64>,
     /// When the request arrived.
     pub arrived_at: Instant,
+    /// When the endpoint began to run it, and with which version of the weights; `None` until then.
+    pub begun: Option<Begin>,
     /// Whether the caller disconnected before the end of the answer.
     pub is_abandoned: bool,
 }
@@ -109,6 +134,8 @@
     is_leaving: bool,
     pause: Option<String>,
     refused_at: Vec<Instant>,
+    queue: Queue,
+    reported_version: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -196,6 +223,18 @@
         self.shared.lock().runs.clone()
     }
 
+    /// Sets how requests that arrive later wait.
+    pub fn set_queue(&self, queue: Queue) {
+        self.shared.lock().queue = queue;
+    }
+
+    /// Goes to the weights of `version`, while the endpoint's reports still show those of before.
+    pub fn load_unreported(&self, version: u64) {
+        let mut state = self.shared.lock();
+        state.reported_version = state.version;
+        state.version = Some(version);
+    }
+
     /// Version of the weights from which requests are answered.
     pub fn version(&self) -> Option<u64> {
         self.shared.lock().version
@@ -302,7 +341,7 @@
         "waiting": 0, "running": state.running, "kv_used": 0, "kv_total": 1000, "handles": 0,
         "born": shared.started_ms
     });
-    if let Some(version) = state.version {
+    if let Some(version) = state.reported_version.or(state.version) {
         body["models"] = json!([{"name": "m", "version": version, "adapters": []}]);
         body["layers"] = json!({"from": 0, "to": LAYERS, "version": version});
     }
@@ -370,8 +409,7 @@
 
 fn run(shared: &Shared, req: Req) {
     let fault = shared.lock().fault;
-    let expected = req.header("x-mastichaven-expect-instance");
-    if fault == EndpointFault::Misdirected || expected.is_some_and(|id| id != shared.id) {
+    if fault == EndpointFault::Misdirected || is_misdirected(shared, &req) {
         let statements = statement_headers(shared);
         let mut headers = borrowed(&statements);
         headers.push(("x-mastichaven-instance-id", &shared.id));
@@ -399,12 +437,84 @@
             deadline_ms: req.header("x-mastichaven-deadline-ms").and_then(|ms| ms.parse().ok()),
             resumed_after,
             arrived_at: Instant::now(),
+            begun: None,
             is_abandoned: false,
         });
         state.runs.len() - 1
     };
-    let is_abandoned = if has_crash_part(shared, &req) {
-        crash_after_first_event(shared, req, &id);
+    let deadline = told_deadline(&req);
+    let is_abandoned = match wait_in_queue(shared, &req, run_index, deadline) {
+        Waited::Begun => begin(shared, req, &id, fault, resumed_after, deadline),
+        Waited::Abandoned => true,
+        Waited::Expired => {
+            let headers = [("x-mastichaven-attempt-id", id.as_str()), NOT_RUN_HEADER];
+            req.respond(503, &headers, "");
+            false
+        }
+    };
+    let mut state = shared.lock();
+    state.running -= 1;
+    state.runs[run_index].is_abandoned = is_abandoned;
+}
+
+/// Whether the request is meant for another endpoint or for another version of the weights.
+fn is_misdirected(shared: &Shared, req: &Req) -> bool {
+    let expected = req.header("x-mastichaven-expect-instance");
+    let version = req.header("x-mastichaven-expect-version").and_then(|text| text.parse().ok());
+    let held = shared.lock().version;
+    expected.is_some_and(|id| id != shared.id)
+        || version.is_some_and(|version: u64| held.is_some_and(|held| held != version))
+}
+
+/// When the endpoint stops its work on the request: at the deadline that it was told, from its arrival on.
+fn told_deadline(req: &Req) -> Option<Instant> {
+    let told = req.header("x-mastichaven-deadline-ms")?.parse().ok()?;
+    Some(Instant::now() + Duration::from_millis(told))
+}
+
+fn has_passed(deadline: Option<Instant>) -> bool {
+    deadline.is_some_and(|deadline| Instant::now() >= deadline)
+}
+
+/// How the wait in the queue ended.
+enum Waited {
+    Begun,
+    Abandoned,
+    Expired,
+}
+
+/// Waits until the request begins, which none does while weights are being loaded.
+fn wait_in_queue(shared: &Shared, req: &Req, run: usize, deadline: Option<Instant>) -> Waited {
+    let queue = shared.lock().queue;
+    let begins_at = Instant::now() + queue.wait;
+    loop {
+        let mut state = shared.lock();
+        if has_passed(deadline) {
+            return Waited::Expired;
+        }
+        if !queue.keeps_abandoned && !queue.wait.is_zero() && req.is_disconnected() {
+            return Waited::Abandoned;
+        }
+        if Instant::now() >= begins_at && !state.is_busy {
+            state.runs[run].begun = Some(Begin { at: Instant::now(), version: state.version });
+            return Waited::Begun;
+        }
+        drop(state);
+        thread::sleep(QUEUE_POLL_INTERVAL);
+    }
+}
+
+/// Runs a request. Returns whether the caller disconnected before the end of the answer.
+fn begin(
+    shared: &Shared,
+    req: Req,
+    id: &str,
+    fault: EndpointFault,
+    resumed_after: Option<u64>,
+    deadline: Option<Instant>,
+) -> bool {
+    if has_crash_part(shared, &req) {
+        crash_after_first_event(shared, req, id);
         true
     } else if contains_crash_marker(shared, &req.body) {
         thread::sleep(EVENT_INTERVAL);
@@ -412,11 +522,8 @@
         wait_for_disconnect(&req);
         true
     } else {
-        answer_run(shared, req, &id, fault, resumed_after)
-    };
-    let mut state = shared.lock();
-    state.running -= 1;
-    state.runs[run_index].is_abandoned = is_abandoned;
+        answer_run(shared, req, id, fault, resumed_after, deadline)
+    }
 }
 
 fn contains_crash_marker(shared: &Shared, body: &[u8]) -> bool {
@@ -475,10 +582,17 @@
     id: &str,
     fault: EndpointFault,
     resumed_after: Option<u64>,
+    deadline: Option<Instant>,
 ) -> bool {
     let stamp = format!("stamp-of-{}", shared.id);
     let echoed = if fault == EndpointFault::WrongId { "another" } else { id };
-    let statements = statement_headers(shared);
+    let mut statements = statement_headers(shared);
+    let (version, slowdown) = {
+        let state = shared.lock();
+        (state.version, state.queue.slowdown)
+    };
+    statements
+        .extend(version.map(|version| ("x-mastichaven-weight-versions", version.to_string())));
     let mut headers = borrowed(&statements);
     headers
         .extend([("x-mastichaven-attempt-id", echoed), ("x-mastichaven-response-stamp", &stamp)]);
@@ -512,7 +626,10 @@
     let framing = shared.lock().framing;
     let body = req.stream_framed(200, &headers, framing);
     for event in resumed_after.map_or(0, |after| after + 1)..EVENTS_PER_STREAM {
-        thread::sleep(EVENT_INTERVAL);
+        thread::sleep(EVENT_INTERVAL * (slowdown + 1));
+        if has_passed(deadline) {
+            return false;
+        }
         if let EndpointFault::Pause { event: paused, pause } = fault
             && paused == event
         {
--- a/standins/src/direct/store.rs
+++ b/standins/src/direct/store.rs
@@ -62,6 +62,8 @@
     fault: StoreFault,
     calls: u64,
     bytes_per_second: Option<f64>,
+    /// Time from the moment whose content an answer shows until it is sent.
+    latency: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -175,6 +177,11 @@
         self.shared.lock().bytes_per_second = Some(bytes_per_second);
     }
 
+    /// Sets the time for which answers are held back. Changes are acknowledged at once all the same.
+    pub fn set_latency(&self, latency: Duration) {
+        self.shared.lock().latency = latency;
+    }
+
     /// Sets the maximum number of objects per list page.
     pub fn set_page_len(&self, len: usize) {
         self.shared.lock().page_len = len;
@@ -272,6 +279,8 @@
 
 /// Answers with `body` as JSON, over the limited link if one is set.
 fn send_json(shared: &Shared, req: Req, era: u64, body: &Value) {
+    let latency = shared.lock().latency;
+    std::thread::sleep(latency);
     let era = era.to_string();
     let headers = [("content-type", "application/json"), (ERA_HEADER, era.as_str())];
     let Some(rate) = shared.lock().bytes_per_second else {
