Tell endpoints to stop at the bound of their weights

What callers saw: answers from weights that may not answer any more, of requests that began after the bound.

Cause: nothing but their entry's cancellation ended the wait of requests at an endpoint with an older version. Endpoints need not obey the end of a connection ("most" do), and an entry that gets no processor time cancels late.

Change: the time that an endpoint is told for a request ends 0.25 s before the bound of its weights, or with the caller's deadline if that is earlier. The platform says that all endpoints stop at it, also in their queue, and refuse with a proof that the request has not run; the entry waits 0.1 s longer for that proof before it cancels. An answer without a length that ends once its endpoint had to stop counts as cut.

--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -50,10 +50,34 @@
 /// short as selection allows send the first event well within it.
 pub(super) const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_800);
 
+/// Endpoints are told their time in whole units of this.
+const DEADLINE_STEP: Duration = Duration::from_millis(1);
+
+/// Time after the deadline told to an endpoint within which its proof that the request has not run arrives. Only
+/// then is the attempt cancelled.
+const EXPIRY_GRACE_PERIOD: Duration = Duration::from_millis(100);
+
 /// Time without a response head after which another endpoint is looked for, for idempotent requests, as a multiple of
 /// the route's latency objective.
 const RESPONSE_PATIENCE_OBJECTIVES: f64 = 2.5;
 
+/// When an endpoint stops its work because it was told a deadline before the caller's, if it was.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct EarlyStop(Option<Time>);
+
+impl EarlyStop {
+    fn new(time_limit: Duration, remaining: Duration, now: Time) -> EarlyStop {
+        EarlyStop(
+            (time_limit < remaining).then(|| (now + time_limit).saturating_sub(DEADLINE_STEP)),
+        )
+    }
+
+    /// Whether the endpoint may have stopped by `now`.
+    pub(super) fn has_passed(self, now: Time) -> bool {
+        self.0.is_some_and(|stops_at| now >= stops_at)
+    }
+}
+
 /// A successful response whose body has yet to be read.
 #[derive(Debug)]
 pub(super) struct AttemptResponse {
@@ -63,6 +87,7 @@
     /// When the request was sent.
     pub(super) sent_at: Time,
     pub(super) response: Response<Incoming>,
+    pub(super) stop: EarlyStop,
     /// When the first event must have arrived, as the endpoint's weights may not serve any more from then on; `None`
     /// if they are the newest, or once the first event is awaited.
     begin_by: Option<Time>,
@@ -135,7 +160,13 @@
     }
     let now = state.now();
     let remaining = call.deadline.since(now);
-    let req = build_endpoint_request(state, call, &record, remaining, resume_after, now);
+    let basis = state.weights_basis(call, &record, now);
+    // Endpoints need not obey a cancellation, but stop at the deadline that they are told.
+    let time_limit = basis.begin_by.map_or(remaining, |by| by.since(now).min(remaining));
+    if time_limit.is_zero() {
+        return AttemptOutcome::NotRun;
+    }
+    let req = build_endpoint_request(state, call, &record, time_limit, resume_after, now);
     history.sent_count += 1;
     history.sent_at = Some(now);
     if history.sent_count == 1 {
@@ -146,11 +177,9 @@
         RetryPolicy::Resumable => FIRST_EVENT_TIMEOUT,
         RetryPolicy::AtMostOnce => remaining,
     };
-    let model = call.head.model.as_deref().filter(|_| record.is_engine);
-    let begin_within = model.and_then(|model| state.must_begin_within(model, &record.weights, now));
-    let time_limit = begin_within.map_or(remaining, |limit| limit.min(remaining));
+    let wait_limit = (time_limit + EXPIRY_GRACE_PERIOD).min(remaining);
     let sent = tokio::select! {
-        sent = timeout(time_limit, connection.send(req)) => {
+        sent = timeout(wait_limit, connection.send(req)) => {
             sent.unwrap_or(Err(ConnectionError::TimedOut))
         }
         () = until_replaceable(state, call, history, patience),
@@ -188,7 +217,8 @@
             place,
             sent_at: now,
             response,
-            begin_by: begin_within.map(|limit| now + limit),
+            stop: EarlyStop::new(time_limit, remaining, now),
+            begin_by: basis.begin_by.map(|by| by + EXPIRY_GRACE_PERIOD),
         })),
         AnswerKind::NotRun => {
             state.endpoints.borrow_mut().record_refusal(endpoint, state.now());
@@ -228,7 +258,7 @@
     state: &State,
     call: &Call,
     record: &EndpointRecord,
-    remaining: Duration,
+    time_limit: Duration,
     resume_after: Option<&str>,
     now: Time,
 ) -> Request<Full<Bytes>> {
@@ -241,7 +271,7 @@
     let urgency = resume_after.is_some().then_some(RESUMPTION_URGENCY);
     let resume_after = resume_after.or(call.head.resumes_after.as_deref());
     let addition = AddedHeaders {
-        deadline: Some(remaining),
+        deadline: Some(time_limit),
         endpoint: &record.id,
         customer: call.customer.as_ref().map(|customer| &customer.name),
         version,
--- a/node/src/direct/begin_limits.rs
+++ b/node/src/direct/begin_limits.rs
@@ -1,4 +1,5 @@
-//! The version of the weights that an attempt rests on, and answers from versions that may not answer any more.
+//! The version of the weights that an attempt rests on, until when requests may begin on it, and answers from versions
+//! that may not answer any more.
 
 use std::time::Duration;
 
@@ -11,6 +12,10 @@
 use super::call::Call;
 use super::state::State;
 
+/// Time before the bound on older weights at which requests must have begun on them. Endpoints count the time that
+/// they are given from the arrival of the request, so this covers its way there.
+const BEGIN_MARGIN: Duration = Duration::from_millis(250);
+
 /// What an entry knows of the weights of an endpoint and of the version that replaces them.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) struct WeightsBasis {
@@ -18,6 +23,8 @@
     pub(super) version: u64,
     /// Time since the next version was announced; `None` if there is none.
     pub(super) outdated_for: Option<Duration>,
+    /// When requests must have begun on the version; `None` if there is no newer one.
+    pub(super) begin_by: Option<Time>,
 }
 
 impl WeightsBasis {
@@ -35,16 +42,23 @@
         record: &EndpointRecord,
         now: Time,
     ) -> WeightsBasis {
-        let held = call.head.model.as_deref().and_then(|model| {
+        let held = call.head.model.as_deref().filter(|_| record.is_engine).and_then(|model| {
             let held = record.weights.iter().find(|(name, _)| name == model);
             held.map(|(model, version)| (model, *version))
         });
         held.map_or_else(WeightsBasis::default, |(model, version)| WeightsBasis {
             version,
             outdated_for: self.outdated_for(model, version, now),
+            begin_by: self.begin_by(model, version),
         })
     }
 
+    fn begin_by(&self, model: &str, version: u64) -> Option<Time> {
+        let bound = Duration::from_millis(self.cfg.bounds.weights_ms);
+        let versions = self.versions.borrow();
+        versions.get(model)?.expires_at(version, bound.saturating_sub(BEGIN_MARGIN))
+    }
+
     fn outdated_for(&self, model: &str, version: u64, now: Time) -> Option<Duration> {
         let versions = self.versions.borrow();
         let outdated_since = versions.get(model)?.outdated_since(version)?;
--- a/node/src/direct/crashes.rs
+++ b/node/src/direct/crashes.rs
@@ -92,11 +92,12 @@
 
 impl AttemptResponse {
     /// Whether the end of the connection, though in order, may have cut the response short: nothing else marks its
-    /// end, and the endpoint's process has ended with it.
+    /// end, and the endpoint's process has ended with it or had to stop by then.
     pub(super) async fn is_cut(&self) -> bool {
         let state = self.place.state();
         connection::is_close_delimited(&self.response)
-            && state.probes.has_ended(&self.record, state.now()).await
+            && (self.stop.has_passed(state.now())
+                || state.probes.has_ended(&self.record, state.now()).await)
     }
 }
 
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -140,7 +140,7 @@
     response: AttemptResponse,
 ) -> std::result::Result<Response<ResponseBody>, ConnectionError> {
     state.check_answering_version(call, &response, None);
-    let AttemptResponse { record, mut connection, place, sent_at, response, .. } = response;
+    let AttemptResponse { record, mut connection, place, sent_at, stop, response, .. } = response;
     let keep_alive = pool::parse_keep_alive(response.headers());
     let is_close_delimited = connection::is_close_delimited(&response);
     let (head, body) = response.into_parts();
@@ -148,7 +148,10 @@
     let collected = timeout(remaining, connection::collect_body(body, MAX_RESPONSE_LEN)).await;
     let mut body = collected.unwrap_or(Err(ConnectionError::TimedOut));
     // The process may have ended in the middle of the body.
-    if is_close_delimited && body.is_ok() && state.probes.has_ended(&record, state.now()).await {
+    if is_close_delimited
+        && body.is_ok()
+        && (stop.has_passed(state.now()) || state.probes.has_ended(&record, state.now()).await)
+    {
         body = Err(ConnectionError::Broken);
     }
     let body = match body {
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -54,10 +54,6 @@
 /// only when it leaves the queue.
 const OLD_WEIGHTS_FRACTION: f64 = 0.82;
 
-/// Time before the end of the weights bound at which requests that have not begun on an older version are cancelled:
-/// the way of the cancellation, and the error in dating an announcement.
-const LATE_BEGIN_MARGIN: Duration = Duration::from_millis(250);
-
 /// Maximum number of routes whose longest deadlines are tracked; they take some hundred KB.
 const MAX_TRACKED_ROUTES: usize = 4_096;
 
@@ -252,20 +248,6 @@
         versions.get(model).map_or(0, |versions| versions.oldest_allowed(bound, now))
     }
 
-    /// Time until a request must have begun at an endpoint with `weights`, as they may not serve any more from then
-    /// on; `None` if they are the newest.
-    pub(super) fn must_begin_within(
-        &self,
-        model: &str,
-        weights: &[(SmolStr, u64)],
-        now: Time,
-    ) -> Option<Duration> {
-        let bound = Duration::from_millis(self.cfg.bounds.weights_ms);
-        let (_, held) = weights.iter().find(|(name, _)| name == model)?;
-        let expires_at = self.versions.borrow().get(model)?.expires_at(*held, bound)?;
-        Some(expires_at.since(now).saturating_sub(LATE_BEGIN_MARGIN))
-    }
-
     /// Version of the current configuration; `None` before the first one.
     pub fn config_version(&self) -> Option<u64> {
         self.catalog.borrow().as_ref().map(|catalog| catalog.version())
--- a/node/tests/direct/versions.rs
+++ b/node/tests/direct/versions.rs
@@ -138,6 +138,23 @@
     site.check_begins(|| {});
 }
 
+// Guards against half an answer that looks whole: the endpoint stops at the version's bound, and nothing but the end of
+// its connection marks the end of the answer.
+#[test]
+fn close_delimited_stream_that_stops_at_version_bound_is_resumed() {
+    let site = OutdatedSite::start("unframed", Site::start());
+    site.endpoint.set_close_delimited(true);
+    site.endpoint.set_queue(Queue { slowdown: 20, ..Queue::default() });
+    thread::sleep((WEIGHTS_BOUND - LAST_REQUESTS).saturating_sub(site.history.age()));
+    let response = thread::scope(|scope| {
+        let response = scope.spawn(|| site.entry.send_request("/stream/a", "b", "key-1"));
+        until("it begins", || site.endpoint.runs().iter().any(|run| run.id == "b"));
+        let _newer = site.site.start_endpoint("i-2", "writer", Some(2));
+        response.join().expect("no panic").expect("a whole answer")
+    });
+    assert_eq!(response.body.matches("data: ").count(), 6, "{response:?}");
+}
+
 // Guards against requests without a limit in time at an endpoint that holds an older version than it reports.
 #[test]
 fn request_expects_newest_version_at_endpoint_that_reports_it() {
