Requests without a limit in time expect the version of the weights that the endpoint reports

What callers saw: a request sent to an endpoint that was taken to hold the newest weights began on older ones, with no limit in time at all.

Cause: requests expected a version only once no older one was allowed any more. Before that an endpoint that had gone back to an older version, by a load order that took effect late, ran them for as long as its reports showed the newer one.

Change: a request to an endpoint whose weights have no known successor expects that version; the endpoint refuses it otherwise. One to an endpoint with older weights has a limit in time and expects none, as the endpoint may have loaded newer ones meanwhile. Plain services get no expected version.

--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -14,13 +14,13 @@
 use mastichaven_core::direct::catalog::RetryPolicy;
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::endpoint::EndpointRecord;
-use mastichaven_core::direct::versions::Versions;
 use mastichaven_platform::answer;
 use mastichaven_platform::answer::AnswerKind;
 use mastichaven_platform::call;
 use mastichaven_platform::call::AddedHeaders;
 use tokio::time::timeout;
 
+use super::begin_limits::WeightsBasis;
 use super::call::Call;
 use super::call::CallHistory;
 use super::connection;
@@ -166,7 +166,7 @@
     if time_limit.is_zero() {
         return AttemptOutcome::NotRun;
     }
-    let req = build_endpoint_request(state, call, &record, time_limit, resume_after, now);
+    let req = build_endpoint_request(call, &record, &basis, time_limit, resume_after);
     history.sent_count += 1;
     history.sent_at = Some(now);
     if history.sent_count == 1 {
@@ -255,26 +255,19 @@
 }
 
 fn build_endpoint_request(
-    state: &State,
     call: &Call,
     record: &EndpointRecord,
+    basis: &WeightsBasis,
     time_limit: Duration,
     resume_after: Option<&str>,
-    now: Time,
 ) -> Request<Full<Bytes>> {
-    // While an older version of the weights may still answer, the endpoint may use any version it
-    // holds.
-    let version = call.head.model.as_deref().and_then(|model| {
-        let newest = state.versions.borrow().get(model).map(Versions::newest)?;
-        (state.oldest_allowed_version(model, now) == newest).then_some(newest)
-    });
     let urgency = resume_after.is_some().then_some(RESUMPTION_URGENCY);
     let resume_after = resume_after.or(call.head.resumes_after.as_deref());
     let addition = AddedHeaders {
         deadline: Some(time_limit),
         endpoint: &record.id,
         customer: call.customer.as_ref().map(|customer| &customer.name),
-        version,
+        version: basis.expected_version(),
         urgency,
         resume_after,
     };
--- a/node/src/direct/begin_limits.rs
+++ b/node/src/direct/begin_limits.rs
@@ -28,6 +28,12 @@
 }
 
 impl WeightsBasis {
+    /// The version that must run the request. Without a newer one there is no limit in time, so an endpoint that holds
+    /// an older version than it reports must refuse. With a newer one, the endpoint may have loaded it meanwhile.
+    pub(super) fn expected_version(&self) -> Option<u64> {
+        Some(self.version).filter(|version| *version > 0 && self.begin_by.is_none())
+    }
+
     /// [`WeightsBasis::outdated_for`] in milliseconds, for log lines; -1 if there is no newer version.
     pub(super) fn outdated_ms(&self) -> i64 {
         self.outdated_for.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
