Failing test: an entry that starts alone sends requests to weights whose bound has passed

Found while looking for the class of the incident: the first list that an entry reads since its start dates every version by the entry's start, though State treats versions of unknown age as old, because the read is recorded before the list is applied.

--- a/node/tests/direct/versions.rs
+++ b/node/tests/direct/versions.rs
@@ -175,3 +175,18 @@
         newer.runs().iter().any(|run| run.begun.is_some_and(|begin| begin.version == Some(1)));
     assert!(!began_on_older);
 }
+
+// Guards against an entry that dates a version by its own start and sends requests to older ones, though the version was
+// announced long ago and no other entry can tell.
+#[test]
+fn entry_that_starts_alone_does_not_use_older_version() {
+    let site = Site::start();
+    let endpoint = site.start_endpoint("i-1", "writer", Some(1));
+    let mut history = VersionHistory::default();
+    history.announce(&site, 2);
+    thread::sleep(WEIGHTS_BOUND);
+    let entry = site.start_entry("alone");
+    let _ = entry.send_request("/stream/a", "a", "key-1");
+    let late = history.late_begins(WEIGHTS_BOUND, [&endpoint]);
+    assert!(late.is_empty(), "{late:?}");
+}
