Date versions of weights by what the store is known not to have held, not by the arrival of its answer

What callers saw: answers from weights that may not answer any more, when the store acknowledged a version at once and told it late, and from entries that had just started.

Cause: an entry dated a version by the arrival of the answer that told it, whatever the answer had taken, and by its own start if it was in the first list that it read. Limits counted from that date.

Change: an announcement is an interval. It is no earlier than the last read, of any kind of object, that shows the store without it (StoreClock), or the last confirmation by a parent, and no later than its arrival here or at the first agent. Requests must have begun 0.25 s before the bound as counted from the earliest moment; requests are sent until 0.82 of the bound after the latest one, as before, and not if they would have less than 0.3 s to begin. A version that no read precedes has no date, and older ones have expired. Followers are told both ends, agents narrow the latest one. record_announced_after is gone: it moved a date later by what another entry believed.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -14,7 +14,7 @@
 //!
 //! [`freshness`] decides whether replicated state is recent enough to act on. [`replication`]
 //! defines the updates that entries exchange, and [`subscribers`] tracks the entries that contact
-//! an agent. [`versions`] tracks which weights may answer, [`caches`] which entries serve chunks of
+//! an agent. [`versions`] tracks which weights may answer, by announcements that [`store_clock`] dates, [`caches`] which entries serve chunks of
 //! them, [`rollout`] when an endpoint loads a new version, and [`load_orders`] whether the weights
 //! that it has loaded are verified.
 
@@ -36,5 +36,6 @@
 pub mod rollout;
 mod sampling;
 pub mod shares;
+pub mod store_clock;
 pub mod subscribers;
 pub mod versions;
--- a/core/src/direct/replication.rs
+++ b/core/src/direct/replication.rs
@@ -17,6 +17,7 @@
 
 use super::catalog::CatalogParts;
 use super::endpoint::EndpointRecord;
+use super::versions::Announcement;
 use crate::ids::Digest;
 use crate::ids::ServiceName;
 use crate::ids::StorePosition;
@@ -64,10 +65,34 @@
         /// The announced version.
         version: u64,
         /// Time since the announcement; `None` if unknown.
-        age: Option<Duration>,
+        age: Option<AnnouncementAge>,
     },
 }
 
+/// Time since the announcement of a version, as far as its sender knows.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AnnouncementAge {
+    /// The least possible time.
+    pub min: Duration,
+    /// The greatest possible time.
+    pub max: Duration,
+}
+
+impl AnnouncementAge {
+    /// The age of `announcement` at `now`.
+    pub fn new(announcement: Announcement, now: Time) -> AnnouncementAge {
+        AnnouncementAge {
+            min: now.since(announcement.latest()),
+            max: now.since(announcement.earliest()),
+        }
+    }
+
+    /// The announcement that had this age when the sender told it, at some moment from `sent_after` to `now`.
+    pub fn announcement(self, sent_after: Time, now: Time) -> Announcement {
+        Announcement::between(sent_after.saturating_sub(self.max), now.saturating_sub(self.min))
+    }
+}
+
 /// Ages of an entry's replicated state, per kind; `None` if the entry has no data of that kind.
 ///
 /// The age of the configuration counts from when the last successful read was sent, as the lease on keys does.
--- a/core/src/direct/versions.rs
+++ b/core/src/direct/versions.rs
@@ -26,10 +26,74 @@
 /// Maximum number of versions that are kept. The bounds of older versions have long expired.
 const MAX_KEPT_VERSIONS: usize = 16;
 
-/// The versions of one model in ascending order, each with the time of its announcement.
+/// When a version was announced, as far as a process knows: at some moment from `earliest` to `latest`.
+///
+/// Limits that must hold count from `earliest`; when to stop sending requests to older versions counts from `latest`,
+/// which is close to the announcement unless the process hears of it late.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Announcement {
+    earliest: Time,
+    latest: Time,
+}
+
+impl Announcement {
+    /// An announcement that the store had not made at `earliest` and had made at `latest`.
+    pub fn between(earliest: Time, latest: Time) -> Announcement {
+        Announcement { earliest: earliest.min(latest), latest }
+    }
+
+    /// An announcement at a known moment.
+    pub fn at(time: Time) -> Announcement {
+        Announcement { earliest: time, latest: time }
+    }
+
+    /// The earliest possible moment.
+    pub fn earliest(self) -> Time {
+        self.earliest
+    }
+
+    /// The latest possible moment.
+    pub fn latest(self) -> Time {
+        self.latest
+    }
+
+    /// How far [`Announcement::latest`] may be off.
+    pub fn uncertainty(self) -> Duration {
+        self.latest.since(self.earliest)
+    }
+
+    /// Combines what two processes know of the same announcement.
+    pub fn narrowed_by(self, other: Announcement) -> Announcement {
+        Announcement::between(self.earliest.max(other.earliest), self.latest.min(other.latest))
+    }
+}
+
+/// Limits in time for requests on older weights, counted from the announcement of the first newer version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct VersionLimits {
+    /// Time for which requests are sent to endpoints with older weights.
+    pub send_for: Duration,
+    /// Time within which requests must have begun on older weights, however early the announcement may have been.
+    pub begin_within: Duration,
+    /// Minimum time that a request is given to begin.
+    pub min_begin_time: Duration,
+}
+
+impl VersionLimits {
+    fn begin_by(&self, newer: Announcement) -> Time {
+        newer.earliest + self.begin_within
+    }
+
+    /// Whether no request is sent any more, at `now`, to endpoints with older weights than those of `newer`.
+    fn have_expired(&self, newer: Announcement, now: Time) -> bool {
+        now.passed(newer.latest, self.send_for) || now + self.min_begin_time >= self.begin_by(newer)
+    }
+}
+
+/// The versions of one model in ascending order, each with its announcement; `None` if the time is unknown.
 #[derive(Clone, Debug)]
 pub struct Versions {
-    announced: Vec<(u64, Option<Time>)>,
+    announced: Vec<(u64, Option<Announcement>)>,
 }
 
 impl Versions {
@@ -38,31 +102,35 @@
         Versions { announced: vec![(version, None)] }
     }
 
-    /// Records the announcement of `version` at `now`. Returns false if it is not newer than the newest.
-    pub fn record_announcement(&mut self, version: u64, now: Time) -> bool {
+    /// Records the announcement of `version`. Returns false if it is not newer than the newest.
+    pub fn record_announcement(&mut self, version: u64, announcement: Announcement) -> bool {
         if version <= self.newest() {
             return false;
         }
         if self.announced.len() >= MAX_KEPT_VERSIONS {
             self.announced.remove(0);
         }
-        self.announced.push((version, Some(now)));
+        self.announced.push((version, Some(announcement)));
         true
     }
 
-    /// Records that, according to another process, `version` was announced at `at`.
+    /// Records what another process knows of the announcement of `version`.
     ///
     /// A process that has just started finds the newest version in the store without the time of its
     /// announcement and treats its bound as expired. This fills in the time that another process knows, also
-    /// for versions in between. A known time is not changed.
-    pub fn backfill_announced_at(&mut self, version: u64, at: Time) {
+    /// for versions in between.
+    pub fn merge_announcement(&mut self, version: u64, announcement: Announcement) {
         let n = self.announced.partition_point(|(known, _)| *known < version);
         match self.announced.get(n) {
+            Some((known, Some(announced))) if *known == version => {
+                self.announced[n].1 = Some(announced.narrowed_by(announcement));
+                return;
+            }
             Some((known, None)) if *known == version && version > 0 => {
-                self.announced[n].1 = Some(at);
+                self.announced[n].1 = Some(announcement);
             }
             Some((known, None)) if *known > version && self.announced.len() < MAX_KEPT_VERSIONS => {
-                self.announced.insert(n, (version, Some(at)));
+                self.announced.insert(n, (version, Some(announcement)));
             }
             _ => return,
         }
@@ -72,62 +140,58 @@
         }
     }
 
-    /// Records that another process first saw `version` between `earliest` and `latest`, so it was announced no
-    /// later than `latest`.
+    /// Records that another process has seen `version` since the latest moment of `announcement`. A version that is
+    /// unknown to this process is recorded with `announcement`.
     ///
     /// An entry whose connection to the store was blocked sees a version seconds late and would route requests
     /// to older versions past the bound. Agents receive the version from all entries, so the first of them to
-    /// see it determines the time for all. A version that is unknown to this process is recorded as announced
-    /// at `earliest`.
-    pub fn record_announced_by(&mut self, version: u64, earliest: Time, latest: Time) {
+    /// see it determines the time for all.
+    pub fn record_seen(&mut self, version: u64, announcement: Announcement) {
         match self.announced.iter_mut().find(|(known, _)| *known == version) {
-            Some((_, Some(announced_at))) => *announced_at = latest.min(*announced_at),
+            Some((_, Some(announced))) => {
+                let latest = announced.latest.min(announcement.latest);
+                *announced = Announcement::between(announced.earliest, latest);
+            }
             Some((_, None)) => {}
             None => {
-                self.record_announcement(version, earliest);
+                self.record_announcement(version, announcement);
             }
         }
     }
 
-    /// Records proof that `version` was announced no earlier than `at`.
-    pub fn record_announced_after(&mut self, version: u64, at: Time) {
-        if let Some((_, Some(announced_at))) =
-            self.announced.iter_mut().find(|(known, _)| *known == version)
-        {
-            *announced_at = at.max(*announced_at);
-        }
-    }
-
     /// The newest announced version; 0 if there is none.
     pub fn newest(&self) -> u64 {
         self.announced.last().map_or(0, |(version, _)| *version)
     }
 
-    /// The oldest version that may serve requests: the newest of those announced at least `bound` ago.
-    pub fn oldest_allowed(&self, bound: Duration, now: Time) -> u64 {
-        let is_bound_expired = |at: &Option<Time>| at.is_none_or(|at| now.passed(at, bound));
-        let oldest = self.announced.iter().rev().find(|(_, at)| is_bound_expired(at));
+    /// The oldest version to which requests are sent: the newest of those that have made older ones expire.
+    pub fn oldest_allowed(&self, limits: &VersionLimits, now: Time) -> u64 {
+        let has_expired = |newer: &Option<Announcement>| {
+            newer.is_none_or(|newer| limits.have_expired(newer, now))
+        };
+        let oldest = self.announced.iter().rev().find(|(_, newer)| has_expired(newer));
         oldest.map_or(0, |(version, _)| *version)
     }
 
-    /// The known versions, oldest first, each with the time since its announcement; `None` if unknown.
-    pub fn ages(&self, now: Time) -> impl Iterator<Item = (u64, Option<Duration>)> + '_ {
-        self.announced.iter().map(move |(version, at)| (*version, at.map(|at| now.since(at))))
+    /// The known versions, oldest first, each with its announcement; `None` if the time is unknown.
+    pub fn announcements(&self) -> impl Iterator<Item = (u64, Option<Announcement>)> + '_ {
+        self.announced.iter().copied()
     }
 
-    /// When `version` was announced; `None` if the version or the time is unknown.
-    pub fn announced_at(&self, version: u64) -> Option<Time> {
+    /// The announcement of `version`; `None` if the version or the time is unknown.
+    pub fn announcement(&self, version: u64) -> Option<Announcement> {
         self.announced.iter().find(|(known, _)| *known == version).and_then(|(_, at)| *at)
     }
 
-    /// When requests may no longer begin on the version `held`, if each version replaces the older ones `bound` after
-    /// its announcement; `None` if `held` is the newest or the time of the announcement is unknown.
-    pub fn expires_at(&self, held: u64, bound: Duration) -> Option<Time> {
-        self.outdated_since(held).map(|announced_at| announced_at + bound)
+    /// When requests must have begun on the version `held`; `None` if it is the newest. If the time of a newer
+    /// announcement is unknown, it has passed.
+    pub fn begin_by(&self, held: u64, limits: &VersionLimits) -> Option<Time> {
+        let newer = self.announced.iter().filter(|(version, _)| *version > held);
+        newer.map(|(_, newer)| newer.map_or(Time::ZERO, |newer| limits.begin_by(newer))).min()
     }
 
-    /// When the first version newer than `held` was announced; `None` if there is none or the time is unknown.
-    pub fn outdated_since(&self, held: u64) -> Option<Time> {
+    /// The announcement of the first version newer than `held`; `None` if there is none or the time is unknown.
+    pub fn successor(&self, held: u64) -> Option<Announcement> {
         self.announced.iter().find(|(version, _)| *version > held).and_then(|(_, at)| *at)
     }
 }
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -13,5 +13,6 @@
 mod retry_after;
 mod rollout;
 mod shares;
+mod store_clock;
 mod subscribers;
 mod versions;
--- a/node/src/direct/agent/loading.rs
+++ b/node/src/direct/agent/loading.rs
@@ -9,6 +9,7 @@
 use mastichaven_core::direct::load_orders::Verification;
 use mastichaven_core::direct::rollout;
 use mastichaven_core::direct::rollout::HostState;
+use mastichaven_core::direct::versions::Announcement;
 use mastichaven_platform::engine::LoadMode;
 use mastichaven_platform::engine::Report;
 use tokio::time::sleep;
@@ -72,8 +73,10 @@
     fn host_state(&self, target: &Target) -> HostState {
         let held = self.verified_version();
         let versions = self.versions.borrow();
-        let announced_at = versions.announced_at(target.version).unwrap_or_default();
-        let outdated_since = versions.outdated_since(held.unwrap_or(0)).unwrap_or(announced_at);
+        let announced_at =
+            versions.announcement(target.version).map_or(Time::ZERO, Announcement::latest);
+        let successor = versions.successor(held.unwrap_or(0));
+        let outdated_since = successor.map_or(announced_at, Announcement::latest);
         let (rank, hosts) = self.rank.get();
         let bound = Duration::from_millis(self.cfg.bounds.weights_ms);
         let now = self.clock.now();
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -198,7 +198,9 @@
         };
         let limit = Duration::from_millis(self.cfg.bounds.weights_ms) * 2;
         let versions = self.versions.borrow();
-        let aged = versions.ages(now).filter_map(|(version, age)| Some((version, age?)));
+        let aged = versions.announcements().filter_map(|(version, announcement)| {
+            Some((version, now.since(announcement?.latest())))
+        });
         let recent = aged.filter(|(_, age)| *age < limit).map(|(version, age)| AnnouncedVersion {
             model: model.clone(),
             version,
--- a/node/src/direct/agent/setup.rs
+++ b/node/src/direct/agent/setup.rs
@@ -10,6 +10,7 @@
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::PeerEndpoint;
 use mastichaven_core::direct::replication::PeerList;
+use mastichaven_core::direct::versions::Announcement;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::ids::RegionName;
 use mastichaven_core::ids::ServiceName;
@@ -236,7 +237,7 @@
         slog::info!(self.log, "weights announced"; "model" => model.as_str(), "version" => version);
         let now = self.clock.now();
         self.newest.set(Some((version, now)));
-        self.versions.borrow_mut().record_announcement(version, now);
+        self.versions.borrow_mut().record_announcement(version, Announcement::at(now));
         self.swarm.set_wanted_version(model, version, self.held_version());
         self.updated.notify_one();
     }
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -308,6 +308,7 @@
         "endpoint" => record.id.as_str(), "at" => at, "error" => e.as_str(),
         "report_age_ms" => state.report_age_ms(endpoint),
         "weights" => basis.version, "outdated_ms" => basis.outdated_ms(),
+        "uncertainty_ms" => basis.uncertainty.as_millis() as u64,
         "left_ms" => call.deadline.since(state.now()).as_millis() as u64);
 }
 
--- a/node/src/direct/begin_limits.rs
+++ b/node/src/direct/begin_limits.rs
@@ -6,23 +6,36 @@
 use bytes::Bytes;
 use mastichaven_core::Time;
 use mastichaven_core::direct::endpoint::EndpointRecord;
+use mastichaven_core::direct::versions::Announcement;
+use mastichaven_core::direct::versions::VersionLimits;
 use mastichaven_platform::answer;
 
 use super::attempt::AttemptResponse;
 use super::call::Call;
 use super::state::State;
 
+/// Fraction of the weights bound after which requests are no longer sent to an older version. The
+/// rest covers time in the endpoint's queue, which is long under overload: a request starts to run
+/// only when it leaves the queue.
+const OLD_WEIGHTS_FRACTION: f64 = 0.82;
+
 /// Time before the bound on older weights at which requests must have begun on them. Endpoints count the time that
 /// they are given from the arrival of the request, so this covers its way there.
 const BEGIN_MARGIN: Duration = Duration::from_millis(250);
 
+/// Minimum time in which a request that is sent to an older version must begin. With less, it would mostly use up an
+/// attempt.
+const MIN_BEGIN_TIME: Duration = Duration::from_millis(300);
+
 /// What an entry knows of the weights of an endpoint and of the version that replaces them.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) struct WeightsBasis {
     /// The version that the endpoint is taken to hold; 0 if there is none.
     pub(super) version: u64,
-    /// Time since the next version was announced; `None` if there is none.
+    /// Time since the next version was announced at the latest; `None` if there is none.
     pub(super) outdated_for: Option<Duration>,
+    /// How much longer that may be.
+    pub(super) uncertainty: Duration,
     /// When requests must have begun on the version; `None` if there is no newer one.
     pub(super) begin_by: Option<Time>,
 }
@@ -55,20 +68,33 @@
         held.map_or_else(WeightsBasis::default, |(model, version)| WeightsBasis {
             version,
             outdated_for: self.outdated_for(model, version, now),
+            uncertainty: self
+                .successor(model, version)
+                .map_or(Duration::ZERO, Announcement::uncertainty),
             begin_by: self.begin_by(model, version),
         })
     }
 
-    fn begin_by(&self, model: &str, version: u64) -> Option<Time> {
+    /// Limits in time for requests on older weights.
+    pub(super) fn version_limits(&self) -> VersionLimits {
         let bound = Duration::from_millis(self.cfg.bounds.weights_ms);
-        let versions = self.versions.borrow();
-        versions.get(model)?.expires_at(version, bound.saturating_sub(BEGIN_MARGIN))
+        VersionLimits {
+            send_for: bound.mul_f64(OLD_WEIGHTS_FRACTION),
+            begin_within: bound.saturating_sub(BEGIN_MARGIN),
+            min_begin_time: MIN_BEGIN_TIME,
+        }
+    }
+
+    fn begin_by(&self, model: &str, version: u64) -> Option<Time> {
+        self.versions.borrow().get(model)?.begin_by(version, &self.version_limits())
+    }
+
+    fn successor(&self, model: &str, version: u64) -> Option<Announcement> {
+        self.versions.borrow().get(model)?.successor(version)
     }
 
     fn outdated_for(&self, model: &str, version: u64, now: Time) -> Option<Duration> {
-        let versions = self.versions.borrow();
-        let outdated_since = versions.get(model)?.outdated_since(version)?;
-        Some(now.since(outdated_since))
+        Some(now.since(self.successor(model, version)?.latest()))
     }
 
     /// Logs a request that has begun on a version which may not have served it any more. `events` are the first of
@@ -96,6 +122,7 @@
             "id" => call.head.id.as_deref().unwrap_or_default(),
             "endpoint" => response.record.id.as_str(), "weights" => version,
             "expected" => basis.version, "outdated_ms" => basis.outdated_ms(),
+            "uncertainty_ms" => basis.uncertainty.as_millis() as u64,
             "late_ms" => late.as_millis() as u64,
             "sent_ms" => now.since(response.sent_at).as_millis() as u64,
             "report_age_ms" => self.report_age_ms(response.place.endpoint));
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -25,6 +25,7 @@
 use mastichaven_core::direct::replication::time_before;
 use mastichaven_core::direct::request_limit::LimitStatement;
 use mastichaven_core::direct::request_limit::Schedule;
+use mastichaven_core::direct::versions::Announcement;
 use mastichaven_core::direct::versions::CurrentWeights;
 use mastichaven_core::ids::ServiceName;
 use rand::RngExt;
@@ -317,13 +318,15 @@
         else {
             return;
         };
-        let earliest = time_before(sent, seen_for).unwrap_or_default();
+        let unread =
+            || Announcement::between(time_before(sent, seen_for).unwrap_or_default(), latest);
+        let own = self.new_announcement(now);
+        let announcement =
+            own.map_or_else(unread, |own| Announcement::between(own.earliest(), latest));
         let newest = versions.newest();
-        versions.record_announced_by(announced.version, earliest, latest);
+        versions.record_seen(announced.version, announcement);
         if versions.newest() > newest {
-            slog::info!(self.log, "weights announced"; "model" => announced.model.as_str(),
-                "version" => announced.version, "from" => "agent",
-                "age_ms" => now.since(earliest).as_millis() as u64);
+            self.log_announced(&announced.model, announced.version, Some(announcement), "agent");
         }
     }
 }
--- a/node/src/direct/replication/parent.rs
+++ b/node/src/direct/replication/parent.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
+use mastichaven_core::direct::replication::AnnouncementAge;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::MAX_PARENT_DEPTH;
 use mastichaven_core::direct::replication::Message;
@@ -117,11 +118,10 @@
             .map_err(|_| ReplicationError::TimedOut)??;
         match message {
             Message::Update(update) => {
-                let update = add_transit_time(update, state.now().since(pinged_at));
                 if is_established.get() {
-                    state.apply(update);
+                    state.apply(add_transit_time(update, state.now().since(pinged_at)));
                 } else {
-                    pending.push(update);
+                    pending.push((update, pinged_at));
                 }
             }
             Message::NotAvailable => return Err(ReplicationError::NotAvailable),
@@ -142,7 +142,10 @@
                 *state.successors.borrow_mut() = successors;
                 if !is_established.get() {
                     state.begin_following(parent);
-                    pending.drain(..).for_each(|update| state.apply(update));
+                    for (update, sent_after) in pending.drain(..) {
+                        let transit_time = state.now().since(sent_after);
+                        state.apply(add_transit_time(update, transit_time));
+                    }
                 }
                 state.confirm(pinged_at, &ages);
                 is_established.set(true);
@@ -151,14 +154,15 @@
     }
 }
 
-/// Adds to the age of an update the time that it may have been in transit.
+/// Adds to the greatest age of an update the time that it may have been in transit.
 ///
 /// If a version of weights were dated by the arrival of a delayed update, requests would be sent to
 /// older versions past the bound.
 fn add_transit_time(update: Update, transit_time: Duration) -> Update {
     match update {
         Update::Weights { model, version, age: Some(age) } => {
-            Update::Weights { model, version, age: Some(age + transit_time) }
+            let age = AnnouncementAge { max: age.max + transit_time, ..age };
+            Update::Weights { model, version, age: Some(age) }
         }
         other => other,
     }
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -21,6 +21,7 @@
 use mastichaven_core::direct::retry_after::RefusalCause;
 use mastichaven_core::direct::retry_after::retry_after;
 use mastichaven_core::direct::shares::SharedRetryBudget;
+use mastichaven_core::direct::store_clock::StoreClock;
 use mastichaven_core::direct::versions::CurrentWeights;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::ServiceName;
@@ -49,11 +50,6 @@
 /// an endpoint.
 const LEASE_FRACTION: f64 = 0.88;
 
-/// Fraction of the weights bound after which requests are no longer sent to an older version. The
-/// rest covers time in the endpoint's queue, which is long under overload: a request starts to run
-/// only when it leaves the queue.
-const OLD_WEIGHTS_FRACTION: f64 = 0.82;
-
 /// Maximum number of routes whose longest deadlines are tracked; they take some hundred KB.
 const MAX_TRACKED_ROUTES: usize = 4_096;
 
@@ -127,6 +123,8 @@
     pub is_joining: Cell<bool>,
     /// Kinds of objects whose last read from the store failed.
     pub failing_kinds: RefCell<HashSet<Kind>>,
+    /// Positions of the store in recent reads of this entry.
+    pub store_clock: RefCell<StoreClock>,
     /// Latest known era of the store.
     pub known_era: Rc<KnownEra>,
     /// Minimum latency of the store so far.
@@ -180,6 +178,7 @@
             is_following: Cell::new(false),
             is_joining: Cell::new(true),
             failing_kinds: RefCell::default(),
+            store_clock: RefCell::default(),
             known_era: Rc::default(),
             min_store_latency: Cell::new(INITIAL_STORE_LATENCY),
             detached: Notify::new(),
@@ -243,9 +242,10 @@
 
     /// The oldest version of `model` that may still serve requests.
     pub fn oldest_allowed_version(&self, model: &str, now: Time) -> u64 {
-        let bound = Duration::from_millis(self.cfg.bounds.weights_ms).mul_f64(OLD_WEIGHTS_FRACTION);
         let versions = self.versions.borrow();
-        versions.get(model).map_or(0, |versions| versions.oldest_allowed(bound, now))
+        versions
+            .get(model)
+            .map_or(0, |versions| versions.oldest_allowed(&self.version_limits(), now))
     }
 
     /// Version of the current configuration; `None` before the first one.
--- a/node/src/direct/updates.rs
+++ b/node/src/direct/updates.rs
@@ -8,8 +8,10 @@
 use mastichaven_core::direct::endpoint::EndpointRecord;
 use mastichaven_core::direct::endpoint_table::EndpointTable;
 use mastichaven_core::direct::replication::Ages;
+use mastichaven_core::direct::replication::AnnouncementAge;
 use mastichaven_core::direct::replication::Update;
 use mastichaven_core::direct::replication::time_before;
+use mastichaven_core::direct::versions::Announcement;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::StorePosition;
@@ -38,8 +40,8 @@
             Update::Evacuations { as_of, zones } => self.apply_evacuations(as_of, &zones),
             Update::Weights { model, version, age } => {
                 let now = self.now();
-                let announced_at = age.map(|age| time_before(now, age).unwrap_or_default());
-                self.apply_weights(&model, version, announced_at);
+                let announcement = age.map(|age| age.announcement(now, now));
+                self.apply_weights(&model, version, announcement, now);
             }
         }
     }
@@ -76,11 +78,10 @@
         all.push(Update::Evacuations { as_of: endpoints.evacuated_as_of(), zones });
         all.push(self.endpoint_list(&endpoints, now));
         for (model, versions) in self.versions.borrow().iter() {
-            let ages = versions.ages(now);
-            all.extend(ages.map(|(version, age)| Update::Weights {
+            all.extend(versions.announcements().map(|(version, announcement)| Update::Weights {
                 model: model.clone(),
                 version,
-                age,
+                age: announcement.map(|announcement| AnnouncementAge::new(announcement, now)),
             }));
         }
         all
@@ -241,45 +242,65 @@
         }
     }
 
-    /// Whether all versions of weights have been received before, from the store or a parent.
-    fn has_read_weights(&self) -> bool {
-        self.confirmed_at.borrow().contains_key(&Kind::Weights)
+    /// An announcement that this entry hears of now: the store had not made it at the last confirmed read. `None`
+    /// before the first one.
+    pub(super) fn new_announcement(&self, now: Time) -> Option<Announcement> {
+        let confirmed_at = self.confirmed_at.borrow().get(&Kind::Weights).copied()?;
+        Some(Announcement::between(confirmed_at, now))
     }
 
-    /// `announced_at` is `None` if the time of the announcement is unknown.
-    fn apply_weights(&self, model: &SmolStr, version: u64, announced_at: Option<Time>) {
+    /// `told` is what the sender knows of the announcement; `None` if the time is unknown.
+    fn apply_weights(&self, model: &SmolStr, version: u64, told: Option<Announcement>, now: Time) {
+        // A read of the store confirms what was known before it, so its own changes are dated by the reader.
+        let own = self.new_announcement(now).filter(|_| self.is_following.get());
+        let announcement = match (told, own) {
+            (Some(told), Some(own)) => Some(told.narrowed_by(own)),
+            (told, own) => told.or(own),
+        };
         let mut by_model = self.versions.borrow_mut();
-        let is_new = match (by_model.get_mut(model), announced_at) {
-            (Some(versions), Some(at))
-                if self.is_following.get() && versions.newest() >= version =>
-            {
-                versions.backfill_announced_at(version, at);
-                versions.record_announced_after(version, at);
+        let is_new = match (by_model.get_mut(model), announcement) {
+            (Some(versions), _) if self.is_following.get() && versions.newest() >= version => {
+                if let Some(told) = told {
+                    versions.merge_announcement(version, told);
+                }
                 false
             }
             (Some(versions), _) => {
-                versions.record_announcement(version, announced_at.unwrap_or(self.now()))
+                let announcement = announcement.unwrap_or(Announcement::at(now));
+                versions.record_announcement(version, announcement)
             }
             // No version was announced at the last read of the store, so any older version may
             // serve. A parent that has just started does not have that information.
-            (None, _) if announced_at.is_some() || self.has_read_weights() => {
+            (None, Some(announcement)) => {
                 let mut versions = Versions::new(0);
-                versions.record_announcement(version, announced_at.unwrap_or(self.now()));
+                versions.record_announcement(version, announcement);
                 by_model.insert(model.clone(), versions);
                 true
             }
-            (None, _) => {
+            (None, None) => {
                 by_model.insert(model.clone(), Versions::new(version));
                 true
             }
         };
         drop(by_model);
-        if !is_new {
-            return;
+        if is_new {
+            self.log_announced(model, version, announcement, self.source());
+            self.requests_due.notify_one();
         }
-        let age = announced_at.map_or(-1, |at| self.now().since(at).as_millis() as i64);
-        slog::info!(self.log, "weights announced"; "model" => model.as_str(), "version" => version,
-            "age_ms" => age, "from" => self.source());
-        self.requests_due.notify_one();
+    }
+
+    /// Logs a new version of weights.
+    pub(super) fn log_announced(
+        &self,
+        model: &str,
+        version: u64,
+        announcement: Option<Announcement>,
+        from: &str,
+    ) {
+        let ms = |duration: Duration| i64::try_from(duration.as_millis()).unwrap_or(i64::MAX);
+        let age = announcement.map_or(-1, |announced| ms(self.now().since(announced.latest())));
+        let uncertainty = announcement.map_or(-1, |announced| ms(announced.uncertainty()));
+        slog::info!(self.log, "weights announced"; "model" => model, "version" => version,
+            "age_ms" => age, "uncertainty_ms" => uncertainty, "from" => from);
     }
 }
--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -60,6 +60,15 @@
 /// could not renew its record. Such endpoints are kept for a while, in which a live one returns.
 const OUTAGE_GRACE_PERIOD: Duration = Duration::from_millis(3_000);
 
+/// What is known of a kind of object before an answer is applied.
+#[derive(Clone, Copy, Debug)]
+struct LastRead {
+    /// When all changes up to then were known, from the store or a parent; `None` if nothing has been read yet.
+    confirmed_at: Option<Time>,
+    /// Whether the last read failed.
+    has_failed: bool,
+}
+
 /// Lists and watches one kind of object.
 pub struct StoreWatcher {
     state: Rc<State>,
@@ -118,25 +127,15 @@
 
     /// Applies a list that was requested at `sent_at` and includes all changes up to `as_of`.
     fn apply_list(&mut self, objects: &[Object], as_of: StorePosition, sent_at: Time) {
-        let change_age_bound = self.change_age_bound(sent_at);
+        let last_read = self.last_read();
         let before = self.state.config_version();
         self.record_success(sent_at);
-        self.apply_objects(objects, as_of, change_age_bound);
+        self.apply_objects(objects, as_of, last_read);
+        self.state.store_clock.borrow_mut().record_read(as_of, sent_at);
         self.state.record_endpoints_freshness();
         self.is_behind &= self.state.config_version() != before;
     }
 
-    /// Maximum age of changes that a list shows for the first time; `None` for the first list since
-    /// the start.
-    ///
-    /// A version counts from its announcement. If a version that a later list shows counted as old,
-    /// older versions would be excluded at once, and after each store outage callers would be
-    /// refused for lack of weights. The time of an outage itself does not count.
-    fn change_age_bound(&self, sent_at: Time) -> Option<Duration> {
-        let last_confirmed = self.state.confirmed_at.borrow().get(&self.kind).copied()?;
-        Some(if self.is_failing() { Duration::ZERO } else { sent_at.since(last_confirmed) })
-    }
-
     /// Watches changes after `revision` until a list is needed.
     ///
     /// A watch returns each version of the configuration since its revision. After an outage, or
@@ -162,6 +161,7 @@
                     is_probe = false;
                     revision = revision.max(response.revision);
                     let count = response.changes.len();
+                    let last_read = self.last_read();
                     self.record_success(sent_at);
                     watch_timeout = self.max_watch_timeout();
                     if count > 0 {
@@ -172,7 +172,10 @@
                         self.confirm_unchanged(sent_at, timeout);
                         self.record_store_latency(sent_at + timeout);
                     }
-                    self.apply_changes(response.changes, revision);
+                    self.apply_changes(response.changes, revision, last_read);
+                    let read_at = if count > 0 { sent_at } else { sent_at + timeout };
+                    let read_at = read_at.min(self.state.now());
+                    self.state.store_clock.borrow_mut().record_read(response.revision, read_at);
                     if count > 1 && self.kind == Kind::Config {
                         self.is_behind = true;
                         return;
@@ -208,6 +211,11 @@
         }
     }
 
+    fn last_read(&self) -> LastRead {
+        let confirmed_at = self.state.confirmed_at.borrow().get(&self.kind).copied();
+        LastRead { confirmed_at, has_failed: self.is_failing() }
+    }
+
     /// Whether the last read of this kind failed.
     fn is_failing(&self) -> bool {
         self.state.failing_kinds.borrow().contains(&self.kind)
--- a/node/src/direct/watch/apply.rs
+++ b/node/src/direct/watch/apply.rs
@@ -7,7 +7,9 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::Catalog;
 use mastichaven_core::direct::endpoint::EndpointRecord;
+use mastichaven_core::direct::replication::AnnouncementAge;
 use mastichaven_core::direct::replication::Update;
+use mastichaven_core::direct::versions::Announcement;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::StorePosition;
 use mastichaven_core::ids::ZoneName;
@@ -21,6 +23,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::LastRead;
 use super::StoreWatcher;
 
 /// Time for which a possibly lapsed endpoint is kept. It is less than the removal bound, within
@@ -28,13 +31,12 @@
 const LAPSED_ENDPOINT_TTL: Duration = Duration::from_millis(1_500);
 
 impl StoreWatcher {
-    /// Applies a list that includes all changes up to `as_of`. `change_age_bound` is the maximum
-    /// age of changes that it shows for the first time; `None` if unknown.
+    /// Applies a list that includes all changes up to `as_of`. `last_read` is what was known before.
     pub(super) fn apply_objects(
         &mut self,
         objects: &[Object],
         as_of: StorePosition,
-        change_age_bound: Option<Duration>,
+        last_read: LastRead,
     ) {
         match self.kind {
             Kind::Config => objects.iter().for_each(|object| {
@@ -45,25 +47,30 @@
                 self.evacuated = objects.iter().map(|object| object.name.clone()).collect();
                 self.apply_evacuations(as_of);
             }
-            Kind::Weights => objects
-                .iter()
-                .for_each(|object| self.apply_weights_object(object, change_age_bound)),
+            Kind::Weights => {
+                objects.iter().for_each(|object| self.apply_weights_object(object, last_read))
+            }
         }
         slog::info!(self.state.log, "listed"; "kind" => self.kind.as_str(),
             "objects" => objects.len());
     }
 
-    /// Applies the changes up to `as_of`.
-    pub(super) fn apply_changes(&mut self, changes: Vec<Change>, as_of: StorePosition) {
+    /// Applies the changes up to `as_of`. `last_read` is what was known before.
+    pub(super) fn apply_changes(
+        &mut self,
+        changes: Vec<Change>,
+        as_of: StorePosition,
+        last_read: LastRead,
+    ) {
         let has_changes = !changes.is_empty();
-        self.apply_each(changes, as_of);
+        self.apply_each(changes, as_of, last_read);
         if has_changes && self.kind == Kind::Endpoints {
             self.state.apply(Update::EndpointsProgress(as_of));
         }
         self.state.record_endpoints_freshness();
     }
 
-    fn apply_each(&mut self, changes: Vec<Change>, as_of: StorePosition) {
+    fn apply_each(&mut self, changes: Vec<Change>, as_of: StorePosition, last_read: LastRead) {
         let now = self.state.now();
         if self.kind == Kind::Config {
             return self.apply_newest_config(changes);
@@ -84,7 +91,7 @@
                     self.apply_evacuations(as_of);
                 }
                 (Kind::Weights, Change::Put(object)) => {
-                    self.apply_weights_object(&object, Some(Duration::ZERO))
+                    self.apply_weights_object(&object, last_read)
                 }
                 (Kind::Weights, Change::Deleted(_)) | (Kind::Config, _) => {}
             }
@@ -192,13 +199,31 @@
         self.state.apply(Update::Evacuations { as_of, zones });
     }
 
-    /// `age` is the time since the announcement of the version; `None` if unknown.
-    fn apply_weights_object(&mut self, object: &Object, age: Option<Duration>) {
+    fn apply_weights_object(&mut self, object: &Object, last_read: LastRead) {
         let Some(newest) = weights::parse_newest_version(object) else {
             slog::warn!(self.state.log, "cannot parse weights version"; "name" => object.name.as_str());
             return;
         };
         let weights::NewestVersion { model, version } = newest;
+        let now = self.state.now();
+        let announcement = self.announcement_of(object, last_read, now);
+        let age = announcement.map(|announcement| AnnouncementAge::new(announcement, now));
         self.state.apply(Update::Weights { model, version, age });
     }
+
+    /// When the store made the last change of `object`, a new version of weights that this entry reads now; `None` if no
+    /// earlier read shows the store without it.
+    ///
+    /// The time of an outage does not count. Otherwise, all older versions would have expired after it, and callers
+    /// would be refused for lack of weights.
+    fn announcement_of(
+        &self,
+        object: &Object,
+        last_read: LastRead,
+        now: Time,
+    ) -> Option<Announcement> {
+        let before = self.state.store_clock.borrow().before(object.revision);
+        let earliest = before.max(last_read.confirmed_at)?;
+        Some(Announcement::between(if last_read.has_failed { now } else { earliest }, now))
+    }
 }
--- a/node/tests/direct/updates.rs
+++ b/node/tests/direct/updates.rs
@@ -191,8 +191,8 @@
     };
     let address = SocketAddr::from(([127, 0, 0, 1], 9));
     state.apply_report(&msg, address, Time::from_millis(10_000));
-    let announced_at = state.versions.borrow()["m"].announced_at(2);
-    assert_eq!(announced_at, Some(Time::from_millis(8_400)));
+    let announcement = state.versions.borrow()["m"].announcement(2).expect("a date");
+    assert_eq!(announcement.earliest(), Time::from_millis(8_400));
 }
 
 // A parent that started during a store outage cannot date a version. Its followers exclude the
@@ -200,6 +200,7 @@
 #[test]
 fn apply_dates_version_without_age_after_earlier_read() {
     let state = state();
+    state.is_following.set(true);
     let earlier_read = Ages { weights: Some(Duration::ZERO), ..Ages::default() };
     state.confirm(state.now(), &earlier_read);
     state.apply(Update::Weights { model: "m".into(), version: 3, age: None });
