--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -231,6 +231,11 @@
         entry
     }
 
+    /// Starts an entry with the given seeds without waiting until it is ready.
+    pub fn spawn_entry_with_seeds(&self, name: &str, seeds: &[&Entry]) -> Entry {
+        self.spawn_entry_with(name, self.store.address(), seeds)
+    }
+
     fn spawn_entry_with(&self, name: &str, store: SocketAddr, seeds: &[&Entry]) -> Entry {
         let ip = allocate_ip();
         let at = |port| SocketAddr::new(ip.parse().expect("an IP"), port);
--- a/node/tests/direct/version_history.rs
+++ b/node/tests/direct/version_history.rs
@@ -26,6 +26,28 @@
         self.announced.last().map(|(_, at)| at.elapsed()).unwrap_or_default()
     }
 
+    fn expires_at(&self, version: u64, bound: Duration) -> Option<Instant> {
+        let newer = self.announced.iter().filter(|(newer, _)| *newer > version);
+        newer.map(|(_, at)| *at + bound).min()
+    }
+
+    /// The least time from the deadline that `endpoints` were told for a request until the bound of the weights on
+    /// which it began. What it falls short of the margin in that deadline is the time from the entry's decision until
+    /// the endpoint read the request. `None` if no newer weights were announced; zero if a deadline came after its bound.
+    pub fn least_margin<'a>(
+        &self,
+        bound: Duration,
+        endpoints: impl IntoIterator<Item = &'a FakeEndpoint>,
+    ) -> Option<Duration> {
+        let runs = endpoints.into_iter().flat_map(FakeEndpoint::runs);
+        let margins = runs.filter_map(|run| {
+            let expired_at = self.expires_at(run.begun?.version?, bound)?;
+            let told = Duration::from_millis(run.deadline_ms?);
+            Some(expired_at.saturating_duration_since(run.arrived_at + told))
+        });
+        margins.min()
+    }
+
     /// The requests that began at `endpoints` on older weights, later than `bound` after a newer version had been
     /// acknowledged, each with how late it was.
     pub fn late_begins<'a>(
@@ -37,8 +59,7 @@
         let late = runs.filter_map(|run| {
             let begin = run.begun?;
             let version = begin.version?;
-            let newer = self.announced.iter().filter(|(newer, _)| *newer > version);
-            let expired_at = newer.map(|(_, at)| *at + bound).min()?;
+            let expired_at = self.expires_at(version, bound)?;
             let late = begin.at.checked_duration_since(expired_at)?;
             Some((run.id, late))
         });
