Limits on older weights leave time for the delays of the entry's own tasks

Cause: the time that an endpoint is told counts from the arrival of the request there, but is computed before the entry's connection task sends it. A delay in between moves the endpoint's end of the work later by as much.

Change: each entry measures every 50 ms how late its timer runs.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -14,7 +14,7 @@
 //!
 //! [`freshness`] decides whether replicated state is recent enough to act on. [`replication`]
 //! defines the updates that entries exchange, and [`subscribers`] tracks the entries that contact
-//! an agent. [`versions`] tracks which weights may answer, by announcements that [`store_clock`] dates, [`caches`] which entries serve chunks of
+//! an agent. [`versions`] tracks which weights may answer, by announcements that [`store_clock`] dates and with a margin for [`loop_lag`], [`caches`] which entries serve chunks of
 //! them, [`rollout`] when an endpoint loads a new version, and [`load_orders`] whether the weights
 //! that it has loaded are verified.
 
@@ -28,6 +28,7 @@
 pub mod lateness;
 pub mod leaving;
 pub mod load_orders;
+pub mod loop_lag;
 pub mod notices;
 pub mod replication;
 pub mod request_limit;
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -7,6 +7,7 @@
 mod freshness;
 mod lateness;
 mod load_orders;
+mod loop_lag;
 mod notices;
 mod replication;
 mod request_limit;
--- a/node/src/direct/begin_limits.rs
+++ b/node/src/direct/begin_limits.rs
@@ -20,7 +20,8 @@
 const OLD_WEIGHTS_FRACTION: f64 = 0.82;
 
 /// Time before the bound on older weights at which requests must have begun on them. Endpoints count the time that
-/// they are given from the arrival of the request, so this covers its way there.
+/// they are given from the arrival of the request, so this covers its way there. The delay of the entry's own tasks is
+/// added to it.
 const BEGIN_MARGIN: Duration = Duration::from_millis(250);
 
 /// Minimum time in which a request that is sent to an older version must begin. With less, it would mostly use up an
@@ -80,7 +81,7 @@
         let bound = Duration::from_millis(self.cfg.bounds.weights_ms);
         VersionLimits {
             send_for: bound.mul_f64(OLD_WEIGHTS_FRACTION),
-            begin_within: bound.saturating_sub(BEGIN_MARGIN),
+            begin_within: bound.saturating_sub(BEGIN_MARGIN + self.loop_lag.borrow().max()),
             min_begin_time: MIN_BEGIN_TIME,
         }
     }
--- a/node/src/direct/entry.rs
+++ b/node/src/direct/entry.rs
@@ -65,6 +65,9 @@
 /// Interval at which expired idle connections to endpoints are closed.
 const POOL_SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Interval between measurements of the delay of tasks.
+const LOOP_LAG_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Result of running an entry.
 pub type Result<T> = io::Result<T>;
 
@@ -122,6 +125,7 @@
     spawn_local(replication::follow(state.clone()));
     spawn_local(load_reports::run(state.clone(), reports_socket));
     spawn_local(sweep_pool(state.clone()));
+    spawn_local(measure_loop_lag(state.clone()));
     spawn_local(serve_status(state.clone(), ready_listener));
     spawn_local(serve_status(state.clone(), metrics_listener));
     let callers = Rc::new(ConnectionCount::default());
@@ -154,6 +158,14 @@
     Ok(())
 }
 
+async fn measure_loop_lag(state: Rc<State>) {
+    loop {
+        let due = state.now() + LOOP_LAG_INTERVAL;
+        sleep(LOOP_LAG_INTERVAL).await;
+        state.loop_lag.borrow_mut().record(due, state.now());
+    }
+}
+
 async fn sweep_pool(state: Rc<State>) {
     loop {
         sleep(POOL_SWEEP_INTERVAL).await;
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -15,6 +15,7 @@
 use mastichaven_core::direct::endpoint_table::EndpointTable;
 use mastichaven_core::direct::freshness::Freshness;
 use mastichaven_core::direct::lateness::LongestDeadline;
+use mastichaven_core::direct::loop_lag::LoopLag;
 use mastichaven_core::direct::notices::NoticeQueue;
 use mastichaven_core::direct::replication::AgeLimits;
 use mastichaven_core::direct::replication::Nomination;
@@ -123,6 +124,8 @@
     pub is_joining: Cell<bool>,
     /// Kinds of objects whose last read from the store failed.
     pub failing_kinds: RefCell<HashSet<Kind>>,
+    /// How late tasks of this entry run.
+    pub loop_lag: RefCell<LoopLag>,
     /// Positions of the store in recent reads of this entry.
     pub store_clock: RefCell<StoreClock>,
     /// Latest known era of the store.
@@ -178,6 +181,7 @@
             is_following: Cell::new(false),
             is_joining: Cell::new(true),
             failing_kinds: RefCell::default(),
+            loop_lag: RefCell::default(),
             store_clock: RefCell::default(),
             known_era: Rc::default(),
             min_store_latency: Cell::new(INITIAL_STORE_LATENCY),
@@ -285,6 +289,7 @@
             "depth": self.depth(),
             "followers": self.publisher.len(),
             "chunks": self.chunks.len(),
+            "loop_lag_ms": self.loop_lag.borrow().max().as_millis() as u64,
             "weights": weights,
             "suspects": self.quarantine.borrow().len(),
             "endpoints": self.endpoints.borrow().dump(now),
--- a/node/tests/direct/version_history.rs
+++ b/node/tests/direct/version_history.rs
@@ -8,6 +8,9 @@
 
 use super::fixture::Site;
 
+/// Deadlines as long as this are the caller's own, and not those of weights.
+const UNLIMITED: Duration = Duration::from_millis(2_900);
+
 /// The versions of a model that operators have announced, each with the time of the store's acknowledgement.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
@@ -33,7 +36,8 @@
 
     /// The least time from the deadline that `endpoints` were told for a request until the bound of the weights on
     /// which it began. What it falls short of the margin in that deadline is the time from the entry's decision until
-    /// the endpoint read the request. `None` if no newer weights were announced; zero if a deadline came after its bound.
+    /// the endpoint read the request. `None` if no deadline was shorter than the caller's; zero if one came after its
+    /// bound.
     pub fn least_margin<'a>(
         &self,
         bound: Duration,
@@ -43,6 +47,9 @@
         let margins = runs.filter_map(|run| {
             let expired_at = self.expires_at(run.begun?.version?, bound)?;
             let told = Duration::from_millis(run.deadline_ms?);
+            if told >= UNLIMITED {
+                return None;
+            }
             Some(expired_at.saturating_duration_since(run.arrived_at + told))
         });
         margins.min()
--- a/node/tests/direct/versions.rs
+++ b/node/tests/direct/versions.rs
@@ -52,6 +52,12 @@
 const LAST_REQUESTS: Duration = Duration::from_millis(1_100);
 const QUEUE_WAIT: Duration = Duration::from_millis(1_300);
 
+/// Time for which an entry is stopped now and then, as when it gets no processor time.
+const ENTRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Time from the end of a limit to the bound, less the way of the request to the endpoint.
+const MARGIN: Duration = Duration::from_millis(200);
+
 /// Time after the first request at which its entry is stopped.
 const STOP_DELAY: Duration = Duration::from_millis(600);
 
@@ -138,6 +144,20 @@
     site.check_begins(|| {});
 }
 
+// Guards against a limit that ends at the endpoint after the bound, as its entry had no processor time between the
+// decision and the sending.
+#[test]
+fn limit_at_older_version_covers_delays_of_entry() {
+    let site = OutdatedSite::start("delayed", Site::start());
+    site.entry.program.signal("STOP");
+    thread::sleep(ENTRY_DELAY);
+    site.entry.program.signal("CONT");
+    let response = site.entry.send_request("/stream/a", "b", "key-1").expect("a response");
+    assert_eq!(response.status, 200, "{response:?}");
+    let margin = site.history.least_margin(WEIGHTS_BOUND, [&site.endpoint]).expect("a margin");
+    assert!(margin >= ENTRY_DELAY + MARGIN, "{margin:?}");
+}
+
 // Guards against half an answer that looks whole: the endpoint stops at the version's bound, and nothing but the end of
 // its connection marks the end of the answer.
 #[test]
