A version that cannot be dated makes older ones expire also beside known versions

Cause: an entry that knew one version of a model and could not date the next one dated it by its arrival. Change: it has no date, as when it is the first one known; older versions have expired. Evidence: oldest_allowed_treats_undated_version_as_old; read from the code, not seen in a run.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -14,9 +14,10 @@
 //!
 //! [`freshness`] decides whether replicated state is recent enough to act on. [`replication`]
 //! defines the updates that entries exchange, and [`subscribers`] tracks the entries that contact
-//! an agent. [`versions`] tracks which weights may answer, by announcements that [`store_clock`] dates and with a margin for [`loop_lag`], [`caches`] which entries serve chunks of
-//! them, [`rollout`] when an endpoint loads a new version, and [`load_orders`] whether the weights
-//! that it has loaded are verified.
+//! an agent. [`versions`] tracks which weights may answer: [`store_clock`] bounds the time of their
+//! announcements, and [`loop_lag`] what is left of their limits when requests are sent. [`caches`]
+//! tracks which entries serve chunks of them, [`rollout`] decides when an endpoint loads a new
+//! version, and [`load_orders`] whether the weights that it has loaded are verified.
 
 pub mod caches;
 pub mod catalog;
--- a/core/src/direct/versions.rs
+++ b/core/src/direct/versions.rs
@@ -102,15 +102,20 @@
         Versions { announced: vec![(version, None)] }
     }
 
-    /// Records the announcement of `version`. Returns false if it is not newer than the newest.
-    pub fn record_announcement(&mut self, version: u64, announcement: Announcement) -> bool {
+    /// Records the announcement of `version`; `None` if its time is unknown. Returns false if it is not newer than the
+    /// newest.
+    pub fn record_announcement(
+        &mut self,
+        version: u64,
+        announcement: impl Into<Option<Announcement>>,
+    ) -> bool {
         if version <= self.newest() {
             return false;
         }
         if self.announced.len() >= MAX_KEPT_VERSIONS {
             self.announced.remove(0);
         }
-        self.announced.push((version, Some(announcement)));
+        self.announced.push((version, announcement.into()));
         true
     }
 
--- a/core/tests/direct/versions.rs
+++ b/core/tests/direct/versions.rs
@@ -159,3 +159,13 @@
     versions.record_announcement(3, between(20, 24));
     assert_eq!([26, 27].map(|s| oldest(&versions, s)), [2, 3]);
 }
+
+// An entry that knows a version only from an agent reads a newer one whose announcement it cannot date either.
+#[test]
+fn oldest_allowed_treats_undated_version_as_old() {
+    let mut versions = Versions::new(1);
+    versions.record_announcement(2, announced(5));
+    versions.record_announcement(3, None);
+    assert_eq!(versions.oldest_allowed(&LIMITS, at(6)), 3);
+    assert_eq!(versions.begin_by(2, &LIMITS), Some(Time::ZERO));
+}
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -87,6 +87,7 @@
     /// When the request was sent.
     pub(super) sent_at: Time,
     pub(super) response: Response<Incoming>,
+    /// When the endpoint stops, if that is before the caller's deadline.
     pub(super) stop: EarlyStop,
     /// When the first event must have arrived, as the endpoint's weights may not serve any more from then on; `None`
     /// if they are the newest, or once the first event is awaited.
@@ -161,7 +162,7 @@
     let now = state.now();
     let remaining = call.deadline.since(now);
     let basis = state.weights_basis(call, &record, now);
-    // Endpoints need not obey a cancellation, but stop at the deadline that they are told.
+    // Endpoints need not obey a cancellation, but they stop at the deadline that they are told.
     let time_limit = basis.begin_by.map_or(remaining, |by| by.since(now).min(remaining));
     if time_limit.is_zero() {
         return AttemptOutcome::NotRun;
--- a/node/src/direct/updates.rs
+++ b/node/src/direct/updates.rs
@@ -265,10 +265,7 @@
                 }
                 false
             }
-            (Some(versions), _) => {
-                let announcement = announcement.unwrap_or(Announcement::at(now));
-                versions.record_announcement(version, announcement)
-            }
+            (Some(versions), _) => versions.record_announcement(version, announcement),
             // No version was announced at the last read of the store, so any older version may
             // serve. A parent that has just started does not have that information.
             (None, Some(announcement)) => {
