Date versions also by reads of other kinds that show that they had been announced

What callers saw: answers from weights that may not answer any more, of all entries, after one watch had been lost.

Cause: after a failed read a version counted as announced at the next read, as the time of an outage does not count.

Change: a version was announced before the first answer of any kind that includes its position.

Evidence: lost_watch_does_not_make_version_look_younger fails with the rule of before (a request begins 0.2 s after the bound of 8 s) and passes.

--- a/node/src/direct/watch.rs
+++ b/node/src/direct/watch.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
+use mastichaven_core::direct::store_clock::LastRead;
 use mastichaven_core::ids::StorePosition;
 use mastichaven_platform::objects::Kind;
 use mastichaven_platform::objects::Object;
@@ -60,15 +61,6 @@
 /// could not renew its record. Such endpoints are kept for a while, in which a live one returns.
 const OUTAGE_GRACE_PERIOD: Duration = Duration::from_millis(3_000);
 
-/// What is known of a kind of object before an answer is applied.
-#[derive(Clone, Copy, Debug)]
-struct LastRead {
-    /// When all changes up to then were known, from the store or a parent; `None` if nothing has been read yet.
-    confirmed_at: Option<Time>,
-    /// Whether the last read failed.
-    has_failed: bool,
-}
-
 /// Lists and watches one kind of object.
 pub struct StoreWatcher {
     state: Rc<State>,
@@ -127,11 +119,12 @@
 
     /// Applies a list that was requested at `sent_at` and includes all changes up to `as_of`.
     fn apply_list(&mut self, objects: &[Object], as_of: StorePosition, sent_at: Time) {
+        let now = self.state.now();
+        self.record_read(as_of, sent_at, now);
         let last_read = self.last_read();
         let before = self.state.config_version();
         self.record_success(sent_at);
         self.apply_objects(objects, as_of, last_read);
-        self.state.store_clock.borrow_mut().record_read(as_of, sent_at);
         self.state.record_endpoints_freshness();
         self.is_behind &= self.state.config_version() != before;
     }
@@ -172,10 +165,10 @@
                         self.confirm_unchanged(sent_at, timeout);
                         self.record_store_latency(sent_at + timeout);
                     }
+                    let now = self.state.now();
+                    let earliest = if count > 0 { sent_at } else { (sent_at + timeout).min(now) };
+                    self.record_read(response.revision, earliest, now);
                     self.apply_changes(response.changes, revision, last_read);
-                    let read_at = if count > 0 { sent_at } else { sent_at + timeout };
-                    let read_at = read_at.min(self.state.now());
-                    self.state.store_clock.borrow_mut().record_read(response.revision, read_at);
                     if count > 1 && self.kind == Kind::Config {
                         self.is_behind = true;
                         return;
@@ -211,14 +204,16 @@
         }
     }
 
-    fn last_read(&self) -> LastRead {
-        let confirmed_at = self.state.confirmed_at.borrow().get(&self.kind).copied();
-        LastRead { confirmed_at, has_failed: self.is_failing() }
+    /// Records that the store was at `as_of` at some moment from `earliest` to `answered_at`.
+    fn record_read(&self, as_of: StorePosition, earliest: Time, answered_at: Time) {
+        self.state.store_clock.borrow_mut().record_read(as_of, earliest, answered_at);
     }
 
-    /// Whether the last read of this kind failed.
-    fn is_failing(&self) -> bool {
-        self.state.failing_kinds.borrow().contains(&self.kind)
+    fn last_read(&self) -> LastRead {
+        LastRead {
+            confirmed_at: self.state.confirmed_at.borrow().get(&self.kind).copied(),
+            has_failed: self.state.failing_kinds.borrow().contains(&self.kind),
+        }
     }
 
     fn record_success(&mut self, sent_at: Time) {
--- a/node/src/direct/watch/apply.rs
+++ b/node/src/direct/watch/apply.rs
@@ -9,7 +9,7 @@
 use mastichaven_core::direct::endpoint::EndpointRecord;
 use mastichaven_core::direct::replication::AnnouncementAge;
 use mastichaven_core::direct::replication::Update;
-use mastichaven_core::direct::versions::Announcement;
+use mastichaven_core::direct::store_clock::LastRead;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::ids::StorePosition;
 use mastichaven_core::ids::ZoneName;
@@ -23,7 +23,6 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::LastRead;
 use super::StoreWatcher;
 
 /// Time for which a possibly lapsed endpoint is kept. It is less than the removal bound, within
@@ -31,7 +30,8 @@
 const LAPSED_ENDPOINT_TTL: Duration = Duration::from_millis(1_500);
 
 impl StoreWatcher {
-    /// Applies a list that includes all changes up to `as_of`. `last_read` is what was known before.
+    /// Applies a list that includes all changes up to `as_of`. `last_read` is
+    /// what was known before.
     pub(super) fn apply_objects(
         &mut self,
         objects: &[Object],
@@ -55,7 +55,8 @@
             "objects" => objects.len());
     }
 
-    /// Applies the changes up to `as_of`. `last_read` is what was known before.
+    /// Applies the changes up to `as_of`. `last_read` is
+    /// what was known before.
     pub(super) fn apply_changes(
         &mut self,
         changes: Vec<Change>,
@@ -206,24 +207,10 @@
         };
         let weights::NewestVersion { model, version } = newest;
         let now = self.state.now();
-        let announcement = self.announcement_of(object, last_read, now);
+        let store_clock = self.state.store_clock.borrow();
+        let announcement = store_clock.date(object.revision, last_read, now);
+        drop(store_clock);
         let age = announcement.map(|announcement| AnnouncementAge::new(announcement, now));
         self.state.apply(Update::Weights { model, version, age });
     }
-
-    /// When the store made the last change of `object`, a new version of weights that this entry reads now; `None` if no
-    /// earlier read shows the store without it.
-    ///
-    /// The time of an outage does not count. Otherwise, all older versions would have expired after it, and callers
-    /// would be refused for lack of weights.
-    fn announcement_of(
-        &self,
-        object: &Object,
-        last_read: LastRead,
-        now: Time,
-    ) -> Option<Announcement> {
-        let before = self.state.store_clock.borrow().before(object.revision);
-        let earliest = before.max(last_read.confirmed_at)?;
-        Some(Announcement::between(if last_read.has_failed { now } else { earliest }, now))
-    }
 }
--- a/node/tests/direct/versions.rs
+++ b/node/tests/direct/versions.rs
@@ -5,6 +5,7 @@
 use mastichaven_standins::direct::endpoint::EndpointFault;
 use mastichaven_standins::direct::endpoint::FakeEndpoint;
 use mastichaven_standins::direct::endpoint::Queue;
+use mastichaven_standins::direct::store::StoreFault;
 use serde_json::json;
 
 use super::fixture::Entry;
@@ -15,6 +16,9 @@
 /// Time after the announcement of a version within which requests may begin on an older one.
 const WEIGHTS_BOUND: Duration = Duration::from_secs(3);
 
+/// A bound that is longer than the longest watch of the store.
+const LONG_WEIGHTS_BOUND: Duration = Duration::from_secs(8);
+
 /// Time after the announcement at which entries still send requests to the older version.
 const SEND_DELAY: Duration = Duration::from_millis(1_600);
 
@@ -72,11 +76,17 @@
 impl OutdatedSite {
     /// Waits until the entry serves, and announces version 2.
     fn start(name: &str, site: Site) -> OutdatedSite {
+        OutdatedSite::start_with(name, site, |_| {})
+    }
+
+    /// Calls `f` between.
+    fn start_with(name: &str, site: Site, f: impl FnOnce(&Site)) -> OutdatedSite {
         let endpoint = site.start_endpoint("i-1", "writer", Some(1));
         let entry = site.start_entry(name);
         until("served", || {
             entry.send_request("/stream/a", "a", "key-1").is_ok_and(|a| a.status == 200)
         });
+        f(&site);
         let mut history = VersionHistory::default();
         history.announce(&site, 2);
         OutdatedSite { site, endpoint, entry, history }
@@ -210,3 +220,25 @@
     let late = history.late_begins(WEIGHTS_BOUND, [&endpoint]);
     assert!(late.is_empty(), "{late:?}");
 }
+
+// Guards against a version that is dated by the end of a watch that was lost, though other reads of the store show that
+// it was announced long before.
+#[test]
+fn lost_watch_does_not_make_version_look_younger() {
+    let mut site = Site::start();
+    site.weights_bound = LONG_WEIGHTS_BOUND;
+    let site = OutdatedSite::start_with("lost-watch", site, |site| {
+        site.store.set_fault(StoreFault::SilentOnVersions);
+    });
+    until("the watch is given up", || site.entry.program.log().contains("store lost"));
+    site.site.store.set_fault(StoreFault::None);
+    until("it is known", || site.entry.dump()["weights"]["m"] == 2);
+    let left = LONG_WEIGHTS_BOUND.saturating_sub(site.history.age());
+    assert!(left > QUEUE_WAIT, "known after {:?}", site.history.age());
+    thread::sleep(left - LAST_REQUESTS);
+    site.endpoint.set_queue(Queue { wait: QUEUE_WAIT, keeps_abandoned: true, ..Queue::default() });
+    let _ = site.entry.send_request("/stream/a", "b", "key-1");
+    thread::sleep(QUEUE_WAIT);
+    let late = site.history.late_begins(LONG_WEIGHTS_BOUND, [&site.endpoint]);
+    assert!(late.is_empty(), "{late:?}");
+}
--- a/standins/src/direct/store.rs
+++ b/standins/src/direct/store.rs
@@ -25,6 +25,9 @@
 /// Bytes of an answer sent over a limited link at once; concurrent answers take turns.
 const LINK_FRAGMENT_LEN: usize = 16 << 10;
 
+/// Kind of the records of versions of weights.
+const VERSIONS: &str = "versions";
+
 /// Header by which all answers tell the era.
 const ERA_HEADER: &str = "store-era";
 
@@ -38,6 +41,8 @@
     Busy,
     /// Requests, waiting watches included, get no answer.
     Silent,
+    /// Those for versions of weights get no answer.
+    SilentOnVersions,
 }
 
 /// What is lost and found again when the store comes back from a copy.
@@ -237,7 +242,8 @@
     match fault {
         StoreFault::None => {}
         StoreFault::Busy => return respond(shared, req, 503),
-        StoreFault::Silent => return hold_unanswered(shared, &req),
+        StoreFault::SilentOnVersions if kind != VERSIONS => {}
+        StoreFault::Silent | StoreFault::SilentOnVersions => return hold_unanswered(shared, &req),
     }
     let number = |name| req.query(name).and_then(|text| text.parse::<u64>().ok());
     match number("watch") {
@@ -256,7 +262,7 @@
 
 fn hold_unanswered(shared: &Shared, req: &Req) {
     let mut state = shared.lock();
-    while state.fault == StoreFault::Silent && !req.is_disconnected() {
+    while state.fault != StoreFault::None && !req.is_disconnected() {
         let waited = shared.changed.wait_timeout(state, Duration::from_millis(50));
         state = waited.expect("no holder of this lock panics").0;
     }
@@ -325,7 +331,9 @@
         }
         let wait = left.min(Duration::from_millis(50));
         state = shared.changed.wait_timeout(state, wait).expect("no holder panics").0;
-        if state.fault == StoreFault::Silent {
+        let is_silent = state.fault == StoreFault::Silent
+            || state.fault == StoreFault::SilentOnVersions && kind == VERSIONS;
+        if is_silent {
             drop(state);
             return hold_unanswered(shared, &req);
         }
