--- a/node/tests/direct/version_history.rs
+++ b/node/tests/direct/version_history.rs
@@ -34,23 +34,22 @@
         newer.map(|(_, at)| *at + bound).min()
     }
 
-    /// The least time from the deadline that `endpoints` were told for a request until the bound of the weights on
-    /// which it began. What it falls short of the margin in that deadline is the time from the entry's decision until
-    /// the endpoint read the request. `None` if no deadline was shorter than the caller's; zero if one came after its
-    /// bound.
+    /// The least time, in milliseconds, from a deadline that one of `endpoints` was told until the bound of the weights
+    /// on which the request began, and that request. What it falls short of the margin in that deadline is the time from
+    /// the entry's decision until the endpoint read the request. `None` if no deadline was shorter than the caller's.
     pub fn least_margin<'a>(
         &self,
         bound: Duration,
         endpoints: impl IntoIterator<Item = &'a FakeEndpoint>,
-    ) -> Option<Duration> {
+    ) -> Option<(i64, String)> {
         let runs = endpoints.into_iter().flat_map(FakeEndpoint::runs);
         let margins = runs.filter_map(|run| {
-            let expired_at = self.expires_at(run.begun?.version?, bound)?;
+            let expires_at = self.expires_at(run.begun?.version?, bound)?;
             let told = Duration::from_millis(run.deadline_ms?);
-            if told >= UNLIMITED {
-                return None;
-            }
-            Some(expired_at.saturating_duration_since(run.arrived_at + told))
+            let margin_ms = signed_ms(run.arrived_at + told, expires_at);
+            let arrived_ms = signed_ms(run.arrived_at, expires_at);
+            let request = format!("{} arrived {arrived_ms} ms before, told {told:?}", run.id);
+            (told < UNLIMITED).then_some((margin_ms, request))
         });
         margins.min()
     }
@@ -73,3 +72,9 @@
         late.collect()
     }
 }
+
+/// Milliseconds from `start` to `end`; negative if `end` is earlier.
+fn signed_ms(start: Instant, end: Instant) -> i64 {
+    let ms = |from: Instant, to: Instant| to.saturating_duration_since(from).as_millis() as i64;
+    ms(start, end) - ms(end, start)
+}
--- a/node/tests/direct/versions.rs
+++ b/node/tests/direct/versions.rs
@@ -164,8 +164,9 @@
     site.entry.program.signal("CONT");
     let response = site.entry.send_request("/stream/a", "b", "key-1").expect("a response");
     assert_eq!(response.status, 200, "{response:?}");
-    let margin = site.history.least_margin(WEIGHTS_BOUND, [&site.endpoint]).expect("a margin");
-    assert!(margin >= ENTRY_DELAY + MARGIN, "{margin:?}");
+    let (margin_ms, request) =
+        site.history.least_margin(WEIGHTS_BOUND, [&site.endpoint]).expect("a margin");
+    assert!(margin_ms >= (ENTRY_DELAY + MARGIN).as_millis() as i64, "{margin_ms} ms: {request}");
 }
 
 // Guards against half an answer that looks whole: the endpoint stops at the version's bound, and nothing but the end of
