Report the pace of engines to entries and avoid slow engines

Cause: an engine that runs 2.5 times slower for half a second is chosen as often as others, and streams that begin there send their first event late.

Change: agents read `pace` of the engine's report and send it as Notice::Pace, last in the datagram, at once and to all regions if it has changed by over a quarter. Selection multiplies the load by it. Slow engines are sampled apart and chosen only if their score is below that of all others. A pace holds for 0.5 s and counts as 1 from then on; a pace of 1 changes no score.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -31,6 +31,7 @@
 pub mod load_orders;
 pub mod loop_lag;
 pub mod notices;
+pub mod pace;
 pub mod replication;
 pub mod request_limit;
 pub mod restored_store;
--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -10,6 +10,7 @@
 use smol_str::SmolStr;
 
 use super::ejection::Ejection;
+use super::pace::Pace;
 use super::request_limit::RequestLimit;
 use super::shares::RecentSends;
 use super::shares::TurnPacer;
@@ -188,6 +189,7 @@
     pacer: TurnPacer,
     request_limit: RequestLimit,
     recent_sends: RecentSends,
+    pace: Pace,
     ejection: Ejection,
     backoff_until: Time,
     /// End of the pause that the endpoint has asked for.
@@ -214,6 +216,7 @@
             pacer: TurnPacer::default(),
             request_limit: RequestLimit::default(),
             recent_sends: RecentSends::default(),
+            pace: Pace::default(),
             ejection: Ejection::default(),
             backoff_until: Time::ZERO,
             paused_until: Time::ZERO,
@@ -387,7 +390,26 @@
         // A request delayed by a slow link is as late as one that waits in a queue.
         let delay_in_requests =
             load.map_or(0.0, |load| load.timing.round_trip.div_duration_f64(SLOT_RELEASE_INTERVAL));
-        Some(f64::from(busy) + delay_in_requests + self.prefilling_requests(entries, now))
+        let load = f64::from(busy) + delay_in_requests + self.prefilling_requests(entries, now);
+        Some(load + self.slowness_in_requests(load, now))
+    }
+
+    /// What the pace adds to a load, in requests: the load and the request to be sent take longer, and
+    /// so does reading its prompt. Zero at a pace of 1.
+    fn slowness_in_requests(&self, load: f64, now: Time) -> f64 {
+        let excess = self.pace(now) - 1.0;
+        let reading = PREFILL_TIME.div_duration_f64(SLOT_RELEASE_INTERVAL);
+        (load + 1.0 + reading) * excess
+    }
+
+    /// Factor by which the endpoint is slower than its configured rates, at least 1.
+    pub(super) fn pace(&self, now: Time) -> f64 {
+        self.pace.factor(now)
+    }
+
+    /// Records the pace that the endpoint's agent has reported.
+    pub(super) fn record_reported_pace(&mut self, pace: f64, now: Time) {
+        self.pace.record_report(pace, now);
     }
 
     /// Estimated requests of all entries whose prompts an engine is reading now.
@@ -486,6 +508,7 @@
             "own": self.in_flight,
             "others": load.map(|load| load.other_requests),
             "report_age_ms": self.report_age(now).map(|age| age.as_millis() as u64),
+            "pace": self.pace(now),
             "paused_ms": self.paused_until.since(now).as_millis() as u64,
             "requests_per_second": self.request_limit.per_second(),
             "rests": self.ejection.is_ejected(now),
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -122,6 +122,7 @@
     evacuated_as_of: StorePosition,
     entries: u32,
     entry_count: EntryCount,
+    has_avoided_slow: bool,
 }
 
 impl EndpointTable {
@@ -148,6 +149,7 @@
             evacuated_as_of: StorePosition::default(),
             entries: 1,
             entry_count: EntryCount::default(),
+            has_avoided_slow: false,
         }
     }
 
@@ -186,6 +188,29 @@
         }
     }
 
+    /// Records the pace that an agent has reported of the endpoint at `address`, whose process started
+    /// at `started_ms`.
+    pub fn apply_pace(&mut self, address: SocketAddr, started_ms: u64, pace: f64, now: Time) {
+        let keys = self.by_address.get(&address).map(Vec::as_slice).unwrap_or_default();
+        for key in keys {
+            if let Some(endpoint) = self.endpoints.get_mut(*key)
+                && !endpoint.is_other_process(started_ms)
+            {
+                endpoint.record_reported_pace(pace, now);
+            }
+        }
+    }
+
+    /// Factor by which an endpoint is slower than its configured rates, at least 1.
+    pub fn pace(&self, key: EndpointKey, now: Time) -> f64 {
+        self.endpoints.get(key).map_or(1.0, |endpoint| endpoint.pace(now))
+    }
+
+    /// Whether the last choice passed over a slow endpoint that had less load than the chosen one.
+    pub fn has_avoided_slow(&self) -> bool {
+        self.has_avoided_slow
+    }
+
     /// Sets the number of entries that share limits until an agent has counted them.
     pub fn set_entries(&mut self, entries: u32) {
         self.entries = entries.max(1);
--- a/core/src/direct/endpoint_table/selection.rs
+++ b/core/src/direct/endpoint_table/selection.rs
@@ -10,6 +10,7 @@
 use super::Result;
 use super::Unavailable;
 use crate::direct::endpoint::EndpointKey;
+use crate::direct::pace::SLOW_PACE;
 use crate::direct::sampling::CandidateSample;
 use crate::ids::RegionName;
 use crate::ids::ServiceName;
@@ -34,6 +35,7 @@
             return Err(Unavailable::NoEndpoint);
         };
         let mut available = CandidateSample::default();
+        let mut slow = CandidateSample::default();
         let mut ejected = CandidateSample::default();
         let mut has_match = false;
         let mut has_cold = false;
@@ -68,12 +70,20 @@
                 has_full = true;
                 continue;
             };
-            let sample = if is_available { &mut available } else { &mut ejected };
+            let sample = match is_available {
+                true if self.pace(key, now) > SLOW_PACE => &mut slow,
+                true => &mut available,
+                false => &mut ejected,
+            };
             sample.offer(score, key, self.is_far(key), rng);
         }
         // While other endpoints are merely full, refusing is better than an endpoint that loses
         // answers.
-        let chosen = if has_available { available.best() } else { ejected.best() };
+        let chosen = if has_available {
+            self.best_of(&available, &slow, now)
+        } else {
+            ejected.best().map(|(_, key)| key)
+        };
         chosen.ok_or(match (limit_opens_in, pause_ends_in) {
             _ if !has_match => Unavailable::NoEndpoint,
             _ if has_cold => Unavailable::Warming,
@@ -86,6 +96,27 @@
         })
     }
 
+    /// The best candidate, a slow one only if all others have a higher score. Slow ones are sampled
+    /// apart: otherwise both random candidates could be slow, or one slow and the other just used,
+    /// while most endpoints are neither.
+    fn best_of(
+        &mut self,
+        available: &CandidateSample,
+        slow: &CandidateSample,
+        now: Time,
+    ) -> Option<EndpointKey> {
+        self.has_avoided_slow = false;
+        let (best, best_slow) = (available.best(), slow.best());
+        let (Some((score, key)), Some((slow_score, slow_key))) = (best, best_slow) else {
+            return best.or(best_slow).map(|(_, key)| key);
+        };
+        if available.lowest_score().is_some_and(|lowest| slow_score < lowest) {
+            return Some(slow_key);
+        }
+        self.has_avoided_slow = slow_score < score * self.pace(slow_key, now);
+        Some(key)
+    }
+
     /// Time until the first endpoint of a service that does not serve yet will; `None` if no agent
     /// reports one.
     pub fn ready_in(&self, service: &ServiceName, now: Time) -> Option<Duration> {
--- a/core/src/direct/notices.rs
+++ b/core/src/direct/notices.rs
@@ -101,6 +101,13 @@
         /// The traits.
         traits: Vec<Fingerprint>,
     },
+    /// Sent by agents, last in the datagram: the pace of the endpoint beside the sender.
+    Pace {
+        /// Start time of the endpoint's process, in milliseconds of the Unix epoch.
+        started_ms: u64,
+        /// The factor by which it is slower than its configured rates, in percent.
+        percent: u32,
+    },
 }
 
 fn as_millis(duration: Duration) -> u32 {
@@ -126,7 +133,8 @@
             | Notice::OldQuarantined { .. }
             | Notice::OldCompleted { .. }
             | Notice::Leaving(_)
-            | Notice::Suspected { .. } => {}
+            | Notice::Suspected { .. }
+            | Notice::Pace { .. } => {}
         }
         notice
     }
@@ -232,6 +240,7 @@
             }
             Notice::Quarantined { .. }
             | Notice::Suspected { .. }
+            | Notice::Pace { .. }
             | Notice::OldCrash { .. }
             | Notice::OldQuarantined { .. }
             | Notice::OldCompleted { .. } => {}
--- a/core/src/direct/sampling.rs
+++ b/core/src/direct/sampling.rs
@@ -42,6 +42,7 @@
 pub(super) struct CandidateSample {
     near: Reservoir,
     far: Reservoir,
+    lowest: Option<f64>,
 }
 
 impl CandidateSample {
@@ -53,13 +54,20 @@
         is_far: bool,
         rng: &mut R,
     ) {
+        self.lowest = Some(self.lowest.map_or(score, |lowest| lowest.min(score)));
         let group = if is_far { &mut self.far } else { &mut self.near };
         group.offer(score, key, rng);
     }
 
-    /// The sampled candidate with the lowest score of both groups; `None` if none was offered.
-    pub(super) fn best(&self) -> Option<EndpointKey> {
+    /// The lowest score of all candidates, sampled or not; `None` if none was offered.
+    pub(super) fn lowest_score(&self) -> Option<f64> {
+        self.lowest
+    }
+
+    /// The sampled candidate with the lowest score of both groups, with its score; `None` if none was
+    /// offered.
+    pub(super) fn best(&self) -> Option<(f64, EndpointKey)> {
         let sampled = self.near.sampled.iter().chain(&self.far.sampled).flatten();
-        sampled.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, key)| *key)
+        sampled.min_by(|(a, _), (b, _)| a.total_cmp(b)).copied()
     }
 }
--- a/core/tests/direct/endpoint_table.rs
+++ b/core/tests/direct/endpoint_table.rs
@@ -2,6 +2,7 @@
 
 mod ejection;
 mod leaving;
+mod pace;
 mod pauses;
 mod selection;
 mod subset;
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -8,6 +8,7 @@
 use mastichaven_core::direct::endpoint::LoadReport;
 use mastichaven_core::direct::leaving::EndpointProcess;
 use mastichaven_core::direct::notices::Notice;
+use mastichaven_core::direct::pace::PaceReporter;
 use mastichaven_core::direct::subscribers::Subscriber;
 use mastichaven_platform::engine::Report;
 use tokio::net::UdpSocket;
@@ -20,7 +21,7 @@
 use crate::direct::load_reports::LimitNotice;
 use crate::direct::load_reports::ReportMessage;
 use crate::direct::load_reports::ReportRequest;
-use crate::direct::load_reports::append_attachments;
+use crate::direct::load_reports::append_report_attachments;
 use crate::direct::load_reports::receive;
 
 /// Interval between requests for the endpoint's load, which use no network link as they stay on the host.
@@ -78,6 +79,7 @@
         let mut round = 0;
         let mut last: Option<LoadReport> = None;
         let mut last_limit = None;
+        let mut pace = PaceReporter::default();
         loop {
             let _ = timeout(REPORT_INTERVAL, self.report_now.notified()).await;
             let setup = self.setup.borrow().as_ref().map(|update| update.setup.clone());
@@ -91,7 +93,7 @@
                     // Other endpoints may crash meanwhile, so notices are sent all the same.
                     self.collector.borrow_mut().evaluate(self.clock.now());
                     let setup_id = setup.as_ref().map_or(0, ModelSetup::fingerprint);
-                    self.send_report(&socket, None, setup_id, true);
+                    self.send_report(&socket, None, None, setup_id, true);
                     continue;
                 }
             };
@@ -118,18 +120,26 @@
             load.ready_in = self.ready_in(now);
             load.relay = self.subscribers.borrow().relay(now);
             load.root = self.subscribers.borrow().root(now);
+            let has_pace_changed = pace.record(report.pace);
+            if has_pace_changed {
+                self.metrics.count("pace_changes");
+            }
+            let pace_notice =
+                pace.percent().map(|percent| Notice::Pace { started_ms: load.started_ms, percent });
             *self.report.borrow_mut() = Some(report);
             unchanged = if last.as_ref() == Some(&load) { unchanged + 1 } else { 0 };
             let limit = self.request_limit.get().and_then(|statement| statement.per_second);
             let has_new_notices = self.collector.borrow_mut().evaluate(now);
             let has_availability_changed = has_new_notices
+                || has_pace_changed
                 || limit != last_limit
                 || last.as_ref().is_none_or(|last| !has_same_availability(last, &load));
             round += 1;
             if unchanged % UNCHANGED_REPORT_PERIOD == 0 || has_availability_changed {
                 let setup_id = setup.as_ref().map_or(0, ModelSetup::fingerprint);
                 let to_all_regions = has_availability_changed || round % FAR_ROUND_INTERVAL == 0;
-                self.send_report(&socket, Some(load.clone()), setup_id, to_all_regions);
+                let report = Some(load.clone());
+                self.send_report(&socket, report, pace_notice.as_ref(), setup_id, to_all_regions);
             }
             last = Some(load);
             last_limit = limit;
@@ -213,6 +223,7 @@
         &self,
         socket: &UdpSocket,
         report: Option<LoadReport>,
+        pace: Option<&Notice>,
         setup: u32,
         to_all_regions: bool,
     ) {
@@ -245,10 +256,10 @@
                 LimitNotice::new(started_ms, limit, schedule, now)
             });
             let encoded = postcard::to_stdvec(&msg)
-                .and_then(|bytes| append_attachments(bytes, notice, notices.iter()));
+                .and_then(|bytes| append_report_attachments(bytes, notice, &notices, pace));
             match encoded {
                 // Datagrams may be lost; the next report replaces this one.
-                Ok((bytes, _)) => drop(socket.try_send_to(&bytes, address)),
+                Ok(bytes) => drop(socket.try_send_to(&bytes, address)),
                 Err(e) => {
                     slog::error!(self.log, "report encoding failed"; "error" => e.to_string())
                 }
--- a/node/src/direct/crashes.rs
+++ b/node/src/direct/crashes.rs
@@ -207,7 +207,9 @@
                 traits.iter().for_each(|one| quarantine.watch(*one, now));
             }
             Notice::Leaving(process) => self.apply_leaving(*process, now),
-            Notice::Crash { .. }
+            // The pace concerns the sender's endpoint, so it is applied where the sender is known.
+            Notice::Pace { .. }
+            | Notice::Crash { .. }
             | Notice::OldCrash { .. }
             | Notice::OldQuarantined { .. }
             | Notice::OldCompleted { .. } => {}
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -21,6 +21,7 @@
 use mastichaven_core::direct::endpoint::LoadReport;
 use mastichaven_core::direct::endpoint_table::Reach;
 use mastichaven_core::direct::notices::Notice;
+use mastichaven_core::direct::pace;
 use mastichaven_core::direct::replication::Offer;
 use mastichaven_core::direct::replication::time_before;
 use mastichaven_core::direct::request_limit::LimitStatement;
@@ -217,6 +218,36 @@
 
 /// Appends a limit and as many of the notices as fit to an encoded message. Returns it with the number of notices.
 pub fn append_attachments<'a>(
+    bytes: Vec<u8>,
+    limit: Option<LimitNotice>,
+    notices: impl Iterator<Item = &'a Notice>,
+) -> postcard::Result<(Vec<u8>, usize)> {
+    append_within(MAX_DATAGRAM_LEN, bytes, limit, notices)
+}
+
+/// Appends a limit, as many of the notices as fit, and the pace of the endpoint. The pace comes last, as an earlier
+/// release does not read on after a notice that is unknown to it.
+pub fn append_report_attachments(
+    bytes: Vec<u8>,
+    limit: Option<LimitNotice>,
+    notices: &[Notice],
+    pace: Option<&Notice>,
+) -> postcard::Result<Vec<u8>> {
+    let Some(pace) = pace else {
+        return Ok(append_attachments(bytes, limit, notices.iter())?.0);
+    };
+    let pace = postcard::to_stdvec(pace)?;
+    let limit = limit.unwrap_or(LimitNotice::ABSENT);
+    let max_len = MAX_DATAGRAM_LEN - pace.len();
+    let (mut bytes, _) = append_within(max_len, bytes, Some(limit), notices.iter())?;
+    if bytes.len() <= max_len {
+        bytes.extend(pace);
+    }
+    Ok(bytes)
+}
+
+fn append_within<'a>(
+    max_len: usize,
     mut bytes: Vec<u8>,
     limit: Option<LimitNotice>,
     notices: impl Iterator<Item = &'a Notice>,
@@ -228,7 +259,7 @@
     let mut count = 0;
     for notice in notices {
         let encoded = postcard::to_stdvec(notice)?;
-        if bytes.len() + encoded.len() > MAX_DATAGRAM_LEN {
+        if bytes.len() + encoded.len() > max_len {
             break;
         }
         bytes.extend(encoded);
@@ -256,7 +287,12 @@
             state.apply_limit_notice(limit, address, state.now());
         }
         for notice in attachments.notices {
-            state.apply_notice(&notice, state.now());
+            match notice {
+                Notice::Pace { started_ms, percent } => {
+                    state.apply_pace(address, started_ms, percent, state.now());
+                }
+                notice => state.apply_notice(&notice, state.now()),
+            }
         }
     }
 }
@@ -288,6 +324,12 @@
         self.capacity_freed.notify_one();
     }
 
+    /// Applies the pace that the agent of the endpoint at `address` reports.
+    pub fn apply_pace(&self, address: SocketAddr, started_ms: u64, percent: u32, now: Time) {
+        let pace = pace::from_percent(percent);
+        self.endpoints.borrow_mut().apply_pace(address, started_ms, pace, now);
+    }
+
     /// Applies what the agent of the endpoint at `address` relays about its request limit.
     pub fn apply_limit_notice(&self, limit: LimitNotice, address: SocketAddr, now: Time) {
         let Some(statement) = limit.statement(now) else {
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -92,6 +92,9 @@
             }
         }
     };
+    if state.endpoints.borrow().has_avoided_slow() {
+        state.metrics.count("slow_endpoints_avoided");
+    }
     let now = state.now();
     if history.sent_count > 0 {
         let entries = state.endpoints.borrow().entries();
