Assign slots at cold endpoints to the entries that send to them

After a loss of power all endpoints are cold, and each entry took turns at random offsets, spread over all entries of the fleet though some two thirds of them send to an endpoint: less than half of the rate was used while callers were refused. Agents now assign slots in rotation to the entries that read their reports for 10 s after a start of the endpoint, as they do for request limits; entries without a recent schedule take turns as before.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -21,6 +21,7 @@
 
 pub mod caches;
 pub mod catalog;
+pub mod cold_turns;
 mod ejection;
 pub mod endpoint;
 pub mod endpoint_table;
--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -9,11 +9,12 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use super::cold_turns::ColdTurns;
 use super::ejection::Ejection;
 use super::pace::Pace;
 use super::request_limit::RequestLimit;
+use super::request_limit::Schedule;
 use super::shares::RecentSends;
-use super::shares::TurnPacer;
 use crate::arena::Key;
 use crate::ids::RegionName;
 use crate::ids::ServiceName;
@@ -186,7 +187,7 @@
     load: Option<Load>,
     /// Requests of this entry that the endpoint has not finished.
     in_flight: u32,
-    pacer: TurnPacer,
+    cold_turns: ColdTurns,
     request_limit: RequestLimit,
     recent_sends: RecentSends,
     pace: Pace,
@@ -213,7 +214,7 @@
             region,
             load: None,
             in_flight: 0,
-            pacer: TurnPacer::default(),
+            cold_turns: ColdTurns::default(),
             request_limit: RequestLimit::default(),
             recent_sends: RecentSends::default(),
             pace: Pace::default(),
@@ -361,7 +362,12 @@
         now: Time,
     ) -> bool {
         let is_cold = self.cold_until > now && rate > 0.0;
-        !is_cold || self.pacer.may_send(rate, entries, draw, now)
+        !is_cold || self.cold_turns.may_send(rate, entries, draw, now)
+    }
+
+    /// Records this entry's place in the agent's schedule for the cold endpoint.
+    pub(super) fn record_cold_schedule(&mut self, schedule: Schedule, now: Time) {
+        self.cold_turns.record_schedule(schedule, now);
     }
 
     /// Remaining cold time; `None` if the endpoint is warm.
@@ -420,20 +426,21 @@
         self.recent_sends.count(PREFILL_TIME * entries, now) as f64 * f64::from(entries)
     }
 
-    /// Records that a request is sent to the endpoint.
-    pub(super) fn record_sent(&mut self, now: Time) {
+    /// Records that a request is sent to the endpoint. Returns whether it used a slot of the agent's schedule for a
+    /// cold endpoint.
+    pub(super) fn record_sent(&mut self, now: Time) -> bool {
         self.in_flight += 1;
         if let Some(load) = &mut self.load {
             load.credits = load.credits.saturating_sub(1);
         }
-        if self.cold_until > now {
-            self.pacer.record_sent(now);
-        } else {
-            // The next cold period draws its turns anew.
-            self.pacer = TurnPacer::default();
+        let is_cold = self.cold_until > now;
+        let has_used_slot = is_cold && self.cold_turns.record_sent(now);
+        if !is_cold {
+            self.cold_turns.reset();
         }
         self.request_limit.record_sent(now);
         self.recent_sends.record_sent(now);
+        has_used_slot
     }
 
     /// Records that a request has left the endpoint.
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -354,10 +354,29 @@
         self.endpoints.get(key)?.report_age(now)
     }
 
-    /// Records that a request is sent to the endpoint.
-    pub fn record_sent(&mut self, key: EndpointKey, now: Time) {
-        if let Some(endpoint) = self.endpoints.get_mut(key) {
-            endpoint.record_sent(now);
+    /// Records that a request is sent to the endpoint. Returns whether it used a slot that the agent of a cold endpoint
+    /// has assigned.
+    pub fn record_sent(&mut self, key: EndpointKey, now: Time) -> bool {
+        self.endpoints.get_mut(key).is_some_and(|endpoint| endpoint.record_sent(now))
+    }
+
+    /// Records this entry's place in the schedule by which the agent of the endpoint at `address` assigns slots while
+    /// the process that started at `started_ms` is cold.
+    pub fn record_cold_schedule(
+        &mut self,
+        address: SocketAddr,
+        started_ms: u64,
+        schedule: Schedule,
+        now: Time,
+    ) {
+        let keys = self.by_address.get(&address).map(Vec::as_slice).unwrap_or_default();
+        for key in keys {
+            let endpoint = self.endpoints.get_mut(*key);
+            if let Some(endpoint) =
+                endpoint.filter(|endpoint| !endpoint.is_other_process(started_ms))
+            {
+                endpoint.record_cold_schedule(schedule, now);
+            }
         }
     }
 
--- a/core/src/direct/request_limit.rs
+++ b/core/src/direct/request_limit.rs
@@ -74,7 +74,7 @@
 impl Schedule {
     /// Time until this entry's next unused slot of `slot_len`, and the number of that slot. The time
     /// is zero while the slot may be used. `elapsed` is the age of the schedule.
-    fn next_slot(
+    pub(super) fn next_slot(
         &self,
         slot_len: Duration,
         elapsed: Duration,
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -2,6 +2,7 @@
 
 mod caches;
 mod catalog;
+mod cold_turns;
 mod endpoint_table;
 mod events;
 mod freshness;
--- a/node/src/direct/agent.rs
+++ b/node/src/direct/agent.rs
@@ -78,6 +78,8 @@
     request_limit: Cell<Option<LimitStatement>>,
     /// Notices of the entries.
     collector: RefCell<Collector>,
+    /// Start time of the endpoint's process, in milliseconds of the Unix epoch, and when this agent first saw it.
+    process_seen: Cell<Option<(u64, Time)>>,
     /// Whether the endpoint is draining or loading, so that entries must not route requests to it.
     is_load_in_progress: Cell<bool>,
     /// Duration of the endpoint's last load.
@@ -127,6 +129,7 @@
         load_orders: RefCell::default(),
         request_limit: Cell::new(None),
         collector: RefCell::default(),
+        process_seen: Cell::new(None),
         is_load_in_progress: Cell::new(false),
         load_time: Cell::new(INITIAL_LOAD_TIME),
         subscribers: RefCell::default(),
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -30,6 +30,10 @@
 /// Time for which reports to all entries repeat what a new one does not know.
 const NEW_READER_TIME: Duration = Duration::from_secs(1);
 
+/// Time after the first report of a process for which entries are assigned slots, as the endpoint may be cold. Cold
+/// periods after a start take some seconds.
+const COLD_SCHEDULE_TIME: Duration = Duration::from_secs(10);
+
 /// An unchanged report is sent only in every n-th interval.
 const UNCHANGED_REPORT_PERIOD: u32 = 2;
 
@@ -98,6 +102,7 @@
                 }
             };
             self.log_endpoint_change(&report);
+            self.record_process(report.load.started_ms);
             if is_leaving {
                 self.record_leaving(report.load.started_ms);
             }
@@ -201,6 +206,19 @@
         }
     }
 
+    /// Records when a process of the endpoint was first seen.
+    fn record_process(&self, started_ms: u64) {
+        if self.process_seen.get().is_none_or(|(seen, _)| seen != started_ms) {
+            self.process_seen.set(Some((started_ms, self.clock.now())));
+        }
+    }
+
+    /// Whether the endpoint has started so recently that it may be cold.
+    fn may_be_cold(&self, now: Time) -> bool {
+        let seen = self.process_seen.get();
+        seen.is_some_and(|(_, seen_at)| !now.passed(seen_at, COLD_SCHEDULE_TIME))
+    }
+
     /// Versions announced so recently that entries may still use older ones or have only just stopped doing so.
     fn recent_announcements(&self, now: Time) -> Vec<AnnouncedVersion> {
         let Some(model) = self.model().map(|model| model.name) else {
@@ -238,6 +256,7 @@
         let root = report.as_ref().and_then(|report| report.root);
         let started_ms = report.as_ref().map_or(0, |report| report.started_ms);
         let limit = self.request_limit.get().filter(|_| report.is_some());
+        let may_be_cold = report.is_some() && self.may_be_cold(now);
         let report = report.filter(|_| setup != 0);
         let announced = self.recent_announcements(now);
         let mut msg =
@@ -251,10 +270,18 @@
             }
             msg.request_sent_us = subscriber.request_sent_us;
             msg.held_us = now.since(subscriber.received_at).as_micros() as u64;
-            let notice = limit.map(|limit| {
-                let schedule = subscribers.schedule(address, self.started_at, now);
-                LimitNotice::new(started_ms, limit, schedule, now)
-            });
+            let needs_schedule = limit.is_some() || may_be_cold;
+            let schedule = needs_schedule
+                .then(|| subscribers.schedule(address, self.started_at, now))
+                .flatten();
+            let notice = match (limit, schedule) {
+                (Some(limit), _) => Some(LimitNotice::new(started_ms, limit, schedule, now)),
+                (None, Some(schedule)) => {
+                    self.metrics.count("cold_schedules_sent");
+                    Some(LimitNotice::of_schedule(started_ms, schedule))
+                }
+                (None, None) => None,
+            };
             let encoded = postcard::to_stdvec(&msg)
                 .and_then(|bytes| append_report_attachments(bytes, notice, &notices, pace));
             match encoded {
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -116,6 +116,12 @@
         LimitNotice { started_ms, per_second: statement.per_second, age_ms, schedule }
     }
 
+    /// A notice that has a schedule only, for an endpoint without a request limit that may be cold. Earlier releases
+    /// ignore it.
+    pub fn of_schedule(started_ms: u64, schedule: Schedule) -> LimitNotice {
+        LimitNotice { started_ms, schedule: Some(schedule), ..LimitNotice::ABSENT }
+    }
+
     /// The statement, as seen by the receiver; `None` if it is older than the receiver's clock.
     pub fn statement(&self, now: Time) -> Option<LimitStatement> {
         let at = time_before(now, Duration::from_millis(u64::from(self.age_ms)))?;
@@ -332,6 +338,10 @@
 
     /// Applies what the agent of the endpoint at `address` relays about its request limit.
     pub fn apply_limit_notice(&self, limit: LimitNotice, address: SocketAddr, now: Time) {
+        if let Some(schedule) = limit.schedule {
+            let mut endpoints = self.endpoints.borrow_mut();
+            endpoints.record_cold_schedule(address, limit.started_ms, schedule, now);
+        }
         let Some(statement) = limit.statement(now) else {
             return;
         };
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -349,7 +349,9 @@
 
     /// Counts a new request to `endpoint`.
     pub fn acquire(state: &Rc<State>, endpoint: EndpointKey) -> InFlightGuard {
-        state.endpoints.borrow_mut().record_sent(endpoint, state.now());
+        if state.endpoints.borrow_mut().record_sent(endpoint, state.now()) {
+            state.metrics.count("cold_slots_used");
+        }
         InFlightGuard { state: state.clone(), endpoint }
     }
 }
