Chunk requests name holders and pullers, and entries can report a failing origin

Entries need to know which agents hold a chunk and which pullers to try in turn, and a puller must be able to say that its path to the origin fails. ChunkRequest gets holders, pullers and is_relayed at its end, empty if an earlier release sent the message; PeerReply::OriginFailing is appended. Nothing uses them yet.

--- a/core/src/direct/replication.rs
+++ b/core/src/direct/replication.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 use smol_str::SmolStr;
 
@@ -145,6 +146,31 @@
     pub puller: Option<IpAddr>,
     /// Index and SHA-256 of the chunks that the puller fetches next, in this order.
     pub next: Vec<(u32, Digest)>,
+    /// Agents that have the chunk, as far as the sender knows; at most [`MAX_HOLDERS`] are asked. Earlier releases
+    /// send none.
+    #[serde(deserialize_with = "appended")]
+    pub holders: Vec<SocketAddr>,
+    /// The candidate pullers of the chunk in the order in which they are asked; `puller` alone if empty. Earlier
+    /// releases send none.
+    #[serde(deserialize_with = "appended")]
+    pub pullers: Vec<IpAddr>,
+    /// Whether an entry sent the request, so that the recipient is to pull the chunk itself rather than ask the
+    /// pullers after it. Earlier releases send nothing, which means false.
+    #[serde(deserialize_with = "appended")]
+    pub is_relayed: bool,
+}
+
+/// Maximum number of holders that a [`ChunkRequest`] names.
+pub const MAX_HOLDERS: usize = 3;
+
+/// Reads a field that was appended to a message; its default if the message ends before it.
+///
+/// The format does not tell the end of the message from other faults, so a field that cannot be read also yields the
+/// default.
+fn appended<'de, D: Deserializer<'de>, T: Default + Deserialize<'de>>(
+    deserializer: D,
+) -> Result<T, D::Error> {
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
 
 /// An endpoint of a service.
--- a/core/tests/direct/replication.rs
+++ b/core/tests/direct/replication.rs
@@ -5,6 +5,8 @@
 use mastichaven_core::direct::replication::AgeLimits;
 use mastichaven_core::direct::replication::Ages;
 use mastichaven_core::direct::replication::Candidate;
+use mastichaven_core::direct::replication::ChunkRequest;
+use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::Nomination;
 use mastichaven_core::direct::replication::Offer;
 use mastichaven_core::direct::replication::PeerEndpoint;
@@ -12,6 +14,9 @@
 use mastichaven_core::direct::replication::elect;
 use mastichaven_core::direct::replication::elect_root;
 use mastichaven_core::direct::replication::time_before;
+use mastichaven_core::ids::Digest;
+use serde::Deserialize;
+use serde::Serialize;
 
 fn limits() -> AgeLimits {
     AgeLimits::new(Duration::from_secs(2))
@@ -138,3 +143,59 @@
     assert_eq!(interrupted.last(), Some(one));
     assert_eq!(interrupted.stable_for(span, Time::from_millis(2_100)), None);
 }
+
+/// A chunk request as the release before `holders` has it, at the same position among the variants.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+enum EarlierHello {
+    Follow,
+    Peers,
+    Chunk(EarlierChunkRequest),
+}
+
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+struct EarlierChunkRequest {
+    model: String,
+    version: u64,
+    index: u32,
+    digest: Digest,
+    puller: Option<IpAddr>,
+    next: Vec<(u32, Digest)>,
+}
+
+// Guards against chunk requests that an earlier release beside this one cannot read, or that this one cannot read.
+#[test]
+fn chunk_request_is_readable_across_releases() {
+    let digest = Digest::of(b"chunk");
+    let puller = Some(IpAddr::from([10, 1, 0, 1]));
+    let next = vec![(4, digest)];
+    let earlier = EarlierHello::Chunk(EarlierChunkRequest {
+        model: "m".into(),
+        version: 2,
+        index: 3,
+        digest,
+        puller,
+        next: next.clone(),
+    });
+    let request = ChunkRequest {
+        model: "m".into(),
+        version: 2,
+        index: 3,
+        digest,
+        puller,
+        next,
+        holders: Vec::new(),
+        pullers: Vec::new(),
+        is_relayed: false,
+    };
+    let bytes = postcard::to_stdvec(&earlier).expect("can be encoded");
+    assert_eq!(postcard::from_bytes(&bytes), Ok(Hello::Chunk(request.clone())));
+    let request = ChunkRequest {
+        holders: vec![([10, 0, 0, 9], 7_000).into()],
+        pullers: vec![[10, 1, 0, 1].into(), [10, 1, 0, 2].into()],
+        is_relayed: true,
+        ..request
+    };
+    let bytes = postcard::to_stdvec(&Hello::Chunk(request.clone())).expect("can be encoded");
+    assert_eq!(postcard::from_bytes(&bytes), Ok(Hello::Chunk(request)));
+    assert_eq!(postcard::from_bytes(&bytes), Ok(earlier));
+}
--- a/node/src/direct/swarm/sources.rs
+++ b/node/src/direct/swarm/sources.rs
@@ -157,6 +157,9 @@
             digest,
             puller: route.puller,
             next: self.prefetch_list(request.version, digest),
+            holders: Vec::new(),
+            pullers: Vec::new(),
+            is_relayed: false,
         });
         let address = SocketAddr::new(route.entry, self.cache_port);
         let reply_timeout = chunk_server::FIRST_REPLY_TIMEOUT;
@@ -335,7 +338,7 @@
 fn outcome_of(reply: peers::Result<PeerReply>) -> RequestOutcome {
     match reply {
         Ok(PeerReply::Busy) => RequestOutcome::Busy,
-        Ok(PeerReply::NotYet) => RequestOutcome::Pending,
+        Ok(PeerReply::NotYet | PeerReply::OriginFailing) => RequestOutcome::Pending,
         Ok(PeerReply::Absent) => RequestOutcome::Absent,
         Ok(PeerReply::Have { .. } | PeerReply::Manifest { .. } | PeerReply::ChunkFollows(_)) => {
             RequestOutcome::Corrupt
--- a/node/tests/direct/chunk_cache.rs
+++ b/node/tests/direct/chunk_cache.rs
@@ -132,6 +132,9 @@
         digest,
         puller: None,
         next,
+        holders: Vec::new(),
+        pullers: Vec::new(),
+        is_relayed: false,
     })
 }
 
