Chunk requests tell whether an agent, an entry or a later puller sent them

A puller that takes over asks the ones before it, whose replies must not wait; a flag for relayed requests cannot tell these apart.

--- a/core/src/direct/replication.rs
+++ b/core/src/direct/replication.rs
@@ -154,10 +154,21 @@
     /// releases send none.
     #[serde(deserialize_with = "appended")]
     pub pullers: Vec<IpAddr>,
-    /// Whether an entry sent the request, so that the recipient is to pull the chunk itself rather than ask the
-    /// pullers after it. Earlier releases send nothing, which means false.
+    /// Who sent the request. Earlier releases send nothing, which means [`ChunkSender::Agent`].
     #[serde(deserialize_with = "appended")]
-    pub is_relayed: bool,
+    pub sender: ChunkSender,
+}
+
+/// The sender of a [`ChunkRequest`], which determines where the recipient looks for the chunk.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum ChunkSender {
+    /// An agent; the recipient asks all pullers. Also an entry of an earlier release.
+    #[default]
+    Agent,
+    /// An entry; the recipient is a puller and does not ask the ones after it.
+    Entry,
+    /// A puller after the recipient in the order, before it pulls the chunk itself. The reply must not wait.
+    Puller,
 }
 
 /// Maximum number of holders that a [`ChunkRequest`] names.
--- a/node/src/direct/swarm/sources.rs
+++ b/node/src/direct/swarm/sources.rs
@@ -8,6 +8,7 @@
 use mastichaven_core::Manifest;
 use mastichaven_core::direct::load_orders::StagingWrites;
 use mastichaven_core::direct::replication::ChunkRequest;
+use mastichaven_core::direct::replication::ChunkSender;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::manifest::Chunk;
@@ -159,7 +160,7 @@
             next: self.prefetch_list(request.version, digest),
             holders: Vec::new(),
             pullers: Vec::new(),
-            is_relayed: false,
+            sender: ChunkSender::Agent,
         });
         let address = SocketAddr::new(route.entry, self.cache_port);
         let reply_timeout = chunk_server::FIRST_REPLY_TIMEOUT;
--- a/node/tests/direct/chunk_cache.rs
+++ b/node/tests/direct/chunk_cache.rs
@@ -12,6 +12,7 @@
 use mastichaven_core::direct::endpoint::EndpointRecord;
 use mastichaven_core::direct::endpoint::LoadReport;
 use mastichaven_core::direct::replication::ChunkRequest;
+use mastichaven_core::direct::replication::ChunkSender;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::Update;
 use mastichaven_core::ids::Digest;
@@ -134,7 +135,7 @@
         next,
         holders: Vec::new(),
         pullers: Vec::new(),
-        is_relayed: false,
+        sender: ChunkSender::Agent,
     })
 }
 
