--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -33,6 +33,7 @@
 pub mod loop_lag;
 pub mod notices;
 pub mod pace;
+pub mod pullers;
 pub mod replication;
 pub mod request_limit;
 pub mod restored_store;
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod load_orders;
 mod loop_lag;
 mod notices;
+mod pullers;
 mod replication;
 mod request_limit;
 mod retry_after;
--- a/node/src/direct/chunk_cache.rs
+++ b/node/src/direct/chunk_cache.rs
@@ -1,17 +1,26 @@
 //! Cache of weight chunks that an entry serves to the agents of its region.
 //!
-//! Chunks are keyed by digest. Chunks of older versions are evicted when a newer version is requested.
+//! Chunks are keyed by digest. Chunks of older versions are evicted when a newer version is requested. Requests to the
+//! origin are limited and ordered here.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use mastichaven_core::Time;
+use mastichaven_core::direct::pullers::OriginPath;
+use mastichaven_core::direct::pullers::OriginQueue;
+use mastichaven_core::direct::pullers::OriginTicket;
+use mastichaven_core::direct::pullers::Pullers;
 use mastichaven_core::direct::replication::ChunkRequest;
+use mastichaven_core::direct::replication::ChunkSender;
+use mastichaven_core::direct::replication::MAX_HOLDERS;
 use mastichaven_core::ids::Digest;
+use mastichaven_core::swarm::topology::key_of;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
@@ -44,12 +53,30 @@
     Absent,
 }
 
+/// What is known about a pending chunk.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum Outlook {
+    #[default]
+    Unknown,
+    /// A puller is fetching it; for a puller, one before it.
+    Coming,
+    /// A puller after this one is fetching it.
+    ComingFromLater,
+    /// No source can provide it at the moment.
+    Failing,
+}
+
 #[derive(Clone, Debug)]
 struct Slot {
     model: SmolStr,
     version: u64,
     requested_at: Time,
     content: Content,
+    outlook: Outlook,
+    /// Agents that have the chunk, from the last request that named any.
+    holders: Vec<SocketAddr>,
+    /// Whether only entries have requested the chunk.
+    is_relayed: bool,
 }
 
 /// The newest requested version of a model.
@@ -77,8 +104,11 @@
     pub(super) changed: Notify,
     pub(super) upload_slots: Semaphore,
     pub(super) download_slots: Semaphore,
-    pub(super) origin_slots: Semaphore,
-    /// Whether the last request to the origin failed.
+    pub(super) pullers: RefCell<Pullers>,
+    pub(super) origin_path: Cell<OriginPath>,
+    origin_queue: RefCell<OriginQueue>,
+    last_ticket_id: Cell<u64>,
+    /// Whether the last request to the origin failed, for log lines.
     pub(super) is_origin_failing: Cell<bool>,
 }
 
@@ -90,7 +120,10 @@
             changed: Notify::new(),
             upload_slots: Semaphore::new(MAX_OUTGOING_PIECES),
             download_slots: Semaphore::new(MAX_INCOMING_PIECES),
-            origin_slots: Semaphore::new(MAX_ORIGIN_REQUESTS),
+            pullers: RefCell::default(),
+            origin_path: Cell::default(),
+            origin_queue: RefCell::default(),
+            last_ticket_id: Cell::new(0),
             is_origin_failing: Cell::new(false),
         }
     }
@@ -116,8 +149,14 @@
     pub(super) fn record_request(&self, req: &ChunkRequest, now: Time) -> Option<bool> {
         self.record_version(req, now);
         let mut slots = self.slots.borrow_mut();
+        let is_relayed = req.sender != ChunkSender::Agent;
+        let holders = req.holders.iter().take(MAX_HOLDERS).copied().collect();
         if let Some(slot) = slots.get_mut(&req.digest) {
             slot.requested_at = now;
+            slot.is_relayed &= is_relayed;
+            if !req.holders.is_empty() {
+                slot.holders = holders;
+            }
             return Some(false);
         }
         if slots.len() >= MAX_CHUNKS {
@@ -131,6 +170,9 @@
             version: req.version,
             requested_at: now,
             content: Content::Pending,
+            outlook: Outlook::Unknown,
+            holders,
+            is_relayed,
         };
         slots.insert(req.digest, slot);
         Some(true)
@@ -179,12 +221,77 @@
         self.changed.notify_waiters();
     }
 
+    pub(super) fn outlook(&self, digest: Digest) -> Outlook {
+        self.slots.borrow().get(&digest).map(|slot| slot.outlook).unwrap_or_default()
+    }
+
+    pub(super) fn set_outlook(&self, digest: Digest, outlook: Outlook) {
+        if let Some(slot) = self.slots.borrow_mut().get_mut(&digest) {
+            slot.outlook = outlook;
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Whether only entries have requested the chunk.
+    pub(super) fn is_relayed(&self, digest: Digest) -> bool {
+        self.slots.borrow().get(&digest).is_some_and(|slot| slot.is_relayed)
+    }
+
+    /// Removes and returns an agent that is known to have the chunk.
+    pub(super) fn take_holder(&self, digest: Digest) -> Option<SocketAddr> {
+        self.slots.borrow_mut().get_mut(&digest)?.holders.pop()
+    }
+
+    /// The agents that are known to have the chunk.
+    pub(super) fn holders(&self, digest: Digest) -> Vec<SocketAddr> {
+        self.slots.borrow().get(&digest).map(|slot| slot.holders.clone()).unwrap_or_default()
+    }
+
+    pub(super) fn update_origin_path<T>(&self, update: impl FnOnce(&mut OriginPath) -> T) -> T {
+        let mut path = self.origin_path.get();
+        let result = update(&mut path);
+        self.origin_path.set(path);
+        result
+    }
+
+    /// Queues a chunk for a request to the origin.
+    pub(super) fn queue_for_origin(&self, req: &ChunkRequest) -> OriginPlace<'_> {
+        self.last_ticket_id.set(self.last_ticket_id.get() + 1);
+        let ticket = OriginTicket {
+            model: key_of(Digest::of(req.model.as_bytes())),
+            version: req.version,
+            id: self.last_ticket_id.get(),
+        };
+        self.origin_queue.borrow_mut().push(ticket);
+        OriginPlace { cache: self, ticket }
+    }
+
     pub(super) fn remove(&self, digest: Digest) {
         self.slots.borrow_mut().remove(&digest);
         self.changed.notify_waiters();
     }
 }
 
+/// Place of a chunk in the queue for the origin, and then among the requests in flight, until it is dropped.
+pub(super) struct OriginPlace<'a> {
+    cache: &'a ChunkCache,
+    ticket: OriginTicket,
+}
+
+impl OriginPlace<'_> {
+    /// Whether the request may be sent now.
+    pub(super) fn try_start(&self) -> bool {
+        self.cache.origin_queue.borrow_mut().try_start(self.ticket, MAX_ORIGIN_REQUESTS)
+    }
+}
+
+impl Drop for OriginPlace<'_> {
+    fn drop(&mut self) {
+        self.cache.origin_queue.borrow_mut().remove(self.ticket);
+        self.cache.changed.notify_waiters();
+    }
+}
+
 fn is_idle(slot: &Slot, now: Time) -> bool {
     !matches!(slot.content, Content::Pending) && now.passed(slot.requested_at, REQUEST_TTL)
 }
