Agents skip a failed entry for 1 s, and for one chunk if it lacks just that

An entry that did not answer was skipped for 3 s, longer than it takes to restart, and an entry that refused a chunk or sent it damaged was asked for the same chunk again. Entries are now skipped for 1 s after a failure; one that answers without a good chunk is skipped for this chunk only. The candidate pullers of a chunk can be listed in their order.

--- a/core/src/direct/caches.rs
+++ b/core/src/direct/caches.rs
@@ -19,8 +19,8 @@
 /// downloads would share the origin's low bandwidth and all complete late.
 pub const MAX_PULLERS: usize = 4;
 
-/// Time for which an entry is skipped after a failure.
-const FAILURE_COOLDOWN: Duration = Duration::from_secs(3);
+/// Time for which an entry is skipped after a failure. An entry that restarts is back after about as long.
+const FAILURE_COOLDOWN: Duration = Duration::from_secs(1);
 
 /// The entries through which a host fetches a chunk.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,6 +37,8 @@
     regional: Vec<IpAddr>,
     pullers: Vec<IpAddr>,
     failed: HashMap<IpAddr, Time>,
+    /// Entries that answered a request for a chunk without a good one.
+    failed_chunks: HashMap<(IpAddr, Digest), Time>,
 }
 
 impl Caches {
@@ -49,11 +51,18 @@
         self.pullers = in_origin_region;
     }
 
-    /// Records that an entry did not respond, or responded without the chunk.
+    /// Records that an entry did not respond. It is skipped for all chunks.
     pub fn record_failure(&mut self, entry: IpAddr, now: Time) {
         self.failed.insert(entry, now);
     }
 
+    /// Records that an entry responded without a chunk, or with a damaged one. Other entries are preferred for this
+    /// chunk. O(recorded failures).
+    pub fn record_chunk_failure(&mut self, entry: IpAddr, digest: Digest, now: Time) {
+        self.failed_chunks.retain(|_, at| !now.passed(*at, FAILURE_COOLDOWN));
+        self.failed_chunks.insert((entry, digest), now);
+    }
+
     /// Whether any entry of the region is available.
     pub fn are_available(&self, now: Time) -> bool {
         self.regional.iter().any(|entry| self.is_available(*entry, now))
@@ -62,8 +71,10 @@
     /// The route of the chunk with this digest; `None` if no entry of the region is available. O(entries).
     pub fn route(&self, digest: Digest, now: Time) -> Option<CacheRoute> {
         let available =
-            self.regional.iter().copied().filter(|entry| self.is_available(*entry, now));
-        let entry = owner(available, digest)?;
+            || self.regional.iter().copied().filter(|entry| self.is_available(*entry, now));
+        let has_not_failed = |entry: &IpAddr| !self.has_failed_chunk(*entry, digest, now);
+        let entry = owner(available().filter(has_not_failed), digest)
+            .or_else(|| owner(available(), digest))?;
         Some(CacheRoute { entry, puller: self.puller(digest).filter(|puller| *puller != entry) })
     }
 
@@ -73,6 +84,18 @@
         owner(self.pullers.iter().copied(), digest)
     }
 
+    /// The entries that may pull the chunk with this digest from the origin, in the order in which they are asked.
+    pub fn pullers(&self, digest: Digest) -> Vec<IpAddr> {
+        let mut pullers = self.pullers.clone();
+        pullers.sort_unstable_by_key(|ip| rank(*ip, digest));
+        pullers
+    }
+
+    fn has_failed_chunk(&self, entry: IpAddr, digest: Digest, now: Time) -> bool {
+        let failed_at = self.failed_chunks.get(&(entry, digest));
+        failed_at.is_some_and(|at| !now.passed(*at, FAILURE_COOLDOWN))
+    }
+
     fn is_available(&self, entry: IpAddr, now: Time) -> bool {
         self.failed.get(&entry).is_none_or(|at| now.passed(*at, FAILURE_COOLDOWN))
     }
@@ -81,7 +104,11 @@
 /// Selects the entry with the lowest hash for a chunk (rendezvous hashing). Processes with the same set of
 /// entries select the same one, and few chunks are reassigned when an entry is added or removed.
 fn owner(entries: impl Iterator<Item = IpAddr>, digest: Digest) -> Option<IpAddr> {
-    entries.min_by_key(|ip| (mix(hash_of(*ip) ^ key_of(digest)), *ip))
+    entries.min_by_key(|ip| rank(*ip, digest))
+}
+
+fn rank(ip: IpAddr, digest: Digest) -> (u64, IpAddr) {
+    (mix(hash_of(ip) ^ key_of(digest)), ip)
 }
 
 fn hash_of(ip: IpAddr) -> u64 {
