Older downloads end once they are useless, and newer ones are requested first

Cause: chunks of an older version that could not be completed occupied all requests to entries, three failures left a chunk to peers and the origin for good, and polls of neighbours asked about the older version only.

Change: `supersession` decides whether an older version can still be complete, loaded and serve for 1 s before its bound and before the newest one; the agent evaluates it every 50 ms and ends the download otherwise, with a log line and a counter. Until then the older version gets one of the five requests to entries. Versions take turns in polls. Failures delay the next request for a chunk by 50 to 400 ms and are forgotten after 2 s. Chunks are pulled from the origin only after entries have been silent for 2 s and if no neighbour sends them. Requests to entries name holders and pullers; a list of chunks to prefetch that did not arrive is sent again.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -16,8 +16,8 @@
 //! defines the updates that entries exchange, and [`subscribers`] tracks the entries that contact
 //! an agent. [`versions`] tracks which weights may answer: [`store_clock`] bounds the time of their
 //! announcements, and [`loop_lag`] what is left of their limits when requests are sent. [`caches`]
-//! tracks which entries serve chunks of them, [`rollout`] decides when an endpoint loads a new
-//! version, and [`load_orders`] whether the weights that it has loaded are verified.
+//! tracks which entries serve chunks of them, [`supersession`] decides how long an older version is
+//! downloaded beside the newest one, [`rollout`] when an endpoint loads a new version, and [`load_orders`] whether the weights that it has loaded are verified.
 
 pub mod caches;
 pub mod catalog;
@@ -43,4 +43,5 @@
 pub mod shares;
 pub mod store_clock;
 pub mod subscribers;
+pub mod supersession;
 pub mod versions;
--- a/core/src/direct/rollout.rs
+++ b/core/src/direct/rollout.rs
@@ -12,7 +12,7 @@
 /// transferred. From its load time on, a host starts no requests on the old version, so the last load time may
 /// be close to the bound.
 const FIRST_LOAD_FRACTION: f64 = 0.36;
-const LAST_LOAD_FRACTION: f64 = 0.82;
+pub(super) const LAST_LOAD_FRACTION: f64 = 0.82;
 
 /// State of a host on which the decision to load depends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/core/src/swarm.rs
+++ b/core/src/swarm.rs
@@ -16,6 +16,7 @@
 mod pipeline;
 mod request;
 mod schedule;
+mod status;
 pub mod topology;
 
 pub use bitmap::Bitmap;
@@ -30,6 +31,7 @@
 pub use request::RequestOutcome;
 pub use schedule::BUSY_QUEUE;
 pub use schedule::LONG_POLL_TIMEOUT;
+pub use status::DownloadStatus;
 pub use topology::PeerId;
 pub use topology::PeerLocation;
 pub use topology::Strategy;
--- a/core/src/swarm/caches.rs
+++ b/core/src/swarm/caches.rs
@@ -1,13 +1,14 @@
 //! Selects the chunks that are requested from caches.
 
+use std::time::Duration;
+
 use rand::Rng;
 use rand::RngExt;
 
-use super::download::ChunkState;
-use super::download::MAX_CACHE_FAILURES;
 use super::host::Swarm;
 use super::request::Destination;
 use super::request::Request;
+use super::request::RequestOutcome;
 use super::schedule::LONG_POLL_TIMEOUT;
 use super::schedule::NEW_VERSION_POLL_DELAY;
 use crate::time::Time;
@@ -16,11 +17,54 @@
 /// receive their chunk.
 const PIPELINE_FROM_CACHES: usize = 5;
 
+/// Of these, requests for versions older than one that could use them. Chunks of an older version
+/// may be unavailable for as long as the origin is, and would hold up the newer one.
+const PIPELINE_FOR_OLDER: usize = 1;
+
 /// Missing chunks from which the next one is drawn at random. All hosts request the same chunks at
 /// about the same time, in the order in which caches pull them from the origin, but not all the
 /// same chunk at once.
 const CACHE_WINDOW: usize = 8;
 
+/// Time without an answer from any cache after which chunks are pulled from other zones and, if no
+/// neighbour has them, from the origin. It exceeds the time for which a chunk waits while caches
+/// restart in turn: chunks that hosts pulled meanwhile left the origin several times.
+const CACHE_SILENCE: Duration = Duration::from_secs(2);
+
+/// Whether caches exist, and since when none has answered.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct CacheAvailability {
+    /// Whether this host is to use caches at all.
+    are_used: bool,
+    are_available: bool,
+    /// When caches became unavailable, or the first request without an answer was sent.
+    silent_since: Option<Time>,
+}
+
+impl CacheAvailability {
+    pub(super) fn set(&mut self, are_available: bool) {
+        self.are_used = true;
+        self.are_available = are_available;
+    }
+
+    /// Records the time if no cache is available.
+    pub(super) fn observe(&mut self, now: Time) {
+        if !self.are_available {
+            self.record_request(now);
+        }
+    }
+
+    fn record_request(&mut self, now: Time) {
+        self.silent_since.get_or_insert(now);
+    }
+
+    pub(super) fn record_outcome(&mut self, outcome: &RequestOutcome) {
+        if !matches!(outcome, RequestOutcome::TimedOut | RequestOutcome::Unreachable) {
+            self.silent_since = None;
+        }
+    }
+}
+
 impl Swarm {
     /// Requests the next missing chunks from caches.
     pub(super) fn request_from_caches<R: Rng>(
@@ -33,9 +77,10 @@
         if !self.uses_caches(n, now) {
             return;
         }
-        let mut in_flight = self.count_flights(|flight| flight.destination == Destination::Cache);
-        while in_flight < PIPELINE_FROM_CACHES {
-            let candidates = self.downloads[n].cache_candidates(CACHE_WINDOW);
+        let mut in_flight = self.count_cache_flights(n);
+        let limit = self.cache_pipeline(n, now);
+        while in_flight < limit {
+            let candidates = self.downloads[n].cache_candidates(CACHE_WINDOW, now);
             let free: Vec<usize> = candidates
                 .into_iter()
                 .filter(|index| self.downloads[n].chunks[*index].flights == 0)
@@ -45,17 +90,39 @@
             }
             let index = free[rng.random_range(0..free.len())];
             let timeout = LONG_POLL_TIMEOUT + self.chunk_time.timeout();
+            self.caches.record_request(now);
             self.request_chunk(n, index, Destination::Cache, true, timeout, now, requests);
             in_flight += 1;
         }
     }
 
+    fn count_cache_flights(&self, n: usize) -> usize {
+        let version = self.downloads[n].version;
+        self.count_flights(|flight| {
+            flight.destination == Destination::Cache && flight.version == version
+        })
+    }
+
+    /// Requests for a version that may be in flight to caches. Those in flight for other versions
+    /// are not deducted, so that requests for an older version, which may wait long for their
+    /// answers, do not delay a newer one.
+    fn cache_pipeline(&self, n: usize, now: Time) -> usize {
+        let requests_any = |n: usize| self.downloads[n].missing > 0 && self.uses_caches(n, now);
+        if (n + 1..self.downloads.len()).any(requests_any) {
+            PIPELINE_FOR_OLDER
+        } else if (0..n).any(requests_any) {
+            PIPELINE_FROM_CACHES - PIPELINE_FOR_OLDER
+        } else {
+            PIPELINE_FROM_CACHES
+        }
+    }
+
     /// Whether chunks of a version are requested from caches. A new host takes a version that a
     /// neighbour holds completely from its neighbours: chunks that the caches lack would leave the
     /// origin once more.
     pub(super) fn uses_caches(&self, n: usize, now: Time) -> bool {
         let download = &self.downloads[n];
-        if !self.has_caches || !download.has_manifest {
+        if !self.caches.are_available || !download.has_manifest {
             return false;
         }
         if !download.is_first_version {
@@ -72,8 +139,21 @@
         near == self.neighbours.len() && self.downloads[n].availability.len() >= near
     }
 
-    /// Whether a chunk comes from a cache, so that this host need not pull it as its owner.
-    pub(super) fn is_cached(&self, chunk: &ChunkState) -> bool {
-        self.has_caches && chunk.cache_failures < MAX_CACHE_FAILURES
+    /// Whether the chunks of a version come from caches, so that this host need not pull those that
+    /// it owns.
+    pub(super) fn is_cached(&self, n: usize, now: Time) -> bool {
+        self.caches.are_available && !self.are_caches_silent(n, now)
+    }
+
+    /// Whether this host may pull chunks of a version from the origin.
+    pub(super) fn may_use_origin(&self, n: usize, now: Time) -> bool {
+        !self.caches.are_used || self.are_caches_silent(n, now)
+    }
+
+    /// Whether no cache has answered for [`CACHE_SILENCE`] since the download began.
+    fn are_caches_silent(&self, n: usize, now: Time) -> bool {
+        let silent_since = self.caches.silent_since;
+        let since = silent_since.map(|since| since.max(self.downloads[n].manifest_at));
+        since.is_some_and(|since| now.passed(since, CACHE_SILENCE))
     }
 }
--- a/core/src/swarm/download.rs
+++ b/core/src/swarm/download.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use super::bitmap::Bitmap;
+use super::status::Arrivals;
+use super::status::DownloadStatus;
 use super::topology::PeerId;
 use super::topology::Source;
 use super::topology::key_of;
@@ -19,8 +21,13 @@
 /// The same for an overdue chunk: two owners may be slow while a neighbour has the chunk by now.
 const MAX_PARALLEL_REQUESTS_OVERDUE: u8 = 3;
 
-/// Failed cache requests after which a chunk is left to peers and the origin.
-pub(super) const MAX_CACHE_FAILURES: u8 = 3;
+/// Delay before a chunk is requested from a cache again after a failure; doubles with each further
+/// failure up to the maximum. A cache that refuses at once would otherwise be asked without a pause.
+const INITIAL_CACHE_RETRY_DELAY: Duration = Duration::from_millis(50);
+const MAX_CACHE_RETRY_DELAY: Duration = Duration::from_millis(400);
+
+/// Time after which failures of requests to caches are forgotten.
+const CACHE_FAILURE_TTL: Duration = Duration::from_secs(2);
 
 /// Missing chunks that are compared for one request.
 const MAX_COMPARED_CHUNKS: usize = 64;
@@ -40,6 +47,30 @@
 /// for a version of any size.
 const MIN_REST_TIME: Duration = Duration::from_secs(1);
 
+/// Requests for a chunk to caches that have failed recently.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct CacheFailures {
+    count: u32,
+    last: Time,
+}
+
+impl CacheFailures {
+    pub(super) fn record(&mut self, now: Time) {
+        if now.passed(self.last, CACHE_FAILURE_TTL) {
+            self.count = 0;
+        }
+        self.count = self.count.saturating_add(1);
+        self.last = now;
+    }
+
+    /// Whether the next request is due.
+    fn allow_request(self, now: Time) -> bool {
+        let factor = 1 << self.count.saturating_sub(1).min(8);
+        let delay = (INITIAL_CACHE_RETRY_DELAY * factor).min(MAX_CACHE_RETRY_DELAY);
+        self.count == 0 || now.passed(self.last, delay)
+    }
+}
+
 /// Download state of one chunk.
 #[derive(Clone, Debug)]
 pub(super) struct ChunkState {
@@ -54,8 +85,7 @@
     /// Requests sent while the origin was the source of the chunk.
     pub(super) origin_attempts: u32,
     pub(super) holders: u16,
-    /// Requests to caches that failed.
-    pub(super) cache_failures: u8,
+    pub(super) cache_failures: CacheFailures,
     /// Whether an earlier chunk of the version has the same digest. Only the first one is
     /// requested.
     pub(super) is_duplicate: bool,
@@ -88,6 +118,9 @@
     pub(super) is_first_version: bool,
     /// When [`INITIAL_SHARE`] was reached.
     initial_share_at: Option<Time>,
+    arrivals: Arrivals,
+    /// When a neighbour was last asked for its bitmap of this version.
+    pub(super) polled_at: BTreeMap<PeerId, Time>,
 }
 
 impl Download {
@@ -109,6 +142,8 @@
             manifest_at: now,
             is_first_version,
             initial_share_at: None,
+            arrivals: Arrivals::default(),
+            polled_at: BTreeMap::new(),
         }
     }
 
@@ -144,7 +179,7 @@
                 owner_requested_at: None,
                 origin_attempts: 0,
                 holders: 0,
-                cache_failures: 0,
+                cache_failures: CacheFailures::default(),
                 is_duplicate,
                 is_overdue: false,
             });
@@ -168,6 +203,7 @@
             if self.have.set(n as usize) {
                 self.missing -= 1;
                 self.progress_at = now;
+                self.arrivals.record(now);
             }
         }
     }
@@ -250,13 +286,11 @@
     }
 
     /// The first `most` missing chunks that may be requested from caches. O(chunks).
-    pub(super) fn cache_candidates(&self, most: usize) -> Vec<usize> {
+    pub(super) fn cache_candidates(&self, most: usize, now: Time) -> Vec<usize> {
         let order = self.cache_order.iter().map(|index| *index as usize);
         let is_wanted = |index: &usize| {
             let chunk = &self.chunks[*index];
-            !self.have.get(*index)
-                && !chunk.is_duplicate
-                && chunk.cache_failures < MAX_CACHE_FAILURES
+            !self.have.get(*index) && !chunk.is_duplicate && chunk.cache_failures.allow_request(now)
         };
         order.filter(is_wanted).take(most).collect()
     }
@@ -266,11 +300,23 @@
         self.availability.values().any(|map| map.count() == self.chunks.len())
     }
 
-    /// Share of the chunks that are held here or offered by a neighbour. O(chunks).
-    pub(super) fn available_share(&self) -> f64 {
+    /// Number of chunks that are held here or offered by a neighbour. O(chunks).
+    fn available(&self) -> usize {
         let is_near = |n: &usize| self.have.get(*n) || self.chunks[*n].holders > 0;
-        let near = (0..self.chunks.len()).filter(is_near).count();
-        near as f64 / self.chunks.len().max(1) as f64
+        (0..self.chunks.len()).filter(is_near).count()
+    }
+
+    fn available_share(&self) -> f64 {
+        self.available() as f64 / self.chunks.len().max(1) as f64
+    }
+
+    pub(super) fn status(&self, now: Time) -> DownloadStatus {
+        DownloadStatus {
+            chunks: self.chunks.len(),
+            missing: self.missing,
+            available: self.available(),
+            arrivals_per_s: self.arrivals.per_second(self.manifest_at, now),
+        }
     }
 
     /// Number of periods by which the rest of the version is overdue. The period follows from the
--- a/core/src/swarm/host.rs
+++ b/core/src/swarm/host.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use super::bitmap::Bitmap;
+use super::caches::CacheAvailability;
 use super::download::Download;
 use super::peers::Fault;
 use super::peers::Peers;
@@ -21,6 +22,7 @@
 use super::request::Request;
 use super::request::RequestKind;
 use super::request::RequestOutcome;
+use super::status::DownloadStatus;
 use super::topology::PeerId;
 use super::topology::PeerLocation;
 use super::topology::Strategy;
@@ -58,8 +60,7 @@
     pub(super) origin_retry_delay: Duration,
     max_origin_retry_delay: Duration,
     pub(super) is_link_shared: bool,
-    /// Whether caches serve chunks.
-    pub(super) has_caches: bool,
+    pub(super) caches: CacheAvailability,
     /// Whether any version has ever been complete on this host.
     has_completed_version: bool,
     pub(super) pipeline: PipelineLimits,
@@ -85,7 +86,7 @@
             origin_retry_delay: INITIAL_ORIGIN_RETRY_DELAY,
             max_origin_retry_delay: MAX_ORIGIN_RETRY_DELAY,
             is_link_shared: false,
-            has_caches: false,
+            caches: CacheAvailability::default(),
             has_completed_version: false,
             pipeline: PipelineLimits::default(),
             counts: Counts::default(),
@@ -130,8 +131,9 @@
         &self.peers.get(id).location
     }
 
-    /// Sets the versions to download; those beyond [`MAX_DOWNLOADS`] are ignored. The state of all
-    /// other versions is dropped. Their stored chunks are up to the store.
+    /// Sets the versions to download, of which later ones have priority; those beyond
+    /// [`MAX_DOWNLOADS`] are ignored. The state of all other versions is dropped. Their stored
+    /// chunks are up to the store.
     pub fn set_wanted_versions(&mut self, versions: &[Digest], now: Time) {
         self.downloads.retain(|download| versions.contains(&download.version));
         for version in versions.iter().take(MAX_DOWNLOADS) {
@@ -139,6 +141,9 @@
                 self.downloads.push(Download::new(*version, !self.has_completed_version, now));
             }
         }
+        let priority_of =
+            |download: &Download| versions.iter().position(|v| *v == download.version);
+        self.downloads.sort_by_key(priority_of);
     }
 
     /// Sets the manifest of a version, which has to be wanted. `is_stored` tells which of its
@@ -170,11 +175,24 @@
         self.downloads.iter().any(|d| d.version == version && d.is_complete())
     }
 
-    /// Share of a version's chunks that are stored or offered by a neighbour, and so need neither
-    /// the origin nor another zone. 0 without a manifest.
-    pub fn available_share(&self, version: Digest) -> f64 {
+    /// Progress of the download of a version; `None` if it is not wanted or its manifest is missing.
+    pub fn status(&self, version: Digest, now: Time) -> Option<DownloadStatus> {
         let download = self.downloads.iter().find(|d| d.version == version && d.has_manifest);
-        download.map_or(0.0, Download::available_share)
+        download.map(|download| download.status(now))
+    }
+
+    /// Up to `most` live neighbours that have a chunk, those with the shortest queue first.
+    pub fn holders(&self, version: Digest, digest: Digest, most: usize) -> Vec<PeerId> {
+        let download = self.downloads.iter().find(|d| d.version == version);
+        let Some((download, index)) = download.and_then(|d| Some((d, d.first_index_of(digest)?)))
+        else {
+            return Vec::new();
+        };
+        let offering = download.peers_offering(index).filter(|id| self.peers.may_own(*id));
+        let mut holders: Vec<PeerId> = offering.collect();
+        holders.sort_by_key(|id| (self.peers.get(*id).queue, self.topology.affinity(*id)));
+        holders.truncate(most);
+        holders
     }
 
     /// Missing chunks of all versions.
@@ -188,10 +206,10 @@
         self.is_link_shared = is_shared;
     }
 
-    /// Sets whether caches serve chunks. What they serve is not pulled from the origin or from
-    /// other zones.
-    pub fn set_caches(&mut self, has_caches: bool) {
-        self.has_caches = has_caches;
+    /// Sets whether any cache is available. Chunks are then not pulled from other zones, and never
+    /// from the origin before caches have been silent for some time.
+    pub fn set_caches(&mut self, are_available: bool) {
+        self.caches.set(are_available);
     }
 
     /// Counters since the start.
@@ -235,7 +253,8 @@
     pub fn step<R: Rng>(&mut self, now: Time, rng: &mut R) -> Vec<Request> {
         let mut requests = Vec::new();
         self.expire_overdue_flights(now);
-        for n in 0..self.downloads.len() {
+        self.caches.observe(now);
+        for n in (0..self.downloads.len()).rev() {
             if self.downloads[n].is_complete() {
                 self.has_completed_version = true;
                 continue;
@@ -278,6 +297,7 @@
             self.record_peer_outcome(id, &flight, &outcome, now);
         } else if flight.destination == Destination::Cache {
             // The caller avoids a cache that failed.
+            self.caches.record_outcome(&outcome);
         } else if outcome == RequestOutcome::AlreadyPulled {
             // Other chunks may still be pulled at once; this one is requested from a peer next.
         } else if !matches!(outcome, RequestOutcome::Stored | RequestOutcome::Manifest(_)) {
@@ -306,7 +326,7 @@
                     if flight.destination == Destination::Cache
                         && !matches!(outcome, RequestOutcome::Stored | RequestOutcome::Pending)
                     {
-                        chunk.cache_failures += 1;
+                        chunk.cache_failures.record(now);
                     }
                 }
                 if outcome == RequestOutcome::Absent
--- a/core/src/swarm/schedule.rs
+++ b/core/src/swarm/schedule.rs
@@ -1,12 +1,12 @@
 //! Selects the requests to send: manifests, owned chunks, chunks from neighbours, and polls.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use rand::Rng;
 use rand::RngExt;
 
 use super::download::ChunkState;
-use super::download::Download;
 use super::download::MAX_PARALLEL_REQUESTS;
 use super::host::Swarm;
 use super::pipeline::ORIGIN_TIMEOUT;
@@ -188,6 +188,9 @@
         now: Time,
         requests: &mut Vec<Request>,
     ) {
+        if self.is_cached(n, now) {
+            return;
+        }
         let mut from_origin =
             self.count_flights(|flight| flight.destination == Destination::Origin);
         let mut long_polls = self.count_flights(|flight| {
@@ -200,7 +203,7 @@
             let recently_requested =
                 chunk.owner_requested_at.is_some_and(|at| !now.passed(at, OWNER_RETRY_DELAY));
             let max_flights = if chunk.is_overdue { MAX_PARALLEL_REQUESTS } else { 1 };
-            if chunk.flights >= max_flights || recently_requested || self.is_cached(chunk) {
+            if chunk.flights >= max_flights || recently_requested {
                 continue;
             }
             let destination = match self.next_destination(n, *index as usize, now) {
@@ -239,12 +242,19 @@
         let download = &self.downloads[n];
         let chunk = &download.chunks[index];
         let live = |id: PeerId| self.peers.may_own(id);
+        let is_offered = || chunk.holders > 0 && download.peers_offering(index).any(live);
         match chunk.source {
             Source::Neighbours => None,
             Source::Peer(id) => Some(Destination::Peer(id)),
             Source::Origin if self.strategy != Strategy::Swarm => Some(Destination::Origin),
+            // While caches may have the chunk, another zone may have received it from them.
+            Source::Origin if !self.may_use_origin(n, now) => {
+                let turn = chunk.origin_attempts as usize;
+                let other = self.topology.owner_in_other_zone(chunk.key, &live, turn);
+                other.filter(|_| !is_offered()).map(Destination::Peer)
+            }
             Source::Origin if chunk.is_overdue => Some(Destination::Origin),
-            Source::Origin if chunk.holders > 0 && download.peers_offering(index).any(live) => None,
+            Source::Origin if is_offered() => None,
             Source::Origin if chunk.origin_attempts % 2 == 1 => {
                 let turn = chunk.origin_attempts as usize / 2;
                 let other = self.topology.owner_in_other_zone(chunk.key, &live, turn);
@@ -301,7 +311,7 @@
             .count_flights(|flight| direct(flight) && flight.destination != Destination::Origin)
             as u32;
         let mut order: Vec<usize> = (0..self.downloads.len()).collect();
-        order.sort_by_key(|n| std::cmp::Reverse(self.downloads[*n].missing));
+        order.sort_by_key(|n| Reverse(self.downloads[*n].missing));
         while in_flight < limit {
             let found = order.iter().find_map(|n| Some((*n, self.choose_request(*n, now, rng)?)));
             let Some((n, (index, peer))) = found else {
@@ -318,16 +328,21 @@
     /// may exist nowhere else, so it takes priority on the host's link: then more is saved if the
     /// origin crashes.
     fn neighbour_limit(&self, now: Time) -> u32 {
-        if (0..self.downloads.len()).any(|n| self.uses_caches(n, now)) {
+        let takes_from_caches = |n| self.uses_caches(n, now) && self.is_cached(n, now);
+        if (0..self.downloads.len()).any(takes_from_caches) {
             return PIPELINE_WITH_CACHES;
         }
-        let is_from_origin = |download: &Download| {
+        let is_from_origin = |n: usize| {
+            let download = &self.downloads[n];
+            if !self.may_use_origin(n, now) {
+                return false;
+            }
             let mut owned = download.owned.iter().map(|index| *index as usize);
             owned.any(|index| {
                 download.chunks[index].source == Source::Origin && !download.have.get(index)
             })
         };
-        if self.downloads.iter().any(is_from_origin) {
+        if (0..self.downloads.len()).any(is_from_origin) {
             return PIPELINE_WITH_ORIGIN.max(self.pipeline.per_peer);
         }
         if self.is_link_shared { self.pipeline.shared_link } else { self.pipeline.exclusive_link }
@@ -372,8 +387,8 @@
         };
         let neighbours =
             if self.strategy == Strategy::Swarm { self.neighbours.as_slice() } else { &[] };
-        let mut asked: Vec<PeerId> =
-            neighbours.iter().copied().filter(|id| due(id, POLL_INTERVAL)).collect();
+        let is_next = |id: &PeerId| due(id, POLL_INTERVAL) && self.is_next_to_poll(n, *id);
+        let mut asked: Vec<PeerId> = neighbours.iter().copied().filter(is_next).collect();
         let watched_owners = &self.downloads[n].watched_owners;
         asked.extend(
             watched_owners
@@ -385,6 +400,7 @@
             asked.push(id);
         }
         for id in asked {
+            self.downloads[n].polled_at.insert(id, now);
             requests.push(self.start_request(
                 Destination::Peer(id),
                 version,
@@ -395,6 +411,17 @@
         }
     }
 
+    /// Whether a neighbour is polled for this version next. All versions share the interval between
+    /// polls of a neighbour, so they take turns; otherwise the bitmaps of one version would never be
+    /// requested while another is incomplete.
+    fn is_next_to_poll(&self, n: usize, id: PeerId) -> bool {
+        let polled_at = |n: usize| self.downloads[n].polled_at.get(&id).copied();
+        let is_polled =
+            |n: &usize| self.downloads[*n].has_manifest && !self.downloads[*n].is_complete();
+        let order = (0..self.downloads.len()).filter(is_polled);
+        order.min_by_key(|n| (polled_at(*n), Reverse(*n))) == Some(n)
+    }
+
     /// A peer that is down and due for a retry.
     fn peer_to_retry(&mut self, now: Time) -> Option<PeerId> {
         let all: Vec<PeerId> = self.topology.other_hosts().collect();
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -18,4 +18,5 @@
 mod shares;
 mod store_clock;
 mod subscribers;
+mod supersession;
 mod versions;
--- a/core/tests/weights/main.rs
+++ b/core/tests/weights/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod orders;
+mod outage;
 mod placement;
 mod swarm;
 mod topology;
--- a/node/src/direct/agent.rs
+++ b/node/src/direct/agent.rs
@@ -25,6 +25,7 @@
 use mastichaven_core::direct::notices::Collector;
 use mastichaven_core::direct::request_limit::LimitStatement;
 use mastichaven_core::direct::subscribers::Subscribers;
+use mastichaven_core::direct::supersession::INITIAL_LOAD_TIME;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::swarm::PeerLocation;
@@ -46,9 +47,6 @@
 use super::swarm::SwarmDriver;
 use crate::clock::BootClock;
 
-/// Load time assumed until the first load has been measured.
-const INITIAL_LOAD_TIME: Duration = Duration::from_millis(500);
-
 /// Result of running an agent.
 pub type Result<T> = io::Result<T>;
 
@@ -141,6 +139,7 @@
     spawn_local(agent.clone().send_reports(report_socket));
     spawn_local(agent.clone().follow_updates());
     spawn_local(agent.clone().schedule_loads());
+    spawn_local(agent.clone().end_useless_downloads());
     spawn_local(agent.swarm.clone().run());
     spawn_local(agent.swarm.clone().serve(peer_listener));
     spawn_local(serve_status(agent.clone(), metrics_listener));
--- a/node/src/direct/agent/loading.rs
+++ b/node/src/direct/agent/loading.rs
@@ -9,6 +9,7 @@
 use mastichaven_core::direct::load_orders::Verification;
 use mastichaven_core::direct::rollout;
 use mastichaven_core::direct::rollout::HostState;
+use mastichaven_core::direct::supersession::Supersession;
 use mastichaven_core::direct::versions::Announcement;
 use mastichaven_platform::engine::LoadMode;
 use mastichaven_platform::engine::Report;
@@ -70,6 +71,43 @@
         }
     }
 
+    /// Ends the download of an older version once it is useless, so that it takes nothing from the newest one;
+    /// runs until the process exits. A task of its own, as scheduled loads wait for the endpoint for seconds.
+    pub(super) async fn end_useless_downloads(self: Rc<Self>) {
+        loop {
+            sleep(LOAD_POLL_INTERVAL).await;
+            // A load that is being prepared reads the staged chunks.
+            if !self.is_load_in_progress.get() {
+                self.end_useless_download().await;
+            }
+        }
+    }
+
+    async fn end_useless_download(&self) {
+        let (Some(older), Some(newest)) = (self.swarm.older_version(), self.swarm.newest_version())
+        else {
+            return;
+        };
+        let status = self.swarm.download_status(&older);
+        let successor = self.versions.borrow().successor(older.version);
+        let supersession = Supersession {
+            older: status,
+            newest: self.swarm.download_status(&newest),
+            superseded_at: successor.map(Announcement::latest),
+            load_time: self.load_time.get(),
+            bound: Duration::from_millis(self.cfg.bounds.weights_ms),
+        };
+        let Some(reason) = supersession.end_reason(self.clock.now()) else {
+            return;
+        };
+        let status = status.unwrap_or_default();
+        slog::info!(self.log, "older download ended"; "version" => older.version,
+            "newest" => newest.version, "reason" => reason.as_str(), "chunks" => status.chunks,
+            "missing" => status.missing, "available" => status.available);
+        self.metrics.count("older_downloads_ended");
+        self.swarm.drop_older_version().await;
+    }
+
     fn host_state(&self, target: &Target) -> HostState {
         let held = self.verified_version();
         let versions = self.versions.borrow();
--- a/node/src/direct/swarm.rs
+++ b/node/src/direct/swarm.rs
@@ -22,6 +22,7 @@
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::RegionName;
 use mastichaven_core::manifest::Chunk;
+use mastichaven_core::swarm::DownloadStatus;
 use mastichaven_core::swarm::PeerLocation;
 use mastichaven_core::swarm::PipelineLimits;
 use mastichaven_core::swarm::Strategy;
@@ -107,6 +108,7 @@
         let mut swarm = Swarm::new(me, Strategy::Swarm);
         swarm.set_max_origin_retry_delay(MAX_ORIGIN_RETRY_DELAY);
         swarm.set_pipeline_limits(PIPELINE_LIMITS);
+        swarm.set_caches(false);
         SwarmDriver {
             clock,
             log,
@@ -176,7 +178,7 @@
 
     /// Sets the version to download. The version that is being staged is kept while staging is locked.
     /// Otherwise its download continues only if it is newer than `held`, the version that the endpoint has
-    /// loaded, and at least `MIN_FRACTION_TO_FINISH` of its chunks are available from peers.
+    /// loaded, until [`SwarmDriver::drop_older_version`].
     pub fn set_wanted_version(&self, model: &SmolStr, version: u64, held: Option<u64>) {
         let digest = version_digest(model, version);
         let target = Target { model: model.clone(), version, digest };
@@ -186,9 +188,8 @@
         }
         pulls.truncate(1);
         let is_superseded = |pull: &Pull| held.is_some_and(|held| held >= pull.target.version);
-        let share = |pull: &Pull| self.swarm.borrow().available_share(pull.target.digest);
         if !self.is_staging_locked.get() {
-            pulls.retain(|pull| !is_superseded(pull) && share(pull) >= MIN_FRACTION_TO_FINISH);
+            pulls.retain(|pull| !is_superseded(pull));
         }
         pulls.push(Pull::new(target, self.clock.now()));
         drop(pulls);
@@ -229,6 +230,23 @@
         Some(DownloadProgress { chunks: chunks.have.len(), missing: chunks.missing(), elapsed })
     }
 
+    /// The older of two versions, unless staging is locked.
+    pub fn older_version(&self) -> Option<Target> {
+        let pulls = self.pulls.borrow();
+        let older = pulls.first().filter(|_| pulls.len() > 1 && !self.is_staging_locked.get())?;
+        Some(older.target.clone())
+    }
+
+    /// The newest version, whether or not its manifest has been received.
+    pub fn newest_version(&self) -> Option<Target> {
+        self.pulls.borrow().last().map(|pull| pull.target.clone())
+    }
+
+    /// The download of a version; `None` if it is not wanted or its manifest has not been received.
+    pub fn download_status(&self, target: &Target) -> Option<DownloadStatus> {
+        self.swarm.borrow().status(target.digest, self.clock.now())
+    }
+
     /// Whether a newer version is completely buffered in memory.
     pub fn is_newer_complete(&self) -> bool {
         let pulls = self.pulls.borrow();
@@ -360,6 +378,7 @@
     /// Requests missing chunks; runs until the process exits.
     pub async fn run(self: Rc<Self>) {
         loop {
+            self.update_cache_availability();
             let requests = {
                 let mut rng = self.rng.borrow_mut();
                 self.swarm.borrow_mut().step(self.clock.now(), &mut *rng)
--- a/node/src/direct/swarm/sources.rs
+++ b/node/src/direct/swarm/sources.rs
@@ -1,5 +1,6 @@
 //! Fetches manifests and chunks from the origin, entries and peers.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use mastichaven_core::direct::replication::ChunkRequest;
 use mastichaven_core::direct::replication::ChunkSender;
 use mastichaven_core::direct::replication::Hello;
+use mastichaven_core::direct::replication::MAX_HOLDERS;
 use mastichaven_core::ids::Digest;
 use mastichaven_core::manifest::Chunk;
 use mastichaven_core::swarm::Destination;
@@ -151,18 +153,21 @@
             self.update_cache_availability();
             return RequestOutcome::Unreachable;
         };
+        let next = self.prefetch_list(request.version, digest);
+        let has_prefetch_list = !next.is_empty();
         let hello = Hello::Chunk(ChunkRequest {
             model: target.model.clone(),
             version: target.version,
             index: index as u32,
             digest,
             puller: route.puller,
-            next: self.prefetch_list(request.version, digest),
-            holders: Vec::new(),
-            pullers: Vec::new(),
+            next,
+            holders: self.holders_of(request.version, digest),
+            pullers: self.caches.borrow().pullers(digest),
             sender: ChunkSender::Agent,
         });
-        let address = SocketAddr::new(route.entry, self.cache_port);
+        let entry = route.entry;
+        let address = SocketAddr::new(entry, self.cache_port);
         let reply_timeout = chunk_server::FIRST_REPLY_TIMEOUT;
         let (transfer_timeout, download_slots) = (request.timeout, &self.download_slots);
         match peers::fetch_chunk(address, &hello, reply_timeout, transfer_timeout, download_slots)
@@ -170,19 +175,51 @@
         {
             Ok(Ok(bytes)) => {
                 self.metrics.count("chunks_from_entries");
-                self.store_chunk(&target, index, digest, bytes).await
+                let outcome = self.store_chunk(&target, index, digest, bytes).await;
+                if outcome == RequestOutcome::Corrupt {
+                    self.record_chunk_failure(entry, digest);
+                }
+                outcome
+            }
+            Ok(Err(reply)) => {
+                if matches!(reply, PeerReply::Absent | PeerReply::Busy) {
+                    self.record_chunk_failure(entry, digest);
+                }
+                outcome_of(Ok(reply))
             }
-            Ok(Err(reply)) => outcome_of(Ok(reply)),
             Err(e) => {
                 slog::info!(self.log, "chunk request failed"; "entry" => address.to_string(),
                     "version" => target.version, "error" => e.as_str());
-                self.caches.borrow_mut().record_failure(route.entry, self.clock.now());
+                self.caches.borrow_mut().record_failure(entry, self.clock.now());
                 self.update_cache_availability();
+                if has_prefetch_list {
+                    self.forget_prefetch_list(request.version, digest);
+                }
                 outcome_of(Err(e))
             }
         }
     }
 
+    fn record_chunk_failure(&self, entry: IpAddr, digest: Digest) {
+        self.caches.borrow_mut().record_chunk_failure(entry, digest, self.clock.now());
+    }
+
+    /// Addresses of neighbours that have a chunk.
+    fn holders_of(&self, version: Digest, digest: Digest) -> Vec<SocketAddr> {
+        let swarm = self.swarm.borrow();
+        let addresses = self.addresses.borrow();
+        let holders = swarm.holders(version, digest, MAX_HOLDERS).into_iter();
+        holders.filter_map(|id| addresses.get(&swarm.location(id).host).copied()).collect()
+    }
+
+    /// Has the list of chunks to prefetch sent to the puller of a chunk again, as it may not have arrived.
+    fn forget_prefetch_list(&self, version: Digest, digest: Digest) {
+        let puller = self.caches.borrow().puller(digest);
+        if let Some(puller) = puller {
+            self.with_pull(version, |pull| pull.prefetch_pullers.remove(&puller));
+        }
+    }
+
     /// The other missing chunks that the puller of this chunk is assigned; empty except for the first request
     /// that goes through this puller.
     ///
@@ -339,7 +376,9 @@
 fn outcome_of(reply: peers::Result<PeerReply>) -> RequestOutcome {
     match reply {
         Ok(PeerReply::Busy) => RequestOutcome::Busy,
-        Ok(PeerReply::NotYet | PeerReply::OriginFailing) => RequestOutcome::Pending,
+        Ok(PeerReply::NotYet) => RequestOutcome::Pending,
+        // Sent without a wait, so the next request must be delayed.
+        Ok(PeerReply::OriginFailing) => RequestOutcome::Busy,
         Ok(PeerReply::Absent) => RequestOutcome::Absent,
         Ok(PeerReply::Have { .. } | PeerReply::Manifest { .. } | PeerReply::ChunkFollows(_)) => {
             RequestOutcome::Corrupt
