--- a/core/src/swarm/caches.rs
+++ b/core/src/swarm/caches.rs
@@ -26,6 +26,10 @@
 /// same chunk at once.
 const CACHE_WINDOW: usize = 8;
 
+/// The same with chunks whose next request is delayed after a failure. The limit keeps hosts from
+/// asking for all chunks in turn when caches refuse each of them at once.
+const MAX_CACHE_WINDOW: usize = 16;
+
 /// Time without an answer from any cache after which chunks are pulled from other zones and, if no
 /// neighbour has them, from the origin. It exceeds the time for which a chunk waits while caches
 /// restart in turn: chunks that hosts pulled meanwhile left the origin several times.
@@ -80,11 +84,12 @@
         let mut in_flight = self.count_cache_flights(n);
         let limit = self.cache_pipeline(n, now);
         while in_flight < limit {
-            let candidates = self.downloads[n].cache_candidates(CACHE_WINDOW, now);
-            let free: Vec<usize> = candidates
-                .into_iter()
-                .filter(|index| self.downloads[n].chunks[*index].flights == 0)
-                .collect();
+            let download = &self.downloads[n];
+            let wanted = download.cache_candidates(MAX_CACHE_WINDOW).into_iter();
+            let is_due = |index: &usize| download.chunks[*index].cache_failures.allow_request(now);
+            let due = wanted.filter(is_due).take(CACHE_WINDOW);
+            let free: Vec<usize> =
+                due.filter(|index| download.chunks[*index].flights == 0).collect();
             if free.is_empty() {
                 return;
             }
--- a/core/src/swarm/download.rs
+++ b/core/src/swarm/download.rs
@@ -64,7 +64,7 @@
     }
 
     /// Whether the next request is due.
-    fn allow_request(self, now: Time) -> bool {
+    pub(super) fn allow_request(self, now: Time) -> bool {
         let factor = 1 << self.count.saturating_sub(1).min(8);
         let delay = (INITIAL_CACHE_RETRY_DELAY * factor).min(MAX_CACHE_RETRY_DELAY);
         self.count == 0 || now.passed(self.last, delay)
@@ -285,12 +285,12 @@
         best.map(|(_, n, peer)| (n, peer))
     }
 
-    /// The first `most` missing chunks that may be requested from caches. O(chunks).
-    pub(super) fn cache_candidates(&self, most: usize, now: Time) -> Vec<usize> {
+    /// The first `most` missing chunks in the order of caches. O(chunks).
+    pub(super) fn cache_candidates(&self, most: usize) -> Vec<usize> {
         let order = self.cache_order.iter().map(|index| *index as usize);
         let is_wanted = |index: &usize| {
             let chunk = &self.chunks[*index];
-            !self.have.get(*index) && !chunk.is_duplicate && chunk.cache_failures.allow_request(now)
+            !self.have.get(*index) && !chunk.is_duplicate
         };
         order.filter(is_wanted).take(most).collect()
     }
--- a/core/tests/weights/outage.rs
+++ b/core/tests/weights/outage.rs
@@ -51,6 +51,29 @@
     completed_ms: BTreeMap<Digest, u64>,
 }
 
+impl Host {
+    fn new(n: usize, locations: &[PeerLocation], entries: &[IpAddr]) -> Host {
+        let mut swarm = Swarm::new(&locations[n], Strategy::Swarm);
+        swarm.set_peers(locations, None);
+        swarm.set_caches(true);
+        let mut caches = Caches::default();
+        caches.set(entries.to_vec(), entries.to_vec());
+        Host {
+            swarm,
+            caches,
+            wanted: Vec::new(),
+            stored: BTreeSet::new(),
+            completed_ms: BTreeMap::new(),
+        }
+    }
+
+    fn announce(&mut self, manifest: &Manifest, now: Time) {
+        self.wanted.push(manifest.digest());
+        self.swarm.set_wanted_versions(&self.wanted, now);
+        self.swarm.set_manifest(manifest, |digest| self.stored.contains(&digest), now);
+    }
+}
+
 /// A request whose answer is outstanding.
 struct Pending {
     host: usize,
@@ -67,6 +90,7 @@
     older: Manifest,
     newest: Manifest,
     hosts: Vec<Host>,
+    locations: Vec<PeerLocation>,
     entries: Vec<IpAddr>,
     do_entries_restart: bool,
     are_entries_up: bool,
@@ -94,24 +118,12 @@
             })
             .collect();
         let entries: Vec<IpAddr> = (1..=ENTRIES).map(|n| IpAddr::from([10, 0, 0, n])).collect();
-        let host = |location| {
-            let mut swarm = Swarm::new(location, Strategy::Swarm);
-            swarm.set_peers(&locations, None);
-            swarm.set_caches(true);
-            let mut caches = Caches::default();
-            caches.set(entries.clone(), entries.clone());
-            Host {
-                swarm,
-                caches,
-                wanted: Vec::new(),
-                stored: BTreeSet::new(),
-                completed_ms: BTreeMap::new(),
-            }
-        };
+        let host = |n| Host::new(n, &locations, &entries);
         Fleet {
             older: manifest(0),
             newest: manifest(128),
-            hosts: locations.iter().map(host).collect(),
+            hosts: (0..HOSTS).map(host).collect(),
+            locations,
             entries,
             do_entries_restart: true,
             are_entries_up: true,
@@ -132,9 +144,7 @@
     fn announce(&mut self, manifest: &Manifest) {
         let now = self.now();
         for host in &mut self.hosts {
-            host.wanted.push(manifest.digest());
-            host.swarm.set_wanted_versions(&host.wanted, now);
-            host.swarm.set_manifest(manifest, |digest| host.stored.contains(&digest), now);
+            host.announce(manifest, now);
         }
     }
 
@@ -348,3 +358,22 @@
     fleet.run_until(OLDER_AT_MS + 2_400);
     assert!(fleet.pulled_by_hosts > 0);
 }
+
+// Guards against an agent that starts during a download and waits for chunks that others have, or pulls them again.
+#[test]
+fn agent_that_starts_during_download_is_complete_with_the_others() {
+    for start_ms in [NEWEST_AT_MS + 300, OUTAGE_MS.end + 1_000] {
+        let mut fleet = Fleet::new();
+        let newest = fleet.newest.clone();
+        fleet.run_until(NEWEST_AT_MS);
+        fleet.announce(&newest);
+        fleet.run_until(start_ms);
+        fleet.hosts[0] = Host::new(0, &fleet.locations, &fleet.entries);
+        fleet.pending.retain(|request| request.host != 0);
+        let now = fleet.now();
+        fleet.hosts[0].announce(&newest, now);
+        fleet.run_until(OUTAGE_MS.end + 3_500);
+        assert!(fleet.completed_ms(newest.digest()).is_some(), "started at {start_ms} ms");
+        assert_eq!(fleet.pulled_by_hosts, 0);
+    }
+}
--- a/node/tests/direct/agent.rs
+++ b/node/tests/direct/agent.rs
@@ -111,6 +111,29 @@
     assert!(fleet.iter().all(|(endpoint, _)| endpoint.inconsistent_loads() == 0));
 }
 
+// Two versions are announced while the origin is down, and the entry that serves their chunks is killed. Agents must
+// end the older one, and must not pull a copy each when the origin is up again.
+#[test]
+fn newest_version_leaves_origin_once_after_outage() {
+    let site = Site::start();
+    let fleet = start_fleet(&site, "superseded", 3, Some(1));
+    let logged = |text: &str| fleet.iter().all(|(_, agent)| agent.log().contains(text));
+    let entry = site.start_entry("superseded");
+    until("manifest received", || logged("manifest received"));
+    site.origin.set_down(true);
+    announce_version(&site, 2);
+    until("version 2 is announced", || logged("\"version\":2"));
+    announce_version(&site, 3);
+    until("the download of version 2 has ended", || logged("older download ended"));
+    entry.program.signal("KILL");
+    let _successor = site.start_entry("superseded-successor");
+    thread::sleep(Duration::from_secs(1));
+    site.origin.set_down(false);
+    until("all endpoints have loaded version 3", || all_loaded(&fleet, 3));
+    assert!(fleet.iter().all(|(endpoint, _)| endpoint.inconsistent_loads() == 0));
+    assert!(site.origin.chunks_sent() * 10 <= CHUNKS as u64 * 13, "{}", site.origin.chunks_sent());
+}
+
 // Version 3 is announced shortly after version 2. No endpoint may load chunks of both.
 #[test]
 fn load_never_mixes_consecutive_versions() {
