Hedge streams without a first event at slow engines

Cause: a stream at an engine that has become slow waited 1.8 s for its first event before another endpoint was looked for, long after its objective.

Change: at the latest time at which the first event could still be in time elsewhere (objective less the expected time, a quarter of the objective until rates are known), a resumable stream is given up if its endpoint is slow (pace over 1.5, or twice the expected time) and the other is not. Hedges use at most 0.25 of the retry budget and are not recorded as failures of the endpoint. They happen only within 10 s after an endpoint was last slow.

Result: with two fake engines, one of them silent, streams with an objective of 300 ms are sent to the other one after 225 ms.

--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -22,6 +22,8 @@
 use super::endpoint::ReportTiming;
 use super::leaving::EndpointProcess;
 use super::leaving::LeavingProcesses;
+use super::pace::HEDGING_TTL;
+use super::pace::SLOW_PACE;
 use super::request_limit::LimitStatement;
 use super::request_limit::Schedule;
 use super::restored_store::RestoredStore;
@@ -123,6 +125,8 @@
     entries: u32,
     entry_count: EntryCount,
     has_avoided_slow: bool,
+    /// When an endpoint was last reported or seen to be slow.
+    slow_seen_at: Option<Time>,
 }
 
 impl EndpointTable {
@@ -150,6 +154,7 @@
             entries: 1,
             entry_count: EntryCount::default(),
             has_avoided_slow: false,
+            slow_seen_at: None,
         }
     }
 
@@ -197,10 +202,18 @@
                 && !endpoint.is_other_process(started_ms)
             {
                 endpoint.record_reported_pace(pace, now);
+                if pace > SLOW_PACE {
+                    self.slow_seen_at = Some(now);
+                }
             }
         }
     }
 
+    /// Whether requests are hedged: an endpoint was slow recently.
+    pub fn is_hedging(&self, now: Time) -> bool {
+        self.slow_seen_at.is_some_and(|at| !now.passed(at, HEDGING_TTL))
+    }
+
     /// Factor by which an endpoint is slower than its configured rates, at least 1.
     pub fn pace(&self, key: EndpointKey, now: Time) -> f64 {
         self.endpoints.get(key).map_or(1.0, |endpoint| endpoint.pace(now))
--- a/core/src/direct/pace.rs
+++ b/core/src/direct/pace.rs
@@ -21,6 +21,25 @@
 /// Ratio of two paces from which on entries are told of a change at once.
 const ANNOUNCED_RATIO: f64 = 1.25;
 
+/// Multiple of the expected time until the first event after which an endpoint counts as slow.
+const OVERDUE_FACTOR: u32 = 2;
+
+/// Expected time until a first event while the rates of the service are unknown, as a share of the
+/// route's latency objective.
+const ASSUMED_FIRST_EVENT_SHARE: f64 = 0.25;
+
+/// Share of the retry budget that hedged requests may use, so that the rest is left to requests whose
+/// endpoint was lost.
+pub const HEDGE_BUDGET_SHARE: f64 = 0.25;
+
+/// Time after a slow endpoint was last seen for which requests are hedged. Where no endpoint is ever
+/// slow, first events are late because all endpoints are full, and hedges would only add load.
+pub(super) const HEDGING_TTL: Duration = Duration::from_secs(10);
+
+/// Time after [`hedge_at`] up to which a stream is still hedged. A busy entry is delayed by some ten
+/// milliseconds, and the other endpoint may be faster than expected.
+const HEDGE_TOLERANCE: Duration = Duration::from_millis(100);
+
 /// Percentages in a pace of 1, the unit in which paces are sent.
 const PERCENT: f64 = 100.0;
 
@@ -86,3 +105,45 @@
         Some(to_percent(pace))
     }
 }
+
+/// Expected time until a first event of a route with `objective` while the service's rates are
+/// unknown.
+pub fn assumed_first_event(objective: Duration) -> Duration {
+    objective.mul_f64(ASSUMED_FIRST_EVENT_SHARE)
+}
+
+/// The latest time at which a request that is sent to another endpoint can still have its first event
+/// in time.
+pub fn hedge_at(received_at: Time, objective: Duration, expected_elsewhere: Duration) -> Time {
+    received_at + objective.saturating_sub(expected_elsewhere)
+}
+
+/// A stream without a first event.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitingStream {
+    /// When its request must be sent elsewhere to be in time there.
+    pub hedge_at: Time,
+    /// When it was sent to its endpoint.
+    pub sent_at: Time,
+    /// Pace of its endpoint.
+    pub pace: f64,
+    /// Time after which its first event was expected.
+    pub expected: Duration,
+    /// Pace of the endpoint that would be chosen instead.
+    pub pace_elsewhere: f64,
+}
+
+impl WaitingStream {
+    /// Whether it is too late to hedge.
+    pub fn is_past(hedge_at: Time, now: Time) -> bool {
+        now.passed(hedge_at, HEDGE_TOLERANCE)
+    }
+
+    /// Whether the endpoint is slow and the other one is not, so that the request is better sent there.
+    pub fn should_be_hedged(&self, now: Time) -> bool {
+        let is_overdue = now.passed(self.sent_at, self.expected * OVERDUE_FACTOR);
+        (self.pace > SLOW_PACE || is_overdue)
+            && self.pace_elsewhere <= SLOW_PACE
+            && !WaitingStream::is_past(self.hedge_at, now)
+    }
+}
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -11,6 +11,7 @@
 mod loop_lag;
 mod notices;
 mod pullers;
+mod pace;
 mod replication;
 mod request_limit;
 mod retry_after;
--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -23,6 +23,7 @@
 pub mod forward;
 pub mod gateway;
 mod head_limit;
+mod hedge;
 pub mod load_reports;
 pub mod log;
 pub mod metrics;
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -28,6 +28,7 @@
 use super::connection::HttpConnection;
 use super::crashes::LostAttempt;
 use super::crashes::record_lost_attempt;
+use super::hedge::until_hedged;
 use super::pool;
 use super::selection::until_replaceable;
 use super::state::InFlightGuard;
@@ -188,6 +189,10 @@
         {
             Err(ConnectionError::TimedOut)
         }
+        () = until_hedged(state, call, history, endpoint, now) => {
+            history.record_lost_response(call);
+            return AttemptOutcome::Lost(ConnectionError::TimedOut);
+        }
         // The endpoint may not have begun to run it.
         () = state.until_quarantined(call) => {
             history.record_lost_response(call);
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -121,7 +121,7 @@
     let is_replaceable = |now| {
         retry_obstacle(call, history, now).is_none()
             && state.quarantine_remaining(call).is_none()
-            && has_retry_budget(state, call, history, now)
+            && has_retry_budget(state, call, usable_budget(call, history), now)
             && choose_endpoint(state, call, history, now).is_ok()
     };
     while !is_replaceable(state.now()) {
@@ -129,14 +129,18 @@
     }
 }
 
-fn has_retry_budget(state: &State, call: &Call, history: &CallHistory, now: Time) -> bool {
+/// Whether the retry budget has one left for a request that may use `usable` of it.
+pub(super) fn has_retry_budget(state: &State, call: &Call, usable: f64, now: Time) -> bool {
     let entries = state.endpoints.borrow().entries();
-    let usable = usable_budget(call, history);
     state.with_retry_budget(&call.service, |budget| budget.has_left(usable, entries, now))
 }
 
 /// Why a request that was sent to an endpoint may not be sent to another one; `None` if it may.
-fn retry_obstacle(call: &Call, history: &CallHistory, now: Time) -> Option<&'static str> {
+pub(super) fn retry_obstacle(
+    call: &Call,
+    history: &CallHistory,
+    now: Time,
+) -> Option<&'static str> {
     if history.tried_count() == 0 {
         None
     } else if history.sent_count >= call.route.max_attempts {
@@ -155,7 +159,7 @@
     history.stop_retrying(e.as_str(), e)
 }
 
-fn choose_endpoint(
+pub(super) fn choose_endpoint(
     state: &Rc<State>,
     call: &Call,
     history: &CallHistory,
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -26,6 +26,7 @@
 use super::connection::ConnectionError;
 use super::crashes::LostAttempt;
 use super::crashes::record_lost_attempt;
+use super::hedge::until_hedged;
 use super::pool;
 use super::response_body::ResponseAborted;
 use super::response_body::ResponseBody;
@@ -114,6 +115,7 @@
     let is_resumable = call.route.retry_policy == RetryPolicy::Resumable;
     let now = state.now();
     let time_limit = stream.response.take_first_event_limit(call.deadline.since(now), now);
+    let (endpoint, sent_at) = (stream.response.place.endpoint, stream.response.sent_at);
     let first = tokio::select! {
         first = timeout(time_limit, stream.read_events()) => {
             first.unwrap_or(Err(ConnectionError::TimedOut))
@@ -121,6 +123,10 @@
         () = until_replaceable(state, call, history, FIRST_EVENT_TIMEOUT), if is_resumable => {
             Err(ConnectionError::TimedOut)
         }
+        () = until_hedged(state, call, history, endpoint, sent_at) => {
+            history.record_lost_response(call);
+            return Err(ConnectionError::TimedOut);
+        }
         () = state.until_quarantined(call) => {
             history.record_lost_response(call);
             return Err(ConnectionError::Broken);
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -12,6 +12,7 @@
 mod fixture;
 mod interrupted_streams;
 mod limits;
+mod pace;
 mod parents;
 mod peers;
 mod power_loss;
--- a/standins/src/direct/endpoint.rs
+++ b/standins/src/direct/endpoint.rs
@@ -136,6 +136,7 @@
     refused_at: Vec<Instant>,
     queue: Queue,
     reported_version: Option<u64>,
+    pace: Option<f64>,
 }
 
 #[derive(Debug)]
@@ -235,6 +236,11 @@
         state.version = Some(version);
     }
 
+    /// Sets the pace in the endpoint's reports; `None` if they name none. Requests are answered as fast as before.
+    pub fn set_pace(&self, pace: Option<f64>) {
+        self.shared.lock().pace = pace;
+    }
+
     /// Version of the weights from which requests are answered.
     pub fn version(&self) -> Option<u64> {
         self.shared.lock().version
@@ -345,6 +351,9 @@
         body["models"] = json!([{"name": "m", "version": version, "adapters": []}]);
         body["layers"] = json!({"from": 0, "to": LAYERS, "version": version});
     }
+    if let Some(pace) = state.pace {
+        body["pace"] = json!(pace);
+    }
     drop(state);
     let statements = statement_headers(shared);
     let mut headers = borrowed(&statements);
