Hand streams over before their endpoint stops at the bound on its weights

Requests prefer endpoints whose weights last until the expected end of the answer, if one of them has a slot free. From 0.6 s before the stop, the entry looks for another endpoint for a stream that may be resumed. The first endpoint goes on until the other one has sent an event that was not relayed; repeated events are dropped, compared id by id. The limit told to endpoints, and until when requests may begin, are unchanged.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -7,7 +7,8 @@
 //! detects requests that give way to others. [`shares`] divides fleet-wide limits among entries,
 //! [`request_limit`] keeps to those that single endpoints name, [`leaving`] remembers which
 //! endpoints are about to stop, and [`retry_after`] computes when a
-//! refused caller may return. [`events`] resumes broken streams.
+//! refused caller may return. [`events`] resumes broken streams, and
+//! [`handover`] moves those whose endpoint is about to stop.
 //!
 //! Entries and agents tell each other what one of them has seen in [`notices`], such as requests
 //! that crash endpoints, which [`crate::quarantine`] recognizes.
@@ -27,6 +28,7 @@
 pub mod endpoint_table;
 pub mod events;
 pub mod freshness;
+pub mod handover;
 pub mod lateness;
 pub mod leaving;
 pub mod load_orders;
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -342,6 +342,16 @@
             && endpoint.is_some_and(|endpoint| endpoint.pause_remaining(now).is_none())
     }
 
+    /// Whether an endpoint is fit for requests and would begin one at once.
+    pub fn has_free_slot(&mut self, key: EndpointKey, is_late: bool, now: Time) -> bool {
+        let entries = self.entries;
+        self.endpoints.get_mut(key).is_some_and(|endpoint| {
+            let slots = f64::from(endpoint.record().slots);
+            endpoint.is_available(now)
+                && endpoint.load(entries, is_late, now).is_some_and(|load| load < slots)
+        })
+    }
+
     /// State of all endpoints as JSON, for the dump of an entry.
     pub fn dump(&self, now: Time) -> Vec<serde_json::Value> {
         self.endpoints.iter().map(|(_, endpoint)| endpoint.dump(now)).collect()
--- a/core/src/direct/events.rs
+++ b/core/src/direct/events.rs
@@ -26,6 +26,11 @@
 }
 
 impl EventSplitter {
+    /// Splits a stream that continues after the event `last_id`.
+    pub fn resumed_after(last_id: SmolStr) -> EventSplitter {
+        EventSplitter { buf: BytesMut::new(), last_id: Some(last_id), has_events: true }
+    }
+
     /// Adds bytes and returns the events that they complete; `None` if there is no complete event yet.
     ///
     /// Fails if the incomplete event is longer than [`MAX_EVENT_LEN`].
@@ -37,7 +42,7 @@
         };
         let events = self.buf.split_to(from + end).freeze();
         self.has_events = true;
-        if let Some(id) = scan_last_id(&events) {
+        if let Some(id) = last_id(&events) {
             self.last_id = Some(id);
         }
         Ok(Some(events))
@@ -71,8 +76,24 @@
     lf.max(crlf)
 }
 
+/// Splits complete events into single ones, each with its blank line.
+pub fn split(events: &Bytes) -> impl Iterator<Item = Bytes> + '_ {
+    let mut rest = events.clone();
+    std::iter::from_fn(move || {
+        let len = scan_first_end(&rest).unwrap_or(rest.len());
+        (len > 0).then(|| rest.split_to(len))
+    })
+}
+
+/// Index after the first blank line of `bytes`.
+fn scan_first_end(bytes: &[u8]) -> Option<usize> {
+    let lf = bytes.windows(2).position(|w| w == b"\n\n").map(|at| at + 2);
+    let crlf = bytes.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4);
+    lf.into_iter().chain(crlf).min()
+}
+
 /// The value of the last `id:` line.
-fn scan_last_id(events: &[u8]) -> Option<SmolStr> {
+pub fn last_id(events: &[u8]) -> Option<SmolStr> {
     let lines = events.split(|byte| *byte == b'\n').rev();
     for line in lines {
         if let Some(value) = line.strip_prefix(b"id:") {
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod endpoint_table;
 mod events;
 mod freshness;
+mod handover;
 mod lateness;
 mod load_orders;
 mod loop_lag;
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -73,6 +73,11 @@
         )
     }
 
+    /// When the endpoint stops; `None` if it has been told the caller's deadline.
+    pub(super) fn at(self) -> Option<Time> {
+        self.0
+    }
+
     /// Whether the endpoint may have stopped by `now`.
     pub(super) fn has_passed(self, now: Time) -> bool {
         self.0.is_some_and(|stops_at| now >= stops_at)
--- a/node/src/direct/begin_limits.rs
+++ b/node/src/direct/begin_limits.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use mastichaven_core::Time;
 use mastichaven_core::direct::endpoint::EndpointRecord;
+use mastichaven_core::direct::handover;
 use mastichaven_core::direct::versions::Announcement;
 use mastichaven_core::direct::versions::VersionLimits;
 use mastichaven_platform::answer;
@@ -86,6 +87,15 @@
         }
     }
 
+    /// The oldest version of `model` whose bound is not before `time`.
+    pub(super) fn oldest_version_until(&self, model: &str, time: Time) -> u64 {
+        let limits = self.version_limits();
+        let versions = self.versions.borrow();
+        versions
+            .get(model)
+            .map_or(0, |versions| handover::oldest_without_bound_before(versions, &limits, time))
+    }
+
     fn begin_by(&self, model: &str, version: u64) -> Option<Time> {
         self.versions.borrow().get(model)?.begin_by(version, &self.version_limits())
     }
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -193,6 +193,9 @@
     pub(super) no_retry: &'static str,
     /// Whether the caller has received a part of the answer, and the next attempt is to bring the rest.
     pub(super) is_resumption: bool,
+    /// Until when the weights of the next endpoint must be allowed to begin requests, as its stream is to go on when
+    /// another one stops.
+    pub(super) weights_until: Option<Time>,
     /// Until when the next attempt may wait for a free place; `None` unless a response has been lost.
     pub(super) retry_until: Option<Time>,
 }
--- a/node/src/direct/crashes.rs
+++ b/node/src/direct/crashes.rs
@@ -180,6 +180,7 @@
 
     /// Records that an endpoint has run a request to its end, which clears its traits of all suspicion.
     pub(super) fn record_completion(&self, call: &Call) {
+        self.record_answer_time(&call.route, self.now().since(call.received_at));
         if self.quarantine.borrow().is_empty() {
             return;
         }
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -165,8 +165,10 @@
     history: &CallHistory,
     now: Time,
 ) -> std::result::Result<EndpointKey, Unavailable> {
-    let oldest_version =
-        call.head.model.as_deref().map(|model| (model, state.oldest_allowed_version(model, now)));
+    let oldest_version = call.head.model.as_deref().map(|model| {
+        let until = history.weights_until.map(|time| state.oldest_version_until(model, time));
+        (model, state.oldest_allowed_version(model, now).max(until.unwrap_or(0)))
+    });
     let customer_regions = call.customer.as_ref().map(|c| c.allowed_regions.as_slice());
     let requirements = Requirements {
         service: &call.service,
@@ -176,10 +178,33 @@
         cold_per_second: call.cold_per_second,
         is_late: call.is_late,
     };
+    if let Some(endpoint) = choose_lasting(state, call, &requirements, now) {
+        return Ok(endpoint);
+    }
     let mut endpoints = state.endpoints.borrow_mut();
     state.with_rng(|rng| endpoints.choose(&requirements, now, rng))
 }
 
+/// Chooses an endpoint that would begin the request at once, on weights that have no bound before the expected end of
+/// the answer; `None` if there is none, or if all weights that meet the requirements are such.
+fn choose_lasting(
+    state: &State,
+    call: &Call,
+    requirements: &Requirements<'_>,
+    now: Time,
+) -> Option<EndpointKey> {
+    let (model, oldest) = requirements.model?;
+    let expected_end = state.answer_time(&call.route).expected_end(now, call.deadline);
+    let lasting = state.oldest_version_until(model, expected_end);
+    if lasting <= oldest {
+        return None;
+    }
+    let requirements = Requirements { model: Some((model, lasting)), ..*requirements };
+    let mut endpoints = state.endpoints.borrow_mut();
+    let endpoint = state.with_rng(|rng| endpoints.choose(&requirements, now, rng)).ok()?;
+    endpoints.has_free_slot(endpoint, call.is_late, now).then_some(endpoint)
+}
+
 /// Share of the retry budget that the request may use.
 fn usable_budget(call: &Call, history: &CallHistory) -> f64 {
     let may_be_resumed = call.route.retry_policy == RetryPolicy::Resumable;
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -14,6 +14,7 @@
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::endpoint_table::EndpointTable;
 use mastichaven_core::direct::freshness::Freshness;
+use mastichaven_core::direct::handover::AnswerTime;
 use mastichaven_core::direct::lateness::LongestDeadline;
 use mastichaven_core::direct::loop_lag::LoopLag;
 use mastichaven_core::direct::notices::NoticeQueue;
@@ -51,7 +52,7 @@
 /// an endpoint.
 const LEASE_FRACTION: f64 = 0.88;
 
-/// Maximum number of routes whose longest deadlines are tracked; they take some hundred KB.
+/// Maximum number of routes whose longest deadlines and answer times are tracked; they take some hundred KB.
 const MAX_TRACKED_ROUTES: usize = 4_096;
 
 /// Store latency that is assumed until the store has responded.
@@ -140,6 +141,7 @@
     pub chunks: ChunkCache,
     pub(super) unknown_headers: RefCell<HashSet<SmolStr>>,
     longest_deadlines: RefCell<HashMap<SmolStr, LongestDeadline>>,
+    answer_times: RefCell<HashMap<SmolStr, AnswerTime>>,
     retry_budgets: RefCell<HashMap<ServiceName, SharedRetryBudget>>,
     rng: RefCell<SmallRng>,
 }
@@ -190,6 +192,7 @@
             chunks: ChunkCache::default(),
             unknown_headers: RefCell::default(),
             longest_deadlines: RefCell::default(),
+            answer_times: RefCell::default(),
             retry_budgets: RefCell::default(),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
             cfg,
@@ -317,6 +320,20 @@
         deadlines.entry(route.name.clone()).or_default().is_late(left, route.objective, now)
     }
 
+    /// Usual time of the answers of `route`.
+    pub fn answer_time(&self, route: &Route) -> AnswerTime {
+        self.answer_times.borrow().get(&route.name).copied().unwrap_or_default()
+    }
+
+    /// Records how long a complete answer of `route` took.
+    pub fn record_answer_time(&self, route: &Route, took: Duration) {
+        let mut answer_times = self.answer_times.borrow_mut();
+        if answer_times.len() >= MAX_TRACKED_ROUTES && !answer_times.contains_key(&route.name) {
+            answer_times.clear();
+        }
+        answer_times.entry(route.name.clone()).or_default().record(took);
+    }
+
     /// Runs `f` with the retry budget of a service.
     pub fn with_retry_budget<T>(
         &self,
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -1,4 +1,6 @@
-//! Relays event streams to callers, and resumes them at another endpoint when theirs is lost or silent.
+//! Relays event streams to callers, and resumes them at another endpoint when theirs is lost, silent or about to stop.
+
+mod handover;
 
 use std::cell::Cell;
 use std::pin::pin;
@@ -178,12 +180,10 @@
     /// Relays events until the stream ends or cannot be continued.
     async fn run(mut self, mut stream: EndpointStream, tx: &BodySender) {
         loop {
-            match self.next_events(stream).await {
+            match self.next_events(stream, tx).await {
                 Ok((next, Some(events))) => {
-                    self.last_event_at.set(self.state.now());
                     stream = next;
-                    // A failed send means that the caller has disconnected, which cancels this task.
-                    let _ = tx.send(Ok(events)).await;
+                    self.relay(events, tx).await;
                 }
                 Ok((next, None)) => {
                     self.state.record_completion(self.call);
@@ -198,6 +198,12 @@
         }
     }
 
+    async fn relay(&self, events: Bytes, tx: &BodySender) {
+        self.last_event_at.set(self.state.now());
+        // A failed send means that the caller has disconnected, which cancels this task.
+        let _ = tx.send(Ok(events)).await;
+    }
+
     fn log_interruption(&self, e: ConnectionError) {
         let now = self.state.now();
         slog::warn!(self.state.log, "stream interrupted";
@@ -211,19 +217,27 @@
         self.state.metrics.count("streams_broken_off");
     }
 
-    /// Reads the next events, `None` at the end of the stream, from `stream` or from the one that replaces it.
+    /// Reads the next events, `None` at the end of the stream, from `stream` or from the one that replaces it. While the
+    /// endpoint of `stream` is about to stop, its events are relayed here.
     async fn next_events(
         &mut self,
         mut stream: EndpointStream,
+        tx: &BodySender,
     ) -> Result<(EndpointStream, Option<Bytes>)> {
         let remaining = self.call.deadline.since(self.state.now());
         let idle_timeout = match self.call.route.retry_policy {
             RetryPolicy::Resumable => STREAM_IDLE_TIMEOUT.min(remaining),
             RetryPolicy::Idempotent | RetryPolicy::AtMostOnce => remaining,
         };
-        match timeout(idle_timeout, stream.read_events()).await {
+        let until_handover = self.time_to_handover(&stream);
+        let time_limit = until_handover.map_or(idle_timeout, |time| time.min(idle_timeout));
+        if time_limit.is_zero() && until_handover.is_some() {
+            return Box::pin(self.hand_over(stream, tx)).await;
+        }
+        match timeout(time_limit, stream.read_events()).await {
             Ok(Ok(events)) => Ok((stream, events)),
             Ok(Err(e)) => self.replace_lost(stream, e).await,
+            Err(_) if time_limit < idle_timeout => Box::pin(self.hand_over(stream, tx)).await,
             Err(_) if idle_timeout < remaining => self.replace_silent(stream).await,
             Err(_) => self.replace_lost(stream, ConnectionError::TimedOut).await,
         }
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod explain;
 mod fixture;
+mod handover;
 mod interrupted_streams;
 mod limits;
 mod pace;
