--- a/core/src/direct/pullers.rs
+++ b/core/src/direct/pullers.rs
@@ -244,7 +244,7 @@
         self.own.is_some_and(|own| self.order[..own].contains(&puller))
     }
 
-    /// The candidates after `puller` that are neither skipped nor this entry.
+    /// The candidates that this entry asks if `puller` fails, without those that are skipped.
     pub fn others_after(
         &self,
         puller: IpAddr,
@@ -253,9 +253,12 @@
         now: Time,
     ) -> Vec<IpAddr> {
         let position = self.order.iter().position(|ip| *ip == puller).unwrap_or_default();
-        let own = self.own.map(|own| self.order[own]);
-        let others = self.order[position + 1..].iter().copied();
-        others.filter(|ip| Some(*ip) != own && !pullers.is_skipped(*ip, path, now)).collect()
+        let end = match self.own {
+            Some(own) if position < own => own,
+            _ => self.order.len(),
+        };
+        let others = self.order[position + 1..end].iter().copied();
+        others.filter(|ip| !pullers.is_skipped(*ip, path, now)).collect()
     }
 
     /// Whether no puller before this entry is available.
--- a/node/src/direct/chunk_server/sources.rs
+++ b/node/src/direct/chunk_server/sources.rs
@@ -42,10 +42,12 @@
     ChunkTimeouts { reply: Duration::from_millis(60), ..PULLER_TIMEOUTS };
 
 /// Time without a reply from a puller after which the entry finds out which others are silent too, and the timeout of
-/// that. Together they equal the timeout of the reply, so that several pullers that fail at once cost no more time
-/// than one.
+/// that. Together they are shorter than the timeout of the reply: the other silent ones are then known when the next
+/// puller is chosen, so that several that fail at once cost no more time than one. Where the reply does not wait, the
+/// others are asked at once.
 const SURVEY_DELAY: Duration = Duration::from_millis(250);
-const SURVEY_TIMEOUT: Duration = Duration::from_millis(150);
+const SURVEY_TIMEOUT: Duration = Duration::from_millis(120);
+const IMMEDIATE_SURVEY_TIMEOUT: Duration = Duration::from_millis(45);
 
 /// Timeouts of a request to an agent.
 const HOLDER_TIMEOUTS: ChunkTimeouts = ChunkTimeouts {
@@ -78,9 +80,11 @@
     sender: ChunkSender,
     req: &ChunkRequest,
 ) -> Result<Bytes, SourceError> {
-    let timeouts = match sender {
-        ChunkSender::Agent | ChunkSender::Entry => PULLER_TIMEOUTS,
-        ChunkSender::Puller | ChunkSender::Observer => IMMEDIATE_TIMEOUTS,
+    let (timeouts, survey_delay, survey_timeout) = match sender {
+        ChunkSender::Agent | ChunkSender::Entry => (PULLER_TIMEOUTS, SURVEY_DELAY, SURVEY_TIMEOUT),
+        ChunkSender::Puller | ChunkSender::Observer => {
+            (IMMEDIATE_TIMEOUTS, Duration::ZERO, IMMEDIATE_SURVEY_TIMEOUT)
+        }
     };
     let next = if sender == ChunkSender::Entry { req.next.clone() } else { Vec::new() };
     let holders = state.chunks.holders(req.digest);
@@ -89,8 +93,8 @@
     let slots = &state.chunks.download_slots;
     let fetch = peers::fetch_chunk_with_timeouts(address, &hello, timeouts, slots);
     let survey = async {
-        sleep(SURVEY_DELAY).await;
-        survey(state, others, req).await;
+        sleep(survey_delay).await;
+        survey(state, others, survey_timeout, req).await;
         std::future::pending::<()>().await;
     };
     let result = tokio::select! {
@@ -136,12 +140,12 @@
 }
 
 /// Finds out which pullers are silent.
-async fn survey(state: &State, pullers: &[IpAddr], req: &ChunkRequest) {
+async fn survey(state: &State, pullers: &[IpAddr], time_limit: Duration, req: &ChunkRequest) {
     let ask = async |puller: IpAddr| {
         let hello = observer_request(req);
         let address = SocketAddr::new(puller, state.cfg.agent_port);
-        let request = peers::request::<PeerReply>(address, &hello, SURVEY_TIMEOUT);
-        if !matches!(timeout(SURVEY_TIMEOUT, request).await, Ok(Ok(_))) {
+        let request = peers::request::<PeerReply>(address, &hello, time_limit);
+        if !matches!(timeout(time_limit, request).await, Ok(Ok(_))) {
             record_failure(state, puller, PullerFailure::NoReply, "silent");
         }
     };
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -17,6 +17,7 @@
 mod parents;
 mod peers;
 mod power_loss;
+mod pullers;
 mod replication;
 mod response_framing;
 mod restored_store;
