A puller that has just started asks later pullers before the origin

A first puller that restarts in the middle of a download has an empty cache, and pulled chunks again that the puller after it had fetched meanwhile. For 10 s after its first request it now asks the later ones before the origin.

--- a/core/src/direct/pullers.rs
+++ b/core/src/direct/pullers.rs
@@ -267,6 +267,11 @@
         self.order[..own].iter().all(|ip| pullers.is_skipped(*ip, path, now))
     }
 
+    /// The candidates after this entry; none if it is no candidate.
+    pub fn later(&self) -> &[IpAddr] {
+        self.own.map_or(&[], |own| &self.order[own + 1..])
+    }
+
     /// Starts over, as a puller is fetching the chunk.
     pub fn restart(&mut self) {
         self.next = 0;
--- a/node/src/direct/chunk_cache.rs
+++ b/node/src/direct/chunk_cache.rs
@@ -30,6 +30,10 @@
 /// Time after the last request for a chunk during which a failed download of it is retried.
 const REQUEST_TTL: Duration = Duration::from_millis(1_500);
 
+/// Time after the first request to a process during which chunks that it lacks may have been fetched before it
+/// started, so that others have them. A version takes some 3 s from the origin, and longer after an outage.
+const START_DURATION: Duration = Duration::from_secs(10);
+
 /// Maximum number of concurrent requests of one entry to the origin; a few entries together saturate its link.
 const MAX_ORIGIN_REQUESTS: usize = 2;
 
@@ -101,6 +105,7 @@
 pub struct ChunkCache {
     slots: RefCell<HashMap<Digest, Slot>>,
     newest: RefCell<HashMap<SmolStr, NewestVersion>>,
+    first_requested_at: Cell<Option<Time>>,
     pub(super) changed: Notify,
     pub(super) upload_slots: Semaphore,
     pub(super) download_slots: Semaphore,
@@ -117,6 +122,7 @@
         ChunkCache {
             slots: RefCell::default(),
             newest: RefCell::default(),
+            first_requested_at: Cell::new(None),
             changed: Notify::new(),
             upload_slots: Semaphore::new(MAX_OUTGOING_PIECES),
             download_slots: Semaphore::new(MAX_INCOMING_PIECES),
@@ -141,6 +147,11 @@
         self.len() == 0
     }
 
+    /// Whether the process may have started in the middle of a download.
+    pub(super) fn has_just_started(&self, now: Time) -> bool {
+        self.first_requested_at.get().is_none_or(|at| !now.passed(at, START_DURATION))
+    }
+
     pub(super) fn content(&self, digest: Digest) -> Option<Content> {
         self.slots.borrow().get(&digest).map(|slot| slot.content.clone())
     }
@@ -148,6 +159,7 @@
     /// Records a request and returns whether the chunk has to be fetched; `None` if the cache is full.
     pub(super) fn record_request(&self, req: &ChunkRequest, now: Time) -> Option<bool> {
         self.record_version(req, now);
+        self.first_requested_at.set(self.first_requested_at.get().or(Some(now)));
         let mut slots = self.slots.borrow_mut();
         let is_relayed = req.sender != ChunkSender::Agent;
         let holders = req.holders.iter().take(MAX_HOLDERS).copied().collect();
--- a/node/src/direct/chunk_server.rs
+++ b/node/src/direct/chunk_server.rs
@@ -95,6 +95,11 @@
             None if req.sender == ChunkSender::Observer => return Err(PeerReply::Absent),
             Some(Content::Pending) | None => {}
         }
+        // The observer may be the one for which this entry waits.
+        let is_waiting = state.chunks.outlook(req.digest) == Outlook::Coming;
+        if req.sender == ChunkSender::Observer && is_waiting {
+            return Err(PeerReply::Absent);
+        }
         if req.sender != ChunkSender::Agent && is_failing(state, req) {
             return Err(PeerReply::OriginFailing);
         }
@@ -185,12 +190,42 @@
                 sleep(corrupt_delay).await;
                 corrupt_delay = (corrupt_delay * 2).min(MAX_CORRUPT_RETRY_DELAY);
             }
-            Err(SourceError::Pending | SourceError::Failed | SourceError::Unwanted) => {}
+            Err(SourceError::Pending) => search.restart(),
+            Err(SourceError::Failed | SourceError::Unwanted) => {}
         }
     }
     chunks.remove(req.digest);
 }
 
+/// Fetches a chunk from the pullers after this one, which may have taken over while this entry was down. Returns `None`
+/// if none of them has or requests it.
+///
+/// # Errors
+///
+/// Returns [`SourceError::Pending`] if one of them requests it from the origin.
+async fn fetch_from_later(
+    state: &State,
+    req: &ChunkRequest,
+    search: &Search,
+) -> Result<Option<Bytes>, SourceError> {
+    for puller in search.later() {
+        let (now, path) = (state.now(), state.chunks.origin_path.get());
+        if state.chunks.pullers.borrow().is_skipped(*puller, &path, now) {
+            continue;
+        }
+        match sources::fetch_from_puller(state, *puller, &[], ChunkSender::Observer, req).await {
+            Ok(bytes) => return Ok(Some(bytes)),
+            Err(SourceError::Pending) => {
+                state.chunks.set_outlook(req.digest, Outlook::ComingFromLater);
+                sleep(PENDING_RETRY_DELAY).await;
+                return Err(SourceError::Pending);
+            }
+            Err(SourceError::Failed | SourceError::Corrupt | SourceError::Unwanted) => {}
+        }
+    }
+    Ok(None)
+}
+
 /// Takes the next step of a search.
 async fn fetch_once(
     state: &Rc<State>,
@@ -206,7 +241,6 @@
             let others = search.others_after(puller, &state.chunks.pullers.borrow(), &path, now);
             let result = sources::fetch_from_puller(state, puller, &others, sender, req).await;
             if result == Err(SourceError::Pending) {
-                search.restart();
                 let is_later = search.own_position().is_some() && !is_earlier;
                 let outlook = if is_later { Outlook::ComingFromLater } else { Outlook::Coming };
                 state.chunks.set_outlook(req.digest, outlook);
@@ -218,6 +252,11 @@
         }
         Step::Origin => {
             state.chunks.set_outlook(req.digest, Outlook::Unknown);
+            if state.chunks.has_just_started(now)
+                && let Some(bytes) = fetch_from_later(state, req, search).await?
+            {
+                return Ok(Content::Available(bytes));
+            }
             if search.own_position() != Some(0) {
                 state.metrics.count("puller_takeovers");
                 slog::info!(state.log, "chunk taken over"; "version" => req.version,
--- a/node/tests/direct/pullers.rs
+++ b/node/tests/direct/pullers.rs
@@ -184,3 +184,20 @@
         assert_eq!(entries.map(|entry| entry.state.chunks.len())[0], CHUNKS as usize);
     });
 }
+
+// Guards against chunks that leave the origin again because their first puller has restarted with an empty cache.
+#[test]
+fn serve_asks_later_puller_after_restart() {
+    run(async {
+        let asker = start_entry(31, 0, OriginBehaviour::Correct).await;
+        let port = asker.address.port();
+        let restarted = start_entry(32, port, OriginBehaviour::Correct).await;
+        let second = start_entry(33, port, OriginBehaviour::Correct).await;
+        let pullers = [restarted.address.ip(), second.address.ip()];
+        let chunks = chunks_of(&pullers[..1], &pullers);
+        fetch_all(second.address, &chunks, &[]).await;
+        fetch_all(asker.address, &chunks, &pullers).await;
+        let requests = [&asker, &restarted, &second].map(|entry| entry.origin.requests.get());
+        assert_eq!(requests, [0, 0, chunks.len() as u32]);
+    });
+}
