--- a/core/src/direct/caches.rs
+++ b/core/src/direct/caches.rs
@@ -19,7 +19,8 @@
 /// downloads would share the origin's low bandwidth and all complete late.
 pub const MAX_PULLERS: usize = 4;
 
-/// Time for which an entry is skipped after a failure. An entry that restarts is back after about as long.
+/// Time for which an entry is skipped after a failure. Longer ones may overlap for all entries of a region when
+/// they are restarted in turn, and hosts then pull from the origin.
 const FAILURE_COOLDOWN: Duration = Duration::from_secs(1);
 
 /// The entries through which a host fetches a chunk.
--- a/core/src/swarm.rs
+++ b/core/src/swarm.rs
@@ -14,6 +14,7 @@
 pub mod host;
 pub mod peers;
 mod pipeline;
+mod polls;
 mod request;
 mod schedule;
 mod status;
--- a/core/src/swarm/caches.rs
+++ b/core/src/swarm/caches.rs
@@ -31,8 +31,8 @@
 const MAX_CACHE_WINDOW: usize = 16;
 
 /// Time without an answer from any cache after which chunks are pulled from other zones and, if no
-/// neighbour has them, from the origin. It exceeds the time for which a chunk waits while caches
-/// restart in turn: chunks that hosts pulled meanwhile left the origin several times.
+/// neighbour has them, from the origin. Without it, hosts pulled chunks that caches were about to
+/// get, and versions left the origin several times.
 const CACHE_SILENCE: Duration = Duration::from_secs(2);
 
 /// Whether caches exist, and since when none has answered.
--- a/core/src/swarm/schedule.rs
+++ b/core/src/swarm/schedule.rs
@@ -1,4 +1,4 @@
-//! Selects the requests to send: manifests, owned chunks, chunks from neighbours, and polls.
+//! Selects the requests to send: manifests, owned chunks and chunks from neighbours.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -36,9 +36,6 @@
 /// Long polls in flight above which none is sent to an owner in another zone.
 const MAX_LONG_POLLS: usize = 24;
 
-/// Interval between polls of a neighbour. Any contact with it restarts the interval.
-const POLL_INTERVAL: Duration = Duration::from_millis(250);
-
 /// How long the answers of neighbours are awaited before a chunk is pulled from the origin: for a
 /// version that was just published, and for one that they may have had for long.
 pub(super) const NEW_VERSION_POLL_DELAY: Duration = Duration::from_millis(100);
@@ -46,7 +43,7 @@
 
 /// Interval between liveness probes of an owner that other hosts depend on, and between retries of
 /// a chunk that only demoted peers offer.
-const OWNER_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+pub(super) const OWNER_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How long a peer may hold a request for a chunk that it does not have yet.
 pub const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -61,7 +58,7 @@
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(200);
 
 impl Swarm {
-    fn start_request(
+    pub(super) fn start_request(
         &mut self,
         destination: Destination,
         version: Digest,
@@ -374,57 +371,4 @@
             .choose_chunk(random, &|id| load_if(id, false), &free_or_late)
             .or_else(|| download.choose_chunk(random, &|id| load_if(id, true), &retry_due))
     }
-
-    pub(super) fn poll_peers(&mut self, n: usize, now: Time, requests: &mut Vec<Request>) {
-        if self.strategy == Strategy::Origin {
-            return;
-        }
-        let version = self.downloads[n].version;
-        let due = |id: &PeerId, every: Duration| {
-            let peer = self.peers.get(*id);
-            let asked = peer.polled_at.is_some_and(|at| !now.passed(at, every));
-            peer.is_live() && !asked && now.passed(peer.last_contact, every)
-        };
-        let neighbours =
-            if self.strategy == Strategy::Swarm { self.neighbours.as_slice() } else { &[] };
-        let is_next = |id: &PeerId| due(id, POLL_INTERVAL) && self.is_next_to_poll(n, *id);
-        let mut asked: Vec<PeerId> = neighbours.iter().copied().filter(is_next).collect();
-        let watched_owners = &self.downloads[n].watched_owners;
-        asked.extend(
-            watched_owners
-                .iter()
-                .copied()
-                .filter(|id| !neighbours.contains(id) && due(id, OWNER_PROBE_INTERVAL)),
-        );
-        if let Some(id) = self.peer_to_retry(now) {
-            asked.push(id);
-        }
-        for id in asked {
-            self.downloads[n].polled_at.insert(id, now);
-            requests.push(self.start_request(
-                Destination::Peer(id),
-                version,
-                RequestKind::Have,
-                POLL_TIMEOUT,
-                now,
-            ));
-        }
-    }
-
-    /// Whether a neighbour is polled for this version next. All versions share the interval between
-    /// polls of a neighbour, so they take turns; otherwise the bitmaps of one version would never be
-    /// requested while another is incomplete.
-    fn is_next_to_poll(&self, n: usize, id: PeerId) -> bool {
-        let polled_at = |n: usize| self.downloads[n].polled_at.get(&id).copied();
-        let is_polled =
-            |n: &usize| self.downloads[*n].has_manifest && !self.downloads[*n].is_complete();
-        let order = (0..self.downloads.len()).filter(is_polled);
-        order.min_by_key(|n| (polled_at(*n), Reverse(*n))) == Some(n)
-    }
-
-    /// A peer that is down and due for a retry.
-    fn peer_to_retry(&mut self, now: Time) -> Option<PeerId> {
-        let all: Vec<PeerId> = self.topology.other_hosts().collect();
-        all.into_iter().find(|id| self.peers.claim_retry(*id, now))
-    }
 }
