Read ahead for callers that read slowly

An endpoint cuts off an answer that is not read for some seconds. The entry read at most eight chunks ahead of a caller.

An entry now reads 64 KiB ahead for each stream, and 16 MiB or a tenth of its memory for all; beyond that, each stream may hold 4 KiB, and the endpoint waits as before. Chunks that are not taken are joined, as the administration of single small ones takes more memory than their bytes. A connection that breaks within 3 s after the answer was left unread for 1 s or more is no evidence against the endpoint or the request. stream interrupted names the reason.

Tests: core read_ahead 2 passed; node direct 153 passed, 0 failed, including versions and version_soak, unchanged.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -8,7 +8,8 @@
 //! [`request_limit`] keeps to those that single endpoints name, [`leaving`] remembers which
 //! endpoints are about to stop, and [`retry_after`] computes when a
 //! refused caller may return. [`events`] resumes broken streams, and
-//! [`handover`] moves those whose endpoint is about to stop.
+//! [`handover`] moves those whose endpoint is about to stop. [`read_ahead`] limits what is
+//! buffered for slow callers.
 //!
 //! Entries and agents tell each other what one of them has seen in [`notices`], such as requests
 //! that crash endpoints, which [`crate::quarantine`] recognizes.
@@ -36,6 +37,7 @@
 pub mod notices;
 pub mod pace;
 pub mod pullers;
+pub mod read_ahead;
 pub mod replication;
 pub mod request_limit;
 pub mod restored_store;
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -13,6 +13,7 @@
 mod notices;
 mod pace;
 mod pullers;
+mod read_ahead;
 mod replication;
 mod request_limit;
 mod retry_after;
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -43,6 +43,7 @@
 use super::followers::Publisher;
 use super::metrics::Metrics;
 use super::pool::ConnectionPool;
+use super::response_body::ReadAhead;
 use super::settings::DirectSettings;
 use super::store::KnownEra;
 use crate::clock::BootClock;
@@ -89,6 +90,8 @@
     pub versions: RefCell<HashMap<SmolStr, Versions>>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
+    /// Events read ahead for callers that read slowly.
+    pub read_ahead: Rc<ReadAhead>,
     /// Recent probes of endpoints whose connections broke.
     pub probes: Probes,
     /// Requests that may be the cause of crashes of endpoints.
@@ -153,10 +156,12 @@
         let mut endpoints = EndpointTable::new(cfg.host.clone(), cfg.zone.clone(), cfg.regions());
         endpoints.set_entries(entries);
         let lease = Duration::from_millis(cfg.bounds.key_revocation_ms).mul_f64(LEASE_FRACTION);
+        let metrics = Rc::<Metrics>::default();
         State {
             clock: BootClock::start(),
             log,
-            metrics: Rc::default(),
+            read_ahead: ReadAhead::new(cfg.limits.memory_mb << 20, metrics.clone()),
+            metrics,
             catalog: RefCell::default(),
             config_applied: Notify::new(),
             must_relist_endpoints: Cell::new(false),
@@ -292,6 +297,7 @@
             "depth": self.depth(),
             "followers": self.publisher.len(),
             "chunks": self.chunks.len(),
+            "read_ahead_bytes": self.read_ahead.buffered(),
             "loop_lag_ms": self.loop_lag.borrow().max().as_millis() as u64,
             "weights": weights,
             "suspects": self.quarantine.borrow().len(),
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -13,8 +13,8 @@
 use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::RetryPolicy;
 use mastichaven_core::direct::events::EventSplitter;
+use mastichaven_core::direct::read_ahead::ReadPauses;
 use mastichaven_platform::answer;
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use super::attempt::AttemptOutcome;
@@ -30,9 +30,8 @@
 use super::crashes::record_lost_attempt;
 use super::hedge::until_hedged;
 use super::pool;
-use super::response_body::ResponseAborted;
+use super::response_body::BodySender;
 use super::response_body::ResponseBody;
-use super::response_body::STREAM_CHANNEL_CAPACITY;
 use super::selection::next_endpoint;
 use super::selection::until_replaceable;
 use super::state::State;
@@ -91,11 +90,11 @@
     let mut stream = EndpointStream { response, splitter: EventSplitter::default() };
     let first = read_first_events(state, call, &mut stream, history).await?;
     state.metrics.time("first_event", state.now().since(call.received_at));
-    let (tx, rx) = mpsc::channel(STREAM_CHANNEL_CAPACITY);
     let Some(first) = first else {
         return Ok(head.map(|()| ResponseBody::full(Bytes::new())));
     };
-    let _ = tx.try_send(Ok(first));
+    let (tx, body) = state.read_ahead.start_body();
+    tx.send(first).await;
     tokio::task::spawn_local(relay_stream(
         state.clone(),
         call.clone(),
@@ -103,7 +102,7 @@
         history.clone(),
         tx,
     ));
-    Ok(head.map(|()| ResponseBody::Streamed(rx)))
+    Ok(head.map(|()| body))
 }
 
 /// Reads the first events of an attempt; `None` if the stream ends without one. A silent endpoint is given up once
@@ -144,8 +143,6 @@
     first
 }
 
-type BodySender = mpsc::Sender<std::result::Result<Bytes, ResponseAborted>>;
-
 /// Relays a stream until it ends or its caller disconnects.
 async fn relay_stream(
     state: Rc<State>,
@@ -155,7 +152,14 @@
     tx: BodySender,
 ) {
     let last_event_at = Cell::new(state.now());
-    let relay = Relay { state: &state, call: &call, last_event_at: &last_event_at, history };
+    let relay = Relay {
+        state: &state,
+        call: &call,
+        last_event_at: &last_event_at,
+        history,
+        pauses: Cell::default(),
+        loss_reason: Cell::new("endpoint silent"),
+    };
     tokio::select! {
         () = relay.run(stream, &tx) => {}
         () = tx.closed() => {
@@ -174,6 +178,10 @@
     /// When the last event was relayed.
     last_event_at: &'a Cell<Time>,
     history: CallHistory,
+    /// Pauses in reading from the endpoint.
+    pauses: Cell<ReadPauses>,
+    /// Why the endpoint was lost, for the log.
+    loss_reason: Cell<&'static str>,
 }
 
 impl Relay<'_> {
@@ -191,17 +199,43 @@
                 }
                 Err(e) => {
                     self.log_interruption(e);
-                    let _ = tx.send(Err(ResponseAborted)).await;
-                    return;
+                    return tx.abort();
                 }
             }
         }
     }
 
     async fn relay(&self, events: Bytes, tx: &BodySender) {
-        self.last_event_at.set(self.state.now());
-        // A failed send means that the caller has disconnected, which cancels this task.
-        let _ = tx.send(Ok(events)).await;
+        let relayed_at = self.state.now();
+        self.last_event_at.set(relayed_at);
+        tx.send(events).await;
+        let now = self.state.now();
+        let mut pauses = self.pauses.get();
+        pauses.record(now.since(relayed_at), now);
+        self.pauses.set(pauses);
+    }
+
+    /// Records that the endpoint of the stream was lost, and finds out whether it has crashed. The end of an answer that
+    /// was left unread for its caller says nothing about the endpoint or the request.
+    async fn record_loss(&self, response: &AttemptResponse, e: ConnectionError) {
+        let now = self.state.now();
+        let attempt = response.as_lost();
+        let is_unread = e == ConnectionError::Broken && self.pauses.get().explain_loss(now);
+        self.loss_reason.set(if is_unread {
+            "caller reads slowly"
+        } else if response.stop.has_passed(now) {
+            "bound on weights"
+        } else if e == ConnectionError::TimedOut {
+            "endpoint silent"
+        } else {
+            "endpoint lost"
+        });
+        if is_unread {
+            let LostAttempt { record, endpoint, .. } = attempt;
+            log_failed_attempt(self.state, self.call, record, endpoint, e, "stream");
+        } else {
+            record_lost_attempt(self.state, self.call, attempt, e, "stream").await;
+        }
     }
 
     fn log_interruption(&self, e: ConnectionError) {
@@ -210,7 +244,7 @@
             "id" => self.call.head.id.as_deref().unwrap_or_default(),
             "route" => self.call.route.name.as_str(), "offers" => self.history.tried_count(),
             "endpoint" => self.history.last_endpoint.as_deref().unwrap_or_default(),
-            "error" => e.as_str(),
+            "error" => e.as_str(), "reason" => self.loss_reason.get(),
             "silent_ms" => now.since(self.last_event_at.get()).as_millis() as u64,
             "no_retry" => self.history.no_retry,
             "left_ms" => self.call.deadline.since(now).as_millis() as u64);
@@ -250,7 +284,7 @@
         e: ConnectionError,
     ) -> Result<(EndpointStream, Option<Bytes>)> {
         let EndpointStream { response, splitter } = stream;
-        record_lost_attempt(self.state, self.call, response.as_lost(), e, "stream").await;
+        self.record_loss(&response, e).await;
         drop(response);
         self.resume(splitter).await.ok_or(e)
     }
--- a/node/src/direct/stream/handover.rs
+++ b/node/src/direct/stream/handover.rs
@@ -77,9 +77,7 @@
                         }
                         Ok(None) => return Ok((stream, None)),
                         Err(e) if is_sent.get() => {
-                            let lost = stream.response.as_lost();
-                            let recorded =
-                                record_lost_attempt(self.state, self.call, lost, e, "stream");
+                            let recorded = self.record_loss(&stream.response, e);
                             let continued = tokio::join!(recorded, attempt).1;
                             break continued.map(Some).ok_or(e);
                         }
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -23,6 +23,7 @@
 mod restored_store;
 mod settings;
 mod shutdown;
+mod slow_readers;
 mod statements;
 mod updates;
 mod version_history;
--- a/standins/src/direct/endpoint.rs
+++ b/standins/src/direct/endpoint.rs
@@ -69,6 +69,13 @@
         /// Length of the pause.
         pause: Duration,
     },
+    /// Events have `len` more bytes, and streams break off if an event is not taken within `patience`.
+    CutUnread {
+        /// Additional bytes of an event.
+        len: usize,
+        /// Time for which an event may wait.
+        patience: Duration,
+    },
 }
 
 /// The begin of a run.
@@ -650,7 +657,15 @@
             thread::sleep(EVENT_INTERVAL);
             return false;
         }
-        if !body.send(Bytes::from(format!("id: {event}\ndata: {event}\n\n"))) {
+        let is_sent = match fault {
+            EndpointFault::CutUnread { len, patience } => {
+                let padding = ".".repeat(len);
+                let event = format!("id: {event}\n:{padding}\ndata: {event}\n\n");
+                body.send_within(event, patience)
+            }
+            _ => body.send(Bytes::from(format!("id: {event}\ndata: {event}\n\n"))),
+        };
+        if !is_sent {
             return true;
         }
     }
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -159,6 +159,11 @@
         self.tx.send(Ok(Frame::data(bytes.into()))).is_ok()
     }
 
+    /// Sends bytes. Returns false if the client has disconnected or they are not taken within `time_limit`.
+    pub(crate) fn send_within(&self, bytes: impl Into<Bytes>, time_limit: Duration) -> bool {
+        self.tx.send_timeout(Ok(Frame::data(bytes.into())), time_limit).is_ok()
+    }
+
     /// Whether the client has disconnected.
     pub(crate) fn is_disconnected(&self) -> bool {
         self.tx.is_disconnected()
