Do not take the end of an endpoint with full memory for a crash

An endpoint ends if the requests that it holds exceed its memory, which says nothing about any one of them, but each was recorded as evidence.

Agents tell entries when kv_used is 95% of kv_total or more (Notice::MemoryFull, appended, last in the datagram). For 1 s after that, the end of the process is no evidence.

--- a/core/src/direct/notices.rs
+++ b/core/src/direct/notices.rs
@@ -108,6 +108,9 @@
         /// The factor by which it is slower than its configured rates, in percent.
         percent: u32,
     },
+    /// Sent by agents: an endpoint reports that its memory is almost full. Last in a datagram, as earlier releases read
+    /// no further.
+    MemoryFull(EndpointProcess),
 }
 
 fn as_millis(duration: Duration) -> u32 {
@@ -133,6 +136,7 @@
             | Notice::OldQuarantined { .. }
             | Notice::OldCompleted { .. }
             | Notice::Leaving(_)
+            | Notice::MemoryFull(_)
             | Notice::Suspected { .. }
             | Notice::Pace { .. } => {}
         }
@@ -239,6 +243,7 @@
                 self.leaving.record(process, now);
             }
             Notice::Quarantined { .. }
+            | Notice::MemoryFull(_)
             | Notice::Suspected { .. }
             | Notice::Pace { .. }
             | Notice::OldCrash { .. }
--- a/core/src/direct/read_ahead.rs
+++ b/core/src/direct/read_ahead.rs
@@ -1,11 +1,13 @@
-//! Limits of what an entry reads ahead from endpoints for callers that read slowly, and whether such a caller explains
-//! the loss of an endpoint.
+//! Limits of what an entry reads ahead from endpoints for callers that read slowly, and whether such a caller, or the
+//! memory of the endpoint, explains its loss.
 //!
 //! An endpoint cuts off an answer that is not read for some seconds, and keeps what is unread in its memory. So the
 //! entry reads on while it has room, and lets the endpoint wait only then.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use super::leaving::EndpointProcess;
 use crate::time::Time;
 
 /// Bytes that are read ahead for one stream at most: more than most answers have.
@@ -66,6 +68,37 @@
     }
 }
 
+/// Share of an endpoint's memory from which on it may end because of all its requests together.
+const FULL_MEMORY_FRACTION: f64 = 0.95;
+
+/// Time after such a report within which the end of the endpoint is put down to it. Agents report every 100 ms.
+const FULL_MEMORY_TTL: Duration = Duration::from_secs(1);
+
+/// Whether an endpoint that uses `used` of `total` units of memory may end because of all its requests together.
+pub fn is_memory_full(used: u64, total: u64) -> bool {
+    total > 0 && used as f64 >= total as f64 * FULL_MEMORY_FRACTION
+}
+
+/// The processes that have reported their memory full.
+#[derive(Clone, Debug, Default)]
+pub struct FullProcesses {
+    reported_at: HashMap<EndpointProcess, Time>,
+}
+
+impl FullProcesses {
+    /// Records such a report.
+    pub fn record(&mut self, process: EndpointProcess, now: Time) {
+        self.reported_at.retain(|_, at| !now.passed(*at, FULL_MEMORY_TTL));
+        self.reported_at.insert(process, now);
+    }
+
+    /// Whether full memory explains that a process has ended.
+    pub fn explain_end(&self, process: EndpointProcess, now: Time) -> bool {
+        let reported_at = self.reported_at.get(&process);
+        reported_at.is_some_and(|at| !now.passed(*at, FULL_MEMORY_TTL))
+    }
+}
+
 /// The pauses in reading an answer that are due to its caller.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ReadPauses {
--- a/core/tests/direct/read_ahead.rs
+++ b/core/tests/direct/read_ahead.rs
@@ -1,8 +1,11 @@
 use std::time::Duration;
 
 use mastichaven_core::Time;
+use mastichaven_core::direct::leaving::EndpointProcess;
+use mastichaven_core::direct::read_ahead::FullProcesses;
 use mastichaven_core::direct::read_ahead::ReadAheadBudget;
 use mastichaven_core::direct::read_ahead::ReadPauses;
+use mastichaven_core::direct::read_ahead::is_memory_full;
 
 const MIB: usize = 1 << 20;
 
@@ -36,3 +39,17 @@
     assert!(pauses.explain_loss(now + Duration::from_secs(2)));
     assert!(!pauses.explain_loss(now + Duration::from_secs(3)));
 }
+
+// Guards against requests that are suspected of the end of an endpoint that all its requests have filled, and against
+// endpoints that excuse a crash by a report of long ago or of another process.
+#[test]
+fn full_memory_explains_end_of_process_for_a_while() {
+    assert!(is_memory_full(95, 100) && !is_memory_full(94, 100) && !is_memory_full(0, 0));
+    let process = |started_ms| EndpointProcess { address: ([127, 0, 0, 1], 1).into(), started_ms };
+    let now = Time::from_millis(10_000);
+    let mut full = FullProcesses::default();
+    full.record(process(1), now);
+    assert!(full.explain_end(process(1), now + Duration::from_millis(900)));
+    assert!(!full.explain_end(process(1), now + Duration::from_secs(1)));
+    assert!(!full.explain_end(process(2), now));
+}
--- a/node/src/direct/agent/reports.rs
+++ b/node/src/direct/agent/reports.rs
@@ -107,6 +107,7 @@
                 self.record_leaving(report.load.started_ms);
             }
             self.observe_orders(&report);
+            let has_filled = report.is_memory_full && !self.is_memory_full();
             let (regional, in_origin_region) = self.subscribers.borrow().caches(self.clock.now());
             self.swarm.set_caches(regional, in_origin_region);
             // An endpoint without weights serves no requests, so its link is free for chunks.
@@ -137,6 +138,7 @@
             let has_new_notices = self.collector.borrow_mut().evaluate(now);
             let has_availability_changed = has_new_notices
                 || has_pace_changed
+                || has_filled
                 || limit != last_limit
                 || last.as_ref().is_none_or(|last| !has_same_availability(last, &load));
             round += 1;
@@ -183,6 +185,10 @@
         collector.apply(Notice::Leaving(process), now);
     }
 
+    fn is_memory_full(&self) -> bool {
+        self.report.borrow().as_ref().is_some_and(|report| report.is_memory_full)
+    }
+
     /// Start time of the endpoint's process, in milliseconds of the Unix epoch; 0 if unknown.
     fn started_ms(&self) -> u64 {
         self.report.borrow().as_ref().map_or(0, |report| report.load.started_ms)
@@ -248,7 +254,11 @@
         let now = self.clock.now();
         let port = self.endpoint_client.address().port();
         let has_new_reader = self.subscribers.borrow().has_new(NEW_READER_TIME, now);
-        let notices = self.collector.borrow_mut().next_report(has_new_reader, now);
+        let mut notices = self.collector.borrow_mut().next_report(has_new_reader, now);
+        if report.is_some() && self.is_memory_full() {
+            let (address, started_ms) = (self.endpoint_client.address(), self.started_ms());
+            notices.push(Notice::MemoryFull(EndpointProcess { address, started_ms }));
+        }
         if report.is_none() && notices.is_empty() {
             return;
         }
--- a/node/src/direct/crashes.rs
+++ b/node/src/direct/crashes.rs
@@ -18,6 +18,7 @@
 use mastichaven_core::crash_evidence::RequestEvidence;
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::endpoint::EndpointRecord;
+use mastichaven_core::direct::leaving::EndpointProcess;
 use mastichaven_core::direct::notices::Notice;
 use mastichaven_core::direct::notices::time_ago;
 use mastichaven_core::fingerprint::Fingerprint;
@@ -120,9 +121,11 @@
     at: &'static str,
 ) {
     let LostAttempt { record, endpoint, sent_at } = attempt;
-    // An endpoint that leaves ends by itself.
+    let process = EndpointProcess::of(record);
+    let is_full = state.full_processes.borrow().explain_end(process, state.now());
+    // An endpoint that leaves ends by itself, and one whose memory is full because of all its requests.
     let may_have_crashed =
-        e == ConnectionError::Broken && state.endpoints.borrow().is_routable(endpoint);
+        e == ConnectionError::Broken && !is_full && state.endpoints.borrow().is_routable(endpoint);
     let ran = state.now().since(sent_at);
     let beside = state.endpoints.borrow().in_flight(endpoint).saturating_sub(1);
     record_failed_attempt(state, call, record, endpoint, e, at);
@@ -208,6 +211,9 @@
                 traits.iter().for_each(|one| quarantine.watch(*one, now));
             }
             Notice::Leaving(process) => self.apply_leaving(*process, now),
+            Notice::MemoryFull(process) => {
+                self.full_processes.borrow_mut().record(*process, now);
+            }
             // The pace concerns the sender's endpoint, so it is applied where the sender is known.
             Notice::Pace { .. }
             | Notice::Crash { .. }
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -18,6 +18,7 @@
 use mastichaven_core::direct::lateness::LongestDeadline;
 use mastichaven_core::direct::loop_lag::LoopLag;
 use mastichaven_core::direct::notices::NoticeQueue;
+use mastichaven_core::direct::read_ahead::FullProcesses;
 use mastichaven_core::direct::replication::AgeLimits;
 use mastichaven_core::direct::replication::Nomination;
 use mastichaven_core::direct::retry_after::RefusalCause;
@@ -94,6 +95,8 @@
     pub read_ahead: Rc<ReadAhead>,
     /// Recent probes of endpoints whose connections broke.
     pub probes: Probes,
+    /// Endpoints that have reported their memory full.
+    pub full_processes: RefCell<FullProcesses>,
     /// Requests that may be the cause of crashes of endpoints.
     pub quarantine: RefCell<Quarantine>,
     /// Notified when a request is quarantined.
@@ -172,6 +175,7 @@
             versions: RefCell::default(),
             pool: ConnectionPool::default(),
             probes: Probes::default(),
+            full_processes: RefCell::default(),
             quarantine: RefCell::default(),
             request_quarantined: Notify::new(),
             notices: RefCell::default(),
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -230,6 +230,7 @@
         } else {
             "endpoint lost"
         });
+        self.pauses.set(ReadPauses::default());
         if is_unread {
             let LostAttempt { record, endpoint, .. } = attempt;
             log_failed_attempt(self.state, self.call, record, endpoint, e, "stream");
--- a/node/tests/direct/slow_readers.rs
+++ b/node/tests/direct/slow_readers.rs
@@ -18,6 +18,7 @@
 use mastichaven_standins::direct::site;
 use tokio::time::timeout;
 
+use super::fixture::Entry;
 use super::fixture::Site;
 use super::fixture::WAIT_TIMEOUT;
 use super::fixture::until;
@@ -126,3 +127,40 @@
     assert!(response.ends_with("0\r\n\r\n"));
     assert_eq!(entry.dump()["read_ahead_bytes"], 0);
 }
+
+/// Part of a body that crashes the endpoint that runs it.
+const CRASH_MARKER: &str = "crash";
+
+/// Sends a request at which the endpoint `id` ends while it uses `memory` of 1,000 units, and returns the new lines of
+/// the entry's log.
+fn log_of_end(site: &Site, entry: &Entry, id: &str, memory: u64) -> String {
+    let endpoint = site.start_endpoint(id, "writer", Some(1));
+    endpoint.crash_on(CRASH_MARKER);
+    endpoint.set_memory_used(memory);
+    let _agent = site.start_agent(id, &endpoint);
+    let hears_agent = || {
+        let endpoints = entry.dump()["endpoints"].as_array().cloned().unwrap_or_default();
+        endpoints.iter().any(|one| one["id"] == id && one["report_age_ms"].is_u64())
+    };
+    until("the agent reports", hears_agent);
+    // The report after the first one tells what the endpoint uses, too.
+    thread::sleep(SEND_TIME);
+    let before = entry.program.log().len();
+    let response = entry.send_body("/stream/a", id, "key-1", CRASH_MARKER).expect("a response");
+    assert_eq!(response.status, 502);
+    assert!(endpoint.crashed_at().is_some());
+    let new_lines = || entry.program.log()[before..].to_owned();
+    until("it is logged", || new_lines().contains("request ended"));
+    site.store.delete(site::ENDPOINTS, id);
+    new_lines()
+}
+
+// Guards against requests that are suspected as their endpoint has ended, though all its requests had filled its memory.
+#[test]
+fn end_of_endpoint_with_full_memory_is_no_crash() {
+    let site = Site::start();
+    let entry = site.start_entry("memory");
+    let crashed = "endpoint crashed while running a request";
+    assert!(!log_of_end(&site, &entry, "i-full", 980).contains(crashed));
+    assert!(log_of_end(&site, &entry, "i-half", 500).contains(crashed));
+}
