--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -4,7 +4,8 @@
 //! [`catalog`] maps requests to services and [`endpoint_table`] holds the endpoints of each
 //! service, with the state of one of them in [`endpoint`]. A request goes to the best of a random
 //! sample of them (`sampling`), past those that `ejection` takes out of rotation; [`lateness`]
-//! detects requests that give way to others. [`shares`] divides fleet-wide limits among entries,
+//! detects requests that give way to others. [`priority`] decides which calls leave places to those
+//! of higher levels, and [`wait_queue`] in which order calls wait for a place. [`shares`] divides fleet-wide limits among entries,
 //! [`request_limit`] keeps to those that single endpoints name, [`leaving`] remembers which
 //! endpoints are about to stop, and [`retry_after`] computes when a
 //! refused caller may return. [`events`] resumes broken streams, and
@@ -38,6 +39,7 @@
 pub mod pace;
 pub mod pullers;
 pub mod read_ahead;
+pub mod priority;
 pub mod replication;
 pub mod request_limit;
 pub mod restored_store;
@@ -49,3 +51,4 @@
 pub mod subscribers;
 pub mod supersession;
 pub mod versions;
+pub mod wait_queue;
--- a/core/src/direct/catalog.rs
+++ b/core/src/direct/catalog.rs
@@ -1,5 +1,6 @@
 //! Configuration of the direct path: routes indexed by host and path prefix, customers indexed by key.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use super::priority::PriorityClass;
 use crate::ids::CustomerName;
 use crate::ids::Digest;
 use crate::ids::RegionName;
@@ -184,6 +186,32 @@
     customers: Vec<Customer>,
     by_key: HashMap<SmolStr, u32>,
     limits: CallerLimits,
+    /// Pairs of ranks that occur for each service with several levels, the highest first.
+    levels: HashMap<ServiceName, Vec<RankPair>>,
+}
+
+/// Rank of a customer, which takes precedence, and rank of a route.
+type RankPair = (u32, u32);
+
+/// Pairs of ranks that occur for each service whose routes have several ranks, the highest first.
+/// O(routes x ranks of customers).
+fn levels_of(routes: &[Route], customers: &[Customer]) -> HashMap<ServiceName, Vec<RankPair>> {
+    let ranks: BTreeSet<u32> = customers.iter().filter_map(|customer| customer.rank).collect();
+    let has_unranked = customers.is_empty() || customers.iter().any(|c| c.rank.is_none());
+    let mut by_service: HashMap<ServiceName, BTreeSet<RankPair>> = HashMap::new();
+    let mut route_ranks: HashMap<ServiceName, BTreeSet<u32>> = HashMap::new();
+    for route in routes {
+        for split in route.splits.iter().filter(|split| split.weight > 0.0) {
+            route_ranks.entry(split.service.clone()).or_default().insert(route.rank);
+            let pairs = by_service.entry(split.service.clone()).or_default();
+            pairs.extend(ranks.iter().map(|rank| (*rank, route.rank)));
+            if has_unranked || route.allows_anonymous {
+                pairs.insert((route.rank, route.rank));
+            }
+        }
+    }
+    by_service.retain(|service, _| route_ranks.get(service).is_some_and(|ranks| ranks.len() > 1));
+    by_service.into_iter().map(|(name, pairs)| (name, pairs.into_iter().collect())).collect()
 }
 
 impl Catalog {
@@ -208,7 +236,17 @@
             without_keys.push(customer);
             by_key.extend(keys.into_iter().map(|key| (key, n as u32)));
         }
-        Catalog { version, routes, by_host, services, customers: without_keys, by_key, limits }
+        let levels = levels_of(&routes, &without_keys);
+        Catalog {
+            version,
+            routes,
+            by_host,
+            services,
+            customers: without_keys,
+            by_key,
+            limits,
+            levels,
+        }
     }
 
     /// Indexes a configuration received from another entry. O(routes log routes + keys).
@@ -260,6 +298,22 @@
         self.services.iter().find(|service| service.name == *name)
     }
 
+    /// Class of a call of `customer` on `route` among the levels of a service. There is one level
+    /// unless the routes of the service have several ranks. O(levels).
+    pub fn priority_class(
+        &self,
+        service: &ServiceName,
+        route: &Route,
+        customer: Option<&Customer>,
+    ) -> PriorityClass {
+        let Some(pairs) = self.levels.get(service) else {
+            return PriorityClass::SINGLE;
+        };
+        let customer_rank = customer.and_then(|customer| customer.rank).unwrap_or(route.rank);
+        let position = pairs.partition_point(|pair| *pair < (customer_rank, route.rank));
+        PriorityClass::from_position(position, pairs.len())
+    }
+
     /// Whether every route to `service` is resumable.
     pub fn has_only_resumable_routes(&self, service: &ServiceName) -> bool {
         let targets_service = |route: &&Route| route.splits.iter().any(|s| s.service == *service);
--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -12,6 +12,7 @@
 use super::cold_turns::ColdTurns;
 use super::ejection::Ejection;
 use super::pace::Pace;
+use super::priority::Reservation;
 use super::request_limit::RequestLimit;
 use super::request_limit::Schedule;
 use super::shares::RecentSends;
@@ -149,8 +150,14 @@
 #[derive(Clone, Debug)]
 struct Load {
     other_requests: u32,
-    /// Requests that this entry may still send on the basis of this report.
-    credits: u32,
+    /// Free places in the report.
+    free: u32,
+    /// Fraction of the free places that this entry may take.
+    share: f64,
+    /// Number from 0 to 1 that decides whether this entry gets a place where there are too few.
+    draw: f64,
+    /// Requests that this entry has sent since the report.
+    sent: u32,
     is_accepting: bool,
     readers: u32,
     ready_at: Option<Time>,
@@ -158,6 +165,13 @@
 }
 
 impl Load {
+    /// Requests that this entry may still send on the basis of this report if they leave `reserved`
+    /// places free.
+    fn credits(&self, reserved: u32) -> u32 {
+        let free = f64::from(self.free.saturating_sub(reserved));
+        ((free * self.share + self.draw).floor() as u32).saturating_sub(self.sent)
+    }
+
     /// Whether the report still describes the present load.
     fn is_fresh(&self, now: Time) -> bool {
         let ttl = if self.timing.is_far { FAR_REPORT_TTL } else { REPORT_TTL };
@@ -307,7 +321,10 @@
         let free = (self.record.slots + MAX_QUEUED_REQUESTS).saturating_sub(total);
         self.load = Some(Load {
             other_requests: total.saturating_sub(self.in_flight),
-            credits: (f64::from(free) * share + draw).floor() as u32,
+            free,
+            share,
+            draw,
+            sent: 0,
             is_accepting: report.is_accepting,
             readers: report.readers.max(1),
             ready_at: report.ready_in.map(|ready_in| timing.received_at + ready_in),
@@ -316,13 +333,15 @@
         self.record.weights.clone_from(&report.weights);
     }
 
-    /// Requests that the endpoint may hold, including the one to be sent.
-    fn capacity(&self, is_late: bool) -> u32 {
+    /// Requests that the endpoint may hold, including the one to be sent, if it leaves `reserved`
+    /// places free.
+    fn capacity(&self, is_late: bool, reserved: u32) -> u32 {
         let slots = self.record.slots;
+        let unreserved = (slots + MAX_QUEUED_REQUESTS).saturating_sub(reserved);
         if is_late && self.record.is_engine {
-            return slots - (f64::from(slots) * LATE_RESERVED_SHARE) as u32;
+            return unreserved.min(slots - (f64::from(slots) * LATE_RESERVED_SHARE) as u32);
         }
-        slots + MAX_QUEUED_REQUESTS
+        unreserved
     }
 
     /// Whether the endpoint is fit for requests: it is not ejected, its link is not full, and its
@@ -377,20 +396,28 @@
 
     /// Load in requests; `None` while the endpoint is full. Without a fresh report, the other
     /// entries are assumed to send as often as this one.
-    pub(super) fn load(&mut self, entries: u32, is_late: bool, now: Time) -> Option<f64> {
+    pub(super) fn load(
+        &mut self,
+        entries: u32,
+        is_late: bool,
+        reservation: Reservation,
+        now: Time,
+    ) -> Option<f64> {
         if self.backoff_until > now {
             return None;
         }
         let load = self.load.as_ref().filter(|load| load.is_fresh(now));
         let entries = load.map_or(entries, |load| load.readers);
-        if load.is_some_and(|load| !load.is_accepting || load.credits == 0) {
+        let EndpointRecord { slots, is_engine, .. } = self.record;
+        let reserved = reservation.places(slots, MAX_QUEUED_REQUESTS, is_engine);
+        if load.is_some_and(|load| !load.is_accepting || load.credits(reserved) == 0) {
             return None;
         }
         let busy = match load {
             Some(load) => load.other_requests + self.in_flight,
             None => self.in_flight * entries.div_ceil(2),
         };
-        if busy >= self.capacity(is_late) {
+        if busy >= self.capacity(is_late, reserved) {
             return None;
         }
         // A request delayed by a slow link is as late as one that waits in a queue.
@@ -431,7 +458,7 @@
     pub(super) fn record_sent(&mut self, now: Time) -> bool {
         self.in_flight += 1;
         if let Some(load) = &mut self.load {
-            load.credits = load.credits.saturating_sub(1);
+            load.sent += 1;
         }
         let is_cold = self.cold_until > now;
         let has_used_slot = is_cold && self.cold_turns.record_sent(now);
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -24,6 +24,7 @@
 use super::leaving::LeavingProcesses;
 use super::pace::HEDGING_TTL;
 use super::pace::SLOW_PACE;
+use super::priority::Reservation;
 use super::request_limit::LimitStatement;
 use super::request_limit::Schedule;
 use super::restored_store::RestoredStore;
@@ -74,6 +75,10 @@
     pub cold_per_second: f64,
     /// Whether the request can no longer be answered in time, and yields to those that can.
     pub is_late: bool,
+    /// Places that the request leaves to those of higher levels.
+    pub reservation: Reservation,
+    /// Whether the request leaves turns at cold endpoints to those of higher levels.
+    pub yields_turns: bool,
 }
 
 /// Why no endpoint can be chosen.
--- a/core/src/direct/endpoint_table/selection.rs
+++ b/core/src/direct/endpoint_table/selection.rs
@@ -66,7 +66,7 @@
                     Some(limit_opens_in.map_or(time_to_turn, |first| first.min(time_to_turn)));
                 continue;
             }
-            let Some(score) = self.score(key, requirements.is_late, now) else {
+            let Some(score) = self.score(key, requirements, now) else {
                 has_full = true;
                 continue;
             };
@@ -175,7 +175,8 @@
             && has_weights
     }
 
-    /// Whether an endpoint is warm or this entry's turn to send to it has come.
+    /// Whether an endpoint is warm or this entry's turn to send to it has come and is not left to a
+    /// higher level.
     fn admits_while_cold<R: Rng>(
         &mut self,
         key: EndpointKey,
@@ -186,7 +187,10 @@
         let entries = self.entry_count.for_limits();
         let endpoint = self.endpoints.get_mut(key);
         endpoint.is_some_and(|endpoint| {
-            endpoint.admits_while_cold(requirements.cold_per_second, entries, rng.random(), now)
+            let rate = requirements.cold_per_second;
+            let is_left =
+                requirements.yields_turns && rate > 0.0 && endpoint.cold_remaining(now).is_some();
+            endpoint.admits_while_cold(rate, entries, rng.random(), now) && !is_left
         })
     }
 
@@ -201,9 +205,15 @@
     }
 
     /// Load of an endpoint in requests, plus a penalty for distance; `None` while it is full.
-    fn score(&mut self, key: EndpointKey, is_late: bool, now: Time) -> Option<f64> {
+    fn score(
+        &mut self,
+        key: EndpointKey,
+        requirements: &Requirements<'_>,
+        now: Time,
+    ) -> Option<f64> {
+        let Requirements { is_late, reservation, .. } = *requirements;
         let distance_penalty = self.distance_penalty(key)?;
-        let load = self.endpoints.get_mut(key)?.load(self.entries, is_late, now)?;
+        let load = self.endpoints.get_mut(key)?.load(self.entries, is_late, reservation, now)?;
         Some(load + distance_penalty)
     }
 
--- a/core/src/direct/retry_after.rs
+++ b/core/src/direct/retry_after.rs
@@ -70,6 +70,25 @@
     Other,
 }
 
+/// The part of the time in which refused callers return that belongs to one level of priority.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReturnSlice {
+    /// Start, as a fraction of the whole time.
+    pub start: f64,
+    /// Length, as a fraction of the whole time.
+    pub width: f64,
+}
+
+impl ReturnSlice {
+    /// The whole time.
+    pub const WHOLE: ReturnSlice = ReturnSlice { start: 0.0, width: 1.0 };
+
+    /// Maps a draw from 0 to 1 to the slice.
+    pub fn map(self, draw: f64) -> f64 {
+        self.start + self.width * draw
+    }
+}
+
 /// Delay after which a caller with `remaining` time is asked to return; `draw` from 0 to 1 spreads
 /// it.
 pub fn retry_after(cause: RefusalCause, remaining: Duration, draw: f64) -> Duration {
--- a/core/tests/direct/catalog.rs
+++ b/core/tests/direct/catalog.rs
@@ -92,6 +92,50 @@
     assert!(!mixed.has_only_resumable_routes(&service));
 }
 
+/// Level and levels of a call on each of the routes, by a customer of `rank`.
+fn classes(catalog: &Catalog, rank: Option<u32>, routes: &[Route]) -> Vec<(u8, u8)> {
+    let name = CustomerName::new("c");
+    let customer = Customer { name, rank, allowed_regions: vec![] };
+    let class_of = |route: &Route| {
+        let class = catalog.priority_class(&ServiceName::new("old"), route, Some(&customer));
+        (class.level, class.levels)
+    };
+    routes.iter().map(class_of).collect()
+}
+
+fn ranked_catalog(route_ranks: &[u32], customer_ranks: &[Option<u32>]) -> (Catalog, Vec<Route>) {
+    let ranked =
+        |rank: &u32| Route { rank: *rank, ..route("r", "h", "/", RetryPolicy::Idempotent) };
+    let routes: Vec<Route> = route_ranks.iter().map(ranked).collect();
+    let mut parts = catalog(routes.clone()).to_parts();
+    parts.customers = customer_ranks
+        .iter()
+        .map(|rank| {
+            let name = CustomerName::new("c");
+            (Customer { name, rank: *rank, allowed_regions: vec![] }, Vec::new())
+        })
+        .collect();
+    (Catalog::from_parts(parts), routes)
+}
+
+// A service would be given levels that no caller has, or order routes before customers.
+#[test]
+fn priority_class_orders_customers_before_routes() {
+    let (catalog, routes) = ranked_catalog(&[0, 1, 2], &[Some(0), Some(1), Some(1)]);
+    assert_eq!(classes(&catalog, Some(0), &routes), [(0, 6), (1, 6), (2, 6)]);
+    assert_eq!(classes(&catalog, Some(1), &routes), [(3, 6), (4, 6), (5, 6)]);
+    let (unranked, routes) = ranked_catalog(&[0, 2], &[None]);
+    assert_eq!(classes(&unranked, None, &routes), [(0, 2), (1, 2)]);
+}
+
+// Deployments with routes of one rank are served as before, though a customer has a higher rank.
+#[test]
+fn priority_class_is_single_with_routes_of_one_rank() {
+    let (catalog, routes) = ranked_catalog(&[1, 1], &[Some(0), Some(1), None]);
+    assert_eq!(classes(&catalog, Some(0), &routes), [(0, 1), (0, 1)]);
+    assert_eq!(classes(&catalog, Some(1), &routes), [(0, 1), (0, 1)]);
+}
+
 // Entries replicate the configuration in parts. A customer whose key is lost in the conversion would be rejected
 // by some entries and served by others.
 #[test]
--- a/core/tests/direct/endpoint_table.rs
+++ b/core/tests/direct/endpoint_table.rs
@@ -18,6 +18,7 @@
 use mastichaven_core::direct::endpoint_table::EndpointTable;
 use mastichaven_core::direct::endpoint_table::Requirements;
 use mastichaven_core::direct::endpoint_table::Unavailable;
+use mastichaven_core::direct::priority::Reservation;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::RegionName;
 use mastichaven_core::ids::ServiceName;
@@ -27,15 +28,15 @@
 use rand_chacha::ChaCha8Rng;
 
 const SLOTS: u32 = 16;
-const ROUND_TRIP: Duration = Duration::from_millis(3);
+pub(super) const ROUND_TRIP: Duration = Duration::from_millis(3);
 /// Draw that grants an entry every place for which it decides.
 const DRAW: f64 = 0.99;
 
-fn now(ms: u64) -> Time {
+pub(super) fn now(ms: u64) -> Time {
     Time::from_millis(ms)
 }
 
-fn rng() -> ChaCha8Rng {
+pub(super) fn rng() -> ChaCha8Rng {
     ChaCha8Rng::seed_from_u64(7)
 }
 
@@ -43,18 +44,18 @@
     table_on("entry-1")
 }
 
-fn table_on(host: &str) -> EndpointTable {
+pub(super) fn table_on(host: &str) -> EndpointTable {
     let zones = [("lagoa", "south"), ("serra", "hills"), ("litoral", "coast")];
     let regions: HashMap<ZoneName, RegionName> =
         zones.iter().map(|(zone, region)| (ZoneName::new(zone), RegionName::new(region))).collect();
     EndpointTable::new(HostName::new(host), ZoneName::new("lagoa"), regions)
 }
 
-fn address(n: u8) -> std::net::SocketAddr {
+pub(super) fn address(n: u8) -> std::net::SocketAddr {
     ([10, 0, 0, n], 80).into()
 }
 
-fn record(n: u8, zone: &str) -> EndpointRecord {
+pub(super) fn record(n: u8, zone: &str) -> EndpointRecord {
     EndpointRecord {
         id: format!("i-{n}").into(),
         revision: StorePosition::new(0, 1),
@@ -75,7 +76,7 @@
 }
 
 /// Report of an endpoint whose free places `readers` entries share.
-fn report_shared_by(readers: u32, running: u32) -> LoadReport {
+pub(super) fn report_shared_by(readers: u32, running: u32) -> LoadReport {
     LoadReport {
         running,
         waiting: 0,
@@ -117,6 +118,8 @@
         tried: &[],
         cold_per_second: 36.0,
         is_late,
+        reservation: Reservation::NONE,
+        yields_turns: false,
     };
     table.choose(&requirements, at, rng)
 }
--- a/core/tests/direct/retry_after.rs
+++ b/core/tests/direct/retry_after.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use mastichaven_core::direct::retry_after::RefusalCause;
+use mastichaven_core::direct::retry_after::ReturnSlice;
 use mastichaven_core::direct::retry_after::retry_after;
 
 const REMAINING: Duration = Duration::from_secs(6);
@@ -72,6 +73,30 @@
     }
 }
 
+// While all callers are refused, the few places that return go to those of low levels.
+#[test]
+fn retry_after_of_higher_levels_ends_first() {
+    let causes = [
+        RefusalCause::Starting,
+        RefusalCause::Full,
+        RefusalCause::Warming { warm_in: ms(1_200) },
+        RefusalCause::NoEndpoint { ready_in: None },
+        RefusalCause::NoEndpoint { ready_in: Some(ms(500)) },
+    ];
+    for cause in causes {
+        let delays_in = |slice: ReturnSlice| {
+            let delay = |n| retry_after(cause, REMAINING, slice.map(f64::from(n) / 100.0));
+            (0..100).map(delay).collect::<Vec<Duration>>()
+        };
+        let high = delays_in(ReturnSlice { start: 0.0, width: 0.25 });
+        let low = delays_in(ReturnSlice { start: 0.25, width: 0.75 });
+        assert!(high.iter().max() <= low.iter().min(), "{cause:?}");
+        let whole = delays(cause);
+        assert!(high.iter().chain(&low).all(|delay| *delay >= whole[0]), "{cause:?}");
+        assert!(low.iter().max() <= Some(&(whole[99] + ms(20))), "{cause:?}");
+    }
+}
+
 // Callers would wait long for what another entry of the region can answer at once.
 #[test]
 fn retry_after_is_shorter_with_lease_in_region() {
