Tests of turns at cold endpoints and of the places left free

Cause: the decisions about cold endpoints and single endpoints had no test of their own.

Change: tests of choose with a reservation of 5 and 2 of 14 places, and with turns left to a higher level; the simulation no longer uses VecDeque::pop_front_if, which is newer than the minimum Rust version.

--- a/core/tests/direct/priority.rs
+++ b/core/tests/direct/priority.rs
@@ -2,17 +2,29 @@
 
 mod fleet;
 
+use std::time::Duration;
+
+use mastichaven_core::direct::endpoint::EndpointRecord;
+use mastichaven_core::direct::endpoint_table::Requirements;
+use mastichaven_core::direct::endpoint_table::Unavailable;
 use mastichaven_core::direct::priority::Admission;
 use mastichaven_core::direct::priority::AdmissionStats;
 use mastichaven_core::direct::priority::PriorityClass;
 use mastichaven_core::direct::priority::Reservation;
 use mastichaven_core::direct::retry_after::ReturnSlice;
 use mastichaven_core::ids::Digest;
+use mastichaven_core::ids::ServiceName;
 
 use self::fleet::Callers;
 use self::fleet::Fleet;
 use self::fleet::Outcome;
+use super::endpoint_table::ROUND_TRIP;
+use super::endpoint_table::address;
 use super::endpoint_table::now;
+use super::endpoint_table::record;
+use super::endpoint_table::report_shared_by;
+use super::endpoint_table::rng;
+use super::endpoint_table::table_on;
 
 /// First second that is checked; counts and reports are complete by then.
 const WARM: usize = 2;
@@ -229,6 +241,60 @@
     assert!(!yields(2, 1_100));
 }
 
+fn requirements(service: &ServiceName, admission: Admission) -> Requirements<'_> {
+    Requirements {
+        service,
+        model: Some(("m", 1)),
+        regions: [&[], &[]],
+        tried: &[],
+        cold_per_second: 36.0,
+        is_late: false,
+        reservation: admission.reservation,
+        yields_turns: admission.yields_turns,
+    }
+}
+
+// The turn for which a call of a higher level was refused goes to the next caller of any level.
+#[test]
+fn choose_leaves_turn_at_cold_endpoint_to_higher_level() {
+    let mut table = table_on("entry-1");
+    let cold_remaining = Duration::from_secs(5);
+    table.upsert(EndpointRecord { cold_remaining, ..record(1, "lagoa") }, now(0));
+    table.record_entry_count(1, true, now(0));
+    let service = ServiceName::new("redator");
+    let mut choose = |yields_turns, ms| {
+        let admission = Admission { yields_turns, ..Admission::default() };
+        table.choose(&requirements(&service, admission), now(ms), &mut rng())
+    };
+    let _ = choose(false, 0);
+    assert_eq!(choose(true, 500), Err(Unavailable::Warming));
+    assert!(choose(false, 500).is_ok());
+    assert!(choose(true, 5_000).is_ok());
+}
+
+// A low level is refused while an endpoint has more places than are reserved, or takes one of those.
+#[test]
+fn choose_refuses_low_level_only_within_reservation() {
+    let stats = scarce_stats();
+    let service = ServiceName::new("redator");
+    let mut table = table_on("entry-1");
+    for n in [1, 2] {
+        table.upsert(EndpointRecord { slots: 12, ..record(n, "lagoa") }, now(0));
+    }
+    // The lowest level leaves 5 of 14 places free, the next one 2.
+    let mut is_admitted = |level, running| {
+        for (n, running) in [(1, 14), (2, running)] {
+            let report = report_shared_by(1, running);
+            table.apply_report(address(n), &report, now(20), ROUND_TRIP, 0.5, now(20));
+        }
+        let admission = stats.admission(class(level), None, now(20));
+        table.choose(&requirements(&service, admission), now(20), &mut rng()).is_ok()
+    };
+    assert_eq!([8, 9, 11, 13, 14].map(|n| is_admitted(2, n)), [true, false, false, false, false]);
+    assert_eq!([8, 9, 11, 12, 14].map(|n| is_admitted(1, n)), [true, true, true, false, false]);
+    assert_eq!([8, 9, 11, 13, 14].map(|n| is_admitted(0, n)), [true, true, true, true, false]);
+}
+
 // Endpoints order their queues by what they are told. Resumed streams come before all levels.
 #[test]
 fn urgency_follows_levels() {
--- a/core/tests/direct/priority/fleet.rs
+++ b/core/tests/direct/priority/fleet.rs
@@ -208,7 +208,8 @@
                 reports.push_back((ms + fleet.report_delay_ms, n as u8, running, waiting));
             }
         }
-        while let Some((_, n, running, waiting)) = reports.pop_front_if(|report| report.0 <= ms) {
+        while reports.front().is_some_and(|report| report.0 <= ms) {
+            let (_, n, running, waiting) = reports.pop_front().expect("a report");
             let mut report = report_shared_by(fleet.entries as u32, running);
             report.waiting = waiting;
             for entry in &mut entries {
