Admission by rank under scarcity: entries carry it out

Cause: calls that wait for a place are woken in no order of rank, and endpoints are told no priority.

Change: each call has a class; calls of services with levels wait in the order of WaitQueue, the highest level up to half of its objective. Endpoints are told an urgency, refused callers return in the slice of their level, and request ended has level and levels. Services whose routes have one rank wait and choose as before. The stand-in endpoint records the urgency.

--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -348,12 +348,18 @@
     }
 
     /// Whether an endpoint is fit for requests and would begin one at once.
-    pub fn has_free_slot(&mut self, key: EndpointKey, is_late: bool, now: Time) -> bool {
+    pub fn has_free_slot(
+        &mut self,
+        key: EndpointKey,
+        is_late: bool,
+        reservation: Reservation,
+        now: Time,
+    ) -> bool {
         let entries = self.entries;
         self.endpoints.get_mut(key).is_some_and(|endpoint| {
             let slots = f64::from(endpoint.record().slots);
             endpoint.is_available(now)
-                && endpoint.load(entries, is_late, now).is_some_and(|load| load < slots)
+                && endpoint.load(entries, is_late, reservation, now).is_some_and(|load| load < slots)
         })
     }
 
--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -8,6 +8,7 @@
 //! complemented by the agents' [`load_reports`]. The agent consists of [`agent`], [`swarm`] and
 //! [`endpoint_client`].
 
+mod admission;
 pub mod agent;
 mod attempt;
 mod begin_limits;
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -14,6 +14,7 @@
 use mastichaven_core::direct::catalog::RetryPolicy;
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::endpoint::EndpointRecord;
+use mastichaven_core::direct::priority::PriorityClass;
 use mastichaven_platform::answer;
 use mastichaven_platform::answer::AnswerKind;
 use mastichaven_platform::call;
@@ -173,7 +174,8 @@
     if time_limit.is_zero() {
         return AttemptOutcome::NotRun;
     }
-    let req = build_endpoint_request(call, &record, &basis, time_limit, resume_after);
+    let urgency = urgency(call, history, resume_after.is_some());
+    let req = build_endpoint_request(call, &record, &basis, time_limit, urgency, resume_after);
     history.sent_count += 1;
     history.sent_at = Some(now);
     if history.sent_count == 1 {
@@ -265,14 +267,23 @@
     }
 }
 
+/// Urgency that the endpoint is told; `None` if it treats the request like any other.
+fn urgency(call: &Call, history: &CallHistory, is_resumption: bool) -> Option<u8> {
+    if is_resumption {
+        return Some(RESUMPTION_URGENCY);
+    }
+    let level = if history.is_exempt { 0 } else { call.class.level };
+    PriorityClass { level, ..call.class }.urgency()
+}
+
 fn build_endpoint_request(
     call: &Call,
     record: &EndpointRecord,
     basis: &WeightsBasis,
     time_limit: Duration,
+    urgency: Option<u8>,
     resume_after: Option<&str>,
 ) -> Request<Full<Bytes>> {
-    let urgency = resume_after.is_some().then_some(RESUMPTION_URGENCY);
     let resume_after = resume_after.or(call.head.resumes_after.as_deref());
     let addition = AddedHeaders {
         deadline: Some(time_limit),
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -13,6 +13,7 @@
 use mastichaven_core::direct::catalog::Route;
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::notices::MAX_TRAITS;
+use mastichaven_core::direct::priority::PriorityClass;
 use mastichaven_core::fingerprint::Fingerprint;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_platform::call;
@@ -43,6 +44,8 @@
     pub service: ServiceName,
     /// Customer that the key belongs to; `None` for anonymous callers.
     pub customer: Option<Customer>,
+    /// Level of the call among those of the service.
+    pub class: PriorityClass,
     /// Requests per second that a cold endpoint of the service can handle.
     pub cold_per_second: f64,
     /// Whether the caller retries too late to be answered within the latency objective.
@@ -198,6 +201,12 @@
     pub(super) weights_until: Option<Time>,
     /// Until when the next attempt may wait for a free place; `None` unless a response has been lost.
     pub(super) retry_until: Option<Time>,
+    /// Level of the call; that of a service without levels until it is known.
+    pub(super) class: PriorityClass,
+    /// Whether the call has been given a place.
+    pub(super) is_admitted: bool,
+    /// Whether the endpoint chosen last is to treat the call as one of the highest level.
+    pub(super) is_exempt: bool,
 }
 
 impl CallHistory {
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -109,22 +109,23 @@
     // Lets the connection notice that the caller has disconnected. After a freeze of this host, requests and the
     // disconnects behind them arrive together.
     yield_now().await;
+    let path = req.uri().path().to_owned();
     let mut response = match admit(&state, &head, req, received_at).await {
         Ok(call) => forward_call(&state, Rc::new(call)).await,
         Err(rejection) => {
-            log_request_end(
-                &state,
-                &head,
-                received_at,
-                rejection.status(),
-                rejection.as_str(),
-                &CallHistory::default(),
-            );
+            let (service, class) = state.class_of(&head, &path).unwrap_or_default();
+            let history = CallHistory { class, ..CallHistory::default() };
+            let (status, reason) = (rejection.status(), rejection.as_str());
+            if status == StatusCode::SERVICE_UNAVAILABLE {
+                state.count_refusal(class);
+            }
+            log_request_end(&state, &head, received_at, status, reason, &history);
             let remaining = head.deadline.unwrap_or(DEFAULT_DEADLINE);
+            let slice = state.return_slice(&service, class);
             error_response(
-                rejection.status(),
-                rejection.as_str(),
-                state.retry_after(rejection.refusal_cause(&state), remaining),
+                status,
+                reason,
+                state.retry_after(rejection.refusal_cause(&state), remaining, slice),
             )
         }
     };
@@ -154,6 +155,7 @@
     let customer = authenticate(&catalog, &route, head)?;
     let draw = state.with_rng(|rng| rng.random::<f64>());
     let service = route.pick_service(draw).ok_or(RejectionReason::UnknownRoute)?.clone();
+    let class = catalog.priority_class(&service, &route, customer.as_ref());
     let cold_per_second = catalog.service(&service).map_or(0.0, |s| s.cold_per_second);
     let limits = catalog.limits();
     let (parts, body) = req.into_parts();
@@ -173,6 +175,7 @@
         route,
         service,
         customer,
+        class,
         cold_per_second,
         is_late,
         received_at,
@@ -238,9 +241,10 @@
     let mut pending = PendingCall {
         state: state.clone(),
         call: call.clone(),
-        history: CallHistory::default(),
+        history: CallHistory { class: call.class, ..CallHistory::default() },
         has_ended: false,
     };
+    state.record_request(&call);
     let served = forward::serve_in_time(state, call.clone(), &mut pending.history).await;
     pending.has_ended = true;
     let history = &pending.history;
@@ -261,7 +265,11 @@
             log_request_end(state, &call.head, call.received_at, e.status(), e.as_str(), history);
             let remaining = call.deadline.since(state.now());
             let cause = refusal_cause_of(state, e, &call);
-            let retry_after = state.retry_after(cause, remaining);
+            let slice = state.return_slice(&call.service, call.class);
+            let retry_after = state.retry_after(cause, remaining, slice);
+            if e.status() == StatusCode::SERVICE_UNAVAILABLE {
+                state.count_refusal(call.class);
+            }
             let mut response = error_response(e.status(), e.as_str(), retry_after);
             if matches!(e, CallError::Quarantined { .. }) {
                 add_code(&mut response, Code::Quarantined);
@@ -362,7 +370,8 @@
         "took_ms" => now.since(received_at).as_millis() as u64,
         "offers" => history.tried_count(),
         "endpoint" => history.last_endpoint.as_deref().unwrap_or_default(),
-        "no_retry" => history.no_retry, "config" => version, "config_age_ms" => age);
+        "no_retry" => history.no_retry, "level" => history.class.level,
+        "levels" => history.class.levels, "config" => version, "config_age_ms" => age);
 }
 
 /// Logs that a caller has disconnected before it got a response.
--- a/node/src/direct/hedge.rs
+++ b/node/src/direct/hedge.rs
@@ -69,6 +69,7 @@
     let may_be_sent = state.endpoints.borrow().is_hedging(now)
         && retry_obstacle(call, history, now).is_none()
         && state.quarantine_remaining(call).is_none();
-    let other = may_be_sent.then(|| choose_endpoint(state, call, history, now))?.ok()?;
+    let admission = state.admission(call, history, now);
+    let other = may_be_sent.then(|| choose_endpoint(state, call, history, &admission, now))?.ok()?;
     Some(state.endpoints.borrow().pace(other, now))
 }
--- a/node/src/direct/load_reports.rs
+++ b/node/src/direct/load_reports.rs
@@ -327,7 +327,7 @@
         let round_trip = now.since(sent);
         endpoints.apply_report(address, report, requested_at, round_trip, draw, now);
         drop(endpoints);
-        self.capacity_freed.notify_one();
+        self.notify_capacity_freed();
     }
 
     /// Applies the pace that the agent of the endpoint at `address` reports.
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -8,9 +8,12 @@
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::endpoint_table::Requirements;
 use mastichaven_core::direct::endpoint_table::Unavailable;
+use mastichaven_core::direct::priority::Admission;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::admission::RECHECK_INTERVAL;
+use super::admission::Waiter;
 use super::call::Call;
 use super::call::CallError;
 use super::call::CallHistory;
@@ -29,9 +32,9 @@
 /// have received a part.
 const FIRST_EVENT_BUDGET_SHARE: f64 = 0.6;
 
-/// Interval at which a waiting request looks for a place even if none was reported as freed: endpoints also become
-/// available as time passes.
-const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The same for calls of the highest of several levels. Half of the objective is left for the way to the first event,
+/// which takes up to 0.31 s at the 99th percentile.
+const HIGHEST_LEVEL_WAIT_OBJECTIVES: f64 = 0.5;
 
 /// Time before the deadline from which on no retry is started, as it could hardly finish and would
 /// occupy a place.
@@ -39,6 +42,9 @@
 
 /// Chooses the endpoint for the next attempt. Waits for a free place up to [`MAX_WAIT_OBJECTIVES`], or until
 /// [`CallHistory::retry_until`] if a response has been lost, and charges retries to the retry budget of the service.
+///
+/// Calls of a service with levels wait in the order of [`WaitQueue`](mastichaven_core::direct::wait_queue::WaitQueue),
+/// and those of the highest level up to [`HIGHEST_LEVEL_WAIT_OBJECTIVES`].
 pub(super) async fn next_endpoint(
     state: &Rc<State>,
     call: &Call,
@@ -48,12 +54,11 @@
     if now >= call.deadline {
         return Err(history.stop_retrying("deadline passed", CallError::Expired));
     }
-    let wait_until = match history.retry_until {
-        Some(retry_until) => retry_until.min(call.deadline),
-        None => call.received_at + call.route.objective.mul_f64(MAX_WAIT_OBJECTIVES),
-    };
+    let mut waiter: Option<Waiter> = None;
     let endpoint = loop {
         let now = state.now();
+        let admission = state.admission(call, history, now);
+        let wait_until = wait_until(call, history, &admission);
         if let Some(reason) = retry_obstacle(call, history, now) {
             return Err(history.stop_retrying(reason, CallError::Declined));
         }
@@ -62,8 +67,22 @@
             let stopped = stop(history, e);
             return Err(if stopped == CallError::Lost { stopped } else { e });
         }
-        match choose_endpoint(state, call, history, now) {
-            Ok(endpoint) => break endpoint,
+        if call.class.has_levels()
+            && waiter.is_none()
+            && now < wait_until
+            && state.must_queue(call, admission.level)
+        {
+            state.record_wait(call, history, now);
+            let waiting = waiter.insert(Waiter::join(state, call, admission.level));
+            state.notify_first_waiters();
+            waiting.wait(wait_until.since(now)).await;
+            continue;
+        }
+        match choose_endpoint(state, call, history, &admission, now) {
+            Ok(endpoint) => {
+                state.record_admission(call, history, &admission, now);
+                break endpoint;
+            }
             Err(Unavailable::NoEndpoint) => {
                 return Err(stop(history, CallError::NoEndpoint));
             }
@@ -71,6 +90,7 @@
                 return Err(stop(history, CallError::Full));
             }
             Err(Unavailable::Warming) if now >= wait_until => {
+                state.record_turn_refusal(call, now);
                 return Err(stop(history, CallError::Warming));
             }
             // No endpoint with a free place takes a request before then.
@@ -83,18 +103,19 @@
             Err(
                 Unavailable::Limited { opens_in: duration }
                 | Unavailable::Paused { ends_in: duration },
-            ) => {
-                let _ = timeout(duration, state.capacity_freed.notified()).await;
-            }
+            ) => wait_for_place(state, call, history, &mut waiter, admission.level, duration).await,
             Err(Unavailable::Full | Unavailable::Warming) => {
-                let wait = wait_until.since(now).min(RECHECK_INTERVAL);
-                let _ = timeout(wait, state.capacity_freed.notified()).await;
+                let remaining = wait_until.since(now);
+                let has_turn = call.class.has_levels();
+                let wait = if has_turn { remaining } else { remaining.min(RECHECK_INTERVAL) };
+                wait_for_place(state, call, history, &mut waiter, admission.level, wait).await;
             }
         }
     };
     if state.endpoints.borrow().has_avoided_slow() {
         state.metrics.count("slow_endpoints_avoided");
     }
+    drop(waiter);
     let now = state.now();
     if history.sent_count > 0 {
         let entries = state.endpoints.borrow().entries();
@@ -109,6 +130,38 @@
     Ok(endpoint)
 }
 
+/// Until when a call waits for a free place.
+fn wait_until(call: &Call, history: &CallHistory, admission: &Admission) -> Time {
+    if let Some(retry_until) = history.retry_until {
+        return retry_until.min(call.deadline);
+    }
+    // A late call cannot be answered in time any more.
+    let is_highest = call.class.has_levels() && admission.level == 0 && !call.is_late;
+    let objectives = if is_highest { HIGHEST_LEVEL_WAIT_OBJECTIVES } else { MAX_WAIT_OBJECTIVES };
+    call.received_at + call.route.objective.mul_f64(objectives)
+}
+
+/// Waits until capacity may be available, at most for `limit`. A call of a service with levels waits for its turn as
+/// `waiter`.
+async fn wait_for_place(
+    state: &Rc<State>,
+    call: &Call,
+    history: &CallHistory,
+    waiter: &mut Option<Waiter>,
+    level: u8,
+    limit: Duration,
+) {
+    if !call.class.has_levels() {
+        let _ = timeout(limit, state.capacity_freed.notified()).await;
+        return;
+    }
+    match waiter {
+        Some(waiter) => waiter.pass_on(),
+        None => state.record_wait(call, history, state.now()),
+    }
+    waiter.get_or_insert_with(|| Waiter::join(state, call, level)).wait(limit).await;
+}
+
 /// Waits until an attempt has been silent for `patience` and another endpoint can take its request, or forever. An
 /// endpoint that is given up before may be the only one that would have answered.
 pub(super) async fn until_replaceable(
@@ -122,7 +175,8 @@
         retry_obstacle(call, history, now).is_none()
             && state.quarantine_remaining(call).is_none()
             && has_retry_budget(state, call, usable_budget(call, history), now)
-            && choose_endpoint(state, call, history, now).is_ok()
+            && choose_endpoint(state, call, history, &state.admission(call, history, now), now)
+                .is_ok()
     };
     while !is_replaceable(state.now()) {
         sleep(RECHECK_INTERVAL).await;
@@ -163,6 +217,7 @@
     state: &Rc<State>,
     call: &Call,
     history: &CallHistory,
+    admission: &Admission,
     now: Time,
 ) -> std::result::Result<EndpointKey, Unavailable> {
     let oldest_version = call.head.model.as_deref().map(|model| {
@@ -177,6 +232,8 @@
         tried: &history.tried,
         cold_per_second: call.cold_per_second,
         is_late: call.is_late,
+        reservation: admission.reservation,
+        yields_turns: admission.yields_turns,
     };
     if let Some(endpoint) = choose_lasting(state, call, &requirements, now) {
         return Ok(endpoint);
@@ -202,7 +259,7 @@
     let requirements = Requirements { model: Some((model, lasting)), ..*requirements };
     let mut endpoints = state.endpoints.borrow_mut();
     let endpoint = state.with_rng(|rng| endpoints.choose(&requirements, now, rng)).ok()?;
-    endpoints.has_free_slot(endpoint, call.is_late, now).then_some(endpoint)
+    endpoints.has_free_slot(endpoint, call.is_late, requirements.reservation, now).then_some(endpoint)
 }
 
 /// Share of the retry budget that the request may use.
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -19,14 +19,17 @@
 use mastichaven_core::direct::loop_lag::LoopLag;
 use mastichaven_core::direct::notices::NoticeQueue;
 use mastichaven_core::direct::read_ahead::FullProcesses;
+use mastichaven_core::direct::priority::AdmissionStats;
 use mastichaven_core::direct::replication::AgeLimits;
 use mastichaven_core::direct::replication::Nomination;
 use mastichaven_core::direct::retry_after::RefusalCause;
+use mastichaven_core::direct::retry_after::ReturnSlice;
 use mastichaven_core::direct::retry_after::retry_after;
 use mastichaven_core::direct::shares::SharedRetryBudget;
 use mastichaven_core::direct::store_clock::StoreClock;
 use mastichaven_core::direct::versions::CurrentWeights;
 use mastichaven_core::direct::versions::Versions;
+use mastichaven_core::direct::wait_queue::WaitQueue;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::quarantine::Quarantine;
 use mastichaven_platform::objects::Kind;
@@ -105,8 +108,13 @@
     pub notices: RefCell<NoticeQueue>,
     /// Notified when a notice is added to `notices`.
     pub notices_due: Notify,
-    /// Notified when an endpoint may accept another request.
-    pub capacity_freed: Notify,
+    /// Notified when an endpoint may accept another request. Calls of services with levels wait in
+    /// `wait_queues` instead.
+    pub(super) capacity_freed: Notify,
+    /// Calls that wait for a place, for each service with levels.
+    pub(super) wait_queues: RefCell<HashMap<ServiceName, WaitQueue<Rc<Notify>>>>,
+    /// Recent requests and admissions of each service with levels.
+    pub(super) admissions: RefCell<HashMap<ServiceName, AdmissionStats>>,
     /// Notified when agents must learn of a new version or request limit at once.
     pub requests_due: Notify,
     /// Whether the process is shutting down.
@@ -181,6 +189,8 @@
             notices: RefCell::default(),
             notices_due: Notify::new(),
             capacity_freed: Notify::new(),
+            wait_queues: RefCell::default(),
+            admissions: RefCell::default(),
             requests_due: Notify::new(),
             is_stopping: Cell::new(false),
             confirmed_at: RefCell::default(),
@@ -315,9 +325,29 @@
         age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX))
     }
 
-    /// Delay after which a refused caller with `left` of its deadline is asked to retry.
-    pub fn retry_after(&self, cause: RefusalCause, left: Duration) -> Duration {
-        retry_after(cause, left, self.with_rng(|rng| rng.random()))
+    /// Delay after which a refused caller with `left` of its deadline is asked to retry, within the
+    /// `slice` of its level.
+    pub fn retry_after(&self, cause: RefusalCause, left: Duration, slice: ReturnSlice) -> Duration {
+        retry_after(cause, left, slice.map(self.with_rng(|rng| rng.random())))
+    }
+
+    /// Offers a freed place to a call that waits for one.
+    pub(super) fn notify_capacity_freed(&self) {
+        self.capacity_freed.notify_one();
+        self.notify_first_waiters();
+    }
+
+    /// Lets all waiting calls look for a place.
+    pub(super) fn notify_capacity_changed(&self) {
+        self.capacity_freed.notify_waiters();
+        self.notify_first_waiters();
+    }
+
+    /// Wakes the first waiter of each service with levels. It wakes the next one in turn.
+    pub(super) fn notify_first_waiters(&self) {
+        let wait_queues = self.wait_queues.borrow();
+        let first = wait_queues.values().filter_map(WaitQueue::first);
+        first.for_each(|(_, waiter)| waiter.notify_one());
     }
 
     /// Whether a caller of `route` with `left` until its deadline can no longer be answered within
@@ -386,6 +416,6 @@
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.state.endpoints.borrow_mut().record_finished(self.endpoint);
-        self.state.capacity_freed.notify_one();
+        self.state.notify_capacity_freed();
     }
 }
--- a/node/src/direct/updates.rs
+++ b/node/src/direct/updates.rs
@@ -180,7 +180,7 @@
         };
         removed.iter().for_each(|id| self.log_removed(id, as_of));
         changed.iter().for_each(|listed| self.log_listed(listed));
-        self.capacity_freed.notify_waiters();
+        self.notify_capacity_changed();
     }
 
     /// Endpoints of a list that are new or changed.
@@ -206,7 +206,7 @@
         if !self.endpoints.borrow_mut().upsert(listed, self.now()) {
             slog::info!(self.log, "ignored outdated endpoint update"; "endpoint" => id.as_str());
         }
-        self.capacity_freed.notify_waiters();
+        self.notify_capacity_changed();
     }
 
     fn log_removed(&self, id: &str, last_revision: StorePosition) {
@@ -238,7 +238,7 @@
                 "zones" => format!("{expired:?}"));
             let (as_of, zones) = (endpoints.evacuated_as_of(), endpoints.evacuated());
             self.publisher.publish(&Update::Evacuations { as_of, zones: zones.cloned().collect() });
-            self.capacity_freed.notify_waiters();
+            self.notify_capacity_changed();
         }
     }
 
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -160,6 +160,21 @@
         self.store.put("config", "main", spec);
     }
 
+    /// Writes a version of the configuration in which `urgent/` after the path prefix of the first
+    /// route to `service` selects one like it, with a higher rank than the others.
+    pub fn configure_ranked(&self, version: u64, keys: &[&str], service: &str) {
+        let mut spec = site::configuration(version, keys, true, self.origin.address());
+        let routes = spec["routes"].as_array_mut().expect("routes");
+        let mut urgent =
+            routes.iter().find(|route| route["service"] == service).expect("a route").clone();
+        urgent["name"] = "urgent".into();
+        let prefix = urgent["path_prefix"].as_str().expect("a prefix");
+        urgent["path_prefix"] = format!("{prefix}urgent/").into();
+        urgent["priority"] = 0.into();
+        routes.push(urgent);
+        self.store.put("config", "main", spec);
+    }
+
     /// Writes a version of the configuration with `padding` additional bytes.
     pub fn configure_padded(&self, version: u64, keys: &[&str], padding: usize) {
         let mut spec = site::configuration(version, keys, true, self.origin.address());
@@ -284,6 +299,15 @@
         response.is_ok_and(|response| response.status_code == 200)
     }
 
+    /// Value of one of its counters; 0 if it has not counted anything.
+    pub fn counter(&self, name: &str) -> u64 {
+        let response = minreq::get(format!("http://{}/metrics", self.ready)).with_timeout(2).send();
+        let response = response.expect("metrics");
+        let mut lines = response.as_str().expect("text").lines();
+        let prefix = format!("mastichaven_{name}_total ");
+        lines.find_map(|line| line.strip_prefix(&prefix)?.parse().ok()).unwrap_or_default()
+    }
+
     /// Its state dump.
     pub fn dump(&self) -> Value {
         let response = minreq::get(format!("http://{}/dump", self.ready)).with_timeout(2).send();
--- a/node/tests/direct/main.rs
+++ b/node/tests/direct/main.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod power_loss;
 mod pullers;
+mod priority;
 mod replication;
 mod response_framing;
 mod restored_store;
--- a/standins/src/direct/endpoint.rs
+++ b/standins/src/direct/endpoint.rs
@@ -111,6 +111,8 @@
     pub customer: Option<String>,
     /// Time left until the request's deadline, in milliseconds.
     pub deadline_ms: Option<u64>,
+    /// Priority of the request, from 0, the highest, to 9.
+    pub urgency: Option<u8>,
     /// Event after which the stream resumes.
     pub resumed_after: Option<u64>,
     /// When the request arrived.
@@ -457,6 +459,7 @@
             body: req.body.to_vec(),
             customer: req.header("x-mastichaven-tenant").map(str::to_owned),
             deadline_ms: req.header("x-mastichaven-deadline-ms").and_then(|ms| ms.parse().ok()),
+            urgency: req.header("x-mastichaven-request-priority").and_then(|n| n.parse().ok()),
             resumed_after,
             arrived_at: Instant::now(),
             begun: None,
