--- a/core/tests/direct/pullers.rs
+++ b/core/tests/direct/pullers.rs
@@ -278,7 +278,21 @@
                     fetch.due = now + if fetch.search.follows(puller) { 100 } else { STEP_MS };
                     return false;
                 }
-                Err(failure) => self.pullers[me].record_failure(puller, failure, at(now)),
+                Err(failure) => {
+                    // While it waits for a silent puller, an entry finds out which others are silent too.
+                    if failure == PullerFailure::NoReply {
+                        let path = &self.paths[me];
+                        let others =
+                            fetch.search.others_after(puller, &self.pullers[me], path, at(now));
+                        for ip in others {
+                            let n = self.entries.iter().position(|other| *other == ip);
+                            if n.is_some_and(|n| self.is_silent(n, now)) {
+                                self.pullers[me].record_failure(ip, failure, at(now));
+                            }
+                        }
+                    }
+                    self.pullers[me].record_failure(puller, failure, at(now));
+                }
             }
         }
         fetch.due = now + STEP_MS;
@@ -391,12 +405,15 @@
 
 const MAX_COPIES: f64 = 1.3;
 
-// Guards against chunks that wait for a puller that has stopped, and against several entries that replace it.
+// Guards against chunks that wait for one or two pullers that have stopped at once, and against several entries that
+// replace them.
 #[test]
-fn search_recovers_from_silent_puller() {
+fn search_recovers_from_silent_pullers() {
     let worst = worst(|fleet, rng| {
-        let first = puller_positions(fleet, rng)[0];
-        fleet.silent.insert(first, rng.random_range(0..2_000));
+        let failing = rng.random_range(1..=2);
+        let from = rng.random_range(0..2_000);
+        let pullers = puller_positions(fleet, rng).into_iter().take(failing);
+        fleet.silent.extend(pullers.map(|n| (n, from)));
         let others = (0..fleet.entries.len()).filter(|_| rng.random_bool(0.1)).collect::<Vec<_>>();
         let pullers = puller_positions(fleet, rng);
         let others = others.into_iter().filter(|n| !pullers.contains(n));
