Count the work of requests while engines are slow

Cause: a prompt of 3,900 tokens counted as one of 50, so two long ones were read by one engine at a time, and first events came late at engines that were expected to be in time.

Change: EngineRates of a service (configuration, optional last field of the replicated catalog) convert prompts to time. Recent requests count by their reading time over that of a usual prompt. An engine whose first event is expected after the objective, or that reads another long prompt, is chosen only if there is no other. Expected first events decide when a stream is hedged. `request ended` has expected_first_ms and pace. All of it is in force only within 10 s after an endpoint was slow.

Choices without a slow endpoint, and those for usual prompts, are unchanged over 300 requests each.

--- a/core/src/direct/catalog.rs
+++ b/core/src/direct/catalog.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 use smol_str::SmolStr;
 
 use super::priority::PriorityClass;
+use super::work::EngineRates;
 use crate::ids::CustomerName;
 use crate::ids::Digest;
 use crate::ids::RegionName;
@@ -174,6 +176,18 @@
     pub customers: Vec<(Customer, Vec<SmolStr>)>,
     /// Limits on requests and connections of callers.
     pub limits: CallerLimits,
+    /// Rates of the engines of services, where they are configured. Earlier releases send none.
+    #[serde(deserialize_with = "deserialize_if_present")]
+    pub rates: Vec<(ServiceName, EngineRates)>,
+}
+
+/// Deserializes the last field of a message; the default if the sender's message ends before it.
+fn deserialize_if_present<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Default + Deserialize<'de>,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
 
 /// One version of the configuration, indexed for lookups.
@@ -188,6 +202,7 @@
     limits: CallerLimits,
     /// Pairs of ranks that occur for each service with several levels, the highest first.
     levels: HashMap<ServiceName, Vec<RankPair>>,
+    rates: Vec<(ServiceName, EngineRates)>,
 }
 
 /// Rank of a customer, which takes precedence, and rank of a route.
@@ -246,13 +261,24 @@
             by_key,
             limits,
             levels,
+            rates: Vec::new(),
         }
     }
 
+    /// This configuration with the rates of the engines of services.
+    pub fn with_rates(self, rates: Vec<(ServiceName, EngineRates)>) -> Catalog {
+        Catalog { rates, ..self }
+    }
+
+    /// Rates of the engines of a service, if they are configured. O(services).
+    pub fn rates(&self, service: &ServiceName) -> Option<EngineRates> {
+        self.rates.iter().find(|(name, _)| name == service).map(|(_, rates)| *rates)
+    }
+
     /// Indexes a configuration received from another entry. O(routes log routes + keys).
     pub fn from_parts(parts: CatalogParts) -> Catalog {
-        let CatalogParts { version, routes, services, customers, limits } = parts;
-        Catalog::new(version, routes, services, customers, limits)
+        let CatalogParts { version, routes, services, customers, limits, rates } = parts;
+        Catalog::new(version, routes, services, customers, limits).with_rates(rates)
     }
 
     /// Returns the configuration without its indexes. O(routes + keys).
@@ -268,6 +294,7 @@
             services: self.services.clone(),
             customers,
             limits: self.limits,
+            rates: self.rates.clone(),
         }
     }
 
--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -16,6 +16,7 @@
 use super::request_limit::RequestLimit;
 use super::request_limit::Schedule;
 use super::shares::RecentSends;
+use super::work::RequestWork;
 use crate::arena::Key;
 use crate::ids::RegionName;
 use crate::ids::ServiceName;
@@ -205,6 +206,8 @@
     request_limit: RequestLimit,
     recent_sends: RecentSends,
     pace: Pace,
+    /// Until when the endpoint reads a long prompt of this entry.
+    long_prompt_until: Time,
     ejection: Ejection,
     backoff_until: Time,
     /// End of the pause that the endpoint has asked for.
@@ -232,6 +235,7 @@
             request_limit: RequestLimit::default(),
             recent_sends: RecentSends::default(),
             pace: Pace::default(),
+            long_prompt_until: Time::ZERO,
             ejection: Ejection::default(),
             backoff_until: Time::ZERO,
             paused_until: Time::ZERO,
@@ -423,16 +427,41 @@
         // A request delayed by a slow link is as late as one that waits in a queue.
         let delay_in_requests =
             load.map_or(0.0, |load| load.timing.round_trip.div_duration_f64(SLOT_RELEASE_INTERVAL));
-        let load = f64::from(busy) + delay_in_requests + self.prefilling_requests(entries, now);
-        Some(load + self.slowness_in_requests(load, now))
+        Some(f64::from(busy) + delay_in_requests + self.prefilling_requests(entries, now))
     }
 
     /// What the pace adds to a load, in requests: the load and the request to be sent take longer, and
-    /// so does reading its prompt. Zero at a pace of 1.
-    fn slowness_in_requests(&self, load: f64, now: Time) -> f64 {
+    /// so does its first event. Zero at a pace of 1.
+    pub(super) fn slowness_in_requests(
+        &self,
+        load: f64,
+        work: Option<&RequestWork>,
+        now: Time,
+    ) -> f64 {
         let excess = self.pace(now) - 1.0;
-        let reading = PREFILL_TIME.div_duration_f64(SLOT_RELEASE_INTERVAL);
-        (load + 1.0 + reading) * excess
+        let first_event = work.map_or(PREFILL_TIME, |work| self.usual_first_event(work));
+        (load + 1.0 + first_event.div_duration_f64(SLOT_RELEASE_INTERVAL)) * excess
+    }
+
+    /// Expected time until the first event of a request at a pace of 1.
+    fn usual_first_event(&self, work: &RequestWork) -> Duration {
+        let others = self.load.as_ref().map_or(0, |load| load.other_requests);
+        let requests = others + self.in_flight;
+        let queued = (requests + 1).saturating_sub(self.record.slots);
+        let writing = requests.min(self.record.slots);
+        work.first_event(f64::from(writing)) + SLOT_RELEASE_INTERVAL * queued
+    }
+
+    /// Expected time until the first event of a request that is sent now.
+    pub(super) fn expected_first_event(&self, work: &RequestWork, now: Time) -> Duration {
+        self.usual_first_event(work).mul_f64(self.pace(now))
+    }
+
+    /// Whether a request is better sent elsewhere: its first event is expected too late, or another
+    /// long prompt would be read beside its own.
+    pub(super) fn is_unfit_for(&self, work: &RequestWork, now: Time) -> bool {
+        let is_late = now + self.expected_first_event(work, now) > work.in_time_until;
+        self.record.is_engine && (is_late || work.is_long() && now < self.long_prompt_until)
     }
 
     /// Factor by which the endpoint is slower than its configured rates, at least 1.
@@ -450,12 +479,15 @@
         if !self.record.is_engine {
             return 0.0;
         }
-        self.recent_sends.count(PREFILL_TIME * entries, now) as f64 * f64::from(entries)
+        self.recent_sends.total(PREFILL_TIME * entries, now) * f64::from(entries)
     }
 
-    /// Records that a request is sent to the endpoint. Returns whether it used a slot of the agent's schedule for a
-    /// cold endpoint.
-    pub(super) fn record_sent(&mut self, now: Time) -> bool {
+    /// Records that a request is sent to the endpoint; `work` is `None` if it counts as a usual one. Returns
+    /// whether it used a slot of the agent's schedule for a cold endpoint.
+    pub(super) fn record_sent(&mut self, work: Option<&RequestWork>, now: Time) -> bool {
+        if let Some(work) = work.filter(|work| work.is_long()) {
+            self.long_prompt_until = now + work.reading_time().mul_f64(self.pace(now));
+        }
         self.in_flight += 1;
         if let Some(load) = &mut self.load {
             load.sent += 1;
@@ -466,7 +498,7 @@
             self.cold_turns.reset();
         }
         self.request_limit.record_sent(now);
-        self.recent_sends.record_sent(now);
+        self.recent_sends.record_sent(work.map_or(1.0, RequestWork::reading_weight), now);
         has_used_slot
     }
 
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -22,13 +22,14 @@
 use super::endpoint::ReportTiming;
 use super::leaving::EndpointProcess;
 use super::leaving::LeavingProcesses;
-use super::pace::HEDGING_TTL;
 use super::pace::SLOW_PACE;
+use super::pace::SLOW_TTL;
 use super::priority::Reservation;
 use super::request_limit::LimitStatement;
 use super::request_limit::Schedule;
 use super::restored_store::RestoredStore;
 use super::shares::EntryCount;
+use super::work::RequestWork;
 use crate::arena::Arena;
 use crate::ids::Digest;
 use crate::ids::HostName;
@@ -79,6 +80,8 @@
     pub reservation: Reservation,
     /// Whether the request leaves turns at cold endpoints to those of higher levels.
     pub yields_turns: bool,
+    /// Expected work of the request; `None` if it counts as a usual one.
+    pub work: Option<RequestWork>,
 }
 
 /// Why no endpoint can be chosen.
@@ -214,9 +217,20 @@
         }
     }
 
-    /// Whether requests are hedged: an endpoint was slow recently.
-    pub fn is_hedging(&self, now: Time) -> bool {
-        self.slow_seen_at.is_some_and(|at| !now.passed(at, HEDGING_TTL))
+    /// Expected time until the first event of a request that is sent to an endpoint now; `None` if the
+    /// endpoint is unknown.
+    pub fn expected_first_event(
+        &self,
+        key: EndpointKey,
+        work: &RequestWork,
+        now: Time,
+    ) -> Option<Duration> {
+        Some(self.endpoints.get(key)?.expected_first_event(work, now))
+    }
+
+    /// Whether an endpoint was slow recently, so that requests are hedged and their work counts.
+    pub fn is_pace_in_force(&self, now: Time) -> bool {
+        self.slow_seen_at.is_some_and(|at| !now.passed(at, SLOW_TTL))
     }
 
     /// Factor by which an endpoint is slower than its configured rates, at least 1.
@@ -359,7 +373,9 @@
         self.endpoints.get_mut(key).is_some_and(|endpoint| {
             let slots = f64::from(endpoint.record().slots);
             endpoint.is_available(now)
-                && endpoint.load(entries, is_late, reservation, now).is_some_and(|load| load < slots)
+                && endpoint
+                    .load(entries, is_late, reservation, now)
+                    .is_some_and(|load| load < slots)
         })
     }
 
@@ -391,7 +407,19 @@
     /// Records that a request is sent to the endpoint. Returns whether it used a slot that the agent of a cold endpoint
     /// has assigned.
     pub fn record_sent(&mut self, key: EndpointKey, now: Time) -> bool {
-        self.endpoints.get_mut(key).is_some_and(|endpoint| endpoint.record_sent(now))
+        self.record_work_sent(key, None, now)
+    }
+
+    /// [`EndpointTable::record_sent`] of a request whose work is expected.
+    pub fn record_work_sent(
+        &mut self,
+        key: EndpointKey,
+        work: Option<RequestWork>,
+        now: Time,
+    ) -> bool {
+        let work = work.filter(|_| self.is_pace_in_force(now));
+        let endpoint = self.endpoints.get_mut(key);
+        endpoint.is_some_and(|endpoint| endpoint.record_sent(work.as_ref(), now))
     }
 
     /// Records this entry's place in the schedule by which the agent of the endpoint at `address` assigns slots while
--- a/core/src/direct/endpoint_table/selection.rs
+++ b/core/src/direct/endpoint_table/selection.rs
@@ -12,6 +12,7 @@
 use crate::direct::endpoint::EndpointKey;
 use crate::direct::pace::SLOW_PACE;
 use crate::direct::sampling::CandidateSample;
+use crate::direct::work::RequestWork;
 use crate::ids::RegionName;
 use crate::ids::ServiceName;
 use crate::time::Time;
@@ -34,8 +35,10 @@
         let Some(keys) = self.by_service.get(requirements.service).cloned() else {
             return Err(Unavailable::NoEndpoint);
         };
+        let work = requirements.work.filter(|_| self.is_pace_in_force(now));
         let mut available = CandidateSample::default();
         let mut slow = CandidateSample::default();
+        let mut unfit = CandidateSample::default();
         let mut ejected = CandidateSample::default();
         let mut has_match = false;
         let mut has_cold = false;
@@ -66,11 +69,12 @@
                     Some(limit_opens_in.map_or(time_to_turn, |first| first.min(time_to_turn)));
                 continue;
             }
-            let Some(score) = self.score(key, requirements, now) else {
+            let Some(score) = self.score(key, requirements, work.as_ref(), now) else {
                 has_full = true;
                 continue;
             };
             let sample = match is_available {
+                true if self.is_unfit_for(key, work.as_ref(), now) => &mut unfit,
                 true if self.pace(key, now) > SLOW_PACE => &mut slow,
                 true => &mut available,
                 false => &mut ejected,
@@ -80,7 +84,7 @@
         // While other endpoints are merely full, refusing is better than an endpoint that loses
         // answers.
         let chosen = if has_available {
-            self.best_of(&available, &slow, now)
+            self.best_of(&available, &slow, now).or(unfit.best().map(|(_, key)| key))
         } else {
             ejected.best().map(|(_, key)| key)
         };
@@ -209,12 +213,20 @@
         &mut self,
         key: EndpointKey,
         requirements: &Requirements<'_>,
+        work: Option<&RequestWork>,
         now: Time,
     ) -> Option<f64> {
         let Requirements { is_late, reservation, .. } = *requirements;
         let distance_penalty = self.distance_penalty(key)?;
-        let load = self.endpoints.get_mut(key)?.load(self.entries, is_late, reservation, now)?;
-        Some(load + distance_penalty)
+        let endpoint = self.endpoints.get_mut(key)?;
+        let load = endpoint.load(self.entries, is_late, reservation, now)?;
+        Some(load + endpoint.slowness_in_requests(load, work, now) + distance_penalty)
+    }
+
+    /// Whether a request is sent to an endpoint only if there is no other.
+    fn is_unfit_for(&self, key: EndpointKey, work: Option<&RequestWork>, now: Time) -> bool {
+        let endpoint = self.endpoints.get(key);
+        endpoint.zip(work).is_some_and(|(endpoint, work)| endpoint.is_unfit_for(work, now))
     }
 
     fn distance_penalty(&self, key: EndpointKey) -> Option<f64> {
--- a/core/src/direct/pace.rs
+++ b/core/src/direct/pace.rs
@@ -32,9 +32,10 @@
 /// endpoint was lost.
 pub const HEDGE_BUDGET_SHARE: f64 = 0.25;
 
-/// Time after a slow endpoint was last seen for which requests are hedged. Where no endpoint is ever
-/// slow, first events are late because all endpoints are full, and hedges would only add load.
-pub(super) const HEDGING_TTL: Duration = Duration::from_secs(10);
+/// Time after a slow endpoint was last seen for which requests are hedged and their work counts. Where
+/// no endpoint is ever slow, first events are late because all endpoints are full, and hedges would
+/// only add load.
+pub(super) const SLOW_TTL: Duration = Duration::from_secs(10);
 
 /// Time after [`hedge_at`] up to which a stream is still hedged. A busy entry is delayed by some ten
 /// milliseconds, and the other endpoint may be faster than expected.
--- a/core/src/direct/shares.rs
+++ b/core/src/direct/shares.rs
@@ -190,19 +190,21 @@
 /// Times of this entry's recent requests to an endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct RecentSends {
-    sent: VecDeque<Time>,
+    sent: VecDeque<(Time, f64)>,
 }
 
 impl RecentSends {
-    /// Number of requests within `window`; older ones are dropped.
-    pub fn count(&mut self, window: Duration, now: Time) -> usize {
-        drop_expired(&mut self.sent, now, window);
-        self.sent.len()
+    /// Total weight of the requests within `window`; older ones are dropped.
+    pub fn total(&mut self, window: Duration, now: Time) -> f64 {
+        while self.sent.front().is_some_and(|(at, _)| now.passed(*at, window)) {
+            self.sent.pop_front();
+        }
+        self.sent.iter().map(|(_, weight)| weight).sum()
     }
 
-    /// Records a request.
-    pub fn record_sent(&mut self, now: Time) {
-        self.sent.push_back(now);
+    /// Records a request, whose weight is 1 if its prompt is a usual one.
+    pub fn record_sent(&mut self, weight: f64, now: Time) {
+        self.sent.push_back((now, weight));
     }
 }
 
--- a/core/tests/direct/catalog.rs
+++ b/core/tests/direct/catalog.rs
@@ -2,10 +2,13 @@
 
 use mastichaven_core::direct::catalog::CallerLimits;
 use mastichaven_core::direct::catalog::Catalog;
+use mastichaven_core::direct::catalog::CatalogParts;
 use mastichaven_core::direct::catalog::Customer;
 use mastichaven_core::direct::catalog::RetryPolicy;
 use mastichaven_core::direct::catalog::Route;
 use mastichaven_core::direct::catalog::Split;
+use mastichaven_core::direct::work::EngineRates;
+use mastichaven_core::direct::work::Work;
 use mastichaven_core::ids::CustomerName;
 use mastichaven_core::ids::ServiceName;
 use smol_str::SmolStr;
@@ -148,3 +151,30 @@
         assert_eq!(again.customer(key), first.customer(key));
     }
 }
+
+// During an upgrade, entries of both releases replicate the configuration to each other.
+#[test]
+fn rates_are_optional_in_replicated_form() {
+    let usual = Work { prompt: 500, answer: 80 };
+    let rates = EngineRates {
+        step_ms: 8.0,
+        per_seq_ms: 0.5,
+        context_per_k: 0.2,
+        read_per_s: 10_000.0,
+        pairs_per_m: 2.0,
+        chunk: 512,
+        stride: 4,
+        usual,
+    };
+    let service = ServiceName::new("old");
+    let with = catalog(Vec::new()).with_rates(vec![(service.clone(), rates)]);
+    let parts = with.to_parts();
+    let bytes = postcard::to_stdvec(&parts).unwrap();
+    let decoded: CatalogParts = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(Catalog::from_parts(decoded).rates(&service), Some(rates));
+    let CatalogParts { version, routes, services, customers, limits, .. } = parts;
+    let earlier = postcard::to_stdvec(&(version, routes, services, customers, limits)).unwrap();
+    assert!(bytes.starts_with(&earlier), "an earlier release reads what it knows");
+    let decoded: CatalogParts = postcard::from_bytes(&earlier).unwrap();
+    assert!(decoded.rates.is_empty());
+}
--- a/core/tests/direct/endpoint_table.rs
+++ b/core/tests/direct/endpoint_table.rs
@@ -19,6 +19,7 @@
 use mastichaven_core::direct::endpoint_table::Requirements;
 use mastichaven_core::direct::endpoint_table::Unavailable;
 use mastichaven_core::direct::priority::Reservation;
+use mastichaven_core::direct::work::RequestWork;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::RegionName;
 use mastichaven_core::ids::ServiceName;
@@ -109,6 +110,16 @@
     is_late: bool,
     at: Time,
     rng: &mut ChaCha8Rng,
+) -> Result<EndpointKey, Unavailable> {
+    choose_work(table, is_late, None, at, rng)
+}
+
+fn choose_work(
+    table: &mut EndpointTable,
+    is_late: bool,
+    work: Option<RequestWork>,
+    at: Time,
+    rng: &mut ChaCha8Rng,
 ) -> Result<EndpointKey, Unavailable> {
     let service = ServiceName::new("redator");
     let requirements = Requirements {
@@ -120,6 +131,7 @@
         is_late,
         reservation: Reservation::NONE,
         yields_turns: false,
+        work,
     };
     table.choose(&requirements, at, rng)
 }
--- a/core/tests/direct/endpoint_table/pace.rs
+++ b/core/tests/direct/endpoint_table/pace.rs
@@ -7,6 +7,9 @@
 use mastichaven_core::direct::endpoint::EndpointRecord;
 use mastichaven_core::direct::endpoint::LoadReport;
 use mastichaven_core::direct::endpoint_table::EndpointTable;
+use mastichaven_core::direct::work::EngineRates;
+use mastichaven_core::direct::work::RequestWork;
+use mastichaven_core::direct::work::Work;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
@@ -14,6 +17,7 @@
 use super::ROUND_TRIP;
 use super::address;
 use super::choose_with;
+use super::choose_work;
 use super::chosen_id;
 use super::now;
 use super::record;
@@ -99,6 +103,97 @@
     }
 }
 
+const RATES: EngineRates = EngineRates {
+    step_ms: 8.0,
+    per_seq_ms: 0.5,
+    context_per_k: 0.2,
+    read_per_s: 10_000.0,
+    pairs_per_m: 2.0,
+    chunk: 512,
+    stride: 4,
+    usual: Work { prompt: 500, answer: 80 },
+};
+
+fn work(prompt: u32, in_time_until_ms: u64) -> Option<RequestWork> {
+    let work = Work::expected(prompt, 0, None, RATES.usual);
+    Some(RequestWork { rates: RATES, work, in_time_until: now(in_time_until_ms) })
+}
+
+/// A table with `loads` in which another engine, which is full, is slow.
+fn table_with_pace_in_force(loads: &[u32]) -> EndpointTable {
+    let mut table = table_with_loads(loads);
+    let full = LoadReport { is_accepting: false, ..report(0) };
+    table.upsert(record(99, "lagoa"), now(0));
+    table.apply_report(address(99), &full, now(0), ROUND_TRIP, DRAW, now(0));
+    table.apply_pace(address(99), 0, SLOW, now(0));
+    table
+}
+
+// Two long prompts at one engine delay the first event of each other and of all requests beside them.
+#[test]
+fn choose_keeps_long_prompts_apart() {
+    let mut table = table_with_pace_in_force(&[2, 9]);
+    let mut rng = rng();
+    let mut choose = |table: &mut EndpointTable, prompt, ms| {
+        let key = choose_work(table, false, work(prompt, ms + 2_000), now(ms), &mut rng);
+        let key = key.expect("an endpoint");
+        (key, table.get(key).expect("listed").id.to_string())
+    };
+    let (key, id) = choose(&mut table, 3_900, 1);
+    assert_eq!(id, "i-1");
+    table.record_work_sent(key, work(3_900, 2_000), now(1));
+    assert_eq!(choose(&mut table, 3_900, 10).1, "i-2");
+    assert_eq!(choose(&mut table, 3_900, 390).1, "i-2");
+    let full = LoadReport { is_accepting: false, ..report(0) };
+    table.apply_report(address(2), &full, now(391), ROUND_TRIP, DRAW, now(391));
+    assert_eq!(choose(&mut table, 3_900, 392).1, "i-1", "no other has room");
+}
+
+// The engine with the better score is somewhat slower, so that the first event of a long prompt comes after the
+// objective there.
+#[test]
+fn choose_avoids_late_first_event() {
+    let mut table = table_with_pace_in_force(&[3, 9]);
+    table.apply_pace(address(1), 0, 1.4, now(0));
+    let mut rng = rng();
+    let mut choose = |prompt, objective_ms| {
+        let work = work(prompt, objective_ms);
+        let key = choose_work(&mut table, false, work, now(1), &mut rng).expect("an endpoint");
+        table.get(key).expect("listed").id.to_string()
+    };
+    assert_eq!(choose(3_900, 2_000), "i-1");
+    assert_eq!(choose(3_900, 620), "i-2");
+    assert_eq!(choose(3_900, 100), "i-1", "late at both");
+    assert_eq!(choose(500, 620), "i-1");
+}
+
+// Prompts of different lengths must not change decisions where no engine is slow.
+#[test]
+fn work_changes_no_choice_without_slow_endpoints() {
+    let loads: Vec<u32> = (0..45).map(|n| n * 7 % 15).collect();
+    let (mut without, mut with) = (table_with_loads(&loads), table_with_loads(&loads));
+    // While one is slow, equal prompts must change none either.
+    let (mut slow_without, mut slow_with) =
+        (table_with_pace_in_force(&loads), table_with_pace_in_force(&loads));
+    let mut rngs = [rng(), rng(), rng(), rng()];
+    for ms in 1..300 {
+        let length = 50 + (ms as u32 * 37) % 3_900;
+        let long = work(length, ms + 400);
+        let usual = work(500, ms + 5_000);
+        let [a, b, c, d] = &mut rngs;
+        let chosen = choose_work(&mut without, false, None, now(ms), a);
+        assert_eq!(chosen, choose_work(&mut with, false, long, now(ms), b));
+        let beside_slow = choose_work(&mut slow_without, false, None, now(ms), c);
+        assert_eq!(beside_slow, choose_work(&mut slow_with, false, usual, now(ms), d));
+        if let (Ok(key), Ok(beside_slow)) = (chosen, beside_slow) {
+            without.record_sent(key, now(ms));
+            with.record_work_sent(key, long, now(ms));
+            slow_without.record_sent(beside_slow, now(ms));
+            slow_with.record_work_sent(beside_slow, usual, now(ms));
+        }
+    }
+}
+
 /// Deployment B: engines that are 2.5 times slower in 15 of 100 periods of 600 ms, and entries whose reports are 50 to
 /// 200 ms old.
 struct Fleet {
--- a/core/tests/direct/priority.rs
+++ b/core/tests/direct/priority.rs
@@ -253,6 +253,7 @@
         is_late: false,
         reservation: admission.reservation,
         yields_turns: admission.yields_turns,
+        work: None,
     }
 }
 
--- a/core/tests/direct/priority/fleet.rs
+++ b/core/tests/direct/priority/fleet.rs
@@ -151,6 +151,7 @@
             is_late: false,
             reservation: admission.reservation,
             yields_turns: admission.yields_turns,
+            work: None,
         };
         let chosen = self.table.choose(&requirements, at, rng);
         assert!(matches!(chosen, Ok(_) | Err(Unavailable::Full)), "{chosen:?}");
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -140,7 +140,8 @@
     history.tried.push(endpoint);
     history.sent_at = None;
     history.last_endpoint = Some(record.id.clone());
-    let place = InFlightGuard::acquire(state, endpoint);
+    record_expectation(state, call, endpoint, history);
+    let place = InFlightGuard::acquire(state, endpoint, call.work);
     let pooled = state.pool.take(record.address, &record.id, state.now());
     let is_pooled = pooled.is_some();
     let mut connection = match pooled {
@@ -276,6 +277,20 @@
     PriorityClass { level, ..call.class }.urgency()
 }
 
+/// Records what is expected of the attempt that is about to be made.
+fn record_expectation(
+    state: &State,
+    call: &Call,
+    endpoint: EndpointKey,
+    history: &mut CallHistory,
+) {
+    let now = state.now();
+    let endpoints = state.endpoints.borrow();
+    let expected = |work| endpoints.expected_first_event(endpoint, &work, now);
+    history.expected_first = call.work.and_then(expected);
+    history.pace = Some(endpoints.pace(endpoint, now));
+}
+
 fn build_endpoint_request(
     call: &Call,
     record: &EndpointRecord,
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -14,6 +14,7 @@
 use mastichaven_core::direct::endpoint::EndpointKey;
 use mastichaven_core::direct::notices::MAX_TRAITS;
 use mastichaven_core::direct::priority::PriorityClass;
+use mastichaven_core::direct::work::RequestWork;
 use mastichaven_core::fingerprint::Fingerprint;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_platform::call;
@@ -50,6 +51,8 @@
     pub cold_per_second: f64,
     /// Whether the caller retries too late to be answered within the latency objective.
     pub is_late: bool,
+    /// Expected work of the request; `None` if the rates of the service are not configured.
+    pub work: Option<RequestWork>,
     /// When the head was read.
     pub received_at: Time,
     /// Time from `received_at` until the body was read.
@@ -192,6 +195,10 @@
     pub steps: StepTimes,
     /// Id of the endpoint tried last.
     pub last_endpoint: Option<SmolStr>,
+    /// Expected time until the first event at the endpoint tried last; `None` if unknown.
+    pub(super) expected_first: Option<Duration>,
+    /// Pace of that endpoint when the request was sent.
+    pub(super) pace: Option<f64>,
     /// Why no further endpoint was tried; empty while there was no reason.
     pub(super) no_retry: &'static str,
     /// Whether the caller has received a part of the answer, and the next attempt is to bring the rest.
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -21,6 +21,8 @@
 use mastichaven_core::direct::catalog::Customer;
 use mastichaven_core::direct::catalog::Route;
 use mastichaven_core::direct::retry_after::RefusalCause;
+use mastichaven_core::direct::work::RequestWork;
+use mastichaven_core::direct::work::Work;
 use mastichaven_platform::call;
 use mastichaven_platform::call::CallHead;
 use rand::RngExt;
@@ -157,6 +159,7 @@
     let service = route.pick_service(draw).ok_or(RejectionReason::UnknownRoute)?.clone();
     let class = catalog.priority_class(&service, &route, customer.as_ref());
     let cold_per_second = catalog.service(&service).map_or(0.0, |s| s.cold_per_second);
+    let rates = catalog.rates(&service);
     let limits = catalog.limits();
     let (parts, body) = req.into_parts();
     let body = read_body(body, limits.max_body_len, limits.head_timeout).await?;
@@ -166,6 +169,16 @@
         .map(|patience| patience.saturating_sub(RESPONSE_MARGIN))
         .filter(|respond_within| *respond_within < time_limit);
     let is_late = state.is_late(&route, time_limit, received_at);
+    let work = rates.map(|rates| RequestWork {
+        rates,
+        work: Work::expected(
+            head.prompt_tokens,
+            head.max_answer_tokens,
+            head.hinted_answer_tokens,
+            rates.usual,
+        ),
+        in_time_until: received_at + route.objective,
+    });
     Ok(Call {
         head: head.clone(),
         method: parts.method,
@@ -178,6 +191,7 @@
         class,
         cold_per_second,
         is_late,
+        work,
         received_at,
         read_time: state.now().since(received_at),
         deadline: received_at + time_limit,
@@ -370,6 +384,8 @@
         "took_ms" => now.since(received_at).as_millis() as u64,
         "offers" => history.tried_count(),
         "endpoint" => history.last_endpoint.as_deref().unwrap_or_default(),
+        "expected_first_ms" => history.expected_first.map_or(-1, |time| time.as_millis() as i64),
+        "pace" => history.pace.unwrap_or(1.0),
         "no_retry" => history.no_retry, "level" => history.class.level,
         "levels" => history.class.levels, "config" => version, "config_age_ms" => age);
 }
--- a/node/src/direct/hedge.rs
+++ b/node/src/direct/hedge.rs
@@ -38,8 +38,14 @@
     if !is_hedgeable {
         return pending().await;
     }
-    let expected = pace::assumed_first_event(call.route.objective);
-    let hedge_at = pace::hedge_at(call.received_at, call.route.objective, expected);
+    let expected =
+        history.expected_first.unwrap_or_else(|| pace::assumed_first_event(call.route.objective));
+    // Another endpoint is expected to have as much load, and a pace of 1.
+    let expected_elsewhere = match history.expected_first {
+        Some(expected) => expected.div_f64(history.pace.unwrap_or(1.0)),
+        None => expected,
+    };
+    let hedge_at = pace::hedge_at(call.received_at, call.route.objective, expected_elsewhere);
     sleep(hedge_at.since(state.now())).await;
     while !WaitingStream::is_past(hedge_at, state.now()) {
         let now = state.now();
@@ -66,10 +72,11 @@
 
 /// Pace of the endpoint to which the request could be sent now; `None` if it may not be sent to another one.
 fn pace_elsewhere(state: &Rc<State>, call: &Call, history: &CallHistory, now: Time) -> Option<f64> {
-    let may_be_sent = state.endpoints.borrow().is_hedging(now)
+    let may_be_sent = state.endpoints.borrow().is_pace_in_force(now)
         && retry_obstacle(call, history, now).is_none()
         && state.quarantine_remaining(call).is_none();
     let admission = state.admission(call, history, now);
-    let other = may_be_sent.then(|| choose_endpoint(state, call, history, &admission, now))?.ok()?;
+    let other =
+        may_be_sent.then(|| choose_endpoint(state, call, history, &admission, now))?.ok()?;
     Some(state.endpoints.borrow().pace(other, now))
 }
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -234,6 +234,7 @@
         is_late: call.is_late,
         reservation: admission.reservation,
         yields_turns: admission.yields_turns,
+        work: call.work,
     };
     if let Some(endpoint) = choose_lasting(state, call, &requirements, now) {
         return Ok(endpoint);
@@ -259,7 +260,9 @@
     let requirements = Requirements { model: Some((model, lasting)), ..*requirements };
     let mut endpoints = state.endpoints.borrow_mut();
     let endpoint = state.with_rng(|rng| endpoints.choose(&requirements, now, rng)).ok()?;
-    endpoints.has_free_slot(endpoint, call.is_late, requirements.reservation, now).then_some(endpoint)
+    endpoints
+        .has_free_slot(endpoint, call.is_late, requirements.reservation, now)
+        .then_some(endpoint)
 }
 
 /// Share of the retry budget that the request may use.
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -18,8 +18,8 @@
 use mastichaven_core::direct::lateness::LongestDeadline;
 use mastichaven_core::direct::loop_lag::LoopLag;
 use mastichaven_core::direct::notices::NoticeQueue;
-use mastichaven_core::direct::read_ahead::FullProcesses;
 use mastichaven_core::direct::priority::AdmissionStats;
+use mastichaven_core::direct::read_ahead::FullProcesses;
 use mastichaven_core::direct::replication::AgeLimits;
 use mastichaven_core::direct::replication::Nomination;
 use mastichaven_core::direct::retry_after::RefusalCause;
@@ -30,6 +30,7 @@
 use mastichaven_core::direct::versions::CurrentWeights;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::direct::wait_queue::WaitQueue;
+use mastichaven_core::direct::work::RequestWork;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::quarantine::Quarantine;
 use mastichaven_platform::objects::Kind;
@@ -405,8 +406,12 @@
     }
 
     /// Counts a new request to `endpoint`.
-    pub fn acquire(state: &Rc<State>, endpoint: EndpointKey) -> InFlightGuard {
-        if state.endpoints.borrow_mut().record_sent(endpoint, state.now()) {
+    pub fn acquire(
+        state: &Rc<State>,
+        endpoint: EndpointKey,
+        work: Option<RequestWork>,
+    ) -> InFlightGuard {
+        if state.endpoints.borrow_mut().record_work_sent(endpoint, work, state.now()) {
             state.metrics.count("cold_slots_used");
         }
         InFlightGuard { state: state.clone(), endpoint }
--- a/node/tests/direct/chunk_cache.rs
+++ b/node/tests/direct/chunk_cache.rs
@@ -138,6 +138,7 @@
         services: vec![service],
         customers: Vec::new(),
         limits,
+        rates: Vec::new(),
     }))
 }
 
