--- a/core/src/direct/endpoint.rs
+++ b/core/src/direct/endpoint.rs
@@ -469,6 +469,16 @@
         self.pace.factor(now)
     }
 
+    /// The observations of the endpoint's pace.
+    pub(super) fn pace_mut(&mut self) -> &mut Pace {
+        &mut self.pace
+    }
+
+    /// The latest recent answer, as time over expected time.
+    pub(super) fn last_answer(&self, now: Time) -> Option<f64> {
+        self.pace.last_answer(now)
+    }
+
     /// Records the pace that the endpoint's agent has reported.
     pub(super) fn record_reported_pace(&mut self, pace: f64, now: Time) {
         self.pace.record_report(pace, now);
--- a/core/src/direct/endpoint_table.rs
+++ b/core/src/direct/endpoint_table.rs
@@ -233,6 +233,25 @@
         self.slow_seen_at.is_some_and(|at| !now.passed(at, SLOW_TTL))
     }
 
+    /// Records that an answer of an endpoint took `ratio` of its expected time. Compared with the
+    /// endpoints of its service, it may show that the endpoint is slow. O(endpoints of the service).
+    pub fn record_answer_time(&mut self, key: EndpointKey, ratio: f64, now: Time) {
+        let Some(record) = self.get(key) else {
+            return;
+        };
+        let keys = self.by_service.get(&record.service).map(Vec::as_slice).unwrap_or_default();
+        let others = keys.iter().filter(|other| **other != key);
+        let answers = others.filter_map(|other| self.endpoints.get(*other)?.last_answer(now));
+        let answers = answers.collect();
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            let pace = endpoint.pace_mut();
+            pace.record_answer(ratio, now);
+            if pace.compare(answers, now) {
+                self.slow_seen_at = Some(now);
+            }
+        }
+    }
+
     /// Factor by which an endpoint is slower than its configured rates, at least 1.
     pub fn pace(&self, key: EndpointKey, now: Time) -> f64 {
         self.endpoints.get(key).map_or(1.0, |endpoint| endpoint.pace(now))
--- a/core/src/direct/pace.rs
+++ b/core/src/direct/pace.rs
@@ -11,6 +11,20 @@
 /// 100 to 200 ms in their own region and every 400 ms in others.
 const REPORT_TTL: Duration = Duration::from_millis(500);
 
+/// Age up to which an entry's own observation of an endpoint holds. A slow endpoint gets few requests
+/// and so gives few observations.
+const OBSERVATION_TTL: Duration = Duration::from_secs(1);
+
+/// Number of latest answers of an endpoint that must all be late for it to count as slow. A single
+/// late answer is no rarity.
+const LATE_ANSWERS: usize = 3;
+
+/// Multiple of the median of a service's endpoints from which on an answer is late.
+const LATE_FACTOR: f64 = 2.0;
+
+/// Number of other endpoints with recent answers from which on a median is taken.
+const MIN_COMPARED: usize = 4;
+
 /// Highest pace that is believed. A slower endpoint is avoided as well, and a faulty report has a
 /// bounded effect.
 const MAX_PACE: f64 = 10.0;
@@ -64,6 +78,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
     reported: Option<(f64, Time)>,
+    observed: Option<(f64, Time)>,
+    /// Latest answers, the last one first, as time over expected time.
+    answers: [Option<(f64, Time)>; LATE_ANSWERS],
 }
 
 impl Pace {
@@ -72,10 +89,49 @@
         self.reported = Some((bounded(pace), now));
     }
 
-    /// The present pace, at least 1. Without a recent report it is 1.
+    /// Records an answer that took `ratio` of its expected time.
+    pub fn record_answer(&mut self, ratio: f64, now: Time) {
+        self.answers.rotate_right(1);
+        self.answers[0] = Some((ratio, now));
+    }
+
+    /// The latest recent answer, as time over expected time.
+    pub fn last_answer(&self, now: Time) -> Option<f64> {
+        let (ratio, at) = self.answers[0]?;
+        (!now.passed(at, OBSERVATION_TTL)).then_some(ratio)
+    }
+
+    /// Compares the latest answers with those of the other endpoints of the service. Returns whether
+    /// the endpoint is slow.
+    pub fn compare(&mut self, mut others: Vec<f64>, now: Time) -> bool {
+        let pace = self.answers_over_median(&mut others, now).filter(|pace| *pace > LATE_FACTOR);
+        // An answer in time ends an observation, but not a report: it may have begun before the slow
+        // period.
+        self.observed = pace.map(|pace| (bounded(pace), now));
+        pace.is_some()
+    }
+
+    /// The lowest of the latest answers over the median of `others`; `None` if either is unknown.
+    fn answers_over_median(&self, others: &mut [f64], now: Time) -> Option<f64> {
+        if others.len() < MIN_COMPARED {
+            return None;
+        }
+        let recent = |answer: &Option<(f64, Time)>| {
+            answer.filter(|(_, at)| !now.passed(*at, OBSERVATION_TTL)).map(|(ratio, _)| ratio)
+        };
+        let answers = self.answers.iter().map(recent).collect::<Option<Vec<f64>>>()?;
+        let lowest = answers.into_iter().min_by(f64::total_cmp)?;
+        let middle = others.len() / 2;
+        let (_, median, _) = others.select_nth_unstable_by(middle, f64::total_cmp);
+        Some(lowest / *median)
+    }
+
+    /// The present pace, at least 1. Without a recent report or observation it is 1.
     pub fn factor(&self, now: Time) -> f64 {
         let reported = self.reported.filter(|(_, at)| !now.passed(*at, REPORT_TTL));
-        reported.map_or(1.0, |(pace, _)| pace)
+        let observed = self.observed.filter(|(_, at)| !now.passed(*at, OBSERVATION_TTL));
+        let latest = reported.into_iter().chain(observed).max_by_key(|(_, at)| *at);
+        latest.map_or(1.0, |(pace, _)| pace)
     }
 }
 
--- a/core/tests/direct/endpoint_table/pace.rs
+++ b/core/tests/direct/endpoint_table/pace.rs
@@ -103,6 +103,68 @@
     }
 }
 
+/// A table of eight endpoints of a plain service, each of which has answered thrice in `ratio` of the expected time,
+/// the first one in `first_ratios`. Returns it with the key of the first one.
+fn table_with_answers(ratio: f64, first_ratios: [f64; 3]) -> (EndpointTable, EndpointKey) {
+    let mut table = table();
+    let mut keys = Vec::new();
+    for n in 1..=8 {
+        let plain = EndpointRecord { is_engine: false, ..record(n, "lagoa") };
+        table.upsert(plain, now(0));
+        // The new one has the least load, so it is chosen whenever it is one of the two candidates.
+        for other in 1..=n {
+            let load = report(if other == n { 0 } else { 9 });
+            table.apply_report(address(other), &load, now(0), ROUND_TRIP, DRAW, now(0));
+        }
+        let mut rng = rng();
+        let is_new = |key: &EndpointKey| !keys.contains(key);
+        let mut drawn = (0..200).map(|_| choose_with(&mut table, now(1), &mut rng));
+        let key = drawn.find_map(|key| key.ok().filter(is_new)).expect("drawn soon");
+        keys.push(key);
+    }
+    for (n, first_ratio) in first_ratios.into_iter().enumerate() {
+        let at = now(10 * n as u64);
+        keys[1..].iter().for_each(|key| table.record_answer_time(*key, ratio, at));
+        table.record_answer_time(keys[0], first_ratio, at);
+    }
+    (table, keys[0])
+}
+
+// An endpoint without an agent is slow, or an agent reports no pace: only the entry's own answers show it.
+#[test]
+fn record_answer_time_shows_a_slow_endpoint_for_a_second() {
+    let (mut table, slow) = table_with_answers(0.2, [0.7, 0.5, 0.6]);
+    assert!((table.pace(slow, now(20)) - 2.5).abs() < 1e-9, "the lowest over the median");
+    assert!(table.is_pace_in_force(now(20)));
+    assert!((table.pace(slow, now(1_021)) - 1.0).abs() < f64::EPSILON, "it has aged out");
+    table.record_answer_time(slow, 0.2, now(30));
+    assert!((table.pace(slow, now(30)) - 1.0).abs() < f64::EPSILON, "an answer came in time");
+}
+
+// A later report of the engine's agent is right about a period that has ended, and an answer that began before a slow
+// period says nothing about it.
+#[test]
+fn record_answer_time_yields_to_reports() {
+    let (mut table, slow) = table_with_answers(0.2, [0.7, 0.5, 0.6]);
+    let address = table.get(slow).expect("listed").address;
+    table.apply_pace(address, 0, 1.0, now(40));
+    assert!((table.pace(slow, now(40)) - 1.0).abs() < f64::EPSILON);
+    table.apply_pace(address, 0, SLOW, now(50));
+    table.record_answer_time(slow, 0.2, now(51));
+    assert!((table.pace(slow, now(51)) - SLOW).abs() < f64::EPSILON);
+}
+
+// All endpoints are late under overload, or a single answer is: none of them is slower than the others, and requests
+// must be spread as before.
+#[test]
+fn record_answer_time_ignores_common_and_single_delays() {
+    for (ratio, first_ratios) in [(3.0, [3.5, 3.1, 4.0]), (0.2, [0.2, 5.0, 5.0])] {
+        let (table, key) = table_with_answers(ratio, first_ratios);
+        assert!((table.pace(key, now(20)) - 1.0).abs() < f64::EPSILON);
+        assert!(!table.is_pace_in_force(now(20)));
+    }
+}
+
 const RATES: EngineRates = EngineRates {
     step_ms: 8.0,
     per_seq_ms: 0.5,
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -222,6 +222,12 @@
         self.tried.len()
     }
 
+    /// Expected time until the first event at an endpoint of usual pace with the load of the one tried last; `None` if
+    /// unknown.
+    pub(super) fn usual_first(&self) -> Option<Duration> {
+        Some(self.expected_first?.div_f64(self.pace.unwrap_or(1.0)))
+    }
+
     /// Records that the request may have run and its response is lost. The next attempt may wait for a free place
     /// until the caller gives up.
     pub(super) fn record_lost_response(&mut self, call: &Call) {
--- a/node/src/direct/forward.rs
+++ b/node/src/direct/forward.rs
@@ -26,6 +26,7 @@
 use super::pool;
 use super::response_body::ResponseBody;
 use super::selection::next_endpoint;
+use super::selection::record_answer_time;
 use super::state::State;
 use super::stream::start_stream;
 
@@ -163,6 +164,9 @@
         }
     };
     state.endpoints.borrow_mut().record_success(place.endpoint);
+    if !record.is_engine {
+        record_answer_time(state, call, None, place.endpoint, sent_at);
+    }
     state.record_completion(call);
     drop(place);
     if connection.ready().await {
--- a/node/src/direct/hedge.rs
+++ b/node/src/direct/hedge.rs
@@ -41,10 +41,7 @@
     let expected =
         history.expected_first.unwrap_or_else(|| pace::assumed_first_event(call.route.objective));
     // Another endpoint is expected to have as much load, and a pace of 1.
-    let expected_elsewhere = match history.expected_first {
-        Some(expected) => expected.div_f64(history.pace.unwrap_or(1.0)),
-        None => expected,
-    };
+    let expected_elsewhere = history.usual_first().unwrap_or(expected);
     let hedge_at = pace::hedge_at(call.received_at, call.route.objective, expected_elsewhere);
     sleep(hedge_at.since(state.now())).await;
     while !WaitingStream::is_past(hedge_at, state.now()) {
--- a/node/src/direct/selection.rs
+++ b/node/src/direct/selection.rs
@@ -265,6 +265,23 @@
         .then_some(endpoint)
 }
 
+/// Records how long an endpoint has taken to answer a request that was sent to it at `sent_at`, over the time that was
+/// expected, or over the route's latency objective if nothing was.
+pub(super) fn record_answer_time(
+    state: &State,
+    call: &Call,
+    expected: Option<Duration>,
+    endpoint: EndpointKey,
+    sent_at: Time,
+) {
+    let now = state.now();
+    let expected = expected.unwrap_or(call.route.objective);
+    if !expected.is_zero() {
+        let ratio = now.since(sent_at).div_duration_f64(expected);
+        state.endpoints.borrow_mut().record_answer_time(endpoint, ratio, now);
+    }
+}
+
 /// Share of the retry budget that the request may use.
 fn usable_budget(call: &Call, history: &CallHistory) -> f64 {
     let may_be_resumed = call.route.retry_policy == RetryPolicy::Resumable;
--- a/node/src/direct/stream.rs
+++ b/node/src/direct/stream.rs
@@ -33,6 +33,7 @@
 use super::response_body::BodySender;
 use super::response_body::ResponseBody;
 use super::selection::next_endpoint;
+use super::selection::record_answer_time;
 use super::selection::until_replaceable;
 use super::state::State;
 
@@ -133,6 +134,9 @@
             return Err(ConnectionError::Broken);
         }
     };
+    if matches!(first, Ok(Some(_))) {
+        record_answer_time(state, call, history.usual_first(), endpoint, sent_at);
+    }
     match &first {
         Ok(events) => state.check_answering_version(call, &stream.response, events.as_ref()),
         Err(e) => {
