Hedge streams as soon as their endpoint is known to be slow

Hedges were sent at the last moment at which another endpoint could be in time, or after twice the expected time: the second attempt was late as often as not, and took places.

--- a/core/src/direct/pace.rs
+++ b/core/src/direct/pace.rs
@@ -35,9 +35,6 @@
 /// Ratio of two paces from which on entries are told of a change at once.
 const ANNOUNCED_RATIO: f64 = 1.25;
 
-/// Multiple of the expected time until the first event after which an endpoint counts as slow.
-const OVERDUE_FACTOR: u32 = 2;
-
 /// Expected time until a first event while the rates of the service are unknown, as a share of the
 /// route's latency objective.
 const ASSUMED_FIRST_EVENT_SHARE: f64 = 0.25;
@@ -51,10 +48,6 @@
 /// only add load.
 pub(super) const SLOW_TTL: Duration = Duration::from_secs(10);
 
-/// Time after [`hedge_at`] up to which a stream is still hedged. A busy entry is delayed by some ten
-/// milliseconds, and the other endpoint may be faster than expected.
-const HEDGE_TOLERANCE: Duration = Duration::from_millis(100);
-
 /// Percentages in a pace of 1, the unit in which paces are sent.
 const PERCENT: f64 = 100.0;
 
@@ -169,38 +162,33 @@
     objective.mul_f64(ASSUMED_FIRST_EVENT_SHARE)
 }
 
-/// The latest time at which a request that is sent to another endpoint can still have its first event
-/// in time.
-pub fn hedge_at(received_at: Time, objective: Duration, expected_elsewhere: Duration) -> Time {
-    received_at + objective.saturating_sub(expected_elsewhere)
-}
-
 /// A stream without a first event.
 #[derive(Clone, Copy, Debug)]
 pub struct WaitingStream {
-    /// When its request must be sent elsewhere to be in time there.
-    pub hedge_at: Time,
+    /// When its request was received.
+    pub received_at: Time,
+    /// Latency objective of its route.
+    pub objective: Duration,
     /// When it was sent to its endpoint.
     pub sent_at: Time,
-    /// Pace of its endpoint.
-    pub pace: f64,
-    /// Time after which its first event was expected.
-    pub expected: Duration,
-    /// Pace of the endpoint that would be chosen instead.
-    pub pace_elsewhere: f64,
+    /// Time after which its first event is expected from an endpoint with a pace of 1.
+    pub usual_first: Duration,
 }
 
 impl WaitingStream {
-    /// Whether it is too late to hedge.
-    pub fn is_past(hedge_at: Time, now: Time) -> bool {
-        now.passed(hedge_at, HEDGE_TOLERANCE)
+    /// The latest time at which a request that is sent to another endpoint can still have its first
+    /// event in time.
+    pub fn hedge_by(&self) -> Time {
+        self.received_at + self.objective.saturating_sub(self.usual_first)
     }
 
-    /// Whether the endpoint is slow and the other one is not, so that the request is better sent there.
-    pub fn should_be_hedged(&self, now: Time) -> bool {
-        let is_overdue = now.passed(self.sent_at, self.expected * OVERDUE_FACTOR);
-        (self.pace > SLOW_PACE || is_overdue)
-            && self.pace_elsewhere <= SLOW_PACE
-            && !WaitingStream::is_past(self.hedge_at, now)
+    /// Whether the request is better sent to another endpoint: its own is so slow that the first event
+    /// is expected after the objective, and the other one, which is not slow, can still be in time.
+    pub fn should_be_hedged(&self, pace: f64, pace_elsewhere: f64, now: Time) -> bool {
+        let expected_at = self.sent_at + self.usual_first.mul_f64(pace);
+        pace > SLOW_PACE
+            && expected_at > self.received_at + self.objective
+            && pace_elsewhere <= SLOW_PACE
+            && now <= self.hedge_by()
     }
 }
