Finish a nearly complete older version before a newer one at the origin

Requests to the origin went to the newest version first. An older version of which an entry holds two thirds now goes first for at most one second.

--- a/core/src/direct/pullers.rs
+++ b/core/src/direct/pullers.rs
@@ -364,10 +364,24 @@
     pub id: u64,
 }
 
+/// Time for which an older version that is nearly complete goes before a newer one. The rest of it takes less if the
+/// origin is there at all, and the newer version is delayed by no more than this.
+const FINISH_FIRST_TIME: Duration = Duration::from_secs(1);
+
+/// An older version that goes before newer ones for a while.
+#[derive(Clone, Copy, Debug)]
+struct FirstVersion {
+    model: u64,
+    version: u64,
+    until: Time,
+}
+
 /// Orders an entry's requests to the origin: chunks of the newest version first, and those of an older one only
-/// while no chunk of a newer one waits or is in flight.
+/// while no chunk of a newer one waits or is in flight. For a second after the newer one was announced an older one
+/// that is nearly complete goes first: if the origin then goes away, endpoints have that version.
 #[derive(Clone, Debug, Default)]
 pub struct OriginQueue {
+    first: Option<FirstVersion>,
     waiting: Vec<OriginTicket>,
     in_flight: Vec<OriginTicket>,
 }
@@ -378,18 +392,37 @@
         self.waiting.push(ticket);
     }
 
+    /// Lets a nearly complete version go before newer ones of its model for a while.
+    pub fn finish_first(&mut self, model: u64, version: u64, now: Time) {
+        self.first = Some(FirstVersion { model, version, until: now + FINISH_FIRST_TIME });
+    }
+
+    /// Order of a version among those of its model; the highest goes first.
+    fn precedence(&self, ticket: &OriginTicket, now: Time) -> u64 {
+        let goes_first = |first: FirstVersion| {
+            (first.model, first.version) == (ticket.model, ticket.version) && now < first.until
+        };
+        if self.first.is_some_and(goes_first) { u64::MAX } else { ticket.version }
+    }
+
     /// Moves a chunk from the waiting ones to those in flight if it is its turn and fewer than `limit` are in
     /// flight. O(chunks).
-    pub fn try_start(&mut self, ticket: OriginTicket, limit: usize) -> bool {
-        let is_newer =
-            |other: &&OriginTicket| other.model == ticket.model && other.version > ticket.version;
+    pub fn try_start(&mut self, ticket: OriginTicket, limit: usize, now: Time) -> bool {
+        let precedence = self.precedence(&ticket, now);
+        let is_newer = |other: &&OriginTicket| {
+            other.model == ticket.model && self.precedence(other, now) > precedence
+        };
         let is_before = |other: &&OriginTicket| {
             other.id < ticket.id && (other.model != ticket.model || other.version == ticket.version)
         };
         // Tickets of another model go first only if no newer version of it holds them back.
         let is_held_back = |ticket: &OriginTicket| {
             let all = self.waiting.iter().chain(&self.in_flight);
-            all.clone().any(|other| other.model == ticket.model && other.version > ticket.version)
+            let precedence = self.precedence(ticket, now);
+            let precedes = |other: &OriginTicket| {
+                other.model == ticket.model && self.precedence(other, now) > precedence
+            };
+            all.clone().any(precedes)
         };
         let is_turn = self.in_flight.len() < limit
             && !self.waiting.iter().chain(&self.in_flight).any(|other| is_newer(&other))
--- a/core/tests/direct/cold_turns.rs
+++ b/core/tests/direct/cold_turns.rs
@@ -41,7 +41,7 @@
         for (n, turns) in turns.iter_mut().enumerate() {
             let n = n as u32;
             let started = agent_starts_ms.iter().rev().find(|started| **started <= ms);
-            if let Some(started) = started.filter(|_| ms % REPORT_INTERVAL_MS == 0)
+            if let Some(started) = started.filter(|_| ms.is_multiple_of(REPORT_INTERVAL_MS))
                 && hears(n, ms)
             {
                 let schedule = Schedule { entries: readers, position: n, clock_ms: ms - started };
@@ -59,7 +59,7 @@
 fn most_in_a_second(sent: &[u64]) -> usize {
     let count_from =
         |from: &u64| sent.iter().filter(|ms| (*from..from + 1_000).contains(ms)).count();
-    sent.iter().map(|from| count_from(from)).max().unwrap_or(0)
+    sent.iter().map(count_from).max().unwrap_or(0)
 }
 
 // Guards against a fleet that uses less than half of what cold endpoints bear after a loss of power.
@@ -78,7 +78,7 @@
 fn may_send_with_lost_schedules_and_restarted_agents_stays_within_bound() {
     for seed in 0..20 {
         for (per_second, readers, entries) in [(18.0, 24, 39), (26.0, 27, 44), (14.0, 24, 38)] {
-            let cut = |n: u32, ms: u64| n % 3 != 0 || !(4_000..9_000).contains(&ms);
+            let cut = |n: u32, ms: u64| !n.is_multiple_of(3) || !(4_000..9_000).contains(&ms);
             let agent_starts = [0, 6_030, 6_510, 12_000];
             let sent = sends(per_second, (readers, entries), &agent_starts, seed, cut);
             let most = most_in_a_second(&sent);
--- a/core/tests/direct/pullers.rs
+++ b/core/tests/direct/pullers.rs
@@ -112,16 +112,32 @@
     let ticket = |version, id| OriginTicket { model: 1, version, id };
     let mut queue = OriginQueue::default();
     [ticket(2, 1), ticket(2, 2), ticket(3, 3)].into_iter().for_each(|one| queue.push(one));
-    assert!(!queue.try_start(ticket(2, 1), 2));
-    assert!(queue.try_start(ticket(3, 3), 2));
-    assert!(!queue.try_start(ticket(2, 1), 2), "a newer one is in flight");
+    assert!(!queue.try_start(ticket(2, 1), 2, at(0)));
+    assert!(queue.try_start(ticket(3, 3), 2, at(0)));
+    assert!(!queue.try_start(ticket(2, 1), 2, at(0)), "a newer one is in flight");
     let other = OriginTicket { model: 7, version: 1, id: 4 };
     queue.push(other);
-    assert!(queue.try_start(other, 2), "held back by an older version of another model");
+    assert!(queue.try_start(other, 2, at(0)), "held back by an older version of another model");
     queue.remove(ticket(3, 3));
-    assert!(!queue.try_start(ticket(2, 2), 2), "not its turn");
-    assert!(queue.try_start(ticket(2, 1), 2));
-    assert!(!queue.try_start(ticket(2, 2), 2), "the limit is reached");
+    assert!(!queue.try_start(ticket(2, 2), 2, at(0)), "not its turn");
+    assert!(queue.try_start(ticket(2, 1), 2, at(0)));
+    assert!(!queue.try_start(ticket(2, 2), 2, at(0)), "the limit is reached");
+}
+
+// Guards against an announcement just before an outage of the origin that leaves two incomplete versions, where the
+// older one lacked a few chunks only.
+#[test]
+fn try_start_finishes_older_version_first_for_a_second() {
+    let ticket = |version, id| OriginTicket { model: 1, version, id };
+    let mut queue = OriginQueue::default();
+    [ticket(2, 1), ticket(3, 2), ticket(3, 3)].into_iter().for_each(|one| queue.push(one));
+    queue.finish_first(1, 2, at(0));
+    assert!(!queue.try_start(ticket(3, 2), 2, at(10)));
+    assert!(queue.try_start(ticket(2, 1), 2, at(10)));
+    queue.remove(ticket(2, 1));
+    assert!(queue.try_start(ticket(3, 2), 2, at(20)), "nothing of the older one is left");
+    queue.push(ticket(2, 4));
+    assert!(queue.try_start(ticket(3, 3), 2, at(1_000)), "the second is over");
 }
 
 /// What an entry of the simulation does for one chunk.
--- a/node/src/direct/chunk_cache.rs
+++ b/node/src/direct/chunk_cache.rs
@@ -27,6 +27,10 @@
 
 use super::swarm::MIN_FRACTION_TO_FINISH;
 
+/// Fraction of an older version's requested chunks that must be available here for it to go before a newer one at
+/// the origin.
+const MIN_FRACTION_TO_FINISH_FIRST: f64 = 2.0 / 3.0;
+
 /// Time after the last request for a chunk during which a failed download of it is retried.
 const REQUEST_TTL: Duration = Duration::from_millis(1_500);
 
@@ -202,6 +206,12 @@
             .map(|slot| slot.version)
             .filter(|version| available_fraction(&slots, req, *version) < MIN_FRACTION_TO_FINISH);
         let abandoned = abandoned.collect();
+        let previous = newest.get(&req.model).map(|newest| newest.version);
+        if let Some(previous) = previous
+            && available_fraction(&slots, req, previous) >= MIN_FRACTION_TO_FINISH_FIRST
+        {
+            self.origin_queue.borrow_mut().finish_first(model_key(&req.model), previous, now);
+        }
         newest.insert(
             req.model.clone(),
             NewestVersion { version: req.version, first_requested_at: now, abandoned },
@@ -270,7 +280,7 @@
     pub(super) fn queue_for_origin(&self, req: &ChunkRequest) -> OriginPlace<'_> {
         self.last_ticket_id.set(self.last_ticket_id.get() + 1);
         let ticket = OriginTicket {
-            model: key_of(Digest::of(req.model.as_bytes())),
+            model: model_key(&req.model),
             version: req.version,
             id: self.last_ticket_id.get(),
         };
@@ -292,8 +302,8 @@
 
 impl OriginPlace<'_> {
     /// Whether the request may be sent now.
-    pub(super) fn try_start(&self) -> bool {
-        self.cache.origin_queue.borrow_mut().try_start(self.ticket, MAX_ORIGIN_REQUESTS)
+    pub(super) fn try_start(&self, now: Time) -> bool {
+        self.cache.origin_queue.borrow_mut().try_start(self.ticket, MAX_ORIGIN_REQUESTS, now)
     }
 }
 
@@ -304,6 +314,11 @@
     }
 }
 
+/// Identifies a model in the queue for the origin.
+fn model_key(model: &SmolStr) -> u64 {
+    key_of(Digest::of(model.as_bytes()))
+}
+
 fn is_idle(slot: &Slot, now: Time) -> bool {
     !matches!(slot.content, Content::Pending) && now.passed(slot.requested_at, REQUEST_TTL)
 }
--- a/node/src/direct/chunk_server/sources.rs
+++ b/node/src/direct/chunk_server/sources.rs
@@ -210,7 +210,7 @@
     };
     let chunks = &state.chunks;
     let place = chunks.queue_for_origin(req);
-    while !place.try_start() {
+    while !place.try_start(state.now()) {
         if chunks.is_abandoned(req.digest) {
             return Err(SourceError::Unwanted);
         }
