Hosts finish a nearly complete older version before a newer one

Entries had pulled all chunks of the older version, but hosts had one request to entries for it beside four for the newer one, and entries drop chunks of older versions that nobody asked for: hosts ended with 50 of 64 chunks when the origin went away. For a second after a newer version is announced, a version of which a host holds two thirds now has four of its five requests.

--- a/core/src/swarm/caches.rs
+++ b/core/src/swarm/caches.rs
@@ -21,6 +21,14 @@
 /// may be unavailable for as long as the origin is, and would hold up the newer one.
 const PIPELINE_FOR_OLDER: usize = 1;
 
+/// Time after the announcement of a newer version for which an older one goes first if it is nearly
+/// complete here. It then takes less than that, and caches keep its chunks about as long. If the
+/// origin goes away meanwhile, the host has that version.
+const FINISH_FIRST_TIME: Duration = Duration::from_secs(1);
+
+/// One in this many chunks of a version that is nearly complete may be missing.
+const NEARLY_COMPLETE_DIVISOR: usize = 3;
+
 /// Missing chunks from which the next one is drawn at random. All hosts request the same chunks at
 /// about the same time, in the order in which caches pull them from the origin, but not all the
 /// same chunk at once.
@@ -113,15 +121,25 @@
     /// answers, do not delay a newer one.
     fn cache_pipeline(&self, n: usize, now: Time) -> usize {
         let requests_any = |n: usize| self.downloads[n].missing > 0 && self.uses_caches(n, now);
-        if (n + 1..self.downloads.len()).any(requests_any) {
+        let goes_first = |n: usize| requests_any(n) && self.finishes_first(n, now);
+        let is_older = (n + 1..self.downloads.len()).any(requests_any);
+        if (is_older && !goes_first(n)) || (0..n).any(goes_first) {
             PIPELINE_FOR_OLDER
-        } else if (0..n).any(requests_any) {
+        } else if is_older || (0..n).any(requests_any) {
             PIPELINE_FROM_CACHES - PIPELINE_FOR_OLDER
         } else {
             PIPELINE_FROM_CACHES
         }
     }
 
+    /// Whether an older version is so nearly complete that it goes before the newest, which was
+    /// announced just now.
+    fn finishes_first(&self, n: usize, now: Time) -> bool {
+        let (older, newest) = (&self.downloads[n], &self.downloads[self.downloads.len() - 1]);
+        older.missing * NEARLY_COMPLETE_DIVISOR <= older.chunks.len()
+            && !now.passed(newest.manifest_at, FINISH_FIRST_TIME)
+    }
+
     /// Whether chunks of a version are requested from caches. A new host takes a version that a
     /// neighbour holds completely from its neighbours: chunks that the caches lack would leave the
     /// origin once more.
