--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -38,7 +38,6 @@
 pub mod notices;
 pub mod pace;
 pub mod priority;
-pub mod pullers;
 pub mod read_ahead;
 pub mod replication;
 pub mod request_limit;
--- a/core/src/direct/replication.rs
+++ b/core/src/direct/replication.rs
@@ -167,11 +167,8 @@
     Agent,
     /// An entry; the recipient is a puller and does not ask the ones after it.
     Entry,
-    /// A puller after the recipient in the order, before it pulls the chunk itself. The reply does not wait.
+    /// A puller after the recipient in the order, before it pulls the chunk itself. The reply must not wait.
     Puller,
-    /// A puller or an entry that asks whether the recipient has or fetches the chunk. The reply does not wait, and the
-    /// recipient does not begin to fetch the chunk.
-    Observer,
 }
 
 /// Maximum number of holders that a [`ChunkRequest`] names.
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -20,10 +20,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
-use tokio::time::Instant;
-use tokio::time::error::Elapsed;
 use tokio::time::timeout;
-use tokio::time::timeout_at;
 
 use super::connection;
 
@@ -134,7 +131,12 @@
     reply_timeout: Duration,
 ) -> Result<T> {
     let mut stream = connect(address).await?;
-    match timeout(reply_timeout, exchange(&mut stream, req)).await {
+    let exchange = async {
+        connection::set_socket_options(&stream)?;
+        write(&mut stream, req).await?;
+        read(&mut stream).await
+    };
+    match timeout(reply_timeout, exchange).await {
         Ok(Ok(reply)) => Ok(reply),
         Ok(Err(_)) | Err(_) => Err(PeerError::NoReply),
     }
@@ -160,17 +162,6 @@
 const REQUEST_PIECE: u8 = 1;
 const PIECE_RECEIVED: u8 = 2;
 
-/// Timeouts of [`fetch_chunk_with_timeouts`].
-#[derive(Clone, Copy, Debug)]
-pub struct ChunkTimeouts {
-    /// From the start until the first reply, including the connection.
-    pub reply: Duration,
-    /// From the request for a piece until it has arrived.
-    pub piece: Duration,
-    /// From the first reply until the whole chunk has arrived.
-    pub transfer: Duration,
-}
-
 /// Fetches a chunk from the process at `address`; the inner error is its reply if it does not send
 /// the chunk. The reply must arrive within `reply_timeout`, and the chunk within `transfer_timeout`
 /// after it.
@@ -182,50 +173,17 @@
     receive_permits: &Semaphore,
 ) -> Result<std::result::Result<Bytes, PeerReply>> {
     let mut stream = connect(address).await?;
-    let reply = timeout(reply_timeout, exchange(&mut stream, req)).await;
-    let timeouts =
-        ChunkTimeouts { reply: reply_timeout, piece: transfer_timeout, transfer: transfer_timeout };
-    finish_fetch(stream, reply, timeouts, receive_permits).await
-}
-
-/// Like [`fetch_chunk`], but also notices within `timeouts.piece` that the process has stopped in the middle of a
-/// transfer, and limits the time to connect.
-pub async fn fetch_chunk_with_timeouts(
-    address: SocketAddr,
-    req: &impl Serialize,
-    timeouts: ChunkTimeouts,
-    receive_permits: &Semaphore,
-) -> Result<std::result::Result<Bytes, PeerReply>> {
-    let deadline = Instant::now() + timeouts.reply;
-    let connected = timeout_at(deadline, connect(address)).await;
-    let mut stream = connected.unwrap_or(Err(PeerError::Unreachable))?;
-    let reply = timeout_at(deadline, exchange(&mut stream, req)).await;
-    finish_fetch(stream, reply, timeouts, receive_permits).await
-}
-
-/// Sends a request and reads the reply.
-async fn exchange<T: DeserializeOwned>(
-    stream: &mut TcpStream,
-    req: &impl Serialize,
-) -> io::Result<T> {
-    connection::set_socket_options(stream)?;
-    write(stream, req).await?;
-    read(stream).await
-}
-
-async fn finish_fetch(
-    mut stream: TcpStream,
-    reply: std::result::Result<io::Result<PeerReply>, Elapsed>,
-    timeouts: ChunkTimeouts,
-    receive_permits: &Semaphore,
-) -> Result<std::result::Result<Bytes, PeerReply>> {
-    let reply = reply.map_err(|_| PeerError::NoReply)?;
+    let exchange = async {
+        connection::set_socket_options(&stream)?;
+        write(&mut stream, req).await?;
+        read(&mut stream).await
+    };
+    let reply = timeout(reply_timeout, exchange).await.map_err(|_| PeerError::NoReply)?;
     let len = match reply.map_err(|_: io::Error| PeerError::NoReply)? {
         PeerReply::ChunkFollows(len) if len <= MAX_MESSAGE_LEN => len as usize,
         other => return Ok(Err(other)),
     };
-    let pieces = read_pieces(&mut stream, len, timeouts.piece, receive_permits);
-    match timeout(timeouts.transfer, pieces).await {
+    match timeout(transfer_timeout, read_pieces(&mut stream, len, receive_permits)).await {
         Ok(Ok(bytes)) => Ok(Ok(bytes)),
         Ok(Err(_)) | Err(_) => Err(PeerError::NoReply),
     }
@@ -234,15 +192,13 @@
 async fn read_pieces(
     stream: &mut TcpStream,
     len: usize,
-    piece_timeout: Duration,
     receive_permits: &Semaphore,
 ) -> io::Result<Bytes> {
     let mut buf = vec![0; len];
     for piece in buf.chunks_mut(PIECE_LEN) {
         let permit = receive_permits.acquire().await.map_err(io::Error::other)?;
         stream.write_u8(REQUEST_PIECE).await?;
-        let arrived = timeout(piece_timeout, stream.read_exact(piece)).await;
-        arrived.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)))?;
+        stream.read_exact(piece).await?;
         drop(permit);
         // The confirmation is not combined with the next request, which may wait for a permit here.
         // The peer reserves its link for this piece until it is confirmed, so two hosts that fetch
