A version of which a host holds half goes first for a second; drop what nothing reads of chunk requests

With two thirds as the condition hosts ended with 50 of 64 chunks of the older version. The candidate pullers and the sender of a request have no reader any more, nor has the reply that the origin fails; their tests go with them.

--- a/core/src/direct/caches.rs
+++ b/core/src/direct/caches.rs
@@ -85,13 +85,6 @@
         owner(self.pullers.iter().copied(), digest)
     }
 
-    /// The entries that may pull the chunk with this digest from the origin, in the order in which they are asked.
-    pub fn pullers(&self, digest: Digest) -> Vec<IpAddr> {
-        let mut pullers = self.pullers.clone();
-        pullers.sort_unstable_by_key(|ip| rank(*ip, digest));
-        pullers
-    }
-
     fn has_failed_chunk(&self, entry: IpAddr, digest: Digest, now: Time) -> bool {
         let failed_at = self.failed_chunks.get(&(entry, digest));
         failed_at.is_some_and(|at| !now.passed(*at, FAILURE_COOLDOWN))
--- a/core/src/direct/replication.rs
+++ b/core/src/direct/replication.rs
@@ -150,25 +150,6 @@
     /// send none.
     #[serde(deserialize_with = "appended")]
     pub holders: Vec<SocketAddr>,
-    /// The candidate pullers of the chunk in the order in which they are asked; `puller` alone if empty. Earlier
-    /// releases send none.
-    #[serde(deserialize_with = "appended")]
-    pub pullers: Vec<IpAddr>,
-    /// Who sent the request. Earlier releases send nothing, which means [`ChunkSender::Agent`].
-    #[serde(deserialize_with = "appended")]
-    pub sender: ChunkSender,
-}
-
-/// The sender of a [`ChunkRequest`], which determines where the recipient looks for the chunk.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub enum ChunkSender {
-    /// An agent; the recipient asks all pullers. Also an entry of an earlier release.
-    #[default]
-    Agent,
-    /// An entry; the recipient is a puller and does not ask the ones after it.
-    Entry,
-    /// A puller after the recipient in the order, before it pulls the chunk itself. The reply must not wait.
-    Puller,
 }
 
 /// Maximum number of holders that a [`ChunkRequest`] names.
--- a/core/src/swarm/caches.rs
+++ b/core/src/swarm/caches.rs
@@ -27,7 +27,7 @@
 const FINISH_FIRST_TIME: Duration = Duration::from_secs(1);
 
 /// One in this many chunks of a version that is nearly complete may be missing.
-const NEARLY_COMPLETE_DIVISOR: usize = 3;
+const NEARLY_COMPLETE_DIVISOR: usize = 2;
 
 /// Missing chunks from which the next one is drawn at random. All hosts request the same chunks at
 /// about the same time, in the order in which caches pull them from the origin, but not all the
--- a/core/tests/direct/caches.rs
+++ b/core/tests/direct/caches.rs
@@ -113,15 +113,3 @@
     entries(1, 3).into_iter().for_each(|ip| caches.record_chunk_failure(ip, chunk(7), at(1_000)));
     assert!(caches.route(chunk(7), at(1_010)).is_some());
 }
-
-// Guards against regions that ask pullers in different orders, so that a chunk leaves the origin several times.
-#[test]
-fn pullers_begin_with_puller_of_chunk() {
-    let one = caches(entries(1, 13), entries(1, 13));
-    let other = caches(entries(2, 13), entries(1, 13).into_iter().rev().collect());
-    for n in 0..CHUNKS {
-        let pullers = one.pullers(chunk(n));
-        assert_eq!((pullers.len(), pullers.first()), (MAX_PULLERS, one.puller(chunk(n)).as_ref()));
-        assert_eq!(other.pullers(chunk(n)), pullers);
-    }
-}
--- a/core/tests/direct/replication.rs
+++ b/core/tests/direct/replication.rs
@@ -6,7 +6,6 @@
 use mastichaven_core::direct::replication::Ages;
 use mastichaven_core::direct::replication::Candidate;
 use mastichaven_core::direct::replication::ChunkRequest;
-use mastichaven_core::direct::replication::ChunkSender;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::Nomination;
 use mastichaven_core::direct::replication::Offer;
@@ -185,17 +184,10 @@
         puller,
         next,
         holders: Vec::new(),
-        pullers: Vec::new(),
-        sender: ChunkSender::Agent,
     };
     let bytes = postcard::to_stdvec(&earlier).expect("can be encoded");
     assert_eq!(postcard::from_bytes(&bytes), Ok(Hello::Chunk(request.clone())));
-    let request = ChunkRequest {
-        holders: vec![([10, 0, 0, 9], 7_000).into()],
-        pullers: vec![[10, 1, 0, 1].into(), [10, 1, 0, 2].into()],
-        sender: ChunkSender::Puller,
-        ..request
-    };
+    let request = ChunkRequest { holders: vec![([10, 0, 0, 9], 7_000).into()], ..request };
     let bytes = postcard::to_stdvec(&Hello::Chunk(request.clone())).expect("can be encoded");
     assert_eq!(postcard::from_bytes(&bytes), Ok(Hello::Chunk(request)));
     assert_eq!(postcard::from_bytes(&bytes), Ok(earlier));
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -111,9 +111,6 @@
     /// The peer will have the requested data, but only after the longest time for which a request
     /// may wait.
     NotYet,
-    /// The peer does not have the chunk and currently cannot reach the origin. Sent only to processes that name
-    /// the candidate pullers in their request; earlier releases do not know it.
-    OriginFailing,
 }
 
 async fn connect(address: SocketAddr) -> Result<TcpStream> {
--- a/node/src/direct/swarm/sources.rs
+++ b/node/src/direct/swarm/sources.rs
@@ -9,7 +9,6 @@
 use mastichaven_core::Manifest;
 use mastichaven_core::direct::load_orders::StagingWrites;
 use mastichaven_core::direct::replication::ChunkRequest;
-use mastichaven_core::direct::replication::ChunkSender;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::MAX_HOLDERS;
 use mastichaven_core::ids::Digest;
@@ -163,8 +162,6 @@
             puller: route.puller,
             next,
             holders: self.holders_of(request.version, digest),
-            pullers: self.caches.borrow().pullers(digest),
-            sender: ChunkSender::Agent,
         });
         let entry = route.entry;
         let address = SocketAddr::new(entry, self.cache_port);
@@ -378,7 +375,6 @@
         Ok(PeerReply::Busy) => RequestOutcome::Busy,
         Ok(PeerReply::NotYet) => RequestOutcome::Pending,
         // Sent without a wait, so the next request must be delayed.
-        Ok(PeerReply::OriginFailing) => RequestOutcome::Busy,
         Ok(PeerReply::Absent) => RequestOutcome::Absent,
         Ok(PeerReply::Have { .. } | PeerReply::Manifest { .. } | PeerReply::ChunkFollows(_)) => {
             RequestOutcome::Corrupt
--- a/node/tests/direct/chunk_cache.rs
+++ b/node/tests/direct/chunk_cache.rs
@@ -12,7 +12,6 @@
 use mastichaven_core::direct::endpoint::EndpointRecord;
 use mastichaven_core::direct::endpoint::LoadReport;
 use mastichaven_core::direct::replication::ChunkRequest;
-use mastichaven_core::direct::replication::ChunkSender;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::Update;
 use mastichaven_core::ids::Digest;
@@ -135,8 +134,6 @@
         puller: None,
         next,
         holders: Vec::new(),
-        pullers: Vec::new(),
-        sender: ChunkSender::Agent,
     })
 }
 
