--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -164,14 +164,7 @@
     /// route to `service` selects one like it, with a higher rank than the others.
     pub fn configure_ranked(&self, version: u64, keys: &[&str], service: &str) {
         let mut spec = site::configuration(version, keys, true, self.origin.address());
-        let routes = spec["routes"].as_array_mut().expect("routes");
-        let mut urgent =
-            routes.iter().find(|route| route["service"] == service).expect("a route").clone();
-        urgent["name"] = "urgent".into();
-        let prefix = urgent["path_prefix"].as_str().expect("a prefix");
-        urgent["path_prefix"] = format!("{prefix}urgent/").into();
-        urgent["priority"] = 0.into();
-        routes.push(urgent);
+        site::add_urgent_route(&mut spec, service);
         self.store.put("config", "main", spec);
     }
 
--- a/standins/src/direct/site.rs
+++ b/standins/src/direct/site.rs
@@ -73,3 +73,19 @@
         headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
     format!("POST {path} HTTP/1.1\r\n{lines}content-length: {body_len}\r\n\r\n")
 }
+
+/// Adds a route like the first one to `service`, with `urgent/` after its path prefix and a higher rank than the others.
+///
+/// # Panics
+///
+/// Panics if the configuration has no route to `service`.
+pub fn add_urgent_route(spec: &mut Value, service: &str) {
+    let routes = spec["routes"].as_array_mut().expect("routes");
+    let mut urgent =
+        routes.iter().find(|route| route["service"] == service).expect("a route").clone();
+    urgent["name"] = "urgent".into();
+    let prefix = urgent["path_prefix"].as_str().expect("a prefix");
+    urgent["path_prefix"] = format!("{prefix}urgent/").into();
+    urgent["priority"] = 0.into();
+    routes.push(urgent);
+}
