--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases, by their names.
 
+mod large_bodies;
 mod revoked_key;
 mod spoilt_manifest;
 mod unreadable_entry;
@@ -13,6 +14,7 @@
 /// Runs a case.
 pub fn run(case: &str, has_trouble: bool, record: &Arc<Record>) -> io::Result<Verdict> {
     match case {
+        "large-bodies" => large_bodies::run(has_trouble, record),
         "revoked-key" => revoked_key::run(has_trouble, record),
         "spoilt-manifest" => spoilt_manifest::run(has_trouble, record),
         "unreadable-entry" => unreadable_entry::run(has_trouble, record),
--- a/review/harness/src/program.rs
+++ b/review/harness/src/program.rs
@@ -28,10 +28,22 @@
 /// Kills all processes that were started.
 pub fn kill_all() {
     for id in RUNNING.lock().expect("no holder panics").drain(..) {
-        let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+        kill(id);
     }
 }
 
+/// Kills a process.
+pub fn kill(id: u32) {
+    let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+}
+
+/// Memory that a process uses, in kB.
+pub fn memory_kb(id: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    line.trim().trim_end_matches("kB").trim().parse().ok()
+}
+
 /// The command of a role in the deploy file.
 fn command_of(role: &str) -> io::Result<Vec<String>> {
     let text = fs::read_to_string(DEPLOY_FILE)?;
@@ -123,6 +135,11 @@
         Ok(())
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Lines of its log that contain `text`.
     pub fn log_lines(&self, text: &str) -> Vec<String> {
         let log = fs::read_to_string(&self.log).unwrap_or_default();
