--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases, by their names.
 
+mod extra_answer;
 mod large_bodies;
 mod revoked_key;
 mod spoilt_manifest;
@@ -14,6 +15,7 @@
 /// Runs a case.
 pub fn run(case: &str, has_trouble: bool, record: &Arc<Record>) -> io::Result<Verdict> {
     match case {
+        "extra-answer" => extra_answer::run(has_trouble, record),
         "large-bodies" => large_bodies::run(has_trouble, record),
         "revoked-key" => revoked_key::run(has_trouble, record),
         "spoilt-manifest" => spoilt_manifest::run(has_trouble, record),
--- a/review/harness/src/cases/unreadable_entry.rs
+++ b/review/harness/src/cases/unreadable_entry.rs
@@ -35,7 +35,20 @@
 
 /// An entry in which one field holds a byte that is no text. The store's answers are JSON, so it
 /// stands there as an escaped surrogate without its other half.
-const UNREADABLE: &str = "{\"service\":\"\\udcff\",\"address\":7}";
+const UNREADABLE: &[u8] = b"{\"service\":\"\\udcff\",\"address\":7}";
+
+/// Other forms, by the value of `FORM` in the environment.
+fn entry_in_form(form: &str) -> Vec<u8> {
+    match form {
+        "bytes" => b"{\"service\":\"\xff\xfe\",\"address\":7}".to_vec(),
+        "number" => b"{\"service\":\"s\",\"slots\":1e400}".to_vec(),
+        "deep" => [vec![b'['; 200], vec![b']'; 200]].concat(),
+        "text" => b"\"plain text\"".to_vec(),
+        "null" => b"null".to_vec(),
+        "types" => b"{\"service\":7,\"address\":true,\"zone\":[]}".to_vec(),
+        _ => UNREADABLE.to_vec(),
+    }
+}
 
 pub fn run(has_trouble: bool, record: &Arc<Record>) -> io::Result<Verdict> {
     let mut addresses = Addresses::allocate()?;
@@ -88,7 +101,8 @@
         .collect();
     thread::sleep(Duration::from_secs(3));
     if has_trouble {
-        store.put(site::SERVERS, "x-1", UNREADABLE.as_bytes());
+        let form = std::env::var("FORM").unwrap_or_default();
+        store.put(site::SERVERS, "x-1", &entry_in_form(&form));
         record.summary("another writer's entry is among those of the runners");
     }
     thread::sleep(Duration::from_secs(4));
--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -1,6 +1,7 @@
 //! A stand-in of a runner of a plain service.
 
 use std::io;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -17,6 +18,16 @@
 /// Time that a run takes.
 const WORK_TIME: Duration = Duration::from_millis(200);
 
+/// Bytes that a faulty runner sends after some of its complete answers. They arrive late, where the
+/// next answer on the connection is expected.
+#[derive(Clone, Copy, Debug)]
+pub struct Extra {
+    /// The bytes.
+    pub bytes: &'static [u8],
+    /// Number of answers of which one is followed by them.
+    pub one_in: usize,
+}
+
 /// A request that has run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -28,6 +39,7 @@
 struct Shared {
     id: String,
     record: Arc<Record>,
+    extra: Option<Extra>,
     runs: Mutex<Vec<Run>>,
 }
 
@@ -40,12 +52,27 @@
 impl Runner {
     /// Starts the runner `id` on a free port of `ip`.
     pub fn start(ip: &str, id: &str, record: &Arc<Record>) -> io::Result<Runner> {
-        let shared =
-            Arc::new(Shared { id: id.to_owned(), record: record.clone(), runs: Mutex::default() });
+        Runner::start_faulty(ip, id, None, record)
+    }
+
+    /// Starts a runner that sends `extra` bytes, if there are any.
+    pub fn start_faulty(
+        ip: &str,
+        id: &str,
+        extra: Option<Extra>,
+        record: &Arc<Record>,
+    ) -> io::Result<Runner> {
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            record: record.clone(),
+            extra,
+            runs: Mutex::default(),
+        });
         let handler = shared.clone();
         let server = Server::start(&format!("{ip}:0"), move |connection| {
+            let mut due = None;
             while let Some(head) = http::read_head(&mut connection.reader)? {
-                answer(&handler, connection, &head)?;
+                due = answer(&handler, connection, &head, due)?;
             }
             Ok(())
         })?;
@@ -80,17 +107,26 @@
     }
 }
 
-fn answer(shared: &Shared, connection: &mut Connection, head: &Head) -> io::Result<()> {
+/// Answers a request, after the bytes that are `due` from an earlier answer on the connection.
+/// Returns those that follow this answer.
+fn answer(
+    shared: &Shared,
+    connection: &mut Connection,
+    head: &Head,
+    due: Option<&'static [u8]>,
+) -> io::Result<Option<&'static [u8]>> {
     let instance = ("x-mastichaven-instance-id", shared.id.as_str());
     if head.path() == "/health" {
-        return http::respond(&mut connection.writer, 200, &[instance], b"");
+        http::respond(&mut connection.writer, 200, &[instance], b"")?;
+        return Ok(due);
     }
     let expected = head.header("x-mastichaven-expect-instance");
     let id = head.header("x-mastichaven-attempt-id").unwrap_or_default().to_owned();
     if expected.is_some_and(|expected| expected != shared.id) {
         http::read_body(&mut connection.reader, head, false)?;
         let headers = [instance, ("x-mastichaven-attempt-id", id.as_str())];
-        return http::respond(&mut connection.writer, 421, &headers, b"");
+        http::respond(&mut connection.writer, 421, &headers, b"")?;
+        return Ok(due);
     }
     http::read_body(&mut connection.reader, head, false)?;
     let n = {
@@ -99,6 +135,10 @@
         runs.len() - 1
     };
     shared.record.line(&format!("{id} runs at {}", shared.id));
+    if let Some(bytes) = due {
+        shared.record.line(&format!("{} sends bytes that belong to no request", shared.id));
+        connection.writer.write_all(bytes)?;
+    }
     thread::sleep(WORK_TIME);
     let stamp = format!("{}.{id}", shared.id);
     let headers = [
@@ -108,5 +148,5 @@
     let body = format!("done {id}");
     http::respond(&mut connection.writer, 200, &headers, body.as_bytes())?;
     shared.runs.lock().expect("no holder panics")[n].is_answered = true;
-    Ok(())
+    Ok(shared.extra.filter(|extra| n % extra.one_in == 0).map(|extra| extra.bytes))
 }
