Review: a rolling restart of the agents forgets which requests crash endpoints

Collectors keep the evidence in memory only, so a request that crashes every endpoint is never refused.

--- a/review/harness/src/http.rs
+++ b/review/harness/src/http.rs
@@ -187,7 +187,11 @@
     pub fn kill(&self) {
         self.is_down.store(true, Ordering::Release);
         // Wakes the thread that accepts connections, which closes its listener.
-        let _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
+        let is_open =
+            || TcpStream::connect_timeout(&self.address, Duration::from_millis(200)).is_ok();
+        while is_open() {
+            thread::sleep(Duration::from_millis(1));
+        }
         for stream in self.open.lock().expect("no holder panics").drain(..) {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
--- a/review/harness/src/program.rs
+++ b/review/harness/src/program.rs
@@ -128,6 +128,12 @@
         RUNNING.lock().expect("no holder panics").retain(|id| *id != self.child.id());
     }
 
+    /// Stops the process with SIGTERM and waits for its end.
+    pub fn terminate(&mut self) {
+        let _ = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        let _ = self.child.wait();
+    }
+
     /// Starts it again with the same settings.
     pub fn restart(&mut self) -> io::Result<()> {
         self.kill();
--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -7,6 +7,8 @@
 use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use crate::http;
 use crate::http::Connection;
@@ -18,6 +20,11 @@
 /// Time that a run takes.
 const WORK_TIME: Duration = Duration::from_millis(200);
 
+/// Body of a request that crashes each runner that begins to run it, and the time within which the
+/// runner is ended.
+pub const CRASHING_BODY: &[u8] = b"crash";
+const CRASH_TIME: Duration = Duration::from_secs(2);
+
 /// Bytes that a faulty runner sends after some of its complete answers. They arrive late, where the
 /// next answer on the connection is expected.
 #[derive(Clone, Copy, Debug)]
@@ -39,8 +46,11 @@
 struct Shared {
     id: String,
     record: Arc<Record>,
+    born: u128,
     extra: Option<Extra>,
     runs: Mutex<Vec<Run>>,
+    /// The request that crashes the runner, once it has begun to run.
+    crash_request: Mutex<Option<String>>,
 }
 
 /// A running runner.
@@ -50,14 +60,14 @@
 }
 
 impl Runner {
-    /// Starts the runner `id` on a free port of `ip`.
-    pub fn start(ip: &str, id: &str, record: &Arc<Record>) -> io::Result<Runner> {
-        Runner::start_faulty(ip, id, None, record)
+    /// Starts the runner `id` on a free port of `address`, or on its port if it names one.
+    pub fn start(address: &str, id: &str, record: &Arc<Record>) -> io::Result<Runner> {
+        Runner::start_faulty(address, id, None, record)
     }
 
     /// Starts a runner that sends `extra` bytes, if there are any.
     pub fn start_faulty(
-        ip: &str,
+        address: &str,
         id: &str,
         extra: Option<Extra>,
         record: &Arc<Record>,
@@ -65,11 +75,14 @@
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             record: record.clone(),
+            born: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis(),
             extra,
             runs: Mutex::default(),
+            crash_request: Mutex::default(),
         });
+        let port = if address.contains(':') { "" } else { ":0" };
         let handler = shared.clone();
-        let server = Server::start(&format!("{ip}:0"), move |connection| {
+        let server = Server::start(&format!("{address}{port}"), move |connection| {
             let mut due = None;
             while let Some(head) = http::read_head(&mut connection.reader)? {
                 due = answer(&handler, connection, &head, due)?;
@@ -89,10 +102,11 @@
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
              \"slots\":6,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\
-             \"born\":1700000000000}}",
+             \"born\":{}}}",
             site::DESK,
             self.address(),
-            site::ZONE
+            site::ZONE,
+            self.shared.born
         )
     }
 
@@ -101,6 +115,11 @@
         self.shared.runs.lock().expect("no holder panics").clone()
     }
 
+    /// The request that crashes the runner, once it has begun to run.
+    pub fn crash_request(&self) -> Option<String> {
+        self.shared.crash_request.lock().expect("no holder panics").clone()
+    }
+
     /// Ends the runner.
     pub fn kill(&self) {
         self.server.kill();
@@ -128,7 +147,13 @@
         http::respond(&mut connection.writer, 421, &headers, b"")?;
         return Ok(due);
     }
-    http::read_body(&mut connection.reader, head, false)?;
+    let body = http::read_body(&mut connection.reader, head, false)?;
+    if body == CRASHING_BODY {
+        shared.record.line(&format!("{id} runs at {} and crashes it", shared.id));
+        *shared.crash_request.lock().expect("no holder panics") = Some(id);
+        thread::sleep(CRASH_TIME);
+        return Err(io::ErrorKind::ConnectionAborted.into());
+    }
     let n = {
         let mut runs = shared.runs.lock().expect("no holder panics");
         runs.push(Run { id: id.clone(), is_answered: false });
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -25,6 +25,7 @@
 pub const DRAIN_TIMEOUT_MS: u64 = 2_000;
 pub const REVOKE_MS: u64 = 5_000;
 pub const RECOVERY_MS: u64 = 12_000;
+pub const CONTACT_MS: u64 = 3_000;
 
 /// The configuration in `version`: a resumable streaming route, a non-idempotent one, and an
 /// idempotent one without keys. `origin` is the address of the weights, if there are any.
