Bound the memory and connections that callers of an entry can claim

An entry whose connections were all silent answered nobody until they timed out.

Cause: each body was buffered up to `max_body_bytes`, each frame of it in a buffer of its own, and each head up to 417,792 bytes whatever `max_header_bytes` said, for the idle timeout. Nothing bounded all of them together, nor the bytes that waited on sockets. A connection over the limit was refused however idle the others were.

Change: one budget for all callers decides, without I/O, what is charged and who is evicted (core/src/direct/client_budget.rs). Bodies are copied into segments that are charged before they are allocated. A head has a length and a time from its first byte. Listeners set a receive window. A refused request gets 503, not run, and what its client still sends is discarded for up to 1 s so that it can read that. `limits.callers_memory_mb` is new and optional.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -10,7 +10,7 @@
 //! endpoints are about to stop, and [`retry_after`] computes when a
 //! refused caller may return. [`events`] resumes broken streams, and
 //! [`handover`] moves those whose endpoint is about to stop. [`read_ahead`] limits what is
-//! buffered for slow callers.
+//! buffered for slow callers, and [`client_budget`] what clients may claim of the memory and descriptors of a process.
 //!
 //! Entries and agents tell each other what one of them has seen in [`notices`], such as requests
 //! that crash endpoints, which [`crate::quarantine`] recognizes.
@@ -24,6 +24,7 @@
 
 pub mod caches;
 pub mod catalog;
+pub mod client_budget;
 pub mod cold_turns;
 mod ejection;
 pub mod endpoint;
--- a/core/src/fingerprint.rs
+++ b/core/src/fingerprint.rs
@@ -40,6 +40,23 @@
         Fingerprint { customer: customer_of(&key), digest: digest_of(&key, parts) }
     }
 
+    /// [`Fingerprint::new`] for a request whose last part is a body in `segments`, however it is divided.
+    pub fn with_body<'a>(
+        customer: &str,
+        parts: &[&[u8]],
+        segments: impl Iterator<Item = &'a [u8]> + Clone,
+    ) -> Fingerprint {
+        let key = blake3::derive_key(REQUEST_CONTEXT, customer.as_bytes());
+        let mut hasher = blake3::Hasher::new_keyed(&key);
+        parts.iter().for_each(|part| update_part(&mut hasher, part));
+        let len: usize = segments.clone().map(<[u8]>::len).sum();
+        hasher.update(&(len as u64).to_le_bytes());
+        for segment in segments {
+            hasher.update(segment);
+        }
+        Fingerprint { customer: customer_of(&key), digest: truncate(&hasher) }
+    }
+
     /// The fingerprint of the part `id` of prompts for `model`, whoever sends them.
     pub fn of_prompt_part(model: &str, id: &str) -> Fingerprint {
         let key = blake3::derive_key(PROMPT_PART_CONTEXT, model.as_bytes());
@@ -65,9 +82,15 @@
 
 fn digest_of(key: &[u8; 32], parts: &[&[u8]]) -> [u8; FINGERPRINT_LEN] {
     let mut hasher = blake3::Hasher::new_keyed(key);
-    for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes()).update(part);
-    }
+    parts.iter().for_each(|part| update_part(&mut hasher, part));
+    truncate(&hasher)
+}
+
+fn update_part(hasher: &mut blake3::Hasher, part: &[u8]) {
+    hasher.update(&(part.len() as u64).to_le_bytes()).update(part);
+}
+
+fn truncate(hasher: &blake3::Hasher) -> [u8; FINGERPRINT_LEN] {
     let mut digest = [0; FINGERPRINT_LEN];
     digest.copy_from_slice(&hasher.finalize().as_bytes()[..FINGERPRINT_LEN]);
     digest
--- a/core/tests/direct/main.rs
+++ b/core/tests/direct/main.rs
@@ -2,6 +2,7 @@
 
 mod caches;
 mod catalog;
+mod client_budget;
 mod cold_turns;
 mod endpoint_table;
 mod events;
--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -1,6 +1,7 @@
 //! The direct path: entries that forward requests of callers to endpoints, and the agent that
 //! manages the weights of the endpoint on its host and reports its load.
 //!
+//! Connections of clients are accepted by `http_server` within the limits of [`clients`].
 //! [`gateway`] admits a request and [`forward`] serves it: `selection` chooses an endpoint,
 //! `attempt` sends the request over a connection of [`pool`], and `stream` relays events to the
 //! caller through [`response_body`]. The state of an entry comes from the platform's store through
@@ -12,9 +13,12 @@
 pub mod agent;
 mod attempt;
 mod begin_limits;
+mod body_reader;
 pub mod call;
 pub mod chunk_cache;
 mod chunk_server;
+mod client_stream;
+pub mod clients;
 pub mod connection;
 pub mod crashes;
 pub mod endpoint_client;
@@ -25,6 +29,8 @@
 pub mod gateway;
 mod head_limit;
 mod hedge;
+mod http_server;
+mod in_flight;
 pub mod load_reports;
 pub mod log;
 pub mod metrics;
@@ -33,6 +39,7 @@
 pub mod pool;
 pub mod publisher;
 pub mod replication;
+pub mod request_body;
 pub mod response_body;
 mod selection;
 pub mod settings;
--- a/node/src/direct/attempt.rs
+++ b/node/src/direct/attempt.rs
@@ -8,7 +8,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use mastichaven_core::Time;
 use mastichaven_core::direct::catalog::RetryPolicy;
@@ -30,9 +29,10 @@
 use super::crashes::LostAttempt;
 use super::crashes::record_lost_attempt;
 use super::hedge::until_hedged;
+use super::in_flight::InFlightGuard;
 use super::pool;
+use super::request_body::OutgoingBody;
 use super::selection::until_replaceable;
-use super::state::InFlightGuard;
 use super::state::State;
 
 /// Largest body of a response that is not a stream, in bytes.
@@ -298,7 +298,7 @@
     time_limit: Duration,
     urgency: Option<u8>,
     resume_after: Option<&str>,
-) -> Request<Full<Bytes>> {
+) -> Request<OutgoingBody> {
     let resume_after = resume_after.or(call.head.resumes_after.as_deref());
     let addition = AddedHeaders {
         deadline: Some(time_limit),
@@ -308,7 +308,7 @@
         urgency,
         resume_after,
     };
-    let mut req = Request::new(Full::new(call.body.clone()));
+    let mut req = Request::new(call.body.to_outgoing());
     *req.method_mut() = call.method.clone();
     *req.uri_mut() = call.uri.clone();
     *req.headers_mut() = call::endpoint_headers(&call.headers, &addition);
--- a/node/src/direct/call.rs
+++ b/node/src/direct/call.rs
@@ -3,7 +3,6 @@
 use std::cell::OnceCell;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
@@ -21,6 +20,7 @@
 use mastichaven_platform::call::CallHead;
 use smol_str::SmolStr;
 
+use super::request_body::RequestBody;
 use super::steps::StepTimes;
 
 /// Maximum number of parts of a prompt that are told apart. The request and its parts fit into one notice.
@@ -38,7 +38,7 @@
     /// Headers as the caller sent them.
     pub headers: HeaderMap,
     /// Complete body.
-    pub body: Bytes,
+    pub body: RequestBody,
     /// Route that matched host and path.
     pub route: Route,
     /// Service chosen from the traffic split of the route.
@@ -79,9 +79,8 @@
             let customer = self.customer.as_ref().map_or("", |customer| customer.name.as_str());
             let path = self.uri.path_and_query().map_or("", |path| path.as_str());
             let host = self.head.host.as_bytes();
-            let parts =
-                [host, self.method.as_str().as_bytes(), path.as_bytes(), self.body.as_ref()];
-            let request = Fingerprint::new(customer, &parts);
+            let parts = [host, self.method.as_str().as_bytes(), path.as_bytes()];
+            let request = Fingerprint::with_body(customer, &parts, self.body.segments());
             let model = self.head.model.as_deref().unwrap_or_default();
             let ids = || call::prompt_parts(&self.headers);
             let mut traits = vec![request];
--- a/node/src/direct/connection.rs
+++ b/node/src/direct/connection.rs
@@ -15,7 +15,6 @@
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -29,6 +28,7 @@
 
 use super::head_limit::HeadLimit;
 use super::head_limit::HeadLimitedStream;
+use super::request_body::OutgoingBody;
 
 /// Time after which a connection to an unresponsive peer is broken: one second to the first
 /// keepalive probe, then two probes at intervals of one second.
@@ -81,7 +81,7 @@
 /// A client connection with at most one request in flight.
 #[derive(Debug)]
 pub struct HttpConnection {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<OutgoingBody>,
     head_limit: HeadLimit,
     task: JoinHandle<()>,
     /// Makes `task` reset the connection; `None` once it is used.
@@ -148,7 +148,7 @@
     }
 
     /// Sends a request and waits for the head of the response.
-    pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+    pub async fn send(&mut self, req: Request<OutgoingBody>) -> Result<Response<Incoming>> {
         self.head_limit.begin();
         let response = self.sender.try_send_request(req).await.map_err(|mut e| {
             // The request is returned only if no part of it was written.
@@ -166,7 +166,7 @@
     /// `max_len` bytes.
     pub async fn call(
         &mut self,
-        req: Request<Full<Bytes>>,
+        req: Request<OutgoingBody>,
         max_len: usize,
         time_limit: Duration,
     ) -> Result<Response<Bytes>> {
@@ -223,8 +223,8 @@
     address: SocketAddr,
     path: &str,
     body: Bytes,
-) -> Request<Full<Bytes>> {
-    let mut req = Request::new(Full::new(body));
+) -> Request<OutgoingBody> {
+    let mut req = Request::new(OutgoingBody::from(body));
     *req.method_mut() = method.parse().unwrap_or_default();
     *req.uri_mut() = path.parse().unwrap_or_default();
     let host = http::HeaderValue::from_str(&address.to_string());
--- a/node/src/direct/entry.rs
+++ b/node/src/direct/entry.rs
@@ -1,10 +1,8 @@
 //! The entry process of the direct path: startup, caller connections, the status server and
 //! graceful shutdown.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,11 +14,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use mastichaven_platform::READY_PATH;
 use mastichaven_platform::objects::Kind;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -28,8 +24,10 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::connection;
 use super::gateway;
+use super::http_server;
+use super::http_server::ConnectionLimits;
+use super::http_server::listen;
 use super::load_reports;
 use super::log::EventLog;
 use super::publisher;
@@ -43,14 +41,12 @@
 /// higher than the real number, so that the first shares are too small rather than too large.
 const INITIAL_ENTRY_COUNT: u32 = 16;
 
-/// Idle timeout of caller connections until the configuration sets one. Callers reuse a connection
-/// for up to four fifths of it.
-const DEFAULT_CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
-/// Descriptors that a caller connection may need: its own, and one to an endpoint for its request.
-const DESCRIPTORS_PER_CALLER: usize = 2;
-/// Descriptors that are not available for caller connections.
-const RESERVED_DESCRIPTORS: usize = 300;
+/// Limits on connections of callers until the configuration sets them.
+const INITIAL_CALLER_LIMITS: ConnectionLimits = ConnectionLimits {
+    max_head_len: 16 << 10,
+    head_timeout: Duration::from_secs(3),
+    idle_timeout: Duration::from_secs(15),
+};
 
 /// Time for which an entry keeps accepting callers after SIGTERM. The balancer checks readiness
 /// once a second and removes an entry after two failed checks.
@@ -59,7 +55,7 @@
 /// Time before SIGKILL at which the remaining caller connections are closed.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 
-/// Interval at which a shutdown checks for remaining callers, and delay after a failed accept.
+/// Interval at which a shutdown checks for remaining callers.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Interval at which expired idle connections to endpoints are closed.
@@ -75,33 +71,6 @@
     io::Error::new(io::ErrorKind::InvalidInput, format!("missing setting `{key}`"))
 }
 
-/// Number of open caller connections.
-#[derive(Debug, Default)]
-struct ConnectionCount(Cell<usize>);
-
-/// Guard that counts a caller connection as open until it is dropped.
-struct CountedConnection(Rc<ConnectionCount>);
-
-impl CountedConnection {
-    fn open(callers: &Rc<ConnectionCount>) -> CountedConnection {
-        callers.0.set(callers.0.get() + 1);
-        CountedConnection(callers.clone())
-    }
-}
-
-impl Drop for CountedConnection {
-    fn drop(&mut self) {
-        self.0.0.set(self.0.0.get().saturating_sub(1));
-    }
-}
-
-/// Listens on `address`. Errors include the address, as an entry has four listeners.
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|e| io::Error::new(e.kind(), format!("{address}: {e}")))
-}
-
 /// Runs an entry until SIGTERM, then shuts it down gracefully within the stop timeout of the
 /// settings.
 pub async fn run(cfg: DirectSettings) -> Result<()> {
@@ -110,11 +79,12 @@
     let log = EventLog::start(cfg.host.as_str())?;
     let mut stop = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
-    let callers_listener = listen(callers_address).await?;
-    let ready_listener = listen(ready_address).await?;
+    let callers_listener = listen(callers_address, cfg.limits.of_callers().receive_window).await?;
+    let ready_listener = TcpListener::bind(ready_address).await?;
     let metrics_address = SocketAddr::new(cfg.ip, cfg.metrics_port);
-    let metrics_listener = listen(metrics_address).await?;
-    let publisher_listener = listen(SocketAddr::new(cfg.ip, cfg.agent_port)).await?;
+    let metrics_listener = TcpListener::bind(metrics_address).await?;
+    let peers_address = SocketAddr::new(cfg.ip, cfg.agent_port);
+    let publisher_listener = TcpListener::bind(peers_address).await?;
     let reports_socket = UdpSocket::bind(SocketAddr::new(cfg.ip, 0)).await?;
     let state = Rc::new(State::new(cfg, log.root.clone(), INITIAL_ENTRY_COUNT));
     slog::info!(state.log, "started"; "zone" => state.cfg.zone.as_str());
@@ -128,10 +98,8 @@
     spawn_local(measure_loop_lag(state.clone()));
     spawn_local(serve_status(state.clone(), ready_listener));
     spawn_local(serve_status(state.clone(), metrics_listener));
-    let callers = Rc::new(ConnectionCount::default());
     let (close_tx, close_rx) = watch::channel(false);
-    let accept_task =
-        spawn_local(accept_callers(state.clone(), callers_listener, callers.clone(), close_rx));
+    let accept_task = spawn_local(serve_callers(state.clone(), callers_listener, close_rx));
     loop {
         tokio::select! {
             _ = stop.recv() => break,
@@ -143,17 +111,17 @@
     }
     state.is_stopping.set(true);
     let drain_started = state.now();
-    slog::info!(state.log, "stopping"; "callers" => callers.0.get());
+    slog::info!(state.log, "stopping"; "callers" => state.callers.connections());
     sleep(DRAIN_DELAY).await;
     // From now on connections are refused, and the balancer's last callers go to another entry. A
     // long response accepted now might not end before SIGKILL.
     accept_task.abort();
     let _ = close_tx.send(true);
     let drain_timeout = state.cfg.bounds.stop().saturating_sub(SHUTDOWN_MARGIN);
-    while callers.0.get() > 0 && !state.now().passed(drain_started, drain_timeout) {
+    while state.callers.connections() > 0 && !state.now().passed(drain_started, drain_timeout) {
         sleep(POLL_INTERVAL).await;
     }
-    slog::info!(state.log, "stopped"; "callers" => callers.0.get());
+    slog::info!(state.log, "stopped"; "callers" => state.callers.connections());
     drop(log);
     Ok(())
 }
@@ -174,61 +142,34 @@
     }
 }
 
-async fn accept_callers(
-    state: Rc<State>,
-    listener: TcpListener,
-    callers: Rc<ConnectionCount>,
-    close_rx: watch::Receiver<bool>,
-) {
-    let descriptors = state.cfg.limits.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-    let max_callers = (descriptors / DESCRIPTORS_PER_CALLER).max(1);
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                slog::warn!(state.log, "accepting a caller connection failed"; "error" => e.to_string());
-                sleep(POLL_INTERVAL).await;
-                continue;
-            }
+async fn serve_callers(state: Rc<State>, listener: TcpListener, close_rx: watch::Receiver<bool>) {
+    let (callers, log) = (state.callers.clone(), state.log.clone());
+    http_server::accept(listener, callers, log, |stream, client| {
+        let limits = caller_limits(&state);
+        let handle = {
+            let state = state.clone();
+            move |client, req| gateway::handle_request(state.clone(), client, req)
         };
-        if callers.0.get() >= max_callers {
-            state.metrics.count("callers_over_limit");
-            continue;
-        }
-        let caller = CountedConnection::open(&callers);
-        spawn_local(serve_caller(state.clone(), stream, caller, close_rx.clone()));
-    }
+        let (state, close_rx) = (state.clone(), close_rx.clone());
+        spawn_local(async move {
+            if let Err(e) = http_server::serve(stream, client, limits, close_rx, handle).await {
+                slog::warn!(state.log, "setting options of a caller connection failed"; "error" => e.to_string());
+            }
+        });
+    })
+    .await;
 }
 
-async fn serve_caller(
-    state: Rc<State>,
-    stream: TcpStream,
-    _caller: CountedConnection,
-    mut close_rx: watch::Receiver<bool>,
-) {
-    if let Err(e) = connection::set_socket_options(&stream) {
-        slog::warn!(state.log, "setting options of a caller connection failed"; "error" => e.to_string());
-        return;
-    }
-    let limits = state.catalog.borrow().as_ref().map(|catalog| catalog.limits());
-    let service = service_fn(|req| {
-        let state = state.clone();
-        async move { Ok::<_, std::convert::Infallible>(gateway::handle_request(state, req).await) }
-    });
-    let mut builder = http1::Builder::new();
-    // hyper's timeout of a request head also covers the idle time before it, so the longer of the
-    // two limits applies.
-    let idle_timeout = limits
-        .map_or(DEFAULT_CALLER_IDLE_TIMEOUT, |limits| limits.idle_timeout.max(limits.head_timeout));
-    builder.timer(TokioTimer::new()).header_read_timeout(idle_timeout);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    tokio::select! {
-        // Errors of the connection are reported by the requests on it.
-        _ = connection.as_mut() => return,
-        _ = close_rx.wait_for(|is_closing| *is_closing) => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+fn caller_limits(state: &State) -> ConnectionLimits {
+    let catalog = state.catalog.borrow();
+    catalog.as_ref().map_or(INITIAL_CALLER_LIMITS, |catalog| {
+        let limits = catalog.limits();
+        ConnectionLimits {
+            max_head_len: limits.max_head_len,
+            head_timeout: limits.head_timeout,
+            idle_timeout: limits.idle_timeout,
+        }
+    })
 }
 
 /// Serves readiness, metrics and the state dump over HTTP.
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -11,8 +11,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use mastichaven_core::Time;
@@ -27,11 +25,13 @@
 use mastichaven_platform::call::CallHead;
 use rand::RngExt;
 use tokio::task::yield_now;
-use tokio::time::timeout;
 
+use super::body_reader::BodyError;
+use super::body_reader::read_body;
 use super::call::Call;
 use super::call::CallError;
 use super::call::CallHistory;
+use super::clients::Client;
 use super::forward;
 use super::response_body::ResponseBody;
 use super::state::State;
@@ -60,14 +60,27 @@
     BodyTooLong,
     BodyTooSlow,
     BodyBroken,
+    /// The requests of all callers together need too much memory.
+    OutOfMemory,
+}
+
+impl From<BodyError> for RejectionReason {
+    fn from(e: BodyError) -> RejectionReason {
+        match e {
+            BodyError::TooLong => RejectionReason::BodyTooLong,
+            BodyError::TooSlow => RejectionReason::BodyTooSlow,
+            BodyError::Broken => RejectionReason::BodyBroken,
+            BodyError::OutOfMemory => RejectionReason::OutOfMemory,
+        }
+    }
 }
 
 impl RejectionReason {
     fn status(self) -> StatusCode {
         match self {
-            RejectionReason::StaleConfig | RejectionReason::Starting => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            RejectionReason::StaleConfig
+            | RejectionReason::Starting
+            | RejectionReason::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
             RejectionReason::UnknownRoute => StatusCode::NOT_FOUND,
             RejectionReason::UnknownKey => StatusCode::UNAUTHORIZED,
             RejectionReason::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -86,7 +99,8 @@
             | RejectionReason::UnknownKey
             | RejectionReason::BodyTooLong
             | RejectionReason::BodyTooSlow
-            | RejectionReason::BodyBroken => RefusalCause::Other,
+            | RejectionReason::BodyBroken
+            | RejectionReason::OutOfMemory => RefusalCause::Other,
         }
     }
 
@@ -99,12 +113,17 @@
             RejectionReason::BodyTooLong => "body too long",
             RejectionReason::BodyTooSlow => "body too slow",
             RejectionReason::BodyBroken => "body broken",
+            RejectionReason::OutOfMemory => "out of memory for requests",
         }
     }
 }
 
 /// Handles one request of a caller.
-pub async fn handle_request(state: Rc<State>, req: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn handle_request(
+    state: Rc<State>,
+    client: Rc<Client>,
+    req: Request<Incoming>,
+) -> Response<ResponseBody> {
     let received_at = state.now();
     let head = call::parse_call(req.headers());
     state.metrics.count("requests");
@@ -112,7 +131,8 @@
     // disconnects behind them arrive together.
     yield_now().await;
     let path = req.uri().path().to_owned();
-    let mut response = match admit(&state, &head, req, received_at).await {
+    let has_body = !req.body().is_end_stream();
+    let mut response = match admit(&state, &client, &head, req, received_at).await {
         Ok(call) => forward_call(&state, Rc::new(call)).await,
         Err(rejection) => {
             let (service, class) = state.class_of(&head, &path).unwrap_or_default();
@@ -124,14 +144,26 @@
             log_request_end(&state, &head, received_at, status, reason, &history);
             let remaining = head.deadline.unwrap_or(DEFAULT_DEADLINE);
             let slice = state.return_slice(&service, class);
-            error_response(
-                status,
-                reason,
-                state.retry_after(rejection.refusal_cause(&state), remaining, slice),
-            )
+            let retry_after = state.retry_after(rejection.refusal_cause(&state), remaining, slice);
+            let mut response = error_response(status, reason, retry_after);
+            if rejection == RejectionReason::OutOfMemory {
+                add_code(&mut response, Code::Shed);
+            }
+            if has_body {
+                client.leave_body_unread();
+            } else {
+                client.finish_body();
+            }
+            response
         }
     };
-    if state.is_stopping.get() {
+    // A longer head that a new configuration allows needs a new connection.
+    let allows_longer_head = state
+        .catalog
+        .borrow()
+        .as_ref()
+        .is_some_and(|catalog| catalog.limits().max_head_len > client.max_head_len());
+    if state.is_stopping.get() || client.has_unread_body.get() || allows_longer_head {
         // Makes the caller reconnect, to another entry, for its next request.
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
@@ -141,10 +173,12 @@
 /// Validates a request and reads its body.
 async fn admit(
     state: &State,
+    client: &Client,
     head: &CallHead,
     req: Request<Incoming>,
     received_at: Time,
 ) -> Result<Call, RejectionReason> {
+    client.begin_request().map_err(|_| RejectionReason::OutOfMemory)?;
     if !state.is_synced() {
         return Err(RejectionReason::Starting);
     }
@@ -162,7 +196,7 @@
     let rates = catalog.rates(&service);
     let limits = catalog.limits();
     let (parts, body) = req.into_parts();
-    let body = read_body(body, limits.max_body_len, limits.head_timeout).await?;
+    let body = read_body(client, body, limits.max_body_len, limits.head_timeout).await?;
     let time_limit = head.deadline.unwrap_or(DEFAULT_DEADLINE).min(route.timeout);
     let respond_within = route
         .event_patience
@@ -214,27 +248,6 @@
     Ok(customer.cloned())
 }
 
-async fn read_body(
-    body: Incoming,
-    max_len: usize,
-    time_limit: Duration,
-) -> Result<Bytes, RejectionReason> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if body.size_hint().lower() > max_len as u64 {
-        return Err(RejectionReason::BodyTooLong);
-    }
-    match timeout(time_limit, Limited::new(body, max_len).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(RejectionReason::BodyTooLong)
-        }
-        Ok(Err(_)) => Err(RejectionReason::BodyBroken),
-        Err(_) => Err(RejectionReason::BodyTooSlow),
-    }
-}
-
 /// A call without a response yet. If it is dropped before it has ended, the caller has disconnected.
 struct PendingCall {
     state: Rc<State>,
@@ -351,6 +364,7 @@
             "refused_quarantined"
         }
         503 if reason == CallError::NoEndpoint.as_str() => "refused_no_endpoint",
+        503 if reason == RejectionReason::OutOfMemory.as_str() => "refused_memory",
         503 => "refused_other",
         502 => "failed_lost",
         504 => "failed_timeout",
--- a/node/src/direct/settings.rs
+++ b/node/src/direct/settings.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use mastichaven_core::direct::client_budget::ClientLimits;
 use mastichaven_core::direct::replication::AgeLimits;
 use mastichaven_core::ids::HostName;
 use mastichaven_core::ids::RegionName;
@@ -99,6 +100,17 @@
     pub descriptors: usize,
     /// Memory, in MB.
     pub memory_mb: usize,
+    /// The part of it that connections and requests of callers may take, in MB; 0.4 of it if left out.
+    #[serde(default)]
+    pub callers_memory_mb: Option<usize>,
+}
+
+impl Limits {
+    /// What callers may claim.
+    pub fn of_callers(&self) -> ClientLimits {
+        let callers_memory = self.callers_memory_mb.map(|mb| mb << 20);
+        ClientLimits::of_callers(self.memory_mb << 20, self.descriptors, callers_memory)
+    }
 }
 
 impl DirectSettings {
--- a/node/src/direct/state.rs
+++ b/node/src/direct/state.rs
@@ -30,7 +30,6 @@
 use mastichaven_core::direct::versions::CurrentWeights;
 use mastichaven_core::direct::versions::Versions;
 use mastichaven_core::direct::wait_queue::WaitQueue;
-use mastichaven_core::direct::work::RequestWork;
 use mastichaven_core::ids::ServiceName;
 use mastichaven_core::quarantine::Quarantine;
 use mastichaven_platform::objects::Kind;
@@ -44,6 +43,7 @@
 use tokio::sync::Notify;
 
 use super::chunk_cache::ChunkCache;
+use super::clients::Clients;
 use super::crashes::Probes;
 use super::followers::Publisher;
 use super::metrics::Metrics;
@@ -75,6 +75,8 @@
     pub log: Logger,
     /// Counters and histograms.
     pub metrics: Rc<Metrics>,
+    /// Connections of callers.
+    pub callers: Rc<Clients>,
     /// The current configuration; `None` until the first one is applied.
     pub catalog: RefCell<Option<Rc<Catalog>>>,
     /// Notified when a configuration is applied.
@@ -169,9 +171,13 @@
         endpoints.set_entries(entries);
         let lease = Duration::from_millis(cfg.bounds.key_revocation_ms).mul_f64(LEASE_FRACTION);
         let metrics = Rc::<Metrics>::default();
+        let clock = BootClock::start();
+        let limits = cfg.limits.of_callers();
+        let callers = Clients::new("callers", limits, clock, log.clone(), metrics.clone());
         State {
-            clock: BootClock::start(),
+            clock,
             log,
+            callers,
             read_ahead: ReadAhead::new(cfg.limits.memory_mb << 20, metrics.clone()),
             metrics,
             catalog: RefCell::default(),
@@ -312,6 +318,8 @@
             "depth": self.depth(),
             "followers": self.publisher.len(),
             "chunks": self.chunks.len(),
+            "caller_connections": self.callers.connections(),
+            "caller_bytes": self.callers.used(),
             "read_ahead_bytes": self.read_ahead.buffered(),
             "loop_lag_ms": self.loop_lag.borrow().max().as_millis() as u64,
             "weights": weights,
@@ -390,37 +398,3 @@
         f(budget)
     }
 }
-
-/// Counts a request as in flight to an endpoint until it is dropped.
-#[derive(Debug)]
-pub struct InFlightGuard {
-    state: Rc<State>,
-    /// The endpoint that the request was sent to.
-    pub endpoint: EndpointKey,
-}
-
-impl InFlightGuard {
-    /// The state of the entry that sent the request.
-    pub(super) fn state(&self) -> &Rc<State> {
-        &self.state
-    }
-
-    /// Counts a new request to `endpoint`.
-    pub fn acquire(
-        state: &Rc<State>,
-        endpoint: EndpointKey,
-        work: Option<RequestWork>,
-    ) -> InFlightGuard {
-        if state.endpoints.borrow_mut().record_work_sent(endpoint, work, state.now()) {
-            state.metrics.count("cold_slots_used");
-        }
-        InFlightGuard { state: state.clone(), endpoint }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.state.endpoints.borrow_mut().record_finished(self.endpoint);
-        self.state.notify_capacity_freed();
-    }
-}
--- a/node/src/direct/updates.rs
+++ b/node/src/direct/updates.rs
@@ -143,6 +143,12 @@
             return;
         }
         slog::info!(self.log, "configuration in force"; "version" => catalog.version());
+        let (max_body_len, available) =
+            (catalog.limits().max_body_len, self.callers.limits().max_request_len());
+        if max_body_len > available {
+            slog::warn!(self.log, "longest bodies exceed the memory for requests";
+                "max_body_bytes" => max_body_len, "available_bytes" => available);
+        }
         let models = |catalog: &Catalog| -> Vec<(ServiceName, u32)> {
             let engines = catalog
                 .services()
--- a/node/tests/direct/fixture.rs
+++ b/node/tests/direct/fixture.rs
@@ -32,11 +32,14 @@
 // Each program has its own IP address, so its ports can be fixed. They are below the ephemeral
 // range: an ephemeral port that a test has bound and released stays in use while a child forked by
 // another thread has inherited the socket and not yet called exec.
-const AGENT_PORT: u16 = 20_000;
-const METRICS_PORT: u16 = 20_001;
+pub const AGENT_PORT: u16 = 20_000;
+pub const METRICS_PORT: u16 = 20_001;
 const CALLERS_PORT: u16 = 20_002;
 const READY_PORT: u16 = 20_003;
 
+/// Resource limits of a program, unless a test sets others.
+const RESOURCES: Resources = Resources { descriptors: 1_000, memory_mb: 200 };
+
 /// Number of the next host. Agents listen on the same port on all hosts, so each host has its own
 /// IP address.
 static NEXT_HOST: AtomicU16 = AtomicU16::new(1);
@@ -62,9 +65,16 @@
     std::env::temp_dir().join(format!("mastichaven-{process}-{number}-{name}"))
 }
 
+/// Resource limits in the settings of a program.
+#[derive(Clone, Copy, Debug)]
+pub struct Resources {
+    pub descriptors: usize,
+    pub memory_mb: usize,
+}
+
 /// A child process that is killed when dropped.
 pub struct Program {
-    child: Child,
+    pub child: Child,
     folder: PathBuf,
 }
 
@@ -137,6 +147,8 @@
     pub origin: FakeOrigin,
     /// Time after the announcement of a version within which requests may begin on an older one.
     pub weights_bound: Duration,
+    /// Resource limits of the programs that are started from then on.
+    pub resources: Resources,
 }
 
 impl Site {
@@ -151,7 +163,7 @@
     pub fn start_unconfigured() -> Site {
         let store = FakeStore::start("127.0.0.1:0").expect("the store starts");
         let origin = FakeOrigin::start("127.0.0.1:0").expect("the origin starts");
-        Site { store, origin, weights_bound: WEIGHTS_BOUND }
+        Site { store, origin, weights_bound: WEIGHTS_BOUND, resources: RESOURCES }
     }
 
     /// Writes a version of the configuration.
@@ -209,9 +221,11 @@
              [regions]\nzone-a = \"region-a\"\n\
              [bounds]\nkey_revocation_ms = 5000\nweights_ms = {}\nleave_ms = 2000\nstop_s = 8.0\n\
              repeat_ratio = 0.2\nrepeat_slack = 100.0\nrepeat_window_s = 10.0\n\
-             [limits]\ndescriptors = 1000\nmemory_mb = 200\n",
+             [limits]\ndescriptors = {}\nmemory_mb = {}\n",
             store,
             self.weights_bound.as_millis(),
+            self.resources.descriptors,
+            self.resources.memory_mb,
         )
     }
 
@@ -271,7 +285,7 @@
 pub struct Entry {
     pub program: Program,
     pub callers: SocketAddr,
-    ready: SocketAddr,
+    pub ready: SocketAddr,
 }
 
 /// A response as received by a caller.
--- a/standins/src/direct/site.rs
+++ b/standins/src/direct/site.rs
@@ -55,6 +55,13 @@
     })
 }
 
+/// Sets the maximum length of a request body and the time for which callers may keep idle connections.
+pub fn set_caller_limits(spec: &mut Value, max_body_len: usize, idle_timeout: Duration) {
+    let limits = &mut spec["limits"];
+    limits["max_body_bytes"] = max_body_len.into();
+    limits["idle_timeout_ms"] = json!(idle_timeout.as_millis() as u64);
+}
+
 /// Returns the headers of a caller's request.
 pub fn caller_headers(id: &str, key: &str) -> [(&'static str, String); 5] {
     [
