Bound the connections and heads of readiness checks, metrics and dumps

What callers saw: nothing listened on these ports with a limit. Silent connections used up the descriptors of an entry or agent, so that it could accept nobody and read nothing, and heads without an end filled its memory for good.

Cause: the listeners accepted any number of connections, without a timeout and with the HTTP library's buffer of 417,792 bytes for each.

Change: they use the same server and budget as callers, with 32 connections each, heads of 16 KiB within 5 s, and eviction of the longest idle one.

--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -45,6 +45,7 @@
 pub mod settings;
 pub mod state;
 mod statements;
+mod status;
 mod steps;
 pub mod store;
 mod stream;
--- a/node/src/direct/agent.rs
+++ b/node/src/direct/agent.rs
@@ -17,10 +17,8 @@
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use mastichaven_core::Time;
+use mastichaven_core::direct::client_budget::ClientLimits;
 use mastichaven_core::direct::load_orders::LoadOrders;
 use mastichaven_core::direct::notices::Collector;
 use mastichaven_core::direct::request_limit::LimitStatement;
@@ -36,14 +34,16 @@
 use tokio::signal::unix::signal;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 
+use super::clients::Clients;
 use super::endpoint_client::EndpointClient;
+use super::http_server::listen;
 use super::load_reports::SetupUpdate;
 use super::log::EventLog;
 use super::metrics::Metrics;
 use super::response_body::ResponseBody;
 use super::settings::DirectSettings;
+use super::status;
 use super::swarm::SwarmDriver;
 use crate::clock::BootClock;
 
@@ -97,9 +97,10 @@
     let mut stop = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let peer_address = SocketAddr::new(cfg.ip, cfg.agent_port);
+    let window = ClientLimits::of_status().receive_window;
     let peer_listener = TcpListener::bind(peer_address).await?;
     let report_socket = Rc::new(UdpSocket::bind(peer_address).await?);
-    let metrics_listener = TcpListener::bind((cfg.ip, cfg.metrics_port)).await?;
+    let metrics_listener = listen(SocketAddr::new(cfg.ip, cfg.metrics_port), window).await?;
     let clock = BootClock::start();
     let metrics = Rc::new(Metrics::default());
     let endpoint_client = Rc::new(EndpointClient::new(endpoint));
@@ -178,25 +179,17 @@
 }
 
 async fn serve_status(agent: Rc<Agent>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(loading::LOAD_POLL_INTERVAL).await;
-            continue;
+    let (log, metrics) = (agent.log.clone(), agent.metrics.clone());
+    let limits = ClientLimits::of_status();
+    let clients = Clients::new("metrics", limits, agent.clock, log.clone(), metrics);
+    let respond = move |req: &Request<Incoming>| {
+        let text = match req.uri().path() {
+            "/metrics" => agent.metrics.to_text(),
+            _ => agent.dump(),
         };
-        let agent = agent.clone();
-        spawn_local(async move {
-            let service = service_fn(|req: Request<Incoming>| {
-                let text = match req.uri().path() {
-                    "/metrics" => agent.metrics.to_text(),
-                    _ => agent.dump(),
-                };
-                let response = Response::new(ResponseBody::full(Bytes::from(text)));
-                async move { Ok::<_, std::convert::Infallible>(response) }
-            });
-            let builder = http1::Builder::new();
-            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
-        });
-    }
+        Response::new(ResponseBody::full(Bytes::from(text)))
+    };
+    status::serve(listener, clients, log, respond).await;
 }
 
 impl Agent {
--- a/node/src/direct/entry.rs
+++ b/node/src/direct/entry.rs
@@ -11,9 +11,7 @@
 use http::Response;
 use http::StatusCode;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use mastichaven_core::direct::client_budget::ClientLimits;
 use mastichaven_platform::READY_PATH;
 use mastichaven_platform::objects::Kind;
 use tokio::net::TcpListener;
@@ -24,6 +22,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::clients::Clients;
 use super::gateway;
 use super::http_server;
 use super::http_server::ConnectionLimits;
@@ -35,6 +34,7 @@
 use super::response_body::ResponseBody;
 use super::settings::DirectSettings;
 use super::state::State;
+use super::status;
 use super::watch::StoreWatcher;
 
 /// Number of entries assumed to share the deployment's limits until agents report the count. It is
@@ -80,9 +80,10 @@
     let mut stop = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
     let callers_listener = listen(callers_address, cfg.limits.of_callers().receive_window).await?;
-    let ready_listener = TcpListener::bind(ready_address).await?;
+    let status_window = ClientLimits::of_status().receive_window;
+    let ready_listener = listen(ready_address, status_window).await?;
     let metrics_address = SocketAddr::new(cfg.ip, cfg.metrics_port);
-    let metrics_listener = TcpListener::bind(metrics_address).await?;
+    let metrics_listener = listen(metrics_address, status_window).await?;
     let peers_address = SocketAddr::new(cfg.ip, cfg.agent_port);
     let publisher_listener = TcpListener::bind(peers_address).await?;
     let reports_socket = UdpSocket::bind(SocketAddr::new(cfg.ip, 0)).await?;
@@ -96,8 +97,8 @@
     spawn_local(load_reports::run(state.clone(), reports_socket));
     spawn_local(sweep_pool(state.clone()));
     spawn_local(measure_loop_lag(state.clone()));
-    spawn_local(serve_status(state.clone(), ready_listener));
-    spawn_local(serve_status(state.clone(), metrics_listener));
+    spawn_local(serve_status(state.clone(), "readiness", ready_listener));
+    spawn_local(serve_status(state.clone(), "metrics", metrics_listener));
     let (close_tx, close_rx) = watch::channel(false);
     let accept_task = spawn_local(serve_callers(state.clone(), callers_listener, close_rx));
     loop {
@@ -173,22 +174,12 @@
 }
 
 /// Serves readiness, metrics and the state dump over HTTP.
-async fn serve_status(state: Rc<State>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(POLL_INTERVAL).await;
-            continue;
-        };
-        let state = state.clone();
-        spawn_local(async move {
-            let service = service_fn(|req: Request<Incoming>| {
-                let response = status_response(&state, &req);
-                async move { Ok::<_, std::convert::Infallible>(response) }
-            });
-            let builder = http1::Builder::new();
-            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
-        });
-    }
+async fn serve_status(state: Rc<State>, name: &'static str, listener: TcpListener) {
+    let log = state.log.clone();
+    let limits = ClientLimits::of_status();
+    let clients = Clients::new(name, limits, state.clock, log.clone(), state.metrics.clone());
+    let respond = move |req: &Request<Incoming>| status_response(&state, req);
+    status::serve(listener, clients, log, respond).await;
 }
 
 fn status_response(state: &State, req: &Request<Incoming>) -> Response<ResponseBody> {
