Bound first messages and connections of peers

What callers saw: a process that accepts other entries or agents ran out of memory: 60 connections whose first message claims 8 MiB held 452 MB of an entry and 440 MB of an agent, 64 MB allowed.

Cause: requests had the limit of replicated configurations, and on entries the number of connections that were not yet followers had none. Replies to a peer that does not read were kept for good.

Change: first messages have 64 KiB (a list of chunks to fetch next is cut to 1,500), entries accept a fifth of their descriptors, 512 at most, and give a reply up after 4 s.

Evidence: node/tests/crowds, large_messages_are_bounded_entry and agent_is_bounded, failed before as above; now 8 and 7 MB. silent_connections_are_bounded_peers passed before with 385 of 500 descriptors, as connections were closed after 0.4 s; now 74.

--- a/node/src/direct/agent.rs
+++ b/node/src/direct/agent.rs
@@ -98,7 +98,7 @@
     let mut reload = signal(SignalKind::hangup())?;
     let peer_address = SocketAddr::new(cfg.ip, cfg.agent_port);
     let window = ClientLimits::of_status().receive_window;
-    let peer_listener = TcpListener::bind(peer_address).await?;
+    let peer_listener = listen(peer_address, window).await?;
     let report_socket = Rc::new(UdpSocket::bind(peer_address).await?);
     let metrics_listener = listen(SocketAddr::new(cfg.ip, cfg.metrics_port), window).await?;
     let clock = BootClock::start();
--- a/node/src/direct/entry.rs
+++ b/node/src/direct/entry.rs
@@ -85,7 +85,7 @@
     let metrics_address = SocketAddr::new(cfg.ip, cfg.metrics_port);
     let metrics_listener = listen(metrics_address, status_window).await?;
     let peers_address = SocketAddr::new(cfg.ip, cfg.agent_port);
-    let publisher_listener = TcpListener::bind(peers_address).await?;
+    let publisher_listener = listen(peers_address, status_window).await?;
     let reports_socket = UdpSocket::bind(SocketAddr::new(cfg.ip, 0)).await?;
     let state = Rc::new(State::new(cfg, log.root.clone(), INITIAL_ENTRY_COUNT));
     slog::info!(state.log, "started"; "zone" => state.cfg.zone.as_str());
--- a/node/src/direct/peers.rs
+++ b/node/src/direct/peers.rs
@@ -27,6 +27,9 @@
 /// Maximum length of an encoded message, in bytes.
 pub const MAX_MESSAGE_LEN: u32 = 8 << 20;
 
+/// Maximum length of the first message on a connection, a request, in bytes.
+pub const MAX_REQUEST_LEN: u32 = 64 << 10;
+
 /// Minimum length of messages that are compressed, mainly configurations with many routes. While an
 /// uncompressed one is sent to all followers, pongs queue behind it. The followers would consider
 /// their parent stale, read the store all at once, and saturate its links for seconds.
@@ -231,15 +234,30 @@
 /// Reads a message, compressed or not. Fails with `InvalidData` if it is too long or cannot be
 /// decoded.
 pub async fn read<T: DeserializeOwned>(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<T> {
+    read_up_to(stream, MAX_MESSAGE_LEN).await
+}
+
+/// Reads a request from a process that may be any. Fails with `InvalidData` if it is longer than [`MAX_REQUEST_LEN`]
+/// or cannot be decoded.
+pub async fn read_request<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+) -> io::Result<T> {
+    read_up_to(stream, MAX_REQUEST_LEN).await
+}
+
+async fn read_up_to<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+    max_len: u32,
+) -> io::Result<T> {
     let head = stream.read_u32().await?;
     let len = head & !COMPRESSED_FLAG;
-    if len > MAX_MESSAGE_LEN {
+    if len > max_len {
         return Err(invalid_data());
     }
     let mut body = vec![0; len as usize];
     stream.read_exact(&mut body).await?;
     if head & COMPRESSED_FLAG != 0 {
-        body = decompress(&body)?;
+        body = decompress(&body, max_len)?;
     }
     postcard::from_bytes(&body).map_err(|_| invalid_data())
 }
@@ -269,11 +287,10 @@
     io::Error::from(io::ErrorKind::InvalidData)
 }
 
-/// Decompresses a message. Rejects one that claims a length above [`MAX_MESSAGE_LEN`] before memory
-/// is allocated for it.
-fn decompress(body: &[u8]) -> io::Result<Vec<u8>> {
+/// Decompresses a message. Rejects one that claims a length above `max_len` before memory is allocated for it.
+fn decompress(body: &[u8], max_len: u32) -> io::Result<Vec<u8>> {
     let (len, packed) = lz4_flex::block::uncompressed_size(body).map_err(|_| invalid_data())?;
-    if len > MAX_MESSAGE_LEN as usize {
+    if len > max_len as usize {
         return Err(invalid_data());
     }
     lz4_flex::block::decompress(packed, len).map_err(|_| invalid_data())
--- a/node/src/direct/publisher.rs
+++ b/node/src/direct/publisher.rs
@@ -1,8 +1,10 @@
 //! Serves connections from followers, and from agents that request peers or chunks.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
+use mastichaven_core::direct::client_budget;
 use mastichaven_core::direct::endpoint::EndpointRecord;
 use mastichaven_core::direct::replication::Hello;
 use mastichaven_core::direct::replication::Message;
@@ -15,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -34,6 +37,9 @@
 /// Timeout for the first message on a connection.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Timeout for a reply, longer than the time after which the peer that requests it gives it up.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -51,25 +57,29 @@
 
 /// Accepts connections from followers and agents until the process ends.
 pub async fn serve(state: Rc<State>, listener: TcpListener) {
+    let permits = Arc::new(Semaphore::new(client_budget::max_peers(state.cfg.limits.descriptors)));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if state.publisher.len() >= MAX_FOLLOWERS {
+        let permit = permits.clone().try_acquire_owned();
+        let Some(permit) = permit.ok().filter(|_| state.publisher.len() < MAX_FOLLOWERS) else {
+            state.metrics.count("peers_rejected");
             continue;
-        }
+        };
         let state = state.clone();
         spawn_local(async move {
             // The peer observes the error itself.
             let _ = serve_one(&state, stream).await;
+            drop(permit);
         });
     }
 }
 
 async fn serve_one(state: &Rc<State>, mut stream: TcpStream) -> Result<()> {
     connection::set_socket_options(&stream)?;
-    let hello = timeout(HELLO_TIMEOUT, peers::read(&mut stream)).await;
+    let hello = timeout(HELLO_TIMEOUT, peers::read_request(&mut stream)).await;
     match hello.map_err(|_| ReplicationError::TimedOut)?? {
         Hello::Follow { ip, config_version } => {
             let follower = Rc::new(Outbox::new(ip));
@@ -78,12 +88,17 @@
             result
         }
         Hello::Peers { service, known_id } => {
-            if state.is_synced() {
-                peers::write(&mut stream, &state.peer_list(&service, known_id)).await?;
+            if !state.is_synced() {
+                return Ok(());
             }
-            Ok(())
+            let list = state.peer_list(&service, known_id);
+            let sent = timeout(REPLY_TIMEOUT, peers::write(&mut stream, &list)).await;
+            Ok(sent.map_err(|_| ReplicationError::TimedOut)??)
+        }
+        Hello::Chunk(req) => {
+            let sent = timeout(REPLY_TIMEOUT, chunk_server::serve(state, &mut stream, req)).await;
+            Ok(sent.map_err(|_| ReplicationError::TimedOut)??)
         }
-        Hello::Chunk(req) => Ok(chunk_server::serve(state, &mut stream, req).await?),
     }
 }
 
--- a/node/src/direct/swarm/serving.rs
+++ b/node/src/direct/swarm/serving.rs
@@ -50,7 +50,7 @@
 
     async fn serve_peer(&self, mut stream: TcpStream) -> std::io::Result<()> {
         connection::set_socket_options(&stream)?;
-        let req: PeerRequest = peers::read(&mut stream).await?;
+        let req: PeerRequest = peers::read_request(&mut stream).await?;
         let reply = match req {
             PeerRequest::Have { version } => self.availability_reply(version),
             PeerRequest::Manifest { version } => self.manifest_reply(version).await,
--- a/node/src/direct/swarm/sources.rs
+++ b/node/src/direct/swarm/sources.rs
@@ -40,6 +40,9 @@
 /// Time for which staging a received chunk is retried while the endpoint is starting.
 const ENDPOINT_START_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Maximum number of chunks that a request names for its puller to fetch next; more do not fit into a request.
+const MAX_PREFETCHED: usize = 1_500;
+
 impl SwarmDriver {
     /// Executes a request of the swarm and passes the outcome to it.
     pub(super) async fn execute(self: Rc<Self>, request: Request) {
@@ -238,6 +241,7 @@
         let mut next: Vec<(u32, Digest)> =
             next.map(|(index, digest)| (index as u32, *digest)).collect();
         next.sort_unstable_by_key(|(_, digest)| key_of(*digest));
+        next.truncate(MAX_PREFETCHED);
         next
     }
 
--- a/node/tests/crowds/crowd.rs
+++ b/node/tests/crowds/crowd.rs
@@ -126,7 +126,7 @@
 /// An entry with one endpoint, with limits that a small crowd reaches. One at a time.
 pub struct Target {
     pub entry: Entry,
-    _endpoint: FakeEndpoint,
+    pub endpoint: FakeEndpoint,
     pub site: Site,
     _running: MutexGuard<'static, ()>,
 }
@@ -142,7 +142,7 @@
         site.store.put("config", "main", spec);
         let endpoint = site.start_endpoint("i-a", "desk", None);
         let entry = site.start_entry(name);
-        let target = Target { entry, _endpoint: endpoint, site, _running: running };
+        let target = Target { entry, endpoint, site, _running: running };
         target.assert_answers("before the crowd");
         target
     }
@@ -169,6 +169,23 @@
     }
 }
 
+/// Lets a crowd send to the program at `at`, and asserts that it lives within its limits.
+pub fn assert_program_withstands(
+    program: &mut Program,
+    at: SocketAddr,
+    resources: Resources,
+    clients: usize,
+    message: &Message,
+) {
+    let observer = Observer::start(&program.child, at.ip());
+    let crowd = Crowd::send(at, clients, message);
+    assert_runs(program);
+    drop(crowd);
+    let usage = observer.stop();
+    assert_runs(program);
+    usage.assert_within(resources);
+}
+
 fn assert_runs(program: &mut Program) {
     let status = program.child.try_wait().expect("a child");
     assert!(status.is_none(), "the process has ended: {status:?}");
