Reasons for rejections in a file of their own; evicted connections release all that they claimed

A connection that is evicted gives back its charges for the call and the receive window at once, as the budget counts on when it selects it, and not when its task ends.

--- a/node/src/direct.rs
+++ b/node/src/direct.rs
@@ -38,6 +38,7 @@
 pub mod peers;
 pub mod pool;
 pub mod publisher;
+mod rejection;
 pub mod replication;
 pub mod request_body;
 pub mod response_body;
--- a/node/src/direct/clients.rs
+++ b/node/src/direct/clients.rs
@@ -97,8 +97,7 @@
     pub fn open(self: &Rc<Clients>) -> Result<Rc<Client>> {
         let now = self.clock.now();
         let victim = self.budget.borrow().make_room(now);
-        let victim = victim.inspect_err(|_| self.record("callers_over_limit", now))?;
-        if let Some(key) = victim {
+        if let Some(key) = victim.inspect_err(|_| self.record("callers_over_limit", now))? {
             self.record("clients_evicted", now);
             let victim = self.connections.borrow().get(&key).and_then(Weak::upgrade);
             // Its slot is taken over at once, while its task has yet to close it.
@@ -130,8 +129,7 @@
     fn claim(self: &Rc<Clients>, key: ClientKey, len: usize) -> Result<Charge> {
         let now = self.clock.now();
         let victims = self.budget.borrow_mut().claim(key, len, now);
-        let victims = victims.inspect_err(|_| self.record("client_memory_refused", now))?;
-        for victim in victims {
+        for victim in victims.inspect_err(|_| self.record("client_memory_refused", now))? {
             self.record("client_memory_evicted", now);
             let victim = self.connections.borrow().get(&victim).and_then(Weak::upgrade);
             if let Some(victim) = victim {
@@ -391,10 +389,12 @@
         self.head_charge.take();
         // Only a request whose head has been read can be answered.
         let is_answered = eviction == Eviction::Request && self.phase.get() == ClientPhase::Body;
-        let eviction = if is_answered { Eviction::Request } else { Eviction::Connection };
-        if self.eviction.get() != Some(Eviction::Connection) {
-            self.eviction.set(Some(eviction));
+        if !is_answered {
+            self.call_charge.take();
+            self.window_charge.take();
         }
+        let eviction = if is_answered { Eviction::Request } else { Eviction::Connection };
+        self.eviction.set(Some(eviction));
         self.evicted.notify_waiters();
     }
 }
--- a/node/src/direct/gateway.rs
+++ b/node/src/direct/gateway.rs
@@ -26,13 +26,13 @@
 use rand::RngExt;
 use tokio::task::yield_now;
 
-use super::body_reader::BodyError;
 use super::body_reader::read_body;
 use super::call::Call;
 use super::call::CallError;
 use super::call::CallHistory;
 use super::clients::Client;
 use super::forward;
+use super::rejection::RejectionReason;
 use super::response_body::ResponseBody;
 use super::state::State;
 use crate::entry::response::CODE_HEADER;
@@ -48,76 +48,6 @@
 /// One in this many successful responses is logged, at random. Every refusal and failure is logged.
 const SUCCESSES_PER_LOG_LINE: u64 = 32;
 
-/// Why a request was rejected before it was forwarded.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum RejectionReason {
-    /// The lease on the configuration has expired.
-    StaleConfig,
-    /// The entry has just started and has not yet received all the state that routing needs.
-    Starting,
-    UnknownRoute,
-    UnknownKey,
-    BodyTooLong,
-    BodyTooSlow,
-    BodyBroken,
-    /// The requests of all callers together need too much memory.
-    OutOfMemory,
-}
-
-impl From<BodyError> for RejectionReason {
-    fn from(e: BodyError) -> RejectionReason {
-        match e {
-            BodyError::TooLong => RejectionReason::BodyTooLong,
-            BodyError::TooSlow => RejectionReason::BodyTooSlow,
-            BodyError::Broken => RejectionReason::BodyBroken,
-            BodyError::OutOfMemory => RejectionReason::OutOfMemory,
-        }
-    }
-}
-
-impl RejectionReason {
-    fn status(self) -> StatusCode {
-        match self {
-            RejectionReason::StaleConfig
-            | RejectionReason::Starting
-            | RejectionReason::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
-            RejectionReason::UnknownRoute => StatusCode::NOT_FOUND,
-            RejectionReason::UnknownKey => StatusCode::UNAUTHORIZED,
-            RejectionReason::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            RejectionReason::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
-            RejectionReason::BodyBroken => StatusCode::BAD_REQUEST,
-        }
-    }
-
-    fn refusal_cause(self, state: &State) -> RefusalCause {
-        match self {
-            RejectionReason::Starting => RefusalCause::Starting,
-            RejectionReason::StaleConfig => {
-                RefusalCause::NoLease { is_held_in_region: state.has_fresh_neighbour.get() }
-            }
-            RejectionReason::UnknownRoute
-            | RejectionReason::UnknownKey
-            | RejectionReason::BodyTooLong
-            | RejectionReason::BodyTooSlow
-            | RejectionReason::BodyBroken
-            | RejectionReason::OutOfMemory => RefusalCause::Other,
-        }
-    }
-
-    fn as_str(self) -> &'static str {
-        match self {
-            RejectionReason::StaleConfig => "configuration too old",
-            RejectionReason::Starting => "not all known yet",
-            RejectionReason::UnknownRoute => "unknown route",
-            RejectionReason::UnknownKey => "unknown key",
-            RejectionReason::BodyTooLong => "body too long",
-            RejectionReason::BodyTooSlow => "body too slow",
-            RejectionReason::BodyBroken => "body broken",
-            RejectionReason::OutOfMemory => "out of memory for requests",
-        }
-    }
-}
-
 /// Handles one request of a caller.
 pub async fn handle_request(
     state: Rc<State>,
