Collapse a condition that the linter rejects; sample the resources of an agent while its crowd is connected

In one run of agent_is_bounded no sample was taken, so that 0 descriptors were seen: the observer now takes at least one, the last one before the crowd leaves. No program behaves differently.

--- a/node/src/direct/client_stream.rs
+++ b/node/src/direct/client_stream.rs
@@ -86,10 +86,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if let Some(window) = self.client.take_receive_window() {
-            if let Err(e) = SockRef::from(&self.stream).set_recv_buffer_size(window) {
-                self.client.log_window_error(&e);
-            }
+        if let Some(window) = self.client.take_receive_window()
+            && let Err(e) = SockRef::from(&self.stream).set_recv_buffer_size(window)
+        {
+            self.client.log_window_error(&e);
         }
         let len = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
--- a/node/src/direct/http_server.rs
+++ b/node/src/direct/http_server.rs
@@ -75,8 +75,12 @@
 ) {
     loop {
         match listener.accept().await {
-            // Without a free slot the connection is closed.
-            Ok((stream, _)) => drop(clients.open().map(|client| serve(stream, client))),
+            Ok((stream, _)) => {
+                // Without a free slot the connection is closed.
+                if let Ok(client) = clients.open() {
+                    serve(stream, client);
+                }
+            }
             Err(e) => {
                 slog::warn!(log, "accepting a connection failed"; "error" => e.to_string());
                 sleep(ACCEPT_RETRY_DELAY).await;
--- a/node/tests/crowds/crowd.rs
+++ b/node/tests/crowds/crowd.rs
@@ -180,8 +180,9 @@
     let observer = Observer::start(&program.child, at.ip());
     let crowd = Crowd::send(at, clients, message);
     assert_runs(program);
-    drop(crowd);
+    // The last sample is taken while the crowd is connected.
     let usage = observer.stop();
+    drop(crowd);
     assert_runs(program);
     usage.assert_within(resources);
 }
--- a/node/tests/crowds/usage.rs
+++ b/node/tests/crowds/usage.rs
@@ -51,9 +51,12 @@
             let is_over = is_over.clone();
             thread::spawn(move || {
                 let mut highest = Usage::default();
-                while !is_over.load(Ordering::Acquire) {
+                loop {
                     highest.unread_kb = highest.unread_kb.max(unread_kb(ip));
                     highest.descriptors = highest.descriptors.max(descriptors(process));
+                    if is_over.load(Ordering::Acquire) {
+                        break;
+                    }
                     thread::sleep(SAMPLE_INTERVAL);
                 }
                 highest.resident_kb = highest_resident_kb(process);
