--- /dev/null
+++ b/review/harness-2/src/cases.rs
@@ -0,0 +1,26 @@
+//! The cases.
+
+mod address;
+mod anonymous;
+mod early;
+mod slow_reader;
+mod unreadable;
+
+use crate::Verdict;
+use crate::record::Record;
+
+pub fn play(case: &str, has_trouble: bool, record: &Record) -> Verdict {
+    match case {
+        "unreadable-entry" => unreadable::play(has_trouble, record),
+        "early-answer" => early::play(has_trouble, record),
+        "slow-reader" => slow_reader::play(has_trouble, record),
+        "anonymous-route" => anonymous::play(has_trouble, record),
+        "entry-at-address" => address::play(has_trouble, record),
+        other => Err(format!("no case {other}")),
+    }
+}
+
+/// Turns an error into the reason why a case could not run.
+fn reason(e: std::io::Error) -> String {
+    e.to_string()
+}
