--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -70,23 +70,42 @@
 
     /// Starts an entry on `host`; the first host is the seed of all.
     pub fn start_entry(&self, host: u8) -> io::Result<Entry> {
-        let Ports { agent, metrics, callers, ready, control } = self.ports;
+        let Ports { callers, ready, .. } = self.ports;
         let ip = self.ip(host);
         let name = format!("edge-{ZONE}-{host}");
-        let settings = format!(
+        let role = format!("callers = \"{ip}:{callers}\"\nready = \"{ip}:{ready}\"\n");
+        let settings = self.settings(&name, &ip, &role);
+        let program = self.start("target/release/mastichaven-entry", &name, &settings)?;
+        let at = |port| format!("{ip}:{port}").parse().expect("an address");
+        Ok(Entry { program, callers: at(callers), ready: at(ready) })
+    }
+
+    /// Starts the agent beside the runner at `endpoint` on `host`.
+    pub fn start_agent(
+        &self,
+        host: u8,
+        endpoint: SocketAddr,
+        service: &str,
+    ) -> io::Result<Program> {
+        let name = format!("side-{ZONE}-{host}");
+        let role = format!("endpoint = \"{endpoint}\"\nservice = \"{service}\"\n");
+        let settings = self.settings(&name, &self.ip(host), &role);
+        self.start("target/release/mastichaven-agent", &name, &settings)
+    }
+
+    fn settings(&self, name: &str, ip: &str, role: &str) -> String {
+        let Ports { agent, metrics, control, .. } = self.ports;
+        format!(
             "host = \"{name}\"\nip = \"{ip}\"\nzone = \"{ZONE}\"\nstore = \"{store}\"\n\
              seeds = [\"{seed}:{control}\"]\nagent_port = {agent}\nmetrics_port = {metrics}\n\
-             callers = \"{ip}:{callers}\"\nready = \"{ip}:{ready}\"\n\n\
+             {role}\n\
              [regions]\n\"{ZONE}\" = \"{REGION}\"\n\n\
              [bounds]\nkey_revocation_ms = 5000\nweights_ms = 8000\nleave_ms = 2000\nstop_s = 8\n\
              repeat_ratio = 0.2\nrepeat_slack = 104\nrepeat_window_s = 10\n\n\
              [limits]\ndescriptors = 4100\nmemory_mb = 260\n",
             store = self.store,
             seed = self.ip(1),
-        );
-        let program = self.start("target/release/mastichaven-entry", &name, &settings)?;
-        let at = |port| format!("{ip}:{port}").parse().expect("an address");
-        Ok(Entry { program, callers: at(callers), ready: at(ready) })
+        )
     }
 
     fn start(&self, binary: &str, name: &str, settings: &str) -> io::Result<Program> {
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -4,10 +4,13 @@
 
 mod cases;
 mod client;
+mod engine;
 mod fleet;
 mod http;
+mod origin;
 mod record;
 mod runner;
+mod sha256;
 mod site;
 mod store;
 
