--- a/review/harness-2/src/http.rs
+++ b/review/harness-2/src/http.rs
@@ -4,6 +4,7 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
+use std::os::fd::AsRawFd;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -141,6 +142,17 @@
     }
 }
 
+/// Sets the receive buffer of a socket, or of those that a listener accepts.
+pub fn set_receive_buffer(socket: &impl AsRawFd, len: i32) {
+    unsafe extern "C" {
+        fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
+    }
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    // SAFETY: the descriptor is open and the value is a valid integer for the time of the call.
+    unsafe { setsockopt(socket.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &len, 4) };
+}
+
 /// A response with a length.
 pub fn response(status: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut text = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n", body.len());
--- a/review/harness-2/src/runner.rs
+++ b/review/harness-2/src/runner.rs
@@ -24,8 +24,10 @@
     pub work: Duration,
     /// Bytes of the answer to a request whose path ends with `/long`; all others get [`ANSWER_LEN`].
     pub long_answer_len: usize,
-    /// Whether long requests are answered before they are in, and after which time the rest is read.
+    /// Whether some long requests are answered before they are in, and after which time the rest is read.
     pub reads_on_after: Option<Duration>,
+    /// Share of all answers that are given so early, at most.
+    pub early_share: f64,
     /// Receive buffer of its connections in bytes, if it is a small one.
     pub receive_buffer: Option<i32>,
 }
@@ -56,18 +58,26 @@
     service: String,
     behaviour: Behaviour,
     runs: Arc<Mutex<Vec<Run>>>,
+    answers: Arc<Mutex<Answers>>,
     record: Record,
 }
 
-fn set_receive_buffer(listener: &TcpListener, len: i32) {
-    use std::os::fd::AsRawFd;
-    unsafe extern "C" {
-        fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, len: u32) -> i32;
+/// Answers that were begun.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Answers {
+    pub all: u32,
+    pub early: u32,
+}
+
+impl Answers {
+    /// Counts an answer, and returns whether it is an early one: if it may be, and the share allows it.
+    fn count(&mut self, may_be_early: bool, early_share: f64) -> bool {
+        self.all += 1;
+        let is_early =
+            may_be_early && f64::from(self.early + 1) <= early_share * f64::from(self.all);
+        self.early += u32::from(is_early);
+        is_early
     }
-    const SOL_SOCKET: i32 = 1;
-    const SO_RCVBUF: i32 = 8;
-    // SAFETY: the descriptor is open and the value is a valid integer for the time of the call.
-    unsafe { setsockopt(listener.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &len, 4) };
 }
 
 impl Runner {
@@ -81,7 +91,7 @@
     ) -> std::io::Result<Runner> {
         let listener = TcpListener::bind((ip, 0))?;
         if let Some(len) = behaviour.receive_buffer {
-            set_receive_buffer(&listener, len);
+            http::set_receive_buffer(&listener, len);
         }
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let runner = Runner {
@@ -91,6 +101,7 @@
             service: service.to_owned(),
             behaviour,
             runs: Arc::default(),
+            answers: Arc::default(),
             record: record.clone(),
         };
         let served = runner.clone();
@@ -117,6 +128,10 @@
         self.runs.lock().expect("no poison").clone()
     }
 
+    pub fn answers(&self) -> Answers {
+        *self.answers.lock().expect("no poison")
+    }
+
     fn serve(&self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while let Ok(head) = connection.read_head() {
@@ -137,7 +152,9 @@
             return connection.write(&http::response("421 Misdirected Request", &instance, b""));
         }
         let len = head.content_len().unwrap_or(0);
-        let is_early = len >= LONG_LEN && self.behaviour.reads_on_after.is_some();
+        let may_be_early = len >= LONG_LEN && self.behaviour.reads_on_after.is_some();
+        let is_early =
+            self.answers.lock().expect("no poison").count(may_be_early, self.behaviour.early_share);
         let body_len = if is_early { 0 } else { connection.read_body(head)?.len() };
         let run = Run {
             at: Instant::now(),
