--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -139,6 +139,16 @@
 }
 
 impl Program {
+    /// Sends SIGTERM, as the platform does before it removes a process.
+    pub fn terminate(&self) {
+        unsafe extern "C" {
+            fn kill(pid: i32, signal: i32) -> i32;
+        }
+        const SIGTERM: i32 = 15;
+        // SAFETY: the process is a child that has not been waited for, so its id is its own.
+        unsafe { kill(self.child.id().cast_signed(), SIGTERM) };
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
